Serve one request from end to end as separate processes

The path comes first so that all other parts can copy its shape: one package for each peer, one task for each connection, named tuples for data, functions handed in for everything that can fail.

The entry host claims a request's id at the duty seat of the id's zone, gets a slot from its zone's dispatcher, sends the request on a connection whose task knows whether a byte may have left, and releases the slot. The configuration is folded from the platform's log. Seats are taken by records in the log.

Duties follow from the log alone. Rendezvous hashing over live hosts was ruled out: two hosts with different views of who is live would both grant the same units and both accept a claim.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the users' measures, with bounds as ratios and counts."""
--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,35 @@
+"""Runs all benchmarks; exits with 1 if a bound is broken."""
+
+from collections import abc
+import sys
+import typing
+
+
+class BenchmarkResult(typing.NamedTuple):
+    """One measured figure and its bound."""
+
+    name: str
+    value: float
+    bound: str
+    holds: bool
+
+
+BENCHMARKS: tuple[abc.Callable[[], abc.Iterator[BenchmarkResult]], ...] = ()
+
+
+def main() -> int:
+    """Prints a line for each figure and returns the exit status."""
+    broken = 0
+    for benchmark in BENCHMARKS:
+        for figure in benchmark():
+            verdict = "ok" if figure.holds else "BROKEN"
+            print(
+                f"{figure.name:48} {figure.value:10.3f} "
+                f"{figure.bound:>12} {verdict}"
+            )
+            broken += not figure.holds
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/chervillead/assembly.py
@@ -0,0 +1,210 @@
+"""Puts the parts of one entry host together.
+
+The daemon and the tests assemble the same parts; only the clock and the
+functions that open connections differ.
+"""
+
+import asyncio
+from collections import abc
+import typing
+
+from returns import result
+
+from chervillead import http_exchange
+from chervillead import settings as settings_module
+from chervillead import types
+from chervillead import verdicts
+from chervillead.callers import application
+from chervillead.callers import credentials
+from chervillead.callers import submission
+from chervillead.entries import dispatch_client
+from chervillead.entries import dispatcher
+from chervillead.entries import host as host_module
+from chervillead.entries import messages
+from chervillead.platform import log_client
+from chervillead.platform import log_reader
+from chervillead.upstreams import leases
+from chervillead.upstreams import pool
+
+
+class Assembly(typing.NamedTuple):
+    """The parts of one entry host.
+
+    Attributes:
+        settings: Its settings.
+        clock: Source of time of all parts.
+        reader: Holder of the folded configuration.
+        platform: Client of the log and the host list.
+        entry: This host among the entry hosts.
+        pools: Connections to upstreams.
+        running: Requests that run at present.
+        ports: Functions of the path of a request.
+        dial: Opens connections.
+        listen: Accepts connections.
+    """
+
+    settings: settings_module.Settings
+    clock: types.Clock
+    reader: log_reader.LogReader
+    platform: log_client.PlatformClient
+    entry: host_module.EntryHost
+    pools: pool.UpstreamPools
+    running: leases.RunningTasks
+    ports: submission.SubmissionPorts
+    dial: http_exchange.Dial
+    listen: http_exchange.Listen
+
+
+def assemble(
+    settings: settings_module.Settings,
+    clock: types.Clock,
+    *,
+    dial: http_exchange.Dial = http_exchange.dial,
+    listen: http_exchange.Listen = http_exchange.listen,
+) -> Assembly:
+    """Makes the parts of an entry host; nothing runs yet."""
+    reader = log_reader.LogReader(clock)
+    platform = log_client.connect_platform(
+        settings.platform.address,
+        timeout_s=settings.platform.timeout_s,
+        dial=dial,
+    )
+    entry = host_module.EntryHost(settings, reader, clock)
+    pools = pool.UpstreamPools(clock, dial)
+    running = leases.RunningTasks()
+    return Assembly(
+        settings,
+        clock,
+        reader,
+        platform,
+        entry,
+        pools,
+        running,
+        _submission_ports(entry, settings, pools, running, clock),
+        dial,
+        listen,
+    )
+
+
+async def run_background(parts: Assembly) -> None:
+    """Runs all tasks but the front end until cancelled."""
+    async with asyncio.TaskGroup() as tasks:
+        tasks.create_task(log_reader.follow_log(parts.reader, parts.platform))
+        tasks.create_task(
+            host_module.run_entry_host(
+                parts.entry,
+                parts.settings,
+                parts.reader,
+                parts.platform,
+                parts.clock,
+                dial=parts.dial,
+                listen=parts.listen,
+            )
+        )
+        tasks.create_task(
+            leases.renew_leases(
+                parts.running,
+                parts.pools,
+                parts.clock,
+                lease_s=dispatcher.LEASE_MS / 1000,
+            )
+        )
+
+
+def front_end_ports(
+    parts: Assembly, is_stopping: abc.Callable[[], bool]
+) -> application.FrontEndPorts:
+    """Returns the functions that the HTTP front end needs."""
+
+    async def submit(
+        request: types.Request, claimed: bool
+    ) -> submission.RequestOutcome:
+        return await submission.submit(request, parts.ports, claimed=claimed)
+
+    async def lookup(request_id: str) -> submission.RequestOutcome:
+        reply = await parts.entry.ask_claim_holder(
+            request_id, messages.Lookup(request_id)
+        )
+        return reply.bind(_outcome_of_lookup)
+
+    return application.FrontEndPorts(
+        authorize=lambda queue, key: credentials.authorize(
+            parts.reader.configuration, queue, key, parts.reader.unconfirmed_s
+        ),
+        submit=submit,
+        lookup=lookup,
+        is_ready=lambda: (
+            parts.reader.configuration.offset >= 0 and not is_stopping()
+        ),
+        clock=parts.clock,
+    )
+
+
+def _submission_ports(
+    entry: host_module.EntryHost,
+    settings: settings_module.Settings,
+    pools: pool.UpstreamPools,
+    running: leases.RunningTasks,
+    clock: types.Clock,
+) -> submission.SubmissionPorts:
+    """Returns the functions that the path of a request runs through."""
+    dispatch = entry.dispatch_ports()
+
+    async def claim(
+        request: types.Request,
+    ) -> result.Result[types.Answer | None, verdicts.Refusal]:
+        reply = await entry.ask_claim_holder(
+            request.request_id,
+            host_module.encode_claim(request, settings.host),
+        )
+        return reply.bind(submission.claim_outcome)
+
+    def finish(
+        request: types.Request,
+        verdict: verdicts.Verdict,
+        answer: types.Answer | None,
+    ) -> None:
+        holder = entry.claim_holder(request.request_id)
+        if holder is not None:
+            entry.post(
+                holder, host_module.encode_finished(request, verdict, answer)
+            )
+
+    async def acquire(
+        request: types.Request,
+    ) -> result.Result[types.Grant, verdicts.Refusal]:
+        return await dispatch_client.acquire(request, dispatch)
+
+    async def send(
+        request: types.Request, grant: types.Grant
+    ) -> submission.RequestOutcome:
+        running.add(grant)
+        try:
+            return await pool.send(pools, request, grant, clock)
+        finally:
+            running.discard(grant)
+
+    def release(
+        grant: types.Grant, started: bool, failed: bool, run_s: float
+    ) -> None:
+        dispatch_client.release(
+            grant, dispatch, started=started, failed=failed, run_s=run_s
+        )
+
+    return submission.SubmissionPorts(
+        claim, finish, acquire, send, release, clock
+    )
+
+
+def _outcome_of_lookup(
+    state: messages.ClaimState,
+) -> submission.RequestOutcome:
+    if state.state == messages.CLAIM_UNKNOWN:
+        return result.Failure(
+            verdicts.may_have_run("unknown-request", 404, "no such request")
+        )
+    outcome = submission.claim_outcome(state)
+    answer = outcome.value_or(None)
+    if answer is None:
+        return result.Failure(outcome.failure())
+    return result.Success(answer)
--- /dev/null
+++ b/src/chervillead/callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP front end for callers."""
--- /dev/null
+++ b/src/chervillead/callers/credentials.py
@@ -0,0 +1,91 @@
+"""Which team a key stands for, and whether it opens a queue."""
+
+import hashlib
+
+from returns import result
+
+from chervillead import verdicts
+from chervillead.platform import configuration as configuration_module
+
+MIN_KEY_CHARACTERS = 16
+MAX_KEY_CHARACTERS = 256
+
+
+def hash_key(key: str) -> str:
+    """Returns the hash under which `key` stands in the log."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def authorize(
+    configuration: configuration_module.Configuration,
+    queue_name: str,
+    key: str | None,
+    unconfirmed_s: float,
+) -> result.Result[str, verdicts.Refusal]:
+    """Decides for which team a request is taken.
+
+    Args:
+        configuration: The newest known state.
+        queue_name: Queue that the request is for.
+        key: Key that came with it, or None.
+        unconfirmed_s: How long the state has been unconfirmed.
+
+    Returns:
+        The team, empty for a request without a key on a queue open to all.
+    """
+    queue = configuration.queues.get(queue_name)
+    if queue is None:
+        return result.Failure(
+            verdicts.not_run(
+                "unknown-queue",
+                404,
+                f"no queue {queue_name[:64]!r}; "
+                f"known are {sorted(configuration.queues)}",
+            )
+        )
+    if key is None:
+        if queue.open_to_all:
+            return result.Success("")
+        return result.Failure(
+            verdicts.not_run("key-missing", 401, f"{queue_name} needs a key")
+        )
+    limit_s = queue.refuse_keyed_after_unconfirmed_s
+    if limit_s is not None and unconfirmed_s > limit_s:
+        return result.Failure(
+            verdicts.not_run(
+                "configuration-unconfirmed",
+                503,
+                f"keys could not be confirmed for {unconfirmed_s:.0f} s",
+                retry_after_s=5.0,
+            )
+        )
+    return _team_of_key(configuration, queue_name, key)
+
+
+def _team_of_key(
+    configuration: configuration_module.Configuration,
+    queue_name: str,
+    key: str,
+) -> result.Result[str, verdicts.Refusal]:
+    if not MIN_KEY_CHARACTERS <= len(key) <= MAX_KEY_CHARACTERS:
+        return result.Failure(
+            verdicts.not_run("malformed-key", 401, "the key has a wrong length")
+        )
+    entry = configuration.keys.get(hash_key(key))
+    if entry is None or entry.withdrawn:
+        return result.Failure(
+            verdicts.not_run("key-refused", 401, "the key is not in force")
+        )
+    if entry.queues is not None and queue_name not in entry.queues:
+        return result.Failure(
+            verdicts.not_run(
+                "key-not-for-queue",
+                403,
+                f"the key opens {sorted(entry.queues)}, not {queue_name!r}",
+            )
+        )
+    if entry.team not in configuration.teams:
+        return result.Failure(
+            verdicts.not_run("unknown-team", 403, f"no team {entry.team!r}")
+        )
+    return result.Success(entry.team)
--- /dev/null
+++ b/src/chervillead/daemon.py
@@ -0,0 +1,67 @@
+"""Runs one entry host as a process: signals, HTTP server, background tasks."""
+
+import asyncio
+import signal
+import time
+
+import eliot
+import uvicorn
+
+from chervillead import assembly
+from chervillead import settings as settings_module
+from chervillead import types
+from chervillead.callers import application
+
+SYSTEM_CLOCK = types.Clock(time.monotonic, time.time)
+# A request can't outlive its deadline, so a longer drain is never needed.
+DRAIN_TIMEOUT_S = application.MAX_DEADLINE_MS / 1000
+
+
+async def serve(settings: settings_module.Settings) -> None:
+    """Runs an entry host until SIGTERM or SIGINT."""
+    parts = assembly.assemble(settings, SYSTEM_CLOCK)
+    stopping = asyncio.Event()
+    front_end = assembly.front_end_ports(parts, stopping.is_set)
+    eliot.log_message("daemon:start", host=settings.host, zone=settings.zone)
+    background = asyncio.create_task(assembly.run_background(parts))
+    try:
+        await _serve_callers(settings, front_end, stopping)
+    finally:
+        background.cancel()
+        await asyncio.gather(background, return_exceptions=True)
+        parts.pools.close()
+        eliot.log_message("daemon:stopped", host=settings.host)
+
+
+async def _serve_callers(
+    settings: settings_module.Settings,
+    front_end: application.FrontEndPorts,
+    stopping: asyncio.Event,
+) -> None:
+    """Serves HTTP until a signal; then drains and returns."""
+    app = application.build_application(front_end)
+    await app.start()  # type: ignore[no-untyped-call]
+    server = uvicorn.Server(
+        uvicorn.Config(
+            app,
+            host=settings.callers.host,
+            port=settings.callers.port,
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            http="httptools",
+            timeout_graceful_shutdown=int(DRAIN_TIMEOUT_S),
+        )
+    )
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    # `_serve` leaves the signals to this module: uvicorn's own handlers close
+    # the listening socket at once, during the balancer's lag.
+    serving = asyncio.create_task(server._serve())
+    stopped = asyncio.create_task(stopping.wait())
+    await asyncio.wait((serving, stopped), return_when=asyncio.FIRST_COMPLETED)
+    await asyncio.sleep(settings.stop_delay_s if stopping.is_set() else 0)
+    server.should_exit = True
+    await serving
+    await app.stop()  # type: ignore[no-untyped-call]
--- /dev/null
+++ b/src/chervillead/entries/__init__.py
@@ -0,0 +1,1 @@
+"""Streams between entry hosts."""
--- /dev/null
+++ b/src/chervillead/entries/codec.py
@@ -0,0 +1,106 @@
+"""Encoding of messages between entry hosts as length-prefixed msgpack frames.
+
+A frame is a 4-byte big-endian length and the array
+`[number, reply_to, kind, fields]`. `number` identifies the frame on its
+stream; `reply_to` is the number of the frame that it answers, or 0.
+"""
+
+import asyncio
+from collections import abc
+import struct
+import typing
+
+import msgspec
+
+from chervillead.entries import messages
+
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+_LENGTH = struct.Struct(">I")
+
+
+class Frame(typing.NamedTuple):
+    """A message with the numbers that match replies to requests."""
+
+    number: int
+    reply_to: int
+    message: messages.Message
+
+
+class MalformedFrameError(Exception):
+    """The peer sent something that is not a frame."""
+
+
+class _RawFrame(typing.NamedTuple):
+    number: int
+    reply_to: int
+    kind: str
+    fields: msgspec.Raw
+
+
+_KINDS: dict[str, type] = {
+    "hello": messages.Hello,
+    "heartbeat": messages.Heartbeat,
+    "register": messages.Register,
+    "granted": messages.Granted,
+    "waiting": messages.Waiting,
+    "refused": messages.Refused,
+    "withdraw": messages.Withdraw,
+    "release": messages.Release,
+    "claim": messages.Claim,
+    "claim-state": messages.ClaimState,
+    "lookup": messages.Lookup,
+    "finished": messages.Finished,
+    "cancel": messages.Cancel,
+}
+_NAMES = {message_type: kind for kind, message_type in _KINDS.items()}
+_DECODERS: dict[str, msgspec.msgpack.Decoder[typing.Any]] = {
+    kind: msgspec.msgpack.Decoder(message_type)
+    for kind, message_type in _KINDS.items()
+}
+_encoder = msgspec.msgpack.Encoder()
+_frame_decoder = msgspec.msgpack.Decoder(_RawFrame)
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Returns the bytes of `frame`, its length first."""
+    kind = _NAMES[type(frame.message)]
+    payload = _encoder.encode(
+        (frame.number, frame.reply_to, kind, frame.message)
+    )
+    return _LENGTH.pack(len(payload)) + payload
+
+
+def decode_payload(payload: bytes) -> Frame:
+    """Returns the frame in `payload`, which excludes the length.
+
+    Raises:
+        MalformedFrameError: The payload isn't a known message.
+    """
+    try:
+        raw = _frame_decoder.decode(payload)
+        message = _DECODERS[raw.kind].decode(raw.fields)
+    except (msgspec.DecodeError, KeyError) as error:
+        raise MalformedFrameError(f"malformed frame: {error}") from error
+    return Frame(raw.number, raw.reply_to, message)
+
+
+async def read_frames(
+    reader: asyncio.StreamReader,
+) -> abc.AsyncIterator[Frame]:
+    """Yields frames until the stream ends.
+
+    Raises:
+        MalformedFrameError: The peer sent something else.
+    """
+    while True:
+        try:
+            prefix = await reader.readexactly(_LENGTH.size)
+            (length,) = _LENGTH.unpack(prefix)
+            if length > MAX_FRAME_BYTES:
+                raise MalformedFrameError(
+                    f"frame of {length} bytes, at most {MAX_FRAME_BYTES}"
+                )
+            payload = await reader.readexactly(length)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        yield decode_payload(payload)
--- /dev/null
+++ b/src/chervillead/entries/membership.py
@@ -0,0 +1,61 @@
+"""Which entry hosts are live, as far as this host can tell."""
+
+import asyncio
+from collections import abc
+
+from chervillead import types
+from chervillead.entries import messages
+from chervillead.entries import streams as streams_module
+
+HEARTBEAT_S = 0.25
+SUSPECT_S = 1.0
+
+
+class Membership:
+    """Last heartbeat of each peer."""
+
+    def __init__(self, host: str, clock: types.Clock) -> None:
+        self._host = host
+        self._clock = clock
+        self._heartbeats: dict[str, messages.Heartbeat] = {}
+        self._heard_s: dict[str, float] = {}
+
+    @property
+    def live(self) -> frozenset[str]:
+        """This host and the peers that were heard of late."""
+        oldest_s = self._clock.monotonic() - SUSPECT_S
+        heard = (h for h, at_s in self._heard_s.items() if at_s >= oldest_s)
+        return frozenset((self._host, *heard))
+
+    def heartbeat_of(self, host: str) -> messages.Heartbeat | None:
+        """Returns the last heartbeat of a peer."""
+        return self._heartbeats.get(host)
+
+    def silent_s(self, host: str) -> float:
+        """Returns how long a peer has been silent; inf if never heard."""
+        if host == self._host:
+            return 0.0
+        if host not in self._heard_s:
+            return float("inf")
+        return self._clock.monotonic() - self._heard_s[host]
+
+    def take(self, host: str, heartbeat: messages.Heartbeat) -> None:
+        """Notes a heartbeat."""
+        self._heartbeats[host] = heartbeat
+        self._heard_s[host] = self._clock.monotonic()
+
+
+async def send_heartbeats(
+    peer_streams: streams_module.PeerStreams,
+    current: abc.Callable[[], messages.Heartbeat],
+    clock: types.Clock,
+) -> None:
+    """Sends heartbeats on all streams and closes the silent ones."""
+    while True:
+        heartbeat = current()
+        for stream in peer_streams.open_streams():
+            if clock.monotonic() - stream.last_heard_s > SUSPECT_S:
+                stream.close()
+            else:
+                stream.post(heartbeat)
+        await asyncio.sleep(HEARTBEAT_S)
--- /dev/null
+++ b/src/chervillead/entries/messages.py
@@ -0,0 +1,164 @@
+"""Messages between entry hosts.
+
+Times are sent as time left in milliseconds, never as clock readings. Each
+message can be received twice without harm: it names the request, grant or loan
+that it is about.
+"""
+
+import typing
+
+from chervillead import types
+from chervillead import verdicts
+
+
+class Hello(typing.NamedTuple):
+    """First message on a stream, from both sides."""
+
+    host: str
+    zone: str
+
+
+class Heartbeat(typing.NamedTuple):
+    """Sent on every stream at a fixed interval.
+
+    Attributes:
+        offset: Offset of the sender's configuration.
+        log_age_ms: Time since the log confirmed it; -1 if it never did.
+        leaving: Whether the sender is stopping.
+        free_slots: Free slots by queue if the sender is a dispatcher.
+    """
+
+    offset: int
+    log_age_ms: int
+    leaving: bool
+    free_slots: dict[str, int]
+
+
+class Register(typing.NamedTuple):
+    """Asks a dispatcher for a slot; answered by Granted, Waiting or Refused."""
+
+    request_id: str
+    queue: str
+    team: str
+    size: types.Size
+    time_left_ms: int
+    run_ms: int
+
+
+class Granted(typing.NamedTuple):
+    """A slot on an upstream, to be used within `start_by_ms`."""
+
+    request_id: str
+    grant_id: str
+    upstream: types.Upstream
+    start_by_ms: int
+    lease_ms: int
+
+
+class Waiting(typing.NamedTuple):
+    """The request is on the waiting list; Granted or Refused follows."""
+
+    request_id: str
+
+
+class Refused(typing.NamedTuple):
+    """The dispatcher won't grant a slot; the request did not run."""
+
+    request_id: str
+    reason: str
+    status: int
+    detail: str
+    retry_after_ms: int
+
+
+class Withdraw(typing.NamedTuple):
+    """The request no longer waits: cancelled, expired or granted elsewhere."""
+
+    request_id: str
+
+
+class Release(typing.NamedTuple):
+    """A grant is over.
+
+    Attributes:
+        grant_id: The grant.
+        started: Whether the upstream was given the request.
+        failed: Whether the upstream failed it.
+        run_ms: How long it ran.
+    """
+
+    grant_id: str
+    started: bool
+    failed: bool
+    run_ms: int
+
+
+class Claim(typing.NamedTuple):
+    """Asks to be the one owner of a request id."""
+
+    request_id: str
+    digest: int
+    owner: str
+
+
+class ClaimState(typing.NamedTuple):
+    """Answer to Claim and Lookup.
+
+    Attributes:
+        request_id: The request.
+        state: One of the `CLAIM_*` constants.
+        owner: Entry host that owns the request, if known.
+        verdict: Whether it ran, once that is known.
+        answer: The stored answer, if it was small enough to keep.
+    """
+
+    request_id: str
+    state: str
+    owner: str = ""
+    verdict: verdicts.Verdict | None = None
+    answer: types.Answer | None = None
+
+
+CLAIM_ACCEPTED = "accepted"
+CLAIM_RUNNING = "running"
+CLAIM_FINISHED = "finished"
+CLAIM_LOST = "lost"  # the owner died, or the claim predates this holder
+CLAIM_CONFLICT = "conflict"  # the id was used with another body
+CLAIM_UNKNOWN = "unknown"  # only in answers to Lookup
+
+
+class Lookup(typing.NamedTuple):
+    """Asks what is known of a request id."""
+
+    request_id: str
+
+
+class Finished(typing.NamedTuple):
+    """Tells the claim holder how a request ended."""
+
+    request_id: str
+    verdict: verdicts.Verdict
+    answer: types.Answer | None
+
+
+class Cancel(typing.NamedTuple):
+    """Asks the owner to cancel a request."""
+
+    request_id: str
+
+
+Message: typing.TypeAlias = (
+    Hello
+    | Heartbeat
+    | Register
+    | Granted
+    | Waiting
+    | Refused
+    | Withdraw
+    | Release
+    | Claim
+    | ClaimState
+    | Lookup
+    | Finished
+    | Cancel
+)
--- /dev/null
+++ b/src/chervillead/metrics.py
@@ -0,0 +1,36 @@
+"""Metrics to statsd; without an address they are dropped."""
+
+from collections import abc
+import typing
+
+import statsd
+
+from chervillead import types
+
+
+class Metrics(typing.NamedTuple):
+    """Operations on metrics as functions.
+
+    Attributes:
+        increment: Adds to a counter.
+        time_ms: Notes a duration in milliseconds.
+        gauge: Sets a gauge.
+    """
+
+    increment: abc.Callable[[str, int], None]
+    time_ms: abc.Callable[[str, float], None]
+    gauge: abc.Callable[[str, float], None]
+
+
+def connect_metrics(address: types.Address | None) -> Metrics:
+    """Returns metrics that go to the statsd server at `address` over UDP."""
+    if address is None:
+        return Metrics(_drop, _drop, _drop)
+    client = statsd.StatsClient(
+        address.host, address.port, prefix="chervillead"
+    )
+    return Metrics(client.incr, client.timing, client.gauge)
+
+
+def _drop(name: str, value: float) -> None:
+    """Ignores a metric."""
--- /dev/null
+++ b/src/chervillead/operators/__init__.py
@@ -0,0 +1,1 @@
+"""What operators see and publish."""
--- /dev/null
+++ b/src/chervillead/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's log and host list."""
--- /dev/null
+++ b/src/chervillead/platform/log_client.py
@@ -0,0 +1,128 @@
+"""HTTP client of the platform's log and host list; see docs/protocols.md."""
+
+import asyncio
+from collections import abc
+import typing
+
+import msgspec
+from returns import result
+
+from chervillead import http_exchange
+from chervillead import types
+from chervillead.platform import records
+
+READ_LIMIT = 1000
+
+
+class HostEntry(typing.NamedTuple):
+    """One line of the platform's lagging host list."""
+
+    name: str
+    live: bool
+    leaving: bool
+
+
+class PlatformClient(typing.NamedTuple):
+    """The platform's operations as functions; tests hand in others.
+
+    Attributes:
+        read: Returns the log from an offset, waiting up to a number of seconds
+            when there is nothing new.
+        append: Appends bytes; a failure doesn't say that nothing was appended.
+        list_hosts: Returns the lagging list of live and leaving hosts.
+    """
+
+    read: abc.Callable[
+        [int, float], abc.Awaitable[result.Result[records.LogPage, str]]
+    ]
+    append: abc.Callable[[bytes], abc.Awaitable[result.Result[int, str]]]
+    list_hosts: abc.Callable[
+        [], abc.Awaitable[result.Result[list[HostEntry], str]]
+    ]
+
+
+class _AppendReply(typing.TypedDict):
+    offset: int
+
+
+def connect_platform(
+    address: types.Address,
+    *,
+    timeout_s: float,
+    dial: http_exchange.Dial = http_exchange.dial,
+) -> PlatformClient:
+    """Returns a client of the platform at `address`.
+
+    Args:
+        address: IP number and port of the platform's HTTP service.
+        timeout_s: Bound of each call beyond the time that it asks to wait.
+        dial: Opens connections.
+    """
+
+    async def call(
+        request: http_exchange.HttpRequest, wait_s: float = 0.0
+    ) -> result.Result[bytes, str]:
+        try:
+            async with asyncio.timeout(timeout_s + wait_s):
+                response = await http_exchange.call_once(dial, address, request)
+        except (
+            OSError,
+            TimeoutError,
+            http_exchange.IncompleteResponseError,
+        ) as error:
+            return result.Failure(f"{type(error).__name__}: {error}")
+        if response.status != 200:
+            return result.Failure(f"platform answered {response.status}")
+        return result.Success(response.body)
+
+    async def read(
+        offset: int, wait_s: float
+    ) -> result.Result[records.LogPage, str]:
+        path = (
+            f"/log?from={offset}&limit={READ_LIMIT}"
+            f"&wait_ms={int(wait_s * 1000)}"
+        )
+        reply = await call(http_exchange.HttpRequest("GET", path), wait_s)
+        return reply.bind(_decode_page)
+
+    async def append(data: bytes) -> result.Result[int, str]:
+        request = http_exchange.HttpRequest("POST", "/log", body=data)
+        reply = await call(request)
+        return reply.bind(_decode_append)
+
+    async def list_hosts() -> result.Result[list[HostEntry], str]:
+        reply = await call(http_exchange.HttpRequest("GET", "/hosts"))
+        return reply.bind(_decode_hosts)
+
+    return PlatformClient(read, append, list_hosts)
+
+
+def _decode_page(body: bytes) -> result.Result[records.LogPage, str]:
+    try:
+        return result.Success(
+            msgspec.msgpack.decode(body, type=records.LogPage)
+        )
+    except msgspec.DecodeError as error:
+        return result.Failure(f"malformed log page: {error}")
+
+
+def _decode_append(body: bytes) -> result.Result[int, str]:
+    try:
+        reply = msgspec.json.decode(body, type=_AppendReply)
+        return result.Success(reply["offset"])
+    except msgspec.DecodeError as error:
+        return result.Failure(f"malformed append reply: {error}")
+
+
+class _HostMap(typing.TypedDict):
+    name: str
+    live: bool
+    leaving: bool
+
+
+def _decode_hosts(body: bytes) -> result.Result[list[HostEntry], str]:
+    try:
+        hosts = msgspec.json.decode(body, type=list[_HostMap])
+        return result.Success([HostEntry(**host) for host in hosts])
+    except msgspec.DecodeError as error:
+        return result.Failure(f"malformed host list: {error}")
--- /dev/null
+++ b/src/chervillead/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP to upstreams, which run the requests."""
--- /dev/null
+++ b/src/chervillead/upstreams/slots.py
@@ -0,0 +1,67 @@
+"""Slots of the upstreams of one zone, as its dispatcher counts them."""
+
+import typing
+
+from chervillead import types
+
+
+class HeldSlot(typing.NamedTuple):
+    """One slot in use."""
+
+    grant_id: str
+    upstream: str
+    queue: str
+    team: str
+    entry_host: str
+    size: types.Size
+
+
+class SlotTable:
+    """Which grant uses which upstream.
+
+    An upstream offers slots; grants beyond that aren't given. A host that
+    leaves keeps its grants until they are released.
+    """
+
+    def __init__(self) -> None:
+        self._held: dict[str, HeldSlot] = {}
+        self._used: dict[str, int] = {}
+        self._running: dict[str, int] = {}
+
+    @property
+    def held(self) -> dict[str, HeldSlot]:
+        """Slots in use by grant id."""
+        return self._held
+
+    def used(self, upstream: str) -> int:
+        """Returns how many slots of `upstream` are in use."""
+        return self._used.get(upstream, 0)
+
+    def running(self, team: str) -> int:
+        """Returns how many grants `team` holds here."""
+        return self._running.get(team, 0)
+
+    def hold(self, slot: HeldSlot) -> None:
+        """Notes that a slot is in use; a repeat has no effect."""
+        if slot.grant_id in self._held:
+            return
+        self._held[slot.grant_id] = slot
+        self._used[slot.upstream] = self.used(slot.upstream) + 1
+        self._running[slot.team] = self.running(slot.team) + 1
+
+    def release(self, grant_id: str) -> HeldSlot | None:
+        """Frees a slot; returns None if the grant is unknown or was freed."""
+        slot = self._held.pop(grant_id, None)
+        if slot is not None:
+            self._used[slot.upstream] -= 1
+            self._running[slot.team] -= 1
+        return slot
+
+
+def size_fits(size: types.Size, offered: types.Size) -> bool:
+    """Returns whether a request of `size` fits an idle host at all."""
+    return (
+        size.cores <= offered.cores
+        and size.memory_mb <= offered.memory_mb
+        and size.accelerators <= offered.accelerators
+    )
--- /dev/null
+++ b/tests/stand_ins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around chervillead."""
--- /dev/null
+++ b/tests/stand_ins/memory_fleet.py
@@ -0,0 +1,165 @@
+"""A whole fleet in one event loop: real modules on a memory network.
+
+Only the sockets are replaced. The platform and the upstreams are the same
+stand-ins that run as processes.
+"""
+
+import asyncio
+from collections import abc
+import typing
+
+from returns import result
+
+from chervillead import assembly
+from chervillead import settings as settings_module
+from chervillead import types
+from chervillead import verdicts
+from chervillead.callers import credentials
+from chervillead.callers import request_ids
+from chervillead.callers import submission
+from chervillead.platform import records
+from stand_ins import http_server
+from stand_ins import local_fleet
+from stand_ins import memory_network
+from stand_ins import platform as platform_stand_in
+from stand_ins import upstream as upstream_stand_in
+from stand_ins import virtual_time
+
+PLATFORM = "platform"
+
+
+class MemoryFleet:
+    """The parts of a fleet and the faults that a test applies to them."""
+
+    def __init__(
+        self, plan: local_fleet.FleetPlan, *, seed: int, delay_s: float = 0.0005
+    ) -> None:
+        self.plan = plan
+        self.network = memory_network.MemoryNetwork(delay_s=delay_s, seed=seed)
+        self.platform = platform_stand_in.PlatformState()
+        self.upstreams: dict[str, upstream_stand_in.UpstreamState] = {}
+        self.hosts: dict[str, assembly.Assembly] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    async def start(
+        self, first: abc.Iterable[records.Record] | None = None
+    ) -> None:
+        """Starts everything, publishes a configuration and waits for seats."""
+        self._serve(
+            PLATFORM,
+            self.plan.platform,
+            platform_stand_in.build_handler(self.platform),
+        )
+        for queue_index, queue in enumerate(local_fleet.QUEUES):
+            for index in range(self.plan.upstreams_per_queue):
+                name = f"{queue}-{index}"
+                state = upstream_stand_in.UpstreamState(slots=self.plan.slots)
+                self.upstreams[name] = state
+                self._serve(
+                    name,
+                    self.plan.upstream_address(queue_index, index),
+                    upstream_stand_in.build_handler(state),
+                )
+        if first is None:
+            first = local_fleet.initial_records(self.plan)
+        for record in first:
+            self.publish(record)
+        for index in range(self.plan.entry_hosts):
+            self.start_host(index)
+        await asyncio.sleep(3.0)
+
+    def publish(self, record: records.Record) -> None:
+        """Appends a record to the log, as an operator's tool does."""
+        self.platform.append(
+            records.encode_record(record), -1.0 - self.platform.end
+        )
+
+    def start_host(self, index: int) -> assembly.Assembly:
+        """Starts an entry host, or a replacement of one that was killed."""
+        name = self.plan.entry_name(index)
+        document = local_fleet.entry_settings(self.plan, index)
+        parts = assembly.assemble(
+            settings_module.check_settings(document).unwrap(),
+            virtual_time.clock(),
+            dial=self.network.dial_from(name),
+            listen=self.network.listen_at(name),
+        )
+        self.hosts[name] = parts
+        self._tasks[name] = asyncio.ensure_future(
+            assembly.run_background(parts)
+        )
+        return parts
+
+    async def kill_host(self, name: str) -> None:
+        """Ends an entry host at once, with all its connections."""
+        task = self._tasks.pop(name)
+        del self.hosts[name]
+        self.network.reset_place(name)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    async def stop(self) -> None:
+        """Ends everything."""
+        tasks = list(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def submit(
+        self,
+        host: str,
+        queue: str,
+        team: str,
+        body: bytes,
+        *,
+        request_id: str | None = None,
+        idempotent: bool = False,
+        deadline_s: float = 10.0,
+    ) -> submission.RequestOutcome:
+        """Submits through one entry host as its front end does."""
+        parts = self.hosts[host]
+        clock = parts.clock
+        authorized = credentials.authorize(
+            parts.reader.configuration,
+            queue,
+            local_fleet.TEAM_KEYS[team],
+            parts.reader.unconfirmed_s,
+        )
+        if isinstance(authorized, result.Failure):
+            refusal: verdicts.Refusal = authorized.failure()
+            return result.Failure(refusal)
+        request = types.Request(
+            request_id or request_ids.new_request_id(clock.wall()),
+            queue,
+            team,
+            body,
+            "text/plain",
+            types.Size(),
+            clock.monotonic() + deadline_s,
+            idempotent,
+        )
+        return await submission.submit(
+            request, parts.ports, claimed=not idempotent
+        )
+
+    def executions(self) -> list[upstream_stand_in.TaskRecord]:
+        """Returns what all upstreams recorded."""
+        return [
+            record
+            for state in self.upstreams.values()
+            for record in state.records
+        ]
+
+    def _serve(
+        self,
+        place: str,
+        address: types.Address,
+        handler: http_server.Handler,
+    ) -> None:
+        listen = self.network.listen_at(place)
+        self._tasks[place] = asyncio.ensure_future(
+            typing.cast(
+                abc.Coroutine[typing.Any, typing.Any, None],
+                listen(address, http_server.serve_connections(handler)),
+            )
+        )
--- /dev/null
+++ b/tests/stand_ins/memory_network.py
@@ -0,0 +1,175 @@
+"""A network in memory between named places, with seeded faults.
+
+Bytes arrive in order, as with TCP, after a delay. A cut link delivers nothing
+until it is healed, as when packets are dropped; a reset ends connections at
+once. `place` names where a socket stands: an entry host, upstream or platform.
+"""
+
+import asyncio
+from collections import abc
+import random
+import typing
+
+from chervillead import http_exchange
+from chervillead import types
+
+
+class Listener(typing.NamedTuple):
+    """A listening socket."""
+
+    place: str
+    serve: http_exchange.ServeStreams
+
+
+class _MemoryWriter:
+    """The writing end of one direction of a connection."""
+
+    def __init__(
+        self, network: "MemoryNetwork", source: str, target: str
+    ) -> None:
+        self._network = network
+        self._source = source
+        self._target = target
+        self._closed = False
+        self._arrival_s = 0.0
+        self.far_reader = asyncio.StreamReader()
+        self.reverse: _MemoryWriter | None = None
+
+    def write(self, data: bytes) -> None:
+        if not self._closed and data:
+            self._deliver(lambda: self._feed(data))
+
+    async def drain(self) -> None:
+        if self._closed:
+            raise ConnectionResetError("connection is closed")
+        await asyncio.sleep(0)
+
+    def close(self) -> None:
+        if not self._closed:
+            self._closed = True
+            self._deliver(self._feed_end)
+
+    def is_closing(self) -> bool:
+        return self._closed
+
+    async def wait_closed(self) -> None:
+        await asyncio.sleep(0)
+
+    def reset(self) -> None:
+        """Ends the direction at once, without what is under way."""
+        self._closed = True
+        self._feed_end()
+
+    def _feed(self, data: bytes) -> None:
+        if not self.far_reader.at_eof() and not self.far_reader._eof:
+            self.far_reader.feed_data(data)
+
+    def _feed_end(self) -> None:
+        if not self.far_reader._eof:
+            self.far_reader.feed_eof()
+        if self.reverse is not None:
+            self.reverse._closed = True
+
+    def _deliver(self, action: abc.Callable[[], None]) -> None:
+        self._network.deliver(self, self._source, self._target, action)
+
+
+class MemoryNetwork:
+    """Listeners, connections and the faults in force."""
+
+    def __init__(self, *, delay_s: float = 0.0005, seed: int = 0) -> None:
+        self._delay_s = delay_s
+        self._random = random.Random(seed)
+        self._listeners: dict[types.Address, Listener] = {}
+        self._cuts: set[frozenset[str]] = set()
+        self._held: list[tuple[str, str, abc.Callable[[], None]]] = []
+        self._writers: list[tuple[str, str, _MemoryWriter]] = []
+        self._tasks: set[asyncio.Future[None]] = set()
+
+    def dial_from(self, place: str) -> http_exchange.Dial:
+        """Returns the function that opens connections from `place`."""
+
+        async def dial(address: types.Address) -> http_exchange.Streams:
+            listener = self._listeners.get(address)
+            target = "" if listener is None else listener.place
+            await asyncio.sleep(2 * self._delay_s)
+            while listener is not None and self.is_cut(place, target):
+                await asyncio.sleep(0.05)
+            if listener is None or address not in self._listeners:
+                raise ConnectionRefusedError(f"nothing listens at {address}")
+            return self._connect(place, listener)
+
+        return dial
+
+    def listen_at(self, place: str) -> http_exchange.Listen:
+        """Returns the function that accepts connections at `place`."""
+
+        async def listen(
+            address: types.Address, serve: http_exchange.ServeStreams
+        ) -> None:
+            self._listeners[address] = Listener(place, serve)
+            try:
+                await asyncio.Event().wait()
+            finally:
+                del self._listeners[address]
+
+        return listen
+
+    def is_cut(self, place: str, other: str) -> bool:
+        """Returns whether nothing passes between two places."""
+        return frozenset((place, other)) in self._cuts
+
+    def cut(self, places: abc.Iterable[str], others: abc.Iterable[str]) -> None:
+        """Holds everything between two groups of places from now on."""
+        others = tuple(others)
+        self._cuts.update(
+            frozenset((place, other)) for place in places for other in others
+        )
+
+    def heal(self) -> None:
+        """Ends all cuts; what was held arrives now, in order."""
+        self._cuts.clear()
+        held, self._held = self._held, []
+        for _, _, action in held:
+            action()
+
+    def reset_place(self, place: str) -> None:
+        """Breaks all connections of a place, as when its process dies."""
+        for source, target, writer in self._writers:
+            if place in (source, target):
+                writer.reset()
+
+    def deliver(
+        self,
+        writer: _MemoryWriter,
+        source: str,
+        target: str,
+        action: abc.Callable[[], None],
+    ) -> None:
+        """Runs `action` after the delay, behind what was sent before."""
+        loop = asyncio.get_running_loop()
+        due_s = loop.time() + self._delay_s * self._random.uniform(0.5, 1.5)
+        due_s = writer._arrival_s = max(due_s, writer._arrival_s)
+
+        def arrive() -> None:
+            if self.is_cut(source, target):
+                self._held.append((source, target, action))
+            else:
+                action()
+
+        loop.call_at(due_s, arrive)
+
+    def _connect(self, place: str, listener: Listener) -> http_exchange.Streams:
+        forth = _MemoryWriter(self, place, listener.place)
+        back = _MemoryWriter(self, listener.place, place)
+        forth.reverse, back.reverse = back, forth
+        self._writers.append((place, listener.place, forth))
+        self._writers.append((listener.place, place, back))
+        serving = asyncio.ensure_future(
+            listener.serve(
+                forth.far_reader, typing.cast(asyncio.StreamWriter, back)
+            )
+        )
+        self._tasks.add(serving)
+        serving.add_done_callback(self._tasks.discard)
+        return back.far_reader, typing.cast(asyncio.StreamWriter, forth)
--- /dev/null
+++ b/tests/stand_ins/upstream.py
@@ -0,0 +1,173 @@
+"""Stand-in for an upstream: slots, tasks under leases, failure modes.
+
+Run as `python -m stand_ins.upstream PORT SLOTS`. Every start and end of a task
+is kept in `records`, which the invariant checks read. See docs/protocols.md.
+"""
+
+import asyncio
+import sys
+import typing
+
+import msgspec
+
+from stand_ins import http_server
+
+REQUEST_ID = "chervillead-request-id"
+
+
+class TaskRecord(typing.NamedTuple):
+    """One execution, as the upstream saw it; times by the loop's clock."""
+
+    request_id: str
+    team: str
+    queue: str
+    started_s: float
+    ended_s: float | None
+    ending: str
+
+
+class UpstreamState:
+    """Running tasks and the faults that a test switches on."""
+
+    def __init__(self, *, slots: int = 8, run_s: float = 0.02) -> None:
+        self.slots = slots
+        self.run_s = run_s
+        self.failure = ""
+        self.records: list[TaskRecord] = []
+        self._leases: dict[str, float] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    @property
+    def running(self) -> list[str]:
+        """Request ids that run at present."""
+        return list(self._tasks)
+
+    def renew(self, request_ids: list[str], lease_s: float) -> list[str]:
+        """Extends leases; returns the ids that still run."""
+        now_s = asyncio.get_running_loop().time()
+        alive = [i for i in request_ids if i in self._tasks]
+        for request_id in alive:
+            self._leases[request_id] = now_s + lease_s
+        return alive
+
+    def stop(self, request_id: str) -> bool:
+        """Stops a task; returns whether it ran."""
+        task = self._tasks.get(request_id)
+        if task is not None:
+            task.cancel()
+        return task is not None
+
+    async def run(self, headers: dict[str, str], body: bytes) -> bytes | None:
+        """Runs a task to its end; returns None if it was stopped."""
+        request_id = headers[REQUEST_ID]
+        loop = asyncio.get_running_loop()
+        lease_s = int(headers["chervillead-lease-ms"]) / 1000
+        self._leases[request_id] = loop.time() + lease_s
+        started_s = loop.time()
+        index = len(self.records)
+        self.records.append(
+            TaskRecord(
+                request_id,
+                headers.get("chervillead-team", ""),
+                headers.get("chervillead-queue", ""),
+                started_s,
+                None,
+                "",
+            )
+        )
+        task = loop.create_task(self._work(request_id, self._run_s(body)))
+        self._tasks[request_id] = task
+        ending = "finished"
+        try:
+            await task
+        except asyncio.CancelledError:
+            ending = "stopped"
+        finally:
+            del self._tasks[request_id]
+            self.records[index] = self.records[index]._replace(
+                ended_s=loop.time(), ending=ending
+            )
+        if ending == "stopped":
+            return None
+        return b"done:" + body
+
+    def _run_s(self, body: bytes) -> float:
+        """Run time of a task: `run=SECONDS` in its body, or the default."""
+        if body.startswith(b"run="):
+            return float(body[4:].split(b";")[0])
+        return self.run_s
+
+    async def _work(self, request_id: str, run_s: float) -> None:
+        """Works in steps; a lapsed lease ends the task."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + run_s
+        while (left_s := end_s - loop.time()) > 0:
+            lease_left_s = self._leases[request_id] - loop.time()
+            if lease_left_s <= 0:
+                raise asyncio.CancelledError
+            await asyncio.sleep(min(left_s, lease_left_s))
+
+
+def build_handler(state: UpstreamState) -> http_server.Handler:
+    """Returns the HTTP handler of the upstream."""
+
+    async def handle(
+        request: http_server.ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> http_server.Reply | None:
+        if request.path == "/tasks" and request.method == "POST":
+            return await _handle_task(state, request, writer)
+        if request.path == "/leases":
+            ids = msgspec.json.decode(request.body, type=list[str])
+            return http_server.Reply(
+                200, msgspec.json.encode(state.renew(ids, 2.0))
+            )
+        if request.path.startswith("/tasks/") and request.method == "DELETE":
+            found = state.stop(request.path.removeprefix("/tasks/"))
+            return http_server.Reply(200 if found else 404)
+        if request.path == "/records":
+            return http_server.Reply(200, msgspec.json.encode(state.records))
+        if request.path == "/faults":
+            for name, value in msgspec.json.decode(request.body).items():
+                setattr(state, name, value)
+            return http_server.Reply(200)
+        return http_server.Reply(404)
+
+    return handle
+
+
+async def _handle_task(
+    state: UpstreamState,
+    request: http_server.ReceivedRequest,
+    writer: asyncio.StreamWriter,
+) -> http_server.Reply | None:
+    echo = ((REQUEST_ID, request.headers[REQUEST_ID]),)
+    if len(state.running) >= state.slots:
+        refused = (*echo, ("chervillead-verdict", "not-run"))
+        return http_server.Reply(503, b"all slots are in use", refused)
+    if state.failure == "silent":
+        await asyncio.Event().wait()
+    answer = await state.run(request.headers, request.body)
+    if answer is None:
+        return http_server.Reply(500, b"stopped", echo)
+    if state.failure == "close":
+        writer.close()
+        return None
+    if state.failure == "truncate":
+        whole = http_server.encode_reply(http_server.Reply(200, answer, echo))
+        writer.write(whole[:-2])
+        writer.close()
+        return None
+    if state.failure == "crossed":
+        echo = ((REQUEST_ID, "00000000-0000-7000-8000-000000000000"),)
+    return http_server.Reply(200, answer, echo)
+
+
+async def main(port: int, slots: int) -> None:
+    """Serves until cancelled."""
+    state = UpstreamState(slots=slots)
+    server = await http_server.serve(build_handler(state), "127.0.0.1", port)
+    await server.serve_forever()
+
+
+if __name__ == "__main__":
+    asyncio.run(main(int(sys.argv[1]), int(sys.argv[2])))
