Settle the messages and units that the parts share

The parts are written side by side, so the messages of hand-over, relay and recovery and the division of team limits are fixed first.

--- a/src/chervillead/entries/codec.py
+++ b/src/chervillead/entries/codec.py
@@ -51,6 +51,11 @@
     "lookup": messages.Lookup,
     "finished": messages.Finished,
     "cancel": messages.Cancel,
+    "holdings": messages.Holdings,
+    "hand-over": messages.HandOver,
+    "config-request": messages.ConfigRequest,
+    "config-records": messages.ConfigRecords,
+    "config-snapshot": messages.ConfigSnapshot,
 }
 _NAMES = {message_type: kind for kind, message_type in _KINDS.items()}
 _DECODERS: dict[str, msgspec.msgpack.Decoder[typing.Any]] = {
--- a/src/chervillead/entries/host.py
+++ b/src/chervillead/entries/host.py
@@ -83,6 +83,7 @@
             int(age_ms),
             self._stopping,
             self._dispatcher.free_slots(),
+            {},
         )
 
     def post(self, host: str, message: messages.Message) -> None:
--- a/src/chervillead/entries/messages.py
+++ b/src/chervillead/entries/messages.py
@@ -26,12 +26,15 @@
         log_age_ms: Time since the log confirmed it; -1 if it never did.
         leaving: Whether the sender is stopping.
         free_slots: Free slots by queue if the sender is a dispatcher.
+        short_units: Waiting requests that lack a unit of their team's limit, by
+            team, if the sender is a dispatcher.
     """
 
     offset: int
     log_age_ms: int
     leaving: bool
     free_slots: dict[str, int]
+    short_units: dict[str, int]
 
 
 class Register(typing.NamedTuple):
@@ -147,6 +150,58 @@
     request_id: str
 
 
+class Holding(typing.NamedTuple):
+    """A grant that an entry host uses at present."""
+
+    grant_id: str
+    request_id: str
+    upstream: str
+    queue: str
+    team: str
+    size: types.Size
+
+
+class Holdings(typing.NamedTuple):
+    """Report to a new dispatcher: what the sender holds and waits for."""
+
+    held: list[Holding]
+    waiting: list[Register]
+
+
+class HandOver(typing.NamedTuple):
+    """State of a leaving dispatcher for the host that takes its seat.
+
+    Attributes:
+        zone: Zone of the seat.
+        held: Grants in use, by the entry host that uses them.
+        claims: Claims, with the digest of the body.
+    """
+
+    zone: str
+    held: dict[str, list[Holding]]
+    claims: list[tuple[int, ClaimState]]
+
+
+class ConfigRequest(typing.NamedTuple):
+    """Asks a peer for the configuration beyond an offset."""
+
+    offset: int
+
+
+class ConfigRecords(typing.NamedTuple):
+    """Consecutive log entries from `first` on, as bytes of records."""
+
+    first: int
+    records: list[bytes]
+
+
+class ConfigSnapshot(typing.NamedTuple):
+    """The whole folded state, encoded by `platform.snapshots`."""
+
+    offset: int
+    state: bytes
+
+
 Message: typing.TypeAlias = (
     Hello
     | Heartbeat
@@ -161,4 +216,9 @@
     | Lookup
     | Finished
     | Cancel
+    | Holdings
+    | HandOver
+    | ConfigRequest
+    | ConfigRecords
+    | ConfigSnapshot
 )
--- a/src/chervillead/platform/configuration.py
+++ b/src/chervillead/platform/configuration.py
@@ -57,10 +57,18 @@
 
 
 class Team(typing.NamedTuple):
-    """Share when all is full, and upper limit of running requests."""
+    """Share when all is full, and upper limit of running requests.
+
+    Attributes:
+        share: Relative part of the capacity when all is full.
+        limit: Most requests that may run at a time, across the fleet.
+        zones: Zones among which the limit is divided: those declared when the
+            team's first record was folded. The fold sets it.
+    """
 
     share: float
     limit: int
+    zones: tuple[str, ...] = ()
 
 
 class Key(typing.NamedTuple):
@@ -138,6 +146,13 @@
     state: MoveState
 
 
+class Transfer(typing.NamedTuple):
+    """Units of team limits that one zone gives to another."""
+
+    to_zone: str
+    units: abc.Mapping[str, int]
+
+
 class Rollout(typing.NamedTuple):
     """Maintenance of all hosts of a pool, in waves."""
 
@@ -153,6 +168,8 @@
         offset: Offset of the last folded record; -1 before the first.
         versions: Offset of the last accepted record by (kind, subject).
         recent_ids: Fold result by record id, within the fold's window.
+        moved_units: Units of a team's limit that a zone has received less those
+            that it gave, by team and zone.
     """
 
     offset: int = -1
@@ -168,6 +185,7 @@
     drains: abc.Mapping[str, Drain] = {}
     moves: abc.Mapping[str, Move] = {}
     rollouts: abc.Mapping[str, Rollout] = {}
+    moved_units: abc.Mapping[str, abc.Mapping[str, int]] = {}
 
 
 EMPTY = Configuration()
--- a/src/chervillead/platform/records.py
+++ b/src/chervillead/platform/records.py
@@ -45,6 +45,7 @@
 ROLLOUT = "rollout"
 BURN = "burn"
 SNAPSHOT = "snapshot"
+TRANSFER = "transfer"
 KINDS = frozenset(
     (
         QUEUE,
@@ -59,6 +60,7 @@
         ROLLOUT,
         BURN,
         SNAPSHOT,
+        TRANSFER,
     )
 )
 
