Fence transfers of units by the giving seat's incarnation

A dispatcher that lost its seat without noticing could append a transfer after its successor began to grant the same units.

--- a/src/chervillead/platform/configuration.py
+++ b/src/chervillead/platform/configuration.py
@@ -147,8 +147,17 @@
 
 
 class Transfer(typing.NamedTuple):
-    """Units of team limits that one zone gives to another."""
+    """Units of team limits that one zone gives to another.
 
+    Attributes:
+        incarnation: Incarnation of the giving zone's duty seat. The fold
+            refuses another one, so a dispatcher that lost its seat can't give
+            units that its successor already grants.
+        to_zone: Zone that gets the units.
+        units: Units by team.
+    """
+
+    incarnation: int
     to_zone: str
     units: abc.Mapping[str, int]
 
