--- /dev/null
+++ b/tests/stand_ins/invariants.py
@@ -0,0 +1,363 @@
+"""Checks of what must always hold, judged from the stand-ins' records.
+
+The evidence is what the platform, the upstreams and the callers saw. Nothing
+here reads a counter or a decision of the product. Each check yields a line for
+every violation; docs/invariants.md lists the checks with their tests.
+"""
+
+import collections
+from collections import abc
+import typing
+
+from chervillead import types
+from chervillead import verdicts
+
+# "Within seconds" in the requirements.
+GRACE_S = 5.0
+
+
+class Execution(typing.NamedTuple):
+    """One start of a request on an upstream, as the upstream saw it."""
+
+    upstream: str
+    request_id: str
+    team: str
+    queue: str
+    started_s: float
+    ended_s: float | None
+
+
+class Submission(typing.NamedTuple):
+    """One submission, as its caller saw it.
+
+    Attributes:
+        refusal: Set if there was no answer; a broken connection counts as a
+            refusal that may have run.
+        entry_host: Host that the caller reached.
+    """
+
+    request_id: str
+    entry_host: str
+    key: str
+    team: str
+    queue: str
+    body: bytes
+    idempotent: bool
+    submitted_s: float
+    ended_s: float
+    answer: types.Answer | None
+    refusal: verdicts.Refusal | None
+
+
+class Interval(typing.NamedTuple):
+    """A state of a subject from `start_s` to `end_s`."""
+
+    subject: str
+    start_s: float
+    end_s: float
+
+
+class LimitChange(typing.NamedTuple):
+    """A team's limit from a time on, as published."""
+
+    team: str
+    at_s: float
+    limit: int
+
+
+class Evidence(typing.NamedTuple):
+    """All that a run recorded.
+
+    Attributes:
+        executions: Starts on all upstreams.
+        submissions: What callers sent and got.
+        limits: Published limits.
+        withdrawn_keys: When operators withdrew a key.
+        zones_out: When operators had zones out.
+        leaving: When upstreams drained or left.
+        reboots: When the platform had hosts down for maintenance.
+        planned_stops: From SIGTERM to the exit of entry hosts.
+        host_zones: Zone of each upstream.
+        host_pools: Pool of each upstream over time.
+        queue_pools: Pool that serves each queue.
+        pool_budgets: Hosts of each pool that may be unavailable at a time.
+        open_queues: Queues open to all.
+    """
+
+    executions: list[Execution]
+    submissions: list[Submission]
+    limits: list[LimitChange]
+    withdrawn_keys: dict[str, float]
+    zones_out: list[Interval]
+    leaving: list[Interval]
+    reboots: list[Interval]
+    planned_stops: list[Interval]
+    host_zones: dict[str, str]
+    host_pools: dict[str, list[tuple[float, str]]]
+    queue_pools: dict[str, str]
+    pool_budgets: dict[str, int]
+    open_queues: frozenset[str]
+
+
+Check = abc.Callable[[Evidence], abc.Iterator[str]]
+
+
+def check_at_most_once(evidence: Evidence) -> abc.Iterator[str]:
+    """Yields non-idempotent requests that ran more than once."""
+    runs = collections.Counter(e.request_id for e in evidence.executions)
+    strict = {s.request_id for s in evidence.submissions if not s.idempotent}
+    for request_id in sorted(strict):
+        if runs[request_id] > 1:
+            yield f"{request_id} ran {runs[request_id]} times"
+
+
+def check_true_refusal(evidence: Evidence) -> abc.Iterator[str]:
+    """Yields refusals as "not run" of requests that had run.
+
+    Only a start before the refusal makes it false: after "not run" the caller
+    may submit the same id again.
+    """
+    starts: dict[str, float] = {}
+    for execution in evidence.executions:
+        earlier = starts.get(execution.request_id, execution.started_s)
+        starts[execution.request_id] = min(earlier, execution.started_s)
+    resubmitted = _last_submissions(evidence)
+    for submission in evidence.submissions:
+        refusal = submission.refusal
+        if submission.idempotent or refusal is None:
+            continue
+        if refusal.verdict is not verdicts.Verdict.NOT_RUN:
+            continue
+        start_s = starts.get(submission.request_id, float("inf"))
+        is_last = resubmitted[submission.request_id] is submission
+        if start_s <= submission.ended_s or (
+            is_last and start_s < float("inf")
+        ):
+            yield (
+                f"{submission.request_id} was refused as not run "
+                f"({refusal.reason}) and started at {start_s:.3f}"
+            )
+
+
+def check_own_answer(evidence: Evidence) -> abc.Iterator[str]:
+    """Yields answers that aren't the whole answer to their request."""
+    for submission in evidence.submissions:
+        expected = b"done:" + submission.body
+        if submission.answer is None or submission.answer.body == expected:
+            continue
+        yield (
+            f"{submission.request_id} got {submission.answer.body[:40]!r} "
+            f"instead of {expected[:40]!r}"
+        )
+
+
+def check_team_limit(evidence: Evidence) -> abc.Iterator[str]:
+    """Yields starts that put a team above its upper limit."""
+    events: list[tuple[float, int, Execution]] = []
+    for execution in evidence.executions:
+        end_s = float("inf") if execution.ended_s is None else execution.ended_s
+        events.append((execution.started_s, 1, execution))
+        events.append((end_s, 0, execution))
+    running: collections.Counter[str] = collections.Counter()
+    for at_s, is_start, execution in sorted(events, key=lambda e: e[:2]):
+        team = execution.team
+        running[team] += 1 if is_start else -1
+        limit = _limit_in_force(evidence.limits, team, at_s)
+        if is_start and team and running[team] > limit:
+            yield f"{team} had {running[team]} running at {at_s:.3f}, {limit=}"
+
+
+def check_zone_out(evidence: Evidence) -> abc.Iterator[str]:
+    """Yields starts in a zone that operators took out."""
+    for execution in evidence.executions:
+        zone = evidence.host_zones[execution.upstream]
+        if _within(evidence.zones_out, zone, execution.started_s):
+            yield (
+                f"{execution.request_id} started on {execution.upstream} at "
+                f"{execution.started_s:.3f}, {zone} was out"
+            )
+
+
+def check_leaving(evidence: Evidence) -> abc.Iterator[str]:
+    """Yields starts on an upstream that was leaving."""
+    for execution in evidence.executions:
+        if _within(evidence.leaving, execution.upstream, execution.started_s):
+            yield (
+                f"{execution.request_id} started on leaving "
+                f"{execution.upstream} at {execution.started_s:.3f}"
+            )
+
+
+def check_key_team(evidence: Evidence) -> abc.Iterator[str]:
+    """Yields executions for another team than that of the key."""
+    teams = {s.request_id: s.team for s in evidence.submissions}
+    for execution in evidence.executions:
+        expected = teams.get(execution.request_id)
+        if execution.queue in evidence.open_queues or expected is None:
+            continue
+        if execution.team != expected:
+            yield (
+                f"{execution.request_id} ran for {execution.team!r}, its key "
+                f"is of {expected!r}"
+            )
+
+
+def check_withdrawn_key(evidence: Evidence) -> abc.Iterator[str]:
+    """Yields requests that a withdrawn key still opened."""
+    started = {e.request_id for e in evidence.executions}
+    first = {s.request_id: s for s in reversed(evidence.submissions)}
+    for submission in evidence.submissions:
+        withdrawn_s = evidence.withdrawn_keys.get(submission.key)
+        if withdrawn_s is None:
+            continue
+        too_late = first[submission.request_id].submitted_s > (
+            withdrawn_s + GRACE_S
+        )
+        if too_late and submission.request_id in started:
+            yield (
+                f"{submission.request_id} ran, its key was withdrawn at "
+                f"{withdrawn_s:.3f}"
+            )
+
+
+def check_graceful_stop(evidence: Evidence) -> abc.Iterator[str]:
+    """Yields requests that a planned stop cut.
+
+    A request counts as cut if it was in progress on the stopping host and its
+    caller got no definite outcome.
+    """
+    for stop in evidence.planned_stops:
+        for submission in evidence.submissions:
+            in_progress = (
+                submission.entry_host == stop.subject
+                and submission.submitted_s < stop.end_s
+                and submission.ended_s >= stop.start_s
+            )
+            refusal = submission.refusal
+            if in_progress and refusal is not None and refusal.status == 0:
+                yield f"{submission.request_id} was cut by {stop}"
+
+
+def check_one_pool(evidence: Evidence) -> abc.Iterator[str]:
+    """Yields starts on a host that was in another pool than the queue's."""
+    for execution in evidence.executions:
+        pool = evidence.queue_pools[execution.queue]
+        changes = evidence.host_pools[execution.upstream]
+        since_s = execution.started_s - GRACE_S
+        allowed = {p for at_s, p in changes if at_s >= since_s}
+        before = [p for at_s, p in changes if at_s <= execution.started_s]
+        allowed.update(before[-1:])
+        if pool not in allowed:
+            yield (
+                f"{execution.request_id} of {pool} started on "
+                f"{execution.upstream}, which was in {sorted(allowed)}"
+            )
+
+
+def check_budget(evidence: Evidence) -> abc.Iterator[str]:
+    """Yields reboots that broke the availability budget of a pool.
+
+    Hosts of a zone that operators took out count as unavailable, but taking a
+    zone out is the operators' right; only a later reboot can break the budget.
+    """
+    for reboot in evidence.reboots:
+        pool = _pool_at(evidence, reboot.subject, reboot.start_s)
+        unavailable = {
+            other.subject
+            for other in evidence.reboots
+            if other.start_s <= reboot.start_s < other.end_s
+            and _pool_at(evidence, other.subject, reboot.start_s) == pool
+        }
+        unavailable.update(
+            host
+            for host, zone in evidence.host_zones.items()
+            if _pool_at(evidence, host, reboot.start_s) == pool
+            and _within(
+                evidence.zones_out, zone, reboot.start_s, grace_s=GRACE_S
+            )
+        )
+        if len(unavailable) > evidence.pool_budgets[pool]:
+            yield (
+                f"{sorted(unavailable)} of {pool} were unavailable at "
+                f"{reboot.start_s:.3f}, budget {evidence.pool_budgets[pool]}"
+            )
+
+
+def check_config(evidence: Evidence) -> abc.Iterator[str]:
+    """Yields hosts that went back to an older configuration.
+
+    A key that a host refused because it was withdrawn must never open that
+    host again.
+    """
+    refused_s: dict[tuple[str, str], float] = {}
+    for submission in sorted(evidence.submissions, key=lambda s: s.submitted_s):
+        place = (submission.entry_host, submission.key)
+        refusal = submission.refusal
+        if refusal is not None and refusal.reason == "key-refused":
+            refused_s.setdefault(place, submission.ended_s)
+        elif submission.answer is not None and (
+            submission.submitted_s > refused_s.get(place, float("inf"))
+        ):
+            yield f"{place} accepted {submission.request_id} after a refusal"
+
+
+CHECKS: dict[str, Check] = {
+    "budget": check_budget,
+    "one-pool": check_one_pool,
+    "key-team": check_key_team,
+    "withdrawn-key": check_withdrawn_key,
+    "team-limit": check_team_limit,
+    "zone-out": check_zone_out,
+    "own-answer": check_own_answer,
+    "true-refusal": check_true_refusal,
+    "at-most-once": check_at_most_once,
+    "leaving": check_leaving,
+    "graceful-stop": check_graceful_stop,
+    "config": check_config,
+}
+
+
+def violations(evidence: Evidence) -> dict[str, list[str]]:
+    """Returns the violations of each check that found any."""
+    found = {name: list(check(evidence)) for name, check in CHECKS.items()}
+    return {name: lines for name, lines in found.items() if lines}
+
+
+def _last_submissions(evidence: Evidence) -> dict[str, Submission]:
+    last: dict[str, Submission] = {}
+    for submission in evidence.submissions:
+        known = last.get(submission.request_id)
+        if known is None or submission.submitted_s >= known.submitted_s:
+            last[submission.request_id] = submission
+    return last
+
+
+def _within(
+    intervals: list[Interval],
+    subject: str,
+    at_s: float,
+    grace_s: float = GRACE_S,
+) -> bool:
+    return any(
+        interval.subject == subject
+        and interval.start_s + grace_s < at_s < interval.end_s
+        for interval in intervals
+    )
+
+
+def _limit_in_force(limits: list[LimitChange], team: str, at_s: float) -> float:
+    """Returns the highest limit that may be in force at a time.
+
+    A lowered limit is in force everywhere only after the grace time.
+    """
+    changes = [c for c in limits if c.team == team and c.at_s <= at_s]
+    if not changes:
+        return float("inf")
+    recent = [c.limit for c in changes if c.at_s > at_s - GRACE_S]
+    before = [c.limit for c in changes if c.at_s <= at_s - GRACE_S]
+    return max((*recent, *before[-1:]))
+
+
+def _pool_at(evidence: Evidence, host: str, at_s: float) -> str:
+    changes = [p for t, p in evidence.host_pools[host] if t <= at_s]
+    return changes[-1] if changes else evidence.host_pools[host][0][1]
--- a/tests/stand_ins/memory_fleet.py
+++ b/tests/stand_ins/memory_fleet.py
@@ -40,6 +40,8 @@
         self.upstreams: dict[str, upstream_stand_in.UpstreamState] = {}
         self.hosts: dict[str, assembly.Assembly] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._versions: dict[tuple[str, str], int] = {}
+        self._submissions: dict[str, set[asyncio.Task[typing.Any]]] = {}
 
     async def start(
         self, first: abc.Iterable[records.Record] | None = None
@@ -68,11 +70,26 @@
             self.start_host(index)
         await asyncio.sleep(3.0)
 
-    def publish(self, record: records.Record) -> None:
+    def publish(self, record: records.Record) -> int:
         """Appends a record to the log, as an operator's tool does."""
-        self.platform.append(
+        # A second of its own for each append keeps below the rate limit.
+        offset = self.platform.append(
             records.encode_record(record), -1.0 - self.platform.end
         )
+        if offset is None:
+            raise RuntimeError("the stand-in refused an operator's append")
+        self._versions[(record.kind, record.subject)] = offset
+        return offset
+
+    def publish_change(
+        self, kind: str, subject: str, **fields: typing.Any
+    ) -> int:
+        """Publishes a change based on the last version published here."""
+        version = self._versions.get((kind, subject), records.NO_VERSION)
+        record_id = f"{kind}-{subject}-{self.platform.end}"
+        return self.publish(
+            records.Record(record_id, kind, subject, version, fields)
+        )
 
     def start_host(self, index: int) -> assembly.Assembly:
         """Starts an entry host, or a replacement of one that was killed."""
@@ -91,12 +108,18 @@
         return parts
 
     async def kill_host(self, name: str) -> None:
-        """Ends an entry host at once, with all its connections."""
-        task = self._tasks.pop(name)
-        del self.hosts[name]
+        """Ends an entry host at once, with all its connections.
+
+        The connections break first, so that nothing that its tasks do while
+        they are cancelled can reach another process.
+        """
+        tasks = [self._tasks.pop(name), *self._submissions.pop(name, ())]
+        parts = self.hosts.pop(name)
         self.network.reset_place(name)
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
+        parts.pools.close()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def stop(self) -> None:
         """Ends everything."""
@@ -138,9 +161,13 @@
             clock.monotonic() + deadline_s,
             idempotent,
         )
-        return await submission.submit(
-            request, parts.ports, claimed=not idempotent
+        task = asyncio.ensure_future(
+            submission.submit(request, parts.ports, claimed=not idempotent)
         )
+        submissions = self._submissions.setdefault(host, set())
+        submissions.add(task)
+        task.add_done_callback(submissions.discard)
+        return await task
 
     def executions(self) -> list[upstream_stand_in.TaskRecord]:
         """Returns what all upstreams recorded."""
