Check refusals with the claim holder and let requests be cancelled

Cause: a refusal said "not run" from what one entry host knew, although the balancer may have submitted the same id through another one; a claim whose holder was unreachable was refused as "not run"; the report of one submission could end or free the claim of a later one; nothing could be cancelled.

Each "not run" of a non-idempotent request is now checked with the claim holder (callers/request_claims.py). Claims and reports carry the team and an attempt number; a report of another attempt has no effect. A claim that ended as "not run" is kept, so that its verdict can be looked up, and may be claimed again by the same body and team. `Cancel` reaches the owner through the claim holder; a waiting request ends at once, for a running one the upstream is asked to stop until it has, and the slot stays in use until then.

Ruled out: cancelling the task that waits for a grant. A grant that arrives in the same loop iteration would be lost and its slot counted as used for good; a refusal passed to the waiter has no such gap.

Retries: one rule for all, and a pause of 20 to 500 ms between attempts, since an upstream that refuses connections was tried again without any.

--- a/src/chervillead/assembly.py
+++ b/src/chervillead/assembly.py
@@ -16,6 +16,8 @@
 from chervillead import verdicts
 from chervillead.callers import application
 from chervillead.callers import credentials
+from chervillead.callers import in_progress
+from chervillead.callers import request_claims
 from chervillead.callers import submission
 from chervillead.entries import dispatch_client
 from chervillead.entries import dispatcher
@@ -26,6 +28,8 @@
 from chervillead.upstreams import leases
 from chervillead.upstreams import pool
 
+STOP_TIMEOUT_S = 2.0  # of one call that asks an upstream to stop a task
+
 
 class Assembly(typing.NamedTuple):
     """The parts of one entry host.
@@ -69,7 +73,8 @@
         timeout_s=settings.platform.timeout_s,
         dial=dial,
     )
-    entry = host_module.EntryHost(settings, reader, clock)
+    requests = in_progress.RequestsInProgress()
+    entry = host_module.EntryHost(settings, reader, clock, requests.cancel)
     pools = pool.UpstreamPools(clock, dial)
     running = leases.RunningTasks()
     return Assembly(
@@ -80,7 +85,7 @@
         entry,
         pools,
         running,
-        _submission_ports(entry, settings, pools, running, clock),
+        _submission_ports(entry, settings, pools, running, requests, clock),
         dial,
         listen,
     )
@@ -145,31 +150,56 @@
     settings: settings_module.Settings,
     pools: pool.UpstreamPools,
     running: leases.RunningTasks,
+    requests: in_progress.RequestsInProgress,
     clock: types.Clock,
 ) -> submission.SubmissionPorts:
     """Returns the functions that the path of a request runs through."""
     dispatch = entry.dispatch_ports()
 
     async def claim(
-        request: types.Request,
+        request: types.Request, attempt: int
     ) -> result.Result[types.Answer | None, verdicts.Refusal]:
         reply = await entry.ask_claim_holder(
             request.request_id,
-            host_module.encode_claim(request, settings.host),
+            request_claims.encode_claim(request, settings.host, attempt),
         )
-        return reply.bind(submission.claim_outcome)
+        return reply.bind(request_claims.claim_outcome)
 
     def finish(
         request: types.Request,
+        attempt: int,
         verdict: verdicts.Verdict,
         answer: types.Answer | None,
     ) -> None:
         holder = entry.claim_holder(request.request_id)
         if holder is not None:
             entry.post(
-                holder, host_module.encode_finished(request, verdict, answer)
+                holder,
+                request_claims.encode_finished(
+                    request, attempt, verdict, answer
+                ),
             )
 
+    async def lookup(
+        request_id: str,
+    ) -> result.Result[messages.ClaimState, verdicts.Refusal]:
+        return await entry.ask_claim_holder(
+            request_id, messages.Lookup(request_id)
+        )
+
+    def withdraw(request_id: str) -> None:
+        dispatch.waiters.take(
+            settings.host,
+            messages.Refused(request_id, submission.CANCELLED, 410, "", 0),
+        )
+
+    async def stop_task(grant: types.Grant, request_id: str) -> bool:
+        outcome = await pools.pool(grant.upstream.address).call(
+            http_exchange.HttpRequest("DELETE", f"/tasks/{request_id}"),
+            clock.monotonic() + STOP_TIMEOUT_S,
+        )
+        return outcome.map(lambda reply: reply.status == 200).value_or(False)
+
     async def acquire(
         request: types.Request,
     ) -> result.Result[types.Grant, verdicts.Refusal]:
@@ -192,7 +222,16 @@
         )
 
     return submission.SubmissionPorts(
-        claim, finish, acquire, send, release, clock
+        claim,
+        finish,
+        lookup,
+        acquire,
+        withdraw,
+        send,
+        stop_task,
+        release,
+        requests,
+        clock,
     )
 
 
@@ -203,7 +242,7 @@
         return result.Failure(
             verdicts.may_have_run("unknown-request", 404, "no such request")
         )
-    outcome = submission.claim_outcome(state)
+    outcome = request_claims.claim_outcome(state)
     answer = outcome.value_or(None)
     if answer is None:
         return result.Failure(outcome.failure())
--- /dev/null
+++ b/src/chervillead/callers/request_claims.py
@@ -0,0 +1,130 @@
+"""What a claim on a request id means for a submission.
+
+The claim holder keeps one claim for each id; `entries.claims` is its table.
+"""
+
+from collections import abc
+import typing
+
+from returns import pipeline
+from returns import result
+
+from chervillead import types
+from chervillead import verdicts
+from chervillead.entries import claims
+from chervillead.entries import messages
+
+# Reason of a refusal when the claim holder gave no usable reply.
+CLAIM_UNAVAILABLE = "claim-unavailable"
+
+Lookup: typing.TypeAlias = abc.Callable[
+    [str], abc.Awaitable[result.Result[messages.ClaimState, verdicts.Refusal]]
+]
+
+
+def encode_claim(
+    request: types.Request, owner: str, attempt: int
+) -> messages.Claim:
+    """Returns the claim of `owner` on a request's id."""
+    return messages.Claim(
+        request.request_id,
+        claims.digest_body(request.body),
+        owner,
+        request.team,
+        attempt,
+    )
+
+
+def encode_finished(
+    request: types.Request,
+    attempt: int,
+    verdict: verdicts.Verdict,
+    answer: types.Answer | None,
+) -> messages.Finished:
+    """Returns the report of how a request ended; large answers are left out."""
+    if answer is not None and len(answer.body) > claims.MAX_STORED_ANSWER_BYTES:
+        answer = None
+    return messages.Finished(request.request_id, verdict, answer, attempt)
+
+
+async def check_refusal(
+    refusal: verdicts.Refusal, request_id: str, lookup: Lookup
+) -> verdicts.Refusal:
+    """Makes a refusal of a non-idempotent request true for its id.
+
+    The balancer may have submitted the request elsewhere too, so what this host
+    knows isn't enough for "not run".
+
+    Args:
+        refusal: What this host would answer.
+        request_id: Checked id of the request.
+        lookup: Asks the claim holder.
+
+    Returns:
+        The refusal, with the verdict that holds for the id.
+    """
+    if refusal.verdict is not verdicts.Verdict.NOT_RUN:
+        return refusal
+    reply = await lookup(request_id)
+    if not pipeline.is_successful(reply):
+        return unchecked(refusal)
+    verdict = _verdict_of_claim(reply.unwrap())
+    if verdict is verdicts.Verdict.NOT_RUN:
+        return refusal
+    return refusal._replace(
+        verdict=verdict,
+        detail=f"{refusal.detail}; the id has an earlier submission",
+    )
+
+
+def unchecked(refusal: verdicts.Refusal) -> verdicts.Refusal:
+    """Returns the refusal of a request whose claim can't be looked up."""
+    return refusal._replace(
+        verdict=verdicts.Verdict.MAY_HAVE_RUN,
+        detail=f"{refusal.detail}; the claim holder can't be reached",
+    )
+
+
+def _verdict_of_claim(state: messages.ClaimState) -> verdicts.Verdict:
+    if state.state == messages.CLAIM_UNKNOWN:
+        return verdicts.Verdict.NOT_RUN
+    if state.state == messages.CLAIM_FINISHED and state.verdict is not None:
+        return state.verdict
+    return verdicts.Verdict.MAY_HAVE_RUN
+
+
+def claim_outcome(
+    state: messages.ClaimState,
+) -> result.Result[types.Answer | None, verdicts.Refusal]:
+    """Returns what a claim holder's reply means for a submission."""
+    if state.state == messages.CLAIM_ACCEPTED:
+        return result.Success(None)
+    if state.state == messages.CLAIM_FINISHED and state.answer is not None:
+        return result.Success(state.answer)
+    return result.Failure(_refusal_of_claim(state))
+
+
+def _refusal_of_claim(state: messages.ClaimState) -> verdicts.Refusal:
+    if state.state == messages.CLAIM_CONFLICT:
+        return verdicts.not_run(
+            "request-id-reused", 422, "the id was used with another body"
+        )
+    if state.state == messages.CLAIM_RUNNING:
+        return verdicts.may_have_run(
+            "already-submitted", 409, f"{state.owner} is working on it"
+        )
+    if state.state == messages.CLAIM_UNKNOWN:
+        return verdicts.may_have_run(
+            "unknown-request", 404, "no claimed request has this id"
+        )
+    if state.verdict is verdicts.Verdict.NOT_RUN:
+        return verdicts.not_run(
+            "did-not-run", 409, "ended without running; submit it again"
+        )
+    if state.verdict is verdicts.Verdict.RAN:
+        return verdicts.ran(
+            "answer-not-kept", 410, f"ran; only {state.owner} had the answer"
+        )
+    return verdicts.may_have_run(
+        "outcome-unknown", 409, "an earlier submission may have run"
+    )
--- a/src/chervillead/callers/submission.py
+++ b/src/chervillead/callers/submission.py
@@ -3,7 +3,9 @@
 Nothing here knows HTTP: another front end can call `submit`.
 """
 
+import asyncio
 from collections import abc
+import random
 import typing
 
 import eliot
@@ -12,44 +14,64 @@
 
 from chervillead import types
 from chervillead import verdicts
-from chervillead.entries import messages
+from chervillead.callers import in_progress
+from chervillead.callers import request_claims
 
 RequestOutcome: typing.TypeAlias = result.Result[types.Answer, verdicts.Refusal]
 
+# Without a pause, a request whose upstream refuses connections is granted and
+# refused thousands of times a second.
+FIRST_RETRY_DELAY_S = 0.02
+MAX_RETRY_DELAY_S = 0.5
+STOP_RETRY_S = 0.25
+
 
 class SubmissionPorts(typing.NamedTuple):
     """What a submission needs from the rest of the process.
 
     Attributes:
-        claim: Claims the request's id; succeeds with None when the request may
-            go on, or with the stored answer of an earlier submission.
-        finish: Tells the claim holder how the request ended.
+        claim: Claims the request's id under an attempt number; succeeds with
+            None when the request may go on, or with the stored answer of an
+            earlier submission.
+        finish: Tells the claim holder how the attempt ended.
+        lookup: Asks the claim holder what is known of an id.
         acquire: Waits for a grant.
+        withdraw: Ends the wait of `acquire` with a refusal.
         send: Sends the granted request to its upstream.
+        stop_task: Asks the upstream to stop; returns whether it has stopped.
         release: Gives a grant back: started, failed, run time in seconds.
+        in_progress: Requests that can be cancelled.
         clock: Source of time.
     """
 
     claim: abc.Callable[
-        [types.Request],
+        [types.Request, int],
         abc.Awaitable[result.Result[types.Answer | None, verdicts.Refusal]],
     ]
     finish: abc.Callable[
-        [types.Request, verdicts.Verdict, types.Answer | None], None
+        [types.Request, int, verdicts.Verdict, types.Answer | None], None
     ]
+    lookup: request_claims.Lookup
     acquire: abc.Callable[
         [types.Request],
         abc.Awaitable[result.Result[types.Grant, verdicts.Refusal]],
     ]
+    withdraw: abc.Callable[[str], None]
     send: abc.Callable[
         [types.Request, types.Grant], abc.Awaitable[RequestOutcome]
     ]
+    stop_task: abc.Callable[[types.Grant, str], abc.Awaitable[bool]]
     release: abc.Callable[[types.Grant, bool, bool, float], None]
+    in_progress: in_progress.RequestsInProgress
     clock: types.Clock
 
 
 async def submit(
-    request: types.Request, ports: SubmissionPorts, *, claimed: bool
+    request: types.Request,
+    ports: SubmissionPorts,
+    *,
+    claimed: bool,
+    progress: in_progress.Progress | None = None,
 ) -> RequestOutcome:
     """Runs `request` and returns its answer or a refusal with a verdict.
 
@@ -58,60 +80,112 @@
         ports: Functions to the other parts.
         claimed: Whether the id must be claimed first: always for a
             non-idempotent request and for one whose answer is fetched later.
+        progress: Tells when the claim was accepted, and cancels the request.
     """
+    if progress is None:
+        progress = in_progress.Progress()
     if not claimed:
-        return await _run(request, ports)
-    claim = await ports.claim(request)
+        return await _run(request, ports, progress)
+    # Tells the report of this submission from those of others under the id.
+    attempt = random.getrandbits(53)
+    claim = await ports.claim(request, attempt)
     if not pipeline.is_successful(claim):
-        return result.Failure(claim.failure())
+        return await _unclaimed(request, attempt, claim.failure(), ports)
     stored = claim.unwrap()
     if stored is not None:
         return result.Success(stored)
+    progress.claimed.set()
     verdict = verdicts.Verdict.MAY_HAVE_RUN
     answer: types.Answer | None = None
     try:
-        outcome = await _run(request, ports)
+        with ports.in_progress.track(request.request_id, progress):
+            outcome = await _run(request, ports, progress)
         answer = outcome.value_or(None)
         verdict = _verdict_of(outcome)
         return outcome
     finally:
-        ports.finish(request, verdict, answer)
+        ports.finish(request, attempt, verdict, answer)
+
+
+async def _unclaimed(
+    request: types.Request,
+    attempt: int,
+    refusal: verdicts.Refusal,
+    ports: SubmissionPorts,
+) -> RequestOutcome:
+    """Returns the refusal of a request whose id could not be claimed."""
+    if refusal.reason == request_claims.CLAIM_UNAVAILABLE:
+        # The claim may have been accepted and only its reply lost.
+        ports.finish(request, attempt, verdicts.Verdict.NOT_RUN, None)
+    if request.idempotent:
+        return result.Failure(refusal)
+    if refusal.reason == request_claims.CLAIM_UNAVAILABLE:
+        return result.Failure(request_claims.unchecked(refusal))
+    return result.Failure(
+        await request_claims.check_refusal(
+            refusal, request.request_id, ports.lookup
+        )
+    )
 
 
 async def _run(
-    request: types.Request, ports: SubmissionPorts
+    request: types.Request,
+    ports: SubmissionPorts,
+    progress: in_progress.Progress,
 ) -> RequestOutcome:
     """Tries until an attempt ends the request; see `_attempts`."""
     outcome: RequestOutcome = result.Failure(
         verdicts.not_run("deadline-exceeded", 504, "the deadline had passed")
     )
-    async for attempt in _attempts(request, ports):
+    async for attempt in _attempts(request, ports, progress):
         outcome = attempt
         if not _may_repeat(request, attempt):
             break
+    if (
+        progress.is_cancelled()
+        and _verdict_of(outcome) is verdicts.Verdict.NOT_RUN
+    ):
+        return result.Failure(
+            verdicts.not_run(CANCELLED, 410, "cancelled before it started")
+        )
     return outcome
 
 
 async def _attempts(
-    request: types.Request, ports: SubmissionPorts
+    request: types.Request,
+    ports: SubmissionPorts,
+    progress: in_progress.Progress,
 ) -> abc.AsyncIterator[RequestOutcome]:
     """Yields the outcome of one attempt after the other until the deadline."""
-    while ports.clock.monotonic() < request.deadline_s:
-        grant = await ports.acquire(request)
+    delay_s = FIRST_RETRY_DELAY_S
+    while not progress.is_cancelled():
+        with progress.cancelled_by(lambda: ports.withdraw(request.request_id)):
+            grant = await ports.acquire(request)
         if not pipeline.is_successful(grant):
             yield result.Failure(grant.failure())
             return
-        yield await _attempt(request, grant.unwrap(), ports)
+        if progress.is_cancelled():
+            ports.release(grant.unwrap(), False, False, 0.0)
+            return
+        yield await _attempt(request, grant.unwrap(), ports, progress)
+        pause_s = random.uniform(0.5, 1.0) * delay_s
+        if ports.clock.monotonic() + pause_s >= request.deadline_s:
+            return
+        await asyncio.sleep(pause_s)
+        delay_s = min(MAX_RETRY_DELAY_S, 2 * delay_s)
 
 
 async def _attempt(
-    request: types.Request, grant: types.Grant, ports: SubmissionPorts
+    request: types.Request,
+    grant: types.Grant,
+    ports: SubmissionPorts,
+    progress: in_progress.Progress,
 ) -> RequestOutcome:
     started_s = ports.clock.monotonic()
     verdict = verdicts.Verdict.MAY_HAVE_RUN
     failed = True
     try:
-        outcome = await ports.send(request, grant)
+        outcome = await _send(request, grant, ports, progress)
         verdict = _verdict_of(outcome)
         failed = not pipeline.is_successful(outcome)
     finally:
@@ -130,6 +204,56 @@
     return outcome
 
 
+async def _send(
+    request: types.Request,
+    grant: types.Grant,
+    ports: SubmissionPorts,
+    progress: in_progress.Progress,
+) -> RequestOutcome:
+    """Sends the request; a cancellation asks the upstream to stop.
+
+    The slot stays in use until the upstream has answered the request itself,
+    so a cancellation never frees a slot whose task still runs.
+    """
+    over = asyncio.Event()
+    stops: list[asyncio.Task[bool]] = []
+
+    def stop() -> None:
+        stops.append(
+            asyncio.get_running_loop().create_task(
+                _stop_task(request, grant, ports, over)
+            )
+        )
+
+    with progress.cancelled_by(stop):
+        outcome = await ports.send(request, grant)
+    over.set()
+    stopped = [await stopping for stopping in stops]
+    # An answer that was under way when the stop was asked for is given up.
+    if any(stopped) and pipeline.is_successful(outcome):
+        return result.Failure(
+            verdicts.ran(CANCELLED, 410, "cancelled and stopped while it ran")
+        )
+    return outcome
+
+
+async def _stop_task(
+    request: types.Request,
+    grant: types.Grant,
+    ports: SubmissionPorts,
+    over: asyncio.Event,
+) -> bool:
+    """Asks the upstream until it has stopped the task or `over` is set."""
+    while not await ports.stop_task(grant, request.request_id):
+        try:
+            async with asyncio.timeout(STOP_RETRY_S):
+                await over.wait()
+            return False
+        except TimeoutError:
+            continue
+    return True
+
+
 def _verdict_of(outcome: RequestOutcome) -> verdicts.Verdict:
     if pipeline.is_successful(outcome):
         return verdicts.Verdict.RAN
@@ -145,13 +269,11 @@
     if pipeline.is_successful(outcome):
         return False
     refusal = outcome.failure()
-    if refusal.retry_after_s is None and not request.idempotent:
-        return False
-    return (
-        refusal.verdict is verdicts.Verdict.NOT_RUN or request.idempotent
-    ) and refusal.reason in REPEATABLE_REASONS
+    harmless = refusal.verdict is verdicts.Verdict.NOT_RUN or request.idempotent
+    return harmless and refusal.reason in REPEATABLE_REASONS
 
 
+CANCELLED = "cancelled"
 # Failures of one upstream, after which another one may serve the request.
 REPEATABLE_REASONS = frozenset(
     (
@@ -162,30 +284,3 @@
         "answer-mismatch",
     )
 )
-
-
-def claim_outcome(
-    state: messages.ClaimState,
-) -> result.Result[types.Answer | None, verdicts.Refusal]:
-    """Returns what a claim holder's reply means for a submission."""
-    if state.state == messages.CLAIM_ACCEPTED:
-        return result.Success(None)
-    if state.state == messages.CLAIM_FINISHED and state.answer is not None:
-        return result.Success(state.answer)
-    return result.Failure(_refusal_of_claim(state))
-
-
-def _refusal_of_claim(state: messages.ClaimState) -> verdicts.Refusal:
-    if state.state == messages.CLAIM_CONFLICT:
-        return verdicts.not_run(
-            "request-id-reused", 422, "the id was used with another body"
-        )
-    if state.state == messages.CLAIM_RUNNING:
-        return verdicts.may_have_run(
-            "already-submitted", 409, f"{state.owner} is working on it"
-        )
-    if state.verdict is verdicts.Verdict.RAN:
-        return verdicts.ran("answer-not-kept", 410, "ran; the answer is gone")
-    return verdicts.may_have_run(
-        "outcome-unknown", 409, "an earlier submission may have run"
-    )
--- a/src/chervillead/entries/claims.py
+++ b/src/chervillead/entries/claims.py
@@ -41,19 +41,24 @@
         """Accepts a first claim on an id, or says what became of the first."""
         self._forget_old()
         known = self._claims.get(message.request_id)
-        if known is None:
+        if known is not None and not _is_same_work(known, message):
+            return messages.ClaimState(
+                message.request_id, messages.CLAIM_CONFLICT
+            )
+        if known is None or known.state.verdict is verdicts.Verdict.NOT_RUN:
             accepted = messages.ClaimState(
-                message.request_id, messages.CLAIM_ACCEPTED, message.owner
+                message.request_id,
+                messages.CLAIM_ACCEPTED,
+                message.owner,
+                team=message.team,
+                attempt=message.attempt,
             )
+            self._claims.pop(message.request_id, None)
             running = accepted._replace(state=messages.CLAIM_RUNNING)
             self._claims[message.request_id] = _Claim(
                 message.digest, message.owner, self._clock.monotonic(), running
             )
             return accepted
-        if known.digest != message.digest:
-            return messages.ClaimState(
-                message.request_id, messages.CLAIM_CONFLICT
-            )
         return known.state
 
     def lookup(self, message: messages.Lookup) -> messages.ClaimState:
@@ -66,16 +71,18 @@
         return known.state
 
     def finish(self, message: messages.Finished) -> None:
-        """Stores how a request ended; a repeat has no effect.
+        """Stores how a submission ended; a repeat has no effect.
 
-        A request that certainly did not run gives its id free again, so that
-        the caller may repeat it under the same id.
+        A request that certainly did not run may be claimed again; until then
+        its verdict can be looked up. The report of another submission under
+        the same id has no effect.
         """
         known = self._claims.get(message.request_id)
-        if known is None or known.state.state == messages.CLAIM_FINISHED:
-            return
-        if message.verdict is verdicts.Verdict.NOT_RUN:
-            del self._claims[message.request_id]
+        if (
+            known is None
+            or known.state.attempt != message.attempt
+            or known.state.state == messages.CLAIM_FINISHED
+        ):
             return
         state = known.state._replace(
             state=messages.CLAIM_FINISHED,
@@ -105,6 +112,10 @@
             del self._claims[request_id]
 
 
+def _is_same_work(known: _Claim, message: messages.Claim) -> bool:
+    return (known.digest, known.state.team) == (message.digest, message.team)
+
+
 def _take_while_old(
     claims: dict[str, _Claim], oldest_s: float
 ) -> abc.Iterator[str]:
--- a/src/chervillead/entries/host.py
+++ b/src/chervillead/entries/host.py
@@ -40,7 +40,9 @@
         settings: settings_module.Settings,
         reader: log_reader.LogReader,
         clock: types.Clock,
+        cancel: abc.Callable[[str], bool] = lambda request_id: False,
     ) -> None:
+        self._cancel = cancel
         self._settings = settings
         self._reader = reader
         self._clock = clock
@@ -125,12 +127,23 @@
                 return self._claims.lookup(message)
             case messages.Finished():
                 self._claims.finish(message)
+            case messages.Cancel():
+                self._pass_on_cancel(message)
             case _:
                 eliot.log_message(
                     "entries:unexpected", peer=peer, kind=type(message).__name__
                 )
         return None
 
+    def _pass_on_cancel(self, message: messages.Cancel) -> None:
+        """Cancels a request of this host, or tells the owner in its claim."""
+        claim = self._claims.lookup(messages.Lookup(message.request_id))
+        if not self._cancel(message.request_id) and claim.owner not in (
+            "",
+            self._settings.host,
+        ):
+            self.post(claim.owner, message)
+
     async def ask_claim_holder(
         self, request_id: str, message: messages.Message
     ) -> result.Result[messages.ClaimState, verdicts.Refusal]:
@@ -273,21 +286,3 @@
         f"the claim on the request id can't be checked: {detail}",
         retry_after_s=1.0,
     )
-
-
-def encode_claim(request: types.Request, owner: str) -> messages.Claim:
-    """Returns the claim of `owner` on a request's id."""
-    return messages.Claim(
-        request.request_id, claims.digest_body(request.body), owner
-    )
-
-
-def encode_finished(
-    request: types.Request,
-    verdict: verdicts.Verdict,
-    answer: types.Answer | None,
-) -> messages.Finished:
-    """Returns the report of how a request ended; large answers are left out."""
-    if answer is not None and len(answer.body) > claims.MAX_STORED_ANSWER_BYTES:
-        answer = None
-    return messages.Finished(request.request_id, verdict, answer)
--- a/src/chervillead/entries/messages.py
+++ b/src/chervillead/entries/messages.py
@@ -97,11 +97,21 @@
 
 
 class Claim(typing.NamedTuple):
-    """Asks to be the one owner of a request id."""
+    """Asks to be the one owner of a request id.
+
+    Attributes:
+        request_id: The request.
+        digest: Digest of its body.
+        owner: Entry host that asks.
+        team: Team of the key that came with the request.
+        attempt: Number of the submission, to tell its report from others'.
+    """
 
     request_id: str
     digest: int
     owner: str
+    team: str = ""
+    attempt: int = 0
 
 
 class ClaimState(typing.NamedTuple):
@@ -113,6 +123,8 @@
         owner: Entry host that owns the request, if known.
         verdict: Whether it ran, once that is known.
         answer: The stored answer, if it was small enough to keep.
+        team: Team that the request belongs to.
+        attempt: Number of the submission that holds the claim.
     """
 
     request_id: str
@@ -120,6 +132,8 @@
     owner: str = ""
     verdict: verdicts.Verdict | None = None
     answer: types.Answer | None = None
+    team: str = ""
+    attempt: int = 0
 
 
 CLAIM_ACCEPTED = "accepted"
@@ -137,11 +151,12 @@
 
 
 class Finished(typing.NamedTuple):
-    """Tells the claim holder how a request ended."""
+    """Tells the claim holder how a submission ended."""
 
     request_id: str
     verdict: verdicts.Verdict
     answer: types.Answer | None
+    attempt: int = 0
 
 
 class Cancel(typing.NamedTuple):
--- a/tests/callers/submission.feature
+++ b/tests/callers/submission.feature
@@ -14,3 +14,34 @@
     When the same non-idempotent request is submitted through two entry hosts
     Then both submissions have the same answer
     And every request ran once
+
+  Scenario: A claim holder out of reach makes a refusal uncertain
+    # Guards against "not run" for an id that may be claimed elsewhere.
+    Given a fleet in memory with 9 entry hosts
+    When a caller submits while the holder of its claim is cut off
+    Then the caller is told "may-have-run" because of "claim-unavailable"
+    And no upstream has run anything
+
+  Scenario: A refused request id is checked with its claim
+    # Guards against "not run" for an id whose first submission runs.
+    Given a fleet in memory with 9 entry hosts
+    When a caller uses the id of a running request with another body
+    Then the caller is told "may-have-run" because of "request-id-reused"
+
+  Scenario Outline: Only an idempotent request is repeated after a lost answer
+    # Guards against a second execution, and against a missing first retry.
+    Given a fleet in memory with 9 entry hosts
+    When a caller submits an <kind> request and its first answer is lost
+    Then upstreams have run it <runs> times and the caller is told "<verdict>"
+
+    Examples:
+      | kind           | runs | verdict      |
+      | idempotent     | 2    | ran          |
+      | non-idempotent | 1    | may-have-run |
+
+  Scenario: A report of an earlier submission leaves a later claim alone
+    # Guards against a repeated or late report that frees or ends a claim, after
+    # which the request could run twice.
+    Given a claim on an id that a first submission gave free again
+    When a second submission claims the id and the first one reports again
+    Then the second submission still holds the claim
--- a/tests/steps/callers_submission.py
+++ b/tests/steps/callers_submission.py
@@ -6,7 +6,11 @@
 import behave
 from returns import pipeline
 
+from chervillead import types
+from chervillead import verdicts
 from chervillead.callers import request_ids
+from chervillead.entries import claims
+from chervillead.entries import messages
 from stand_ins import local_fleet
 from stand_ins import memory_fleet
 from stand_ins import virtual_time
@@ -96,3 +100,131 @@
     runs = collections.Counter(e.request_id for e in context.executions)
     assert runs, "nothing ran"
     assert set(runs.values()) == {1}, runs.most_common(3)
+
+
+def submit_one(context, scenario):
+    """Runs `scenario(fleet)` on a started fleet and keeps its outcome."""
+
+    async def main():
+        fleet = memory_fleet.MemoryFleet(context.plan, seed=context.seed)
+        await fleet.start()
+        context.outcome = await scenario(fleet)
+        await fleet.stop()
+        return fleet.executions()
+
+    context.executions = virtual_time.run_virtual(main(), context.seed)
+
+
+def new_id(claim_byte=0):
+    """Returns a request id claimed in the zone of index `claim_byte`."""
+    wall_s = virtual_time.clock().wall()
+    return request_ids.new_request_id(wall_s, claim_byte)
+
+
+@behave.when("a caller submits while the holder of its claim is cut off")
+def step(context):
+    async def scenario(fleet):
+        request_id = new_id(1)
+        holder = fleet.hosts["entry-a0"].entry.claim_holder(request_id)
+        fleet.network.cut(["entry-a0"], [holder])
+        return await fleet.submit(
+            "entry-a0",
+            local_fleet.QUEUES[0],
+            "nursery-north",
+            b"x",
+            request_id=request_id,
+        )
+
+    submit_one(context, scenario)
+
+
+@behave.when("a caller uses the id of a running request with another body")
+def step(context):
+    async def scenario(fleet):
+        request_id = new_id()
+        first, second = (
+            fleet.submit(
+                host,
+                local_fleet.QUEUES[0],
+                "nursery-north",
+                body,
+                request_id=request_id,
+            )
+            for host, body in (("entry-a0", b"run=1"), ("entry-b0", b"run=2"))
+        )
+        running = asyncio.ensure_future(first)
+        await asyncio.sleep(0.2)
+        outcome = await second
+        await running
+        return outcome
+
+    submit_one(context, scenario)
+
+
+@behave.when("a caller submits an {kind} request and its first answer is lost")
+def step(context, kind):
+    async def scenario(fleet):
+        for upstream in fleet.upstreams.values():
+            upstream.failure = "close"
+        submitted = asyncio.ensure_future(
+            fleet.submit(
+                "entry-a0",
+                local_fleet.QUEUES[0],
+                "nursery-north",
+                b"run=1",
+                idempotent=kind == "idempotent",
+            )
+        )
+        # The first execution ends after 1 s, the second one after 2 s.
+        await asyncio.sleep(1.5)
+        for upstream in fleet.upstreams.values():
+            upstream.failure = ""
+        return await submitted
+
+    submit_one(context, scenario)
+
+
+@behave.then('the caller is told "{verdict}" because of "{reason}"')
+def step(context, verdict, reason):
+    refusal = context.outcome.failure()
+    assert (refusal.verdict.value, refusal.reason) == (verdict, reason), refusal
+
+
+@behave.then("no upstream has run anything")
+def step(context):
+    assert context.executions == [], context.executions
+
+
+@behave.then(
+    'upstreams have run it {runs:d} times and the caller is told "{verdict}"'
+)
+def step(context, runs, verdict):
+    told = context.outcome.swap().map(lambda refusal: refusal.verdict.value)
+    assert told.value_or("ran") == verdict, context.outcome
+    assert len(context.executions) == runs, context.executions
+
+
+@behave.given("a claim on an id that a first submission gave free again")
+def step(context):
+    context.claims = claims.ClaimTable(types.Clock(lambda: 0.0, lambda: 0.0))
+    context.claims.claim(messages.Claim("id", 7, "entry-a0", "team", 1))
+    context.report = messages.Finished(
+        "id", verdicts.Verdict.NOT_RUN, None, attempt=1
+    )
+    context.claims.finish(context.report)
+
+
+@behave.when(
+    "a second submission claims the id and the first one reports again"
+)
+def step(context):
+    claim = messages.Claim("id", 7, "entry-a0", "team", 2)
+    state = context.claims.claim(claim)
+    assert state.state == messages.CLAIM_ACCEPTED, state
+    context.claims.finish(context.report)
+
+
+@behave.then("the second submission still holds the claim")
+def step(context):
+    state = context.claims.lookup(messages.Lookup("id"))
+    assert (state.state, state.attempt) == (messages.CLAIM_RUNNING, 2), state
