--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -2,19 +2,13 @@
 
 from collections import abc
 import sys
-import typing
 
+from benchmarks import figures
+from benchmarks import fold
 
-class BenchmarkResult(typing.NamedTuple):
-    """One measured figure and its bound."""
-
-    name: str
-    value: float
-    bound: str
-    holds: bool
-
-
-BENCHMARKS: tuple[abc.Callable[[], abc.Iterator[BenchmarkResult]], ...] = ()
+BENCHMARKS: tuple[
+    abc.Callable[[], abc.Iterator[figures.BenchmarkResult]], ...
+] = (fold.measure,)
 
 
 def main() -> int:
--- a/src/chervillead/platform/configuration.py
+++ b/src/chervillead/platform/configuration.py
@@ -170,15 +170,32 @@
     stopped: bool = False
 
 
+class PoolUse(typing.NamedTuple):
+    """Index of a pool's hosts, kept by the fold.
+
+    It lets a budget be checked without a look at all hosts of the fleet.
+
+    Attributes:
+        zone_hosts: Number of the pool's hosts by zone; no zone has 0.
+        unavailable: Hosts of the pool with a drain that did not return or a
+            move in progress.
+    """
+
+    zone_hosts: abc.Mapping[str, int] = {}
+    unavailable: frozenset[str] = frozenset()
+
+
 class Configuration(typing.NamedTuple):
     """The folded state.
 
     Attributes:
         offset: Offset of the last folded record; -1 before the first.
         versions: Offset of the last accepted record by (kind, subject).
-        recent_ids: Fold result by record id, within the fold's window.
+        recent_ids: Offset by record id, of at least the fold's window.
         moved_units: Units of a team's limit that a zone has received less those
-            that it gave, by team and zone.
+            that it gave, by team and zone; no entry is 0.
+        pool_use: Index of hosts by pool, for budgets; pools without hosts have
+            no entry.
     """
 
     offset: int = -1
@@ -195,6 +212,7 @@
     moves: abc.Mapping[str, Move] = {}
     rollouts: abc.Mapping[str, Rollout] = {}
     moved_units: abc.Mapping[str, abc.Mapping[str, int]] = {}
+    pool_use: abc.Mapping[str, PoolUse] = {}
 
 
 EMPTY = Configuration()
--- a/src/chervillead/platform/fold.py
+++ b/src/chervillead/platform/fold.py
@@ -3,22 +3,30 @@
 All entry hosts fold the same records in the same order and must end in the
 same state, so nothing here reads a clock, a random number or local settings.
 The log arbitrates races; the fold refuses what is stale, repeated, malformed
-or would break a rule.
+or would break a rule. This module deals with order, ids and versions;
+`fold_rules` holds the rules of each kind.
 """
 
 from collections import abc
 import enum
 import typing
 
-import msgspec
+from returns import pipeline
 
 from chervillead.platform import configuration as configuration_module
+from chervillead.platform import fold_rules
+from chervillead.platform import persistent_map
+from chervillead.platform import record_fields
 from chervillead.platform import records
 
 # A proposer gives up long before this many records have passed, so a repeat
 # of an older id can't be a late retry.
 RECENT_IDS = 20000
 
+# Older ids are dropped in groups: a walk over all ids for each record would
+# cost far more than the record itself.
+_DROPPED_TOGETHER = 4096
+
 
 class Outcome(enum.Enum):
     """What the fold made of a record."""
@@ -46,23 +54,12 @@
     fate: Fate
 
 
-# Field of the configuration and the type of its values, by record kind.
-_SUBJECTS: dict[str, tuple[str, type]] = {
-    records.QUEUE: ("queues", configuration_module.Queue),
-    records.TEAM: ("teams", configuration_module.Team),
-    records.KEY: ("keys", configuration_module.Key),
-    records.POOL: ("pools", configuration_module.Pool),
-    records.HOST: ("hosts", configuration_module.Host),
-    records.ZONE: ("zones", configuration_module.Zone),
-    records.SEAT: ("seats", configuration_module.Seat),
-    records.DRAIN: ("drains", configuration_module.Drain),
-    records.MOVE: ("moves", configuration_module.Move),
-    records.ROLLOUT: ("rollouts", configuration_module.Rollout),
-}
-
+class _Judgement(typing.NamedTuple):
+    """What a record makes of the state; the state is unchanged if refused."""
 
-class _MalformedRecordError(Exception):
-    """The fields of a record don't fit its kind."""
+    outcome: Outcome
+    detail: str
+    configuration: configuration_module.Configuration
 
 
 def fold_records(
@@ -84,90 +81,95 @@
         yield step
 
 
+def check_record(
+    configuration: configuration_module.Configuration, record: records.Record
+) -> Fate:
+    """Returns the fate that `record` would have as the next one in the log."""
+    entry = records.OffsetRecord(configuration.offset + 1, record)
+    return _fold_record(configuration, entry).fate
+
+
 def _fold_record(
     configuration: configuration_module.Configuration,
     entry: records.OffsetRecord,
 ) -> FoldStep:
-    advanced = configuration._replace(offset=entry.offset)
     record = entry.record
-    if record is None or record.kind not in records.KINDS:
-        record_id = "" if record is None else record.record_id
-        return FoldStep(
-            advanced, Fate(entry.offset, record_id, Outcome.MALFORMED)
-        )
-    if record.record_id in configuration.recent_ids:
-        first = configuration.recent_ids[record.record_id]
-        detail = f"repeats the record at offset {first}"
-        fate = Fate(entry.offset, record.record_id, Outcome.REPEATED, detail)
+    if record is None:
+        advanced = configuration._replace(offset=entry.offset)
+        fate = Fate(entry.offset, "", Outcome.MALFORMED, "not a record")
         return FoldStep(advanced, fate)
-    fate = Fate(entry.offset, record.record_id, Outcome.ACCEPTED)
-    advanced = advanced._replace(
-        recent_ids=_with_recent_id(
-            configuration.recent_ids, record.record_id, entry.offset
+    judgement = _judge(configuration, record)
+    state = judgement.configuration
+    changes: dict[str, typing.Any] = {"offset": entry.offset}
+    if judgement.outcome is not Outcome.REPEATED:
+        changes["recent_ids"] = _with_recent_id(
+            state.recent_ids, record.record_id, entry.offset
         )
+    if judgement.outcome is Outcome.ACCEPTED and (
+        record.kind in record_fields.VALUE_TYPES
+    ):
+        changes["versions"] = persistent_map.as_persistent(
+            state.versions
+        ).with_entry((record.kind, record.subject), entry.offset)
+    return FoldStep(
+        state._replace(**changes),
+        Fate(
+            entry.offset, record.record_id, judgement.outcome, judgement.detail
+        ),
     )
-    if record.kind not in _SUBJECTS:
-        return FoldStep(advanced, fate)
+
+
+def _judge(
+    configuration: configuration_module.Configuration, record: records.Record
+) -> _Judgement:
+    """Checks id, kind and version, then the rules of the record's kind."""
+
+    def refused(outcome: Outcome, detail: str) -> _Judgement:
+        return _Judgement(outcome, detail, configuration)
+
+    first = configuration.recent_ids.get(record.record_id)
+    if first is not None and configuration.offset - first < RECENT_IDS:
+        return refused(
+            Outcome.REPEATED, f"repeats the record at offset {first}"
+        )
+    if record.kind not in records.KINDS:
+        return refused(
+            Outcome.MALFORMED,
+            f"unknown kind {record.kind!r}, allowed are "
+            f"{sorted(records.KINDS)}",
+        )
+    if record.kind not in record_fields.VALUE_TYPES:
+        return _Judgement(Outcome.ACCEPTED, "", configuration)
     version = configuration.versions.get(
         (record.kind, record.subject), records.NO_VERSION
     )
     if record.based_on != version:
-        detail = f"based on version {record.based_on}, current is {version}"
-        return FoldStep(
-            advanced, fate._replace(outcome=Outcome.STALE, detail=detail)
-        )
-    try:
-        return FoldStep(_with_subject(advanced, entry.offset, record), fate)
-    except _MalformedRecordError as error:
-        return FoldStep(
-            advanced,
-            fate._replace(outcome=Outcome.MALFORMED, detail=str(error)),
+        return refused(
+            Outcome.STALE,
+            f"{record.kind} {record.subject!r} is based on version "
+            f"{record.based_on}, current is {version}",
         )
+    converted = record_fields.convert_fields(record.kind, record.fields)
+    if not pipeline.is_successful(converted):
+        return refused(Outcome.MALFORMED, converted.failure())
+    applied = fold_rules.apply_value(
+        configuration, record.kind, record.subject, converted.unwrap()
+    )
+    if not pipeline.is_successful(applied):
+        return refused(Outcome.REFUSED, applied.failure())
+    return _Judgement(Outcome.ACCEPTED, "", applied.unwrap())
 
 
 def _with_recent_id(
     recent: abc.Mapping[str, int], record_id: str, offset: int
-) -> dict[str, int]:
-    updated = dict(recent)
-    updated[record_id] = offset
-    while len(updated) > RECENT_IDS:
-        del updated[next(iter(updated))]
-    return updated
-
-
-def _with_subject(
-    configuration: configuration_module.Configuration,
-    offset: int,
-    record: records.Record,
-) -> configuration_module.Configuration:
-    field, value_type = _SUBJECTS[record.kind]
-    subjects = dict(getattr(configuration, field))
-    if record.fields:
-        subjects[record.subject] = _convert(record.fields, value_type)
-    else:
-        subjects.pop(record.subject, None)
-    versions = dict(configuration.versions)
-    versions[(record.kind, record.subject)] = offset
-    changes: dict[str, typing.Any] = {field: subjects, "versions": versions}
-    return configuration._replace(**changes)
-
-
-def _convert(fields: dict[str, typing.Any], value_type: type) -> typing.Any:
-    """Returns the named tuple of `value_type` that `fields` describe."""
-    names: tuple[str, ...] = value_type._fields  # type: ignore[attr-defined]
-    unknown = sorted(set(fields) - set(names))
-    if unknown:
-        raise _MalformedRecordError(
-            f"unknown fields {unknown}, allowed are {sorted(names)}"
-        )
-    defaults = value_type._field_defaults  # type: ignore[attr-defined]
-    missing = [n for n in names if n not in fields and n not in defaults]
-    if missing:
-        raise _MalformedRecordError(f"missing fields {missing}")
-    ordered = [fields.get(name, defaults.get(name)) for name in names]
-    try:
-        return msgspec.convert(
-            msgspec.to_builtins(ordered), value_type, strict=False
+) -> persistent_map.PersistentMap[str, int]:
+    updated = persistent_map.as_persistent(recent)
+    if len(updated) >= RECENT_IDS + _DROPPED_TOGETHER:
+        updated = persistent_map.PersistentMap(
+            {
+                known: at
+                for known, at in updated.items()
+                if offset - at <= RECENT_IDS
+            }
         )
-    except msgspec.ValidationError as error:
-        raise _MalformedRecordError(str(error)) from error
+    return updated.with_entry(record_id, offset)
--- /dev/null
+++ b/src/chervillead/platform/fold_hosts.py
@@ -0,0 +1,246 @@
+"""Rules of `host`, `drain` and `move` records.
+
+A host has one pool at any time, and its pool changes only when a move is
+joined. Drains and moves are accepted within the pool's availability budget.
+"""
+
+from returns import result
+
+from chervillead.platform import budgets
+from chervillead.platform import configuration as configuration_module
+from chervillead.platform import persistent_map
+
+Applied = result.Result[configuration_module.Configuration, str]
+
+_DrainState = configuration_module.DrainState
+_MoveState = configuration_module.MoveState
+
+# States that may follow each state; None stands for no drain.
+_DRAIN_STEPS: dict[_DrainState | None, tuple[_DrainState, ...]] = {
+    None: (_DrainState.GRANTED,),
+    _DrainState.GRANTED: (_DrainState.DRAINED,),
+    _DrainState.DRAINED: (_DrainState.RETURNED, _DrainState.FAILED),
+    _DrainState.FAILED: (_DrainState.RETURNED,),
+    _DrainState.RETURNED: (_DrainState.GRANTED,),
+}
+_MOVE_STEPS: dict[_MoveState | None, _MoveState] = {
+    None: _MoveState.LEAVING,
+    _MoveState.LEAVING: _MoveState.DRAINED,
+    _MoveState.DRAINED: _MoveState.JOINED,
+    _MoveState.JOINED: _MoveState.LEAVING,
+}
+
+
+def apply_host(
+    configuration: configuration_module.Configuration,
+    name: str,
+    host: configuration_module.Host | None,
+) -> Applied:
+    """Adds, changes or removes a host."""
+    known = configuration.hosts.get(name)
+    if host is None:
+        return _remove_host(configuration, name)
+    if host.pool not in configuration.pools:
+        return result.Failure(
+            f"unknown pool {host.pool!r} of host {name!r}, known are "
+            f"{sorted(configuration.pools)}"
+        )
+    if host.zone not in configuration.zones:
+        return result.Failure(
+            f"unknown zone {host.zone!r} of host {name!r}, known are "
+            f"{sorted(configuration.zones)}"
+        )
+    if host.slots < 0 or host.connections < 0:
+        return result.Failure(
+            f"slots {host.slots} and connections {host.connections} of host "
+            f"{name!r} must not be negative"
+        )
+    if known is not None:
+        if known.pool != host.pool:
+            return result.Failure(
+                f"host {name!r} is in pool {known.pool!r}, not {host.pool!r}; "
+                "its pool is changed only by a move"
+            )
+        if (known.zone, known.rack) != (host.zone, host.rack) and (
+            budgets.is_in_maintenance(configuration, name)
+        ):
+            return result.Failure(
+                f"host {name!r} can't change from zone and rack "
+                f"{(known.zone, known.rack)} during a drain or move"
+            )
+        configuration = _count_host(configuration, known, -1)
+    hosts = persistent_map.as_persistent(configuration.hosts)
+    configuration = _count_host(configuration, host, 1)
+    return result.Success(
+        configuration._replace(hosts=hosts.with_entry(name, host))
+    )
+
+
+def apply_drain(
+    configuration: configuration_module.Configuration,
+    name: str,
+    drain: configuration_module.Drain | None,
+) -> Applied:
+    """Grants or advances the maintenance of a host."""
+    known = configuration.drains.get(name)
+    drains = persistent_map.as_persistent(configuration.drains)
+    if drain is None:
+        if known is not None and known.state is not _DrainState.RETURNED:
+            return result.Failure(
+                f"the drain of host {name!r} is {known.state.value!r}; only "
+                "one that is 'returned' can be removed"
+            )
+        return result.Success(
+            configuration._replace(drains=drains.without(name))
+        )
+    if name not in configuration.hosts:
+        return _unknown_host(name)
+    allowed = _DRAIN_STEPS[None if known is None else known.state]
+    if drain.state not in allowed:
+        return result.Failure(
+            f"the drain of host {name!r} can't become {drain.state.value!r}, "
+            f"allowed are {[state.value for state in allowed]}"
+        )
+    if drain.state is _DrainState.GRANTED:
+        if budgets.is_in_maintenance(configuration, name):
+            return result.Failure(
+                f"host {name!r} is on the move to pool "
+                f"{configuration.moves[name].to_pool!r}; it can be drained "
+                "once it has joined"
+            )
+        refusal = budgets.refusal_of(configuration, name, drains=True)
+        if refusal is not None:
+            return result.Failure(refusal)
+    changed = configuration._replace(drains=drains.with_entry(name, drain))
+    return result.Success(_mark_host(changed, name))
+
+
+def apply_move(
+    configuration: configuration_module.Configuration,
+    name: str,
+    move: configuration_module.Move | None,
+) -> Applied:
+    """Starts or advances the move of a host to another pool."""
+    known = configuration.moves.get(name)
+    moves = persistent_map.as_persistent(configuration.moves)
+    if move is None:
+        if known is not None and known.state is not _MoveState.JOINED:
+            return result.Failure(
+                f"the move of host {name!r} is {known.state.value!r}; only "
+                "one that is 'joined' can be removed"
+            )
+        return result.Success(configuration._replace(moves=moves.without(name)))
+    if name not in configuration.hosts:
+        return _unknown_host(name)
+    refusal = _refusal_of_move(configuration, name, known, move)
+    if refusal is not None:
+        return result.Failure(refusal)
+    changed = configuration._replace(moves=moves.with_entry(name, move))
+    if move.state is not _MoveState.JOINED:
+        return result.Success(_mark_host(changed, name))
+    host = changed.hosts[name]
+    joined = host._replace(pool=move.to_pool)
+    # The mark goes from the old pool's index before the host changes pools.
+    changed = _count_host(_mark_host(changed, name), host, -1)
+    hosts = persistent_map.as_persistent(changed.hosts)
+    return result.Success(
+        _count_host(changed, joined, 1)._replace(
+            hosts=hosts.with_entry(name, joined)
+        )
+    )
+
+
+def _refusal_of_move(
+    configuration: configuration_module.Configuration,
+    name: str,
+    known: configuration_module.Move | None,
+    move: configuration_module.Move,
+) -> str | None:
+    allowed = _MOVE_STEPS[None if known is None else known.state]
+    if move.state is not allowed:
+        return (
+            f"the move of host {name!r} can't become {move.state.value!r}, "
+            f"allowed is {allowed.value!r}"
+        )
+    if move.state is not _MoveState.LEAVING:
+        if known is not None and known.to_pool != move.to_pool:
+            return (
+                f"host {name!r} moves to pool {known.to_pool!r}, not "
+                f"{move.to_pool!r}; a move in progress keeps its pool"
+            )
+        return None
+    if move.to_pool not in configuration.pools:
+        return (
+            f"unknown pool {move.to_pool!r}, known are "
+            f"{sorted(configuration.pools)}"
+        )
+    if move.to_pool == configuration.hosts[name].pool:
+        return f"host {name!r} is in pool {move.to_pool!r} already"
+    if budgets.is_in_maintenance(configuration, name):
+        state = configuration.drains[name].state
+        return (
+            f"the drain of host {name!r} is {state.value!r}; a host moves only "
+            "after its drain has 'returned'"
+        )
+    return budgets.refusal_of(configuration, name, drains=False)
+
+
+def _remove_host(
+    configuration: configuration_module.Configuration, name: str
+) -> Applied:
+    host = configuration.hosts.get(name)
+    if host is None:
+        return result.Success(configuration)
+    move = configuration.moves.get(name)
+    if budgets.is_draining(configuration, name) or (
+        move is not None and move.state is not _MoveState.JOINED
+    ):
+        return result.Failure(
+            f"host {name!r} can't be removed during a drain or move; only one "
+            "at rest or whose drain has 'failed' can"
+        )
+    without = configuration._replace(
+        drains=persistent_map.as_persistent(configuration.drains).without(name),
+        moves=persistent_map.as_persistent(configuration.moves).without(name),
+    )
+    without = _count_host(_mark_host(without, name), host, -1)
+    hosts = persistent_map.as_persistent(without.hosts)
+    return result.Success(without._replace(hosts=hosts.without(name)))
+
+
+def _count_host(
+    configuration: configuration_module.Configuration,
+    host: configuration_module.Host,
+    change: int,
+) -> configuration_module.Configuration:
+    """Returns the state with `host` counted in or out of its pool."""
+    uses = persistent_map.as_persistent(configuration.pool_use)
+    use = uses.get(host.pool, configuration_module.PoolUse())
+    counts = dict(use.zone_hosts)
+    counts[host.zone] = counts.get(host.zone, 0) + change
+    counts = {zone: count for zone, count in counts.items() if count}
+    if counts or use.unavailable:
+        uses = uses.with_entry(host.pool, use._replace(zone_hosts=counts))
+    else:
+        uses = uses.without(host.pool)
+    return configuration._replace(pool_use=uses)
+
+
+def _mark_host(
+    configuration: configuration_module.Configuration, name: str
+) -> configuration_module.Configuration:
+    """Returns the state with the host's availability in its pool's index."""
+    uses = persistent_map.as_persistent(configuration.pool_use)
+    pool = configuration.hosts[name].pool
+    use = uses[pool]
+    if budgets.is_in_maintenance(configuration, name):
+        unavailable = use.unavailable | {name}
+    else:
+        unavailable = use.unavailable - {name}
+    return configuration._replace(
+        pool_use=uses.with_entry(pool, use._replace(unavailable=unavailable))
+    )
+
+
+def _unknown_host(name: str) -> Applied:
+    return result.Failure(f"unknown host {name!r}; declare it first")
--- /dev/null
+++ b/src/chervillead/platform/fold_seats.py
@@ -0,0 +1,54 @@
+"""Rules of `seat` records."""
+
+from returns import result
+
+from chervillead.platform import configuration as configuration_module
+from chervillead.platform import persistent_map
+
+# The dispatcher and claims of a zone are held by the seats below this number.
+DUTY_SEATS = 1
+
+MAX_SEATS = 1000
+
+
+def apply_seat(
+    configuration: configuration_module.Configuration,
+    subject: str,
+    seat: configuration_module.Seat | None,
+) -> result.Result[configuration_module.Configuration, str]:
+    """Gives a seat to a host, or takes it away if `seat` is None."""
+    seats = persistent_map.as_persistent(configuration.seats)
+    if seat is None:
+        return result.Success(
+            configuration._replace(seats=seats.without(subject))
+        )
+    if not 0 <= seat.number < MAX_SEATS:
+        return result.Failure(
+            f"seat number {seat.number} is out of range, allowed are 0 to "
+            f"{MAX_SEATS - 1}"
+        )
+    if not seat.zone or subject != f"{seat.zone}/{seat.number}":
+        return result.Failure(
+            f"seat {subject!r} doesn't match its zone and number, expected "
+            f"'{seat.zone}/{seat.number}'"
+        )
+    for name, held in seats.items():
+        if held.host != seat.host or name == subject:
+            continue
+        if held.zone != seat.zone:
+            return result.Failure(
+                f"host {seat.host!r} holds {name!r}; a host holds seats of "
+                "one zone only"
+            )
+        if _is_duty(held) == _is_duty(seat):
+            return result.Failure(
+                f"host {seat.host!r} holds {name!r}; a host holds at most one "
+                f"duty seat (below {DUTY_SEATS}) and one standby seat"
+            )
+    return result.Success(
+        configuration._replace(seats=seats.with_entry(subject, seat))
+    )
+
+
+def _is_duty(seat: configuration_module.Seat) -> bool:
+    return seat.number < DUTY_SEATS
