Keep connections to upstreams and end every call with a true verdict

Cause: HttpResponse.keep_alive was always False, because the parser's should_keep_alive() is false once a response is complete (shown with httptools alone: True in on_message_complete, False after feed_data). So no connection was ever kept, which also hid what goes wrong on kept ones. The flag now follows from the version and the Connection header.

The queue of calls moves to lanes.py with two invariants: a call waits only while a dial is under way for it or the lane is at its limit, and it ends at its start-by time. Idle connections read, so a close or a stray byte ends them before a call is written. Each upstream has a lane for requests and one connection for control calls (renewal, fetch, stop), so that long calls at the connection limit can't starve renewals.

--- a/src/chervillead/assembly.py
+++ b/src/chervillead/assembly.py
@@ -70,8 +70,12 @@
         dial=dial,
     )
     entry = host_module.EntryHost(settings, reader, clock)
-    pools = pool.UpstreamPools(clock, dial)
-    running = leases.RunningTasks()
+    pools = pool.UpstreamPools(
+        clock,
+        dial,
+        lambda upstream: pool.connection_part(reader.configuration, upstream),
+    )
+    running = leases.RunningTasks(clock)
     return Assembly(
         settings,
         clock,
@@ -178,9 +182,16 @@
     async def send(
         request: types.Request, grant: types.Grant
     ) -> submission.RequestOutcome:
-        running.add(grant)
+        gone = asyncio.get_running_loop().create_future()
         try:
-            return await pool.send(pools, request, grant, clock)
+            return await pool.send(
+                pools,
+                request,
+                grant,
+                clock,
+                on_written=lambda: running.add(grant, gone),
+                gone=gone,
+            )
         finally:
             running.discard(grant)
 
--- a/src/chervillead/callers/submission.py
+++ b/src/chervillead/callers/submission.py
@@ -159,6 +159,8 @@
         "upstream-unreachable",
         "upstream-refused",
         "upstream-connection-lost",
+        "upstream-silent",
+        "upstream-task-unknown",
         "answer-mismatch",
     )
 )
--- a/src/chervillead/http_exchange.py
+++ b/src/chervillead/http_exchange.py
@@ -131,10 +131,22 @@
         parser.get_status_code(),
         collector.headers,
         b"".join(collector.chunks),
-        parser.should_keep_alive(),
+        _keeps_alive(parser.get_http_version(), collector.headers),
     )
 
 
+def _keeps_alive(version: str, headers: dict[str, str]) -> bool:
+    """Returns whether the server keeps the connection open.
+
+    The parser's own `should_keep_alive` is false for every response once it is
+    complete, so connections would never be kept.
+    """
+    tokens = headers.get("connection", "").lower().replace(" ", "").split(",")
+    if version == "1.1":
+        return "close" not in tokens
+    return "keep-alive" in tokens
+
+
 async def call_once(
     dial_address: Dial, address: types.Address, request: HttpRequest
 ) -> HttpResponse:
--- a/src/chervillead/upstreams/connections.py
+++ b/src/chervillead/upstreams/connections.py
@@ -18,6 +18,7 @@
 # Shorter than the idle timeout of upstreams, so that a call is rarely written
 # to a connection that the upstream is about to close.
 IDLE_TIMEOUT_S = 10.0
+REQUEST_ID_HEADER = "chervillead-request-id"
 
 CallOutcome: typing.TypeAlias = result.Result[
     http_exchange.HttpResponse, verdicts.Refusal
@@ -29,19 +30,40 @@
 
     Attributes:
         request: What to send.
+        request_id: Id that the response must echo; empty if it carries none.
+        start_by_s: Monotonic time after which the call must not be written.
         deadline_s: Monotonic time at which the connection is given up.
-        outcome: Future of the response or the refusal.
+        outcome: Future of the response or the refusal. A connection whose call
+            is settled by anyone else closes.
+        written: Set just before the first byte may leave.
+        on_written: Called at the same moment.
     """
 
     request: http_exchange.HttpRequest
+    request_id: str
+    start_by_s: float
     deadline_s: float
     outcome: asyncio.Future[CallOutcome]
+    written: asyncio.Event
+    on_written: abc.Callable[[], None]
 
 
 class CallQueue(typing.NamedTuple):
-    """Calls that wait for a connection; `take` returns None when idle."""
+    """The side of a lane that its connections see.
 
-    take: abc.Callable[[], abc.Awaitable[Call | None]]
+    Attributes:
+        opened: Notes that the connection was established.
+        refused: Notes that it could not be, with the outcome for a call.
+        take: Returns the next call, or None when none waits.
+        idle: Timeouts of idle connections; see `_is_woken`.
+        may_stay: Whether the connection is within the limit.
+    """
+
+    opened: abc.Callable[[], None]
+    refused: abc.Callable[[CallOutcome], None]
+    take: abc.Callable[[], Call | None]
+    idle: list[asyncio.Timeout]
+    may_stay: abc.Callable[[], bool]
 
 
 async def run_connection(
@@ -52,35 +74,58 @@
     dial: http_exchange.Dial,
 ) -> None:
     """Dials, then sends one call after the other until idle or broken."""
-    first = await calls.take()
-    if first is None:
-        return
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             reader, writer = await dial(address)
     except (OSError, TimeoutError) as error:
-        _finish(first, _unsent(address, error))
+        calls.refused(_unsent(address, error))
         return
     try:
-        async for call in _calls_from(first, calls):
-            if call.outcome.done():
-                continue
+        calls.opened()
+        while calls.may_stay():
+            # A closed connection leaves its calls to the next one.
             if reader.at_eof():
-                _finish(call, _unsent(address, "closed by the upstream"))
                 return
+            call = calls.take()
+            if call is None:
+                if not await _is_woken(reader, calls.idle):
+                    return
+                continue
             outcome = await _exchange(address, reader, writer, call, clock)
-            _finish(call, outcome)
+            settle(call, outcome)
             if not _is_reusable(outcome):
                 return
     finally:
         writer.close()
 
 
-async def _calls_from(first: Call, calls: CallQueue) -> abc.AsyncIterator[Call]:
-    call: Call | None = first
-    while call is not None:
-        yield call
-        call = await calls.take()
+async def _is_woken(
+    reader: asyncio.StreamReader, idle: list[asyncio.Timeout]
+) -> bool:
+    """Waits until `wake` is called for the connection.
+
+    Returns:
+        False if the connection was idle for too long, or if the upstream
+        closed it or sent bytes that nobody asked for.
+    """
+    asleep = asyncio.timeout(IDLE_TIMEOUT_S)
+    try:
+        async with asleep:
+            idle.append(asleep)
+            await reader.read(1)
+            return False
+    except OSError as error:
+        return isinstance(error, TimeoutError) and asleep not in idle
+    finally:
+        if asleep in idle:
+            idle.remove(asleep)
+
+
+def wake(idle: list[asyncio.Timeout]) -> None:
+    """Wakes the connection that became idle last, the likeliest to live."""
+    asleep = idle.pop()
+    if not asleep.expired():
+        asleep.reschedule(asyncio.get_running_loop().time())
 
 
 async def _exchange(
@@ -91,48 +136,76 @@
     clock: types.Clock,
 ) -> CallOutcome:
     """Sends one call; from the first write on it may have run."""
+    data = http_exchange.encode_request(address, call.request)
+    limit = asyncio.timeout(max(0.0, call.deadline_s - clock.monotonic()))
+
+    def give_up(_: object) -> None:
+        if not limit.expired():
+            limit.reschedule(asyncio.get_running_loop().time())
+
     try:
-        async with asyncio.timeout(call.deadline_s - clock.monotonic()):
-            writer.write(http_exchange.encode_request(address, call.request))
-            await writer.drain()
-            return result.Success(await http_exchange.read_response(reader))
+        async with limit:
+            call.outcome.add_done_callback(give_up)
+            try:
+                call.written.set()
+                call.on_written()
+                writer.write(data)
+                await writer.drain()
+                response = await http_exchange.read_response(reader)
+            finally:
+                call.outcome.remove_done_callback(give_up)
+        return _check_echo(call, response)
     except TimeoutError:
-        return result.Failure(
-            verdicts.may_have_run(
-                "upstream-timeout", 504, f"{address} gave no answer in time"
-            )
-        )
+        return _lost("upstream-timeout", 504, f"{address}: no answer in time")
     except (OSError, http_exchange.IncompleteResponseError) as error:
-        return result.Failure(
-            verdicts.may_have_run(
-                "upstream-connection-lost", 502, f"{address}: {error}"
-            )
-        )
+        return _lost("upstream-connection-lost", 502, f"{address}: {error}")
     except asyncio.CancelledError:
-        _finish(
-            call,
-            result.Failure(
-                verdicts.may_have_run("upstream-call-cancelled", 502)
-            ),
-        )
+        cancel(call)
         raise
 
 
+def _check_echo(
+    call: Call, response: http_exchange.HttpResponse
+) -> CallOutcome:
+    echoed = response.headers.get(REQUEST_ID_HEADER, "")
+    if call.request_id in ("", echoed):
+        return result.Success(response)
+    return _lost(
+        "answer-mismatch", 502, f"the upstream answered request {echoed!r}"
+    )
+
+
 def _is_reusable(outcome: CallOutcome) -> bool:
     return outcome.map(lambda response: response.keep_alive).value_or(False)
 
 
+def _lost(reason: str, status: int, detail: str) -> CallOutcome:
+    return result.Failure(verdicts.may_have_run(reason, status, detail))
+
+
 def _unsent(address: types.Address, why: object) -> CallOutcome:
     return result.Failure(
         verdicts.not_run(
             "upstream-unreachable",
             503,
-            f"{address.host}:{address.port}: {why}",
+            f"{address.host}:{address.port}: {why or 'no connection in time'}",
             retry_after_s=1.0,
         )
     )
 
 
-def _finish(call: Call, outcome: CallOutcome) -> None:
+def settle(call: Call, outcome: CallOutcome) -> None:
+    """Ends the wait for a call; the first outcome counts."""
     if not call.outcome.done():
         call.outcome.set_result(outcome)
+
+
+def cancel(call: Call) -> None:
+    """Ends a call that nobody waits for any more, with its true verdict."""
+    reason, detail = "upstream-call-cancelled", "the call was cancelled"
+    settle(
+        call,
+        _lost(reason, 502, detail)
+        if call.written.is_set()
+        else result.Failure(verdicts.not_run(reason, 503, detail)),
+    )
--- /dev/null
+++ b/src/chervillead/upstreams/lanes.py
@@ -0,0 +1,181 @@
+"""Connections to one upstream that share a queue of calls and a limit.
+
+While a call waits, either a connection is being dialled for it or the lane is
+at its limit and a connection that ends takes the next call. Every change of
+the number of calls or connections restores this (`_dial_missing`).
+"""
+
+import asyncio
+import collections
+from collections import abc
+
+from returns import result
+
+from chervillead import http_exchange
+from chervillead import types
+from chervillead import verdicts
+from chervillead.upstreams import connections
+
+
+class ConnectionLane:
+    """Waiting calls and open connections."""
+
+    def __init__(
+        self,
+        address: types.Address,
+        clock: types.Clock,
+        dial: http_exchange.Dial,
+        limit: abc.Callable[[], int],
+    ) -> None:
+        """Makes a lane without connections.
+
+        Args:
+            address: Where the upstream listens.
+            clock: Source of time.
+            dial: Opens connections.
+            limit: Returns how many connections may be open.
+        """
+        self._address = address
+        self._clock = clock
+        self._dial = dial
+        self._limit = limit
+        self._calls: collections.deque[connections.Call] = collections.deque()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._dialling = 0
+        self._closed = False
+        self._queue = connections.CallQueue(
+            opened=self._note_opened,
+            refused=self._note_refused,
+            take=self._take,
+            idle=[],
+            may_stay=lambda: len(self._tasks) <= max(1, self._limit()),
+        )
+
+    @property
+    def open_connections(self) -> int:
+        """Connections that are open or being opened."""
+        return len(self._tasks)
+
+    def start(
+        self,
+        request: http_exchange.HttpRequest,
+        deadline_s: float,
+        *,
+        request_id: str = "",
+        start_by_s: float | None = None,
+        on_written: abc.Callable[[], None] = lambda: None,
+    ) -> connections.Call:
+        """Queues a call; see `connections.Call` for the arguments."""
+        loop = asyncio.get_running_loop()
+        start_by_s = min(deadline_s, start_by_s or deadline_s)
+        call = connections.Call(
+            request,
+            request_id,
+            start_by_s,
+            deadline_s,
+            loop.create_future(),
+            asyncio.Event(),
+            on_written,
+        )
+        timer = loop.call_later(
+            max(0.0, start_by_s - self._clock.monotonic()), _expire, call
+        )
+        call.outcome.add_done_callback(lambda _: timer.cancel())
+        if self._closed:
+            connections.cancel(call)
+            return call
+        self._calls.append(call)
+        if self._queue.idle:
+            connections.wake(self._queue.idle)
+        else:
+            self._dial_missing()
+        return call
+
+    async def call(
+        self,
+        request: http_exchange.HttpRequest,
+        timeout_s: float,
+        *,
+        request_id: str = "",
+    ) -> connections.CallOutcome:
+        """Sends `request` and returns its outcome."""
+        call = self.start(
+            request,
+            self._clock.monotonic() + timeout_s,
+            request_id=request_id,
+        )
+        try:
+            return await call.outcome
+        finally:
+            connections.cancel(call)
+
+    def close(self) -> None:
+        """Closes all connections; calls that were written may have run."""
+        self._closed = True
+        for task in self._tasks:
+            task.cancel()
+        while self._calls:
+            connections.cancel(self._calls.popleft())
+
+    def _take(self) -> connections.Call | None:
+        while self._calls:
+            call = self._calls.popleft()
+            if call.outcome.done():
+                continue
+            # After a pause of the process, this may run before the timer.
+            if self._clock.monotonic() < call.start_by_s:
+                return call
+            _expire(call)
+        return None
+
+    def _dial_missing(self) -> None:
+        while self._calls and self._calls[0].outcome.done():
+            self._calls.popleft()
+        limit = max(1, self._limit())
+        while (
+            not self._closed
+            and self._dialling < len(self._calls)
+            and len(self._tasks) < limit
+        ):
+            self._dialling += 1
+            task = asyncio.get_running_loop().create_task(
+                connections.run_connection(
+                    self._address, self._queue, self._clock, dial=self._dial
+                )
+            )
+            self._tasks.add(task)
+            task.add_done_callback(self._note_ended)
+
+    def _note_opened(self) -> None:
+        self._dialling -= 1
+
+    def _note_refused(self, outcome: connections.CallOutcome) -> None:
+        """Ends the calls that have no other connection to wait for."""
+        self._dialling -= 1
+        task = asyncio.current_task()
+        if task is not None:
+            self._tasks.discard(task)
+        call = self._take()
+        while call is not None:
+            connections.settle(call, outcome)
+            call = None if self._tasks else self._take()
+
+    def _note_ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        self._dial_missing()
+
+
+def _expire(call: connections.Call) -> None:
+    """Ends the wait of a call that may not start any more."""
+    if not call.written.is_set():
+        connections.settle(
+            call,
+            result.Failure(
+                verdicts.not_run(
+                    "grant-expired",
+                    503,
+                    "no connection became free in time",
+                    retry_after_s=0.1,
+                )
+            ),
+        )
--- a/src/chervillead/upstreams/leases.py
+++ b/src/chervillead/upstreams/leases.py
@@ -1,44 +1,89 @@
-"""Renewal of the leases of running tasks, one call for each upstream."""
+"""Renewal of the leases of running tasks, one call for each upstream.
+
+A renewal goes over another connection than the tasks themselves, so it also
+tells which tasks are alive when their connections are silent.
+"""
 
 import asyncio
 from collections import abc
+import typing
 
 import msgspec
 
 from chervillead import http_exchange
 from chervillead import types
+from chervillead.upstreams import connections
 from chervillead.upstreams import pool
 
 # Two renewals may be lost before a lease lapses.
 RENEWALS_PER_LEASE = 3
+# A request that was written just before the renewal may arrive after it; the
+# upstream would not know the task yet.
+SETTLE_S = 0.25
+
+
+class RunningTask(typing.NamedTuple):
+    """A granted request that was written to its upstream.
+
+    Attributes:
+        grant: Its grant.
+        gone: Becomes done when the upstream doesn't run it any more.
+        renewed_s: Monotonic time at which it was written, or at which its
+            lease was last renewed.
+    """
+
+    grant: types.Grant
+    gone: asyncio.Future[None]
+    renewed_s: float
 
 
 class RunningTasks:
     """Granted requests of this host that run at present, by upstream."""
 
-    def __init__(self) -> None:
-        self._tasks: dict[types.Address, dict[str, types.Grant]] = {}
+    def __init__(self, clock: types.Clock) -> None:
+        self._clock = clock
+        self._tasks: dict[types.Upstream, dict[str, RunningTask]] = {}
 
-    def add(self, grant: types.Grant) -> None:
-        """Notes that the request of `grant` was sent."""
-        tasks = self._tasks.setdefault(grant.upstream.address, {})
-        tasks[grant.request_id] = grant
+    def add(self, grant: types.Grant, gone: asyncio.Future[None]) -> None:
+        """Notes that the request of `grant` is being written."""
+        self._tasks.setdefault(grant.upstream, {})[grant.request_id] = (
+            RunningTask(grant, gone, self._clock.monotonic())
+        )
 
     def discard(self, grant: types.Grant) -> None:
         """Notes that the request of `grant` is over."""
-        tasks = self._tasks.get(grant.upstream.address, {})
-        tasks.pop(grant.request_id, None)
+        tasks = self._tasks.get(grant.upstream, {})
+        task = tasks.get(grant.request_id)
+        # A repeat of the request may run there under a newer grant.
+        if task is not None and task.grant.grant_id == grant.grant_id:
+            del tasks[grant.request_id]
+        if not tasks:
+            self._tasks.pop(grant.upstream, None)
+
+    def note_renewed(self, task: RunningTask) -> None:
+        """Notes that the upstream has renewed the lease of `task`."""
+        tasks = self._tasks.get(task.grant.upstream, {})
+        if tasks.get(task.grant.request_id) is task:
+            tasks[task.grant.request_id] = task._replace(
+                renewed_s=self._clock.monotonic()
+            )
 
     @property
     def grants(self) -> list[types.Grant]:
         """Grants in use."""
-        return [g for tasks in self._tasks.values() for g in tasks.values()]
+        return [
+            t.grant for tasks in self._tasks.values() for t in tasks.values()
+        ]
 
-    def request_ids(self) -> abc.Iterator[tuple[types.Address, list[str]]]:
-        """Yields each upstream that runs something, with the request ids."""
-        for address, tasks in list(self._tasks.items()):
-            if tasks:
-                yield address, list(tasks)
+    def due(
+        self,
+    ) -> abc.Iterator[tuple[types.Upstream, dict[str, RunningTask]]]:
+        """Yields each upstream with the tasks whose leases to renew."""
+        latest_s = self._clock.monotonic() - SETTLE_S
+        for upstream, tasks in list(self._tasks.items()):
+            due = {i: t for i, t in tasks.items() if t.renewed_s <= latest_s}
+            if due:
+                yield upstream, due
 
 
 async def renew_leases(
@@ -48,17 +93,76 @@
     *,
     lease_s: float,
 ) -> None:
-    """Renews the leases of all running tasks until cancelled."""
+    """Renews the leases of all running tasks until cancelled.
+
+    Each upstream has a task of its own, so a silent one delays no other.
+    """
     interval_s = lease_s / RENEWALS_PER_LEASE
-    while True:
-        await asyncio.sleep(interval_s)
-        deadline_s = clock.monotonic() + interval_s
-        await asyncio.gather(
-            *(
-                pools.pool(address).call(_renewal(request_ids), deadline_s)
-                for address, request_ids in running.request_ids()
-            )
-        )
+    async with asyncio.TaskGroup() as renewals:
+        while True:
+            await asyncio.sleep(interval_s)
+            for upstream, tasks in running.due():
+                renewals.create_task(
+                    _renew(running, pools, upstream, tasks, clock)
+                )
+
+
+async def _renew(
+    running: RunningTasks,
+    pools: pool.UpstreamPools,
+    upstream: types.Upstream,
+    tasks: dict[str, RunningTask],
+    clock: types.Clock,
+) -> None:
+    """Renews the leases of `tasks` and marks those that are gone."""
+    outcome = await pools.pool(upstream).control.call(
+        _renewal(list(tasks)), pool.CONTROL_TIMEOUT_S
+    )
+    alive = _alive_ids(outcome)
+    for request_id, task in tasks.items():
+        if alive is not None and request_id in alive:
+            running.note_renewed(task)
+        elif alive is not None or _has_lapsed(task, clock):
+            _mark_gone(task)
+
+
+def _has_lapsed(task: RunningTask, clock: types.Clock) -> bool:
+    return clock.monotonic() > task.renewed_s + task.grant.lease_s
+
+
+def _mark_gone(task: RunningTask) -> None:
+    if not task.gone.done():
+        task.gone.set_result(None)
+
+
+def _alive_ids(outcome: connections.CallOutcome) -> set[str] | None:
+    """Returns the ids that still run, or None if the answer is unusable."""
+    response = outcome.value_or(None)
+    if response is None or response.status != 200:
+        return None
+    try:
+        return msgspec.json.decode(response.body, type=set[str])
+    except msgspec.DecodeError:
+        return None
+
+
+async def stop_task(
+    pools: pool.UpstreamPools,
+    grant: types.Grant,
+    request_id: str,
+) -> bool:
+    """Asks the upstream of `grant` to stop a task.
+
+    Returns:
+        Whether the upstream has confirmed that the task has stopped. Otherwise
+        it may still run, or may still start if the request is on its way.
+    """
+    outcome = await pools.pool(grant.upstream).control.call(
+        http_exchange.HttpRequest("DELETE", f"/tasks/{request_id}"),
+        pool.CONTROL_TIMEOUT_S,
+        request_id=request_id,
+    )
+    return outcome.map(lambda response: response.status == 200).value_or(False)
 
 
 def _renewal(request_ids: list[str]) -> http_exchange.HttpRequest:
--- a/src/chervillead/upstreams/pool.py
+++ b/src/chervillead/upstreams/pool.py
@@ -1,109 +1,106 @@
 """Connections to all upstreams, and the sending of granted requests."""
 
 import asyncio
-import collections
+from collections import abc
+import typing
 
+from returns import pipeline
 from returns import result
 
 from chervillead import http_exchange
 from chervillead import types
 from chervillead import verdicts
+from chervillead.platform import configuration as configuration_module
 from chervillead.upstreams import connections
+from chervillead.upstreams import lanes
 
-REQUEST_ID_HEADER = "chervillead-request-id"
 VERDICT_HEADER = "chervillead-verdict"
+DEFAULT_CONNECTIONS = 64
+# Renewals, fetches and stops have a connection of their own, because calls
+# that run for long may hold all others.
+CONTROL_CONNECTIONS = 1
+# A control call must end before the next renewal is due (a third of a lease),
+# so that the renewal goes over a new connection.
+CONTROL_TIMEOUT_S = 0.5
+# An answer that is on its way may still arrive after the upstream has said
+# that the task is over.
+ANSWER_GRACE_S = 0.2
+MAX_FETCH_PAUSE_S = 1.0
+# One lease: by then, an upstream that hears nothing has stopped the task.
+SILENCE_S = 2.0
 
 
-class UpstreamPool:
-    """Idle connections and waiting calls of one upstream."""
+class UpstreamPool(typing.NamedTuple):
+    """Connections of one upstream: for requests, and for control calls."""
 
-    def __init__(
-        self,
-        address: types.Address,
-        clock: types.Clock,
-        dial: http_exchange.Dial,
-    ) -> None:
-        self._address = address
-        self._clock = clock
-        self._dial = dial
-        self._calls: collections.deque[connections.Call] = collections.deque()
-        self._idle: collections.deque[asyncio.Event] = collections.deque()
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    @property
-    def open_connections(self) -> int:
-        """Connections that are open or being opened."""
-        return len(self._tasks)
-
-    async def call(
-        self, request: http_exchange.HttpRequest, deadline_s: float
-    ) -> connections.CallOutcome:
-        """Sends `request` on an idle connection, or on a new one."""
-        call = connections.Call(
-            request, deadline_s, asyncio.get_running_loop().create_future()
-        )
-        self._calls.append(call)
-        if self._idle:
-            # The most recently used connection is the likeliest to be alive.
-            self._idle.pop().set()
-        else:
-            self._start_connection()
-        return await call.outcome
-
-    def close(self) -> None:
-        """Closes all connections; calls under way may have run."""
-        for task in self._tasks:
-            task.cancel()
-
-    def _start_connection(self) -> None:
-        task = asyncio.get_running_loop().create_task(
-            connections.run_connection(
-                self._address,
-                connections.CallQueue(self._take),
-                self._clock,
-                dial=self._dial,
-            )
-        )
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _take(self) -> connections.Call | None:
-        if self._calls:
-            return self._calls.popleft()
-        wake = asyncio.Event()
-        self._idle.append(wake)
-        try:
-            async with asyncio.timeout(connections.IDLE_TIMEOUT_S):
-                await wake.wait()
-        except TimeoutError:
-            if not wake.is_set():
-                self._idle.remove(wake)
-                return None
-        return self._calls.popleft() if self._calls else None
+    work: lanes.ConnectionLane
+    control: lanes.ConnectionLane
 
 
 class UpstreamPools:
     """The pool of each upstream, made when it is first used."""
 
     def __init__(
-        self, clock: types.Clock, dial: http_exchange.Dial = http_exchange.dial
+        self,
+        clock: types.Clock,
+        dial: http_exchange.Dial = http_exchange.dial,
+        connection_part: abc.Callable[[str], int] = (
+            lambda upstream: DEFAULT_CONNECTIONS
+        ),
     ) -> None:
+        """Makes an empty set of pools.
+
+        Args:
+            clock: Source of time.
+            dial: Opens connections.
+            connection_part: Returns how many connections this entry host may
+                open to the named upstream.
+        """
         self._clock = clock
         self._dial = dial
+        self._connection_part = connection_part
         self._pools: dict[types.Address, UpstreamPool] = {}
 
-    def pool(self, address: types.Address) -> UpstreamPool:
-        """Returns the pool of the upstream at `address`."""
-        pool = self._pools.get(address)
+    def pool(self, upstream: types.Upstream) -> UpstreamPool:
+        """Returns the pool of `upstream`."""
+        pool = self._pools.get(upstream.address)
         if pool is None:
-            pool = UpstreamPool(address, self._clock, self._dial)
-            self._pools[address] = pool
+            name = upstream.name
+            pool = UpstreamPool(
+                self._lane(
+                    upstream,
+                    lambda: self._connection_part(name) - CONTROL_CONNECTIONS,
+                ),
+                self._lane(upstream, lambda: CONTROL_CONNECTIONS),
+            )
+            self._pools[upstream.address] = pool
         return pool
 
     def close(self) -> None:
         """Closes all connections."""
         for pool in self._pools.values():
-            pool.close()
+            pool.work.close()
+            pool.control.close()
+
+    def _lane(
+        self, upstream: types.Upstream, limit: abc.Callable[[], int]
+    ) -> lanes.ConnectionLane:
+        return lanes.ConnectionLane(
+            upstream.address, self._clock, self._dial, limit
+        )
+
+
+def connection_part(
+    configuration: configuration_module.Configuration, upstream: str
+) -> int:
+    """Returns how many connections one entry host may open to an upstream.
+
+    The upstream's connections are divided by the entry hosts that hold a seat.
+    Seats of dead hosts count until they are taken over.
+    """
+    host = configuration.hosts.get(upstream)
+    offered = DEFAULT_CONNECTIONS if host is None else host.connections
+    return offered // max(1, len(configuration.seats))
 
 
 async def send(
@@ -111,27 +108,114 @@
     request: types.Request,
     grant: types.Grant,
     clock: types.Clock,
+    *,
+    on_written: abc.Callable[[], None] = lambda: None,
+    gone: asyncio.Future[None] | None = None,
 ) -> result.Result[types.Answer, verdicts.Refusal]:
     """Sends a granted request once and returns its whole answer.
 
+    Args:
+        pools: Connections to all upstreams.
+        request: What to send.
+        grant: Where to send it, and until when it may start.
+        clock: Source of time.
+        on_written: Called just before the first byte may leave.
+        gone: Done when the upstream has said that the task doesn't run.
+
     Returns:
         The answer, or a refusal whose verdict says whether the request may
         have run.
     """
     now_s = clock.monotonic()
-    if now_s >= min(grant.start_by_s, request.deadline_s):
-        return result.Failure(
-            verdicts.not_run(
-                "grant-expired",
-                503,
-                f"grant {grant.grant_id} was not used in time",
-                retry_after_s=0.1,
-            )
+    pool = pools.pool(grant.upstream)
+    call = pool.work.start(
+        _encode_call(request, grant, now_s),
+        request.deadline_s,
+        request_id=request.request_id,
+        start_by_s=grant.start_by_s,
+        on_written=on_written,
+    )
+    try:
+        outcome = await _outcome_unless_gone(call, gone)
+        if outcome is None or _is_connection_lost(outcome):
+            outcome = await _fetch(pool, call, clock, outcome)
+    finally:
+        connections.cancel(call)
+    return outcome.bind(_decode_answer)
+
+
+async def _outcome_unless_gone(
+    call: connections.Call, gone: asyncio.Future[None] | None
+) -> connections.CallOutcome | None:
+    """Returns the call's outcome, or None once its task is known as gone."""
+    if gone is None:
+        return await call.outcome
+    await asyncio.wait(
+        (call.outcome, gone), return_when=asyncio.FIRST_COMPLETED
+    )
+    if not call.outcome.done():
+        await asyncio.wait((call.outcome,), timeout=ANSWER_GRACE_S)
+    return call.outcome.result() if call.outcome.done() else None
+
+
+def _is_connection_lost(outcome: connections.CallOutcome) -> bool:
+    """Returns whether only the connection was lost, perhaps not the task."""
+    if pipeline.is_successful(outcome):
+        return False
+    return outcome.failure().reason == "upstream-connection-lost"
+
+
+async def _fetch(
+    pool: UpstreamPool,
+    call: connections.Call,
+    clock: types.Clock,
+    lost: connections.CallOutcome | None,
+) -> connections.CallOutcome:
+    """Asks for the answer by id over another connection until it is known.
+
+    Returns:
+        The answer; or "may have run" when the upstream doesn't know the task,
+        because the request may still be on its way to it.
+    """
+    heard_s = clock.monotonic()
+    pause_s = ANSWER_GRACE_S
+    while clock.monotonic() < min(call.deadline_s, heard_s + SILENCE_S):
+        fetched = await pool.control.call(
+            http_exchange.HttpRequest("GET", f"/tasks/{call.request_id}"),
+            min(CONTROL_TIMEOUT_S, call.deadline_s - clock.monotonic()),
+            request_id=call.request_id,
+        )
+        status = fetched.map(lambda response: response.status).value_or(0)
+        if status == 200:
+            return fetched
+        if status in (404, 410):
+            return _unknown_task() if lost is None else lost
+        if status == 202:
+            heard_s = clock.monotonic()
+        # The first connection may still deliver while the task runs.
+        await asyncio.wait((call.outcome,), timeout=pause_s)
+        if lost is None and call.outcome.done():
+            return call.outcome.result()
+        if call.outcome.done():
+            await asyncio.sleep(pause_s)
+        pause_s = min(2 * pause_s, MAX_FETCH_PAUSE_S)
+    return _silent() if lost is None else lost
+
+
+def _unknown_task() -> connections.CallOutcome:
+    return result.Failure(
+        verdicts.may_have_run(
+            "upstream-task-unknown", 502, "the upstream doesn't run the task"
+        )
+    )
+
+
+def _silent() -> connections.CallOutcome:
+    return result.Failure(
+        verdicts.may_have_run(
+            "upstream-silent", 504, "the upstream answers on no connection"
         )
-    outcome = await pools.pool(grant.upstream.address).call(
-        _encode_call(request, grant, now_s), request.deadline_s
     )
-    return outcome.bind(lambda response: _decode_answer(request, response))
 
 
 def _encode_call(
@@ -141,7 +225,7 @@
         "POST",
         "/tasks",
         (
-            (REQUEST_ID_HEADER, request.request_id),
+            (connections.REQUEST_ID_HEADER, request.request_id),
             ("chervillead-grant-id", grant.grant_id),
             ("chervillead-queue", request.queue),
             ("chervillead-team", request.team),
@@ -157,17 +241,8 @@
 
 
 def _decode_answer(
-    request: types.Request, response: http_exchange.HttpResponse
+    response: http_exchange.HttpResponse,
 ) -> result.Result[types.Answer, verdicts.Refusal]:
-    echoed = response.headers.get(REQUEST_ID_HEADER)
-    if echoed != request.request_id:
-        return result.Failure(
-            verdicts.may_have_run(
-                "answer-mismatch",
-                502,
-                f"the upstream answered request {echoed!r}",
-            )
-        )
     if response.headers.get(VERDICT_HEADER) == verdicts.Verdict.NOT_RUN.value:
         return result.Failure(
             verdicts.not_run(
--- a/tests/stand_ins/local_fleet.py
+++ b/tests/stand_ins/local_fleet.py
@@ -52,6 +52,7 @@
         upstreams_per_queue: Upstreams of each service.
         slots: Slots of each upstream.
         stop_delay_s: The entry hosts' delay for the balancer's lag.
+        zones: Zones in use; an entry host alone needs a plan with one.
     """
 
     base_port: int = 17000
@@ -59,6 +60,7 @@
     upstreams_per_queue: int = 8
     slots: int = 8
     stop_delay_s: float = 0.3
+    zones: tuple[str, ...] = ZONES
 
     @property
     def platform(self) -> types.Address:
@@ -67,7 +69,8 @@
 
     def entry_name(self, index: int) -> str:
         """Returns the name of an entry host."""
-        return f"entry-{ZONES[index % len(ZONES)]}{index // len(ZONES)}"
+        zones = self.zones
+        return f"entry-{zones[index % len(zones)]}{index // len(zones)}"
 
     def callers_address(self, index: int) -> types.Address:
         """Returns where an entry host listens for callers."""
@@ -95,7 +98,7 @@
     """Returns the settings document of one entry host."""
     return {
         "host": plan.entry_name(index),
-        "zone": ZONES[index % len(ZONES)],
+        "zone": plan.zones[index % len(plan.zones)],
         "callers": plan.callers_address(index)._asdict(),
         "entries": plan.entries_address(index)._asdict(),
         "platform": {"address": plan.platform._asdict()},
@@ -178,7 +181,7 @@
             fields,
         )
 
-    for index, zone in enumerate(ZONES):
+    for index, zone in enumerate(plan.zones):
         yield record(records.ZONE, zone, index=index, status="in")
     for team, key in TEAM_KEYS.items():
         yield record(records.TEAM, team, share=1.0, limit=64)
@@ -189,7 +192,7 @@
         )
         yield record(records.QUEUE, queue, pool=queue, target_s=2.0)
         for index in range(plan.upstreams_per_queue):
-            zone = ZONES[index % len(ZONES)]
+            zone = plan.zones[index % len(plan.zones)]
             yield record(
                 records.HOST,
                 f"{queue}-{index}",
--- a/tests/stand_ins/memory_network.py
+++ b/tests/stand_ins/memory_network.py
@@ -31,6 +31,7 @@
         self._source = source
         self._target = target
         self._closed = False
+        self.is_silent = False
         self._arrival_s = 0.0
         self.far_reader = asyncio.StreamReader()
         self.reverse: _MemoryWriter | None = None
@@ -139,6 +140,12 @@
             if place in (source, target):
                 writer.reset()
 
+    def silence_place(self, place: str) -> None:
+        """Lets the open connections of a place deliver nothing any more."""
+        for source, target, writer in self._writers:
+            if place in (source, target):
+                writer.is_silent = True
+
     def deliver(
         self,
         writer: _MemoryWriter,
@@ -152,6 +159,8 @@
         due_s = writer._arrival_s = max(due_s, writer._arrival_s)
 
         def arrive() -> None:
+            if writer.is_silent:
+                return
             if self.is_cut(source, target):
                 self._held.append((source, target, action))
             else:
--- a/tests/stand_ins/upstream.py
+++ b/tests/stand_ins/upstream.py
@@ -13,6 +13,8 @@
 from stand_ins import http_server
 
 REQUEST_ID = "chervillead-request-id"
+KEEP_ANSWERS_S = 10.0
+USAGE_LAG_S = 2.0
 
 
 class TaskRecord(typing.NamedTuple):
@@ -33,7 +35,16 @@
         self.slots = slots
         self.run_s = run_s
         self.failure = ""
+        self.control_failure = ""
         self.records: list[TaskRecord] = []
+        # Ids of all requests to run something, also of those not run.
+        self.received: list[str] = []
+        # Renewals, lookups and stops that arrived, by method and path.
+        self.control_calls: list[tuple[float, str]] = []
+        self.checkpoints: list[str] = []
+        self.throttled: dict[str, float] = {}
+        self.answers: dict[str, tuple[float, bytes]] = {}
+        self._usage: list[tuple[float, int]] = []
         self._leases: dict[str, float] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
@@ -50,13 +61,44 @@
             self._leases[request_id] = now_s + lease_s
         return alive
 
-    def stop(self, request_id: str) -> bool:
-        """Stops a task; returns whether it ran."""
+    async def stop(self, request_id: str) -> bool:
+        """Stops a task; returns whether it ran, once it has ended."""
         task = self._tasks.get(request_id)
         if task is not None:
             task.cancel()
+            await asyncio.wait((task,))
         return task is not None
 
+    def keep_answer(self, request_id: str, answer: bytes) -> None:
+        """Keeps a finished answer for some seconds."""
+        now_s = asyncio.get_running_loop().time()
+        for old, (kept_s, _) in list(self.answers.items()):
+            if kept_s > now_s - KEEP_ANSWERS_S:
+                break
+            del self.answers[old]
+        self.answers[request_id] = (now_s, answer)
+
+    def find(self, request_id: str) -> tuple[int, bytes]:
+        """Returns status and body of GET /tasks/{id}."""
+        if request_id in self._tasks:
+            return 202, b""
+        kept_s, answer = self.answers.get(request_id, (-1e9, b""))
+        if kept_s > asyncio.get_running_loop().time() - KEEP_ANSWERS_S:
+            return 200, answer
+        return 404, b""
+
+    def lagging_usage(self) -> int:
+        """Returns how many tasks ran some seconds ago."""
+        latest_s = asyncio.get_running_loop().time() - USAGE_LAG_S
+        old = [count for at_s, count in self._usage if at_s <= latest_s]
+        del self._usage[: max(0, len(old) - 1)]
+        return old[-1] if old else 0
+
+    def _note_usage(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self._usage.append((now_s, len(self._tasks)))
+        self.lagging_usage()
+
     async def run(self, headers: dict[str, str], body: bytes) -> bytes | None:
         """Runs a task to its end; returns None if it was stopped."""
         request_id = headers[REQUEST_ID]
@@ -77,6 +119,7 @@
         )
         task = loop.create_task(self._work(request_id, self._run_s(body)))
         self._tasks[request_id] = task
+        self._note_usage()
         ending = "finished"
         try:
             await task
@@ -84,11 +127,13 @@
             ending = "stopped"
         finally:
             del self._tasks[request_id]
+            self._note_usage()
             self.records[index] = self.records[index]._replace(
                 ended_s=loop.time(), ending=ending
             )
         if ending == "stopped":
             return None
+        self.keep_answer(request_id, b"done:" + body)
         return b"done:" + body
 
     def _run_s(self, body: bytes) -> float:
@@ -116,14 +161,11 @@
     ) -> http_server.Reply | None:
         if request.path == "/tasks" and request.method == "POST":
             return await _handle_task(state, request, writer)
-        if request.path == "/leases":
-            ids = msgspec.json.decode(request.body, type=list[str])
-            return http_server.Reply(
-                200, msgspec.json.encode(state.renew(ids, 2.0))
-            )
-        if request.path.startswith("/tasks/") and request.method == "DELETE":
-            found = state.stop(request.path.removeprefix("/tasks/"))
-            return http_server.Reply(200 if found else 404)
+        if request.path == "/leases" or request.path.startswith("/tasks/"):
+            return await _handle_control(state, request)
+        if request.path == "/usage":
+            usage = {"running": state.lagging_usage(), "slots": state.slots}
+            return http_server.Reply(200, msgspec.json.encode(usage))
         if request.path == "/records":
             return http_server.Reply(200, msgspec.json.encode(state.records))
         if request.path == "/faults":
@@ -135,17 +177,51 @@
     return handle
 
 
+async def _handle_control(
+    state: UpstreamState, request: http_server.ReceivedRequest
+) -> http_server.Reply:
+    """Serves renewals, and what concerns one task by its id."""
+    state.control_calls.append(
+        (asyncio.get_running_loop().time(), f"{request.method} {request.path}")
+    )
+    if state.control_failure == "silent":
+        await asyncio.Event().wait()
+    if request.path == "/leases":
+        ids = msgspec.json.decode(request.body, type=list[str])
+        return http_server.Reply(200, msgspec.json.encode(state.renew(ids, 2)))
+    request_id, _, action = request.path.removeprefix("/tasks/").partition("/")
+    echo = ((REQUEST_ID, request_id),)
+    if request.method == "GET":
+        status, body = state.find(request_id)
+        return http_server.Reply(status, body, echo)
+    found = request_id in state.running
+    if request.method == "DELETE":
+        found = await state.stop(request_id)
+    elif action == "checkpoint" and found:
+        state.checkpoints.append(request_id)
+    elif action == "throttle" and found:
+        state.throttled[request_id] = float(request.query.get("to", "0.5"))
+    return http_server.Reply(200 if found else 404, b"", echo)
+
+
 async def _handle_task(
     state: UpstreamState,
     request: http_server.ReceivedRequest,
     writer: asyncio.StreamWriter,
 ) -> http_server.Reply | None:
+    state.received.append(request.headers[REQUEST_ID])
     echo = ((REQUEST_ID, request.headers[REQUEST_ID]),)
     if len(state.running) >= state.slots:
         refused = (*echo, ("chervillead-verdict", "not-run"))
         return http_server.Reply(503, b"all slots are in use", refused)
     if state.failure == "silent":
         await asyncio.Event().wait()
+    if state.failure == "unread":
+        writer.close()
+        return None
+    if state.failure == "fail-fast":
+        await asyncio.sleep(0.001)
+        return http_server.Reply(500, b"failed", echo)
     answer = await state.run(request.headers, request.body)
     if answer is None:
         return http_server.Reply(500, b"stopped", echo)
@@ -157,6 +233,19 @@
         writer.write(whole[:-2])
         writer.close()
         return None
+    if state.failure == "lost-answer":
+        # The task ran, and nothing more is heard on this connection.
+        await asyncio.Event().wait()
+    if state.failure == "twice":
+        whole = http_server.encode_reply(http_server.Reply(200, answer, echo))
+        writer.write(whole + whole)
+        return None
+    if state.failure == "late-second":
+        whole = http_server.encode_reply(http_server.Reply(200, answer, echo))
+        writer.write(whole)
+        await asyncio.sleep(0.01)
+        writer.write(whole)
+        return None
     if state.failure == "crossed":
         echo = ((REQUEST_ID, "00000000-0000-7000-8000-000000000000"),)
     return http_server.Reply(200, answer, echo)
