--- a/src/chervillead/upstreams/pool.py
+++ b/src/chervillead/upstreams/pool.py
@@ -76,6 +76,15 @@
             self._pools[upstream.address] = pool
         return pool
 
+    @property
+    def open_connections(self) -> int:
+        """Connections to all upstreams that are open or being opened."""
+        return sum(
+            lane.open_connections
+            for pool in self._pools.values()
+            for lane in pool
+        )
+
     def close(self) -> None:
         """Closes all connections."""
         for pool in self._pools.values():
