Eject upstreams that fail, and take retries from a budget

OutlierTable ejects after three failures in a row or half of recent ones failing, if the upstream fails at least twice as often as the others of its pool, and at most a third of the pool. The size of the pool and what other zones' dispatchers have ejected come in as closures, because one dispatcher sees its own zone only. A slow upstream keeps its slots and loses preference in slots.choose_upstream.

Ruled out: ejecting by failures alone.

An answer of 5xx counts against the upstream's health; a grant that expired, a full upstream and a cancellation don't.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -3,12 +3,13 @@
 from collections import abc
 import sys
 
+from benchmarks import black_hole
 from benchmarks import figures
 from benchmarks import fold
 
 BENCHMARKS: tuple[
     abc.Callable[[], abc.Iterator[figures.BenchmarkResult]], ...
-] = (fold.measure,)
+] = (fold.measure, black_hole.measure)
 
 
 def main() -> int:
--- a/src/chervillead/assembly.py
+++ b/src/chervillead/assembly.py
@@ -27,6 +27,7 @@
 from chervillead.platform import log_reader
 from chervillead.upstreams import leases
 from chervillead.upstreams import pool
+from chervillead.upstreams import retry_budget
 
 
 class Assembly(typing.NamedTuple):
@@ -157,6 +158,7 @@
 ) -> submission.SubmissionPorts:
     """Returns the functions that the path of a request runs through."""
     dispatch = entry.dispatch_ports()
+    budget = retry_budget.RetryBudget()
 
     async def claim(
         request: types.Request, attempt: int
@@ -206,6 +208,7 @@
     async def send(
         request: types.Request, grant: types.Grant
     ) -> submission.RequestOutcome:
+        budget.note_attempt()
         gone = asyncio.get_running_loop().create_future()
         try:
             return await pool.send(
@@ -237,6 +240,7 @@
         release,
         requests,
         clock,
+        budget.may_retry,
     )
 
 
--- a/src/chervillead/callers/submission.py
+++ b/src/chervillead/callers/submission.py
@@ -42,6 +42,8 @@
         release: Gives a grant back: started, failed, run time in seconds.
         in_progress: Requests that can be cancelled.
         clock: Source of time.
+        may_retry: Takes a repeat of a request that may have run from the
+            retry budget; returns whether there was one.
     """
 
     claim: abc.Callable[
@@ -64,6 +66,7 @@
     release: abc.Callable[[types.Grant, bool, bool, float], None]
     in_progress: in_progress.RequestsInProgress
     clock: types.Clock
+    may_retry: abc.Callable[[], bool]
 
 
 async def submit(
@@ -139,7 +142,7 @@
     )
     async for attempt in _attempts(request, ports, progress):
         outcome = attempt
-        if not _may_repeat(request, attempt):
+        if not _may_repeat(request, attempt, ports):
             break
     if (
         progress.is_cancelled()
@@ -187,7 +190,7 @@
     try:
         outcome = await _send(request, grant, ports, progress)
         verdict = _verdict_of(outcome)
-        failed = not pipeline.is_successful(outcome)
+        failed = _has_failed(outcome)
     finally:
         ports.release(
             grant,
@@ -260,20 +263,36 @@
     return outcome.failure().verdict
 
 
-def _may_repeat(request: types.Request, outcome: RequestOutcome) -> bool:
+def _has_failed(outcome: RequestOutcome) -> bool:
+    """Returns whether the outcome counts against the upstream's health."""
+    if pipeline.is_successful(outcome):
+        return outcome.unwrap().status >= 500
+    return outcome.failure().reason not in BLAMELESS_REASONS
+
+
+def _may_repeat(
+    request: types.Request, outcome: RequestOutcome, ports: SubmissionPorts
+) -> bool:
     """Returns whether another attempt is allowed.
 
     An attempt that certainly did not run may be repeated; one that may have
-    run only if the request is idempotent.
+    run only if the request is idempotent and the retry budget allows it.
     """
     if pipeline.is_successful(outcome):
         return False
     refusal = outcome.failure()
-    harmless = refusal.verdict is verdicts.Verdict.NOT_RUN or request.idempotent
-    return harmless and refusal.reason in REPEATABLE_REASONS
+    if refusal.reason not in REPEATABLE_REASONS:
+        return False
+    if refusal.verdict is verdicts.Verdict.NOT_RUN:
+        return True
+    return request.idempotent and ports.may_retry()
 
 
 CANCELLED = "cancelled"
+# Refusals that say nothing about the upstream.
+BLAMELESS_REASONS = frozenset(
+    (CANCELLED, "grant-expired", "upstream-call-cancelled", "upstream-refused")
+)
 # Failures of one upstream, after which another one may serve the request.
 REPEATABLE_REASONS = frozenset(
     (
--- /dev/null
+++ b/src/chervillead/upstreams/ejection.py
@@ -0,0 +1,185 @@
+"""Which upstreams fail or are slow, and how many of their slots to use.
+
+An upstream that fails what it starts frees its slots at once, so a dispatcher
+that prefers free slots sends it most of the work. It is ejected for some
+seconds and returns through slow start.
+"""
+
+from collections import abc
+import math
+import typing
+
+# Three in a row: one job that can never run must not eject its hosts.
+FAILURES_TO_EJECT = 3
+# Weight of the newest outcome in the means; about the last 10 count.
+NEWEST_WEIGHT = 0.1
+MIN_OUTCOMES = 10
+FAILED_PART_TO_EJECT = 0.5
+# Below this, by the others of its pool, a failing upstream is no outlier.
+MIN_FAILING_MORE = 2.0
+FIRST_EJECTION_S = 5.0
+MAX_EJECTION_S = 80.0
+SLOW_START_S = 10.0
+# At most one upstream of this many is ejected at a time.
+POOL_PER_EJECTED = 3
+# Below this, a difference in run time is taken for chance.
+MIN_SLOWNESS = 2.0
+
+
+class _Health(typing.NamedTuple):
+    """Outcomes of one upstream.
+
+    Attributes:
+        pool: Its pool.
+        outcomes: How many have been noted since its last return.
+        in_a_row: Failures since the last success.
+        failed_part: Recent mean of failures, from 0 to 1.
+        run_s: Recent mean of run times of what succeeded; 0 if none.
+        ejections: Ejections without a healthy time between them.
+        returns_s: Monotonic time at which its last ejection ends.
+    """
+
+    pool: str
+    outcomes: int = 0
+    in_a_row: int = 0
+    failed_part: float = 0.0
+    run_s: float = 0.0
+    ejections: int = 0
+    returns_s: float = -math.inf
+
+
+class OutlierTable:
+    """Health of the upstreams that one dispatcher grants."""
+
+    def __init__(
+        self,
+        pool_size: abc.Callable[[str], int] | None = None,
+        ejected_elsewhere: abc.Callable[[str], int] = lambda pool: 0,
+    ) -> None:
+        """Makes an empty table.
+
+        Args:
+            pool_size: Returns the number of hosts of a pool in all zones;
+                without it, the upstreams noted so far count.
+            ejected_elsewhere: Returns how many hosts of a pool the dispatchers
+                of other zones have ejected.
+        """
+        self._pool_size = pool_size or self._noted_upstreams
+        self._ejected_elsewhere = ejected_elsewhere
+        self._upstreams: dict[str, _Health] = {}
+
+    def note(
+        self, upstream: str, pool: str, failed: bool, run_s: float, now_s: float
+    ) -> None:
+        """Notes how a request that `upstream` had started ended."""
+        health = self._upstreams.get(upstream)
+        if health is None or health.pool != pool:
+            health = _Health(pool)
+        if now_s < health.returns_s:
+            # The rest of what was granted before the ejection.
+            return
+        health = _with_outcome(health, failed, run_s)
+        if not failed and now_s > health.returns_s + SLOW_START_S:
+            health = health._replace(ejections=0)
+        self._upstreams[upstream] = health
+        if failed and self._should_eject(upstream, health, now_s):
+            self._upstreams[upstream] = _ejected(health, now_s)
+
+    def usable_slots(self, upstream: str, slots: int, now_s: float) -> int:
+        """Returns how many of its slots an upstream may be given now.
+
+        It is 0 while the upstream is ejected and rises from 1 to all during
+        slow start.
+        """
+        health = self._upstreams.get(upstream)
+        if health is None:
+            return slots
+        back_s = now_s - health.returns_s
+        if back_s < 0:
+            return 0
+        if back_s >= SLOW_START_S:
+            return slots
+        return max(1, math.floor(slots * back_s / SLOW_START_S))
+
+    def slowness(self, upstream: str) -> float:
+        """Returns its mean run time by that of its pool's others, from 1."""
+        health = self._upstreams.get(upstream)
+        if health is None or health.outcomes < MIN_OUTCOMES:
+            return 1.0
+        others = [
+            other.run_s
+            for name, other in self._upstreams.items()
+            if name != upstream and other.pool == health.pool and other.run_s
+        ]
+        if not others:
+            return 1.0
+        ratio = health.run_s * len(others) / sum(others)
+        return ratio if ratio >= MIN_SLOWNESS else 1.0
+
+    def ejected(self, pool: str, now_s: float) -> int:
+        """Returns how many upstreams of `pool` are ejected here."""
+        return sum(
+            1
+            for health in self._upstreams.values()
+            if health.pool == pool and now_s < health.returns_s
+        )
+
+    def _noted_upstreams(self, pool: str) -> int:
+        return sum(1 for h in self._upstreams.values() if h.pool == pool)
+
+    def _should_eject(
+        self, upstream: str, health: _Health, now_s: float
+    ) -> bool:
+        """Returns whether it fails more than its pool, within the cap."""
+        in_slow_start = now_s < health.returns_s + SLOW_START_S
+        is_failing = (
+            in_slow_start
+            or health.in_a_row >= FAILURES_TO_EJECT
+            or (
+                health.outcomes >= MIN_OUTCOMES
+                and health.failed_part >= FAILED_PART_TO_EJECT
+            )
+        )
+        if not is_failing:
+            return False
+        # When all fail, the requests are at fault or something behind all
+        # hosts is; ejecting any would only shift the load.
+        others = [
+            other.failed_part
+            for name, other in self._upstreams.items()
+            if name != upstream and other.pool == health.pool
+        ]
+        mean = sum(others) / len(others) if others else 0.0
+        if health.failed_part < MIN_FAILING_MORE * mean:
+            return False
+        ejected = self.ejected(health.pool, now_s) + self._ejected_elsewhere(
+            health.pool
+        )
+        return ejected + 1 <= self._pool_size(health.pool) // POOL_PER_EJECTED
+
+
+def _with_outcome(health: _Health, failed: bool, run_s: float) -> _Health:
+    weight = max(NEWEST_WEIGHT, 1 / (health.outcomes + 1))
+    mean_s = health.run_s
+    if not failed:
+        mean_s = run_s if not mean_s else mean_s + weight * (run_s - mean_s)
+    return health._replace(
+        outcomes=health.outcomes + 1,
+        in_a_row=health.in_a_row + 1 if failed else 0,
+        failed_part=health.failed_part + weight * (failed - health.failed_part),
+        run_s=mean_s,
+    )
+
+
+def _ejected(health: _Health, now_s: float) -> _Health:
+    """Returns the health of an upstream that is ejected now.
+
+    Each ejection without a healthy time before it lasts twice as long.
+    """
+    time_s = min(MAX_EJECTION_S, FIRST_EJECTION_S * 2**health.ejections)
+    return _Health(
+        health.pool,
+        run_s=health.run_s,
+        ejections=health.ejections + 1,
+        returns_s=now_s + time_s,
+    )
--- a/src/chervillead/upstreams/slots.py
+++ b/src/chervillead/upstreams/slots.py
@@ -1,5 +1,6 @@
 """Slots of the upstreams of one zone, as its dispatcher counts them."""
 
+from collections import abc
 import typing
 
 from chervillead import types
@@ -65,3 +66,36 @@
         and size.memory_mb <= offered.memory_mb
         and size.accelerators <= offered.accelerators
     )
+
+
+class Candidate(typing.NamedTuple):
+    """An upstream that may be granted, with the slots that it offers."""
+
+    upstream: types.Upstream
+    slots: int
+
+
+def choose_upstream(
+    candidates: abc.Iterable[Candidate],
+    *,
+    used: abc.Callable[[str], int],
+    usable: abc.Callable[[str, int], int],
+    slowness: abc.Callable[[str], float] = lambda upstream: 1.0,
+) -> types.Upstream | None:
+    """Returns the upstream with the most free usable slots, if any is free.
+
+    Args:
+        candidates: Upstreams that may serve the request.
+        used: Returns the slots of an upstream in use.
+        usable: Returns how many of its slots an upstream may be given.
+        slowness: Returns by how much an upstream is slower than its pool, from
+            1; its free slots count for less by that factor.
+    """
+    best: types.Upstream | None = None
+    best_free = 0.0
+    for upstream, offered in candidates:
+        free = usable(upstream.name, offered) - used(upstream.name)
+        weighed = free / slowness(upstream.name)
+        if weighed > best_free:
+            best, best_free = upstream, weighed
+    return best
