Drive the fold with a hypothesis state machine

The machine folds random valid, stale, repeated and malformed records, counts budgets, pools, versions and units from scratch, and folds the same log again in other batches and with overlaps.

Shown to fail: eight deliberate faults (for instance a fold that ignores versions, or a mapping that changes earlier states) are each reported within 200 examples.

--- /dev/null
+++ b/tests/stand_ins/fold_machine.py
@@ -0,0 +1,248 @@
+"""A hypothesis state machine that drives the fold with random records.
+
+The checks count from scratch and from the machine's own notes of what was
+accepted; they don't use the rules or the index of the fold.
+"""
+
+import typing
+
+from hypothesis import stateful
+from hypothesis import strategies
+
+from chervillead.platform import configuration as configuration_module
+from chervillead.platform import fold
+from chervillead.platform import records
+from chervillead.platform import team_units
+from stand_ins import fold_shapes
+
+
+class FoldMachine(stateful.RuleBasedStateMachine):
+    """Folds random records one by one and checks each step."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.state = configuration_module.EMPTY
+        self.log: list[records.LogEntry] = []
+        self.seen_ids: list[str] = []
+        self.versions: dict[tuple[str, str], int] = {}
+        self.host_pools: dict[str, str] = {}
+        self.team_zones: dict[str, tuple[str, ...]] = {}
+        self.kept: list[tuple[configuration_module.Configuration, str]] = []
+
+    @stateful.initialize()
+    def declare_fleet(self) -> None:
+        """Starts from a small fleet, so that most records have a subject."""
+        for index, zone in enumerate(fold_shapes.ZONES[:2]):
+            self._propose(records.ZONE, zone, {"index": index})
+        for pool in fold_shapes.POOLS[:2]:
+            fields = {"max_unavailable": 2, "max_unavailable_zones": 2}
+            self._propose(records.POOL, pool, fields)
+        for index, host in enumerate(fold_shapes.HOSTS):
+            fields = {
+                "pool": fold_shapes.POOLS[index % 2],
+                "zone": fold_shapes.ZONES[index // 2 % 2],
+                "rack": f"r{index // 4}",
+                "address": fold_shapes.ADDRESS,
+            }
+            self._propose(records.HOST, host, fields)
+        for team in fold_shapes.TEAMS:
+            self._propose(records.TEAM, team, {"share": 1.0, "limit": 7})
+        for index, zone in enumerate(fold_shapes.ZONES[:2]):
+            fields = {
+                "zone": zone,
+                "number": 0,
+                "host": fold_shapes.ENTRY_HOSTS[index],
+                "address": fold_shapes.ADDRESS,
+            }
+            self._propose(records.SEAT, f"{zone}/0", fields)
+
+    @stateful.rule(data=strategies.data())
+    def valid_shape(self, data: strategies.DataObject) -> None:
+        """Folds a record that is based on the current version."""
+        kind, subject, fields = fold_shapes.draw_record(data)
+        if kind == records.TRANSFER and data.draw(strategies.booleans()):
+            seat = (records.SEAT, f"{subject}/0")
+            fields = {**fields, "incarnation": self.versions.get(seat, -1)}
+        if data.draw(strategies.integers(0, 9)) == 0:
+            fields = {}
+        self._propose(kind, subject, fields)
+
+    @stateful.rule(data=strategies.data(), based_on=strategies.integers(-1, 30))
+    def stale(self, data: strategies.DataObject, based_on: int) -> None:
+        """Folds a record that is based on any version."""
+        self._propose(*fold_shapes.draw_record(data), based_on=based_on)
+
+    @stateful.rule(data=strategies.data())
+    def repeated(self, data: strategies.DataObject) -> None:
+        """Folds a record with an id that was used before."""
+        used = data.draw(strategies.sampled_from(self.seen_ids))
+        self._propose(*fold_shapes.draw_record(data), record_id=used)
+
+    @stateful.rule(
+        kind=strategies.sampled_from(tuple(fold_shapes.SHAPES)),
+        fields=strategies.dictionaries(
+            strategies.sampled_from(("pool", "index", "units", "state")),
+            strategies.none() | strategies.text(max_size=3),
+            min_size=1,
+        ),
+    )
+    def malformed_fields(
+        self, kind: str, fields: dict[str, typing.Any]
+    ) -> None:
+        """Folds a record whose fields don't fit its kind."""
+        self._propose(kind, "h0", fields)
+
+    @stateful.rule(data=strategies.binary(max_size=12))
+    def malformed_bytes(self, data: bytes) -> None:
+        """Folds bytes that are no record."""
+        self._append(data)
+
+    def _propose(
+        self,
+        kind: str,
+        subject: str,
+        fields: dict[str, typing.Any],
+        *,
+        based_on: int | None = None,
+        record_id: str | None = None,
+    ) -> None:
+        if based_on is None:
+            based_on = self.versions.get((kind, subject), -1)
+        record = records.Record(
+            record_id or f"id-{len(self.log)}", kind, subject, based_on, fields
+        )
+        before, fate = self._append(records.encode_record(record))
+        accepted = fate.outcome is fold.Outcome.ACCEPTED
+        repeats = record.record_id in self.seen_ids
+        assert (fate.outcome is fold.Outcome.REPEATED) == repeats, fate
+        self.seen_ids.append(record.record_id)
+        if not accepted:
+            assert before._replace(offset=0, recent_ids={}) == (
+                self.state._replace(offset=0, recent_ids={})
+            ), f"a refused record changed the state: {record} {fate}"
+            return
+        version = self.versions.get((kind, subject), -1)
+        assert based_on == version, f"reverts a newer version: {record}"
+        self._check_accepted(record)
+        self.versions[(kind, subject)] = fate.offset
+
+    def _append(
+        self, data: bytes
+    ) -> tuple[configuration_module.Configuration, fold.Fate]:
+        before = self.state
+        self.log.append(records.LogEntry(len(self.log), data))
+        (step,) = fold.fold_records(
+            before, records.decode_entries(self.log[-1:])
+        )
+        self.state = step.configuration
+        if len(self.log) % 5 == 0:
+            self.kept.append((before, _dump(before)))
+        return before, step.fate
+
+    def _check_accepted(self, record: records.Record) -> None:
+        fields, name = record.fields, record.subject
+        if record.kind == records.HOST:
+            if not fields:
+                self.host_pools.pop(name, None)
+            else:
+                self.host_pools.setdefault(name, fields["pool"])
+        if record.kind == records.MOVE and fields.get("state") == "joined":
+            self.host_pools[name] = fields["to_pool"]
+        if record.kind == records.TEAM:
+            if not fields:
+                self.team_zones.pop(name, None)
+            else:
+                zones = self.state.teams[name].zones
+                known = self.team_zones.setdefault(name, zones)
+                assert known == zones, f"{name}: {known} became {zones}"
+        if record.kind == records.TRANSFER:
+            seat = self.versions.get((records.SEAT, f"{name}/0"), -1)
+            assert fields["incarnation"] == seat, record
+            for team in fields["units"]:
+                assert team_units.zone_units(self.state, team, name) >= 0
+        if record.kind == records.DRAIN and fields.get("state") == "granted":
+            check_budget(self.state, self.state.hosts[name].pool, drains=True)
+        if record.kind == records.MOVE and fields.get("state") == "leaving":
+            check_budget(self.state, self.state.hosts[name].pool, drains=False)
+
+    @stateful.invariant()
+    def one_pool(self) -> None:
+        """Checks that a host has the pool that its accepted records say."""
+        pools = {name: host.pool for name, host in self.state.hosts.items()}
+        assert pools == self.host_pools, (pools, self.host_pools)
+        assert set(pools.values()) <= set(self.state.pools)
+        assert {h.zone for h in self.state.hosts.values()} <= set(
+            self.state.zones
+        )
+        indexed = {
+            pool: sum(use.zone_hosts.values())
+            for pool, use in self.state.pool_use.items()
+        }
+        counted = list(pools.values())
+        assert indexed == {p: counted.count(p) for p in counted}, indexed
+
+    @stateful.invariant()
+    def whole_limits(self) -> None:
+        """Checks that the units of all zones add up to each limit."""
+        for name, team in self.state.teams.items():
+            zones = {*fold_shapes.ZONES, *team.zones}
+            units = [
+                team_units.zone_units(self.state, name, zone) for zone in zones
+            ]
+            assert sum(units) == team.limit, (name, team, units)
+
+    @stateful.invariant()
+    def unique_seats(self) -> None:
+        """Checks that no host holds two duty seats or two standby seats."""
+        held = [
+            (seat.host, seat.number == 0) for seat in self.state.seats.values()
+        ]
+        assert len(held) == len(set(held)), held
+
+    def teardown(self) -> None:
+        """Folds the log in other batches and compares."""
+        for batch, overlap in ((1, 0), (3, 2), (7, 5), (1000, 0)):
+            state = configuration_module.EMPTY
+            for start in range(0, len(self.log), batch):
+                part = self.log[max(0, start - overlap) : start + batch]
+                for step in fold.fold_records(
+                    state, records.decode_entries(part)
+                ):
+                    assert step.configuration.offset > state.offset, (
+                        "a lower offset replaced a higher one"
+                    )
+                    state = step.configuration
+            assert state == self.state, f"batches of {batch} differ"
+        for state, dumped in self.kept:
+            assert _dump(state) == dumped, "a state handed out has changed"
+
+
+def check_budget(
+    state: configuration_module.Configuration, pool: str, *, drains: bool
+) -> None:
+    """Counts from scratch what is unavailable in `pool`."""
+    budget = state.pools[pool]
+    down, racks, zones = 0, set(), set()
+    for name, host in state.hosts.items():
+        if host.pool != pool:
+            continue
+        drain = name in state.drains and state.drains[name].state.value
+        move = name in state.moves and state.moves[name].state.value
+        down += (
+            drain in ("granted", "drained", "failed")
+            or move in ("leaving", "drained")
+            or state.zones[host.zone].status.value == "out"
+        )
+        if drain in ("granted", "drained"):
+            racks.add((host.zone, host.rack))
+            zones.add(host.zone)
+    assert down <= budget.max_unavailable, (pool, down, budget)
+    if drains:
+        assert len(racks) <= budget.max_unavailable_racks, (racks, budget)
+        assert len(zones) <= budget.max_unavailable_zones, (zones, budget)
+
+
+def _dump(state: configuration_module.Configuration) -> str:
+    return repr(
+        [dict(value) if hasattr(value, "items") else value for value in state]
+    )
--- /dev/null
+++ b/tests/stand_ins/fold_shapes.py
@@ -0,0 +1,93 @@
+"""Random records for the fold, by kind."""
+
+import typing
+
+from hypothesis import strategies
+
+from chervillead.platform import records
+
+ZONES = ("z0", "z1", "z2")
+POOLS = ("p0", "p1", "p2")
+HOSTS = ("h0", "h1", "h2", "h3", "h4", "h5")
+TEAMS = ("t0", "t1")
+ENTRY_HOSTS = ("e0", "e1", "e2")
+
+ADDRESS = ["10.0.0.1", 80]
+
+
+def _fields(**values: typing.Any) -> typing.Any:
+    """Returns maps of fields; a tuple stands for any one of its values."""
+    return strategies.fixed_dictionaries(
+        {name: _any_of(value) for name, value in values.items()}
+    )
+
+
+def _any_of(value: typing.Any) -> typing.Any:
+    if isinstance(value, strategies.SearchStrategy):
+        return value
+    return strategies.sampled_from(
+        value if isinstance(value, tuple) else (value,)
+    )
+
+
+_BUDGET = (-1, 0, 1, 2, 3, 4)
+_DRAINS = ("granted", "drained", "returned", "failed")
+_UNITS = strategies.dictionaries(_any_of(TEAMS), strategies.integers(0, 8))
+# Subjects and fields by kind; many combinations break a rule on purpose.
+SHAPES: dict[str, tuple[typing.Any, typing.Any]] = {
+    records.QUEUE: ("q", _fields(pool=POOLS)),
+    records.KEY: ("k", _fields(team=(*TEAMS, "t9"))),
+    records.TEAM: (TEAMS, _fields(share=1.0, limit=tuple(range(-1, 21)))),
+    records.POOL: (
+        POOLS,
+        _fields(
+            max_unavailable=_BUDGET,
+            max_unavailable_racks=_BUDGET,
+            max_unavailable_zones=_BUDGET,
+        ),
+    ),
+    records.ZONE: (
+        ZONES,
+        _fields(index=(0, 1, 2), status=("in", "in", "out")),
+    ),
+    records.HOST: (
+        HOSTS,
+        _fields(pool=POOLS, zone=ZONES, rack=("r0", "r1"), address=(ADDRESS,)),
+    ),
+    records.DRAIN: (HOSTS, _fields(state=_DRAINS)),
+    records.MOVE: (
+        HOSTS,
+        _fields(to_pool=POOLS, state=("leaving", "drained", "joined")),
+    ),
+    records.ROLLOUT: ("r", _fields(pool=POOLS, change="k")),
+    records.SEAT: (
+        tuple(f"{zone}/{number}" for zone in ZONES for number in (0, 1)),
+        _fields(
+            zone=ZONES, number=(0, 1), host=ENTRY_HOSTS, address=(ADDRESS,)
+        ),
+    ),
+    records.TRANSFER: (
+        ZONES,
+        _fields(incarnation=tuple(range(40)), to_zone=ZONES, units=_UNITS),
+    ),
+    "nonsense": ("x", _fields(a=1)),
+}
+
+# Hosts change state often, so that budgets are reached within a run, and zones
+# and teams, so that a zone is declared after a team.
+_KINDS = (
+    *SHAPES,
+    records.DRAIN,
+    records.DRAIN,
+    records.MOVE,
+    records.TRANSFER,
+    records.TEAM,
+    records.ZONE,
+)
+
+
+def draw_record(data: strategies.DataObject) -> tuple[str, str, typing.Any]:
+    """Returns kind, subject and fields of a random record."""
+    kind = data.draw(strategies.sampled_from(_KINDS))
+    subjects, shapes = SHAPES[kind]
+    return kind, data.draw(_any_of(subjects)), data.draw(shapes)
--- /dev/null
+++ b/tests/steps/platform_fold.py
@@ -0,0 +1,216 @@
+"""Steps of tests/platform/fold.feature."""
+
+import json
+from unittest import mock
+
+import behave
+import hypothesis
+from hypothesis import stateful
+
+from chervillead.platform import budgets
+from chervillead.platform import configuration as configuration_module
+from chervillead.platform import fold
+from chervillead.platform import fold_rules
+from chervillead.platform import persistent_map
+from chervillead.platform import records
+from stand_ins import fold_machine
+
+
+@behave.when(
+    "a state machine folds random valid, stale, repeated and malformed records"
+)
+def step(context):
+    context.broken = run_machine(examples=80)
+
+
+@behave.then("no invariant of the fold is broken")
+def step(context):
+    assert context.broken is None, context.broken
+
+
+@behave.when("the state machine runs on a fold that {fault}")
+def step(context, fault):
+    with FAULTS[fault]():
+        context.broken = run_machine(examples=200, shrink=False)
+
+
+@behave.then("an invariant of the fold is reported broken")
+def step(context):
+    assert context.broken is not None, "no check noticed the fault"
+
+
+def run_machine(*, examples, shrink=True):
+    """Returns the broken invariant, or None."""
+    phases = [hypothesis.Phase.generate]
+    if shrink:
+        phases.append(hypothesis.Phase.shrink)
+    try:
+        stateful.run_state_machine_as_test(
+            fold_machine.FoldMachine,
+            settings=hypothesis.settings(
+                derandomize=True,
+                max_examples=examples,
+                stateful_step_count=50,
+                deadline=None,
+                database=None,
+                phases=phases,
+                report_multiple_bugs=False,
+                suppress_health_check=list(hypothesis.HealthCheck),
+            ),
+        )
+    except AssertionError as error:
+        return error
+    return None
+
+
+def ignore_versions():
+    judge = fold._judge
+
+    def faulty(state, record):
+        version = state.versions.get((record.kind, record.subject), -1)
+        return judge(state, record._replace(based_on=version))
+
+    return mock.patch.object(fold, "_judge", faulty)
+
+
+def ignore_repeats():
+    judge = fold._judge
+    return mock.patch.object(
+        fold,
+        "_judge",
+        lambda state, record: judge(state._replace(recent_ids={}), record),
+    )
+
+
+def ignore_budgets():
+    return mock.patch.object(
+        budgets, "refusal_of", lambda state, host, drains: None
+    )
+
+
+def change_pools():
+    rule = fold_rules._RULES[records.HOST]
+
+    def faulty(state, name, host):
+        if host is not None and name in state.hosts:
+            known = state.hosts[name]._replace(pool=host.pool)
+            hosts = persistent_map.as_persistent(state.hosts)
+            state = state._replace(hosts=hosts.with_entry(name, known))
+        return rule(state, name, host)
+
+    return mock.patch.dict(fold_rules._RULES, {records.HOST: faulty})
+
+
+def accept_lower_offsets():
+    original = fold.fold_records
+
+    def faulty(state, entries):
+        for entry in entries:
+            lowered = state._replace(offset=entry.offset - 1)
+            for step in original(lowered, [entry]):
+                state = step.configuration
+                yield step
+
+    return mock.patch.object(fold, "fold_records", faulty)
+
+
+def ignore_incarnations():
+    rule = fold_rules._RULES[records.TRANSFER]
+
+    def faulty(state, zone, transfer):
+        if transfer is not None:
+            version = state.versions.get((records.SEAT, f"{zone}/0"), -1)
+            transfer = transfer._replace(incarnation=version)
+        return rule(state, zone, transfer)
+
+    return mock.patch.dict(fold_rules._RULES, {records.TRANSFER: faulty})
+
+
+def divide_again():
+    rule = fold_rules._RULES[records.TEAM]
+
+    def faulty(state, name, team):
+        teams = persistent_map.as_persistent(state.teams).without(name)
+        return rule(state._replace(teams=teams), name, team)
+
+    return mock.patch.dict(fold_rules._RULES, {records.TEAM: faulty})
+
+
+def change_earlier_states():
+    def faulty(self, key, value):
+        self._merge()
+        self._base[key] = value
+        self._length = len(self._base)
+        return self
+
+    return mock.patch.object(persistent_map.PersistentMap, "with_entry", faulty)
+
+
+FAULTS = {
+    "ignores versions": ignore_versions,
+    "ignores repeated ids": ignore_repeats,
+    "ignores budgets": ignore_budgets,
+    "changes pools without a move": change_pools,
+    "accepts lower offsets": accept_lower_offsets,
+    "ignores incarnations": ignore_incarnations,
+    "divides a limit again": divide_again,
+    "changes earlier states": change_earlier_states,
+}
+
+SMALL_FLEET = (
+    ("zone", "z0", {"index": 0}),
+    ("zone", "z1", {"index": 1}),
+    ("pool", "p0", {"max_unavailable": 1}),
+    ("pool", "p1", {"spare": True}),
+    ("team", "t0", {"share": 1.0, "limit": 10}),
+    ("key", "k0", {"team": "t0"}),
+    *(
+        (
+            "host",
+            f"h{index}",
+            {"pool": "p0", "zone": "z0", "rack": "r", "address": ["a", 1]},
+        )
+        for index in range(3)
+    ),
+    (
+        "seat",
+        "z0/0",
+        {"zone": "z0", "number": 0, "host": "e0", "address": ["a", 1]},
+    ),
+    ("drain", "h2", {"state": "granted"}),
+)
+
+
+@behave.given("a folded fleet of two zones, two pools and three hosts")
+def step(context):
+    context.state = configuration_module.EMPTY
+    for kind, subject, fields in SMALL_FLEET:
+        fate = fold_small(context, kind, subject, fields)
+        assert fate.outcome is fold.Outcome.ACCEPTED, fate
+
+
+@behave.when("a {kind} record of {subject} with {fields} is folded")
+def step(context, kind, subject, fields):
+    context.before = context.state
+    context.fate = fold_small(context, kind, subject, json.loads(fields))
+
+
+def fold_small(context, kind, subject, fields):
+    offset = context.state.offset + 1
+    version = context.state.versions.get((kind, subject), records.NO_VERSION)
+    record = records.Record(f"{offset}", kind, subject, version, fields)
+    (step,) = fold.fold_records(
+        context.state, [records.OffsetRecord(offset, record)]
+    )
+    context.state = step.configuration
+    return step.fate
+
+
+@behave.then("the fold refuses it and names {named}")
+def step(context, named):
+    assert context.fate.outcome is fold.Outcome.REFUSED, context.fate
+    assert named in context.fate.detail, context.fate
+    unchanged = context.state._replace(
+        offset=context.before.offset, recent_ids=context.before.recent_ids
+    )
+    assert unchanged == context.before
