--- a/tests/stand_ins/fold_machine.py
+++ b/tests/stand_ins/fold_machine.py
@@ -15,6 +15,22 @@
 from chervillead.platform import team_units
 from stand_ins import fold_shapes
 
+NEXT_STATES: dict[str, dict[str | None, str]] = {
+    records.DRAIN: {
+        None: "granted",
+        "granted": "drained",
+        "drained": "failed",
+        "failed": "returned",
+        "returned": "granted",
+    },
+    records.MOVE: {
+        None: "leaving",
+        "leaving": "drained",
+        "drained": "joined",
+        "joined": "leaving",
+    },
+}
+
 
 class FoldMachine(stateful.RuleBasedStateMachine):
     """Folds random records one by one and checks each step."""
@@ -60,13 +76,49 @@
     def valid_shape(self, data: strategies.DataObject) -> None:
         """Folds a record that is based on the current version."""
         kind, subject, fields = fold_shapes.draw_record(data)
-        if kind == records.TRANSFER and data.draw(strategies.booleans()):
-            seat = (records.SEAT, f"{subject}/0")
-            fields = {**fields, "incarnation": self.versions.get(seat, -1)}
         if data.draw(strategies.integers(0, 9)) == 0:
             fields = {}
         self._propose(kind, subject, fields)
 
+    @stateful.rule(
+        host=strategies.sampled_from(fold_shapes.HOSTS),
+        pool=strategies.sampled_from(fold_shapes.POOLS),
+        kind=strategies.sampled_from((records.DRAIN, records.MOVE)),
+    )
+    def advance_host(self, host: str, pool: str, kind: str) -> None:
+        """Takes a drain or a move one step on."""
+        steps = NEXT_STATES[kind]
+        values = (
+            self.state.drains if kind == records.DRAIN else (self.state.moves)
+        )
+        fields = {
+            "state": steps[values[host].state.value if host in values else None]
+        }
+        if kind == records.MOVE:
+            known = self.state.moves.get(host)
+            if known is not None and known.state.value != "joined":
+                pool = known.to_pool
+            fields["to_pool"] = pool
+        self._propose(kind, host, fields)
+
+    @stateful.rule(
+        zones=strategies.permutations(fold_shapes.ZONES),
+        team=strategies.sampled_from(fold_shapes.TEAMS),
+        units=strategies.integers(1, 4),
+        fenced=strategies.booleans(),
+    )
+    def transfer_units(
+        self, zones: list[str], team: str, units: int, fenced: bool
+    ) -> None:
+        """Gives units to another zone, half the time without the seat."""
+        seat = (records.SEAT, f"{zones[0]}/0")
+        fields = {
+            "incarnation": self.versions.get(seat, -1) - fenced,
+            "to_zone": zones[1],
+            "units": {team: units},
+        }
+        self._propose(records.TRANSFER, zones[0], fields)
+
     @stateful.rule(data=strategies.data(), based_on=strategies.integers(-1, 30))
     def stale(self, data: strategies.DataObject, based_on: int) -> None:
         """Folds a record that is based on any version."""
@@ -79,6 +131,7 @@
         self._propose(*fold_shapes.draw_record(data), record_id=used)
 
     @stateful.rule(
+        data=strategies.binary(max_size=12),
         kind=strategies.sampled_from(tuple(fold_shapes.SHAPES)),
         fields=strategies.dictionaries(
             strategies.sampled_from(("pool", "index", "units", "state")),
@@ -86,16 +139,12 @@
             min_size=1,
         ),
     )
-    def malformed_fields(
-        self, kind: str, fields: dict[str, typing.Any]
+    def malformed(
+        self, data: bytes, kind: str, fields: dict[str, typing.Any]
     ) -> None:
-        """Folds a record whose fields don't fit its kind."""
-        self._propose(kind, "h0", fields)
-
-    @stateful.rule(data=strategies.binary(max_size=12))
-    def malformed_bytes(self, data: bytes) -> None:
-        """Folds bytes that are no record."""
+        """Folds bytes that are no record, or fields that don't fit a kind."""
         self._append(data)
+        self._propose(kind, "h0", fields)
 
     def _propose(
         self,
