--- a/src/chervillead/entries/dispatch_client.py
+++ b/src/chervillead/entries/dispatch_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import random
 import typing
 
 from returns import pipeline
@@ -9,51 +10,47 @@
 
 from chervillead import types
 from chervillead import verdicts
+from chervillead.entries import grant_waiters
 from chervillead.entries import messages
+from chervillead.entries import refusals
+from chervillead.entries import seats
+from chervillead.platform import configuration as configuration_module
 
-REGISTER_TIMEOUT_S = 1.0
+REGISTER_TIMEOUT_S = 0.5
 
-Ask = abc.Callable[
-    [str, messages.Message, float],
-    abc.Awaitable[result.Result[messages.Message, verdicts.Refusal]],
-]
-Post = abc.Callable[[str, messages.Message], object]
+# A waiting request looks again for reachable dispatchers and free slots as
+# often as heartbeats bring news.
+RECHECK_S = 0.25
 
+# A dispatcher that refused or didn't reply is asked again after this time.
+RETRY_S = 0.5
 
-class GrantWaiters:
-    """Requests of this host that wait for a grant."""
+# A dispatcher that restarted has forgotten the request; registering again has
+# no effect otherwise.
+REGISTER_AGAIN_S = 2.0
 
-    def __init__(self, clock: types.Clock, post: Post) -> None:
-        self._clock = clock
-        self._post = post
-        self._waiters: dict[str, asyncio.Future[messages.Message]] = {}
+# Longest time without any dispatcher: a takeover takes 2 s of silence and 3 s
+# until the new holder is active.
+PATIENCE_S = 6.0
 
-    def open(self, request_id: str) -> asyncio.Future[messages.Message]:
-        """Starts to wait for a grant of `request_id`."""
-        future: asyncio.Future[messages.Message] = (
-            asyncio.get_running_loop().create_future()
-        )
-        self._waiters[request_id] = future
-        return future
+Ask = abc.Callable[
+    [str, messages.Message, float],
+    abc.Awaitable[result.Result[messages.Message, verdicts.Refusal]],
+]
 
-    def close(self, request_id: str) -> None:
-        """Stops to wait; a grant that comes later is given back."""
-        self._waiters.pop(request_id, None)
 
-    def take(
-        self, dispatcher: str, message: messages.Granted | messages.Refused
-    ) -> None:
-        """Passes a dispatcher's decision to the request that waits for it."""
-        future = self._waiters.get(message.request_id)
-        if future is not None and not future.done():
-            future.set_result(message)
-        elif isinstance(message, messages.Granted):
-            self._post(dispatcher, unused(message.grant_id))
+class DispatcherView(typing.NamedTuple):
+    """A dispatcher that this host can reach, whose zone is in service.
 
+    Attributes:
+        entry_host: Where it runs.
+        free_slots: Free slots that it last reported for the queue.
+        is_own: Whether it dispatches this host's zone.
+    """
 
-def unused(grant_id: str) -> messages.Release:
-    """Returns the release of a grant that was never used."""
-    return messages.Release(grant_id, started=False, failed=False, run_ms=0)
+    entry_host: str
+    free_slots: int
+    is_own: bool
 
 
 class DispatchPorts(typing.NamedTuple):
@@ -62,16 +59,64 @@
     Attributes:
         ask: Sends a message to an entry host and returns its reply.
         post: Sends a message without a reply.
-        dispatcher: Returns the dispatcher to register with, or None.
+        dispatchers: Returns the dispatchers that may serve a request.
         waiters: Requests of this host that wait.
         clock: Source of time.
+        may_start: Whether work may start on an upstream, by the newest state.
     """
 
     ask: Ask
-    post: Post
-    dispatcher: abc.Callable[[types.Request], str | None]
-    waiters: GrantWaiters
+    post: grant_waiters.Post
+    dispatchers: abc.Callable[[types.Request], abc.Sequence[DispatcherView]]
+    waiters: grant_waiters.GrantWaiters
     clock: types.Clock
+    may_start: abc.Callable[[types.Upstream], bool] = lambda upstream: True
+
+
+def reachable_dispatchers(
+    configuration: configuration_module.Configuration,
+    own_zone: str,
+    queue: str,
+    heartbeat_of: abc.Callable[[str], messages.Heartbeat | None],
+    is_reachable: abc.Callable[[str], bool],
+) -> list[DispatcherView]:
+    """Returns the dispatchers of zones in service that this host can reach."""
+    views = []
+    for zone in configuration.zones:
+        holder = seats.duty_holder(configuration, zone)
+        if (
+            holder is None
+            or not configuration_module.zone_is_in(configuration, zone)
+            or not is_reachable(holder)
+        ):
+            continue
+        heartbeat = heartbeat_of(holder)
+        free = 0 if heartbeat is None else heartbeat.free_slots.get(queue, 0)
+        views.append(DispatcherView(holder, free, zone == own_zone))
+    return views
+
+
+def next_dispatcher(
+    views: abc.Iterable[DispatcherView],
+    registered: abc.Container[str],
+    registered_count: int,
+) -> DispatcherView | None:
+    """Returns the dispatcher to register with next, or None.
+
+    The own zone comes first, then the zone with the most free slots; any
+    further zone only while it reports free slots. Ties are broken at random, so
+    that the entry hosts don't all choose the same zone.
+    """
+    new = [view for view in views if view.entry_host not in registered]
+    own = next((view for view in new if view.is_own), None)
+    if own is not None:
+        return own
+    best = max(
+        new, key=lambda view: (view.free_slots, random.random()), default=None
+    )
+    if best is None or (registered_count >= 2 and best.free_slots <= 0):
+        return None
+    return best
 
 
 async def acquire(
@@ -82,32 +127,13 @@
     Returns:
         The grant, or a refusal whose verdict is always "not run".
     """
-    dispatcher = ports.dispatcher(request)
-    if dispatcher is None:
-        return result.Failure(
-            verdicts.not_run("no-dispatcher", 503, retry_after_s=1.0)
-        )
-    left_s = request.deadline_s - ports.clock.monotonic()
-    register = messages.Register(
-        request.request_id,
-        request.queue,
-        request.team,
-        request.size,
-        int(left_s * 1000),
-        int((request.run_s or 0.0) * 1000),
-    )
-    future = ports.waiters.open(request.request_id)
-    granted = False
+    pending = ports.waiters.open(request)
+    winner: types.Grant | None = None
     try:
-        reply = await ports.ask(dispatcher, register, REGISTER_TIMEOUT_S)
-        if not pipeline.is_successful(reply):
-            return result.Failure(reply.failure())
-        decision = reply.unwrap()
-        if isinstance(decision, messages.Waiting):
-            async with asyncio.timeout(max(0.0, left_s)):
-                decision = await future
-        outcome = _outcome(decision, dispatcher, ports.clock)
-        granted = pipeline.is_successful(outcome)
+        left_s = request.deadline_s - ports.clock.monotonic()
+        async with asyncio.timeout(max(0.0, left_s)):
+            outcome = await _first_grant(pending, request, ports)
+        winner = outcome.value_or(None)
         return outcome
     except TimeoutError:
         return result.Failure(
@@ -116,9 +142,172 @@
             )
         )
     finally:
-        ports.waiters.close(request.request_id)
-        if not granted:
-            ports.post(dispatcher, messages.Withdraw(request.request_id))
+        ports.waiters.close(pending, winner)
+
+
+async def _first_grant(
+    pending: grant_waiters.PendingGrant,
+    request: types.Request,
+    ports: DispatchPorts,
+) -> result.Result[types.Grant, verdicts.Refusal]:
+    """Registers with dispatchers until one grants or refuses for good."""
+    refusal = verdicts.not_run("no-dispatcher", 503, retry_after_s=1.0)
+    last_hope_s = ports.clock.monotonic()
+    while True:
+        views = ports.dispatchers(request)
+        _forget_unreachable(pending, views, ports)
+        refused = await _register(pending, views, ports)
+        if refused is not None:
+            refusal = refused
+        now_s = ports.clock.monotonic()
+        if pending.registered:
+            last_hope_s = now_s
+        for dispatcher, decision in _arrived(pending):
+            outcome = _decide(pending, request, dispatcher, decision, ports)
+            if outcome is not None:
+                return outcome
+            if isinstance(decision, messages.Refused):
+                refusal = _refusal(decision)
+        if now_s - last_hope_s >= PATIENCE_S:
+            return result.Failure(refusal)
+        await pending.wait(RECHECK_S)
+
+
+def _forget_unreachable(
+    pending: grant_waiters.PendingGrant,
+    views: abc.Iterable[DispatcherView],
+    ports: DispatchPorts,
+) -> None:
+    """Withdraws from dispatchers that are lost, replaced or out of service."""
+    reachable = {view.entry_host for view in views}
+    for dispatcher in set(pending.registered) - reachable:
+        del pending.registered[dispatcher]
+        ports.waiters.withdraw(pending, dispatcher)
+
+
+async def _register(
+    pending: grant_waiters.PendingGrant,
+    views: abc.Iterable[DispatcherView],
+    ports: DispatchPorts,
+) -> verdicts.Refusal | None:
+    """Registers where that can help; returns the last failure to ask."""
+    failure = None
+    now_s = ports.clock.monotonic()
+    for dispatcher, since_s in list(pending.registered.items()):
+        if now_s - since_s >= REGISTER_AGAIN_S:
+            failure = await _ask(pending, dispatcher, ports) or failure
+    while not pending.decisions:
+        now_s = ports.clock.monotonic()
+        open_views = [
+            view
+            for view in views
+            if pending.refused_until.get(view.entry_host, 0.0) <= now_s
+        ]
+        view = next_dispatcher(
+            open_views, pending.registered, len(pending.registered)
+        )
+        if view is None:
+            break
+        failure = await _ask(pending, view.entry_host, ports) or failure
+    return failure
+
+
+async def _ask(
+    pending: grant_waiters.PendingGrant, dispatcher: str, ports: DispatchPorts
+) -> verdicts.Refusal | None:
+    """Registers with one dispatcher; returns why it could not be asked."""
+    pending.registered[dispatcher] = ports.clock.monotonic()
+    reply = await ports.ask(
+        dispatcher,
+        grant_waiters.with_time_left(pending, ports.clock),
+        REGISTER_TIMEOUT_S,
+    )
+    if not pipeline.is_successful(reply):
+        del pending.registered[dispatcher]
+        pending.refused_until[dispatcher] = ports.clock.monotonic() + RETRY_S
+        # The question may have arrived although no reply did.
+        ports.waiters.withdraw(pending, dispatcher)
+        return reply.failure()
+    decision = reply.unwrap()
+    if isinstance(decision, messages.Granted | messages.Refused):
+        pending.decisions.append((dispatcher, decision))
+    return None
+
+
+def _arrived(
+    pending: grant_waiters.PendingGrant,
+) -> abc.Iterator[tuple[str, messages.Granted | messages.Refused]]:
+    """Yields the decisions that have arrived, in order."""
+    while pending.decisions:
+        dispatcher, decision = pending.decisions.popleft()
+        pending.registered.pop(dispatcher, None)
+        yield dispatcher, decision
+
+
+def _decide(
+    pending: grant_waiters.PendingGrant,
+    request: types.Request,
+    dispatcher: str,
+    decision: messages.Granted | messages.Refused,
+    ports: DispatchPorts,
+) -> result.Result[types.Grant, verdicts.Refusal] | None:
+    """Returns what a decision means; None if another one may follow."""
+    now_s = ports.clock.monotonic()
+    if isinstance(decision, messages.Granted):
+        if ports.may_start(decision.upstream):
+            return result.Success(_grant(request, dispatcher, decision, now_s))
+        # The zone or host was taken out while the grant was on its way.
+        ports.post(dispatcher, grant_waiters.unused(decision.grant_id))
+    pending.refused_until[dispatcher] = now_s + RETRY_S
+    if isinstance(decision, messages.Refused) and not _may_move(
+        pending, decision, ports.dispatchers(request), now_s
+    ):
+        return result.Failure(_refusal(decision))
+    return None
+
+
+def _may_move(
+    pending: grant_waiters.PendingGrant,
+    refused: messages.Refused,
+    views: abc.Iterable[DispatcherView],
+    now_s: float,
+) -> bool:
+    """Returns whether another dispatcher may grant what one has refused."""
+    if refused.reason in refusals.MOVABLE:
+        return True
+    return refused.reason in refusals.BUSY and (
+        bool(pending.registered)
+        or any(
+            view.free_slots > 0
+            and pending.refused_until.get(view.entry_host, 0.0) <= now_s
+            for view in views
+        )
+    )
+
+
+def _grant(
+    request: types.Request,
+    dispatcher: str,
+    granted: messages.Granted,
+    now_s: float,
+) -> types.Grant:
+    return types.Grant(
+        granted.grant_id,
+        request.request_id,
+        dispatcher,
+        granted.upstream,
+        now_s + granted.start_by_ms / 1000,
+        granted.lease_ms / 1000,
+    )
+
+
+def _refusal(decision: messages.Refused) -> verdicts.Refusal:
+    return verdicts.not_run(
+        decision.reason,
+        decision.status,
+        decision.detail,
+        retry_after_s=decision.retry_after_ms / 1000 or None,
+    )
 
 
 def release(
@@ -133,33 +322,5 @@
     message = messages.Release(
         grant.grant_id, started, failed, int(run_s * 1000)
     )
+    ports.waiters.forget(grant.grant_id)
     ports.post(grant.dispatcher, message)
-
-
-def _outcome(
-    decision: messages.Message, dispatcher: str, clock: types.Clock
-) -> result.Result[types.Grant, verdicts.Refusal]:
-    if isinstance(decision, messages.Granted):
-        return result.Success(
-            types.Grant(
-                decision.grant_id,
-                decision.request_id,
-                dispatcher,
-                decision.upstream,
-                clock.monotonic() + decision.start_by_ms / 1000,
-                decision.lease_ms / 1000,
-            )
-        )
-    if isinstance(decision, messages.Refused):
-        retry_s = decision.retry_after_ms / 1000 or None
-        return result.Failure(
-            verdicts.not_run(
-                decision.reason,
-                decision.status,
-                decision.detail,
-                retry_after_s=retry_s,
-            )
-        )
-    return result.Failure(
-        verdicts.not_run("unexpected-reply", 503, type(decision).__name__)
-    )
--- a/src/chervillead/entries/dispatcher.py
+++ b/src/chervillead/entries/dispatcher.py
@@ -1,36 +1,33 @@
-"""The dispatcher of one zone: waiting list, slots and grants.
+"""The dispatcher of one zone: grants slots to requests that entry hosts own.
 
 The state is soft: entry hosts own their requests, and a new dispatcher
 rebuilds its state from what they report.
 """
 
-import collections
 from collections import abc
-import itertools
-import typing
 
 from chervillead import types
+from chervillead.entries import admission
+from chervillead.entries import capacity
+from chervillead.entries import escrow
+from chervillead.entries import grant_table
 from chervillead.entries import messages
+from chervillead.entries import refusals
+from chervillead.entries import unit_needs
+from chervillead.entries import waiting_list
+from chervillead.entries import zone_ledger
 from chervillead.platform import configuration as configuration_module
-from chervillead.upstreams import slots
+from chervillead.upstreams import slots as slots_module
 
-START_BY_MS = 1000
-LEASE_MS = 2000
-MAX_RETRY_AFTER_MS = 2000
+LEASE_MS = zone_ledger.LEASE_MS
+LAPSE_S = (zone_ledger.START_BY_MS + zone_ledger.LEASE_MS) / 1000
 
 Notify = abc.Callable[[str, messages.Message], None]
-
-
-class WaitingRequest(typing.NamedTuple):
-    """A registered request that has no slot yet."""
-
-    entry_host: str
-    register: messages.Register
-    deadline_s: float
+NoteRelease = abc.Callable[[slots_module.HeldSlot, messages.Release], None]
 
 
 class Dispatcher:
-    """Waiting list and slots of one zone."""
+    """Waiting list, slots and units of one zone."""
 
     def __init__(
         self,
@@ -40,6 +37,10 @@
         configuration: abc.Callable[[], configuration_module.Configuration],
         clock: types.Clock,
         notify: Notify,
+        may_grant: abc.Callable[[], bool] = lambda: True,
+        usable_slots: capacity.UsableSlots = lambda name, host: host.slots,
+        note_release: NoteRelease = lambda slot, message: None,
+        deducted_units: abc.Callable[[str], int] = lambda team: 0,
     ) -> None:
         """Makes an empty dispatcher.
 
@@ -49,151 +50,252 @@
             configuration: Returns the newest configuration.
             clock: Source of time.
             notify: Sends a message to an entry host.
+            may_grant: Whether the seat of this dispatcher is confirmed.
+            usable_slots: Returns how many slots of an upstream may be used.
+            note_release: Is told of each release.
+            deducted_units: Returns a team's units that are being given away.
         """
-        self._host = host
         self._zone = zone
-        self._configuration = configuration
         self._clock = clock
         self._notify = notify
-        self._slots = slots.SlotTable()
-        self._waiting: dict[str, collections.deque[WaitingRequest]] = {}
-        self._numbers = itertools.count(1)
+        self._may_grant = may_grant
+        self._note_release = note_release
+        self._ledger = zone_ledger.ZoneLedger(
+            host=host,
+            zone=zone,
+            configuration=configuration,
+            clock=clock,
+            usable_slots=usable_slots,
+            deducted_units=deducted_units,
+        )
+        self._capacity, self._grants = (
+            self._ledger.capacity,
+            self._ledger.grants,
+        )
+        self._waiting = waiting_list.WaitingList()
+        self._run_times = admission.RunTimes()
+        self._swept: configuration_module.Configuration | None = None
 
     @property
-    def slots(self) -> slots.SlotTable:
+    def slots(self) -> slots_module.SlotTable:
         """Slots in use."""
-        return self._slots
+        return self._grants.slots
+
+    @property
+    def waiting(self) -> waiting_list.WaitingList:
+        """Requests that wait for a slot."""
+        return self._waiting
+
+    @property
+    def run_times(self) -> admission.RunTimes:
+        """Measured run times."""
+        return self._run_times
 
     def register(
         self, entry_host: str, message: messages.Register
     ) -> messages.Granted | messages.Waiting | messages.Refused:
         """Grants a slot, lists the request as waiting, or refuses it."""
-        configuration = self._configuration()
-        queue = configuration.queues.get(message.queue)
-        if queue is None:
-            return _refused(message, "unknown-queue", 404, message.queue)
-        upstream = self._free_upstream(configuration, queue, message)
-        if upstream is not None:
-            return self._grant(entry_host, message, upstream)
-        waiting = self._waiting.setdefault(message.queue, collections.deque())
-        if len(waiting) >= queue.max_waiting:
-            return _refused(
-                message,
-                "queue-full",
-                503,
-                f"{message.queue} has {len(waiting)} waiting",
-                retry_after_ms=MAX_RETRY_AFTER_MS,
-            )
-        deadline_s = self._clock.monotonic() + message.time_left_ms / 1000
-        waiting.append(WaitingRequest(entry_host, message, deadline_s))
-        return messages.Waiting(message.request_id)
+        configuration = self._ledger.current()
+        given = self._grants.of_request(message.request_id)
+        if given is not None and given.granted is not None:
+            return given.granted
+        if message.request_id in self._waiting:
+            return messages.Waiting(message.request_id)
+        refused = self._refusal(message) or refusals.refusal_by_time(
+            self._ledger, self._waiting, self._run_times, message
+        )
+        if refused is not None:
+            return refused
+        queue = configuration.queues[message.queue]
+        now_s = self._clock.monotonic()
+        entry = waiting_list.WaitingRequest(
+            entry_host,
+            message,
+            queue.pool,
+            now_s + queue.target_s,
+            now_s + message.time_left_ms / 1000,
+        )
+        granted = self._ledger.try_grant(
+            entry.entry_host, entry.pool, entry.register
+        )
+        if granted is not None:
+            return granted
+        return self._wait(entry, queue)
 
     def withdraw(self, message: messages.Withdraw) -> None:
-        """Takes a request off the waiting list."""
-        for waiting in self._waiting.values():
-            for entry in list(waiting):
-                if entry.register.request_id == message.request_id:
-                    waiting.remove(entry)
+        """Takes a request off the waiting list.
+
+        A grant that crossed the withdrawal is freed too: its entry host may
+        never have seen it.
+        """
+        self._waiting.remove(message.request_id)
+        given = self._grants.of_request(message.request_id)
+        if given is not None:
+            self._free(given.slot.grant_id)
 
     def release(self, message: messages.Release) -> None:
         """Frees the slot of a grant and grants it again."""
-        slot = self._slots.release(message.grant_id)
-        if slot is not None:
-            self.grant_waiting()
+        given = self._ledger.free(message.grant_id)
+        if given is None:
+            return
+        slot = given.slot
+        if message.started and not message.failed:
+            self._run_times.note(slot.queue, slot.team, message.run_ms / 1000)
+        # Before the slot is granted again: this failure may eject the host.
+        self._note_release(slot, message)
+        self._capacity.refresh_limit(slot.upstream)
+        self._grant_freed(given)
 
-    def grant_waiting(self) -> None:
-        """Grants free slots to waiting requests, first come first served."""
-        configuration = self._configuration()
+    def restore(self, entry_host: str, holdings: messages.Holdings) -> None:
+        """Counts what an entry host holds as used, and lists what it waits for.
+
+        Grants of this dispatcher that the host does not report are freed once
+        it can no longer start them: it never received them.
+        """
+        self._ledger.current()
         now_s = self._clock.monotonic()
-        for name, waiting in self._waiting.items():
-            queue = configuration.queues.get(name)
-            while waiting and queue is not None:
-                entry = waiting[0]
-                if entry.deadline_s <= now_s:
-                    waiting.popleft()
-                    continue
-                upstream = self._free_upstream(
-                    configuration, queue, entry.register
-                )
-                if upstream is None:
-                    break
-                waiting.popleft()
-                granted = self._grant(
-                    entry.entry_host, entry.register, upstream
+        reported = {holding.grant_id for holding in holdings.held}
+        for given in self._grants.of_entry_host(entry_host):
+            unseen = given.slot.grant_id not in reported
+            if unseen and now_s - given.given_s >= LAPSE_S:
+                self._free(given.slot.grant_id)
+        for holding in holdings.held:
+            if holding.grant_id not in self._grants:
+                self._ledger.hold(
+                    slots_module.HeldSlot(
+                        holding.grant_id,
+                        holding.upstream,
+                        holding.queue,
+                        holding.team,
+                        entry_host,
+                        holding.size,
+                    )
                 )
-                self._notify(entry.entry_host, granted)
+        for register in holdings.waiting:
+            reply = self.register(entry_host, register)
+            if not isinstance(reply, messages.Waiting):
+                self._notify(entry_host, reply)
+
+    def expire_entry_host(self, entry_host: str) -> None:
+        """Frees the lapsed grants of an entry host that shows no sign of life.
+
+        The caller makes sure that the host has been silent for `LAPSE_S`; its
+        younger grants lapse at a later call.
+        """
+        now_s = self._clock.monotonic()
+        for entry in self._waiting.entries:
+            if entry.entry_host == entry_host:
+                self._waiting.remove(entry.register.request_id)
+        for given in self._grants.of_entry_host(entry_host):
+            if now_s - given.given_s >= LAPSE_S:
+                self._free(given.slot.grant_id)
+
+    def grant_waiting(self) -> None:
+        """Grants free slots to waiting requests, or sends them on.
+
+        To be called on each change of the configuration and every fraction of
+        a second, because slots can become usable with time alone.
+        """
+        configuration = self._ledger.current()
+        self._waiting.remove_expired(self._clock.monotonic())
+        self._capacity.refresh_limits()
+        if self._swept is not configuration or not self._may_grant():
+            self._swept = configuration
+            self._send_on()
+        for pool in self._waiting.pools:
+            self._fill(pool)
 
     def free_slots(self) -> dict[str, int]:
         """Returns the free slots of the zone by queue."""
-        configuration = self._configuration()
-        free: dict[str, int] = dict.fromkeys(configuration.queues, 0)
-        for name, queue in configuration.queues.items():
-            for host_name, host in self._hosts(configuration, queue):
-                free[name] += max(0, host.slots - self._slots.used(host_name))
-        return free
-
-    def _hosts(
-        self,
-        configuration: configuration_module.Configuration,
-        queue: configuration_module.Queue,
-    ) -> abc.Iterator[tuple[str, configuration_module.Host]]:
-        for name, host in configuration.hosts.items():
-            if (
-                host.zone == self._zone
-                and host.pool == queue.pool
-                and configuration_module.host_takes_work(configuration, name)
-            ):
-                yield name, host
+        configuration = self._ledger.current()
+        grants = self._may_grant()
+        return {
+            name: self._capacity.free(queue.pool) if grants else 0
+            for name, queue in configuration.queues.items()
+        }
 
-    def _free_upstream(
-        self,
-        configuration: configuration_module.Configuration,
-        queue: configuration_module.Queue,
-        message: messages.Register,
-    ) -> types.Upstream | None:
-        """Returns the least used upstream with a free slot, if any."""
-        candidates = (
-            (self._slots.used(name), name, host)
-            for name, host in self._hosts(configuration, queue)
-            if self._slots.used(name) < host.slots
-            and slots.size_fits(message.size, host.size)
+    def short_units(self) -> dict[str, int]:
+        """Returns the waiting requests that lack a unit, by team."""
+        return unit_needs.short_units(self._ledger, self._waiting)
+
+    def team_needs(self) -> dict[str, escrow.TeamNeed]:
+        """Returns what the zone has and needs of each team's limit."""
+        return unit_needs.team_needs(self._ledger, self._waiting)
+
+    def _send_on(self) -> None:
+        """Refuses the waiting requests that can't be granted here any more."""
+        for entry in self._waiting.entries:
+            refused = self._refusal(entry.register)
+            if refused is not None:
+                self._waiting.remove(entry.register.request_id)
+                self._notify(entry.entry_host, refused)
+
+    def _refusal(self, message: messages.Register) -> messages.Refused | None:
+        """Returns why no request like this can be granted here."""
+        return refusals.refusal_by_state(
+            self._ledger, message, self._zone, may_grant=self._may_grant()
         )
-        best = min(candidates, default=None, key=lambda entry: entry[:2])
-        if best is None:
-            return None
-        _, name, host = best
-        return types.Upstream(name, host.zone, host.address)
 
-    def _grant(
+    def _wait(
         self,
-        entry_host: str,
-        message: messages.Register,
-        upstream: types.Upstream,
-    ) -> messages.Granted:
-        grant_id = f"{self._host}.{next(self._numbers)}"
-        self._slots.hold(
-            slots.HeldSlot(
-                grant_id,
-                upstream.name,
-                message.queue,
-                message.team,
-                entry_host,
-                message.size,
+        entry: waiting_list.WaitingRequest,
+        queue: configuration_module.Queue,
+    ) -> messages.Waiting | messages.Refused:
+        """Lists a request, in place of another team's if the list is full."""
+        register = entry.register
+        self._waiting.remove_expired(self._clock.monotonic())
+        counts = self._waiting.queue_counts(register.queue)
+        if sum(counts.values()) >= queue.max_waiting:
+            backlog_s = refusals.backlog_s(
+                self._ledger, self._waiting, self._run_times, entry
             )
-        )
-        return messages.Granted(
-            message.request_id, grant_id, upstream, START_BY_MS, LEASE_MS
-        )
+            heaviest = admission.team_to_push_out(
+                counts, register.team, self._ledger.share
+            )
+            if heaviest is None:
+                return refusals.queue_full(register, backlog_s)
+            newest = self._waiting.newest(register.queue, heaviest)
+            pushed = self._waiting.remove(newest)
+            if pushed is not None:
+                self._notify(
+                    pushed.entry_host,
+                    refusals.queue_full(pushed.register, backlog_s),
+                )
+        self._waiting.add(entry)
+        return messages.Waiting(register.request_id)
 
+    def _fill(self, pool: str) -> None:
+        """Grants the free slots of a pool by share, then by target."""
+        while self._may_grant() and self._capacity.free(pool) > 0:
+            heads = sorted(
+                self._waiting.heads(pool),
+                key=lambda entry: (
+                    self._ledger.distance(pool, entry.register.team),
+                    entry.due_s,
+                ),
+            )
+            for entry in heads:
+                granted = self._ledger.try_grant(
+                    entry.entry_host, entry.pool, entry.register
+                )
+                if granted is not None:
+                    self._waiting.remove(entry.register.request_id)
+                    self._notify(entry.entry_host, granted)
+                    break
+            else:
+                return
 
-def _refused(
-    message: messages.Register,
-    reason: str,
-    status: int,
-    detail: str,
-    *,
-    retry_after_ms: int = 0,
-) -> messages.Refused:
-    return messages.Refused(
-        message.request_id, reason, status, detail, retry_after_ms
-    )
+    def _free(self, grant_id: str) -> None:
+        given = self._ledger.free(grant_id)
+        if given is not None:
+            self._grant_freed(given)
+
+    def _grant_freed(self, given: grant_table.GivenGrant) -> None:
+        """Gives a freed slot and unit to what waits."""
+        self._waiting.remove_expired(self._clock.monotonic())
+        # The unit may serve a request that waits for another pool.
+        for pool in self._waiting.pools:
+            if pool == given.pool or given.slot.team in (
+                self._waiting.waiting_by_team(pool)
+            ):
+                self._fill(pool)
--- /dev/null
+++ b/src/chervillead/entries/escrow.py
@@ -0,0 +1,175 @@
+"""Units of team limits: which to use, which to give to other zones.
+
+A giving dispatcher deducts units before it appends the record and restores them
+only when the fold has refused it, so no unit is ever granted in two zones.
+"""
+
+from collections import abc
+import math
+import typing
+
+from chervillead.platform import configuration as configuration_module
+from chervillead.platform import records
+from chervillead.platform import team_units
+
+# A zone keeps one free unit of each team, so that the next request starts there
+# without a transfer.
+RESERVE = 1
+
+# Units that were in use of late are kept, or two zones with alternating load
+# would pass the same units to and fro. A fifth each second forgets a burst in
+# about as long as it lasted.
+PEAK_DECAY = 0.8
+
+
+class TeamNeed(typing.NamedTuple):
+    """What one zone has and needs of a team's limit.
+
+    Attributes:
+        units: Units that the zone may use, less those being given away.
+        running: Requests that run.
+        waiting: Requests that wait, for a unit or a slot.
+    """
+
+    units: int
+    running: int
+    waiting: int
+
+
+class Gift(typing.NamedTuple):
+    """Units by team that one zone gives to another."""
+
+    to_zone: str
+    units: dict[str, int]
+
+
+def usable_units(
+    configuration: configuration_module.Configuration, team: str, zone: str
+) -> int:
+    """Returns the units of a team's limit that a zone may grant.
+
+    A zone that gave units away before the limit was lowered can end up below
+    zero. The others must make up for it, or together they would exceed the
+    limit: each zone in turn, by index, forgoes what it has until the debt is
+    paid. As the division does, this never lowers a part when a limit rises or
+    when units move between other zones.
+    """
+    debt = 0
+    before: list[int] = []
+    own = 0
+    passed = False
+    for name in sorted(
+        configuration.zones, key=lambda n: configuration.zones[n].index
+    ):
+        units = team_units.zone_units(configuration, team, name)
+        debt += max(0, -units)
+        if name == zone:
+            own, passed = max(0, units), True
+        elif not passed:
+            before.append(max(0, units))
+    return max(0, own - max(0, debt - sum(before)))
+
+
+def recent_peak(peak: float, in_use: int) -> float:
+    """Returns the use to count with: the present one or a past peak."""
+    return max(float(in_use), peak * PEAK_DECAY)
+
+
+def spare_units(need: TeamNeed, peak: float, *, zone_is_in: bool) -> int:
+    """Returns the units that a zone can give without missing them."""
+    if not zone_is_in:
+        return max(0, need.units - need.running)
+    used = max(need.running + need.waiting, math.ceil(peak - 0.5))
+    return max(0, need.units - used - RESERVE)
+
+
+def plan_gift(
+    spare: abc.Mapping[str, int],
+    short: abc.Mapping[str, abc.Mapping[str, int]],
+    zones_in: abc.Sequence[str],
+    *,
+    giver_is_in: bool,
+) -> Gift | None:
+    """Returns the units to give this second, or None.
+
+    One record goes to the zone that can use most. Each of several giving zones
+    gives its part of what the zone lacks, because all see the same lack.
+
+    Args:
+        spare: Units that the zone can give, by team.
+        short: Requests without a unit, by zone and team.
+        zones_in: Other zones that can use units.
+        giver_is_in: Whether the giving zone is in service; if not, it keeps
+            nothing and gives also to zones that lack nothing yet.
+    """
+    givers = max(1, len(zones_in) if giver_is_in else 1)
+    best: Gift | None = None
+    for zone in zones_in:
+        lacks = short.get(zone, {})
+        units = {
+            team: min(free, math.ceil(lacks.get(team, 0) / givers))
+            for team, free in spare.items()
+        }
+        if not giver_is_in:
+            units = {
+                team: max(units[team], math.ceil(free / len(zones_in)))
+                for team, free in spare.items()
+            }
+        units = {team: count for team, count in units.items() if count > 0}
+        if units and (
+            best is None or sum(units.values()) > sum(best.units.values())
+        ):
+            best = Gift(zone, units)
+    return best
+
+
+class Escrow:
+    """Units deducted for transfers whose fate is unknown, and past use.
+
+    At most one transfer is under way, so that its fate can also be told from
+    the state of a snapshot.
+    """
+
+    def __init__(
+        self, is_settled: abc.Callable[[records.Record], bool]
+    ) -> None:
+        """Makes an escrow without transfers.
+
+        Args:
+            is_settled: Whether the fold's decision on a record is part of the
+                configuration, or the record can't be accepted any more.
+        """
+        self._is_settled = is_settled
+        self._pending: records.Record | None = None
+        self._peaks: dict[str, float] = {}
+
+    @property
+    def pending(self) -> records.Record | None:
+        """The transfer whose fate is unknown, if any."""
+        if self._pending is not None and self._is_settled(self._pending):
+            self._pending = None
+        return self._pending
+
+    def deducted(self, team: str) -> int:
+        """Returns the units of a team that can't be granted for now."""
+        pending = self.pending
+        return 0 if pending is None else pending.fields["units"].get(team, 0)
+
+    def begin(self, record: records.Record) -> None:
+        """Deducts the units of a transfer; to be called before its append."""
+        self._pending = record
+
+    def spare(
+        self, needs: abc.Mapping[str, TeamNeed], *, zone_is_in: bool
+    ) -> dict[str, int]:
+        """Returns the units that can be given; to be called once a second."""
+        self._peaks = {
+            team: recent_peak(
+                self._peaks.get(team, 0.0), need.running + need.waiting
+            )
+            for team, need in needs.items()
+        }
+        return {
+            team: spare_units(need, self._peaks[team], zone_is_in=zone_is_in)
+            for team, need in needs.items()
+        }
--- /dev/null
+++ b/src/chervillead/entries/grant_table.py
@@ -0,0 +1,77 @@
+"""Grants that one dispatcher has given and that were not released yet."""
+
+from collections import abc
+import typing
+
+from chervillead.entries import messages
+from chervillead.upstreams import slots
+
+
+class GivenGrant(typing.NamedTuple):
+    """A grant in use.
+
+    Attributes:
+        slot: Slot that it uses.
+        pool: Pool of the slot's host when it was granted.
+        granted: The message that was sent; None if the grant was restored from
+            an entry host's report.
+        given_s: When it was granted or restored.
+    """
+
+    slot: slots.HeldSlot
+    pool: str
+    granted: messages.Granted | None
+    given_s: float
+
+
+class GrantTable:
+    """Grants in use by id, by request and by entry host."""
+
+    def __init__(self) -> None:
+        self._slots = slots.SlotTable()
+        self._grants: dict[str, GivenGrant] = {}
+        self._by_request: dict[str, str] = {}
+        self._by_entry_host: dict[str, set[str]] = {}
+
+    @property
+    def slots(self) -> slots.SlotTable:
+        """Slots in use."""
+        return self._slots
+
+    def __contains__(self, grant_id: str) -> bool:
+        return grant_id in self._grants
+
+    def of_request(self, request_id: str) -> GivenGrant | None:
+        """Returns the grant that was given to a registered request."""
+        grant_id = self._by_request.get(request_id)
+        return None if grant_id is None else self._grants[grant_id]
+
+    def of_entry_host(self, entry_host: str) -> abc.Iterator[GivenGrant]:
+        """Yields the grants that an entry host uses."""
+        for grant_id in list(self._by_entry_host.get(entry_host, ())):
+            yield self._grants[grant_id]
+
+    def add(self, grant: GivenGrant) -> None:
+        """Notes a grant; its id must be new."""
+        slot = grant.slot
+        self._slots.hold(slot)
+        self._grants[slot.grant_id] = grant
+        self._by_entry_host.setdefault(slot.entry_host, set()).add(
+            slot.grant_id
+        )
+        if grant.granted is not None:
+            self._by_request[grant.granted.request_id] = slot.grant_id
+
+    def remove(self, grant_id: str) -> GivenGrant | None:
+        """Drops a grant; returns None if it is unknown or was dropped."""
+        grant = self._grants.pop(grant_id, None)
+        if grant is None:
+            return None
+        self._slots.release(grant_id)
+        held = self._by_entry_host[grant.slot.entry_host]
+        held.discard(grant_id)
+        if not held:
+            del self._by_entry_host[grant.slot.entry_host]
+        if grant.granted is not None:
+            self._by_request.pop(grant.granted.request_id, None)
+        return grant
--- a/src/chervillead/entries/host.py
+++ b/src/chervillead/entries/host.py
@@ -19,10 +19,14 @@
 from chervillead.entries import claims
 from chervillead.entries import dispatch_client
 from chervillead.entries import dispatcher
+from chervillead.entries import escrow
+from chervillead.entries import grant_waiters
 from chervillead.entries import membership
 from chervillead.entries import messages
 from chervillead.entries import seats
 from chervillead.entries import streams
+from chervillead.entries import transfers
+from chervillead.platform import configuration as configuration_module
 from chervillead.platform import log_client
 from chervillead.platform import log_reader
 from chervillead.platform import publisher
@@ -30,6 +34,7 @@
 
 CLAIM_TIMEOUT_S = 1.0
 SEAT_RETRY_S = 0.5
+GRANT_INTERVAL_S = 0.25
 
 
 class EntryHost:
@@ -50,13 +55,17 @@
         )
         self._membership = membership.Membership(settings.host, clock)
         self._claims = claims.ClaimTable(clock)
-        self._waiters = dispatch_client.GrantWaiters(clock, self.post)
+        self._waiters = grant_waiters.GrantWaiters(clock, self.post)
+        self._escrow = escrow.Escrow(
+            lambda record: transfers.is_settled(reader.configuration, record)
+        )
         self._dispatcher = dispatcher.Dispatcher(
             host=settings.host,
             zone=settings.zone,
             configuration=lambda: reader.configuration,
             clock=clock,
             notify=self.post,
+            deducted_units=self._escrow.deducted,
         )
 
     @property
@@ -83,7 +92,7 @@
             int(age_ms),
             self._stopping,
             self._dispatcher.free_slots(),
-            {},
+            self._dispatcher.short_units(),
         )
 
     def post(self, host: str, message: messages.Message) -> None:
@@ -162,14 +171,55 @@
         return dispatch_client.DispatchPorts(
             self.ask,
             self.post,
-            self._home_dispatcher,
+            self._dispatchers,
             self._waiters,
             self._clock,
+            self._may_start,
         )
 
-    def _home_dispatcher(self, request: types.Request) -> str | None:
-        return seats.duty_holder(
-            self._reader.configuration, self._settings.zone
+    def escrow_ports(
+        self, platform: log_client.PlatformClient
+    ) -> transfers.EscrowPorts:
+        """Returns the functions that transfers of units need."""
+        return transfers.connect_ports(
+            self._reader,
+            self._settings.zone,
+            platform,
+            self._clock,
+            needs=self._dispatcher.team_needs,
+            short=lambda: transfers.short_elsewhere(
+                self._reader.configuration,
+                self._settings.zone,
+                self._membership.heartbeat_of,
+                lambda host: host in self._membership.live,
+            ),
+            may_grant=lambda: self._is_duty_holder(self._settings.zone),
+        )
+
+    @property
+    def escrow(self) -> escrow.Escrow:
+        """Units that are being given to other zones."""
+        return self._escrow
+
+    def _is_duty_holder(self, zone: str) -> bool:
+        holder = seats.duty_holder(self._reader.configuration, zone)
+        return holder == self._settings.host
+
+    def _dispatchers(
+        self, request: types.Request
+    ) -> list[dispatch_client.DispatcherView]:
+        live = self._membership.live
+        return dispatch_client.reachable_dispatchers(
+            self._reader.configuration,
+            self._settings.zone,
+            request.queue,
+            self._membership.heartbeat_of,
+            lambda host: host in live,
+        )
+
+    def _may_start(self, upstream: types.Upstream) -> bool:
+        return configuration_module.host_takes_work(
+            self._reader.configuration, upstream.name
         )
 
 
@@ -206,6 +256,11 @@
             )
         )
         tasks.create_task(_grant_on_change(host, reader))
+        tasks.create_task(
+            transfers.transfer_units(
+                host.escrow, settings.zone, host.escrow_ports(platform)
+            )
+        )
         tasks.create_task(_keep_seat(settings, reader, platform, clock))
 
 
@@ -220,9 +275,13 @@
 async def _grant_on_change(
     host: EntryHost, reader: log_reader.LogReader
 ) -> None:
-    """Looks for slots that a new configuration has freed."""
+    """Looks for slots that a new configuration or time has freed."""
     while True:
-        await reader.wait_for_change()
+        try:
+            async with asyncio.timeout(GRANT_INTERVAL_S):
+                await reader.wait_for_change()
+        except TimeoutError:
+            pass
         host.dispatcher.grant_waiting()
 
 
--- /dev/null
+++ b/src/chervillead/entries/refusals.py
@@ -0,0 +1,133 @@
+"""Refusals of a dispatcher; none of the requests ran."""
+
+import math
+import random
+
+from chervillead.entries import admission
+from chervillead.entries import capacity
+from chervillead.entries import messages
+from chervillead.entries import waiting_list
+from chervillead.entries import zone_ledger
+from chervillead.platform import configuration as configuration_module
+
+DISPATCHER_UNAVAILABLE = "dispatcher-unavailable"
+ZONE_OUT = "zone-out"
+NO_HOST_IN_ZONE = "no-host-in-zone"
+QUEUE_FULL = "queue-full"
+DEADLINE_TOO_SHORT = "deadline-too-short"
+UNKNOWN_QUEUE = "unknown-queue"
+FITS_NO_HOST = "fits-no-host"
+TEAM_LIMIT = "team-limit"
+
+# Another zone may serve the request at once.
+MOVABLE = frozenset((DISPATCHER_UNAVAILABLE, ZONE_OUT, NO_HOST_IN_ZONE))
+
+# Another zone may serve the request if it has free slots.
+BUSY = frozenset((QUEUE_FULL, DEADLINE_TOO_SHORT))
+
+
+def refusal_by_state(
+    ledger: zone_ledger.ZoneLedger,
+    message: messages.Register,
+    zone: str,
+    *,
+    may_grant: bool,
+) -> messages.Refused | None:
+    """Refuses what this dispatcher can't grant at present, however long."""
+    configuration = ledger.current()
+    queue = configuration.queues.get(message.queue)
+    if not may_grant:
+        detail = f"the dispatcher of zone {zone} is not confirmed"
+        return _try_later(message, DISPATCHER_UNAVAILABLE, detail)
+    if not configuration_module.zone_is_in(configuration, zone):
+        detail = f"zone {zone} is out of service"
+        return _try_later(message, ZONE_OUT, detail)
+    if queue is None:
+        return _refused(message, UNKNOWN_QUEUE, 404, message.queue)
+    if message.team and ledger.limit(message.team) <= 0:
+        detail = f"the limit of team {message.team} is 0"
+        return _try_later(message, TEAM_LIMIT, detail)
+    fit = ledger.capacity.fit(queue.pool, message.size)
+    if fit is capacity.Fit.HERE:
+        return None
+    size = message.size
+    detail = (
+        f"no host of pool {queue.pool} offers {size.cores:g} cores, "
+        f"{size.memory_mb} MB and {size.accelerators} accelerators"
+    )
+    if fit is capacity.Fit.NOWHERE:
+        return _refused(message, FITS_NO_HOST, 422, detail)
+    return _try_later(message, NO_HOST_IN_ZONE, f"{detail} in zone {zone}")
+
+
+def refusal_by_time(
+    ledger: zone_ledger.ZoneLedger,
+    waiting: waiting_list.WaitingList,
+    run_times: admission.RunTimes,
+    message: messages.Register,
+) -> messages.Refused | None:
+    """Refuses a request that can't meet its deadline at the measured rate."""
+    pool = ledger.current().queues[message.queue].pool
+    run_s = run_times.estimate_s(
+        message.queue, message.team, message.run_ms / 1000
+    )
+    mean_s = run_times.of_queue(message.queue).mean_s
+    rate = ledger.capacity.total(pool) / mean_s if mean_s else math.inf
+    wait_s = admission.expected_wait_s(
+        waiting.waiting_by_team(pool), message.team, ledger.share, rate
+    )
+    left_s = message.time_left_ms / 1000
+    if wait_s + run_s <= left_s:
+        return None
+    return _refused(
+        message,
+        DEADLINE_TOO_SHORT,
+        503,
+        f"{left_s:.3f} s are left; {message.queue} needs about {wait_s:.3f} s "
+        f"of waiting and {run_s:.3f} s to run",
+        admission.retry_after_ms(wait_s, random.uniform),
+    )
+
+
+def backlog_s(
+    ledger: zone_ledger.ZoneLedger,
+    waiting: waiting_list.WaitingList,
+    run_times: admission.RunTimes,
+    entry: waiting_list.WaitingRequest,
+) -> float:
+    """Returns the time in which the pool of `entry` works off what waits."""
+    mean_s = run_times.of_queue(entry.register.queue).mean_s
+    total = max(1, ledger.capacity.total(entry.pool))
+    return sum(waiting.waiting_by_team(entry.pool).values()) * mean_s / total
+
+
+def queue_full(
+    message: messages.Register, backlog_s: float
+) -> messages.Refused:
+    """Refuses a request for which the waiting list has no room."""
+    return _refused(
+        message,
+        QUEUE_FULL,
+        503,
+        f"the waiting list of {message.queue} is full",
+        admission.retry_after_ms(backlog_s, random.uniform),
+    )
+
+
+def _try_later(
+    message: messages.Register, reason: str, detail: str
+) -> messages.Refused:
+    retry_ms = admission.retry_after_ms(0.0, random.uniform)
+    return _refused(message, reason, 503, detail, retry_ms)
+
+
+def _refused(
+    message: messages.Register,
+    reason: str,
+    status: int,
+    detail: str,
+    retry_after_ms: int = 0,
+) -> messages.Refused:
+    return messages.Refused(
+        message.request_id, reason, status, detail, retry_after_ms
+    )
--- /dev/null
+++ b/src/chervillead/entries/transfers.py
@@ -0,0 +1,161 @@
+"""The task that transfers units of team limits to other zones."""
+
+import asyncio
+from collections import abc
+import typing
+
+import eliot
+
+from chervillead import types
+from chervillead.entries import escrow as escrow_module
+from chervillead.entries import messages
+from chervillead.entries import seats
+from chervillead.platform import configuration as configuration_module
+from chervillead.platform import log_client
+from chervillead.platform import log_reader
+from chervillead.platform import publisher
+from chervillead.platform import records
+
+TRANSFER_INTERVAL_S = 1.0
+
+
+class EscrowPorts(typing.NamedTuple):
+    """What `transfer_units` needs from the rest of the process.
+
+    Attributes:
+        needs: Returns what this zone has and needs, by team.
+        short: Returns the requests without a unit in other zones.
+        may_grant: Whether this host's duty seat is confirmed.
+        configuration: Returns the newest configuration.
+        propose: Makes the record of a transfer of this zone.
+        publish: Appends a record and waits for its fate.
+    """
+
+    needs: abc.Callable[[], abc.Mapping[str, escrow_module.TeamNeed]]
+    short: abc.Callable[[], abc.Mapping[str, abc.Mapping[str, int]]]
+    may_grant: abc.Callable[[], bool]
+    configuration: abc.Callable[[], configuration_module.Configuration]
+    propose: abc.Callable[[escrow_module.Gift], records.Record]
+    publish: abc.Callable[
+        [records.Record], abc.Awaitable[publisher.PublishedRecord]
+    ]
+
+
+async def transfer_units(
+    escrow: escrow_module.Escrow, zone: str, ports: EscrowPorts
+) -> None:
+    """Gives spare units to zones that lack them until cancelled."""
+    while True:
+        await asyncio.sleep(TRANSFER_INTERVAL_S)
+        record = next_transfer(escrow, zone, ports)
+        if record is None:
+            continue
+        published = await ports.publish(record)
+        eliot.log_message(
+            "entries:units-transferred",
+            zone=zone,
+            to_zone=record.fields["to_zone"],
+            units=record.fields["units"],
+            publication=published.publication.value,
+            detail=published.detail,
+        )
+
+
+def next_transfer(
+    escrow: escrow_module.Escrow, zone: str, ports: EscrowPorts
+) -> records.Record | None:
+    """Returns the transfer to append now, with its units deducted.
+
+    A transfer whose fate is unknown is appended again: the fold passes over a
+    repeat, and nothing else can tell whether the first append took effect.
+    """
+    if not ports.may_grant():
+        return None
+    if escrow.pending is not None:
+        return escrow.pending
+    configuration = ports.configuration()
+    is_in = configuration_module.zone_is_in(configuration, zone)
+    gift = escrow_module.plan_gift(
+        escrow.spare(ports.needs(), zone_is_in=is_in),
+        ports.short(),
+        [
+            name
+            for name in configuration.zones
+            if name != zone
+            and configuration_module.zone_is_in(configuration, name)
+        ],
+        giver_is_in=is_in,
+    )
+    if gift is None:
+        return None
+    record = ports.propose(gift)
+    escrow.begin(record)
+    return record
+
+
+def short_elsewhere(
+    configuration: configuration_module.Configuration,
+    own_zone: str,
+    heartbeat_of: abc.Callable[[str], messages.Heartbeat | None],
+    is_reachable: abc.Callable[[str], bool],
+) -> dict[str, dict[str, int]]:
+    """Returns the reported requests without a unit, by zone and team."""
+    short = {}
+    for zone in configuration.zones:
+        holder = seats.duty_holder(configuration, zone)
+        if zone == own_zone or holder is None or not is_reachable(holder):
+            continue
+        heartbeat = heartbeat_of(holder)
+        if heartbeat is not None:
+            short[zone] = heartbeat.short_units
+    return short
+
+
+def transfer_record(
+    reader: log_reader.LogReader, zone: str, gift: escrow_module.Gift
+) -> records.Record:
+    """Returns the record of a transfer from `zone`."""
+    duty_seat = seats.seat_subject(zone, seats.DUTY_NUMBER)
+    fields = {
+        "incarnation": seats.incarnation(reader.configuration, duty_seat),
+        "to_zone": gift.to_zone,
+        "units": gift.units,
+    }
+    return publisher.propose(reader, records.TRANSFER, zone, fields)
+
+
+def is_settled(
+    configuration: configuration_module.Configuration, record: records.Record
+) -> bool:
+    """Returns whether `configuration` holds the final fate of a transfer.
+
+    The record was folded, or the duty seat has a newer incarnation, with which
+    the fold refuses the record whenever it arrives.
+    """
+    if record.record_id in configuration.recent_ids:
+        return True
+    duty_seat = seats.seat_subject(record.subject, seats.DUTY_NUMBER)
+    current = seats.incarnation(configuration, duty_seat)
+    superseded: bool = current != record.fields["incarnation"]
+    return superseded
+
+
+def connect_ports(
+    reader: log_reader.LogReader,
+    zone: str,
+    platform: log_client.PlatformClient,
+    clock: types.Clock,
+    *,
+    needs: abc.Callable[[], abc.Mapping[str, escrow_module.TeamNeed]],
+    short: abc.Callable[[], abc.Mapping[str, abc.Mapping[str, int]]],
+    may_grant: abc.Callable[[], bool],
+) -> EscrowPorts:
+    """Returns the ports of a process that follows the log."""
+    return EscrowPorts(
+        needs,
+        short,
+        may_grant,
+        lambda: reader.configuration,
+        lambda gift: transfer_record(reader, zone, gift),
+        lambda record: publisher.publish(record, reader, platform, clock),
+    )
--- /dev/null
+++ b/src/chervillead/entries/zone_ledger.py
@@ -0,0 +1,156 @@
+"""What one zone's dispatcher has given and can still give."""
+
+from collections import abc
+import itertools
+import math
+
+from chervillead import types
+from chervillead.entries import admission
+from chervillead.entries import capacity as capacity_module
+from chervillead.entries import escrow
+from chervillead.entries import grant_table
+from chervillead.entries import messages
+from chervillead.platform import configuration as configuration_module
+from chervillead.upstreams import slots
+
+START_BY_MS = 1000
+LEASE_MS = 2000
+
+
+class ZoneLedger:
+    """Slots, units and grants of one zone under the newest configuration."""
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        zone: str,
+        configuration: abc.Callable[[], configuration_module.Configuration],
+        clock: types.Clock,
+        usable_slots: capacity_module.UsableSlots,
+        deducted_units: abc.Callable[[str], int],
+    ) -> None:
+        self._zone = zone
+        self._configuration = configuration
+        self._clock = clock
+        self._usable_slots = usable_slots
+        self._deducted_units = deducted_units
+        self._seen = configuration_module.EMPTY
+        self._returned_s = -math.inf
+        self._grants = grant_table.GrantTable()
+        self._capacity = capacity_module.ZoneCapacity(zone, self._slots_now)
+        self._uses = admission.UseTable()
+        # A host that restarts under its name must not repeat the ids of grants
+        # that are still in use.
+        start = f"{host}.{int(clock.wall() * 1000):x}"
+        self._grant_ids = (f"{start}.{n}" for n in itertools.count(1))
+
+    @property
+    def grants(self) -> grant_table.GrantTable:
+        """Grants in use."""
+        return self._grants
+
+    @property
+    def capacity(self) -> capacity_module.ZoneCapacity:
+        """Free slots of the zone's hosts."""
+        return self._capacity
+
+    def current(self) -> configuration_module.Configuration:
+        """Returns the newest configuration, with the index up to date."""
+        seen, new = self._seen, self._configuration()
+        if new is seen:
+            return new
+        self._seen = new
+        was_out = self._zone in seen.zones and not (
+            configuration_module.zone_is_in(seen, self._zone)
+        )
+        if was_out and configuration_module.zone_is_in(new, self._zone):
+            self._returned_s = self._clock.monotonic()
+        for field in ("hosts", "drains", "moves", "zones"):
+            if getattr(seen, field) is not getattr(new, field):
+                self._capacity.index_hosts(new)
+                break
+        return new
+
+    def units(self, team: str) -> int:
+        """Returns the units of a team that the zone may use."""
+        units = escrow.usable_units(self._seen, team, self._zone)
+        return units - self._deducted_units(team)
+
+    def limit(self, team: str) -> int:
+        """Returns the limit of a team across the fleet; 0 if it is unknown."""
+        entry = self._seen.teams.get(team)
+        return 0 if entry is None else entry.limit
+
+    def running(self, team: str) -> int:
+        """Returns how many grants a team holds."""
+        return self._grants.slots.running(team)
+
+    def units_left(self, team: str) -> int:
+        """Returns how many more grants a team may get."""
+        return self.units(team) - self.running(team)
+
+    def share(self, team: str) -> float:
+        """Returns the share of a team; work without a team counts as one."""
+        entry = self._seen.teams.get(team)
+        return 1.0 if entry is None else entry.share
+
+    def distance(self, pool: str, team: str) -> float:
+        """Returns how much of a pool a team uses in relation to its share."""
+        use = self._uses.use(pool, team, self._clock.monotonic())
+        return admission.distance_from_share(use, self.share(team))
+
+    def try_grant(
+        self, entry_host: str, pool: str, message: messages.Register
+    ) -> messages.Granted | None:
+        """Grants a slot if there is one and the team has a unit for it."""
+        if message.team and self.units_left(message.team) <= 0:
+            return None
+        found = self._capacity.pick(pool, message.size)
+        if found is None:
+            return None
+        name, host = found
+        granted = messages.Granted(
+            message.request_id,
+            next(self._grant_ids),
+            types.Upstream(name, host.zone, host.address),
+            START_BY_MS,
+            LEASE_MS,
+        )
+        slot = slots.HeldSlot(
+            granted.grant_id,
+            name,
+            message.queue,
+            message.team,
+            entry_host,
+            message.size,
+        )
+        self.hold(slot, granted)
+        return granted
+
+    def hold(
+        self, slot: slots.HeldSlot, granted: messages.Granted | None = None
+    ) -> None:
+        """Counts a grant as used; `granted` is None for a restored one."""
+        now_s = self._clock.monotonic()
+        queue = self._seen.queues.get(slot.queue)
+        pool = "" if queue is None else queue.pool
+        self._grants.add(grant_table.GivenGrant(slot, pool, granted, now_s))
+        self._capacity.take(slot.upstream, slot.size)
+        self._uses.change(pool, slot.team, 1, now_s)
+
+    def free(self, grant_id: str) -> grant_table.GivenGrant | None:
+        """Frees a grant; returns None if it is unknown or was freed."""
+        given = self._grants.remove(grant_id)
+        if given is None:
+            return None
+        self.current()
+        self._capacity.give_back(given.slot.upstream, given.slot.size)
+        now_s = self._clock.monotonic()
+        self._uses.change(given.pool, given.slot.team, -1, now_s)
+        return given
+
+    def _slots_now(self, name: str, host: configuration_module.Host) -> int:
+        since_s = self._clock.monotonic() - self._returned_s
+        usable = min(self._usable_slots(name, host), host.slots)
+        return admission.ramped_slots(usable, since_s)
