Cancel waiting requests by their own id

Dispatchers know a request by the id of an attempt, so a cancellation from this host goes through GrantWaiters.refuse, which looks the attempt up.

--- a/src/chervillead/assembly.py
+++ b/src/chervillead/assembly.py
@@ -188,9 +188,8 @@
         )
 
     def withdraw(request_id: str) -> None:
-        dispatch.waiters.take(
-            settings.host,
-            messages.Refused(request_id, submission.CANCELLED, 410, "", 0),
+        dispatch.waiters.refuse(
+            messages.Refused(request_id, submission.CANCELLED, 410, "", 0)
         )
 
     async def stop_task(grant: types.Grant, request_id: str) -> bool:
--- a/src/chervillead/entries/grant_waiters.py
+++ b/src/chervillead/entries/grant_waiters.py
@@ -54,6 +54,7 @@
         self._clock = clock
         self._post = post
         self._pending: dict[str, PendingGrant] = {}
+        self._attempts: dict[str, str] = {}
         self._in_use: set[str] = set()
         self._numbers = itertools.count(1)
 
@@ -77,11 +78,23 @@
         )
         pending = PendingGrant(register, request.deadline_s)
         self._pending[register.request_id] = pending
+        self._attempts[request.request_id] = register.request_id
         return pending
 
+    def refuse(self, refused: messages.Refused) -> None:
+        """Ends the wait of a request from this host's side, by its own id."""
+        attempt = self._attempts.get(refused.request_id, "")
+        pending = self._pending.get(attempt)
+        if pending is not None:
+            pending.add("", refused)
+
     def close(self, pending: PendingGrant, winner: types.Grant | None) -> None:
         """Stops to wait: gives further grants back and withdraws elsewhere."""
-        del self._pending[pending.register.request_id]
+        attempt = pending.register.request_id
+        del self._pending[attempt]
+        request_id = attempt.rpartition("/")[0]
+        if self._attempts.get(request_id) == attempt:
+            del self._attempts[request_id]
         if winner is not None:
             self._in_use.add(winner.grant_id)
         for dispatcher, decision in pending.decisions:
