--- a/src/chervillead/assembly.py
+++ b/src/chervillead/assembly.py
@@ -27,8 +27,7 @@
 from chervillead.platform import log_reader
 from chervillead.upstreams import leases
 from chervillead.upstreams import pool
-
-STOP_TIMEOUT_S = 2.0  # of one call that asks an upstream to stop a task
+from chervillead.upstreams import retry_budget
 
 
 class Assembly(typing.NamedTuple):
@@ -75,8 +74,12 @@
     )
     requests = in_progress.RequestsInProgress()
     entry = host_module.EntryHost(settings, reader, clock, requests.cancel)
-    pools = pool.UpstreamPools(clock, dial)
-    running = leases.RunningTasks()
+    pools = pool.UpstreamPools(
+        clock,
+        dial,
+        lambda upstream: pool.connection_part(reader.configuration, upstream),
+    )
+    running = leases.RunningTasks(clock)
     return Assembly(
         settings,
         clock,
@@ -155,6 +158,7 @@
 ) -> submission.SubmissionPorts:
     """Returns the functions that the path of a request runs through."""
     dispatch = entry.dispatch_ports()
+    budget = retry_budget.RetryBudget()
 
     async def claim(
         request: types.Request, attempt: int
@@ -188,17 +192,12 @@
         )
 
     def withdraw(request_id: str) -> None:
-        dispatch.waiters.take(
-            settings.host,
-            messages.Refused(request_id, submission.CANCELLED, 410, "", 0),
+        dispatch.waiters.refuse(
+            messages.Refused(request_id, submission.CANCELLED, 410, "", 0)
         )
 
     async def stop_task(grant: types.Grant, request_id: str) -> bool:
-        outcome = await pools.pool(grant.upstream.address).call(
-            http_exchange.HttpRequest("DELETE", f"/tasks/{request_id}"),
-            clock.monotonic() + STOP_TIMEOUT_S,
-        )
-        return outcome.map(lambda reply: reply.status == 200).value_or(False)
+        return await leases.stop_task(pools, grant, request_id)
 
     async def acquire(
         request: types.Request,
@@ -208,9 +207,17 @@
     async def send(
         request: types.Request, grant: types.Grant
     ) -> submission.RequestOutcome:
-        running.add(grant)
+        budget.note_attempt()
+        gone = asyncio.get_running_loop().create_future()
         try:
-            return await pool.send(pools, request, grant, clock)
+            return await pool.send(
+                pools,
+                request,
+                grant,
+                clock,
+                on_written=lambda: running.add(grant, gone),
+                gone=gone,
+            )
         finally:
             running.discard(grant)
 
@@ -232,6 +239,7 @@
         release,
         requests,
         clock,
+        budget.may_retry,
     )
 
 
