--- a/tests/stand_ins/upstream.py
+++ b/tests/stand_ins/upstream.py
@@ -127,7 +127,9 @@
         except asyncio.CancelledError:
             ending = "stopped"
         finally:
-            del self._tasks[request_id]
+            # A repeat of an idempotent request may run beside this one.
+            if self._tasks.get(request_id) is task:
+                del self._tasks[request_id]
             self._note_usage()
             self.records[index] = self.records[index]._replace(
                 ended_s=loop.time(), ending=ending
