Bound what callers may send and serve answers asynchronously

Cause: a submission read its body whole before it looked at the length, uvicorn has neither a timeout nor a length bound for the head of a request, several headers were ignored, and an answer could be had only on the connection of the submission.

The head of a request has 5 s, 32 KB and 64 headers (an extension of uvicorn's protocol class, since uvicorn has no setting for them), a body 10 s and 1 MB, all bodies of a host 64 MB. All headers are checked, with errors that name the value and what is allowed. A refusal before admission is checked with the claim holder like any other. `prefer: respond-async`, GET and DELETE /requests/ID work from any host for keys of the same team; outcomes are kept within 32 MB.

On a stop, answers carry `connection: close`, and the process waits for submissions without a connection and for their reports.

Ruled out: answering a parser error at once in all cases. Behind a request that runs, the problem was written into the earlier request's answer; that answer is now sent whole and the connection closed after it. Also ruled out: closing the connection with a refused body unread, because the reset can overtake the refusal; the rest is read and dropped for up to 2 s.

Found by the tests: DELETE told another team that a request exists (409 instead of 404).

Not tested: the stop with real processes, and the bound of the answer store.

--- a/src/chervillead/assembly.py
+++ b/src/chervillead/assembly.py
@@ -14,7 +14,9 @@
 from chervillead import settings as settings_module
 from chervillead import types
 from chervillead import verdicts
+from chervillead.callers import answers
 from chervillead.callers import application
+from chervillead.callers import bodies
 from chervillead.callers import credentials
 from chervillead.callers import in_progress
 from chervillead.callers import request_claims
@@ -122,25 +124,34 @@
     """Returns the functions that the HTTP front end needs."""
 
     async def submit(
-        request: types.Request, claimed: bool
+        request: types.Request, claimed: bool, progress: in_progress.Progress
     ) -> submission.RequestOutcome:
-        return await submission.submit(request, parts.ports, claimed=claimed)
-
-    async def lookup(request_id: str) -> submission.RequestOutcome:
-        reply = await parts.entry.ask_claim_holder(
-            request_id, messages.Lookup(request_id)
+        return await submission.submit(
+            request, parts.ports, claimed=claimed, progress=progress
         )
-        return reply.bind(_outcome_of_lookup)
+
+    def cancel(request_id: str) -> None:
+        holder = parts.entry.claim_holder(request_id)
+        if holder is not None:
+            parts.entry.post(holder, messages.Cancel(request_id))
 
     return application.FrontEndPorts(
         authorize=lambda queue, key: credentials.authorize(
             parts.reader.configuration, queue, key, parts.reader.unconfirmed_s
         ),
+        team_of_key=lambda key: credentials.team_of_key(
+            parts.reader.configuration, key
+        ),
         submit=submit,
-        lookup=lookup,
+        lookup=parts.ports.lookup,
+        cancel=cancel,
+        answers=answers.AnswerStore(parts.clock),
+        held=bodies.HeldBodies(),
+        running=set(),
         is_ready=lambda: (
             parts.reader.configuration.offset >= 0 and not is_stopping()
         ),
+        is_stopping=is_stopping,
         clock=parts.clock,
     )
 
@@ -233,17 +244,3 @@
         requests,
         clock,
     )
-
-
-def _outcome_of_lookup(
-    state: messages.ClaimState,
-) -> submission.RequestOutcome:
-    if state.state == messages.CLAIM_UNKNOWN:
-        return result.Failure(
-            verdicts.may_have_run("unknown-request", 404, "no such request")
-        )
-    outcome = request_claims.claim_outcome(state)
-    answer = outcome.value_or(None)
-    if answer is None:
-        return result.Failure(outcome.failure())
-    return result.Success(answer)
--- a/src/chervillead/callers/application.py
+++ b/src/chervillead/callers/application.py
@@ -5,17 +5,21 @@
 import typing
 
 import blacksheep
+from blacksheep import exceptions
 from returns import pipeline
 from returns import result
 
 from chervillead import types
 from chervillead import verdicts
-from chervillead.callers import problems
-from chervillead.callers import request_ids
+from chervillead.callers import answers
+from chervillead.callers import bodies
+from chervillead.callers import headers
+from chervillead.callers import in_progress
+from chervillead.callers import request_claims
+from chervillead.callers import responses
+from chervillead.entries import messages
 
-DEFAULT_DEADLINE_MS = 30_000
-MAX_DEADLINE_MS = 600_000
-MAX_BODY_BYTES = 1024 * 1024
+Outcome: typing.TypeAlias = result.Result[types.Answer, verdicts.Refusal]
 
 
 class FrontEndPorts(typing.NamedTuple):
@@ -23,175 +27,255 @@
 
     Attributes:
         authorize: Returns the team for (queue, key).
+        team_of_key: Returns the team of a key, whatever the queue.
         submit: Runs a request; the flag asks for a claim on its id.
-        lookup: Returns the outcome of an earlier submission.
+        lookup: Asks the claim holder what is known of an id.
+        cancel: Asks the owner of a claimed id to cancel its request.
+        answers: Outcomes of claimed requests of this host.
+        held: Counter of the bytes of request bodies.
+        running: Tasks of the submissions under way.
         is_ready: Whether the balancer should send requests here.
+        is_stopping: Whether connections should be closed after an answer.
         clock: Source of time.
     """
 
     authorize: abc.Callable[
         [str, str | None], result.Result[str, verdicts.Refusal]
     ]
-    submit: abc.Callable[
-        [types.Request, bool],
-        abc.Coroutine[
-            typing.Any,
-            typing.Any,
-            result.Result[types.Answer, verdicts.Refusal],
-        ],
+    team_of_key: abc.Callable[
+        [str | None], result.Result[str, verdicts.Refusal]
     ]
-    lookup: abc.Callable[
-        [str], abc.Awaitable[result.Result[types.Answer, verdicts.Refusal]]
+    submit: abc.Callable[
+        [types.Request, bool, in_progress.Progress],
+        abc.Coroutine[typing.Any, typing.Any, Outcome],
     ]
+    lookup: request_claims.Lookup
+    cancel: abc.Callable[[str], None]
+    answers: answers.AnswerStore
+    held: bodies.HeldBodies
+    running: set[asyncio.Task[Outcome]]
     is_ready: abc.Callable[[], bool]
+    is_stopping: abc.Callable[[], bool]
     clock: types.Clock
 
 
-class _CallerHeaders(typing.NamedTuple):
-    request_id: str
-    key: str | None
-    idempotent: bool
-    deadline_s: float
-    run_s: float | None
-    size: types.Size
+class _Submission(typing.NamedTuple):
+    """A submission whose headers, key and body were accepted."""
+
+    request: types.Request
+    asynchronous: bool
 
 
 def build_application(ports: FrontEndPorts) -> blacksheep.Application:
     """Returns the application that serves callers and the balancer."""
     router = blacksheep.Router()
     application = blacksheep.Application(router=router)
-    submissions: set[asyncio.Task[typing.Any]] = set()
 
     async def submit(request: blacksheep.Request) -> blacksheep.Response:
-        parsed = _parse_headers(request, ports.clock)
-        if not pipeline.is_successful(parsed):
-            return _problem(parsed.failure(), "")
-        headers = parsed.unwrap()
-        queue = _route_value(request, "queue")
-        team = ports.authorize(queue, headers.key)
-        if not pipeline.is_successful(team):
-            return _problem(team.failure(), headers.request_id)
-        body = await request.read() or b""
-        if len(body) > MAX_BODY_BYTES:
-            return _problem(_too_large(len(body)), headers.request_id)
-        # The submission goes on when the caller disconnects, because a slot is
-        # free only when the upstream has stopped.
-        task = asyncio.get_running_loop().create_task(
-            ports.submit(
-                types.Request(
-                    headers.request_id,
-                    queue,
-                    team.unwrap(),
-                    body,
-                    _header(request, b"content-type")
-                    or "application/octet-stream",
-                    headers.size,
-                    headers.deadline_s,
-                    headers.idempotent,
-                    headers.run_s,
-                ),
-                not headers.idempotent,
-            )
-        )
-        submissions.add(task)
-        task.add_done_callback(submissions.discard)
-        outcome = await asyncio.shield(task)
-        return _response(outcome, headers.request_id)
+        accepted = await _accept(request, ports)
+        if not pipeline.is_successful(accepted):
+            response = await _refuse(request, accepted.failure(), ports)
+        else:
+            response = await _submit(accepted.unwrap(), ports)
+        return _closing(response, ports)
 
     async def fetch(request: blacksheep.Request) -> blacksheep.Response:
-        request_id = _route_value(request, "request_id")
-        return _response(await ports.lookup(request_id), request_id)
+        return _closing(await _fetch(request, ports), ports)
+
+    async def cancel(request: blacksheep.Request) -> blacksheep.Response:
+        return _closing(await _cancel(request, ports), ports)
 
     async def livez() -> blacksheep.Response:
         return blacksheep.text("live")
 
     async def readyz() -> blacksheep.Response:
         if ports.is_ready():
-            return blacksheep.text("ready")
-        return blacksheep.text("not ready", status=503)
+            return _closing(blacksheep.text("ready"), ports)
+        return _closing(blacksheep.text("not ready", status=503), ports)
+
+    async def unknown_path(request: blacksheep.Request) -> blacksheep.Response:
+        refusal = responses.unknown_path(request)
+        return _closing(await _refuse(request, refusal, ports), ports)
 
     router.add_post("/queues/{queue}/requests", submit)
     router.add_get("/requests/{request_id}", fetch)
+    router.add_delete("/requests/{request_id}", cancel)
     router.add_get("/livez", livez)
     router.add_get("/readyz", readyz)
+    router.fallback = unknown_path
     return application
 
 
-def _route_value(request: blacksheep.Request, name: str) -> str:
-    return (request.route_values or {}).get(name) or ""
-
-
-def _header(request: blacksheep.Request, name: bytes) -> str | None:
-    value = request.get_first_header(name)
-    return None if value is None else value.decode("latin-1")
-
-
-def _parse_headers(
-    request: blacksheep.Request, clock: types.Clock
-) -> result.Result[_CallerHeaders, verdicts.Refusal]:
-    wall_s = clock.wall()
-    text = _header(request, b"chervillead-request-id")
-    if text is None:
-        text = request_ids.new_request_id(wall_s)
-    identity = request_ids.parse_request_id(text, wall_s)
-    if not pipeline.is_successful(identity):
-        return result.Failure(identity.failure())
-    time_left = _header(request, b"chervillead-deadline-ms")
-    left_ms = DEFAULT_DEADLINE_MS
-    if time_left is not None:
-        if not time_left.isdigit() or not 0 < int(time_left) <= MAX_DEADLINE_MS:
-            return result.Failure(
-                verdicts.not_run(
-                    "malformed-deadline",
-                    400,
-                    f"chervillead-deadline-ms is {time_left[:32]!r}, allowed "
-                    f"is a whole number from 1 to {MAX_DEADLINE_MS}",
-                )
-            )
-        left_ms = int(time_left)
-    key = _header(request, b"authorization")
-    return result.Success(
-        _CallerHeaders(
-            identity.unwrap().text,
-            None if key is None else key.removeprefix("Bearer "),
-            _header(request, b"chervillead-idempotent") == "true",
-            clock.monotonic() + left_ms / 1000,
-            None,
-            types.Size(),
+async def _accept(
+    request: blacksheep.Request, ports: FrontEndPorts
+) -> result.Result[_Submission, verdicts.Refusal]:
+    """Checks the headers and the key, then reads the body."""
+    queue = responses.route_value(request, "queue")
+    parsed = headers.parse_headers(request.headers, ports.clock)
+    team = parsed.bind(lambda found: ports.authorize(queue, found.key))
+    if not pipeline.is_successful(team):
+        return result.Failure(team.failure())
+    found = parsed.unwrap()
+    body = await bodies.read_body(
+        _chunks(request), found.content_length, ports.held
+    )
+    return body.map(
+        lambda whole: _Submission(
+            types.Request(
+                found.request_id,
+                queue,
+                team.unwrap(),
+                whole,
+                found.content_type,
+                found.size,
+                found.deadline_s,
+                found.idempotent,
+                found.run_s,
+            ),
+            found.asynchronous,
         )
     )
 
 
-def _response(
-    outcome: result.Result[types.Answer, verdicts.Refusal], request_id: str
+async def _chunks(request: blacksheep.Request) -> abc.AsyncIterator[bytes]:
+    try:
+        async for chunk in request.stream():  # type: ignore[attr-defined]
+            yield chunk
+    except exceptions.MessageAborted as error:
+        raise bodies.TruncatedBodyError from error
+
+
+async def _refuse(
+    request: blacksheep.Request,
+    refusal: verdicts.Refusal,
+    ports: FrontEndPorts,
+) -> blacksheep.Response:
+    """Answers a submission that wasn't accepted, with a true verdict."""
+    request_id = headers.id_to_check(request.headers, ports.clock)
+    if request_id and request.method == "POST":
+        refusal = await request_claims.check_refusal(
+            refusal, request_id, ports.lookup
+        )
+    return responses.problem(refusal, request_id)
+
+
+async def _submit(
+    submission: _Submission, ports: FrontEndPorts
 ) -> blacksheep.Response:
-    if not pipeline.is_successful(outcome):
-        return _problem(outcome.failure(), request_id)
-    answer = outcome.unwrap()
-    return blacksheep.Response(
-        answer.status,
-        [
-            (b"chervillead-verdict", verdicts.Verdict.RAN.value.encode()),
-            (b"chervillead-request-id", request_id.encode()),
-        ],
-        blacksheep.Content(answer.content_type.encode(), answer.body),
+    """Runs a submission; answers at its end or, if asked, at its claim."""
+    request = submission.request
+    progress = in_progress.Progress()
+    claimed = submission.asynchronous or not request.idempotent
+    # The submission goes on when the caller disconnects, because a slot is
+    # free only when the upstream has stopped.
+    task = asyncio.get_running_loop().create_task(
+        ports.submit(request, claimed, progress)
     )
+    ports.running.add(task)
 
+    def end(ended: asyncio.Task[Outcome]) -> None:
+        ports.running.discard(ended)
+        ports.held.free(len(request.body))
+        if ended.cancelled() or ended.exception() is not None:
+            return
+        if progress.claimed.is_set():
+            ports.answers.keep(request.request_id, request.team, ended.result())
 
-def _problem(refusal: verdicts.Refusal, request_id: str) -> blacksheep.Response:
-    return blacksheep.Response(
-        refusal.status,
-        problems.problem_headers(refusal),
-        blacksheep.Content(
-            problems.CONTENT_TYPE.encode(),
-            problems.encode_problem(refusal, request_id),
+    task.add_done_callback(end)
+    if not submission.asynchronous:
+        outcome = await asyncio.shield(task)
+        return responses.of_outcome(outcome, request.request_id)
+    if not await _ends_before_claim(task, progress):
+        return responses.accepted(request.request_id, "running")
+    outcome = task.result()
+    if outcome.swap().map(request_claims.is_running).value_or(False):
+        return responses.accepted(request.request_id, "running")
+    return responses.of_outcome(outcome, request.request_id)
+
+
+async def _ends_before_claim(
+    task: asyncio.Task[Outcome], progress: in_progress.Progress
+) -> bool:
+    """Waits for the claim; returns whether the request ended without it."""
+    claim = asyncio.get_running_loop().create_task(progress.claimed.wait())
+    try:
+        await asyncio.wait((task, claim), return_when="FIRST_COMPLETED")
+    finally:
+        claim.cancel()
+    return task.done()
+
+
+async def _fetch(
+    request: blacksheep.Request, ports: FrontEndPorts
+) -> blacksheep.Response:
+    """Answers with the outcome of an earlier submission of the same team."""
+    request_id = responses.route_value(request, "request_id").lower()
+    found = await _find(request, request_id, ports)
+    if not pipeline.is_successful(found):
+        return responses.problem(found.failure(), request_id)
+    outcome = found.unwrap()
+    if outcome.swap().map(request_claims.is_running).value_or(False):
+        return responses.accepted(request_id, "running")
+    return responses.of_outcome(outcome, request_id)
+
+
+async def _cancel(
+    request: blacksheep.Request, ports: FrontEndPorts
+) -> blacksheep.Response:
+    """Cancels a request of the same team, if it hasn't ended."""
+    request_id = responses.route_value(request, "request_id").lower()
+    found = await _find(request, request_id, ports)
+    if not pipeline.is_successful(found):
+        return responses.problem(found.failure(), request_id)
+    outcome = found.unwrap()
+    if outcome.swap().map(request_claims.is_running).value_or(False):
+        ports.cancel(request_id)
+        return responses.accepted(request_id, "cancelling")
+    verdict = outcome.swap().map(lambda refusal: refusal.verdict)
+    return responses.problem(
+        verdicts.Refusal(
+            verdict.value_or(verdicts.Verdict.RAN),
+            "already-ended",
+            409,
+            "the request has ended and can't be cancelled",
         ),
+        request_id,
     )
 
 
-def _too_large(length: int) -> verdicts.Refusal:
-    return verdicts.not_run(
-        "body-too-large",
-        413,
-        f"the body has {length} bytes, at most {MAX_BODY_BYTES} are allowed",
+async def _find(
+    request: blacksheep.Request, request_id: str, ports: FrontEndPorts
+) -> result.Result[Outcome, verdicts.Refusal]:
+    """Returns what is known of an id, if the key's team owns it."""
+    key = headers.single_values(request.headers).bind(
+        lambda values: headers.parse_key(values.get(headers.KEY))
     )
+    team = key.bind(ports.team_of_key)
+    if not pipeline.is_successful(team):
+        refusal = team.failure()
+        # A fetch says nothing about whether the fetched request ran.
+        return result.Failure(
+            refusal._replace(verdict=verdicts.Verdict.MAY_HAVE_RUN)
+        )
+    stored = ports.answers.find(request_id)
+    if stored is not None:
+        if stored.team != team.unwrap():
+            return result.Failure(request_claims.UNKNOWN_REQUEST)
+        return result.Success(stored.outcome)
+    reply = await ports.lookup(request_id)
+    if not pipeline.is_successful(reply):
+        return result.Failure(request_claims.unchecked(reply.failure()))
+    state = reply.unwrap()
+    # A request of another team looks the same as an unknown one.
+    if state.state == messages.CLAIM_UNKNOWN or state.team != team.unwrap():
+        return result.Failure(request_claims.UNKNOWN_REQUEST)
+    return result.Success(request_claims.looked_up_outcome(state))
+
+
+def _closing(
+    response: blacksheep.Response, ports: FrontEndPorts
+) -> blacksheep.Response:
+    """Tells the caller to use another connection if this host stops."""
+    if ports.is_stopping():
+        response.add_header(b"connection", b"close")
+    return response
--- a/src/chervillead/callers/credentials.py
+++ b/src/chervillead/callers/credentials.py
@@ -59,23 +59,49 @@
                 retry_after_s=5.0,
             )
         )
-    return _team_of_key(configuration, queue_name, key)
+    return _find_key(configuration, key).bind(
+        lambda entry: _team_for_queue(configuration, queue_name, entry)
+    )
 
 
-def _team_of_key(
-    configuration: configuration_module.Configuration,
-    queue_name: str,
-    key: str,
+def team_of_key(
+    configuration: configuration_module.Configuration, key: str | None
 ) -> result.Result[str, verdicts.Refusal]:
+    """Returns the team of a key in force, or "" if there is no key.
+
+    A request without a key on a queue open to all belongs to no team; so does
+    whoever asks for its answer without a key.
+    """
+    if key is None:
+        return result.Success("")
+    return _find_key(configuration, key).map(lambda entry: entry.team)
+
+
+def _find_key(
+    configuration: configuration_module.Configuration, key: str
+) -> result.Result[configuration_module.Key, verdicts.Refusal]:
     if not MIN_KEY_CHARACTERS <= len(key) <= MAX_KEY_CHARACTERS:
         return result.Failure(
-            verdicts.not_run("malformed-key", 401, "the key has a wrong length")
+            verdicts.not_run(
+                "malformed-key",
+                401,
+                f"the key has {len(key)} characters, allowed are "
+                f"{MIN_KEY_CHARACTERS} to {MAX_KEY_CHARACTERS}",
+            )
         )
     entry = configuration.keys.get(hash_key(key))
     if entry is None or entry.withdrawn:
         return result.Failure(
             verdicts.not_run("key-refused", 401, "the key is not in force")
         )
+    return result.Success(entry)
+
+
+def _team_for_queue(
+    configuration: configuration_module.Configuration,
+    queue_name: str,
+    entry: configuration_module.Key,
+) -> result.Result[str, verdicts.Refusal]:
     if entry.queues is not None and queue_name not in entry.queues:
         return result.Failure(
             verdicts.not_run(
--- a/src/chervillead/callers/problems.py
+++ b/src/chervillead/callers/problems.py
@@ -2,6 +2,7 @@
 
 import math
 
+import eliot
 import msgspec
 
 from chervillead import verdicts
@@ -41,3 +42,26 @@
         seconds = max(1, math.ceil(refusal.retry_after_s))
         headers.append((b"retry-after", str(seconds).encode()))
     return headers
+
+
+def whole_headers(refusal: verdicts.Refusal) -> list[tuple[bytes, bytes]]:
+    """Returns the headers of an answer that ends its connection."""
+    length = len(encode_problem(refusal, ""))
+    return [
+        *problem_headers(refusal),
+        (b"content-type", CONTENT_TYPE.encode()),
+        (b"content-length", str(length).encode()),
+        (b"connection", b"close"),
+    ]
+
+
+def log_refusal(refusal: verdicts.Refusal, request_id: str) -> None:
+    """Writes the log line of a refusal."""
+    eliot.log_message(
+        "callers:refused",
+        request_id=request_id,
+        reason=refusal.reason,
+        status=refusal.status,
+        verdict=refusal.verdict.value,
+        detail=refusal.detail,
+    )
--- a/src/chervillead/callers/request_claims.py
+++ b/src/chervillead/callers/request_claims.py
@@ -16,6 +16,12 @@
 
 # Reason of a refusal when the claim holder gave no usable reply.
 CLAIM_UNAVAILABLE = "claim-unavailable"
+ALREADY_SUBMITTED = "already-submitted"
+# An idempotent request may run without a claim, and a submission may still be
+# on its way, so an unknown id doesn't mean "not run" to whoever asks for it.
+UNKNOWN_REQUEST = verdicts.may_have_run(
+    "unknown-request", 404, "no request of this team is known by this id"
+)
 
 Lookup: typing.TypeAlias = abc.Callable[
     [str], abc.Awaitable[result.Result[messages.ClaimState, verdicts.Refusal]]
@@ -93,12 +99,24 @@
     return verdicts.Verdict.MAY_HAVE_RUN
 
 
+def is_running(refusal: verdicts.Refusal) -> bool:
+    """Returns whether the claim says that the request goes on."""
+    return refusal.reason == ALREADY_SUBMITTED
+
+
 def claim_outcome(
     state: messages.ClaimState,
 ) -> result.Result[types.Answer | None, verdicts.Refusal]:
     """Returns what a claim holder's reply means for a submission."""
     if state.state == messages.CLAIM_ACCEPTED:
         return result.Success(None)
+    return looked_up_outcome(state)
+
+
+def looked_up_outcome(
+    state: messages.ClaimState,
+) -> result.Result[types.Answer, verdicts.Refusal]:
+    """Returns the outcome of a request that has a claim."""
     if state.state == messages.CLAIM_FINISHED and state.answer is not None:
         return result.Success(state.answer)
     return result.Failure(_refusal_of_claim(state))
@@ -111,12 +129,8 @@
         )
     if state.state == messages.CLAIM_RUNNING:
         return verdicts.may_have_run(
-            "already-submitted", 409, f"{state.owner} is working on it"
-        )
-    if state.state == messages.CLAIM_UNKNOWN:
-        return verdicts.may_have_run(
-            "unknown-request", 404, "no claimed request has this id"
-        )
+            ALREADY_SUBMITTED, 409, f"{state.owner} is working on it"
+        )._replace(retry_after_s=1.0)
     if state.verdict is verdicts.Verdict.NOT_RUN:
         return verdicts.not_run(
             "did-not-run", 409, "ended without running; submit it again"
--- a/src/chervillead/daemon.py
+++ b/src/chervillead/daemon.py
@@ -11,10 +11,17 @@
 from chervillead import settings as settings_module
 from chervillead import types
 from chervillead.callers import application
+from chervillead.callers import connections
+from chervillead.callers import headers
 
 SYSTEM_CLOCK = types.Clock(time.monotonic, time.time)
 # A request can't outlive its deadline, so a longer drain is never needed.
-DRAIN_TIMEOUT_S = application.MAX_DEADLINE_MS / 1000
+DRAIN_TIMEOUT_S = headers.MAX_DEADLINE_MS / 1000
+# Longer than the usual 60 s of balancers: a connection that this side closes
+# first can cut a request that is on its way.
+KEEP_ALIVE_S = 75
+# Reports to claim holders leave within this time, before the streams close.
+LAST_REPORTS_S = 0.25
 
 
 async def serve(settings: settings_module.Settings) -> None:
@@ -26,6 +33,7 @@
     background = asyncio.create_task(assembly.run_background(parts))
     try:
         await _serve_callers(settings, front_end, stopping)
+        await _finish_running(front_end)
     finally:
         background.cancel()
         await asyncio.gather(background, return_exceptions=True)
@@ -49,7 +57,8 @@
             lifespan="off",
             log_config=None,
             access_log=False,
-            http="httptools",
+            http=connections.CallerConnection,
+            timeout_keep_alive=KEEP_ALIVE_S,
             timeout_graceful_shutdown=int(DRAIN_TIMEOUT_S),
         )
     )
@@ -65,3 +74,10 @@
     server.should_exit = True
     await serving
     await app.stop()  # type: ignore[no-untyped-call]
+
+
+async def _finish_running(front_end: application.FrontEndPorts) -> None:
+    """Waits for requests whose callers have left or fetch the answer later."""
+    if front_end.running:
+        await asyncio.wait(front_end.running, timeout=DRAIN_TIMEOUT_S)
+    await asyncio.sleep(LAST_REPORTS_S)
--- /dev/null
+++ b/tests/steps/callers_application.py
@@ -0,0 +1,297 @@
+"""Steps of tests/callers/application.feature."""
+
+import asyncio
+
+import behave
+import eliot
+import msgspec
+
+from chervillead.callers import request_ids
+from stand_ins import local_fleet
+from stand_ins import memory_caller
+from stand_ins import memory_fleet
+from stand_ins import virtual_time
+
+PATH = f"/queues/{local_fleet.QUEUES[0]}/requests"
+
+
+def run_scenario(context, scenario):
+    """Runs `scenario(fleet, front ends of two hosts)` and keeps the log."""
+
+    async def main():
+        plan = local_fleet.FleetPlan(upstreams_per_queue=4)
+        fleet = memory_fleet.MemoryFleet(plan, seed=context.seed)
+        await fleet.start()
+        doors = [
+            memory_caller.FrontEnd(fleet.hosts[name])
+            for name in ("entry-a0", "entry-b0")
+        ]
+        for door in doors:
+            await door.start()
+        await scenario(fleet, doors)
+        context.held = [door.ports.held.held_bytes for door in doors]
+        await fleet.stop()
+        context.bodies = [r.request_id for r in fleet.executions()]
+
+    context.log = []
+    eliot.add_destinations(context.log.append)
+    try:
+        virtual_time.run_virtual(main(), context.seed)
+    finally:
+        eliot.remove_destination(context.log.append)
+
+
+def id_header():
+    """Returns the header of a new request id, claimed in zone c."""
+    wall_s = virtual_time.clock().wall()
+    return f"chervillead-request-id: {request_ids.new_request_id(wall_s, 2)}"
+
+
+async def beside_another(context, door, bad):
+    """Awaits `bad` while another caller's request runs."""
+    other = asyncio.ensure_future(
+        memory_caller.call(
+            door, "POST", PATH, headers=(id_header(),), body=b"run=1"
+        )
+    )
+    await asyncio.sleep(0.1)
+    context.response = await bad
+    context.other = await other
+
+
+@behave.when('a caller sends "{header}" while another caller\'s request runs')
+def step(context, header):
+    async def scenario(_, doors):
+        lines = tuple(header.split(","))
+        if header.startswith("chervillead") or "content" in header:
+            lines += (id_header(),) if "-id:" not in header else ()
+        bad = memory_caller.call(doors[0], "POST", PATH, headers=lines)
+        await beside_another(context, doors[0], bad)
+
+    run_scenario(context, scenario)
+
+
+async def slowly(caller, parts):
+    """Sends a part each second until the entry host closes or answers."""
+    for part in parts:
+        caller.send(part)
+        await asyncio.sleep(1.0)
+
+
+async def misuse_connection(door, misuse):
+    """Returns the response to one kind of misuse."""
+    caller = door.connect()
+    head = memory_caller.encode(
+        "POST",
+        PATH,
+        headers=(id_header(), "content-length: 50"),
+    )
+    chunked = memory_caller.encode(
+        "POST", PATH, headers=(id_header(), "transfer-encoding: chunked")
+    )
+    match misuse:
+        case "a slow head":
+            await slowly(caller, (head[i : i + 1] for i in range(8)))
+        case "too many headers":
+            caller.send(head[:-4] + b"\r\nx: 1" * 100 + b"\r\n\r\n")
+        case "an endless header":
+            caller.send(head[:-4] + b"\r\nx: ")
+            for _ in range(100):
+                caller.send(b"y" * 1024)
+        case "a slow body":
+            await slowly(caller, (head, *(b"x" for _ in range(12))))
+        case "an endless chunked body":
+            caller.send(chunked)
+            for _ in range(40):
+                caller.send(b"10000\r\n" + b"x" * 65536 + b"\r\n")
+                await asyncio.sleep(0.001)
+        case "bytes that are not HTTP":
+            caller.send(b"\x16\x03\x01\x02\x00\r\n\r\n")
+        case "a malformed key":
+            caller.send(head.replace(b"Bearer key", b"Bearer\xff"))
+        case "an unknown queue":
+            caller.send(head.replace(b"door-open", b"other"))
+        case "an unknown path":
+            caller.send(head.replace(b"/queues", b"/other"))
+    return await caller.receive()
+
+
+@behave.when("a caller misuses its connection with {misuse}")
+def step(context, misuse):
+    async def scenario(_, doors):
+        bad = misuse_connection(doors[0], misuse)
+        await beside_another(context, doors[0], bad)
+
+    run_scenario(context, scenario)
+
+
+@behave.when("a caller hangs up within the body of its request")
+def step(context):
+    async def scenario(_, doors):
+        caller = doors[0].connect()
+        head = memory_caller.encode(
+            "POST", PATH, headers=(id_header(), "content-length: 50")
+        )
+        caller.send(head + b"run=0")
+        await asyncio.sleep(0.1)
+        caller.hang_up()
+        await asyncio.sleep(1.0)
+
+    run_scenario(context, scenario)
+
+
+@behave.when("a caller sends rubbish behind a request that runs")
+def step(context):
+    async def scenario(_, doors):
+        caller = doors[0].connect()
+        caller.send(
+            memory_caller.encode(
+                "POST", PATH, headers=(id_header(),), body=b"run=1"
+            )
+        )
+        await asyncio.sleep(0.1)
+        caller.send(b"rubbish\r\n\r\n")
+        context.response = await caller.receive()
+        context.is_closed = caller.is_closed
+
+    run_scenario(context, scenario)
+
+
+@behave.when(
+    "a caller repeats a running request through another host without a key"
+)
+def step(context):
+    async def scenario(_, doors):
+        header = id_header()
+        first = asyncio.ensure_future(
+            memory_caller.call(
+                doors[0], "POST", PATH, headers=(header,), body=b"run=1"
+            )
+        )
+        await asyncio.sleep(0.1)
+        context.response = await memory_caller.call(
+            doors[1], "POST", PATH, team="", headers=(header,), body=b"run=1"
+        )
+        await first
+
+    run_scenario(context, scenario)
+
+
+@behave.when("a caller submits a request for an asynchronous answer")
+def step(context):
+    async def scenario(_, doors):
+        context.submitted = await memory_caller.call(
+            doors[0],
+            "POST",
+            PATH,
+            headers=(id_header(), "prefer: respond-async"),
+            body=b"run=1",
+        )
+        path = context.submitted.headers["location"]
+
+        async def ask_all(method, team):
+            return [
+                await memory_caller.call(door, method, path, team=team)
+                for door in doors
+            ]
+
+        context.while_running = await ask_all("GET", "nursery-north")
+        context.strangers = await ask_all("GET", "nursery-south")
+        context.strangers += await ask_all("DELETE", "nursery-south")
+        if getattr(context, "cancels", False):
+            await memory_caller.call(doors[1], "DELETE", path)
+            await asyncio.sleep(0.3)
+        else:
+            await asyncio.sleep(1.5)
+            context.strangers += await ask_all("GET", "nursery-south")
+        context.ended = await ask_all("GET", "nursery-north")
+
+    context.submit_scenario = scenario
+    run_scenario(context, scenario)
+
+
+@behave.when("the caller cancels it through another host")
+def step(context):
+    # The run is repeated with the cancellation in its place.
+    context.cancels = True
+    run_scenario(context, context.submit_scenario)
+
+
+@behave.then('the caller gets a {status:d} problem "{reason}" and a log line')
+def step(context, status, reason):
+    response = context.response
+    assert response.status == status, response
+    assert response.headers["content-type"] == "application/problem+json"
+    problem = msgspec.json.decode(response.body)
+    assert problem["reason"] == reason, problem
+    assert problem["status"] == status, problem
+    assert problem["detail"], problem
+    assert problem["verdict"] == response.headers["chervillead-verdict"]
+    log_has(context, reason)
+
+
+@behave.then('the log says "{reason}"')
+def log_has(context, reason):
+    reasons = [entry.get("reason") for entry in context.log]
+    assert reason in reasons, reasons
+
+
+@behave.then("the other caller's request is answered")
+def step(context):
+    assert context.other.status == 200, context.other
+    assert context.other.body == b"done:run=1", context.other
+
+
+@behave.then("no bytes of bodies are held and nothing of the misuse has run")
+def step(context):
+    assert context.held == [0, 0], context.held
+    expected = 1 if hasattr(context, "other") else 0
+    assert len(context.bodies) == expected, context.bodies
+
+
+@behave.then("the caller gets the whole answer and its connection is closed")
+def step(context):
+    assert context.response.status == 200, context.response
+    assert context.response.body == b"done:run=1", context.response
+    assert context.is_closed
+
+
+@behave.then('the caller is refused with 401 and the verdict "{verdict}"')
+def step(context, verdict):
+    assert context.response.status == 401, context.response
+    found = context.response.headers["chervillead-verdict"]
+    assert found == verdict, context.response
+
+
+@behave.then("it is told 202 and where to fetch the answer")
+def step(context):
+    assert context.submitted.status == 202, context.submitted
+
+
+@behave.then("other hosts tell its team 202 while the request runs")
+def step(context):
+    statuses = [response.status for response in context.while_running]
+    assert statuses == [202, 202], context.while_running
+
+
+@behave.then(
+    "neither host shows it to another team or lets that team cancel it"
+)
+def step(context):
+    statuses = [response.status for response in context.strangers]
+    assert statuses == [404] * 6, context.strangers
+
+
+@behave.then("after the run both hosts give its team the answer")
+def step(context):
+    bodies = [response.body for response in context.ended]
+    assert bodies == [b"done:run=1"] * 2, context.ended
+
+
+@behave.then("both hosts tell that it was cancelled and had run")
+def step(context):
+    found = [
+        response.headers["chervillead-verdict"] for response in context.ended
+    ]
+    assert found == ["ran", "ran"], context.ended
+    assert [response.status for response in context.ended] == [410, 410]
