--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -6,10 +6,11 @@
 from benchmarks import black_hole
 from benchmarks import figures
 from benchmarks import fold
+from benchmarks import request_path
 
 BENCHMARKS: tuple[
     abc.Callable[[], abc.Iterator[figures.BenchmarkResult]], ...
-] = (fold.measure, black_hole.measure)
+] = (fold.measure, black_hole.measure, request_path.measure)
 
 
 def main() -> int:
--- a/tests/stand_ins/upstream.py
+++ b/tests/stand_ins/upstream.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import sys
 import typing
 
@@ -45,7 +46,7 @@
         self.checkpoints: list[str] = []
         self.throttled: dict[str, float] = {}
         self.answers: dict[str, tuple[float, bytes]] = {}
-        self._usage: list[tuple[float, int]] = []
+        self._usage = collections.deque([(0.0, 0)])
         self._leases: dict[str, float] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
@@ -73,10 +74,11 @@
     def keep_answer(self, request_id: str, answer: bytes) -> None:
         """Keeps a finished answer for some seconds."""
         now_s = asyncio.get_running_loop().time()
-        for old, (kept_s, _) in list(self.answers.items()):
-            if kept_s > now_s - KEEP_ANSWERS_S:
+        while self.answers:
+            oldest = next(iter(self.answers))
+            if self.answers[oldest][0] > now_s - KEEP_ANSWERS_S:
                 break
-            del self.answers[old]
+            del self.answers[oldest]
         self.answers[request_id] = (now_s, answer)
 
     def find(self, request_id: str) -> tuple[int, bytes]:
@@ -91,9 +93,9 @@
     def lagging_usage(self) -> int:
         """Returns how many tasks ran some seconds ago."""
         latest_s = asyncio.get_running_loop().time() - USAGE_LAG_S
-        old = [count for at_s, count in self._usage if at_s <= latest_s]
-        del self._usage[: max(0, len(old) - 1)]
-        return old[-1] if old else 0
+        while len(self._usage) > 1 and self._usage[1][0] <= latest_s:
+            self._usage.popleft()
+        return self._usage[0][1] if self._usage[0][0] <= latest_s else 0
 
     def _note_usage(self) -> None:
         now_s = asyncio.get_running_loop().time()
