Wait for one future for each request to an upstream

asyncio.wait over the answer and the sign that the task is gone took 7% of the profile of an idempotent request (0.23 of 3.3 s). A task that is gone now settles the call itself.

--- a/src/chervillead/assembly.py
+++ b/src/chervillead/assembly.py
@@ -209,15 +209,13 @@
         request: types.Request, grant: types.Grant
     ) -> submission.RequestOutcome:
         budget.note_attempt()
-        gone = asyncio.get_running_loop().create_future()
         try:
             return await pool.send(
                 pools,
                 request,
                 grant,
                 clock,
-                on_written=lambda: running.add(grant, gone),
-                gone=gone,
+                on_written=lambda call: running.add(grant, call),
             )
         finally:
             running.discard(grant)
--- a/src/chervillead/upstreams/leases.py
+++ b/src/chervillead/upstreams/leases.py
@@ -27,13 +27,13 @@
 
     Attributes:
         grant: Its grant.
-        gone: Becomes done when the upstream doesn't run it any more.
+        call: The call that waits for its answer.
         renewed_s: Monotonic time at which it was written, or at which its
             lease was last renewed.
     """
 
     grant: types.Grant
-    gone: asyncio.Future[None]
+    call: connections.Call
     renewed_s: float
 
 
@@ -44,10 +44,10 @@
         self._clock = clock
         self._tasks: dict[types.Upstream, dict[str, RunningTask]] = {}
 
-    def add(self, grant: types.Grant, gone: asyncio.Future[None]) -> None:
+    def add(self, grant: types.Grant, call: connections.Call) -> None:
         """Notes that the request of `grant` is being written."""
         self._tasks.setdefault(grant.upstream, {})[grant.request_id] = (
-            RunningTask(grant, gone, self._clock.monotonic())
+            RunningTask(grant, call, self._clock.monotonic())
         )
 
     def discard(self, grant: types.Grant) -> None:
@@ -123,18 +123,13 @@
         if alive is not None and request_id in alive:
             running.note_renewed(task)
         elif alive is not None or _has_lapsed(task, clock):
-            _mark_gone(task)
+            pool.note_gone(task.call)
 
 
 def _has_lapsed(task: RunningTask, clock: types.Clock) -> bool:
     return clock.monotonic() > task.renewed_s + task.grant.lease_s
 
 
-def _mark_gone(task: RunningTask) -> None:
-    if not task.gone.done():
-        task.gone.set_result(None)
-
-
 def _alive_ids(outcome: connections.CallOutcome) -> set[str] | None:
     """Returns the ids that still run, or None if the answer is unusable."""
     response = outcome.value_or(None)
--- a/src/chervillead/upstreams/pool.py
+++ b/src/chervillead/upstreams/pool.py
@@ -28,6 +28,10 @@
 MAX_FETCH_PAUSE_S = 1.0
 # One lease: by then, an upstream that hears nothing has stopped the task.
 SILENCE_S = 2.0
+# Outcomes after which the upstream may still have the answer.
+FETCHED_REASONS = frozenset(
+    ("upstream-connection-lost", "upstream-task-unknown")
+)
 
 
 class UpstreamPool(typing.NamedTuple):
@@ -118,8 +122,7 @@
     grant: types.Grant,
     clock: types.Clock,
     *,
-    on_written: abc.Callable[[], None] = lambda: None,
-    gone: asyncio.Future[None] | None = None,
+    on_written: abc.Callable[[connections.Call], None] = lambda call: None,
 ) -> result.Result[types.Answer, verdicts.Refusal]:
     """Sends a granted request once and returns its whole answer.
 
@@ -128,8 +131,8 @@
         request: What to send.
         grant: Where to send it, and until when it may start.
         clock: Source of time.
-        on_written: Called just before the first byte may leave.
-        gone: Done when the upstream has said that the task doesn't run.
+        on_written: Called just before the first byte may leave; `note_gone`
+            takes its argument.
 
     Returns:
         The answer, or a refusal whose verdict says whether the request may
@@ -142,49 +145,42 @@
         request.deadline_s,
         request_id=request.request_id,
         start_by_s=grant.start_by_s,
-        on_written=on_written,
+        on_written=lambda: on_written(call),
     )
     try:
-        outcome = await _outcome_unless_gone(call, gone)
-        if outcome is None or _is_connection_lost(outcome):
+        outcome = await call.outcome
+        if _may_be_fetched(outcome):
             outcome = await _fetch(pool, call, clock, outcome)
     finally:
         connections.cancel(call)
     return outcome.bind(_decode_answer)
 
 
-async def _outcome_unless_gone(
-    call: connections.Call, gone: asyncio.Future[None] | None
-) -> connections.CallOutcome | None:
-    """Returns the call's outcome, or None once its task is known as gone."""
-    if gone is None:
-        return await call.outcome
-    await asyncio.wait(
-        (call.outcome, gone), return_when=asyncio.FIRST_COMPLETED
+def note_gone(call: connections.Call) -> None:
+    """Ends the wait on the connection of a task that doesn't run any more."""
+    asyncio.get_running_loop().call_later(
+        ANSWER_GRACE_S, connections.settle, call, _unknown_task()
     )
-    if not call.outcome.done():
-        await asyncio.wait((call.outcome,), timeout=ANSWER_GRACE_S)
-    return call.outcome.result() if call.outcome.done() else None
 
 
-def _is_connection_lost(outcome: connections.CallOutcome) -> bool:
+def _may_be_fetched(outcome: connections.CallOutcome) -> bool:
     """Returns whether only the connection was lost, perhaps not the task."""
     if pipeline.is_successful(outcome):
         return False
-    return outcome.failure().reason == "upstream-connection-lost"
+    return outcome.failure().reason in FETCHED_REASONS
 
 
 async def _fetch(
     pool: UpstreamPool,
     call: connections.Call,
     clock: types.Clock,
-    lost: connections.CallOutcome | None,
+    lost: connections.CallOutcome,
 ) -> connections.CallOutcome:
     """Asks for the answer by id over another connection until it is known.
 
     Returns:
-        The answer; or "may have run" when the upstream doesn't know the task,
-        because the request may still be on its way to it.
+        The answer; or `lost`, "may have run", when the upstream doesn't know
+        the task, because the request may still be on its way to it.
     """
     heard_s = clock.monotonic()
     pause_s = ANSWER_GRACE_S
@@ -198,17 +194,12 @@
         if status == 200:
             return fetched
         if status in (404, 410):
-            return _unknown_task() if lost is None else lost
+            return lost
         if status == 202:
             heard_s = clock.monotonic()
-        # The first connection may still deliver while the task runs.
-        await asyncio.wait((call.outcome,), timeout=pause_s)
-        if lost is None and call.outcome.done():
-            return call.outcome.result()
-        if call.outcome.done():
-            await asyncio.sleep(pause_s)
+        await asyncio.sleep(pause_s)
         pause_s = min(2 * pause_s, MAX_FETCH_PAUSE_S)
-    return _silent() if lost is None else lost
+    return _silent()
 
 
 def _unknown_task() -> connections.CallOutcome:
