--- a/src/chervillead/callers/request_ids.py
+++ b/src/chervillead/callers/request_ids.py
@@ -6,6 +6,7 @@
 """
 
 import random
+import re
 import typing
 import uuid
 
@@ -15,6 +16,10 @@
 
 MAX_AHEAD_S = 2.0  # tolerated difference between clocks
 MAX_AGE_S = 600.0  # claims are forgotten after this
+# uuid.UUID takes several times as long, for each of the checks of a request.
+_CANONICAL = re.compile(
+    "[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}"
+)
 
 
 class RequestId(typing.NamedTuple):
@@ -62,13 +67,10 @@
         The id; or "not run" for one that is malformed or from the future; or
         "may have run" for one so old that its claim may be forgotten.
     """
-    try:
-        parsed = uuid.UUID(text)
-    except ValueError:
+    text = text.lower()
+    if _CANONICAL.fullmatch(text) is None:
         return result.Failure(_malformed(text))
-    if parsed.version != 7 or str(parsed) != text.lower():
-        return result.Failure(_malformed(text))
-    created_s = (parsed.int >> 80) / 1000
+    created_s = int(text[0:8] + text[9:13], 16) / 1000
     if created_s > now_s + MAX_AHEAD_S:
         return result.Failure(
             verdicts.not_run(
@@ -86,7 +88,7 @@
                 f"{text} is older than {MAX_AGE_S:.0f} s",
             )
         )
-    return result.Success(RequestId(str(parsed), created_s, parsed.bytes[15]))
+    return result.Success(RequestId(text, created_s, int(text[-2:], 16)))
 
 
 def _malformed(text: str) -> verdicts.Refusal:
