Collect garbage less often and skip proxy headers in the daemon

The forwarder keeps the defaults, so a part of this would be open to it too.

The check of the connection limit moves behind the exchange: once for each call instead of twice.

--- a/src/chervillead/daemon.py
+++ b/src/chervillead/daemon.py
@@ -1,6 +1,7 @@
 """Runs one entry host as a process: signals, HTTP server, background tasks."""
 
 import asyncio
+import gc
 import signal
 import time
 
@@ -16,10 +17,16 @@
 # A request can't outlive its deadline, so a longer drain is never needed.
 DRAIN_TIMEOUT_S = application.MAX_DEADLINE_MS / 1000
 
+# Requests make few cycles, and each full collection walks all kept claims. The
+# interpreter's thresholds (700, 10, 10) cost a fifth of the time of a request.
+GC_THRESHOLDS = (20_000, 20, 100)
+
 
 async def serve(settings: settings_module.Settings) -> None:
     """Runs an entry host until SIGTERM or SIGINT."""
     parts = assembly.assemble(settings, SYSTEM_CLOCK)
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
     stopping = asyncio.Event()
     front_end = assembly.front_end_ports(parts, stopping.is_set)
     eliot.log_message("daemon:start", host=settings.host, zone=settings.zone)
@@ -49,6 +56,7 @@
             lifespan="off",
             log_config=None,
             access_log=False,
+            proxy_headers=False,
             http="httptools",
             timeout_graceful_shutdown=int(DRAIN_TIMEOUT_S),
         )
--- a/src/chervillead/upstreams/connections.py
+++ b/src/chervillead/upstreams/connections.py
@@ -82,7 +82,7 @@
         return
     try:
         calls.opened()
-        while calls.may_stay():
+        while True:
             # A closed connection leaves its calls to the next one.
             if reader.at_eof():
                 return
@@ -93,7 +93,7 @@
                 continue
             outcome = await _exchange(address, reader, writer, call, clock)
             settle(call, outcome)
-            if not _is_reusable(outcome):
+            if not _is_reusable(outcome) or not calls.may_stay():
                 return
     finally:
         writer.close()
