--- a/src/chervillead/assembly.py
+++ b/src/chervillead/assembly.py
@@ -23,8 +23,10 @@
 from chervillead.entries import dispatcher
 from chervillead.entries import host as host_module
 from chervillead.entries import messages
+from chervillead.platform import host_list
 from chervillead.platform import log_client
 from chervillead.platform import log_reader
+from chervillead.platform import snapshot_writer
 from chervillead.upstreams import leases
 from chervillead.upstreams import pool
 
@@ -45,6 +47,7 @@
         ports: Functions of the path of a request.
         dial: Opens connections.
         listen: Accepts connections.
+        host_list: Holder of the platform's list of live and leaving hosts.
     """
 
     settings: settings_module.Settings
@@ -57,6 +60,7 @@
     ports: submission.SubmissionPorts
     dial: http_exchange.Dial
     listen: http_exchange.Listen
+    host_list: host_list.HostListHolder
 
 
 def assemble(
@@ -88,6 +92,7 @@
         _submission_ports(entry, settings, pools, running, requests, clock),
         dial,
         listen,
+        host_list.HostListHolder(clock),
     )
 
 
@@ -95,6 +100,18 @@
     """Runs all tasks but the front end until cancelled."""
     async with asyncio.TaskGroup() as tasks:
         tasks.create_task(log_reader.follow_log(parts.reader, parts.platform))
+        tasks.create_task(
+            host_list.follow_hosts(parts.host_list, parts.platform)
+        )
+        tasks.create_task(
+            snapshot_writer.keep_snapshots(
+                parts.reader,
+                parts.platform,
+                parts.clock,
+                host=parts.settings.host,
+                live=lambda: parts.entry.membership.live,
+            )
+        )
         tasks.create_task(
             host_module.run_entry_host(
                 parts.entry,
--- a/src/chervillead/platform/log_client.py
+++ b/src/chervillead/platform/log_client.py
@@ -13,6 +13,9 @@
 
 READ_LIMIT = 1000
 
+# Failure of an append over the platform's rate limit; nothing was appended.
+RATE_LIMITED = "the platform's rate limit is reached"
+
 
 class HostEntry(typing.NamedTuple):
     """One line of the platform's lagging host list."""
@@ -71,6 +74,8 @@
             http_exchange.IncompleteResponseError,
         ) as error:
             return result.Failure(f"{type(error).__name__}: {error}")
+        if response.status == 429:
+            return result.Failure(RATE_LIMITED)
         if response.status != 200:
             return result.Failure(f"platform answered {response.status}")
         return result.Success(response.body)
--- a/src/chervillead/platform/publisher.py
+++ b/src/chervillead/platform/publisher.py
@@ -6,6 +6,9 @@
 import typing
 import uuid
 
+from returns import pipeline
+from returns import result
+
 from chervillead import types
 from chervillead.platform import fold
 from chervillead.platform import log_client
@@ -13,7 +16,13 @@
 from chervillead.platform import records
 
 READ_BACK_S = 10.0
-APPEND_RETRY_S = 1.0
+
+# Pause before the next append of the same record: full jitter between the
+# floor and a ceiling that doubles, so that a record is appended about six
+# times in 10 s at most, whatever the platform answers.
+MIN_RETRY_S = 0.2
+FIRST_RETRY_S = 1.0
+MAX_RETRY_S = 4.0
 
 
 class Publication(enum.Enum):
@@ -47,44 +56,92 @@
     return records.Record(record_id, kind, subject, version, fields)
 
 
+def check_record(
+    record: records.Record, reader: log_reader.LogReader
+) -> fold.Fate:
+    """Returns what the fold would make of `record` now; appends nothing."""
+    return fold.check_record(reader.configuration, record)
+
+
 async def publish(
     record: records.Record,
     reader: log_reader.LogReader,
     platform: log_client.PlatformClient,
     clock: types.Clock,
+    *,
+    within_s: float = READ_BACK_S,
 ) -> PublishedRecord:
     """Appends `record` until its fate is seen in the log, or time runs out.
 
     An append whose answer was lost may have taken effect. The fold passes over
-    a repeated id, so appending again is safe.
+    a repeated id, so appending again is safe. Once an append was confirmed,
+    only the fate is awaited.
     """
-    give_up_s = clock.monotonic() + READ_BACK_S
+    checked = check_record(record, reader)
+    if checked.outcome is fold.Outcome.MALFORMED:
+        # No state makes it well-formed, so it isn't appended at all.
+        return _published(checked)._replace(offset=None)
+    give_up_s = clock.monotonic() + within_s
     data = records.encode_record(record)
+    attempts, may_be_in_log = 0, False
     while clock.monotonic() < give_up_s:
-        await platform.append(data)
-        fate = await _wait_for_fate(
-            record.record_id,
-            reader,
-            clock,
-            until_s=min(give_up_s, clock.monotonic() + APPEND_RETRY_S),
-        )
+        fate = _known_fate(record, reader)
+        if fate is not None:
+            return _published(fate)
+        appended = await platform.append(data)
+        if pipeline.is_successful(appended):
+            pause_s = within_s
+        else:
+            ceiling_s = min(MAX_RETRY_S, FIRST_RETRY_S * 2**attempts)
+            pause_s = random.uniform(MIN_RETRY_S, ceiling_s)
+        attempts += 1
+        if appended != result.Failure(log_client.RATE_LIMITED):
+            may_be_in_log = True
+        until_s = min(give_up_s, clock.monotonic() + pause_s)
+        fate = await _wait_for_fate(record, reader, clock, until_s=until_s)
         if fate is not None:
             return _published(fate)
+    if not may_be_in_log:
+        return PublishedRecord(
+            Publication.REFUSED,
+            record.record_id,
+            detail=f"not appended: {log_client.RATE_LIMITED}",
+        )
     return PublishedRecord(
         Publication.UNKNOWN,
         record.record_id,
-        detail=f"not seen in the log within {READ_BACK_S} s",
+        detail=f"not seen in the log within {within_s} s",
     )
 
 
+def _known_fate(
+    record: records.Record, reader: log_reader.LogReader
+) -> fold.Fate | None:
+    """Returns the record's fate if this host can tell it.
+
+    A host that went on from a snapshot didn't fold the record itself; the
+    snapshot tells where the record was and whether it set the version.
+    """
+    fate = reader.fate_of(record.record_id)
+    if fate is not None:
+        return fate
+    state = reader.configuration
+    offset = state.recent_ids.get(record.record_id)
+    if offset is None:
+        return None
+    if state.versions.get((record.kind, record.subject)) == offset:
+        return fold.Fate(offset, record.record_id, fold.Outcome.ACCEPTED)
+    return None
+
+
 async def _wait_for_fate(
-    record_id: str,
+    record: records.Record,
     reader: log_reader.LogReader,
     clock: types.Clock,
     *,
     until_s: float,
 ) -> fold.Fate | None:
-    while (fate := reader.fate_of(record_id)) is None:
+    while (fate := _known_fate(record, reader)) is None:
         left_s = until_s - clock.monotonic()
         if left_s <= 0:
             return None
@@ -92,7 +149,7 @@
             async with asyncio.timeout(left_s):
                 await reader.wait_for_change()
         except TimeoutError:
-            return reader.fate_of(record_id)
+            return _known_fate(record, reader)
     return fate
 
 
--- a/src/chervillead/platform/records.py
+++ b/src/chervillead/platform/records.py
@@ -73,10 +73,17 @@
 
 
 class OffsetRecord(typing.NamedTuple):
-    """A decoded record at its offset; `record` is None if it was malformed."""
+    """A decoded record at its offset.
+
+    Attributes:
+        offset: Offset in the log.
+        record: The record, or None if it was malformed.
+        data: Its bytes in the log, so that peers can be served the same.
+    """
 
     offset: int
     record: Record | None
+    data: bytes = b""
 
 
 class LogPage(typing.NamedTuple):
@@ -113,7 +120,7 @@
     """Returns the record in `data`, or why there is none."""
     try:
         return result.Success(Record(**_decoder.decode(data)))
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         return result.Failure(f"malformed record: {error}")
 
 
@@ -126,5 +133,5 @@
     """
     for entry in entries:
         yield OffsetRecord(
-            entry.offset, decode_record(entry.data).value_or(None)
+            entry.offset, decode_record(entry.data).value_or(None), entry.data
         )
--- /dev/null
+++ b/src/chervillead/platform/snapshot_writer.py
@@ -0,0 +1,55 @@
+"""The task that appends snapshots of the state well within the retention."""
+
+import asyncio
+from collections import abc
+import random
+
+import eliot
+
+from chervillead import types
+from chervillead.platform import log_client
+from chervillead.platform import log_reader
+from chervillead.platform import publisher
+from chervillead.platform import snapshots
+
+CHECK_S = 1.0
+
+
+async def keep_snapshots(
+    reader: log_reader.LogReader,
+    platform: log_client.PlatformClient,
+    clock: types.Clock,
+    *,
+    host: str,
+    live: abc.Callable[[], abc.Container[str]],
+    retention: int = snapshots.RETENTION_RECORDS,
+) -> None:
+    """Appends a snapshot whenever one is due, until cancelled."""
+
+    def is_due() -> bool:
+        holder = snapshots.lowest_live_holder(reader.configuration, live())
+        return not reader.alarms and snapshots.snapshot_is_due(
+            offset=reader.configuration.offset,
+            oldest=reader.oldest,
+            newest_snapshot=reader.newest_snapshot,
+            is_lowest_holder=holder == host,
+            retention=retention,
+        )
+
+    while True:
+        # The pause differs between hosts, so that one host's snapshot is seen
+        # by the others before all of them append one.
+        await asyncio.sleep(random.uniform(0, 2 * CHECK_S))
+        if not is_due():
+            continue
+        published = await publisher.publish(
+            snapshots.propose_snapshot(reader.configuration),
+            reader,
+            platform,
+            clock,
+        )
+        eliot.log_message(
+            "platform:snapshot",
+            record=published.record_id,
+            publication=published.publication.value,
+        )
--- a/tests/stand_ins/fold_machine.py
+++ b/tests/stand_ins/fold_machine.py
@@ -15,22 +15,6 @@
 from chervillead.platform import team_units
 from stand_ins import fold_shapes
 
-NEXT_STATES: dict[str, dict[str | None, str]] = {
-    records.DRAIN: {
-        None: "granted",
-        "granted": "drained",
-        "drained": "failed",
-        "failed": "returned",
-        "returned": "granted",
-    },
-    records.MOVE: {
-        None: "leaving",
-        "leaving": "drained",
-        "drained": "joined",
-        "joined": "leaving",
-    },
-}
-
 
 class FoldMachine(stateful.RuleBasedStateMachine):
     """Folds random records one by one and checks each step."""
@@ -87,7 +71,7 @@
     )
     def advance_host(self, host: str, pool: str, kind: str) -> None:
         """Takes a drain or a move one step on."""
-        steps = NEXT_STATES[kind]
+        steps = fold_shapes.NEXT_STATES[kind]
         values = (
             self.state.drains if kind == records.DRAIN else (self.state.moves)
         )
@@ -119,6 +103,16 @@
         }
         self._propose(records.TRANSFER, zones[0], fields)
 
+    @stateful.rule(
+        team=strategies.sampled_from(fold_shapes.TEAMS),
+        limit=strategies.integers(0, 20),
+    )
+    def change_limit(self, team: str, limit: int) -> None:
+        """Declares a late zone, then changes a limit that it has no part of."""
+        zone = fold_shapes.ZONES[-1]
+        self._propose(records.ZONE, zone, {"index": 2})
+        self._propose(records.TEAM, team, {"share": 1.0, "limit": limit})
+
     @stateful.rule(data=strategies.data(), based_on=strategies.integers(-1, 30))
     def stale(self, data: strategies.DataObject, based_on: int) -> None:
         """Folds a record that is based on any version."""
@@ -243,9 +237,8 @@
     @stateful.invariant()
     def unique_seats(self) -> None:
         """Checks that no host holds two duty seats or two standby seats."""
-        held = [
-            (seat.host, seat.number == 0) for seat in self.state.seats.values()
-        ]
+        seats = self.state.seats.values()
+        held = [(seat.host, seat.number == 0) for seat in seats]
         assert len(held) == len(set(held)), held
 
     def teardown(self) -> None:
--- a/tests/stand_ins/fold_shapes.py
+++ b/tests/stand_ins/fold_shapes.py
@@ -73,6 +73,23 @@
     "nonsense": ("x", _fields(a=1)),
 }
 
+# The step that follows each state; None stands for no drain or move.
+NEXT_STATES: dict[str, dict[str | None, str]] = {
+    records.DRAIN: {
+        None: "granted",
+        "granted": "drained",
+        "drained": "failed",
+        "failed": "returned",
+        "returned": "granted",
+    },
+    records.MOVE: {
+        None: "leaving",
+        "leaving": "drained",
+        "drained": "joined",
+        "joined": "leaving",
+    },
+}
+
 # Hosts change state often, so that budgets are reached within a run, and zones
 # and teams, so that a zone is declared after a team.
 _KINDS = (
--- a/tests/stand_ins/platform.py
+++ b/tests/stand_ins/platform.py
@@ -1,6 +1,8 @@
 """Stand-in for the platform: an append-only log and a lagging host list.
 
-Run as `python -m stand_ins.platform PORT`. See docs/protocols.md.
+Run as `python -m stand_ins.platform PORT`. See docs/protocols.md. Faults are
+attributes and actions of `PlatformState`; POST /faults sets or calls them by
+name, for instance {"is_down": true} or {"lose_tail": [3]}.
 """
 
 import asyncio
@@ -8,14 +10,31 @@
 import typing
 
 import msgspec
+from returns import result
 
+from chervillead.platform import log_client
+from chervillead.platform import records
 from stand_ins import http_server
 
 MAX_APPENDS_PER_S = 400
+ACTIONS = frozenset(("lose_tail", "reboot", "drain_hosts"))
 
 
 class PlatformState:
-    """The log, and the faults that a test switches on."""
+    """The log, the host list, and the faults that a test switches on.
+
+    Attributes:
+        entries: Kept records with their offsets.
+        end: Offset that the next append gets.
+        hosts: Lines of the host list before any action on hosts.
+        is_down: Whether all calls fail.
+        lose_answers: Number of appends whose answers are lost after the effect.
+        slow_s: Delay of each answer.
+        max_appends_per_s: Rate limit.
+        retention: Number of records that are kept.
+        host_lag_s: Age of the host list that is handed out.
+        appends: Number of append calls, refused ones included.
+    """
 
     def __init__(self, *, retention: int = 100_000) -> None:
         self.entries: list[tuple[int, bytes]] = []
@@ -23,22 +42,33 @@
         self.hosts: list[dict[str, typing.Any]] = []
         self.is_down = False
         self.lose_answers = 0
-        self._retention = retention
+        self.slow_s = 0.0
+        self.max_appends_per_s = MAX_APPENDS_PER_S
+        self.retention = retention
+        self.host_lag_s = 0.0
+        self.appends = 0
         self._appended = asyncio.Event()
         self._second = -1
-        self._appends = 0
+        self._appends_of_second = 0
+        self._host_events: list[tuple[float, str, bool, bool]] = []
 
     def append(self, data: bytes, now_s: float) -> int | None:
-        """Appends bytes; returns the offset, or None over the rate limit."""
-        if int(now_s) != self._second:
-            self._second, self._appends = int(now_s), 0
-        self._appends += 1
-        if self._appends > MAX_APPENDS_PER_S:
-            return None
+        """Appends bytes; returns the offset, or None over the rate limit.
+
+        A negative `now_s` stands for a tool outside the run, which isn't
+        limited.
+        """
+        self.appends += 1
+        if now_s >= 0:
+            if int(now_s) != self._second:
+                self._second, self._appends_of_second = int(now_s), 0
+            self._appends_of_second += 1
+            if self._appends_of_second > self.max_appends_per_s:
+                return None
         offset = self.end
         self.entries.append((offset, data))
         self.end += 1
-        del self.entries[: max(0, len(self.entries) - self._retention)]
+        del self.entries[: max(0, len(self.entries) - self.retention)]
         appended, self._appended = self._appended, asyncio.Event()
         appended.set()
         return offset
@@ -57,6 +87,101 @@
         start = max(0, offset - oldest)
         return oldest, self.end, self.entries[start : start + limit]
 
+    def lose_tail(self, count: int) -> None:
+        """Forgets the last records, as a platform that fails over may do."""
+        del self.entries[len(self.entries) - count :]
+        self.end -= count
+
+    def drain_hosts(self, names: list[str], now_s: float) -> None:
+        """Shows hosts as leaving from `now_s` on."""
+        self._host_events += [(now_s, name, True, True) for name in names]
+
+    def reboot(
+        self, names: list[str], now_s: float, leaving_s: float, down_s: float
+    ) -> None:
+        """Shows hosts as leaving, then as down, then as live."""
+        down_at_s = now_s + leaving_s
+        self.drain_hosts(names, now_s)
+        for name in names:
+            self._host_events += [
+                (down_at_s, name, False, False),
+                (down_at_s + down_s, name, True, False),
+            ]
+
+    def list_hosts(self, now_s: float) -> list[dict[str, typing.Any]]:
+        """Returns the host list as it was `host_lag_s` ago."""
+        listed = {host["name"]: dict(host) for host in self.hosts}
+        for at_s, name, live, leaving in sorted(self._host_events):
+            if at_s <= now_s - self.host_lag_s:
+                listed[name] = {"name": name, "live": live, "leaving": leaving}
+        return list(listed.values())
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def memory_client(state: PlatformState) -> log_client.PlatformClient:
+    """Returns a client that calls the stand-in without a connection."""
+
+    async def call(operation: typing.Any) -> typing.Any:
+        await asyncio.sleep(state.slow_s)
+        if state.is_down:
+            return result.Failure("platform answered 503")
+        return operation()
+
+    async def append(data: bytes) -> result.Result[int, str]:
+        def operation() -> result.Result[int, str]:
+            offset = state.append(data, _now_s())
+            if offset is None:
+                return result.Failure(log_client.RATE_LIMITED)
+            if state.lose_answers > 0:
+                state.lose_answers -= 1
+                return result.Failure("the connection was closed")
+            return result.Success(offset)
+
+        return typing.cast(result.Result[int, str], await call(operation))
+
+    async def read(
+        offset: int, wait_s: float
+    ) -> result.Result[records.LogPage, str]:
+        if not state.is_down:
+            oldest, end, entries = await state.read(
+                offset, log_client.READ_LIMIT, wait_s
+            )
+            kept = [records.LogEntry(*entry) for entry in entries]
+            page = records.LogPage(oldest, end, kept)
+        return typing.cast(
+            result.Result[records.LogPage, str],
+            await call(lambda: result.Success(page)),
+        )
+
+    async def list_hosts() -> result.Result[list[log_client.HostEntry], str]:
+        return typing.cast(
+            result.Result[list[log_client.HostEntry], str],
+            await call(
+                lambda: result.Success(
+                    [
+                        log_client.HostEntry(**host)
+                        for host in state.list_hosts(_now_s())
+                    ]
+                )
+            ),
+        )
+
+    return log_client.PlatformClient(read, append, list_hosts)
+
+
+def _apply_faults(state: PlatformState, body: bytes) -> http_server.Reply:
+    for name, value in msgspec.json.decode(body).items():
+        if name in ACTIONS:
+            getattr(state, name)(*value)
+        elif name in vars(state) and not name.startswith("_"):
+            setattr(state, name, value)
+        else:
+            return http_server.Reply(400, f"unknown fault {name!r}".encode())
+    return http_server.Reply(200)
+
 
 def build_handler(state: PlatformState) -> http_server.Handler:
     """Returns the HTTP handler of the platform."""
@@ -65,14 +190,13 @@
         request: http_server.ReceivedRequest, writer: asyncio.StreamWriter
     ) -> http_server.Reply | None:
         if request.path == "/faults" and request.method == "POST":
-            for name, value in msgspec.json.decode(request.body).items():
-                setattr(state, name, value)
-            return http_server.Reply(200)
+            return _apply_faults(state, request.body)
+        if state.slow_s > 0:
+            await asyncio.sleep(state.slow_s)
         if state.is_down:
             return http_server.Reply(503)
         if request.path == "/log" and request.method == "POST":
-            now_s = asyncio.get_running_loop().time()
-            offset = state.append(request.body, now_s)
+            offset = state.append(request.body, _now_s())
             if offset is None:
                 return http_server.Reply(429)
             if state.lose_answers > 0:
@@ -89,7 +213,8 @@
             )
             return http_server.Reply(200, msgspec.msgpack.encode(page))
         if request.path == "/hosts":
-            return http_server.Reply(200, msgspec.json.encode(state.hosts))
+            listed = state.list_hosts(_now_s())
+            return http_server.Reply(200, msgspec.json.encode(listed))
         return http_server.Reply(404)
 
     return handle
