--- /dev/null
+++ b/tests/steps/platform_publisher.py
@@ -0,0 +1,194 @@
+"""Steps of tests/platform/publisher.feature."""
+
+import asyncio
+import collections
+
+import behave
+
+from chervillead.platform import configuration as configuration_module
+from chervillead.platform import fold
+from chervillead.platform import publisher
+from chervillead.platform import records
+from stand_ins import log_fleet
+from stand_ins import virtual_time
+
+
+@behave.when(
+    "{count:d} seeded runs of {operators:d} racing operators lose answers and "
+    "the platform for 3 s"
+)
+def step(context, count, operators):
+    context.runs = [
+        virtual_time.run_virtual(race(operators), context.seed + index)
+        for index in range(count)
+    ]
+
+
+async def race(operators):
+    fleet = log_fleet.LogFleet()
+    for _ in range(operators):
+        fleet.start_reader()
+    fleet.append("pool", "p", spare=False)
+    await asyncio.sleep(1)
+    results = []
+    for round_number in range(4):
+        fleet.platform.lose_answers = round_number * 2
+        tasks = [
+            asyncio.ensure_future(fleet.publish(reader, propose_pool(reader)))
+            for reader in fleet.readers
+        ]
+        if round_number % 2:
+            await asyncio.sleep(0.002)
+            fleet.platform.is_down = True
+            await asyncio.sleep(3)
+            fleet.platform.is_down = False
+        results.append([await task for task in tasks])
+        await asyncio.sleep(1)
+    fleet.reference()
+    await fleet.stop()
+    return results, fleet.published
+
+
+def propose_pool(reader, **fields):
+    return publisher.propose(
+        reader, records.POOL, "p", fields or {"max_unavailable": 2}
+    )
+
+
+@behave.then("every report is the fate that the whole log gives")
+def step(context):
+    for results, log in context.runs:
+        fates = {}
+        for folded in fold.fold_records(
+            configuration_module.EMPTY, records.decode_entries(log)
+        ):
+            fates.setdefault(folded.fate.record_id, folded.fate)
+        for result in (r for round_ in results for r in round_):
+            fate = fates[result.record_id]
+            accepted = fate.outcome is fold.Outcome.ACCEPTED
+            assert result.offset == fate.offset, (result, fate)
+            assert result.publication is (
+                publisher.Publication.ACCEPTED
+                if accepted
+                else publisher.Publication.REFUSED
+            ), (result, fate)
+            assert accepted or fate.detail in result.detail, (result, fate)
+
+
+@behave.then("each race has one winner")
+def step(context):
+    for results, _ in context.runs:
+        for round_ in results:
+            publications = [r.publication.value for r in round_]
+            assert publications.count("accepted") == 1, publications
+
+
+@behave.then("no record was appended more than {count:d} times")
+def step(context, count):
+    for _, log in context.runs:
+        appended = collections.Counter(
+            entry.record.record_id for entry in records.decode_entries(log)
+        )
+        assert max(appended.values()) <= count, appended.most_common(2)
+
+
+def publish_one(context, prepare, propose=propose_pool, cut=()):
+    async def main():
+        fleet = log_fleet.LogFleet()
+        reader = fleet.start_reader()
+        fleet.append("pool", "p", spare=False)
+        await asyncio.sleep(1)
+        fleet.cut = set(cut)
+        await asyncio.sleep(1)
+        context.before = fleet.platform.end
+        task = asyncio.ensure_future(fleet.publish(reader, propose(reader)))
+        await prepare(fleet, reader)
+        context.published = await task
+        context.appended = fleet.platform.end - context.before
+        context.appends = fleet.platform.appends
+        await fleet.stop()
+
+    virtual_time.run_virtual(main(), context.seed)
+
+
+@behave.when("a record is published while the platform is away for a minute")
+def step(context):
+    async def prepare(fleet, reader):
+        fleet.platform.is_down = True
+
+    publish_one(context, prepare)
+
+
+@behave.when("a record is published over the platform's rate limit")
+def step(context):
+    async def prepare(fleet, reader):
+        fleet.platform.max_appends_per_s = 0
+
+    publish_one(context, prepare)
+    assert context.appends <= 15, context.appends
+
+
+@behave.when("a record with unknown fields is published")
+def step(context):
+    async def prepare(fleet, reader):
+        await asyncio.sleep(0)
+
+    publish_one(context, prepare, lambda r: propose_pool(r, colour="red"))
+
+
+@behave.when(
+    "a publisher's host goes on from a snapshot that includes the record"
+)
+def step(context):
+    async def prepare(fleet, reader):
+        fleet.platform.lose_answers = 1
+        await asyncio.sleep(1)
+        assert reader.configuration.offset == 0
+        reader.take_state(fleet.reference())
+
+    publish_one(context, prepare, cut=(0,))
+
+
+@behave.then('the publication is {publication} and names "{named}"')
+def step(context, publication, named):
+    assert context.published.publication.value == publication, context.published
+    assert named in context.published.detail, context.published
+
+
+@behave.then('the publication is {publication} and names ""')
+def step(context, publication):
+    assert context.published.publication.value == publication, context.published
+    assert not context.published.detail, context.published
+
+
+@behave.then("nothing was appended")
+def step(context):
+    assert context.appended == 0, context.appended
+
+
+@behave.when("records that would be accepted, stale and refused are checked")
+def step(context):
+    async def main():
+        fleet = log_fleet.LogFleet()
+        reader = fleet.start_reader()
+        fleet.append("pool", "p", spare=False)
+        await asyncio.sleep(1)
+        good = propose_pool(reader)
+        checked = (
+            good,
+            good._replace(based_on=-1),
+            propose_pool(reader, max_unavailable=-1),
+        )
+        context.outcomes = [
+            publisher.check_record(record, reader).outcome.value
+            for record in checked
+        ]
+        context.appended = fleet.platform.end - 1
+        await fleet.stop()
+
+    virtual_time.run_virtual(main(), context.seed)
+
+
+@behave.then('the checks say "{outcomes}"')
+def step(context, outcomes):
+    assert ", ".join(context.outcomes) == outcomes, context.outcomes
