--- a/tests/steps/callers_submission.py
+++ b/tests/steps/callers_submission.py
@@ -166,6 +166,8 @@
     async def scenario(fleet):
         for upstream in fleet.upstreams.values():
             upstream.failure = "close"
+            # Otherwise the lost answer is fetched by id.
+            upstream.keeps_answers = False
         submitted = asyncio.ensure_future(
             fleet.submit(
                 "entry-a0",
