--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -3,12 +3,13 @@
 from collections import abc
 import sys
 
+from benchmarks import dispatcher
 from benchmarks import figures
 from benchmarks import fold
 
 BENCHMARKS: tuple[
     abc.Callable[[], abc.Iterator[figures.BenchmarkResult]], ...
-] = (fold.measure,)
+] = (fold.measure, dispatcher.measure)
 
 
 def main() -> int:
