--- a/tests/callers/application.feature
+++ b/tests/callers/application.feature
@@ -70,3 +70,8 @@
     When a caller submits a request for an asynchronous answer
     And the caller cancels it through another host
     Then both hosts tell that it was cancelled and had run
+
+  Scenario: A stopping host sends its callers elsewhere
+    # Guards against a kept connection that is cut when the host closes it.
+    When a caller asks a stopping host for an answer and for its readiness
+    Then it is answered, told that the host isn't ready, and both times to close
--- /dev/null
+++ b/tests/steps/callers_answers.py
@@ -0,0 +1,31 @@
+"""Steps of tests/callers/answers.feature."""
+
+import behave
+from returns import result
+
+from chervillead import types
+from chervillead.callers import answers
+
+BODY = b"x" * 1024
+
+
+@behave.given("an answer store with room for {count:d} answers")
+def step(context, count):
+    clock = types.Clock(lambda: 0.0, lambda: 0.0)
+    context.room = count * (answers.OVERHEAD_BYTES + len(BODY))
+    context.store = answers.AnswerStore(clock, context.room)
+
+
+@behave.when("{count:d} answers are stored")
+def step(context, count):
+    context.ids = [str(number) for number in range(count)]
+    for request_id in context.ids:
+        answer = types.Answer(200, "text/plain", BODY)
+        context.store.keep(request_id, "team", result.Success(answer))
+
+
+@behave.then("only the newest {count:d} can be fetched")
+def step(context, count):
+    found = [i for i in context.ids if context.store.find(i) is not None]
+    assert found == context.ids[-count:], found
+    assert context.store.stored_bytes == context.room
--- a/tests/steps/callers_application.py
+++ b/tests/steps/callers_application.py
@@ -295,3 +295,27 @@
     ]
     assert found == ["ran", "ran"], context.ended
     assert [response.status for response in context.ended] == [410, 410]
+
+
+@behave.when(
+    "a caller asks a stopping host for an answer and for its readiness"
+)
+def step(context):
+    async def scenario(_, doors):
+        doors[0].stopping = True
+        context.stopping = [
+            await memory_caller.call(
+                doors[0], "POST", PATH, headers=(id_header(),), body=b"run=1"
+            ),
+            await memory_caller.call(doors[0], "GET", "/readyz"),
+        ]
+
+    run_scenario(context, scenario)
+
+
+@behave.then(
+    "it is answered, told that the host isn't ready, and both times to close"
+)
+def step(context):
+    found = [(r.status, r.headers.get("connection")) for r in context.stopping]
+    assert found == [(200, "close"), (503, "close")], context.stopping
