--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -4,12 +4,13 @@
 import sys
 
 from benchmarks import black_hole
+from benchmarks import configuration_spread
 from benchmarks import figures
 from benchmarks import fold
 
 BENCHMARKS: tuple[
     abc.Callable[[], abc.Iterator[figures.BenchmarkResult]], ...
-] = (fold.measure, black_hole.measure)
+] = (fold.measure, configuration_spread.measure, black_hole.measure)
 
 
 def main() -> int:
--- a/src/chervillead/platform/snapshots.py
+++ b/src/chervillead/platform/snapshots.py
@@ -25,7 +25,7 @@
 RETENTION_RECORDS = 50_000
 
 # Refuses a damaged snapshot that would expand without end. The state takes
-# about 4 MB at 16,000 hosts.
+# 1.8 MB at 16,000 hosts.
 MAX_STATE_BYTES = 256 * 1024 * 1024
 
 SUBJECT = "configuration"
@@ -44,7 +44,7 @@
         msgspec.msgpack.encode(configuration, enc_hook=_plain_mapping)
     )
     encoded = msgspec.msgpack.encode(_Encoded(FORMAT_VERSION, state))
-    # Names repeat a lot: level 1 leaves about an eighth.
+    # Names repeat a lot: level 1 makes 0.25 MB of 1.8 MB at 16,000 hosts.
     return zlib.compress(encoded, 1)
 
 
--- a/tests/platform/log_reader.feature
+++ b/tests/platform/log_reader.feature
@@ -31,5 +31,5 @@
   Scenario: Operators race while the fleet loses hosts, answers and the platform
     # Guards against hosts that end in different states, and against a
     # replacement that doesn't find its way from a snapshot.
-    When 5 seeded fleets of 9 entry hosts run through races, an outage and short retention
+    When 10 seeded fleets of 9 entry hosts run through races, an outage and short retention
     Then all entry hosts hold the state of the whole log
--- a/tests/stand_ins/fold_machine.py
+++ b/tests/stand_ins/fold_machine.py
@@ -113,6 +113,17 @@
         self._propose(records.ZONE, zone, {"index": 2})
         self._propose(records.TEAM, team, {"share": 1.0, "limit": limit})
 
+    @stateful.rule(
+        host=strategies.sampled_from(fold_shapes.HOSTS),
+        pool=strategies.sampled_from(fold_shapes.POOLS[:2]),
+        zone=strategies.sampled_from(fold_shapes.ZONES[:2]),
+    )
+    def change_host(self, host: str, pool: str, zone: str) -> None:
+        """Declares a host in any pool and zone, whether it is known or not."""
+        place = {"pool": pool, "zone": zone, "rack": "r0"}
+        fields = {**place, "address": fold_shapes.ADDRESS}
+        self._propose(records.HOST, host, fields)
+
     @stateful.rule(data=strategies.data(), based_on=strategies.integers(-1, 30))
     def stale(self, data: strategies.DataObject, based_on: int) -> None:
         """Folds a record that is based on any version."""
