--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -7,10 +7,16 @@
 from benchmarks import configuration_spread
 from benchmarks import figures
 from benchmarks import fold
+from benchmarks import request_path
 
 BENCHMARKS: tuple[
     abc.Callable[[], abc.Iterator[figures.BenchmarkResult]], ...
-] = (fold.measure, configuration_spread.measure, black_hole.measure)
+] = (
+    fold.measure,
+    configuration_spread.measure,
+    black_hole.measure,
+    request_path.measure,
+)
 
 
 def main() -> int:
