--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -4,6 +4,7 @@
 import sys
 
 from benchmarks import black_hole
+from benchmarks import configuration_spread
 from benchmarks import dispatcher
 from benchmarks import figures
 from benchmarks import fold
@@ -13,6 +14,7 @@
     abc.Callable[[], abc.Iterator[figures.BenchmarkResult]], ...
 ] = (
     fold.measure,
+    configuration_spread.measure,
     dispatcher.measure,
     black_hole.measure,
     request_path.measure,
