--- a/src/chervillead/assembly.py
+++ b/src/chervillead/assembly.py
@@ -20,6 +20,7 @@
 from chervillead.callers import credentials
 from chervillead.callers import in_progress
 from chervillead.callers import request_claims
+from chervillead.callers import stopping
 from chervillead.callers import submission
 from chervillead.entries import dispatch_client
 from chervillead.entries import dispatcher
@@ -221,7 +222,7 @@
 
     def withdraw(request_id: str) -> None:
         dispatch.waiters.refuse(
-            messages.Refused(request_id, submission.CANCELLED, 410, "", 0)
+            messages.Refused(request_id, stopping.CANCELLED, 410, "", 0)
         )
 
     async def stop_task(grant: types.Grant, request_id: str) -> bool:
