--- a/src/chervillead/daemon.py
+++ b/src/chervillead/daemon.py
@@ -17,8 +17,8 @@
 # A request can't outlive its deadline, so a longer drain is never needed.
 DRAIN_TIMEOUT_S = application.MAX_DEADLINE_MS / 1000
 
-# Requests make few cycles, and each full collection walks all kept claims. The
-# interpreter's thresholds (700, 10, 10) cost a fifth of the time of a request.
+# Requests make few cycles, and each full collection walks all kept claims. With
+# the interpreter's thresholds (700, 10, 10), a request takes a fifth longer.
 GC_THRESHOLDS = (20_000, 20, 100)
 
 
