Drop versions of subjects that were removed long ago

Versions of removed subjects were kept for good. They are now dropped together with the record ids, in the same groups and by offset, so all hosts drop the same.

Ruled out: dropping a version with its subject, since a record based on it that is still on its way would then count as new.

--- a/src/chervillead/platform/fold.py
+++ b/src/chervillead/platform/fold.py
@@ -23,8 +23,8 @@
 # of an older id can't be a late retry.
 RECENT_IDS = 20000
 
-# Older ids are dropped in groups: a walk over all ids for each record would
-# cost far more than the record itself.
+# Older entries are dropped in groups: a walk over all of them for each record
+# would cost far more than the record itself.
 _DROPPED_TOGETHER = 4096
 
 
@@ -111,8 +111,11 @@
         changes["versions"] = persistent_map.as_persistent(
             state.versions
         ).with_entry((record.kind, record.subject), entry.offset)
+    folded = state._replace(**changes)
+    if len(folded.recent_ids) > RECENT_IDS + _DROPPED_TOGETHER:
+        folded = _without_old_entries(folded)
     return FoldStep(
-        state._replace(**changes),
+        folded,
         Fate(
             entry.offset, record.record_id, judgement.outcome, judgement.detail
         ),
@@ -163,13 +166,40 @@
 def _with_recent_id(
     recent: abc.Mapping[str, int], record_id: str, offset: int
 ) -> persistent_map.PersistentMap[str, int]:
-    updated = persistent_map.as_persistent(recent)
-    if len(updated) >= RECENT_IDS + _DROPPED_TOGETHER:
-        updated = persistent_map.PersistentMap(
+    return persistent_map.as_persistent(recent).with_entry(record_id, offset)
+
+
+def _without_old_entries(
+    state: configuration_module.Configuration,
+) -> configuration_module.Configuration:
+    """Drops ids beyond the window and versions of subjects long removed.
+
+    Hosts are replaced under new names, so their versions would add up for
+    good. A proposer that still knows a removed subject has given up by then.
+    """
+
+    def is_kept(kind: str, subject: str, offset: int) -> bool:
+        # The configuration's fields are named after the kinds.
+        values = getattr(state, f"{kind}s", None)
+        return (
+            state.offset - offset <= RECENT_IDS
+            or values is None
+            or subject in values
+        )
+
+    return state._replace(
+        recent_ids=persistent_map.PersistentMap(
             {
                 known: at
-                for known, at in updated.items()
-                if offset - at <= RECENT_IDS
+                for known, at in state.recent_ids.items()
+                if state.offset - at <= RECENT_IDS
             }
-        )
-    return updated.with_entry(record_id, offset)
+        ),
+        versions=persistent_map.PersistentMap(
+            {
+                (kind, subject): at
+                for (kind, subject), at in state.versions.items()
+                if is_kept(kind, subject, at)
+            }
+        ),
+    )
--- a/tests/platform/fold.feature
+++ b/tests/platform/fold.feature
@@ -24,6 +24,14 @@
       | divides a limit again        |
       | changes earlier states       |
 
+  Scenario: Hosts are replaced under new names for a long time
+    # Guards against ids and versions that add up for good, and against a repeat
+    # that is accepted because its id was dropped too early.
+    When 16000 hosts are added and removed under new names
+    Then the state keeps at most 24096 ids and 13000 versions
+    And the last 19999 ids are known and the first id is forgotten
+    And the versions of what still exists are kept
+
   Scenario Outline: A record that breaks a rule is refused by name
     # Guards against a rule that is missing, and against refusals that don't
     # say which value is wrong.
--- a/tests/steps/platform_fold.py
+++ b/tests/steps/platform_fold.py
@@ -1,5 +1,6 @@
 """Steps of tests/platform/fold.feature."""
 
+import itertools
 import json
 from unittest import mock
 
@@ -157,6 +158,8 @@
     "changes earlier states": change_earlier_states,
 }
 
+HOST_FIELDS = {"pool": "p0", "zone": "z0", "rack": "r", "address": ["a", 1]}
+
 SMALL_FLEET = (
     ("zone", "z0", {"index": 0}),
     ("zone", "z1", {"index": 1}),
@@ -164,14 +167,7 @@
     ("pool", "p1", {"spare": True}),
     ("team", "t0", {"share": 1.0, "limit": 10}),
     ("key", "k0", {"team": "t0"}),
-    *(
-        (
-            "host",
-            f"h{index}",
-            {"pool": "p0", "zone": "z0", "rack": "r", "address": ["a", 1]},
-        )
-        for index in range(3)
-    ),
+    *(("host", f"h{index}", HOST_FIELDS) for index in range(3)),
     (
         "seat",
         "z0/0",
@@ -214,3 +210,46 @@
         offset=context.before.offset, recent_ids=context.before.recent_ids
     )
     assert unchanged == context.before
+
+
+@behave.when("{count:d} hosts are added and removed under new names")
+def step(context, count):
+    def log():
+        for kind, subject, fields in SMALL_FLEET:
+            yield records.Record(f"{kind}-{subject}", kind, subject, -1, fields)
+        for number in range(count):
+            name = f"new-{number}"
+            added = len(SMALL_FLEET) + 2 * number
+            yield records.Record(f"+{number}", "host", name, -1, HOST_FIELDS)
+            yield records.Record(f"-{number}", "host", name, added, {})
+
+    state = configuration_module.EMPTY
+    context.ids = []
+    entries = itertools.starmap(records.OffsetRecord, enumerate(log()))
+    for folded in fold.fold_records(state, entries):
+        assert folded.fate.outcome is fold.Outcome.ACCEPTED, folded.fate
+        context.ids.append(folded.fate.record_id)
+        state = folded.configuration
+    context.state = state
+
+
+@behave.then("the state keeps at most {ids:d} ids and {versions:d} versions")
+def step(context, ids, versions):
+    assert len(context.state.recent_ids) <= ids
+    assert len(context.state.versions) <= versions, len(context.state.versions)
+
+
+@behave.then("the last {count:d} ids are known and the first id is forgotten")
+def step(context, count):
+    outcomes = []
+    for record_id in (*context.ids[-count::1000], context.ids[0]):
+        record = records.Record(record_id, "host", "h0", -1, HOST_FIELDS)
+        outcomes.append(fold.check_record(context.state, record).outcome)
+    assert set(outcomes[:-1]) == {fold.Outcome.REPEATED}, outcomes
+    assert outcomes[-1] is fold.Outcome.STALE, outcomes
+
+
+@behave.then("the versions of what still exists are kept")
+def step(context):
+    for offset, (kind, subject, _) in enumerate(SMALL_FLEET):
+        assert context.state.versions[(kind, subject)] == offset
