--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -5,6 +5,7 @@
 
 from benchmarks import black_hole
 from benchmarks import configuration_spread
+from benchmarks import dispatcher
 from benchmarks import figures
 from benchmarks import fold
 from benchmarks import request_path
@@ -14,6 +15,7 @@
 ] = (
     fold.measure,
     configuration_spread.measure,
+    dispatcher.measure,
     black_hole.measure,
     request_path.measure,
 )
