--- a/src/chervillead/platform/fold_hosts.py
+++ b/src/chervillead/platform/fold_hosts.py
@@ -37,37 +37,13 @@
     host: configuration_module.Host | None,
 ) -> Applied:
     """Adds, changes or removes a host."""
-    known = configuration.hosts.get(name)
     if host is None:
         return _remove_host(configuration, name)
-    if host.pool not in configuration.pools:
-        return result.Failure(
-            f"unknown pool {host.pool!r} of host {name!r}, known are "
-            f"{sorted(configuration.pools)}"
-        )
-    if host.zone not in configuration.zones:
-        return result.Failure(
-            f"unknown zone {host.zone!r} of host {name!r}, known are "
-            f"{sorted(configuration.zones)}"
-        )
-    if host.slots < 0 or host.connections < 0:
-        return result.Failure(
-            f"slots {host.slots} and connections {host.connections} of host "
-            f"{name!r} must not be negative"
-        )
+    refusal = _refusal_of_host(configuration, name, host)
+    if refusal is not None:
+        return result.Failure(refusal)
+    known = configuration.hosts.get(name)
     if known is not None:
-        if known.pool != host.pool:
-            return result.Failure(
-                f"host {name!r} is in pool {known.pool!r}, not {host.pool!r}; "
-                "its pool is changed only by a move"
-            )
-        if (known.zone, known.rack) != (host.zone, host.rack) and (
-            budgets.is_in_maintenance(configuration, name)
-        ):
-            return result.Failure(
-                f"host {name!r} can't change from zone and rack "
-                f"{(known.zone, known.rack)} during a drain or move"
-            )
         configuration = _count_host(configuration, known, -1)
     hosts = persistent_map.as_persistent(configuration.hosts)
     configuration = _count_host(configuration, host, 1)
@@ -150,6 +126,42 @@
     )
 
 
+def _refusal_of_host(
+    configuration: configuration_module.Configuration,
+    name: str,
+    host: configuration_module.Host,
+) -> str | None:
+    if host.pool not in configuration.pools:
+        return (
+            f"unknown pool {host.pool!r} of host {name!r}, known are "
+            f"{sorted(configuration.pools)}"
+        )
+    if host.zone not in configuration.zones:
+        return (
+            f"unknown zone {host.zone!r} of host {name!r}, known are "
+            f"{sorted(configuration.zones)}"
+        )
+    if host.slots < 0 or host.connections < 0:
+        return (
+            f"slots {host.slots} and connections {host.connections} of host "
+            f"{name!r} must not be negative"
+        )
+    known = configuration.hosts.get(name, host)
+    if known.pool != host.pool:
+        return (
+            f"host {name!r} is in pool {known.pool!r}, not {host.pool!r}; "
+            "its pool is changed only by a move"
+        )
+    if (known.zone, known.rack) != (host.zone, host.rack) and (
+        budgets.is_in_maintenance(configuration, name)
+    ):
+        return (
+            f"host {name!r} can't change from zone and rack "
+            f"{(known.zone, known.rack)} during a drain or move"
+        )
+    return None
+
+
 def _refusal_of_move(
     configuration: configuration_module.Configuration,
     name: str,
--- a/tests/stand_ins/fold_machine.py
+++ b/tests/stand_ins/fold_machine.py
@@ -32,29 +32,8 @@
     @stateful.initialize()
     def declare_fleet(self) -> None:
         """Starts from a small fleet, so that most records have a subject."""
-        for index, zone in enumerate(fold_shapes.ZONES[:2]):
-            self._propose(records.ZONE, zone, {"index": index})
-        for pool in fold_shapes.POOLS[:2]:
-            fields = {"max_unavailable": 2, "max_unavailable_zones": 2}
-            self._propose(records.POOL, pool, fields)
-        for index, host in enumerate(fold_shapes.HOSTS):
-            fields = {
-                "pool": fold_shapes.POOLS[index % 2],
-                "zone": fold_shapes.ZONES[index // 2 % 2],
-                "rack": f"r{index // 4}",
-                "address": fold_shapes.ADDRESS,
-            }
-            self._propose(records.HOST, host, fields)
-        for team in fold_shapes.TEAMS:
-            self._propose(records.TEAM, team, {"share": 1.0, "limit": 7})
-        for index, zone in enumerate(fold_shapes.ZONES[:2]):
-            fields = {
-                "zone": zone,
-                "number": 0,
-                "host": fold_shapes.ENTRY_HOSTS[index],
-                "address": fold_shapes.ADDRESS,
-            }
-            self._propose(records.SEAT, f"{zone}/0", fields)
+        for kind, subject, fields in fold_shapes.first_records():
+            self._propose(kind, subject, fields)
 
     @stateful.rule(data=strategies.data())
     def valid_shape(self, data: strategies.DataObject) -> None:
--- a/tests/stand_ins/fold_shapes.py
+++ b/tests/stand_ins/fold_shapes.py
@@ -1,5 +1,6 @@
 """Random records for the fold, by kind."""
 
+from collections import abc
 import typing
 
 from hypothesis import strategies
@@ -108,3 +109,21 @@
     kind = data.draw(strategies.sampled_from(_KINDS))
     subjects, shapes = SHAPES[kind]
     return kind, data.draw(_any_of(subjects)), data.draw(shapes)
+
+
+def first_records() -> abc.Iterator[tuple[str, str, dict[str, typing.Any]]]:
+    """Yields kind, subject and fields of the records of a small fleet."""
+    for index, zone in enumerate(ZONES[:2]):
+        yield records.ZONE, zone, {"index": index}
+    budget = {"max_unavailable": 2, "max_unavailable_zones": 2}
+    for pool in POOLS[:2]:
+        yield records.POOL, pool, budget
+    for index, host in enumerate(HOSTS):
+        place = {"zone": ZONES[index // 2 % 2], "rack": f"r{index // 4}"}
+        pool = POOLS[index % 2]
+        yield records.HOST, host, {**place, "pool": pool, "address": ADDRESS}
+    for team in TEAMS:
+        yield records.TEAM, team, {"share": 1.0, "limit": 7}
+    for zone, host in zip(ZONES[:2], ENTRY_HOSTS, strict=False):
+        holder = {"zone": zone, "number": 0, "host": host}
+        yield records.SEAT, f"{zone}/0", {**holder, "address": ADDRESS}
