--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -3,13 +3,24 @@
 from collections import abc
 import sys
 
+from benchmarks import black_hole
 from benchmarks import dispatcher
+from benchmarks import escrow
+from benchmarks import fairness
 from benchmarks import figures
 from benchmarks import fold
+from benchmarks import pooling
 
 BENCHMARKS: tuple[
     abc.Callable[[], abc.Iterator[figures.BenchmarkResult]], ...
-] = (fold.measure, dispatcher.measure)
+] = (
+    fold.measure,
+    black_hole.measure,
+    dispatcher.measure,
+    pooling.measure,
+    fairness.measure,
+    escrow.measure,
+)
 
 
 def main() -> int:
