--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -4,19 +4,23 @@
 import sys
 
 from benchmarks import black_hole
+from benchmarks import configuration_spread
 from benchmarks import dispatcher
 from benchmarks import escrow
 from benchmarks import fairness
 from benchmarks import figures
 from benchmarks import fold
 from benchmarks import pooling
+from benchmarks import request_path
 
 BENCHMARKS: tuple[
     abc.Callable[[], abc.Iterator[figures.BenchmarkResult]], ...
 ] = (
     fold.measure,
-    black_hole.measure,
+    configuration_spread.measure,
     dispatcher.measure,
+    black_hole.measure,
+    request_path.measure,
     pooling.measure,
     fairness.measure,
     escrow.measure,
--- a/benchmarks/fairness.py
+++ b/benchmarks/fairness.py
@@ -71,7 +71,7 @@
 def measure() -> abc.Iterator[figures.BenchmarkResult]:
     """Yields each team's mean distance, and the whole beside the baseline."""
     jobs = make_jobs(random.Random(SEED))
-    product = distances(run_dispatcher(jobs))
+    product = distances(DispatcherRun(jobs).run())
     baseline = distances(run_first_come(jobs))
     for team in SHARES:
         yield figures.BenchmarkResult(
@@ -130,62 +130,64 @@
     return fair
 
 
-def run_dispatcher(jobs: list[Job]) -> Usage:
-    """Returns the usage with the real dispatcher."""
-    now = [0.0]
-    teams = {team: (share, 10**6) for team, share in SHARES.items()}
-    zones = dispatch_zones.MemoryZones(
-        dispatch_zones.make_configuration(
-            hosts=8, slots=8, teams=teams, max_waiting=10**5
-        ),
-        clock=types.Clock(lambda: now[0], lambda: now[0]),
-    )
-    part = zones.dispatchers["entry-z0"]
-    notices = zones.notices["entry-x"]
-    usage = Usage()
-    ends: list[tuple[float, str, str, float]] = []
-    known = {f"r{number}": job for number, job in enumerate(jobs)}
-    arrivals = iter(known.items())
-    coming = next(arrivals, None)
-
-    def start(granted: messages.Granted) -> None:
-        job = known[granted.request_id]
-        usage.running[job.team] += 1
-        heapq.heappush(
-            ends,
-            (now[0] + job.run_s, granted.grant_id, job.team, job.run_s),
+class DispatcherRun:
+    """The real dispatcher under the jobs, on a clock set by hand."""
+
+    def __init__(self, jobs: list[Job]) -> None:
+        teams = {team: (share, 10**6) for team, share in SHARES.items()}
+        self._now_s = 0.0
+        self._zones = dispatch_zones.MemoryZones(
+            dispatch_zones.make_configuration(
+                hosts=8, slots=8, teams=teams, max_waiting=10**5
+            ),
+            clock=types.Clock(lambda: self._now_s, lambda: self._now_s),
         )
+        self._part = self._zones.dispatchers["entry-z0"]
+        self._jobs = {f"r{number}": job for number, job in enumerate(jobs)}
+        self._ends: list[tuple[float, str, Job]] = []
+        self.usage = Usage()
+
+    def run(self) -> Usage:
+        """Returns the usage after all jobs have arrived."""
+        for name, job in self._jobs.items():
+            while self._ends and self._ends[0][0] <= job.at_s:
+                at_s, grant_id, ended = heapq.heappop(self._ends)
+                self._advance(at_s)
+                self._end(grant_id, ended)
+            self._advance(job.at_s)
+            self._register(name, job)
+        return self.usage
+
+    def _advance(self, at_s: float) -> None:
+        self.usage.advance(at_s)
+        self._now_s = at_s
+
+    def _register(self, name: str, job: Job) -> None:
+        register = dispatch_zones.register(
+            name, job.team, time_left_ms=int(DEADLINE_S * 1000)
+        )
+        reply = self._part.register("entry-x", register)
+        self._note([reply])
 
-    while coming is not None:
-        if ends and ends[0][0] <= coming[1].at_s:
-            at_s, grant_id, team, run_s = heapq.heappop(ends)
-            usage.advance(at_s)
-            now[0] = at_s
-            usage.running[team] -= 1
-            part.release(
-                messages.Release(grant_id, True, False, int(run_s * 1000))
-            )
-        else:
-            name, job = coming
-            usage.advance(job.at_s)
-            now[0] = job.at_s
-            reply = part.register(
-                "entry-x",
-                dispatch_zones.register(
-                    name, job.team, time_left_ms=int(DEADLINE_S * 1000)
-                ),
-            )
-            if isinstance(reply, messages.Granted):
-                start(reply)
-            coming = next(arrivals, None)
-        for notice in notices:
-            if isinstance(notice, messages.Granted):
-                start(notice)
-        notices.clear()
-        usage.waiting = collections.Counter(
-            part.waiting.queue_counts(dispatch_zones.QUEUE)
+    def _end(self, grant_id: str, job: Job) -> None:
+        self.usage.running[job.team] -= 1
+        self._part.release(
+            messages.Release(grant_id, True, False, int(job.run_s * 1000))
+        )
+        self._note(self._zones.notices["entry-x"])
+        self._zones.notices["entry-x"].clear()
+
+    def _note(self, decisions: abc.Iterable[messages.Message]) -> None:
+        """Starts what was granted and counts what waits."""
+        for granted in decisions:
+            if isinstance(granted, messages.Granted):
+                job = self._jobs[granted.request_id]
+                self.usage.running[job.team] += 1
+                end_s = self._now_s + job.run_s
+                heapq.heappush(self._ends, (end_s, granted.grant_id, job))
+        self.usage.waiting = collections.Counter(
+            self._part.waiting.queue_counts(dispatch_zones.QUEUE)
         )
-    return usage
 
 
 def run_first_come(jobs: list[Job]) -> Usage:
--- a/src/chervillead/entries/dispatcher.py
+++ b/src/chervillead/entries/dispatcher.py
@@ -50,8 +50,8 @@
             configuration: Returns the newest configuration.
             clock: Source of time.
             notify: Sends a message to an entry host.
-            may_grant: Whether the seat of this dispatcher is confirmed.
-            usable_slots: Returns how many slots of an upstream may be used.
+            may_grant: Whether its seat is confirmed.
+            usable_slots: Returns the slots of an upstream that may be used.
             note_release: Is told of each release.
             deducted_units: Returns a team's units that are being given away.
         """
@@ -129,8 +129,7 @@
         never have seen it.
         """
         self._waiting.remove(message.request_id)
-        given = self._grants.of_request(message.request_id)
-        if given is not None:
+        if given := self._grants.of_request(message.request_id):
             self._free(given.slot.grant_id)
 
     def release(self, message: messages.Release) -> None:
--- a/tests/steps/entries_dispatch_client.py
+++ b/tests/steps/entries_dispatch_client.py
@@ -8,6 +8,7 @@
 from chervillead import types
 from chervillead import verdicts
 from chervillead.entries import dispatch_client
+from chervillead.entries import dispatcher_choice
 from chervillead.entries import messages
 from chervillead.platform import configuration as configuration_module
 from stand_ins import dispatch_zones
@@ -38,7 +39,7 @@
         # The entry host doesn't know yet that the dispatcher is lost.
         parts.lost.add("entry-z0")
         client = client._replace(
-            dispatchers=lambda request: dispatch_client.reachable_dispatchers(
+            dispatchers=lambda request: dispatcher_choice.reachable_dispatchers(
                 parts.configuration,
                 "z0",
                 request.queue,
