Keep the slot of a request that may still run until its lease lapses

A caller's deadline had passed, its entry host released the grant, and the dispatcher granted the unit while the task still ran. A release with the verdict "may have run" is sent a lease and a renewal interval later now; the submission passes its verdict for this.

A dispatcher frees grants that an entry host doesn't report only after they were missing for 3 s, since such a slot isn't reported any more.

The new scenarios failed with their rules broken on a scratch copy.

--- a/benchmarks/pooling.py
+++ b/benchmarks/pooling.py
@@ -12,6 +12,7 @@
 
 from benchmarks import figures
 from chervillead import types
+from chervillead import verdicts
 from chervillead.entries import dispatch_client
 from stand_ins import dispatch_zones
 from stand_ins import virtual_time
@@ -188,6 +189,10 @@
     waited_s = zones.clock.monotonic() - started_s
     await asyncio.sleep(run_s)
     dispatch_client.release(
-        grant, client, started=True, failed=False, run_s=run_s
+        grant,
+        client,
+        verdict=verdicts.Verdict.RAN,
+        failed=False,
+        run_s=run_s,
     )
     return waited_s / MEAN_RUN_S
--- a/src/chervillead/assembly.py
+++ b/src/chervillead/assembly.py
@@ -237,10 +237,13 @@
             running.discard(grant)
 
     def release(
-        grant: types.Grant, started: bool, failed: bool, run_s: float
+        grant: types.Grant,
+        verdict: verdicts.Verdict,
+        failed: bool,
+        run_s: float,
     ) -> None:
         dispatch_client.release(
-            grant, dispatch, started=started, failed=failed, run_s=run_s
+            grant, dispatch, verdict=verdict, failed=failed, run_s=run_s
         )
 
     return submission.SubmissionPorts(
--- a/src/chervillead/callers/submission.py
+++ b/src/chervillead/callers/submission.py
@@ -39,7 +39,7 @@
         withdraw: Ends the wait of `acquire` with a refusal.
         send: Sends the granted request to its upstream.
         stop_task: Asks the upstream to stop; returns whether it has stopped.
-        release: Gives a grant back: started, failed, run time in seconds.
+        release: Gives a grant back: verdict, failed, run time in seconds.
         in_progress: Requests that can be cancelled.
         clock: Source of time.
         may_retry: Takes a repeat of a request that may have run from the
@@ -63,7 +63,7 @@
         [types.Request, types.Grant], abc.Awaitable[RequestOutcome]
     ]
     stop_task: abc.Callable[[types.Grant, str], abc.Awaitable[bool]]
-    release: abc.Callable[[types.Grant, bool, bool, float], None]
+    release: abc.Callable[[types.Grant, verdicts.Verdict, bool, float], None]
     in_progress: in_progress.RequestsInProgress
     clock: types.Clock
     may_retry: abc.Callable[[], bool]
@@ -168,7 +168,7 @@
             yield result.Failure(grant.failure())
             return
         if progress.is_cancelled():
-            ports.release(grant.unwrap(), False, False, 0.0)
+            ports.release(grant.unwrap(), verdicts.Verdict.NOT_RUN, False, 0.0)
             return
         yield await _attempt(request, grant.unwrap(), ports, progress)
         pause_s = random.uniform(0.5, 1.0) * delay_s
@@ -194,7 +194,7 @@
     finally:
         ports.release(
             grant,
-            verdict is not verdicts.Verdict.NOT_RUN,
+            verdict,
             failed,
             ports.clock.monotonic() - started_s,
         )
--- a/src/chervillead/entries/dispatch_client.py
+++ b/src/chervillead/entries/dispatch_client.py
@@ -31,6 +31,10 @@
 # until the new holder is active.
 PATIENCE_S = 6.0
 
+# A renewal can be under way when its sender gives up; it takes no longer than
+# the interval between renewals, a third of a lease.
+LAPSE_LEASES = 4 / 3
+
 Ask = abc.Callable[
     [str, messages.Message, float],
     abc.Awaitable[result.Result[messages.Message, verdicts.Refusal]],
@@ -254,13 +258,28 @@
     grant: types.Grant,
     ports: DispatchPorts,
     *,
-    started: bool,
+    verdict: verdicts.Verdict,
     failed: bool,
     run_s: float,
 ) -> None:
-    """Gives the slot of `grant` back to its dispatcher."""
+    """Gives the slot of `grant` back to its dispatcher.
+
+    A request that may have run can still be running: its caller gave up, or the
+    connection was lost. Its slot and unit are free only once the lease, which
+    nobody renews any more, has lapsed.
+    """
+    started = verdict is not verdicts.Verdict.NOT_RUN
     message = messages.Release(
         grant.grant_id, started, failed, int(run_s * 1000)
     )
-    ports.waiters.forget(grant.grant_id)
-    ports.post(grant.dispatcher, message)
+
+    def give_back() -> None:
+        ports.waiters.forget(grant.grant_id)
+        ports.post(grant.dispatcher, message)
+
+    if verdict is verdicts.Verdict.MAY_HAVE_RUN:
+        asyncio.get_running_loop().call_later(
+            grant.lease_s * LAPSE_LEASES, give_back
+        )
+    else:
+        give_back()
--- a/src/chervillead/entries/dispatcher.py
+++ b/src/chervillead/entries/dispatcher.py
@@ -148,16 +148,16 @@
     def restore(self, entry_host: str, holdings: messages.Holdings) -> None:
         """Counts what an entry host holds as used, and lists what it waits for.
 
-        Grants of this dispatcher that the host does not report are freed once
-        it can no longer start them: it never received them.
+        Grants that the host has not reported for `LAPSE_S` are freed: it never
+        received them, or their release was lost.
         """
         self._ledger.current()
         now_s = self._clock.monotonic()
         reported = {holding.grant_id for holding in holdings.held}
-        for given in self._grants.of_entry_host(entry_host):
-            unseen = given.slot.grant_id not in reported
-            if unseen and now_s - given.given_s >= LAPSE_S:
-                self._free(given.slot.grant_id)
+        for grant_id in self._grants.lapsed(
+            entry_host, reported, now_s, LAPSE_S
+        ):
+            self._free(grant_id)
         for holding in holdings.held:
             if holding.grant_id not in self._grants:
                 self._ledger.hold(
--- a/src/chervillead/entries/grant_table.py
+++ b/src/chervillead/entries/grant_table.py
@@ -32,6 +32,7 @@
         self._grants: dict[str, GivenGrant] = {}
         self._by_request: dict[str, str] = {}
         self._by_entry_host: dict[str, set[str]] = {}
+        self._unreported_s: dict[str, float] = {}
 
     @property
     def slots(self) -> slots.SlotTable:
@@ -51,6 +52,29 @@
         for grant_id in list(self._by_entry_host.get(entry_host, ())):
             yield self._grants[grant_id]
 
+    def lapsed(
+        self,
+        entry_host: str,
+        reported: abc.Container[str],
+        now_s: float,
+        lapse_s: float,
+    ) -> list[str]:
+        """Returns the grants that an entry host has not reported for long.
+
+        One report without a grant isn't enough: the grant may be on its way, or
+        kept until the lease of a request that may still run has lapsed.
+        """
+        found = []
+        for given in self.of_entry_host(entry_host):
+            grant_id = given.slot.grant_id
+            if grant_id in reported:
+                self._unreported_s.pop(grant_id, None)
+                continue
+            since_s = self._unreported_s.setdefault(grant_id, now_s)
+            if now_s - since_s >= lapse_s:
+                found.append(grant_id)
+        return found
+
     def add(self, grant: GivenGrant) -> None:
         """Notes a grant; its id must be new."""
         slot = grant.slot
@@ -68,6 +92,7 @@
         if grant is None:
             return None
         self._slots.release(grant_id)
+        self._unreported_s.pop(grant_id, None)
         held = self._by_entry_host[grant.slot.entry_host]
         held.discard(grant_id)
         if not held:
--- a/tests/entries/dispatch_client.feature
+++ b/tests/entries/dispatch_client.feature
@@ -59,3 +59,15 @@
     Given 2 zones of 2 slots in memory, and hosts offer 4 cores
     When 1 requests of 8 cores wait in zone z0
     Then all of them are refused as not run within 0.1 s
+
+  Scenario Outline: The slot of a request that may still run is kept
+    # Guards against more running work than slots and limits after a timeout.
+    Given 1 zones of 2 slots in memory, and the zone is free
+    When a grant is released as "<verdict>"
+    Then its slot is free after <time> s and not before
+
+    Examples:
+      | verdict      | time |
+      | not-run      | 0.0  |
+      | ran          | 0.0  |
+      | may-have-run | 2.66 |
--- a/tests/entries/dispatcher.feature
+++ b/tests/entries/dispatcher.feature
@@ -115,3 +115,12 @@
     When team a registers 3 requests in zone z0
     And all requests of team a are withdrawn in zone z0
     Then team a runs 0 and waits for 0 in zone z0
+
+  Scenario: A grant that its entry host doesn't report lapses
+    # Guards against slots leaked by a lost grant, and against early reuse.
+    Given dispatchers of 1 zones with 1 hosts of 8 slots and a limit of 9
+    When team a registers 2 requests in zone z0
+    And the entry host reports nothing to z0 now and 2.9 s later
+    Then team a runs 2 and waits for 0 in zone z0
+    When the entry host reports nothing to z0 now and 0.2 s later
+    Then team a runs 0 and waits for 0 in zone z0
--- a/tests/steps/entries_dispatch_client.py
+++ b/tests/steps/entries_dispatch_client.py
@@ -170,3 +170,34 @@
     # Slots in use by others for longer than the run are not counted.
     others = 2 if "z0 is full for 30" in context.setup[2] else 0
     assert (waiting, held - others) == (0, granted), context.left
+
+
+@behave.when('a grant is released as "{verdict}"')
+def step(context, verdict):
+    async def main():
+        parts, client = set_up(*context.setup)
+        grant = (
+            await dispatch_client.acquire(
+                dispatch_zones.request(parts, 0), client
+            )
+        ).unwrap()
+        released_s = parts.clock.monotonic()
+        dispatch_client.release(
+            grant,
+            client,
+            verdict=verdicts.Verdict(verdict),
+            failed=False,
+            run_s=0.1,
+        )
+        held = parts.dispatchers["entry-z0"].slots.held
+        while held:
+            await asyncio.sleep(0.01)
+        context.freed_after_s = parts.clock.monotonic() - released_s
+
+    virtual_time.run_virtual(main(), context.seed)
+
+
+@behave.then("its slot is free after {time_s:f} s and not before")
+def step(context, time_s):
+    after_s = context.freed_after_s
+    assert time_s <= after_s <= time_s + 0.05, after_s
--- a/tests/steps/entries_dispatcher.py
+++ b/tests/steps/entries_dispatcher.py
@@ -245,3 +245,10 @@
 def step(context, left_s):
     reply = register(context, time_left_ms=int(left_s * 1000))
     assert isinstance(reply, messages.Waiting), reply
+
+
+@behave.when("the entry host reports nothing to z0 now and {time_s:f} s later")
+def step(context, time_s):
+    context.dispatcher.restore(HOST, messages.Holdings([], []))
+    context.now_s += time_s
+    context.dispatcher.restore(HOST, messages.Holdings([], []))
