--- /dev/null
+++ b/src/chervillead/entries/dispatcher_choice.py
@@ -0,0 +1,69 @@
+"""Which dispatchers an entry host registers a request with."""
+
+from collections import abc
+import random
+import typing
+
+from chervillead.entries import messages
+from chervillead.entries import seats
+from chervillead.platform import configuration as configuration_module
+
+
+class DispatcherView(typing.NamedTuple):
+    """A dispatcher that this host can reach, whose zone is in service.
+
+    Attributes:
+        entry_host: Where it runs.
+        free_slots: Free slots that it last reported for the queue.
+        is_own: Whether it dispatches this host's zone.
+    """
+
+    entry_host: str
+    free_slots: int
+    is_own: bool
+
+
+def reachable_dispatchers(
+    configuration: configuration_module.Configuration,
+    own_zone: str,
+    queue: str,
+    heartbeat_of: abc.Callable[[str], messages.Heartbeat | None],
+    is_reachable: abc.Callable[[str], bool],
+) -> list[DispatcherView]:
+    """Returns the dispatchers of zones in service that this host can reach."""
+    views = []
+    for zone in configuration.zones:
+        holder = seats.duty_holder(configuration, zone)
+        if (
+            holder is None
+            or not configuration_module.zone_is_in(configuration, zone)
+            or not is_reachable(holder)
+        ):
+            continue
+        heartbeat = heartbeat_of(holder)
+        free = 0 if heartbeat is None else heartbeat.free_slots.get(queue, 0)
+        views.append(DispatcherView(holder, free, zone == own_zone))
+    return views
+
+
+def next_dispatcher(
+    views: abc.Iterable[DispatcherView],
+    registered: abc.Container[str],
+    registered_count: int,
+) -> DispatcherView | None:
+    """Returns the dispatcher to register with next, or None.
+
+    The own zone comes first, then the zone with the most free slots; any
+    further zone only while it reports free slots. Ties are broken at random, so
+    that the entry hosts don't all choose the same zone.
+    """
+    new = [view for view in views if view.entry_host not in registered]
+    own = next((view for view in new if view.is_own), None)
+    if own is not None:
+        return own
+    best = max(
+        new, key=lambda view: (view.free_slots, random.random()), default=None
+    )
+    if best is None or (registered_count >= 2 and best.free_slots <= 0):
+        return None
+    return best
