--- a/src/chervillead/assembly.py
+++ b/src/chervillead/assembly.py
@@ -8,6 +8,7 @@
 from collections import abc
 import typing
 
+from returns import pipeline
 from returns import result
 
 from chervillead import http_exchange
@@ -20,6 +21,7 @@
 from chervillead.entries import dispatch_client
 from chervillead.entries import dispatcher
 from chervillead.entries import host as host_module
+from chervillead.entries import host_tasks
 from chervillead.entries import messages
 from chervillead.platform import log_client
 from chervillead.platform import log_reader
@@ -91,7 +93,7 @@
     async with asyncio.TaskGroup() as tasks:
         tasks.create_task(log_reader.follow_log(parts.reader, parts.platform))
         tasks.create_task(
-            host_module.run_entry_host(
+            host_tasks.run_entry_host(
                 parts.entry,
                 parts.settings,
                 parts.reader,
@@ -173,7 +175,10 @@
     async def acquire(
         request: types.Request,
     ) -> result.Result[types.Grant, verdicts.Refusal]:
-        return await dispatch_client.acquire(request, dispatch)
+        grant = await dispatch_client.acquire(request, dispatch)
+        if pipeline.is_successful(grant):
+            entry.held.take_grant(request, grant.unwrap())
+        return grant
 
     async def send(
         request: types.Request, grant: types.Grant
--- a/src/chervillead/daemon.py
+++ b/src/chervillead/daemon.py
@@ -1,6 +1,7 @@
 """Runs one entry host as a process: signals, HTTP server, background tasks."""
 
 import asyncio
+from collections import abc
 import signal
 import time
 
@@ -25,7 +26,7 @@
     eliot.log_message("daemon:start", host=settings.host, zone=settings.zone)
     background = asyncio.create_task(assembly.run_background(parts))
     try:
-        await _serve_callers(settings, front_end, stopping)
+        await _serve_callers(settings, front_end, stopping, parts.entry.leave)
     finally:
         background.cancel()
         await asyncio.gather(background, return_exceptions=True)
@@ -37,6 +38,7 @@
     settings: settings_module.Settings,
     front_end: application.FrontEndPorts,
     stopping: asyncio.Event,
+    leave: abc.Callable[[], abc.Awaitable[None]],
 ) -> None:
     """Serves HTTP until a signal; then drains and returns."""
     app = application.build_application(front_end)
@@ -62,6 +64,8 @@
     stopped = asyncio.create_task(stopping.wait())
     await asyncio.wait((serving, stopped), return_when=asyncio.FIRST_COMPLETED)
     await asyncio.sleep(settings.stop_delay_s if stopping.is_set() else 0)
+    if stopping.is_set():
+        await leave()
     server.should_exit = True
     await serving
     await app.stop()  # type: ignore[no-untyped-call]
--- a/src/chervillead/entries/dispatcher.py
+++ b/src/chervillead/entries/dispatcher.py
@@ -7,18 +7,22 @@
 import collections
 from collections import abc
 import itertools
+import random
 import typing
 
 from chervillead import types
 from chervillead.entries import messages
+from chervillead.entries import slot_recovery
 from chervillead.platform import configuration as configuration_module
 from chervillead.upstreams import slots
 
 START_BY_MS = 1000
 LEASE_MS = 2000
 MAX_RETRY_AFTER_MS = 2000
+UNAVAILABLE_RETRY_MS = 1000
+DOUBTFUL_S = (START_BY_MS + LEASE_MS) / 1000
 
-Notify = abc.Callable[[str, messages.Message], None]
+Notify = abc.Callable[[str, messages.Message], object]
 
 
 class WaitingRequest(typing.NamedTuple):
@@ -40,6 +44,7 @@
         configuration: abc.Callable[[], configuration_module.Configuration],
         clock: types.Clock,
         notify: Notify,
+        may_grant: abc.Callable[[], bool],
     ) -> None:
         """Makes an empty dispatcher.
 
@@ -49,15 +54,20 @@
             configuration: Returns the newest configuration.
             clock: Source of time.
             notify: Sends a message to an entry host.
+            may_grant: Whether the duty seat is active and confirmed right now.
         """
         self._host = host
         self._zone = zone
         self._configuration = configuration
         self._clock = clock
         self._notify = notify
+        self._may_grant = may_grant
         self._slots = slots.SlotTable()
         self._waiting: dict[str, collections.deque[WaitingRequest]] = {}
         self._numbers = itertools.count(1)
+        # A restarted host must not repeat grant ids that are still in use.
+        self._prefix = f"{host}-{random.randbytes(4).hex()}"
+        self._doubtful = slot_recovery.DoubtfulGrants(clock, DOUBTFUL_S)
 
     @property
     def slots(self) -> slots.SlotTable:
@@ -68,6 +78,14 @@
         self, entry_host: str, message: messages.Register
     ) -> messages.Granted | messages.Waiting | messages.Refused:
         """Grants a slot, lists the request as waiting, or refuses it."""
+        if not self._may_grant():
+            return _refused(
+                message,
+                "dispatcher-unavailable",
+                503,
+                f"{self._host} does not dispatch for {self._zone} at present",
+                retry_after_ms=UNAVAILABLE_RETRY_MS,
+            )
         configuration = self._configuration()
         queue = configuration.queues.get(message.queue)
         if queue is None:
@@ -103,6 +121,8 @@
 
     def grant_waiting(self) -> None:
         """Grants free slots to waiting requests, first come first served."""
+        if not self._may_grant():
+            return
         configuration = self._configuration()
         now_s = self._clock.monotonic()
         for name, waiting in self._waiting.items():
@@ -123,6 +143,54 @@
                 )
                 self._notify(entry.entry_host, granted)
 
+    def restore(self, entry_host: str, holdings: messages.Holdings) -> None:
+        """Takes over what an entry host reports that it holds and waits for.
+
+        A grant that isn't in the report may still be on its way to the entry
+        host, so it becomes doubtful instead of free.
+        """
+        self.drop_waiting(entry_host)
+        for slot in slot_recovery.held_slots(entry_host, holdings.held):
+            self._slots.hold(slot)
+        reported = {holding.grant_id for holding in holdings.held}
+        self._doubtful.doubt(self._slots, entry_host, reported)
+        now_s = self._clock.monotonic()
+        for register in holdings.waiting:
+            deadline_s = now_s + register.time_left_ms / 1000
+            self._waiting.setdefault(
+                register.queue, collections.deque()
+            ).append(WaitingRequest(entry_host, register, deadline_s))
+        self.grant_waiting()
+
+    def suspect(self, entry_host: str) -> None:
+        """Acts on the loss of the stream to an entry host.
+
+        Its grants stay in use until it reports them again or they lapse.
+        """
+        self.drop_waiting(entry_host)
+        self._doubtful.doubt(self._slots, entry_host, set())
+
+    def drop_waiting(self, entry_host: str) -> None:
+        """Takes all requests of an entry host off the waiting list."""
+        for name, waiting in self._waiting.items():
+            self._waiting[name] = collections.deque(
+                entry for entry in waiting if entry.entry_host != entry_host
+            )
+
+    def free_lapsed(self) -> None:
+        """Frees the grants that nobody has reported in time."""
+        lapsed = self._doubtful.pop_lapsed()
+        for grant_id in lapsed:
+            self._slots.release(grant_id)
+        if lapsed:
+            self.grant_waiting()
+
+    def clear(self) -> None:
+        """Forgets all state, when the duty seat is lost."""
+        self._slots = slots.SlotTable()
+        self._waiting.clear()
+        self._doubtful.clear()
+
     def free_slots(self) -> dict[str, int]:
         """Returns the free slots of the zone by queue."""
         configuration = self._configuration()
@@ -170,7 +238,7 @@
         message: messages.Register,
         upstream: types.Upstream,
     ) -> messages.Granted:
-        grant_id = f"{self._host}.{next(self._numbers)}"
+        grant_id = f"{self._prefix}.{next(self._numbers)}"
         self._slots.hold(
             slots.HeldSlot(
                 grant_id,
--- /dev/null
+++ b/src/chervillead/entries/duties.py
@@ -0,0 +1,150 @@
+"""What this host does as the holder of a duty seat: dispatch and claims."""
+
+from collections import abc
+
+from chervillead import types
+from chervillead.entries import claims as claims_module
+from chervillead.entries import dispatcher as dispatcher_module
+from chervillead.entries import duty as duty_module
+from chervillead.entries import messages
+from chervillead.entries import recovery
+from chervillead.entries import seats
+from chervillead.platform import log_reader
+
+Post = abc.Callable[[str, messages.Message], bool]
+
+
+class Duties:
+    """Dispatcher, claims and seat of this host."""
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        zone: str,
+        reader: log_reader.LogReader,
+        peers: duty_module.PeerView,
+        clock: types.Clock,
+        post: Post,
+    ) -> None:
+        """Makes duties that start once this process holds a duty seat.
+
+        Args:
+            host: Name of this host.
+            zone: Its zone.
+            reader: Holder of the newest state.
+            peers: What this host knows of the others.
+            clock: Source of time.
+            post: Sends a message to an entry host, this one included.
+        """
+        self._host = host
+        self._zone = zone
+        self._reader = reader
+        self._clock = clock
+        self._post = post
+        self._successor: str | None = None
+        self._duty = duty_module.DutyState(
+            zone=zone, reader=reader, peers=peers, clock=clock
+        )
+        self._claims = claims_module.ClaimTable(
+            clock, lambda owner: seats.seat_of(reader.configuration, owner)
+        )
+        self._dispatcher = dispatcher_module.Dispatcher(
+            host=host,
+            zone=zone,
+            configuration=lambda: reader.configuration,
+            clock=clock,
+            notify=post,
+            may_grant=self._duty.may_act,
+        )
+
+    @property
+    def dispatcher(self) -> dispatcher_module.Dispatcher:
+        """The dispatcher part."""
+        return self._dispatcher
+
+    @property
+    def claims(self) -> claims_module.ClaimTable:
+        """The claims part."""
+        return self._claims
+
+    @property
+    def state(self) -> duty_module.DutyState:
+        """Seat of this process and whether it may act on it."""
+        return self._duty
+
+    def answer_claim(
+        self, message: messages.Claim | messages.Lookup
+    ) -> messages.ClaimState | messages.Refused:
+        """Answers a question about an id while the seat is confirmed."""
+        if not self._duty.may_act():
+            return claims_module.refused(
+                message.request_id,
+                f"{self._host} does not hold claims at present",
+            )
+        if isinstance(message, messages.Claim):
+            return self._claims.claim(message)
+        return self._claims.lookup(message)
+
+    def take_end(
+        self, message: messages.Withdraw | messages.Release | messages.Finished
+    ) -> None:
+        """Acts on the end of something; a leaving holder passes it on."""
+        if self._successor is not None:
+            self._post(self._successor, message)
+        match message:
+            case messages.Withdraw():
+                self._dispatcher.withdraw(message)
+            case messages.Release():
+                self._dispatcher.release(message)
+            case messages.Finished():
+                self._claims.finish(message)
+
+    def owner_to_cancel(self, request_id: str) -> str:
+        """Returns the host that runs a request; this one if none is known."""
+        state = self._claims.lookup(messages.Lookup(request_id))
+        is_running = state.state == messages.CLAIM_RUNNING
+        return state.owner if is_running else self._host
+
+    def take_over(self, peer: str, message: messages.HandOver) -> None:
+        """Takes the state of the leaving holder of this zone's duty seat."""
+        holder = seats.duty_holder(self._reader.configuration, self._zone)
+        if message.zone != self._zone or holder != peer:
+            return
+        for entry_host, held in message.held.items():
+            self._dispatcher.restore(entry_host, messages.Holdings(held, []))
+        self._claims.restore(message.claims, message.known_for_ms / 1000)
+        if message.known_for_ms >= 0:
+            self._duty.expect_whole_state()
+
+    def follow(self) -> None:
+        """Starts or ends the duties of this host as the log says."""
+        change = self._duty.update(self._host)
+        activated_s = self._duty.activated_wall_s
+        if change.lost:
+            self._dispatcher.clear()
+            self._claims.clear()
+        if change.gained and activated_s is not None:
+            self._claims.begin(activated_s, whole=self._duty.took_whole_state)
+            self._dispatcher.grant_waiting()
+
+    def hand_over(self, live: abc.Container[str]) -> bool:
+        """Ends the duties and sends their state to the first live standby.
+
+        Returns:
+            Whether there were active duties and a standby to take them.
+        """
+        was_active = self._duty.active_incarnation is not None
+        self._duty.resign()
+        successor = seats.handover_target(
+            self._reader.configuration, self._host, self._zone, live
+        )
+        if not was_active or successor is None:
+            return False
+        known_for_s = self._clock.wall() - self._claims.complete_since_s
+        for message in recovery.hand_over_messages(
+            self._zone, self._dispatcher, self._claims, known_for_s
+        ):
+            self._post(successor, message)
+        self._successor = successor
+        return True
--- a/src/chervillead/entries/host.py
+++ b/src/chervillead/entries/host.py
@@ -11,7 +11,6 @@
 from returns import pipeline
 from returns import result
 
-from chervillead import http_exchange
 from chervillead import settings as settings_module
 from chervillead import types
 from chervillead import verdicts
@@ -19,17 +18,19 @@
 from chervillead.entries import claims
 from chervillead.entries import dispatch_client
 from chervillead.entries import dispatcher
+from chervillead.entries import duties
+from chervillead.entries import duty
+from chervillead.entries import held_grants
 from chervillead.entries import membership
 from chervillead.entries import messages
 from chervillead.entries import seats
 from chervillead.entries import streams
-from chervillead.platform import log_client
+from chervillead.platform import configuration as configuration_module
 from chervillead.platform import log_reader
-from chervillead.platform import publisher
-from chervillead.platform import records
 
 CLAIM_TIMEOUT_S = 1.0
-SEAT_RETRY_S = 0.5
+HAND_OVER_TIMEOUT_S = 3.0
+GIVE_UP_TIMEOUT_S = 1.0
 
 
 class EntryHost:
@@ -45,18 +46,25 @@
         self._reader = reader
         self._clock = clock
         self._stopping = False
+        self._gives_up_seat = False
+        self._cancel: abc.Callable[[str], None] = lambda request_id: None
         self._streams = streams.PeerStreams(
             messages.Hello(settings.host, settings.zone), clock
         )
         self._membership = membership.Membership(settings.host, clock)
-        self._claims = claims.ClaimTable(clock)
+        self._held = held_grants.HeldGrants(clock)
         self._waiters = dispatch_client.GrantWaiters(clock, self.post)
-        self._dispatcher = dispatcher.Dispatcher(
+        self._duties = duties.Duties(
             host=settings.host,
             zone=settings.zone,
-            configuration=lambda: reader.configuration,
+            reader=reader,
+            peers=duty.PeerView(
+                self._membership.silent_s,
+                self._membership.offset_of,
+                self._streams.refuses,
+            ),
             clock=clock,
-            notify=self.post,
+            post=self.post,
         )
 
     @property
@@ -72,34 +80,80 @@
     @property
     def dispatcher(self) -> dispatcher.Dispatcher:
         """The dispatcher part of this host."""
-        return self._dispatcher
+        return self._duties.dispatcher
+
+    @property
+    def duties(self) -> duties.Duties:
+        """What this host does if it holds a duty seat."""
+        return self._duties
+
+    @property
+    def held(self) -> held_grants.HeldGrants:
+        """Grants that this host uses and requests that wait for one."""
+        return self._held
+
+    @property
+    def gives_up_seat(self) -> bool:
+        """Whether this host leaves and nobody takes its seat from it."""
+        return self._gives_up_seat
+
+    def set_cancel(self, cancel: abc.Callable[[str], None]) -> None:
+        """Sets the function that cancels a request of this host."""
+        self._cancel = cancel
 
     def current_heartbeat(self) -> messages.Heartbeat:
         """Returns what this host tells the others of itself."""
         unconfirmed_s = self._reader.unconfirmed_s
         age_ms = -1 if unconfirmed_s == float("inf") else unconfirmed_s * 1000
+        may_grant = self._duties.state.may_act()
         return messages.Heartbeat(
             self._reader.configuration.offset,
             int(age_ms),
             self._stopping,
-            self._dispatcher.free_slots(),
+            self.dispatcher.free_slots() if may_grant else {},
             {},
         )
 
-    def post(self, host: str, message: messages.Message) -> None:
-        """Sends a message to any entry host, this one included."""
+    def post(self, host: str, message: messages.Message) -> bool:
+        """Sends a message to any entry host; returns whether it left.
+
+        The end of a grant or of a wait goes to the present dispatcher of the
+        zone, which has taken over what the one that was asked knew.
+        """
+        zone = None
+        if isinstance(message, messages.Release):
+            zone = self._held.drop_grant(message.grant_id)
+        elif isinstance(message, messages.Withdraw):
+            zone = self._held.drop_waiting(host, message.request_id)
+        if zone is not None:
+            holder = seats.duty_holder(self._reader.configuration, zone)
+            host = holder or host
         if host == self._settings.host:
             self.handle(host, message)
-        else:
-            self._streams.post(host, message)
+            return True
+        return self._streams.post(host, message)
 
     async def ask(
         self, host: str, message: messages.Message, timeout_s: float
     ) -> result.Result[messages.Message, verdicts.Refusal]:
         """Sends a question to any entry host, this one included."""
+        if isinstance(message, messages.Register):
+            zone = seats.duty_zone(self._reader.configuration, host)
+            self._held.take_waiting(host, zone, message)
         if host != self._settings.host:
-            return await self._streams.ask(host, message, timeout_s)
-        reply = self.handle(host, message)
+            reply = await self._streams.ask(host, message, timeout_s)
+        else:
+            reply = self._ask_self(message)
+        if isinstance(message, messages.Register) and not isinstance(
+            reply.value_or(None), messages.Waiting
+        ):
+            self._held.drop_waiting(host, message.request_id)
+        return reply
+
+    def _ask_self(
+        self, message: messages.Message
+    ) -> result.Result[messages.Message, verdicts.Refusal]:
+        reply = self.handle(self._settings.host, message)
         if reply is None:
             return result.Failure(verdicts.not_run("no-reply", 503))
         return result.Success(reply)
@@ -112,25 +166,47 @@
             case messages.Heartbeat():
                 self._membership.take(peer, message)
             case messages.Register():
-                return self._dispatcher.register(peer, message)
-            case messages.Withdraw():
-                self._dispatcher.withdraw(message)
-            case messages.Release():
-                self._dispatcher.release(message)
+                return self.dispatcher.register(peer, message)
+            case messages.Claim() | messages.Lookup():
+                return self._duties.answer_claim(message)
+            case messages.Withdraw() | messages.Release() | messages.Finished():
+                self._duties.take_end(message)
             case messages.Granted() | messages.Refused():
+                zone = seats.duty_zone(self._reader.configuration, peer)
+                self._held.drop_waiting_in(zone, message.request_id)
                 self._waiters.take(peer, message)
-            case messages.Claim():
-                return self._claims.claim(message)
-            case messages.Lookup():
-                return self._claims.lookup(message)
-            case messages.Finished():
-                self._claims.finish(message)
+            case messages.Holdings():
+                self.dispatcher.restore(peer, message)
+            case messages.HandOver():
+                self._duties.take_over(peer, message)
+            case messages.Cancel():
+                owner = self._duties.owner_to_cancel(message.request_id)
+                if owner == self._settings.host:
+                    self._cancel(message.request_id)
+                else:
+                    self._streams.post(owner, message)
             case _:
                 eliot.log_message(
                     "entries:unexpected", peer=peer, kind=type(message).__name__
                 )
         return None
 
+    async def leave(self) -> None:
+        """Hands the duties over and gives the seat up, before the exit."""
+        self._stopping = True
+        if self._duties.hand_over(self._membership.live):
+            await self._wait_without_seat(HAND_OVER_TIMEOUT_S)
+        self._gives_up_seat = True
+        await self._wait_without_seat(GIVE_UP_TIMEOUT_S)
+
+    async def _wait_without_seat(self, timeout_s: float) -> None:
+        try:
+            async with asyncio.timeout(timeout_s):
+                while self._duties.state.own_seats:
+                    await self._reader.wait_for_change()
+        except TimeoutError:
+            eliot.log_message("entries:seat-not-freed", waited_s=timeout_s)
+
     async def ask_claim_holder(
         self, request_id: str, message: messages.Message
     ) -> result.Result[messages.ClaimState, verdicts.Refusal]:
@@ -173,99 +249,6 @@
         )
 
 
-async def run_entry_host(
-    host: EntryHost,
-    settings: settings_module.Settings,
-    reader: log_reader.LogReader,
-    platform: log_client.PlatformClient,
-    clock: types.Clock,
-    *,
-    dial: http_exchange.Dial = http_exchange.dial,
-    listen: http_exchange.Listen = http_exchange.listen,
-) -> None:
-    """Listens for peers, dials them, and keeps a seat, until cancelled."""
-
-    async def accept(
-        stream_reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        await host.streams.serve_stream(
-            stream_reader, writer, host.handle, dialled=False
-        )
-
-    async with asyncio.TaskGroup() as tasks:
-        tasks.create_task(_listen_for_peers(listen, settings.entries, accept))
-        for peer in settings.peers:
-            tasks.create_task(
-                streams.keep_dialled(
-                    host.streams, peer.address, host.handle, dial=dial
-                )
-            )
-        tasks.create_task(
-            membership.send_heartbeats(
-                host.streams, host.current_heartbeat, clock
-            )
-        )
-        tasks.create_task(_grant_on_change(host, reader))
-        tasks.create_task(_keep_seat(settings, reader, platform, clock))
-
-
-async def _listen_for_peers(
-    listen: http_exchange.Listen,
-    address: types.Address,
-    accept: http_exchange.ServeStreams,
-) -> None:
-    await listen(address, accept)
-
-
-async def _grant_on_change(
-    host: EntryHost, reader: log_reader.LogReader
-) -> None:
-    """Looks for slots that a new configuration has freed."""
-    while True:
-        await reader.wait_for_change()
-        host.dispatcher.grant_waiting()
-
-
-async def _keep_seat(
-    settings: settings_module.Settings,
-    reader: log_reader.LogReader,
-    platform: log_client.PlatformClient,
-    clock: types.Clock,
-) -> None:
-    """Takes a seat of the zone as soon as the log allows."""
-    async for proposal in _seat_proposals(settings, reader):
-        record = publisher.propose(
-            reader, records.SEAT, proposal.subject, proposal.fields
-        )
-        published = await publisher.publish(record, reader, platform, clock)
-        eliot.log_message(
-            "entries:seat-proposed",
-            seat=proposal.subject,
-            publication=published.publication.value,
-            detail=published.detail,
-        )
-
-
-async def _seat_proposals(
-    settings: settings_module.Settings, reader: log_reader.LogReader
-) -> abc.AsyncIterator[seats.SeatProposal]:
-    """Yields a proposal whenever this host has no seat of its own."""
-    own_incarnation = False
-    while True:
-        if reader.unconfirmed_s < SEAT_RETRY_S and not own_incarnation:
-            yield seats.propose_seat(
-                reader.configuration,
-                host=settings.host,
-                zone=settings.zone,
-                address=settings.entries,
-                silent=(),
-            )
-        own_incarnation = (
-            seats.held_seat(reader.configuration, settings.host) is not None
-        )
-        await asyncio.sleep(SEAT_RETRY_S)
-
-
 def _claim_unavailable(detail: str) -> verdicts.Refusal:
     return verdicts.not_run(
         "claim-unavailable",
@@ -275,6 +258,22 @@
     )
 
 
+def known_peers(
+    settings: settings_module.Settings,
+    configuration: configuration_module.Configuration,
+) -> set[tuple[str, types.Address]]:
+    """Returns the other entry hosts that settings or seats name.
+
+    A seat record is newer than the settings, so its address counts.
+    """
+    known = {peer.host: peer.address for peer in settings.peers}
+    known.update(
+        (seat.host, seat.address) for seat in configuration.seats.values()
+    )
+    known.pop(settings.host, None)
+    return set(known.items())
+
+
 def encode_claim(request: types.Request, owner: str) -> messages.Claim:
     """Returns the claim of `owner` on a request's id."""
     return messages.Claim(
--- /dev/null
+++ b/src/chervillead/entries/host_tasks.py
@@ -0,0 +1,145 @@
+"""Tasks of one entry host: listen, dial, keep a seat, recover."""
+
+import asyncio
+
+from chervillead import http_exchange
+from chervillead import settings as settings_module
+from chervillead import types
+from chervillead.entries import duty
+from chervillead.entries import host as host_module
+from chervillead.entries import membership
+from chervillead.entries import recovery
+from chervillead.entries import seat_keeper
+from chervillead.entries import streams
+from chervillead.platform import log_client
+from chervillead.platform import log_reader
+from chervillead.platform import publisher
+from chervillead.platform import records
+
+FOLLOW_S = 0.1
+
+
+async def run_entry_host(
+    host: host_module.EntryHost,
+    settings: settings_module.Settings,
+    reader: log_reader.LogReader,
+    platform: log_client.PlatformClient,
+    clock: types.Clock,
+    *,
+    dial: http_exchange.Dial = http_exchange.dial,
+    listen: http_exchange.Listen = http_exchange.listen,
+) -> None:
+    """Listens for peers, dials them, and keeps a seat, until cancelled."""
+
+    async def publish(record: records.Record) -> publisher.PublishedRecord:
+        return await publisher.publish(record, reader, platform, clock)
+
+    try:
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(_listen_for_peers(host, settings, listen))
+            tasks.create_task(
+                membership.send_heartbeats(
+                    host.streams, host.current_heartbeat, clock
+                )
+            )
+            tasks.create_task(duty.run_ticker(host.duties.state))
+            tasks.create_task(_follow_duties(host, reader))
+            tasks.create_task(_dial_peers(host, settings, reader, dial))
+            tasks.create_task(
+                seat_keeper.keep_seat(
+                    settings,
+                    reader,
+                    host.duties.state,
+                    host.membership,
+                    lambda: host.gives_up_seat,
+                    publish,
+                )
+            )
+            _start_recovery(tasks, host, settings, reader)
+    finally:
+        host.streams.close()
+
+
+def _start_recovery(
+    tasks: asyncio.TaskGroup,
+    host: host_module.EntryHost,
+    settings: settings_module.Settings,
+    reader: log_reader.LogReader,
+) -> None:
+    tasks.create_task(
+        recovery.report_holdings(host.held, reader, host.streams, host.post)
+    )
+    tasks.create_task(
+        recovery.watch_peers(
+            settings.host,
+            host.duties.dispatcher,
+            host.duties.claims,
+            reader,
+            host.streams,
+            host.membership,
+        )
+    )
+
+
+async def _listen_for_peers(
+    host: host_module.EntryHost,
+    settings: settings_module.Settings,
+    listen: http_exchange.Listen,
+) -> None:
+    async def accept(
+        stream_reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if host.duties.state.is_superseded:
+            writer.close()
+            return
+        await host.streams.serve_stream(
+            stream_reader, writer, host.handle, dialled=False
+        )
+
+    await listen(settings.entries, accept)
+
+
+async def _dial_peers(
+    host: host_module.EntryHost,
+    settings: settings_module.Settings,
+    reader: log_reader.LogReader,
+    dial: http_exchange.Dial,
+) -> None:
+    """Keeps one task for each peer that the settings or seats name."""
+    async with asyncio.TaskGroup() as tasks:
+        dialling: dict[tuple[str, types.Address], asyncio.Task[None]] = {}
+        while True:
+            wanted = host_module.known_peers(settings, reader.configuration)
+            if host.duties.state.is_superseded:
+                # Two processes under one name would answer for each other.
+                wanted = set()
+                host.streams.close()
+            for peer in dialling.keys() - wanted:
+                dialling.pop(peer).cancel()
+            for peer in wanted - dialling.keys():
+                name, address = peer
+                dialling[peer] = tasks.create_task(
+                    streams.keep_dialled(
+                        host.streams,
+                        address,
+                        host.handle,
+                        expected=name,
+                        dial=dial,
+                    )
+                )
+            await asyncio.sleep(FOLLOW_S)
+
+
+async def _follow_duties(
+    host: host_module.EntryHost, reader: log_reader.LogReader
+) -> None:
+    """Starts and ends the duties and grants what a new state has freed."""
+    while True:
+        host.duties.follow()
+        try:
+            async with asyncio.timeout(FOLLOW_S):
+                await reader.wait_for_change()
+        except TimeoutError:
+            continue
+        host.duties.follow()
+        host.duties.dispatcher.grant_waiting()
--- a/src/chervillead/entries/membership.py
+++ b/src/chervillead/entries/membership.py
@@ -39,6 +39,11 @@
             return float("inf")
         return self._clock.monotonic() - self._heard_s[host]
 
+    def offset_of(self, host: str) -> int:
+        """Returns the offset that a peer last reported; -1 if none."""
+        heartbeat = self._heartbeats.get(host)
+        return -1 if heartbeat is None else heartbeat.offset
+
     def take(self, host: str, heartbeat: messages.Heartbeat) -> None:
         """Notes a heartbeat."""
         self._heartbeats[host] = heartbeat
--- a/src/chervillead/entries/messages.py
+++ b/src/chervillead/entries/messages.py
@@ -175,11 +175,14 @@
         zone: Zone of the seat.
         held: Grants in use, by the entry host that uses them.
         claims: Claims, with the digest of the body.
+        known_for_ms: In the last message of a hand-over, how long the sender
+            has known all claims; -1 in the messages before it.
     """
 
     zone: str
     held: dict[str, list[Holding]]
     claims: list[tuple[int, ClaimState]]
+    known_for_ms: int = -1
 
 
 class ConfigRequest(typing.NamedTuple):
--- /dev/null
+++ b/src/chervillead/entries/peer_stream.py
@@ -0,0 +1,124 @@
+"""One open stream to a peer: frames out, and the replies that are due."""
+
+import asyncio
+import itertools
+
+import eliot
+
+from chervillead import types
+from chervillead.entries import codec
+from chervillead.entries import messages
+
+# A peer that reads this slowly is as good as silent; the limit leaves room for
+# two frames of the largest size.
+MAX_UNSENT_BYTES = 8 * 1024 * 1024
+
+
+class PeerStream:
+    """An open stream to one peer and the replies that are due on it."""
+
+    def __init__(
+        self, peer: str, writer: asyncio.StreamWriter, clock: types.Clock
+    ) -> None:
+        self._peer = peer
+        self._writer = writer
+        self._clock = clock
+        self._numbers = itertools.count(1)
+        self._replies: dict[int, asyncio.Future[messages.Message]] = {}
+        self._outgoing: list[bytes] = []
+        self._closed = False
+        self._last_heard_s = clock.monotonic()
+
+    @property
+    def peer(self) -> str:
+        """Name of the host at the other end."""
+        return self._peer
+
+    def set_peer(self, peer: str) -> None:
+        """Notes the name from the peer's hello."""
+        self._peer = peer
+
+    @property
+    def last_heard_s(self) -> float:
+        """Monotonic time of the last frame from the peer."""
+        return self._last_heard_s
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether this host has closed the stream."""
+        return self._closed
+
+    def post(self, message: messages.Message, reply_to: int = 0) -> int:
+        """Queues a frame and returns its number.
+
+        Frames of one turn of the event loop leave in one write, which saves a
+        system call for each when many requests are under way.
+        """
+        number = next(self._numbers)
+        data = codec.encode_frame(codec.Frame(number, reply_to, message))
+        if len(data) > codec.MAX_FRAME_BYTES:
+            # The peer would close the stream, which other messages need.
+            eliot.log_message(
+                "entries:frame-too-large",
+                peer=self._peer,
+                kind=type(message).__name__,
+                bytes=len(data),
+            )
+            return number
+        if not self._outgoing:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._outgoing.append(data)
+        return number
+
+    async def ask(
+        self, message: messages.Message, timeout_s: float
+    ) -> messages.Message:
+        """Sends `message` and returns the peer's reply.
+
+        Raises:
+            TimeoutError: No reply came in time.
+            ConnectionError: The stream is closed or was closed meanwhile.
+        """
+        if self._closed:
+            raise ConnectionResetError("stream closed")
+        future = asyncio.get_running_loop().create_future()
+        number = self.post(message)
+        self._replies[number] = future
+        try:
+            async with asyncio.timeout(timeout_s):
+                reply: messages.Message = await future
+                return reply
+        finally:
+            self._replies.pop(number, None)
+
+    def take_frame(self, frame: codec.Frame) -> bool:
+        """Notes a frame; returns whether it was the reply to a question."""
+        self._last_heard_s = self._clock.monotonic()
+        if not frame.reply_to:
+            return False
+        future = self._replies.get(frame.reply_to)
+        if future is not None and not future.done():
+            future.set_result(frame.message)
+        return True
+
+    def close(self) -> None:
+        """Closes the stream and fails the questions that wait on it.
+
+        What is unsent is dropped: waiting for a silent peer to read it would
+        keep the connection and its task for good.
+        """
+        self._closed = True
+        self._writer.transport.abort()
+        for future in self._replies.values():
+            if not future.done():
+                future.set_exception(ConnectionResetError("stream closed"))
+
+    def _flush(self) -> None:
+        data = b"".join(self._outgoing)
+        self._outgoing.clear()
+        if self._closed or self._writer.is_closing():
+            return
+        self._writer.write(data)
+        if self._writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            eliot.log_message("entries:slow-reader", peer=self._peer)
+            self.close()
--- /dev/null
+++ b/src/chervillead/entries/recovery.py
@@ -0,0 +1,115 @@
+"""Tasks that restore a zone's dispatch after a holder or a stream is lost."""
+
+import asyncio
+from collections import abc
+
+from chervillead.entries import claims as claims_module
+from chervillead.entries import dispatcher as dispatcher_module
+from chervillead.entries import held_grants
+from chervillead.entries import membership as membership_module
+from chervillead.entries import messages
+from chervillead.entries import seats
+from chervillead.entries import slot_recovery
+from chervillead.entries import streams as streams_module
+from chervillead.platform import log_reader
+
+CHECK_S = 0.25
+# A holder that lost its seat can grant until its last confirmation is over,
+# so reports go on until the new holder is active.
+REPORTS = 13
+
+Post = abc.Callable[[str, messages.Message], object]
+
+
+async def report_holdings(
+    held: held_grants.HeldGrants,
+    reader: log_reader.LogReader,
+    streams: streams_module.PeerStreams,
+    post: Post,
+) -> None:
+    """Reports to each zone's dispatcher when it or a stream to it is new."""
+    reported: dict[str, tuple[str, int, int]] = {}
+    due: dict[str, int] = {}
+    while True:
+        for zone in reader.configuration.zones:
+            holder = seats.duty_holder(reader.configuration, zone)
+            if holder is None:
+                continue
+            version = seats.incarnation(
+                reader.configuration, seats.seat_subject(zone, 0)
+            )
+            current = (holder, version, streams.times_opened(holder))
+            if reported.get(zone) != current:
+                reported[zone] = current
+                due[zone] = REPORTS
+            if due[zone] > 0:
+                due[zone] -= 1
+                post(holder, held.report(zone))
+        await asyncio.sleep(CHECK_S)
+
+
+async def watch_peers(
+    host: str,
+    dispatcher: dispatcher_module.Dispatcher,
+    claims: claims_module.ClaimTable,
+    reader: log_reader.LogReader,
+    streams: streams_module.PeerStreams,
+    membership: membership_module.Membership,
+) -> None:
+    """Frees what lost entry hosts held and marks their claims as lost."""
+    opened: dict[str, int] = {}
+    started_s = asyncio.get_running_loop().time()
+
+    def is_dead(owner: str, seat: claims_module.OwnerSeat) -> bool:
+        if owner == host:
+            return False
+        present = seats.seat_of(reader.configuration, owner)
+        if seat is not None and _was_replaced(seat, present):
+            return True
+        uptime_s = asyncio.get_running_loop().time() - started_s
+        silent_s = min(membership.silent_s(owner), uptime_s)
+        return silent_s > dispatcher_module.DOUBTFUL_S
+
+    while True:
+        holders = {s.entry_host for s in dispatcher.slots.held.values()}
+        for peer in holders | streams.known_peers:
+            current = streams.times_opened(peer)
+            is_lost = peer != host and not streams.is_connected(peer)
+            # Once for each loss; a new stream starts with a report.
+            if is_lost and opened.get(peer) != current:
+                dispatcher.suspect(peer)
+            opened[peer] = current if is_lost else -1
+        dispatcher.free_lapsed()
+        claims.lose_owners(is_dead)
+        await asyncio.sleep(CHECK_S)
+
+
+def _was_replaced(
+    claimed: tuple[str, int], present: claims_module.OwnerSeat
+) -> bool:
+    """Returns whether an owner's seat went to another process.
+
+    An owner that moved from a standby seat to the duty seat is the same one.
+    """
+    if present is None:
+        return True
+    return present[0] == claimed[0] and present[1] != claimed[1]
+
+
+def hand_over_messages(
+    zone: str,
+    dispatcher: dispatcher_module.Dispatcher,
+    claims: claims_module.ClaimTable,
+    known_for_s: float,
+) -> abc.Iterator[messages.HandOver]:
+    """Yields the state of a leaving holder; the last message says so."""
+    held = slot_recovery.held_by_host(dispatcher.slots)
+    parts = list(claims.hand_over())
+    for index, part in enumerate(parts):
+        is_last = index == len(parts) - 1
+        yield messages.HandOver(
+            zone,
+            held if is_last else {},
+            part,
+            int(known_for_s * 1000) if is_last else -1,
+        )
--- /dev/null
+++ b/src/chervillead/entries/seat_keeper.py
@@ -0,0 +1,104 @@
+"""Task that keeps a seat for this host and takes over silent holders."""
+
+import asyncio
+from collections import abc
+
+import eliot
+
+from chervillead import settings as settings_module
+from chervillead.entries import duty as duty_module
+from chervillead.entries import membership as membership_module
+from chervillead.entries import seats
+from chervillead.platform import log_reader
+from chervillead.platform import publisher
+from chervillead.platform import records
+
+CHECK_S = 0.1
+
+Publish = abc.Callable[
+    [records.Record], abc.Awaitable[publisher.PublishedRecord]
+]
+
+
+async def keep_seat(
+    settings: settings_module.Settings,
+    reader: log_reader.LogReader,
+    duty: duty_module.DutyState,
+    membership: membership_module.Membership,
+    gives_up: abc.Callable[[], bool],
+    publish: Publish,
+) -> None:
+    """Proposes seat records until cancelled.
+
+    Args:
+        settings: Settings of this host.
+        reader: Holder of the newest state.
+        duty: Seat of this process.
+        membership: Which entry hosts were heard.
+        gives_up: Whether this host leaves and gives its seat up.
+        publish: Appends a record and waits for its fate.
+    """
+    while True:
+        await asyncio.sleep(CHECK_S)
+        # On an old state a proposal would only be refused as stale.
+        if reader.unconfirmed_s > duty_module.CONFIRMED_S:
+            continue
+        proposal = _next_proposal(
+            settings, reader, duty, membership, gives_up=gives_up()
+        )
+        if proposal is None:
+            continue
+        record = publisher.propose(
+            reader, records.SEAT, proposal.subject, proposal.fields
+        )
+        duty.note_proposal(record)
+        published = await publish(record)
+        eliot.log_message(
+            "entries:seat-proposed",
+            seat=proposal.subject,
+            publication=published.publication.value,
+            detail=published.detail,
+        )
+
+
+def _next_proposal(
+    settings: settings_module.Settings,
+    reader: log_reader.LogReader,
+    duty: duty_module.DutyState,
+    membership: membership_module.Membership,
+    *,
+    gives_up: bool,
+) -> seats.SeatProposal | None:
+    """Returns what to propose now, if anything."""
+    own = duty.own_seats
+    if duty.is_superseded:
+        return None
+    if gives_up:
+        # Nobody has to wait for this host once its seat is free.
+        return seats.SeatProposal(own[-1].subject, {}) if own else None
+    if not own:
+        return seats.propose_seat(
+            reader.configuration,
+            host=settings.host,
+            zone=settings.zone,
+            address=settings.entries,
+        )
+    if len(own) > 1:
+        return seats.SeatProposal(own[-1].subject, {})
+    if own[0].number < seats.DUTY_SEATS:
+        return None
+    standby = seats.Standby(
+        settings.host,
+        settings.zone,
+        settings.entries,
+        own[0].incarnation,
+        duty.held_for_s,
+    )
+    if duty.expects_whole_state():
+        return seats.propose_duty(standby)
+    return seats.propose_takeover(
+        reader.configuration,
+        standby,
+        silent_s=membership.silent_s,
+        heard_offset=membership.offset_of,
+    )
--- a/src/chervillead/entries/seats.py
+++ b/src/chervillead/entries/seats.py
@@ -12,8 +12,10 @@
 from chervillead.platform import configuration as configuration_module
 from chervillead.platform import records
 
-# The holder of this seat dispatches and holds claims; the others stand by.
-DUTY_NUMBER = 0
+# Holders of lower seats dispatch and hold claims; the others stand by.
+DUTY_SEATS = 1
+SILENCE_S = 2.0
+UNHEARD_WAIT_S = 30.0
 
 
 class SeatProposal(typing.NamedTuple):
@@ -23,6 +25,16 @@
     fields: dict[str, typing.Any]
 
 
+class Standby(typing.NamedTuple):
+    """A host that holds a standby seat, and for how long it has."""
+
+    host: str
+    zone: str
+    address: types.Address
+    incarnation: int
+    held_for_s: float
+
+
 def seat_subject(zone: str, number: int) -> str:
     """Returns the name of a seat in the log."""
     return f"{zone}/{number}"
@@ -38,6 +50,16 @@
     return None
 
 
+def seat_of(
+    configuration: configuration_module.Configuration, host: str
+) -> tuple[str, int] | None:
+    """Returns the seat that `host` holds and its incarnation, if any."""
+    subject = held_seat(configuration, host)
+    if subject is None:
+        return None
+    return subject, incarnation(configuration, subject)
+
+
 def incarnation(
     configuration: configuration_module.Configuration, subject: str
 ) -> int:
@@ -53,23 +75,79 @@
     host: str,
     zone: str,
     address: types.Address,
-    silent: abc.Container[str],
 ) -> SeatProposal:
-    """Returns the seat that `host` should ask for.
+    """Returns the seat that a host without one should ask for.
+
+    A restarted host asks for the seat that its name holds, which gives it a
+    new incarnation; any other host asks for the lowest free seat.
+    """
+    held = held_seat(configuration, host)
+    number = 0
+    if held is not None and configuration.seats[held].zone == zone:
+        number = configuration.seats[held].number
+    else:
+        while seat_subject(zone, number) in configuration.seats:
+            number += 1
+    return _proposal(host, zone, number, address)
+
+
+def propose_takeover(
+    configuration: configuration_module.Configuration,
+    standby: Standby,
+    *,
+    silent_s: abc.Callable[[str], float],
+    heard_offset: abc.Callable[[str], int],
+) -> SeatProposal | None:
+    """Returns the duty seat that a standby should take over, if any.
+
+    The holder must be silent. It must also have known of the standby, or have
+    had time to learn of it from the log: until then it takes itself for
+    confirmed without hearing from the standby.
 
     Args:
         configuration: The newest state.
-        host: Name of the entry host.
-        zone: Its zone.
-        address: Where other entry hosts reach it.
-        silent: Hosts known to be silent, whose seats may be taken.
+        standby: The host that asks and its standby seat.
+        silent_s: Returns how long a host has been silent.
+        heard_offset: Returns the offset that a host last reported.
     """
-    number = 0
-    while True:
-        seat = configuration.seats.get(seat_subject(zone, number))
-        if seat is None or seat.host == host or seat.host in silent:
-            break
-        number += 1
+    for number in range(DUTY_SEATS):
+        subject = seat_subject(standby.zone, number)
+        seat = configuration.seats.get(subject)
+        if seat is None:
+            return propose_duty(standby, number)
+        if seat.host == standby.host or silent_s(seat.host) < SILENCE_S:
+            continue
+        if (
+            heard_offset(seat.host) >= standby.incarnation
+            or standby.held_for_s >= UNHEARD_WAIT_S
+        ):
+            return propose_duty(standby, number)
+    return None
+
+
+def propose_duty(standby: Standby, number: int = 0) -> SeatProposal:
+    """Returns the proposal of a duty seat for a standby."""
+    return _proposal(standby.host, standby.zone, number, standby.address)
+
+
+def handover_target(
+    configuration: configuration_module.Configuration,
+    host: str,
+    zone: str,
+    live: abc.Container[str],
+) -> str | None:
+    """Returns the live host with the lowest standby seat of a zone."""
+    standbys = sorted(
+        (seat.number, seat.host)
+        for seat in configuration.seats.values()
+        if seat.zone == zone and seat.host != host and seat.host in live
+    )
+    return standbys[0][1] if standbys else None
+
+
+def _proposal(
+    host: str, zone: str, number: int, address: types.Address
+) -> SeatProposal:
     fields = {
         "zone": zone,
         "number": number,
@@ -83,10 +161,20 @@
     configuration: configuration_module.Configuration, zone: str
 ) -> str | None:
     """Returns the entry host that dispatches and holds claims for `zone`."""
-    seat = configuration.seats.get(seat_subject(zone, DUTY_NUMBER))
+    seat = configuration.seats.get(seat_subject(zone, 0))
     return None if seat is None else seat.host
 
 
+def duty_zone(
+    configuration: configuration_module.Configuration, host: str
+) -> str:
+    """Returns the zone that `host` dispatches for; empty if there is none."""
+    for seat in configuration.seats.values():
+        if seat.host == host and seat.number < DUTY_SEATS:
+            return seat.zone
+    return ""
+
+
 def claim_zone(
     configuration: configuration_module.Configuration, claim_byte: int
 ) -> str | None:
--- a/src/chervillead/entries/streams.py
+++ b/src/chervillead/entries/streams.py
@@ -6,7 +6,6 @@
 
 import asyncio
 from collections import abc
-import itertools
 import random
 
 import eliot
@@ -17,105 +16,32 @@
 from chervillead import verdicts
 from chervillead.entries import codec
 from chervillead.entries import messages
+from chervillead.entries import peer_stream
 
 DIAL_TIMEOUT_S = 0.25
 MAX_REDIAL_S = 1.0
 HELLO_TIMEOUT_S = 1.0
+# A stream that lasted this long resets the back-off of redialling.
+STEADY_S = 1.0
+# Covers the time to the next attempt, so a dead address stays known as refused.
+REFUSAL_VALID_S = MAX_REDIAL_S + 2 * DIAL_TIMEOUT_S
 
 # Returns the reply to a message from a peer, or None where none is due.
 Handler = abc.Callable[[str, messages.Message], messages.Message | None]
 
 
-class PeerStream:
-    """An open stream to one peer and the replies that are due on it."""
-
-    def __init__(
-        self, peer: str, writer: asyncio.StreamWriter, clock: types.Clock
-    ) -> None:
-        self._peer = peer
-        self._writer = writer
-        self._clock = clock
-        self._numbers = itertools.count(1)
-        self._replies: dict[int, asyncio.Future[messages.Message]] = {}
-        self._outgoing: list[bytes] = []
-        self._last_heard_s = clock.monotonic()
-
-    @property
-    def peer(self) -> str:
-        """Name of the host at the other end."""
-        return self._peer
-
-    @property
-    def last_heard_s(self) -> float:
-        """Monotonic time of the last frame from the peer."""
-        return self._last_heard_s
-
-    def post(self, message: messages.Message, reply_to: int = 0) -> int:
-        """Queues a frame and returns its number.
-
-        Frames of one turn of the event loop leave in one write, which saves a
-        system call for each when many requests are under way.
-        """
-        number = next(self._numbers)
-        if not self._outgoing:
-            asyncio.get_running_loop().call_soon(self._flush)
-        self._outgoing.append(
-            codec.encode_frame(codec.Frame(number, reply_to, message))
-        )
-        return number
-
-    async def ask(
-        self, message: messages.Message, timeout_s: float
-    ) -> messages.Message:
-        """Sends `message` and returns the peer's reply.
-
-        Raises:
-            TimeoutError: No reply came in time.
-            ConnectionError: The stream was closed meanwhile.
-        """
-        future = asyncio.get_running_loop().create_future()
-        number = self.post(message)
-        self._replies[number] = future
-        try:
-            async with asyncio.timeout(timeout_s):
-                reply: messages.Message = await future
-                return reply
-        finally:
-            self._replies.pop(number, None)
-
-    def take_frame(self, frame: codec.Frame) -> bool:
-        """Notes a frame; returns whether it was the reply to a question."""
-        self._last_heard_s = self._clock.monotonic()
-        if not frame.reply_to:
-            return False
-        future = self._replies.get(frame.reply_to)
-        if future is not None and not future.done():
-            future.set_result(frame.message)
-        return True
-
-    def close(self) -> None:
-        """Closes the stream and fails the questions that wait on it."""
-        self._writer.close()
-        for future in self._replies.values():
-            if not future.done():
-                future.set_exception(ConnectionResetError("stream closed"))
-
-    def _flush(self) -> None:
-        data = b"".join(self._outgoing)
-        self._outgoing.clear()
-        if not self._writer.is_closing():
-            self._writer.write(data)
-
-
 class PeerStreams:
     """The open streams of this host, by peer."""
 
     def __init__(self, hello: messages.Hello, clock: types.Clock) -> None:
         self._hello = hello
         self._clock = clock
-        self._dialled: dict[str, PeerStream] = {}
-        self._accepted: dict[str, PeerStream] = {}
+        self._dialled: dict[str, peer_stream.PeerStream] = {}
+        self._accepted: dict[str, peer_stream.PeerStream] = {}
         self._zones: dict[str, str] = {}
+        self._all: set[peer_stream.PeerStream] = set()
+        self._opened: dict[str, int] = {}
+        self._refused_s: dict[types.Address, float] = {}
 
     @property
     def hello(self) -> messages.Hello:
@@ -127,11 +53,41 @@
         """Peers to which a dialled stream is open."""
         return frozenset(self._dialled)
 
+    @property
+    def known_peers(self) -> frozenset[str]:
+        """Peers that ever said hello."""
+        return frozenset(self._zones)
+
     def zone_of(self, peer: str) -> str | None:
         """Returns the zone that the peer named, if it ever said hello."""
         return self._zones.get(peer)
 
-    def open_streams(self) -> list[PeerStream]:
+    def times_opened(self, peer: str) -> int:
+        """Returns how many streams to or from a peer have been opened."""
+        return self._opened.get(peer, 0)
+
+    def is_connected(self, peer: str) -> bool:
+        """Returns whether any stream to or from a peer is open."""
+        return peer in self._dialled or peer in self._accepted
+
+    def refuses(self, address: types.Address) -> bool:
+        """Returns whether an address refused the last connection."""
+        refused_s = self._refused_s.get(address, float("-inf"))
+        return self._clock.monotonic() - refused_s <= REFUSAL_VALID_S
+
+    def note_dial(self, address: types.Address, *, refused: bool) -> None:
+        """Notes the outcome of dialling an address."""
+        if refused:
+            self._refused_s[address] = self._clock.monotonic()
+        else:
+            self._refused_s.pop(address, None)
+
+    def close(self) -> None:
+        """Closes all streams, those without a hello included."""
+        for stream in list(self._all):
+            stream.close()
+
+    def open_streams(self) -> list[peer_stream.PeerStream]:
         """Returns all open streams, dialled and accepted."""
         return [*self._dialled.values(), *self._accepted.values()]
 
@@ -167,25 +123,33 @@
         handle: Handler,
         *,
         dialled: bool,
+        expected: str | None = None,
     ) -> None:
-        """Says hello, then reads frames until the stream ends."""
-        stream = PeerStream("", writer, self._clock)
+        """Says hello, then reads frames until the stream ends.
+
+        Args:
+            reader: Incoming bytes.
+            writer: Outgoing bytes.
+            handle: Acts on messages.
+            dialled: Whether this host opened the connection.
+            expected: Host that should answer; None if it isn't known.
+        """
+        stream = peer_stream.PeerStream("", writer, self._clock)
+        self._all.add(stream)
         stream.post(self._hello)
-        frames = codec.read_frames(reader)
-        streams = self._dialled if dialled else self._accepted
-        peer = ""
         try:
+            frames = codec.read_frames(reader)
             async with asyncio.timeout(HELLO_TIMEOUT_S):
                 hello = (await anext(frames)).message
-            if not isinstance(hello, messages.Hello):
-                raise codec.MalformedFrameError("the first frame isn't hello")
-            peer = stream._peer = hello.host
-            self._zones[peer] = hello.zone
-            streams[peer] = stream
+            self._open(stream, hello, expected, dialled=dialled)
             async for frame in frames:
+                # Frames that were under way when this host gave the peer up
+                # don't show that it is alive.
+                if stream.is_closed:
+                    break
                 if stream.take_frame(frame):
                     continue
-                reply = handle(peer, frame.message)
+                reply = handle(stream.peer, frame.message)
                 if reply is not None:
                     stream.post(reply, frame.number)
         except (
@@ -195,12 +159,48 @@
             codec.MalformedFrameError,
         ) as error:
             eliot.log_message(
-                "entries:stream-failed", peer=peer, error=repr(error)
+                "entries:stream-failed", peer=stream.peer, error=repr(error)
             )
         finally:
-            if streams.get(peer) is stream:
-                del streams[peer]
-            stream.close()
+            self._discard(stream)
+
+    def _open(
+        self,
+        stream: peer_stream.PeerStream,
+        hello: messages.Message,
+        expected: str | None,
+        *,
+        dialled: bool,
+    ) -> None:
+        """Checks a peer's hello and makes its stream the current one.
+
+        Raises:
+            MalformedFrameError: The peer isn't who it should be.
+        """
+        if not isinstance(hello, messages.Hello):
+            raise codec.MalformedFrameError("the first frame isn't hello")
+        if hello.host == self._hello.host:
+            raise codec.MalformedFrameError(f"{hello.host} is this host's name")
+        if expected is not None and hello.host != expected:
+            raise codec.MalformedFrameError(
+                f"the peer says it is {hello.host}, expected {expected}"
+            )
+        stream.set_peer(hello.host)
+        self._zones[hello.host] = hello.zone
+        self._opened[hello.host] = self.times_opened(hello.host) + 1
+        streams = self._dialled if dialled else self._accepted
+        older = streams.get(hello.host)
+        streams[hello.host] = stream
+        if older is not None:
+            # The peer has given the older stream up, or is another process.
+            older.close()
+
+    def _discard(self, stream: peer_stream.PeerStream) -> None:
+        self._all.discard(stream)
+        for streams in (self._dialled, self._accepted):
+            if streams.get(stream.peer) is stream:
+                del streams[stream.peer]
+        stream.close()
 
 
 async def keep_dialled(
@@ -208,19 +208,26 @@
     address: types.Address,
     handle: Handler,
     *,
+    expected: str | None = None,
     dial: http_exchange.Dial = http_exchange.dial,
 ) -> None:
     """Keeps one stream to the peer at `address` open until cancelled."""
     failures = 0
     while True:
+        started_s = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(DIAL_TIMEOUT_S):
                 reader, writer = await dial(address)
-        except (OSError, TimeoutError):
-            failures += 1
+        except (OSError, TimeoutError) as error:
+            refused = isinstance(error, ConnectionRefusedError)
+            streams.note_dial(address, refused=refused)
         else:
-            failures = 0
-            await streams.serve_stream(reader, writer, handle, dialled=True)
+            streams.note_dial(address, refused=False)
+            await streams.serve_stream(
+                reader, writer, handle, dialled=True, expected=expected
+            )
+        lasted_s = asyncio.get_running_loop().time() - started_s
+        failures = 0 if lasted_s > STEADY_S else min(failures + 1, 10)
         # Full jitter: hosts that lost each other together must not redial in
         # step when the network returns.
         ceiling = min(MAX_REDIAL_S, 0.05 * 2**failures)
--- a/src/chervillead/platform/log_reader.py
+++ b/src/chervillead/platform/log_reader.py
@@ -24,6 +24,7 @@
         self._clock = clock
         self._configuration = configuration_module.EMPTY
         self._confirmed_s: float | None = None
+        self._asked_s: float | None = None
         self._changed = asyncio.Event()
         self._fates: dict[str, fold.Fate] = {}
 
@@ -47,9 +48,18 @@
         """Returns after the state has changed."""
         await self._changed.wait()
 
+    def start_read(self) -> None:
+        """Notes that the log is asked now."""
+        self._asked_s = self._clock.monotonic()
+
     def confirm(self) -> None:
-        """Notes that the log answered and has nothing beyond the state."""
-        self._confirmed_s = self._clock.monotonic()
+        """Notes that the log answered and has nothing beyond the state.
+
+        The state is confirmed for the time of the question: the answer may
+        have been under way while this process was paused.
+        """
+        now_s = self._clock.monotonic()
+        self._confirmed_s = now_s if self._asked_s is None else self._asked_s
 
     def take_entries(self, entries: abc.Iterable[records.OffsetRecord]) -> None:
         """Folds records that came from the log or from a peer."""
@@ -84,6 +94,7 @@
     """Yields pages from the state's offset on; backs off while it fails."""
     failures = 0
     while True:
+        reader.start_read()
         page = await platform.read(reader.configuration.offset + 1, POLL_WAIT_S)
         if pipeline.is_successful(page):
             failures = 0
--- a/tests/stand_ins/local_fleet.py
+++ b/tests/stand_ins/local_fleet.py
@@ -222,11 +222,21 @@
 
 
 async def _wait_until_served(address: types.Address) -> None:
-    """Returns once a request through the entry host is answered."""
+    """Returns once the entry host answers requests claimed in each zone."""
+    for claim_byte in range(len(ZONES)):
+        await _wait_for_claims(address, claim_byte)
+
+
+async def _wait_for_claims(address: types.Address, claim_byte: int) -> None:
     while True:
+        request_id = request_ids.new_request_id(time.time(), claim_byte)
         try:
             response = await send_request(
-                address, QUEUES[0], TEAM_KEYS["nursery-north"], b"run=0"
+                address,
+                QUEUES[0],
+                TEAM_KEYS["nursery-north"],
+                b"run=0",
+                request_id=request_id,
             )
             if response.status == 200:
                 return
--- a/tests/stand_ins/memory_fleet.py
+++ b/tests/stand_ins/memory_fleet.py
@@ -66,7 +66,9 @@
             self.publish(record)
         for index in range(self.plan.entry_hosts):
             self.start_host(index)
-        await asyncio.sleep(3.0)
+        # Seats become active after 3 s, and ids that are created within 2 s
+        # after that may be older than they say.
+        await asyncio.sleep(7.0)
 
     def publish(self, record: records.Record) -> None:
         """Appends a record to the log, as an operator's tool does."""
@@ -77,7 +79,23 @@
     def start_host(self, index: int) -> assembly.Assembly:
         """Starts an entry host, or a replacement of one that was killed."""
         name = self.plan.entry_name(index)
+        return self._start_host(
+            name, local_fleet.entry_settings(self.plan, index)
+        )
+
+    def start_double(self, index: int) -> assembly.Assembly:
+        """Starts a second process with the name of an entry host.
+
+        It stands at a place of its own, `NAME-double`, at other ports.
+        """
         document = local_fleet.entry_settings(self.plan, index)
+        for name in ("callers", "entries"):
+            document[name]["port"] += 50
+        return self._start_host(f"{document['host']}-double", document)
+
+    def _start_host(
+        self, name: str, document: dict[str, typing.Any]
+    ) -> assembly.Assembly:
         parts = assembly.assemble(
             settings_module.check_settings(document).unwrap(),
             virtual_time.clock(),
@@ -142,6 +160,15 @@
             request, parts.ports, claimed=not idempotent
         )
 
+    def active_hosts(self, zone: str) -> list[str]:
+        """Returns the places whose process may grant for a zone now."""
+        return [
+            name
+            for name, parts in self.hosts.items()
+            if parts.settings.zone == zone
+            and parts.entry.duties.state.may_act()
+        ]
+
     def executions(self) -> list[upstream_stand_in.TaskRecord]:
         """Returns what all upstreams recorded."""
         return [
--- a/tests/stand_ins/memory_network.py
+++ b/tests/stand_ins/memory_network.py
@@ -32,11 +32,13 @@
         self._target = target
         self._closed = False
         self._arrival_s = 0.0
+        self._unread_bytes = 0
         self.far_reader = asyncio.StreamReader()
         self.reverse: _MemoryWriter | None = None
 
     def write(self, data: bytes) -> None:
         if not self._closed and data:
+            self._unread_bytes += len(data)
             self._deliver(lambda: self._feed(data))
 
     async def drain(self) -> None:
@@ -55,12 +57,28 @@
     async def wait_closed(self) -> None:
         await asyncio.sleep(0)
 
+    @property
+    def transport(self) -> "_MemoryWriter":
+        return self
+
+    def get_write_buffer_size(self) -> int:
+        return self._unread_bytes
+
+    def abort(self) -> None:
+        """Ends the connection here at once; the far end learns of it later."""
+        if not self._closed:
+            self._closed = True
+            self._deliver(self._feed_end)
+        if self.reverse is not None:
+            self.reverse.reset()
+
     def reset(self) -> None:
         """Ends the direction at once, without what is under way."""
         self._closed = True
         self._feed_end()
 
     def _feed(self, data: bytes) -> None:
+        self._unread_bytes -= len(data)
         if not self.far_reader.at_eof() and not self.far_reader._eof:
             self.far_reader.feed_data(data)
 
