--- a/src/chervillead/entries/claims.py
+++ b/src/chervillead/entries/claims.py
@@ -98,19 +98,28 @@
         """Accepts a first claim on an id, or says what became of the first."""
         self._forget_old()
         known = self._claims.get(message.request_id)
-        if known is not None:
-            if known.digest != message.digest:
-                return messages.ClaimState(
-                    message.request_id, messages.CLAIM_CONFLICT
-                )
+        if known is not None and not _is_same_work(known, message):
+            return messages.ClaimState(
+                message.request_id, messages.CLAIM_CONFLICT
+            )
+        if (
+            known is not None
+            and known.state.verdict is not verdicts.Verdict.NOT_RUN
+        ):
             return known.state
-        if self._may_be_forgotten(message.request_id):
+        if known is None and self._may_be_forgotten(message.request_id):
             return messages.ClaimState(message.request_id, messages.CLAIM_LOST)
-        if len(self._claims) >= self._max_claims:
+        if known is None and len(self._claims) >= self._max_claims:
             return refused(message.request_id, "the claim table is full")
         running = messages.ClaimState(
-            message.request_id, messages.CLAIM_RUNNING, message.owner
+            message.request_id,
+            messages.CLAIM_RUNNING,
+            message.owner,
+            team=message.team,
+            attempt=message.attempt,
         )
+        # A repeat of a request that did not run is kept as long as a new one.
+        self._claims.pop(message.request_id, None)
         self._store(message.digest, running)
         return running._replace(state=messages.CLAIM_ACCEPTED)
 
@@ -124,18 +133,20 @@
         return messages.ClaimState(message.request_id, messages.CLAIM_UNKNOWN)
 
     def finish(self, message: messages.Finished) -> None:
-        """Stores how a request ended; a repeat has no effect.
+        """Stores how a submission ended; a repeat has no effect.
 
-        A request that certainly did not run gives its id free again, so that
-        the caller may repeat it under the same id.
+        A request that certainly did not run may be claimed again; until then
+        its verdict can be looked up. The report of another submission under
+        the same id has no effect.
         """
         known = self._claims.get(message.request_id)
-        if known is None or known.state.state == messages.CLAIM_FINISHED:
+        if (
+            known is None
+            or known.state.attempt != message.attempt
+            or known.state.state == messages.CLAIM_FINISHED
+        ):
             return
         self._running.pop(message.request_id, None)
-        if message.verdict is verdicts.Verdict.NOT_RUN:
-            del self._claims[message.request_id]
-            return
         answer = message.answer
         length = 0 if answer is None else len(answer.body)
         if self._answers_bytes + length > self._max_answers_bytes:
@@ -229,6 +240,10 @@
     return messages.Refused(request_id, "claim-unavailable", 503, detail, 1000)
 
 
+def _is_same_work(known: _Claim, message: messages.Claim) -> bool:
+    return (known.digest, known.state.team) == (message.digest, message.team)
+
+
 def _take_while_old(
     claims: dict[str, _Claim], oldest_s: float
 ) -> abc.Iterator[str]:
--- a/src/chervillead/entries/duties.py
+++ b/src/chervillead/entries/duties.py
@@ -100,11 +100,9 @@
             case messages.Finished():
                 self._claims.finish(message)
 
-    def owner_to_cancel(self, request_id: str) -> str:
-        """Returns the host that runs a request; this one if none is known."""
-        state = self._claims.lookup(messages.Lookup(request_id))
-        is_running = state.state == messages.CLAIM_RUNNING
-        return state.owner if is_running else self._host
+    def claim_owner(self, request_id: str) -> str:
+        """Returns the owner of a claim; empty if none is known."""
+        return self._claims.lookup(messages.Lookup(request_id)).owner
 
     def take_over(self, peer: str, message: messages.HandOver) -> None:
         """Takes the state of the leaving holder of this zone's duty seat."""
--- a/src/chervillead/entries/host.py
+++ b/src/chervillead/entries/host.py
@@ -15,7 +15,6 @@
 from chervillead import types
 from chervillead import verdicts
 from chervillead.callers import request_ids
-from chervillead.entries import claims
 from chervillead.entries import dispatch_client
 from chervillead.entries import dispatcher
 from chervillead.entries import duties
@@ -41,13 +40,14 @@
         settings: settings_module.Settings,
         reader: log_reader.LogReader,
         clock: types.Clock,
+        cancel: abc.Callable[[str], bool] = lambda request_id: False,
     ) -> None:
+        self._cancel = cancel
         self._settings = settings
         self._reader = reader
         self._clock = clock
         self._stopping = False
         self._gives_up_seat = False
-        self._cancel: abc.Callable[[str], None] = lambda request_id: None
         self._streams = streams.PeerStreams(
             messages.Hello(settings.host, settings.zone), clock
         )
@@ -97,10 +97,6 @@
         """Whether this host leaves and nobody takes its seat from it."""
         return self._gives_up_seat
 
-    def set_cancel(self, cancel: abc.Callable[[str], None]) -> None:
-        """Sets the function that cancels a request of this host."""
-        self._cancel = cancel
-
     def current_heartbeat(self) -> messages.Heartbeat:
         """Returns what this host tells the others of itself."""
         unconfirmed_s = self._reader.unconfirmed_s
@@ -180,17 +176,22 @@
             case messages.HandOver():
                 self._duties.take_over(peer, message)
             case messages.Cancel():
-                owner = self._duties.owner_to_cancel(message.request_id)
-                if owner == self._settings.host:
-                    self._cancel(message.request_id)
-                else:
-                    self._streams.post(owner, message)
+                self._pass_on_cancel(message)
             case _:
                 eliot.log_message(
                     "entries:unexpected", peer=peer, kind=type(message).__name__
                 )
         return None
 
+    def _pass_on_cancel(self, message: messages.Cancel) -> None:
+        """Cancels a request of this host, or tells the owner in its claim."""
+        owner = self._duties.claim_owner(message.request_id)
+        if not self._cancel(message.request_id) and owner not in (
+            "",
+            self._settings.host,
+        ):
+            self.post(owner, message)
+
     async def leave(self) -> None:
         """Hands the duties over and gives the seat up, before the exit."""
         self._stopping = True
@@ -272,21 +273,3 @@
     )
     known.pop(settings.host, None)
     return set(known.items())
-
-
-def encode_claim(request: types.Request, owner: str) -> messages.Claim:
-    """Returns the claim of `owner` on a request's id."""
-    return messages.Claim(
-        request.request_id, claims.digest_body(request.body), owner
-    )
-
-
-def encode_finished(
-    request: types.Request,
-    verdict: verdicts.Verdict,
-    answer: types.Answer | None,
-) -> messages.Finished:
-    """Returns the report of how a request ended; large answers are left out."""
-    if answer is not None and len(answer.body) > claims.MAX_STORED_ANSWER_BYTES:
-        answer = None
-    return messages.Finished(request.request_id, verdict, answer)
--- a/src/chervillead/entries/seats.py
+++ b/src/chervillead/entries/seats.py
@@ -10,10 +10,11 @@
 
 from chervillead import types
 from chervillead.platform import configuration as configuration_module
+from chervillead.platform import fold_seats
 from chervillead.platform import records
 
 # Holders of lower seats dispatch and hold claims; the others stand by.
-DUTY_SEATS = 1
+DUTY_SEATS = fold_seats.DUTY_SEATS
 SILENCE_S = 2.0
 UNHEARD_WAIT_S = 30.0
 
