--- a/src/chervillead/entries/duties.py
+++ b/src/chervillead/entries/duties.py
@@ -6,12 +6,14 @@
 from chervillead.entries import claims as claims_module
 from chervillead.entries import dispatcher as dispatcher_module
 from chervillead.entries import duty as duty_module
+from chervillead.entries import escrow as escrow_module
 from chervillead.entries import messages
 from chervillead.entries import recovery
 from chervillead.entries import seats
+from chervillead.entries import transfers
 from chervillead.platform import log_reader
 
-Post = abc.Callable[[str, messages.Message], bool]
+Post = abc.Callable[[str, messages.Message], object]
 
 
 class Duties:
@@ -49,6 +51,9 @@
         self._claims = claims_module.ClaimTable(
             clock, lambda owner: seats.seat_of(reader.configuration, owner)
         )
+        self._escrow = escrow_module.Escrow(
+            lambda record: transfers.is_settled(reader.configuration, record)
+        )
         self._dispatcher = dispatcher_module.Dispatcher(
             host=host,
             zone=zone,
@@ -56,6 +61,7 @@
             clock=clock,
             notify=post,
             may_grant=self._duty.may_act,
+            deducted_units=self._escrow.deducted,
         )
 
     @property
@@ -63,6 +69,11 @@
         """The dispatcher part."""
         return self._dispatcher
 
+    @property
+    def escrow(self) -> escrow_module.Escrow:
+        """Units that are being given to other zones."""
+        return self._escrow
+
     @property
     def claims(self) -> claims_module.ClaimTable:
         """The claims part."""
@@ -120,7 +131,9 @@
         change = self._duty.update(self._host)
         activated_s = self._duty.activated_wall_s
         if change.lost:
-            self._dispatcher.clear()
+            # The dispatcher refuses what waits; its next reports correct the
+            # grants that it knew.
+            self._dispatcher.grant_waiting()
             self._claims.clear()
         if change.gained and activated_s is not None:
             self._claims.begin(activated_s, whole=self._duty.took_whole_state)
--- a/src/chervillead/entries/held_grants.py
+++ b/src/chervillead/entries/held_grants.py
@@ -1,4 +1,4 @@
-"""What this host holds and waits for, as it reports to new dispatchers."""
+"""Grants that this host uses, as it reports them to new dispatchers."""
 
 import typing
 
@@ -11,20 +11,11 @@
     holding: messages.Holding
 
 
-class _Waiting(typing.NamedTuple):
-    zone: str
-    register: messages.Register
-    deadline_s: float
-
-
 class HeldGrants:
-    """Grants in use and requests that wait, by the zone that grants."""
+    """Grants in use, by the zone that grants."""
 
-    def __init__(self, clock: types.Clock) -> None:
-        self._clock = clock
+    def __init__(self) -> None:
         self._held: dict[str, _Held] = {}
-        # By the dispatcher that was asked first and the request id.
-        self._waiting: dict[tuple[str, str], _Waiting] = {}
 
     def take_grant(self, request: types.Request, grant: types.Grant) -> None:
         """Notes a grant until it is released."""
@@ -43,34 +34,6 @@
         held = self._held.pop(grant_id, None)
         return None if held is None else held.zone
 
-    def take_waiting(
-        self, dispatcher: str, zone: str, register: messages.Register
-    ) -> None:
-        """Notes a request that is registered with a zone's dispatcher."""
-        deadline_s = self._clock.monotonic() + register.time_left_ms / 1000
-        key = (dispatcher, register.request_id)
-        self._waiting[key] = _Waiting(zone, register, deadline_s)
-
-    def drop_waiting(self, dispatcher: str, request_id: str) -> str | None:
-        """Forgets a request that no longer waits; returns the zone."""
-        waiting = self._waiting.pop((dispatcher, request_id), None)
-        return None if waiting is None else waiting.zone
-
-    def drop_waiting_in(self, zone: str, request_id: str) -> None:
-        """Forgets a request whose zone has decided on it."""
-        for key, waiting in list(self._waiting.items()):
-            if key[1] == request_id and waiting.zone == zone:
-                del self._waiting[key]
-
-    def report(self, zone: str) -> messages.Holdings:
-        """Returns the report to the dispatcher of `zone`."""
-        now_s = self._clock.monotonic()
-        waiting = [
-            entry.register._replace(
-                time_left_ms=int((entry.deadline_s - now_s) * 1000)
-            )
-            for entry in self._waiting.values()
-            if entry.zone == zone and entry.deadline_s > now_s
-        ]
-        held = [e.holding for e in self._held.values() if e.zone == zone]
-        return messages.Holdings(held, waiting)
+    def in_zone(self, zone: str) -> list[messages.Holding]:
+        """Returns the grants of one zone."""
+        return [e.holding for e in self._held.values() if e.zone == zone]
--- a/src/chervillead/entries/host.py
+++ b/src/chervillead/entries/host.py
@@ -19,12 +19,15 @@
 from chervillead.entries import dispatcher
 from chervillead.entries import duties
 from chervillead.entries import duty
+from chervillead.entries import grant_waiters
 from chervillead.entries import held_grants
 from chervillead.entries import membership
 from chervillead.entries import messages
 from chervillead.entries import seats
 from chervillead.entries import streams
+from chervillead.entries import transfers
 from chervillead.platform import configuration as configuration_module
+from chervillead.platform import log_client
 from chervillead.platform import log_reader
 
 CLAIM_TIMEOUT_S = 1.0
@@ -52,8 +55,8 @@
             messages.Hello(settings.host, settings.zone), clock
         )
         self._membership = membership.Membership(settings.host, clock)
-        self._held = held_grants.HeldGrants(clock)
-        self._waiters = dispatch_client.GrantWaiters(clock, self.post)
+        self._held = held_grants.HeldGrants()
+        self._waiters = grant_waiters.GrantWaiters(clock, self.post)
         self._duties = duties.Duties(
             host=settings.host,
             zone=settings.zone,
@@ -89,9 +92,16 @@
 
     @property
     def held(self) -> held_grants.HeldGrants:
-        """Grants that this host uses and requests that wait for one."""
+        """Grants that this host uses."""
         return self._held
 
+    def report_holdings(self, zone: str, holder: str) -> bool:
+        """Reports to the dispatcher of a zone; returns whether that left."""
+        waiting = self._waiters.registered_at(holder)
+        return self.post(
+            holder, messages.Holdings(self._held.in_zone(zone), waiting)
+        )
+
     @property
     def gives_up_seat(self) -> bool:
         """Whether this host leaves and nobody takes its seat from it."""
@@ -107,23 +117,20 @@
             int(age_ms),
             self._stopping,
             self.dispatcher.free_slots() if may_grant else {},
-            {},
+            self.dispatcher.short_units() if may_grant else {},
         )
 
     def post(self, host: str, message: messages.Message) -> bool:
         """Sends a message to any entry host; returns whether it left.
 
-        The end of a grant or of a wait goes to the present dispatcher of the
-        zone, which has taken over what the one that was asked knew.
+        The end of a grant goes to the present dispatcher of the zone, which
+        has taken over what the one that granted it knew.
         """
-        zone = None
         if isinstance(message, messages.Release):
             zone = self._held.drop_grant(message.grant_id)
-        elif isinstance(message, messages.Withdraw):
-            zone = self._held.drop_waiting(host, message.request_id)
-        if zone is not None:
-            holder = seats.duty_holder(self._reader.configuration, zone)
-            host = holder or host
+            if zone is not None:
+                holder = seats.duty_holder(self._reader.configuration, zone)
+                host = holder or host
         if host == self._settings.host:
             self.handle(host, message)
             return True
@@ -133,18 +140,9 @@
         self, host: str, message: messages.Message, timeout_s: float
     ) -> result.Result[messages.Message, verdicts.Refusal]:
         """Sends a question to any entry host, this one included."""
-        if isinstance(message, messages.Register):
-            zone = seats.duty_zone(self._reader.configuration, host)
-            self._held.take_waiting(host, zone, message)
         if host != self._settings.host:
-            reply = await self._streams.ask(host, message, timeout_s)
-        else:
-            reply = self._ask_self(message)
-        if isinstance(message, messages.Register) and not isinstance(
-            reply.value_or(None), messages.Waiting
-        ):
-            self._held.drop_waiting(host, message.request_id)
-        return reply
+            return await self._streams.ask(host, message, timeout_s)
+        return self._ask_self(message)
 
     def _ask_self(
         self, message: messages.Message
@@ -168,8 +166,6 @@
             case messages.Withdraw() | messages.Release() | messages.Finished():
                 self._duties.take_end(message)
             case messages.Granted() | messages.Refused():
-                zone = seats.duty_zone(self._reader.configuration, peer)
-                self._held.drop_waiting_in(zone, message.request_id)
                 self._waiters.take(peer, message)
             case messages.Holdings():
                 self.dispatcher.restore(peer, message)
@@ -239,14 +235,46 @@
         return dispatch_client.DispatchPorts(
             self.ask,
             self.post,
-            self._home_dispatcher,
+            self._dispatchers,
             self._waiters,
             self._clock,
+            self._may_start,
+        )
+
+    def escrow_ports(
+        self, platform: log_client.PlatformClient
+    ) -> transfers.EscrowPorts:
+        """Returns the functions that transfers of units need."""
+        return transfers.connect_ports(
+            self._reader,
+            self._settings.zone,
+            platform,
+            self._clock,
+            needs=self.dispatcher.team_needs,
+            short=lambda: transfers.short_elsewhere(
+                self._reader.configuration,
+                self._settings.zone,
+                self._membership.heartbeat_of,
+                lambda host: host in self._membership.live,
+            ),
+            may_grant=self._duties.state.may_act,
         )
 
-    def _home_dispatcher(self, request: types.Request) -> str | None:
-        return seats.duty_holder(
-            self._reader.configuration, self._settings.zone
+    def _dispatchers(
+        self, request: types.Request
+    ) -> list[dispatch_client.DispatcherView]:
+        live = self._membership.live
+        return dispatch_client.reachable_dispatchers(
+            self._reader.configuration,
+            self._settings.zone,
+            request.queue,
+            self._membership.heartbeat_of,
+            lambda host: host in live,
+        )
+
+    def _may_start(self, upstream: types.Upstream) -> bool:
+        return configuration_module.host_takes_work(
+            self._reader.configuration, upstream.name
         )
 
 
@@ -257,19 +285,3 @@
         f"the claim on the request id can't be checked: {detail}",
         retry_after_s=1.0,
     )
-
-
-def known_peers(
-    settings: settings_module.Settings,
-    configuration: configuration_module.Configuration,
-) -> set[tuple[str, types.Address]]:
-    """Returns the other entry hosts that settings or seats name.
-
-    A seat record is newer than the settings, so its address counts.
-    """
-    known = {peer.host: peer.address for peer in settings.peers}
-    known.update(
-        (seat.host, seat.address) for seat in configuration.seats.values()
-    )
-    known.pop(settings.host, None)
-    return set(known.items())
--- a/src/chervillead/entries/host_tasks.py
+++ b/src/chervillead/entries/host_tasks.py
@@ -11,6 +11,7 @@
 from chervillead.entries import recovery
 from chervillead.entries import seat_keeper
 from chervillead.entries import streams
+from chervillead.entries import transfers
 from chervillead.platform import log_client
 from chervillead.platform import log_reader
 from chervillead.platform import publisher
@@ -55,6 +56,13 @@
                     publish,
                 )
             )
+            tasks.create_task(
+                transfers.transfer_units(
+                    host.duties.escrow,
+                    settings.zone,
+                    host.escrow_ports(platform),
+                )
+            )
             _start_recovery(tasks, host, settings, reader)
     finally:
         host.streams.close()
@@ -67,7 +75,7 @@
     reader: log_reader.LogReader,
 ) -> None:
     tasks.create_task(
-        recovery.report_holdings(host.held, reader, host.streams, host.post)
+        recovery.report_holdings(host.report_holdings, reader, host.streams)
     )
     tasks.create_task(
         recovery.watch_peers(
@@ -109,7 +117,7 @@
     async with asyncio.TaskGroup() as tasks:
         dialling: dict[tuple[str, types.Address], asyncio.Task[None]] = {}
         while True:
-            wanted = host_module.known_peers(settings, reader.configuration)
+            wanted = membership.known_peers(settings, reader.configuration)
             if host.duties.state.is_superseded:
                 # Two processes under one name would answer for each other.
                 wanted = set()
@@ -133,13 +141,12 @@
 async def _follow_duties(
     host: host_module.EntryHost, reader: log_reader.LogReader
 ) -> None:
-    """Starts and ends the duties and grants what a new state has freed."""
+    """Starts and ends the duties; grants what a state or time has freed."""
     while True:
-        host.duties.follow()
         try:
             async with asyncio.timeout(FOLLOW_S):
                 await reader.wait_for_change()
         except TimeoutError:
-            continue
+            pass
         host.duties.follow()
         host.duties.dispatcher.grant_waiting()
--- a/src/chervillead/entries/membership.py
+++ b/src/chervillead/entries/membership.py
@@ -3,9 +3,11 @@
 import asyncio
 from collections import abc
 
+from chervillead import settings as settings_module
 from chervillead import types
 from chervillead.entries import messages
 from chervillead.entries import streams as streams_module
+from chervillead.platform import configuration as configuration_module
 
 HEARTBEAT_S = 0.25
 SUSPECT_S = 1.0
@@ -50,6 +52,22 @@
         self._heard_s[host] = self._clock.monotonic()
 
 
+def known_peers(
+    settings: settings_module.Settings,
+    configuration: configuration_module.Configuration,
+) -> set[tuple[str, types.Address]]:
+    """Returns the other entry hosts that settings or seats name.
+
+    A seat record is newer than the settings, so its address counts.
+    """
+    known = {peer.host: peer.address for peer in settings.peers}
+    known.update(
+        (seat.host, seat.address) for seat in configuration.seats.values()
+    )
+    known.pop(settings.host, None)
+    return set(known.items())
+
+
 async def send_heartbeats(
     peer_streams: streams_module.PeerStreams,
     current: abc.Callable[[], messages.Heartbeat],
--- a/src/chervillead/entries/recovery.py
+++ b/src/chervillead/entries/recovery.py
@@ -5,7 +5,6 @@
 
 from chervillead.entries import claims as claims_module
 from chervillead.entries import dispatcher as dispatcher_module
-from chervillead.entries import held_grants
 from chervillead.entries import membership as membership_module
 from chervillead.entries import messages
 from chervillead.entries import seats
@@ -16,18 +15,21 @@
 CHECK_S = 0.25
 # A holder that lost its seat can grant until its last confirmation is over,
 # so reports go on until the new holder is active.
-REPORTS = 13
-
-Post = abc.Callable[[str, messages.Message], object]
+REPORTS = 16
 
 
 async def report_holdings(
-    held: held_grants.HeldGrants,
+    report: abc.Callable[[str, str], bool],
     reader: log_reader.LogReader,
     streams: streams_module.PeerStreams,
-    post: Post,
 ) -> None:
-    """Reports to each zone's dispatcher when it or a stream to it is new."""
+    """Reports to each zone's dispatcher when it or a stream to it is new.
+
+    Args:
+        report: Sends the report of a zone to an entry host.
+        reader: Holder of the newest state.
+        streams: Streams to the other hosts.
+    """
     reported: dict[str, tuple[str, int, int]] = {}
     due: dict[str, int] = {}
     while True:
@@ -44,7 +46,7 @@
                 due[zone] = REPORTS
             if due[zone] > 0:
                 due[zone] -= 1
-                post(holder, held.report(zone))
+                report(zone, holder)
         await asyncio.sleep(CHECK_S)
 
 
@@ -57,33 +59,42 @@
     membership: membership_module.Membership,
 ) -> None:
     """Frees what lost entry hosts held and marks their claims as lost."""
-    opened: dict[str, int] = {}
     started_s = asyncio.get_running_loop().time()
 
+    def silent_s(peer: str) -> float:
+        uptime_s = asyncio.get_running_loop().time() - started_s
+        return min(membership.silent_s(peer), uptime_s)
+
     def is_dead(owner: str, seat: claims_module.OwnerSeat) -> bool:
         if owner == host:
             return False
         present = seats.seat_of(reader.configuration, owner)
         if seat is not None and _was_replaced(seat, present):
             return True
-        uptime_s = asyncio.get_running_loop().time() - started_s
-        silent_s = min(membership.silent_s(owner), uptime_s)
-        return silent_s > dispatcher_module.DOUBTFUL_S
+        return silent_s(owner) > dispatcher_module.LAPSE_S
 
     while True:
+        _drop_waiting_of_lost(host, dispatcher, streams)
         holders = {s.entry_host for s in dispatcher.slots.held.values()}
-        for peer in holders | streams.known_peers:
-            current = streams.times_opened(peer)
-            is_lost = peer != host and not streams.is_connected(peer)
-            # Once for each loss; a new stream starts with a report.
-            if is_lost and opened.get(peer) != current:
-                dispatcher.suspect(peer)
-            opened[peer] = current if is_lost else -1
-        dispatcher.free_lapsed()
+        for peer in holders - {host}:
+            if silent_s(peer) > dispatcher_module.LAPSE_S:
+                dispatcher.expire_entry_host(peer)
         claims.lose_owners(is_dead)
         await asyncio.sleep(CHECK_S)
 
 
+def _drop_waiting_of_lost(
+    host: str,
+    dispatcher: dispatcher_module.Dispatcher,
+    streams: streams_module.PeerStreams,
+) -> None:
+    """Drops what waits for hosts without a stream; they report it again."""
+    for entry in dispatcher.waiting.entries:
+        peer = entry.entry_host
+        if peer != host and not streams.is_connected(peer):
+            dispatcher.waiting.remove(entry.register.request_id)
+
+
 def _was_replaced(
     claimed: tuple[str, int], present: claims_module.OwnerSeat
 ) -> bool:
--- a/src/chervillead/entries/seats.py
+++ b/src/chervillead/entries/seats.py
@@ -14,6 +14,7 @@
 from chervillead.platform import records
 
 # Holders of lower seats dispatch and hold claims; the others stand by.
+DUTY_NUMBER = 0
 DUTY_SEATS = fold_seats.DUTY_SEATS
 SILENCE_S = 2.0
 UNHEARD_WAIT_S = 30.0
--- a/tests/stand_ins/memory_network.py
+++ b/tests/stand_ins/memory_network.py
@@ -31,6 +31,7 @@
         self._source = source
         self._target = target
         self._closed = False
+        self.is_silent = False
         self._arrival_s = 0.0
         self._unread_bytes = 0
         self.far_reader = asyncio.StreamReader()
@@ -163,6 +164,12 @@
             if place in (source, target):
                 writer.reset()
 
+    def silence_place(self, place: str) -> None:
+        """Lets the open connections of a place deliver nothing any more."""
+        for source, target, writer in self._writers:
+            if place in (source, target):
+                writer.is_silent = True
+
     def deliver(
         self,
         writer: _MemoryWriter,
@@ -176,6 +183,8 @@
         due_s = writer._arrival_s = max(due_s, writer._arrival_s)
 
         def arrive() -> None:
+            if writer.is_silent:
+                return
             if source in self._silenced or self.is_cut(source, target):
                 self._held.append((source, target, action))
             else:
