Dial contacts and duty holders instead of every peer in a large fleet

Cause: every host dialled every other one, so heartbeats grow with the square of the fleet. Up to 20 peers are still a full mesh. Beyond that a host dials its relay contacts (3 in its zone, 2 in each other zone, by rendezvous hash), the duty holder of each zone and its own zone, whose holders confirm its seat: at most 45 of 179 in 9 zones of 20 hosts.

--- a/src/chervillead/entries/host_tasks.py
+++ b/src/chervillead/entries/host_tasks.py
@@ -9,6 +9,7 @@
 from chervillead.entries import host as host_module
 from chervillead.entries import membership
 from chervillead.entries import recovery
+from chervillead.entries import relay
 from chervillead.entries import seat_keeper
 from chervillead.entries import streams
 from chervillead.entries import transfers
@@ -117,7 +118,7 @@
     async with asyncio.TaskGroup() as tasks:
         dialling: dict[tuple[str, types.Address], asyncio.Task[None]] = {}
         while True:
-            wanted = membership.known_peers(settings, reader.configuration)
+            wanted = relay.peers_to_dial(settings, reader.configuration)
             if host.duties.state.is_superseded:
                 # Two processes under one name would answer for each other.
                 wanted = set()
--- a/src/chervillead/entries/relay.py
+++ b/src/chervillead/entries/relay.py
@@ -14,8 +14,13 @@
 from returns import result
 import xxhash
 
+from chervillead import settings as settings_module
+from chervillead import types
 from chervillead import verdicts
+from chervillead.entries import membership
 from chervillead.entries import messages
+from chervillead.entries import seats
+from chervillead.platform import configuration as configuration_module
 from chervillead.platform import records
 
 CHECK_S = 0.25
@@ -26,6 +31,8 @@
 
 OWN_ZONE_CONTACTS = 3
 OTHER_ZONE_CONTACTS = 2
+# Heartbeats of a full mesh of this size cost a host 80 frames a second.
+FULL_MESH_PEERS = 20
 
 
 class RelayPorts(typing.NamedTuple):
@@ -78,6 +85,31 @@
     return frozenset(contacts)
 
 
+def peers_to_dial(
+    settings: settings_module.Settings,
+    configuration: configuration_module.Configuration,
+) -> set[tuple[str, types.Address]]:
+    """Returns the peers to which a stream is kept open.
+
+    A small fleet is a full mesh. In a large one a host dials its contacts, the
+    holder of each duty seat, which it asks for grants and claims, and the seat
+    holders of its own zone, which confirm its seat.
+    """
+    known = membership.known_peers(settings, configuration)
+    if len(known) <= FULL_MESH_PEERS:
+        return known
+    hosts: dict[str, list[str]] = {}
+    for seat in configuration.seats.values():
+        hosts.setdefault(seat.zone, []).append(seat.host)
+    wanted = set(pick_contacts(settings.host, settings.zone, hosts))
+    wanted.update(hosts.get(settings.zone, ()))
+    wanted.update(
+        seats.duty_holder(configuration, zone) or "" for zone in hosts
+    )
+    # Before the first record the settings are all that is known.
+    return {peer for peer in known if peer[0] in wanted} or known
+
+
 def answer_request(
     ports: RelayPorts, message: messages.ConfigRequest
 ) -> messages.ConfigRecords | messages.ConfigSnapshot:
--- a/tests/entries/relay.feature
+++ b/tests/entries/relay.feature
@@ -9,6 +9,13 @@
     And one more host changes at most 1 contact of any host
     And no host is the contact of more than 60 others
 
+  Scenario: A large fleet is no full mesh
+    # Guards against heartbeats to every host, and against a duty holder or a
+    # seat holder of the own zone to which no stream is kept.
+    Given 9 zones of 20 entry hosts
+    Then each host dials at most 45 peers
+    And it dials all of its zone and the holder of each duty seat
+
   Scenario: A host that is behind gets records in parts
     # Guards against an answer above the frame limit.
     Given a peer that keeps 40 records of 100 kB
--- a/tests/steps/entries_relay.py
+++ b/tests/steps/entries_relay.py
@@ -6,7 +6,10 @@
 import behave
 from returns import result
 
+from chervillead import settings as settings_module
+from chervillead import types
 from chervillead.entries import relay
+from chervillead.platform import configuration as configuration_module
 from stand_ins import virtual_time
 
 
@@ -83,6 +86,39 @@
     assert max(counts.values()) <= 60, counts.most_common(3)
 
 
+def dialled(zones, host):
+    address = types.Address("127.0.0.1", 1)
+    configuration = configuration_module.EMPTY._replace(
+        seats={
+            f"{zone}/{n}": configuration_module.Seat(zone, n, name, address)
+            for zone, names in zones.items()
+            for n, name in enumerate(names)
+        }
+    )
+    own = settings_module.Settings(
+        host,
+        f"z{host.split('-')[1]}",
+        address,
+        address,
+        settings_module.PlatformSettings(address),
+    )
+    return {name for name, _ in relay.peers_to_dial(own, configuration)}
+
+
+@behave.then("each host dials at most {count:d} peers")
+def step(context, count):
+    for host in context.contacts:
+        assert len(dialled(context.zones, host)) <= count, host
+
+
+@behave.then("it dials all of its zone and the holder of each duty seat")
+def step(context):
+    for names in context.zones.values():
+        chosen = dialled(context.zones, names[-1])
+        assert chosen >= set(names[:-1]), chosen
+        assert chosen >= {names[0] for names in context.zones.values()}
+
+
 @behave.given("a peer that keeps {count:d} records of 100 kB")
 def step(context, count):
     context.peer = State([b"x" * 100_000] * count)
