--- a/src/chervillead/entries/dispatcher.py
+++ b/src/chervillead/entries/dispatcher.py
@@ -22,7 +22,7 @@
 LEASE_MS = zone_ledger.LEASE_MS
 LAPSE_S = (zone_ledger.START_BY_MS + zone_ledger.LEASE_MS) / 1000
 
-Notify = abc.Callable[[str, messages.Message], None]
+Notify = abc.Callable[[str, messages.Message], object]
 NoteRelease = abc.Callable[[slots_module.HeldSlot, messages.Release], None]
 
 
--- a/src/chervillead/entries/host.py
+++ b/src/chervillead/entries/host.py
@@ -11,31 +11,30 @@
 from returns import pipeline
 from returns import result
 
-from chervillead import http_exchange
 from chervillead import settings as settings_module
 from chervillead import types
 from chervillead import verdicts
 from chervillead.callers import request_ids
-from chervillead.entries import claims
 from chervillead.entries import dispatch_client
 from chervillead.entries import dispatcher
 from chervillead.entries import dispatcher_choice
-from chervillead.entries import escrow
+from chervillead.entries import duties
+from chervillead.entries import duty
 from chervillead.entries import grant_waiters
+from chervillead.entries import held_grants
 from chervillead.entries import membership
 from chervillead.entries import messages
+from chervillead.entries import relay
 from chervillead.entries import seats
 from chervillead.entries import streams
 from chervillead.entries import transfers
 from chervillead.platform import configuration as configuration_module
 from chervillead.platform import log_client
 from chervillead.platform import log_reader
-from chervillead.platform import publisher
-from chervillead.platform import records
 
 CLAIM_TIMEOUT_S = 1.0
-SEAT_RETRY_S = 0.5
-GRANT_INTERVAL_S = 0.25
+HAND_OVER_TIMEOUT_S = 3.0
+GIVE_UP_TIMEOUT_S = 1.0
 
 
 class EntryHost:
@@ -53,22 +52,25 @@
         self._reader = reader
         self._clock = clock
         self._stopping = False
+        self._gives_up_seat = False
         self._streams = streams.PeerStreams(
             messages.Hello(settings.host, settings.zone), clock
         )
         self._membership = membership.Membership(settings.host, clock)
-        self._claims = claims.ClaimTable(clock)
+        self._relay = relay.connect_ports(reader)
+        self._held = held_grants.HeldGrants()
         self._waiters = grant_waiters.GrantWaiters(clock, self.post)
-        self._escrow = escrow.Escrow(
-            lambda record: transfers.is_settled(reader.configuration, record)
-        )
-        self._dispatcher = dispatcher.Dispatcher(
+        self._duties = duties.Duties(
             host=settings.host,
             zone=settings.zone,
-            configuration=lambda: reader.configuration,
+            reader=reader,
+            peers=duty.PeerView(
+                self._membership.silent_s,
+                self._membership.offset_of,
+                self._streams.refuses,
+            ),
             clock=clock,
-            notify=self.post,
-            deducted_units=self._escrow.deducted,
+            post=self.post,
         )
 
     @property
@@ -84,26 +86,58 @@
     @property
     def dispatcher(self) -> dispatcher.Dispatcher:
         """The dispatcher part of this host."""
-        return self._dispatcher
+        return self._duties.dispatcher
+
+    @property
+    def duties(self) -> duties.Duties:
+        """What this host does if it holds a duty seat."""
+        return self._duties
+
+    @property
+    def held(self) -> held_grants.HeldGrants:
+        """Grants that this host uses."""
+        return self._held
+
+    def report_holdings(self, zone: str, holder: str) -> bool:
+        """Reports to the dispatcher of a zone; returns whether that left."""
+        waiting = self._waiters.registered_at(holder)
+        return self.post(
+            holder, messages.Holdings(self._held.in_zone(zone), waiting)
+        )
+
+    @property
+    def gives_up_seat(self) -> bool:
+        """Whether this host leaves and nobody takes its seat from it."""
+        return self._gives_up_seat
 
     def current_heartbeat(self) -> messages.Heartbeat:
         """Returns what this host tells the others of itself."""
         unconfirmed_s = self._reader.unconfirmed_s
         age_ms = -1 if unconfirmed_s == float("inf") else unconfirmed_s * 1000
+        may_grant = self._duties.state.may_act()
         return messages.Heartbeat(
             self._reader.configuration.offset,
             int(age_ms),
             self._stopping,
-            self._dispatcher.free_slots(),
-            self._dispatcher.short_units(),
+            self.dispatcher.free_slots() if may_grant else {},
+            self.dispatcher.short_units() if may_grant else {},
         )
 
-    def post(self, host: str, message: messages.Message) -> None:
-        """Sends a message to any entry host, this one included."""
+    def post(self, host: str, message: messages.Message) -> bool:
+        """Sends a message to any entry host; returns whether it left.
+
+        The end of a grant goes to the present dispatcher of the zone, which
+        has taken over what the one that granted it knew.
+        """
+        if isinstance(message, messages.Release):
+            zone = self._held.drop_grant(message.grant_id)
+            if zone is not None:
+                holder = seats.duty_holder(self._reader.configuration, zone)
+                host = holder or host
         if host == self._settings.host:
             self.handle(host, message)
-        else:
-            self._streams.post(host, message)
+            return True
+        return self._streams.post(host, message)
 
     async def ask(
         self, host: str, message: messages.Message, timeout_s: float
@@ -111,7 +145,12 @@
         """Sends a question to any entry host, this one included."""
         if host != self._settings.host:
             return await self._streams.ask(host, message, timeout_s)
-        reply = self.handle(host, message)
+        return self._ask_self(message)
+
+    def _ask_self(
+        self, message: messages.Message
+    ) -> result.Result[messages.Message, verdicts.Refusal]:
+        reply = self.handle(self._settings.host, message)
         if reply is None:
             return result.Failure(verdicts.not_run("no-reply", 503))
         return result.Success(reply)
@@ -124,19 +163,19 @@
             case messages.Heartbeat():
                 self._membership.take(peer, message)
             case messages.Register():
-                return self._dispatcher.register(peer, message)
-            case messages.Withdraw():
-                self._dispatcher.withdraw(message)
-            case messages.Release():
-                self._dispatcher.release(message)
+                return self.dispatcher.register(peer, message)
+            case messages.Claim() | messages.Lookup():
+                return self._duties.answer_claim(message)
+            case messages.Withdraw() | messages.Release() | messages.Finished():
+                self._duties.take_end(message)
             case messages.Granted() | messages.Refused():
                 self._waiters.take(peer, message)
-            case messages.Claim():
-                return self._claims.claim(message)
-            case messages.Lookup():
-                return self._claims.lookup(message)
-            case messages.Finished():
-                self._claims.finish(message)
+            case messages.Holdings():
+                self.dispatcher.restore(peer, message)
+            case messages.HandOver():
+                self._duties.take_over(peer, message)
+            case messages.ConfigRequest():
+                return relay.answer_request(self._relay, message)
             case messages.Cancel():
                 self._pass_on_cancel(message)
             case _:
@@ -147,12 +186,28 @@
 
     def _pass_on_cancel(self, message: messages.Cancel) -> None:
         """Cancels a request of this host, or tells the owner in its claim."""
-        claim = self._claims.lookup(messages.Lookup(message.request_id))
-        if not self._cancel(message.request_id) and claim.owner not in (
+        owner = self._duties.claim_owner(message.request_id)
+        if not self._cancel(message.request_id) and owner not in (
             "",
             self._settings.host,
         ):
-            self.post(claim.owner, message)
+            self.post(owner, message)
+
+    async def leave(self) -> None:
+        """Hands the duties over and gives the seat up, before the exit."""
+        self._stopping = True
+        if self._duties.hand_over(self._membership.staying):
+            await self._wait_without_seat(HAND_OVER_TIMEOUT_S)
+        self._gives_up_seat = True
+        await self._wait_without_seat(GIVE_UP_TIMEOUT_S)
+
+    async def _wait_without_seat(self, timeout_s: float) -> None:
+        try:
+            async with asyncio.timeout(timeout_s):
+                while self._duties.state.own_seats:
+                    await self._reader.wait_for_change()
+        except TimeoutError:
+            eliot.log_message("entries:seat-not-freed", waited_s=timeout_s)
 
     async def ask_claim_holder(
         self, request_id: str, message: messages.Message
@@ -200,25 +255,16 @@
             self._settings.zone,
             platform,
             self._clock,
-            needs=self._dispatcher.team_needs,
+            needs=self.dispatcher.team_needs,
             short=lambda: transfers.short_elsewhere(
                 self._reader.configuration,
                 self._settings.zone,
                 self._membership.heartbeat_of,
                 lambda host: host in self._membership.live,
             ),
-            may_grant=lambda: self._is_duty_holder(self._settings.zone),
+            may_grant=self._duties.state.may_act,
         )
 
-    @property
-    def escrow(self) -> escrow.Escrow:
-        """Units that are being given to other zones."""
-        return self._escrow
-
-    def _is_duty_holder(self, zone: str) -> bool:
-        holder = seats.duty_holder(self._reader.configuration, zone)
-        return holder == self._settings.host
-
     def _dispatchers(
         self, request: types.Request
     ) -> list[dispatcher_choice.DispatcherView]:
@@ -237,108 +283,6 @@
         )
 
 
-async def run_entry_host(
-    host: EntryHost,
-    settings: settings_module.Settings,
-    reader: log_reader.LogReader,
-    platform: log_client.PlatformClient,
-    clock: types.Clock,
-    *,
-    dial: http_exchange.Dial = http_exchange.dial,
-    listen: http_exchange.Listen = http_exchange.listen,
-) -> None:
-    """Listens for peers, dials them, and keeps a seat, until cancelled."""
-
-    async def accept(
-        stream_reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        await host.streams.serve_stream(
-            stream_reader, writer, host.handle, dialled=False
-        )
-
-    async with asyncio.TaskGroup() as tasks:
-        tasks.create_task(_listen_for_peers(listen, settings.entries, accept))
-        for peer in settings.peers:
-            tasks.create_task(
-                streams.keep_dialled(
-                    host.streams, peer.address, host.handle, dial=dial
-                )
-            )
-        tasks.create_task(
-            membership.send_heartbeats(
-                host.streams, host.current_heartbeat, clock
-            )
-        )
-        tasks.create_task(_grant_on_change(host, reader))
-        tasks.create_task(
-            transfers.transfer_units(
-                host.escrow, settings.zone, host.escrow_ports(platform)
-            )
-        )
-        tasks.create_task(_keep_seat(settings, reader, platform, clock))
-
-
-async def _listen_for_peers(
-    listen: http_exchange.Listen,
-    address: types.Address,
-    accept: http_exchange.ServeStreams,
-) -> None:
-    await listen(address, accept)
-
-
-async def _grant_on_change(
-    host: EntryHost, reader: log_reader.LogReader
-) -> None:
-    """Looks for slots that a new configuration or time has freed."""
-    while True:
-        try:
-            async with asyncio.timeout(GRANT_INTERVAL_S):
-                await reader.wait_for_change()
-        except TimeoutError:
-            pass
-        host.dispatcher.grant_waiting()
-
-
-async def _keep_seat(
-    settings: settings_module.Settings,
-    reader: log_reader.LogReader,
-    platform: log_client.PlatformClient,
-    clock: types.Clock,
-) -> None:
-    """Takes a seat of the zone as soon as the log allows."""
-    async for proposal in _seat_proposals(settings, reader):
-        record = publisher.propose(
-            reader, records.SEAT, proposal.subject, proposal.fields
-        )
-        published = await publisher.publish(record, reader, platform, clock)
-        eliot.log_message(
-            "entries:seat-proposed",
-            seat=proposal.subject,
-            publication=published.publication.value,
-            detail=published.detail,
-        )
-
-
-async def _seat_proposals(
-    settings: settings_module.Settings, reader: log_reader.LogReader
-) -> abc.AsyncIterator[seats.SeatProposal]:
-    """Yields a proposal whenever this host has no seat of its own."""
-    own_incarnation = False
-    while True:
-        if reader.unconfirmed_s < SEAT_RETRY_S and not own_incarnation:
-            yield seats.propose_seat(
-                reader.configuration,
-                host=settings.host,
-                zone=settings.zone,
-                address=settings.entries,
-                silent=(),
-            )
-        own_incarnation = (
-            seats.held_seat(reader.configuration, settings.host) is not None
-        )
-        await asyncio.sleep(SEAT_RETRY_S)
-
-
 def _claim_unavailable(detail: str) -> verdicts.Refusal:
     return verdicts.not_run(
         "claim-unavailable",
