--- a/benchmarks/request_path.py
+++ b/benchmarks/request_path.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections import abc
 import pathlib
+import socket
 import statistics
 import tempfile
 import typing
@@ -20,13 +21,13 @@
 from stand_ins import local_fleet
 
 PLAN = local_fleet.FleetPlan(
-    base_port=22000,
+    base_port=22400,
     entry_hosts=1,
     upstreams_per_queue=4,
     slots=64,  # more than the connections, so that no upstream refuses
     zones=local_fleet.ZONES[:1],
 )
-FORWARDER = types.Address(local_fleet.LOOPBACK, 22050)
+FORWARDER = types.Address(local_fleet.LOOPBACK, 22450)
 CONNECTIONS = 32
 ROUNDS = 5
 ROUND_S = 1.5
@@ -143,7 +144,14 @@
 
 
 def run_fleet() -> Measured:
-    """Starts all processes, measures, and stops them."""
+    """Starts all processes, measures, and stops them.
+
+    Raises:
+        OSError: Another fleet runs on the ports; the two would mix.
+    """
+    for port in (PLAN.base_port, FORWARDER.port):
+        with socket.create_server((local_fleet.LOOPBACK, port)):
+            pass
     with tempfile.TemporaryDirectory() as folder:
         fleet = local_fleet.start_fleet(PLAN, pathlib.Path(folder))
         try:
