--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -6,8 +6,11 @@
 from benchmarks import black_hole
 from benchmarks import configuration_spread
 from benchmarks import dispatcher
+from benchmarks import escrow
+from benchmarks import fairness
 from benchmarks import figures
 from benchmarks import fold
+from benchmarks import pooling
 from benchmarks import request_path
 
 BENCHMARKS: tuple[
@@ -18,6 +21,9 @@
     dispatcher.measure,
     black_hole.measure,
     request_path.measure,
+    pooling.measure,
+    fairness.measure,
+    escrow.measure,
 )
 
 
--- a/src/chervillead/assembly.py
+++ b/src/chervillead/assembly.py
@@ -15,10 +15,13 @@
 from chervillead import settings as settings_module
 from chervillead import types
 from chervillead import verdicts
+from chervillead.callers import answers
 from chervillead.callers import application
+from chervillead.callers import bodies
 from chervillead.callers import credentials
 from chervillead.callers import in_progress
 from chervillead.callers import request_claims
+from chervillead.callers import stopping
 from chervillead.callers import submission
 from chervillead.entries import dispatch_client
 from chervillead.entries import dispatcher
@@ -144,25 +147,34 @@
     """Returns the functions that the HTTP front end needs."""
 
     async def submit(
-        request: types.Request, claimed: bool
+        request: types.Request, claimed: bool, progress: in_progress.Progress
     ) -> submission.RequestOutcome:
-        return await submission.submit(request, parts.ports, claimed=claimed)
-
-    async def lookup(request_id: str) -> submission.RequestOutcome:
-        reply = await parts.entry.ask_claim_holder(
-            request_id, messages.Lookup(request_id)
+        return await submission.submit(
+            request, parts.ports, claimed=claimed, progress=progress
         )
-        return reply.bind(_outcome_of_lookup)
+
+    def cancel(request_id: str) -> None:
+        holder = parts.entry.claim_holder(request_id)
+        if holder is not None:
+            parts.entry.post(holder, messages.Cancel(request_id))
 
     return application.FrontEndPorts(
         authorize=lambda queue, key: credentials.authorize(
             parts.reader.configuration, queue, key, parts.reader.unconfirmed_s
         ),
+        team_of_key=lambda key: credentials.team_of_key(
+            parts.reader.configuration, key
+        ),
         submit=submit,
-        lookup=lookup,
+        lookup=parts.ports.lookup,
+        cancel=cancel,
+        answers=answers.AnswerStore(parts.clock),
+        held=bodies.HeldBodies(),
+        running=set(),
         is_ready=lambda: (
             parts.reader.configuration.offset >= 0 and not is_stopping()
         ),
+        is_stopping=is_stopping,
         clock=parts.clock,
     )
 
@@ -212,7 +224,7 @@
 
     def withdraw(request_id: str) -> None:
         dispatch.waiters.refuse(
-            messages.Refused(request_id, submission.CANCELLED, 410, "", 0)
+            messages.Refused(request_id, stopping.CANCELLED, 410, "", 0)
         )
 
     async def stop_task(grant: types.Grant, request_id: str) -> bool:
@@ -242,10 +254,13 @@
             running.discard(grant)
 
     def release(
-        grant: types.Grant, started: bool, failed: bool, run_s: float
+        grant: types.Grant,
+        verdict: verdicts.Verdict,
+        failed: bool,
+        run_s: float,
     ) -> None:
         dispatch_client.release(
-            grant, dispatch, started=started, failed=failed, run_s=run_s
+            grant, dispatch, verdict=verdict, failed=failed, run_s=run_s
         )
 
     return submission.SubmissionPorts(
@@ -261,17 +276,3 @@
         clock,
         budget.may_retry,
     )
-
-
-def _outcome_of_lookup(
-    state: messages.ClaimState,
-) -> submission.RequestOutcome:
-    if state.state == messages.CLAIM_UNKNOWN:
-        return result.Failure(
-            verdicts.may_have_run("unknown-request", 404, "no such request")
-        )
-    outcome = request_claims.claim_outcome(state)
-    answer = outcome.value_or(None)
-    if answer is None:
-        return result.Failure(outcome.failure())
-    return result.Success(answer)
--- a/src/chervillead/daemon.py
+++ b/src/chervillead/daemon.py
@@ -13,13 +13,20 @@
 from chervillead import settings as settings_module
 from chervillead import types
 from chervillead.callers import application
+from chervillead.callers import connections
+from chervillead.callers import headers
 
 SYSTEM_CLOCK = types.Clock(time.monotonic, time.time)
 # A request can't outlive its deadline, so a longer drain is never needed.
-DRAIN_TIMEOUT_S = application.MAX_DEADLINE_MS / 1000
+DRAIN_TIMEOUT_S = headers.MAX_DEADLINE_MS / 1000
+# Longer than the usual 60 s of balancers: a connection that this side closes
+# first can cut a request that is on its way.
+KEEP_ALIVE_S = 75
+# Reports to claim holders leave within this time, before the streams close.
+LAST_REPORTS_S = 0.25
 
-# Requests make few cycles, and each full collection walks all kept claims. The
-# interpreter's thresholds (700, 10, 10) cost a fifth of the time of a request.
+# Requests make few cycles, and each full collection walks all kept claims. With
+# the interpreter's thresholds (700, 10, 10), a request takes a fifth longer.
 GC_THRESHOLDS = (20_000, 20, 100)
 
 
@@ -34,6 +41,7 @@
     background = asyncio.create_task(assembly.run_background(parts))
     try:
         await _serve_callers(settings, front_end, stopping, parts.entry.leave)
+        await _finish_running(front_end)
     finally:
         background.cancel()
         await asyncio.gather(background, return_exceptions=True)
@@ -59,7 +67,8 @@
             log_config=None,
             access_log=False,
             proxy_headers=False,
-            http="httptools",
+            http=connections.CallerConnection,
+            timeout_keep_alive=KEEP_ALIVE_S,
             timeout_graceful_shutdown=int(DRAIN_TIMEOUT_S),
         )
     )
@@ -77,3 +86,10 @@
     server.should_exit = True
     await serving
     await app.stop()  # type: ignore[no-untyped-call]
+
+
+async def _finish_running(front_end: application.FrontEndPorts) -> None:
+    """Waits for requests whose callers have left or fetch the answer later."""
+    if front_end.running:
+        await asyncio.wait(front_end.running, timeout=DRAIN_TIMEOUT_S)
+    await asyncio.sleep(LAST_REPORTS_S)
--- a/src/chervillead/entries/escrow.py
+++ b/src/chervillead/entries/escrow.py
@@ -73,20 +73,14 @@
         giver_is_in: Whether the giving zone is in service; if not, it keeps
             nothing and gives also to zones that lack nothing yet.
     """
-    givers = max(1, len(zones_in) if giver_is_in else 1)
     best: Gift | None = None
     for zone in zones_in:
-        lacks = short.get(zone, {})
-        units = {
-            team: min(free, math.ceil(lacks.get(team, 0) / givers))
-            for team, free in spare.items()
-        }
-        if not giver_is_in:
-            units = {
-                team: max(units[team], math.ceil(free / len(zones_in)))
-                for team, free in spare.items()
-            }
-        units = {team: count for team, count in units.items() if count > 0}
+        units = _units_for(
+            spare,
+            short.get(zone, {}),
+            len(zones_in),
+            giver_is_in=giver_is_in,
+        )
         if units and (
             best is None or sum(units.values()) > sum(best.units.values())
         ):
@@ -94,6 +88,26 @@
     return best
 
 
+def _units_for(
+    spare: abc.Mapping[str, int],
+    lacks: abc.Mapping[str, int],
+    zones: int,
+    *,
+    giver_is_in: bool,
+) -> dict[str, int]:
+    """Returns the units by team that one zone would get."""
+    units = {}
+    for team, free in spare.items():
+        lacking = lacks.get(team, 0)
+        if giver_is_in:
+            wanted = math.ceil(lacking / zones)
+        else:
+            wanted = max(lacking, math.ceil(free / zones))
+        if min(free, wanted) > 0:
+            units[team] = min(free, wanted)
+    return units
+
+
 class Escrow:
     """Units deducted for transfers whose fate is unknown, and past use.
 
--- a/src/chervillead/entries/host.py
+++ b/src/chervillead/entries/host.py
@@ -18,6 +18,7 @@
 from chervillead.entries import claim_client
 from chervillead.entries import dispatch_client
 from chervillead.entries import dispatcher
+from chervillead.entries import dispatcher_choice
 from chervillead.entries import duties
 from chervillead.entries import duty
 from chervillead.entries import grant_waiters
@@ -271,9 +272,9 @@
 
     def _dispatchers(
         self, request: types.Request
-    ) -> list[dispatch_client.DispatcherView]:
+    ) -> list[dispatcher_choice.DispatcherView]:
         live = self._membership.live
-        return dispatch_client.reachable_dispatchers(
+        return dispatcher_choice.reachable_dispatchers(
             self._reader.configuration,
             self._settings.zone,
             request.queue,
