Remove the files of the stop test's fleet

Cause: each run left a folder with the processes' output behind. 39 scenarios passed, 0 failed; no folder and no process remains after the run.

--- a/tests/steps/callers_daemon.py
+++ b/tests/steps/callers_daemon.py
@@ -4,6 +4,7 @@
 import collections
 import itertools
 import pathlib
+import shutil
 import signal
 import tempfile
 import time
@@ -86,6 +87,8 @@
     )
     folder = pathlib.Path(tempfile.mkdtemp(prefix="callers-daemon-"))
     context.fleet = local_fleet.start_fleet(plan, folder)
+    # Cleanups run in reverse order: the processes stop first.
+    context.add_cleanup(shutil.rmtree, folder)
     context.add_cleanup(local_fleet.stop_fleet, context.fleet)
 
 
