--- a/src/chervillead/assembly.py
+++ b/src/chervillead/assembly.py
@@ -8,23 +8,30 @@
 from collections import abc
 import typing
 
+from returns import pipeline
 from returns import result
 
 from chervillead import http_exchange
 from chervillead import settings as settings_module
 from chervillead import types
 from chervillead import verdicts
+from chervillead.callers import answers
 from chervillead.callers import application
+from chervillead.callers import bodies
 from chervillead.callers import credentials
 from chervillead.callers import in_progress
 from chervillead.callers import request_claims
+from chervillead.callers import stopping
 from chervillead.callers import submission
 from chervillead.entries import dispatch_client
 from chervillead.entries import dispatcher
 from chervillead.entries import host as host_module
+from chervillead.entries import host_tasks
 from chervillead.entries import messages
+from chervillead.platform import host_list
 from chervillead.platform import log_client
 from chervillead.platform import log_reader
+from chervillead.platform import snapshot_writer
 from chervillead.upstreams import leases
 from chervillead.upstreams import pool
 from chervillead.upstreams import retry_budget
@@ -44,6 +51,7 @@
         ports: Functions of the path of a request.
         dial: Opens connections.
         listen: Accepts connections.
+        host_list: Holder of the platform's list of live and leaving hosts.
     """
 
     settings: settings_module.Settings
@@ -56,6 +64,7 @@
     ports: submission.SubmissionPorts
     dial: http_exchange.Dial
     listen: http_exchange.Listen
+    host_list: host_list.HostListHolder
 
 
 def assemble(
@@ -91,6 +100,7 @@
         _submission_ports(entry, settings, pools, running, requests, clock),
         dial,
         listen,
+        host_list.HostListHolder(clock),
     )
 
 
@@ -99,7 +109,19 @@
     async with asyncio.TaskGroup() as tasks:
         tasks.create_task(log_reader.follow_log(parts.reader, parts.platform))
         tasks.create_task(
-            host_module.run_entry_host(
+            host_list.follow_hosts(parts.host_list, parts.platform)
+        )
+        tasks.create_task(
+            snapshot_writer.keep_snapshots(
+                parts.reader,
+                parts.platform,
+                parts.clock,
+                host=parts.settings.host,
+                live=lambda: parts.entry.membership.live,
+            )
+        )
+        tasks.create_task(
+            host_tasks.run_entry_host(
                 parts.entry,
                 parts.settings,
                 parts.reader,
@@ -125,25 +147,34 @@
     """Returns the functions that the HTTP front end needs."""
 
     async def submit(
-        request: types.Request, claimed: bool
+        request: types.Request, claimed: bool, progress: in_progress.Progress
     ) -> submission.RequestOutcome:
-        return await submission.submit(request, parts.ports, claimed=claimed)
-
-    async def lookup(request_id: str) -> submission.RequestOutcome:
-        reply = await parts.entry.ask_claim_holder(
-            request_id, messages.Lookup(request_id)
+        return await submission.submit(
+            request, parts.ports, claimed=claimed, progress=progress
         )
-        return reply.bind(_outcome_of_lookup)
+
+    def cancel(request_id: str) -> None:
+        holder = parts.entry.claim_holder(request_id)
+        if holder is not None:
+            parts.entry.post(holder, messages.Cancel(request_id))
 
     return application.FrontEndPorts(
         authorize=lambda queue, key: credentials.authorize(
             parts.reader.configuration, queue, key, parts.reader.unconfirmed_s
         ),
+        team_of_key=lambda key: credentials.team_of_key(
+            parts.reader.configuration, key
+        ),
         submit=submit,
-        lookup=lookup,
+        lookup=parts.ports.lookup,
+        cancel=cancel,
+        answers=answers.AnswerStore(parts.clock),
+        held=bodies.HeldBodies(),
+        running=set(),
         is_ready=lambda: (
             parts.reader.configuration.offset >= 0 and not is_stopping()
         ),
+        is_stopping=is_stopping,
         clock=parts.clock,
     )
 
@@ -193,7 +224,7 @@
 
     def withdraw(request_id: str) -> None:
         dispatch.waiters.refuse(
-            messages.Refused(request_id, submission.CANCELLED, 410, "", 0)
+            messages.Refused(request_id, stopping.CANCELLED, 410, "", 0)
         )
 
     async def stop_task(grant: types.Grant, request_id: str) -> bool:
@@ -202,30 +233,34 @@
     async def acquire(
         request: types.Request,
     ) -> result.Result[types.Grant, verdicts.Refusal]:
-        return await dispatch_client.acquire(request, dispatch)
+        grant = await dispatch_client.acquire(request, dispatch)
+        if pipeline.is_successful(grant):
+            entry.held.take_grant(request, grant.unwrap())
+        return grant
 
     async def send(
         request: types.Request, grant: types.Grant
     ) -> submission.RequestOutcome:
         budget.note_attempt()
-        gone = asyncio.get_running_loop().create_future()
         try:
             return await pool.send(
                 pools,
                 request,
                 grant,
                 clock,
-                on_written=lambda: running.add(grant, gone),
-                gone=gone,
+                on_written=lambda call: running.add(grant, call),
             )
         finally:
             running.discard(grant)
 
     def release(
-        grant: types.Grant, started: bool, failed: bool, run_s: float
+        grant: types.Grant,
+        verdict: verdicts.Verdict,
+        failed: bool,
+        run_s: float,
     ) -> None:
         dispatch_client.release(
-            grant, dispatch, started=started, failed=failed, run_s=run_s
+            grant, dispatch, verdict=verdict, failed=failed, run_s=run_s
         )
 
     return submission.SubmissionPorts(
@@ -241,17 +276,3 @@
         clock,
         budget.may_retry,
     )
-
-
-def _outcome_of_lookup(
-    state: messages.ClaimState,
-) -> submission.RequestOutcome:
-    if state.state == messages.CLAIM_UNKNOWN:
-        return result.Failure(
-            verdicts.may_have_run("unknown-request", 404, "no such request")
-        )
-    outcome = request_claims.claim_outcome(state)
-    answer = outcome.value_or(None)
-    if answer is None:
-        return result.Failure(outcome.failure())
-    return result.Success(answer)
--- /dev/null
+++ b/src/chervillead/entries/slot_recovery.py
@@ -0,0 +1,20 @@
+"""Grants in use as a leaving dispatcher hands them over."""
+
+from chervillead.entries import messages
+from chervillead.upstreams import slots
+
+
+def held_by_host(
+    table: slots.SlotTable,
+) -> dict[str, list[messages.Holding]]:
+    """Returns the grants in use, by entry host, for a hand-over.
+
+    The table doesn't keep request ids, and a successor needs none.
+    """
+    held: dict[str, list[messages.Holding]] = {}
+    for slot in table.held.values():
+        holding = messages.Holding(
+            slot.grant_id, "", slot.upstream, slot.queue, slot.team, slot.size
+        )
+        held.setdefault(slot.entry_host, []).append(holding)
+    return held
--- a/tests/stand_ins/fold_machine.py
+++ b/tests/stand_ins/fold_machine.py
@@ -15,22 +15,6 @@
 from chervillead.platform import team_units
 from stand_ins import fold_shapes
 
-NEXT_STATES: dict[str, dict[str | None, str]] = {
-    records.DRAIN: {
-        None: "granted",
-        "granted": "drained",
-        "drained": "failed",
-        "failed": "returned",
-        "returned": "granted",
-    },
-    records.MOVE: {
-        None: "leaving",
-        "leaving": "drained",
-        "drained": "joined",
-        "joined": "leaving",
-    },
-}
-
 
 class FoldMachine(stateful.RuleBasedStateMachine):
     """Folds random records one by one and checks each step."""
@@ -48,29 +32,8 @@
     @stateful.initialize()
     def declare_fleet(self) -> None:
         """Starts from a small fleet, so that most records have a subject."""
-        for index, zone in enumerate(fold_shapes.ZONES[:2]):
-            self._propose(records.ZONE, zone, {"index": index})
-        for pool in fold_shapes.POOLS[:2]:
-            fields = {"max_unavailable": 2, "max_unavailable_zones": 2}
-            self._propose(records.POOL, pool, fields)
-        for index, host in enumerate(fold_shapes.HOSTS):
-            fields = {
-                "pool": fold_shapes.POOLS[index % 2],
-                "zone": fold_shapes.ZONES[index // 2 % 2],
-                "rack": f"r{index // 4}",
-                "address": fold_shapes.ADDRESS,
-            }
-            self._propose(records.HOST, host, fields)
-        for team in fold_shapes.TEAMS:
-            self._propose(records.TEAM, team, {"share": 1.0, "limit": 7})
-        for index, zone in enumerate(fold_shapes.ZONES[:2]):
-            fields = {
-                "zone": zone,
-                "number": 0,
-                "host": fold_shapes.ENTRY_HOSTS[index],
-                "address": fold_shapes.ADDRESS,
-            }
-            self._propose(records.SEAT, f"{zone}/0", fields)
+        for kind, subject, fields in fold_shapes.first_records():
+            self._propose(kind, subject, fields)
 
     @stateful.rule(data=strategies.data())
     def valid_shape(self, data: strategies.DataObject) -> None:
@@ -87,7 +50,7 @@
     )
     def advance_host(self, host: str, pool: str, kind: str) -> None:
         """Takes a drain or a move one step on."""
-        steps = NEXT_STATES[kind]
+        steps = fold_shapes.NEXT_STATES[kind]
         values = (
             self.state.drains if kind == records.DRAIN else (self.state.moves)
         )
@@ -119,6 +82,27 @@
         }
         self._propose(records.TRANSFER, zones[0], fields)
 
+    @stateful.rule(
+        team=strategies.sampled_from(fold_shapes.TEAMS),
+        limit=strategies.integers(0, 20),
+    )
+    def change_limit(self, team: str, limit: int) -> None:
+        """Declares a late zone, then changes a limit that it has no part of."""
+        zone = fold_shapes.ZONES[-1]
+        self._propose(records.ZONE, zone, {"index": 2})
+        self._propose(records.TEAM, team, {"share": 1.0, "limit": limit})
+
+    @stateful.rule(
+        host=strategies.sampled_from(fold_shapes.HOSTS),
+        pool=strategies.sampled_from(fold_shapes.POOLS[:2]),
+        zone=strategies.sampled_from(fold_shapes.ZONES[:2]),
+    )
+    def change_host(self, host: str, pool: str, zone: str) -> None:
+        """Declares a host in any pool and zone, whether it is known or not."""
+        place = {"pool": pool, "zone": zone, "rack": "r0"}
+        fields = {**place, "address": fold_shapes.ADDRESS}
+        self._propose(records.HOST, host, fields)
+
     @stateful.rule(data=strategies.data(), based_on=strategies.integers(-1, 30))
     def stale(self, data: strategies.DataObject, based_on: int) -> None:
         """Folds a record that is based on any version."""
@@ -243,9 +227,8 @@
     @stateful.invariant()
     def unique_seats(self) -> None:
         """Checks that no host holds two duty seats or two standby seats."""
-        held = [
-            (seat.host, seat.number == 0) for seat in self.state.seats.values()
-        ]
+        seats = self.state.seats.values()
+        held = [(seat.host, seat.number == 0) for seat in seats]
         assert len(held) == len(set(held)), held
 
     def teardown(self) -> None:
