--- a/src/chervillead/upstreams/connections.py
+++ b/src/chervillead/upstreams/connections.py
@@ -139,8 +139,11 @@
     data = http_exchange.encode_request(address, call.request)
     limit = asyncio.timeout(max(0.0, call.deadline_s - clock.monotonic()))
 
+    is_open = True
+
     def give_up(_: object) -> None:
-        if not limit.expired():
+        # The callback may be due already when the exchange ends.
+        if is_open and not limit.expired():
             limit.reschedule(asyncio.get_running_loop().time())
 
     try:
@@ -153,6 +156,7 @@
                 await writer.drain()
                 response = await http_exchange.read_response(reader)
             finally:
+                is_open = False
                 call.outcome.remove_done_callback(give_up)
         return _check_echo(call, response)
     except TimeoutError:
--- a/tests/stand_ins/memory_fleet.py
+++ b/tests/stand_ins/memory_fleet.py
@@ -15,6 +15,7 @@
 from chervillead import types
 from chervillead import verdicts
 from chervillead.callers import credentials
+from chervillead.callers import request_claims
 from chervillead.callers import request_ids
 from chervillead.callers import submission
 from chervillead.platform import records
@@ -169,6 +170,10 @@
         )
         if isinstance(authorized, result.Failure):
             refusal: verdicts.Refusal = authorized.failure()
+            if request_id is not None and not idempotent:
+                refusal = await request_claims.check_refusal(
+                    refusal, request_id, parts.ports.lookup
+                )
             return result.Failure(refusal)
         request = types.Request(
             request_id or request_ids.new_request_id(clock.wall()),
