Let fleets of processes choose free ports

Cause: fleets bound fixed ports (17000, 21000, 21500, 22400, 22900, 22990, 24000). A second run's entry host failed in uvicorn's bind, which exits with status 3 after one line in a log nobody read; the start went on because the host of the other run answered on the same port. A planned stop that cuts requests was ruled out: every run on ports of its own has cut none.

A run now binds a random block of contiguous ports below the ephemeral range without SO_REUSEADDR and keeps the sockets, so another run can't take a block in use, while servers of the run, which set the option, can listen. The start of a fleet fails at once when a process ends and shows its last log lines. An entry host binds both addresses before it starts anything and exits with status 4 and a `daemon:cannot-listen` line; until now a taken address for peers left it serving callers without peers, claims and dispatcher.

--- a/benchmarks/http_clients.py
+++ b/benchmarks/http_clients.py
@@ -21,10 +21,9 @@
 from chervillead import http_exchange
 from chervillead import types
 from chervillead.upstreams import pool
+from stand_ins import free_ports
 from stand_ins import http_server
 
-ADDRESS = types.Address("127.0.0.1", 22900)
-CLOSING = types.Address("127.0.0.1", 22901)
 CONCURRENCY = 8
 REQUESTS = 4000
 ROUNDS = 5
@@ -161,22 +160,25 @@
         echo = (("chervillead-request-id", request_id),)
         return http_server.Reply(200, b"done", echo)
 
-    server = await http_server.serve(handle, *CLOSING)
-    send = CLIENTS[name](CLOSING)
+    ports = free_ports.hold_ports(1)
+    closing = types.Address(free_ports.LOOPBACK, ports.base)
+    server = await http_server.serve(handle, *closing)
+    send = CLIENTS[name](closing)
     await send("first")
     try:
         await send("second")
     except Exception as error:
         print(f"{name}: the second POST ended with {type(error).__name__}")
     server.close()
+    ports.release()
     return received.count("second")
 
 
-async def _compare() -> None:
+async def _compare(address: types.Address) -> None:
     figures: dict[str, list[tuple[float, float]]] = {n: [] for n in CLIENTS}
     for _ in range(ROUNDS):
         for name, connect in CLIENTS.items():
-            figures[name].append(await _cost_us(connect(ADDRESS)))
+            figures[name].append(await _cost_us(connect(address)))
     for name, rounds in figures.items():
         rate = statistics.median(rate for rate, _ in rounds)
         cpu_us = statistics.median(cpu_us for _, cpu_us in rounds)
@@ -189,15 +191,18 @@
 
 def main() -> None:
     """Starts an upstream, compares the clients and stops it."""
+    ports = free_ports.hold_ports(1)
+    address = types.Address(free_ports.LOOPBACK, ports.base)
     upstream = subprocess.Popen(
-        [sys.executable, "-m", "stand_ins.upstream", str(ADDRESS.port), "64"]
+        [sys.executable, "-m", "stand_ins.upstream", str(address.port), "64"]
     )
     try:
         time.sleep(1.0)
-        uvloop.run(_compare())
+        uvloop.run(_compare(address))
     finally:
         upstream.terminate()
         upstream.wait()
+        ports.release()
 
 
 if __name__ == "__main__":
--- a/benchmarks/request_path.py
+++ b/benchmarks/request_path.py
@@ -7,7 +7,6 @@
 import asyncio
 from collections import abc
 import pathlib
-import socket
 import statistics
 import tempfile
 import typing
@@ -18,16 +17,15 @@
 from benchmarks import figures
 from benchmarks import load
 from chervillead import types
+from stand_ins import free_ports
 from stand_ins import local_fleet
 
 PLAN = local_fleet.FleetPlan(
-    base_port=22400,
     entry_hosts=1,
     upstreams_per_queue=4,
     slots=64,  # more than the connections, so that no upstream refuses
     zones=local_fleet.ZONES[:1],
 )
-FORWARDER = types.Address(local_fleet.LOOPBACK, 22450)
 CONNECTIONS = 32
 ROUNDS = 5
 ROUND_S = 1.5
@@ -58,20 +56,20 @@
     process: str
 
 
-ROUTES = {
-    "forwarder": Route(FORWARDER, _kind(idempotent=True), "forwarder"),
-    "idempotent": Route(
-        PLAN.callers_address(0), _kind(idempotent=True), PLAN.entry_name(0)
-    ),
-    "claimed": Route(
-        PLAN.callers_address(0), _kind(idempotent=False), PLAN.entry_name(0)
-    ),
-    "direct": Route(
-        PLAN.upstream_address(0, 0),
-        load.RequestKind("/tasks", (("chervillead-lease-ms", "10000"),)),
-        f"{QUEUE}-0",
-    ),
-}
+def _routes(
+    plan: local_fleet.FleetPlan, forwarder: types.Address
+) -> dict[str, Route]:
+    entry, name = plan.callers_address(0), plan.entry_name(0)
+    return {
+        "forwarder": Route(forwarder, _kind(idempotent=True), "forwarder"),
+        "idempotent": Route(entry, _kind(idempotent=True), name),
+        "claimed": Route(entry, _kind(idempotent=False), name),
+        "direct": Route(
+            plan.upstream_address(0, 0),
+            load.RequestKind("/tasks", (("chervillead-lease-ms", "10000"),)),
+            f"{QUEUE}-0",
+        ),
+    }
 
 
 class Measured(typing.NamedTuple):
@@ -144,14 +142,9 @@
 
 
 def run_fleet() -> Measured:
-    """Starts all processes, measures, and stops them.
-
-    Raises:
-        OSError: Another fleet runs on the ports; the two would mix.
-    """
-    for port in (PLAN.base_port, FORWARDER.port):
-        with socket.create_server((local_fleet.LOOPBACK, port)):
-            pass
+    """Starts all processes, measures, and stops them."""
+    ports = free_ports.hold_ports(1)
+    forwarder = types.Address(local_fleet.LOOPBACK, ports.base)
     with tempfile.TemporaryDirectory() as folder:
         fleet = local_fleet.start_fleet(PLAN, pathlib.Path(folder))
         try:
@@ -159,28 +152,31 @@
                 fleet,
                 "forwarder",
                 "benchmarks.forwarder",
-                str(FORWARDER.port),
+                str(forwarder.port),
                 *(
-                    str(PLAN.upstream_address(0, index).port)
+                    str(fleet.plan.upstream_address(0, index).port)
                     for index in range(PLAN.upstreams_per_queue)
                 ),
             )
-            return uvloop.run(_measure(fleet))
+            return uvloop.run(_measure(fleet, _routes(fleet.plan, forwarder)))
         finally:
             local_fleet.stop_fleet(fleet)
+            ports.release()
 
 
-async def _measure(fleet: local_fleet.Fleet) -> Measured:
+async def _measure(
+    fleet: local_fleet.Fleet, routes: dict[str, Route]
+) -> Measured:
     await local_fleet.wait_until_ready(fleet)
     await asyncio.sleep(1.0)
     process = psutil.Process(fleet.processes[PLAN.entry_name(0)].pid)
     idle_mb = process.memory_info().rss / 1e6
-    throughputs: dict[str, list[float]] = {name: [] for name in ROUTES}
-    processor_s: dict[str, list[float]] = {name: [] for name in ROUTES}
-    latencies_s: dict[str, list[float]] = {name: [] for name in ROUTES}
+    throughputs: dict[str, list[float]] = {name: [] for name in routes}
+    processor_s: dict[str, list[float]] = {name: [] for name in routes}
+    latencies_s: dict[str, list[float]] = {name: [] for name in routes}
     failed = 0
     for number in range(ROUNDS + 1):
-        for name, (address, kind, process_name) in ROUTES.items():
+        for name, (address, kind, process_name) in routes.items():
             process = psutil.Process(fleet.processes[process_name].pid)
             before_s = sum(process.cpu_times()[:2])
             many = await load.run_load(address, kind, CONNECTIONS, ROUND_S)
--- a/src/chervillead/command_line.py
+++ b/src/chervillead/command_line.py
@@ -36,8 +36,7 @@
         _print_problems(checked.failure())
         return EXIT_REFUSED
     logs.write_logs_to(sys.stderr)
-    uvloop.run(daemon.serve(checked.unwrap()))
-    return 0
+    return uvloop.run(daemon.serve(checked.unwrap()))
 
 
 @settings_app.command
--- a/src/chervillead/daemon.py
+++ b/src/chervillead/daemon.py
@@ -4,12 +4,16 @@
 from collections import abc
 import gc
 import signal
+import socket
 import time
 
 import eliot
+from returns import pipeline
+from returns import result
 import uvicorn
 
 from chervillead import assembly
+from chervillead import http_exchange
 from chervillead import settings as settings_module
 from chervillead import types
 from chervillead.callers import application
@@ -25,14 +29,60 @@
 # Reports to claim holders leave within this time, before the streams close.
 LAST_REPORTS_S = 0.25
 
+# Exit status if an address of the settings can't be listened on.
+EXIT_CANNOT_LISTEN = 4
+
 # Requests make few cycles, and each full collection walks all kept claims. With
 # the interpreter's thresholds (700, 10, 10), a request takes a fifth longer.
 GC_THRESHOLDS = (20_000, 20, 100)
 
 
-async def serve(settings: settings_module.Settings) -> None:
-    """Runs an entry host until SIGTERM or SIGINT."""
-    parts = assembly.assemble(settings, SYSTEM_CLOCK)
+async def serve(settings: settings_module.Settings) -> int:
+    """Runs an entry host until SIGTERM or SIGINT.
+
+    Returns:
+        The exit status of the process.
+    """
+    addresses = {"callers": settings.callers, "entries": settings.entries}
+    bound = {name: _bind(address) for name, address in addresses.items()}
+    failed = [n for n, b in bound.items() if not pipeline.is_successful(b)]
+    for name in failed:
+        eliot.log_message(
+            "daemon:cannot-listen",
+            host=settings.host,
+            setting=name,
+            address="{}:{}".format(*addresses[name]),
+            error=bound[name].failure(),
+        )
+    if failed:
+        return EXIT_CANNOT_LISTEN
+    await _run(settings, bound["callers"].unwrap(), bound["entries"].unwrap())
+    return 0
+
+
+def _bind(address: types.Address) -> result.Result[socket.socket, str]:
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    try:
+        return result.Success(socket.create_server(address, family=family))
+    except OSError as error:
+        return result.Failure(str(error))
+
+
+async def _run(
+    settings: settings_module.Settings,
+    callers: socket.socket,
+    entries: socket.socket,
+) -> None:
+    """Runs all parts on bound sockets until a signal."""
+
+    async def listen(
+        address: types.Address, serve_stream: http_exchange.ServeStreams
+    ) -> None:
+        server = await asyncio.start_server(serve_stream, sock=entries)
+        async with server:
+            await server.serve_forever()
+
+    parts = assembly.assemble(settings, SYSTEM_CLOCK, listen=listen)
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
     stopping = asyncio.Event()
@@ -40,7 +90,9 @@
     eliot.log_message("daemon:start", host=settings.host, zone=settings.zone)
     background = asyncio.create_task(assembly.run_background(parts))
     try:
-        await _serve_callers(settings, front_end, stopping, parts.entry.leave)
+        await _serve_callers(
+            settings, callers, front_end, stopping, parts.entry.leave
+        )
         await _finish_running(front_end)
     finally:
         background.cancel()
@@ -51,6 +103,7 @@
 
 async def _serve_callers(
     settings: settings_module.Settings,
+    listener: socket.socket,
     front_end: application.FrontEndPorts,
     stopping: asyncio.Event,
     leave: abc.Callable[[], abc.Awaitable[None]],
@@ -61,8 +114,6 @@
     server = uvicorn.Server(
         uvicorn.Config(
             app,
-            host=settings.callers.host,
-            port=settings.callers.port,
             lifespan="off",
             log_config=None,
             access_log=False,
@@ -77,7 +128,7 @@
         loop.add_signal_handler(number, stopping.set)
     # `_serve` leaves the signals to this module: uvicorn's own handlers close
     # the listening socket at once, during the balancer's lag.
-    serving = asyncio.create_task(server._serve())
+    serving = asyncio.create_task(server._serve([listener]))
     stopped = asyncio.create_task(stopping.wait())
     await asyncio.wait((serving, stopped), return_when=asyncio.FIRST_COMPLETED)
     await asyncio.sleep(settings.stop_delay_s if stopping.is_set() else 0)
--- a/tests/entries/duty.feature
+++ b/tests/entries/duty.feature
@@ -21,7 +21,7 @@
   Scenario: A stopped process whose seat is taken over runs nothing twice
     # Guards against a resumed dispatcher that acts on its old seat. Uses real
     # processes; the checks count executions and don't measure time.
-    Given a fleet of processes at port 24000 with 6 entry hosts
+    Given a fleet of processes with 6 entry hosts
     When its dispatcher of zone a is stopped under load until it is replaced
     Then another host holds the duty seat of zone a
     And every request ran at most once and every outcome is true
--- a/tests/stand_ins/local_fleet.py
+++ b/tests/stand_ins/local_fleet.py
@@ -26,8 +26,9 @@
 from chervillead.callers import request_ids
 from chervillead.platform import log_client
 from chervillead.platform import records
+from stand_ins import free_ports
 
-LOOPBACK = "127.0.0.1"
+LOOPBACK = free_ports.LOOPBACK
 ZONES = ("a", "b", "c", "d")
 QUEUES = (
     "door-open-checks",
@@ -41,13 +42,15 @@
     "nursery-south": "key-of-nursery-south-0001",
 }
 START_TIMEOUT_S = 60.0
+LAST_LOG_LINES = 5
 
 
 class FleetPlan(typing.NamedTuple):
     """Sizes and ports of a local fleet.
 
     Attributes:
-        base_port: First port; the fleet uses the ports above it.
+        base_port: First port. `start_fleet` replaces it by a free one; the
+            default serves fleets in memory.
         entry_hosts: Entry hosts, spread over the zones.
         upstreams_per_queue: Upstreams of each service.
         slots: Slots of each upstream.
@@ -74,24 +77,44 @@
 
     def callers_address(self, index: int) -> types.Address:
         """Returns where an entry host listens for callers."""
-        return types.Address(LOOPBACK, self.base_port + 100 + index)
+        return types.Address(LOOPBACK, self.base_port + 1 + index)
 
     def entries_address(self, index: int) -> types.Address:
         """Returns where an entry host listens for its peers."""
-        return types.Address(LOOPBACK, self.base_port + 200 + index)
+        first = self.base_port + 1 + self.entry_hosts
+        return types.Address(LOOPBACK, first + index)
 
     def upstream_address(self, queue_index: int, index: int) -> types.Address:
         """Returns where an upstream listens."""
         number = queue_index * self.upstreams_per_queue + index
-        return types.Address(LOOPBACK, self.base_port + 300 + number)
+        first = self.base_port + 1 + 2 * self.entry_hosts
+        return types.Address(LOOPBACK, first + number)
+
+    @property
+    def port_count(self) -> int:
+        """Ports that the fleet uses."""
+        upstreams = len(QUEUES) * self.upstreams_per_queue
+        return 1 + 2 * self.entry_hosts + upstreams
 
 
 class Fleet(typing.NamedTuple):
-    """A running fleet: its plan, its processes by name and their folder."""
+    """A running fleet.
+
+    Attributes:
+        plan: Its plan, with the ports that it uses.
+        processes: Its processes by name.
+        folder: Where its logs and settings are.
+        ports: The ports kept for it.
+    """
 
     plan: FleetPlan
     processes: dict[str, subprocess.Popen[bytes]]
     folder: pathlib.Path
+    ports: free_ports.HeldPorts
+
+
+class ProcessEndedError(Exception):
+    """A process of the fleet ended while the fleet was starting."""
 
 
 def entry_settings(plan: FleetPlan, index: int) -> dict[str, typing.Any]:
@@ -133,10 +156,16 @@
     start_process(fleet, name, "chervillead", "entry", "--settings", str(path))
 
 
-def start_fleet(plan: FleetPlan, folder: pathlib.Path) -> Fleet:
-    """Starts all processes of a fleet."""
+def start_fleet(
+    plan: FleetPlan,
+    folder: pathlib.Path,
+    ports: free_ports.HeldPorts | None = None,
+) -> Fleet:
+    """Starts all processes of a fleet, on free ports unless given `ports`."""
     folder.mkdir(parents=True, exist_ok=True)
-    fleet = Fleet(plan, {}, folder)
+    ports = ports or free_ports.hold_ports(plan.port_count)
+    plan = plan._replace(base_port=ports.base)
+    fleet = Fleet(plan, {}, folder, ports)
     start_process(
         fleet, "platform", "stand_ins.platform", str(plan.platform.port)
     )
@@ -167,6 +196,7 @@
         except subprocess.TimeoutExpired:
             process.kill()
             process.wait()
+    fleet.ports.release()
 
 
 def initial_records(plan: FleetPlan) -> abc.Iterator[records.Record]:
@@ -208,20 +238,54 @@
     """Returns once the fleet has a configuration and serves.
 
     Raises:
+        ProcessEndedError: A process ended meanwhile.
         TimeoutError: The fleet isn't ready in time.
     """
-    async with asyncio.timeout(START_TIMEOUT_S):
-        platform = log_client.connect_platform(
-            fleet.plan.platform, timeout_s=1.0
+    tasks = [
+        asyncio.ensure_future(wait(fleet))
+        for wait in (_wait_until_configured, _wait_until_ended)
+    ]
+    try:
+        done, _ = await asyncio.wait(
+            tasks,
+            timeout=START_TIMEOUT_S,
+            return_when=asyncio.FIRST_COMPLETED,
         )
-        while (await platform.read(0, 0.0)).value_or(None) is None:
+        if not done:
+            raise TimeoutError(f"not ready within {START_TIMEOUT_S} s")
+        for task in done:
+            task.result()
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def _wait_until_ended(fleet: Fleet) -> None:
+    """Raises once a process of the fleet has ended."""
+    while True:
+        for name, process in fleet.processes.items():
+            if process.poll() is not None:
+                lines = (fleet.folder / f"{name}.log").read_text().splitlines()
+                raise ProcessEndedError(
+                    f"{name} ended with status {process.returncode} during the "
+                    "start of the fleet; its last log lines:\n"
+                    + "\n".join(lines[-LAST_LOG_LINES:])
+                )
+        await asyncio.sleep(0.1)
+
+
+async def _wait_until_configured(fleet: Fleet) -> None:
+    """Publishes the configuration; returns once all entry hosts serve."""
+    platform = log_client.connect_platform(fleet.plan.platform, timeout_s=1.0)
+    while (await platform.read(0, 0.0)).value_or(None) is None:
+        await asyncio.sleep(0.1)
+    for record in initial_records(fleet.plan):
+        data = records.encode_record(record)
+        while (await platform.append(data)).value_or(None) is None:
             await asyncio.sleep(0.1)
-        for record in initial_records(fleet.plan):
-            data = records.encode_record(record)
-            while (await platform.append(data)).value_or(None) is None:
-                await asyncio.sleep(0.1)
-        for index in range(fleet.plan.entry_hosts):
-            await _wait_until_served(fleet.plan.callers_address(index))
+    for index in range(fleet.plan.entry_hosts):
+        await _wait_until_served(fleet.plan.callers_address(index))
 
 
 async def _wait_until_served(address: types.Address) -> None:
--- a/tests/stand_ins/paused_fleet.py
+++ b/tests/stand_ins/paused_fleet.py
@@ -46,6 +46,7 @@
 ) -> PausedRun:
     """Stops the dispatcher of zone a under load until it is replaced."""
     fleet = local_fleet.start_fleet(plan, folder)
+    plan = fleet.plan
     replies: dict[str, http_exchange.HttpResponse] = {}
     try:
         await local_fleet.wait_until_ready(fleet)
--- a/tests/steps/callers_daemon.py
+++ b/tests/steps/callers_daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import itertools
 import pathlib
 import shutil
 import signal
@@ -17,8 +16,6 @@
 
 KEY = local_fleet.TEAM_KEYS["nursery-north"]
 CALLERS_PER_HOST = 4
-# A range for each scenario, so that one doesn't wait for the other's ports.
-base_ports = itertools.count(21000, 500)
 
 
 async def ask(fleet, index, request_id):
@@ -80,7 +77,6 @@
 @behave.given("a small fleet of processes under load on every entry host")
 def step(context):
     plan = local_fleet.FleetPlan(
-        base_port=next(base_ports),
         entry_hosts=4,
         upstreams_per_queue=4,
         stop_delay_s=3.0,
--- a/tests/steps/entries_duty.py
+++ b/tests/steps/entries_duty.py
@@ -97,12 +97,10 @@
     assert context.duty.may_act()
 
 
-@behave.given(
-    "a fleet of processes at port {port:d} with {count:d} entry hosts"
-)
-def step(context, port, count):
+@behave.given("a fleet of processes with {count:d} entry hosts")
+def step(context, count):
     context.plan = local_fleet.FleetPlan(
-        base_port=port, entry_hosts=count, upstreams_per_queue=4, slots=4
+        entry_hosts=count, upstreams_per_queue=4, slots=4
     )
 
 
--- a/tests/steps/upstreams_connections.py
+++ b/tests/steps/upstreams_connections.py
@@ -9,6 +9,7 @@
 from chervillead import http_exchange
 from chervillead import types
 from chervillead.upstreams import pool
+from stand_ins import free_ports
 from stand_ins import http_server
 from stand_ins import local_fleet
 from stand_ins import memory_fleet
@@ -106,9 +107,11 @@
     run_on_kept_connection(context, disturb)
 
 
-@behave.given("an upstream on loopback port {port:d}")
-def step(context, port):
-    context.address = types.Address("127.0.0.1", port)
+@behave.given("an upstream on a free port of loopback")
+def step(context):
+    ports = free_ports.hold_ports(1)
+    context.add_cleanup(ports.release)
+    context.address = types.Address(free_ports.LOOPBACK, ports.base)
 
 
 @behave.when("it closes a kept connection after it read a request")
--- a/tests/upstreams/connections.feature
+++ b/tests/upstreams/connections.feature
@@ -38,7 +38,7 @@
 
   Scenario: A kept connection over loopback TCP is closed without an answer
     # Guards against a difference between the memory network and real sockets.
-    Given an upstream on loopback port 22990
+    Given an upstream on a free port of loopback
     When it closes a kept connection after it read a request
     Then the connection's request ends as "may-have-run"
     And the upstream received the request once
