--- a/tests/stand_ins/local_fleet.py
+++ b/tests/stand_ins/local_fleet.py
@@ -43,6 +43,8 @@
 }
 START_TIMEOUT_S = 60.0
 LAST_LOG_LINES = 5
+FOLDER = pathlib.Path(".fleet")
+KEPT_FILE = "fleet.json"
 
 
 class FleetPlan(typing.NamedTuple):
@@ -421,24 +423,38 @@
     return 0 if answered == once == requests else 1
 
 
+def write_kept_fleet(plan: FleetPlan, pids: dict[str, int]) -> None:
+    """Writes down what another command needs to use a fleet left up."""
+    document = {"plan": plan._asdict(), "pids": pids}
+    (FOLDER / KEPT_FILE).write_bytes(msgspec.json.encode(document))
+
+
+def load_kept_fleet(folder: pathlib.Path) -> tuple[FleetPlan, dict[str, int]]:
+    """Returns plan and process ids of a fleet that `--keep` left up."""
+    document = msgspec.json.decode((folder / KEPT_FILE).read_bytes())
+    plan = FleetPlan(**document["plan"])
+    return plan._replace(zones=tuple(plan.zones)), document["pids"]
+
+
 def main(arguments: list[str]) -> int:
     """Runs the demonstration and returns the exit status."""
-    fleet = start_fleet(FleetPlan(), pathlib.Path(".fleet"))
+    fleet = start_fleet(FleetPlan(), FOLDER)
     keep = "--keep" in arguments
+    print(f"platform {fleet.plan.platform}")
+    for index in range(fleet.plan.entry_hosts):
+        name = fleet.plan.entry_name(index)
+        address = fleet.plan.callers_address(index)
+        print(f"{name} {address} pid {fleet.processes[name].pid}")
     try:
         status = asyncio.run(demonstrate(fleet))
+        if keep:
+            processes = fleet.processes.items()
+            write_kept_fleet(fleet.plan, {n: p.pid for n, p in processes})
+            sys.stdout.flush()
+            # The processes stay; an ordinary exit would warn of each.
+            os._exit(status)
     finally:
-        if not keep:
-            stop_fleet(fleet)
-    if keep:
-        print(f"platform {fleet.plan.platform}")
-        for index in range(fleet.plan.entry_hosts):
-            name = fleet.plan.entry_name(index)
-            print(
-                f"{name} {fleet.plan.callers_address(index)} "
-                f"pid {fleet.processes[name].pid}"
-            )
-        os._exit(status)
+        stop_fleet(fleet)
     return status
 
 
--- a/tests/stand_ins/process_load.py
+++ b/tests/stand_ins/process_load.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import itertools
+import random
 import time
 
 import msgspec
@@ -43,8 +44,23 @@
         *,
         run_s: float = 0.05,
         try_timeout_s: float = 30.0,
+        lag_requests: int = LAG_REQUESTS,
+        move_chance: float = 0.0,
     ) -> None:
+        """Makes the callers' state.
+
+        Args:
+            plan: Sizes and ports of the fleet.
+            run_s: Run time of each request.
+            try_timeout_s: Time after which a caller gives a submission up.
+            lag_requests: Requests that a caller still sends to a host that
+                became unavailable.
+            move_chance: Chance that a caller takes another host for its next
+                request, so that restarted hosts get callers again.
+        """
         self.plan = plan
+        self._lag_requests = lag_requests
+        self._move_chance = move_chance
         self._run_s = run_s
         self.submissions: list[invariants.Submission] = []
         self.unavailable: set[str] = set()
@@ -114,12 +130,12 @@
     async def _call(self, index: int, team: str) -> None:
         """Sends one request after the other until the load ends."""
         connection = CallerConnection(self)
-        lag = LAG_REQUESTS
+        lag = self._lag_requests
         while not self._ending:
             if self.plan.entry_name(index) in self.unavailable:
                 lag -= 1
-            if lag == 0:
-                index, lag = self._next_host(index), LAG_REQUESTS
+            if lag <= 0 or random.random() < self._move_chance:
+                index, lag = self._next_host(index), self._lag_requests
             index = await self.submit(connection, index, team)
         connection.close()
 
@@ -158,6 +174,8 @@
                 verdicts.Verdict.NOT_RUN
             ):
                 return index
+            elif self.plan.entry_name(index) in self.unavailable:
+                index = self._next_host(index)
             await asyncio.sleep(RETRY_S)
         raise RuntimeError(
             f"{request_id} has no final outcome after {MAX_TRIES} submissions"
