Run the seeds of the seat scenarios on a shared process pool

tests/entries/seats.feature ran 44 seeded fleets one after the other, 80 s in sequence. Its scripts are now functions of a module, which a worker can import, and stand_ins/seed_pool.py serves them and tests/invariants.feature with one pool for the whole suite. Seeds and checks are the same; a run returns what the checks read instead of the fleet.

--- a/tests/stand_ins/seat_run.py
+++ b/tests/stand_ins/seat_run.py
@@ -20,12 +20,42 @@
 from stand_ins import memory_fleet
 from stand_ins import virtual_time
 
+PLAN = local_fleet.FleetPlan(upstreams_per_queue=4)
 SEEDS = int(os.environ.get("CHERVILLEAD_SEEDS", "4"))
 SAMPLE_S = 0.01
 
 Script = abc.Callable[["SeatRun"], abc.Coroutine[typing.Any, typing.Any, None]]
 
 
+class SeatResult(typing.NamedTuple):
+    """What a run showed, without the fleet.
+
+    Attributes:
+        gaps_s: Samples without a host that may grant, by zone.
+        doubles: Samples with more than one, in any zone.
+        wrong: Requests that ran twice or whose outcome is untrue.
+        refused: Outcomes other than answers.
+        answered: Number of answered requests.
+        submitted: Number of requests with an outcome.
+        seats: Seats that a script noted.
+        active: Hosts that may grant, as a script noted them.
+    """
+
+    seed: int
+    gaps_s: collections.Counter[str]
+    doubles: list[str]
+    wrong: list[str]
+    refused: list[str]
+    answered: int
+    submitted: int
+    seats: list[typing.Any]
+    active: list[str]
+
+    def gap_s(self, zone: str) -> float:
+        """Returns how long nobody could grant in a zone."""
+        return self.gaps_s[zone] * SAMPLE_S
+
+
 class SeatRun:
     """One run: the fleet, the load's outcomes and the grant times."""
 
@@ -37,6 +67,8 @@
         self.doubles: list[str] = []
         self.gaps_s: collections.Counter[str] = collections.Counter()
         self.load_paused = False
+        self.seats: list[typing.Any] = []
+        self.active: list[str] = []
 
     def holder(self, zone: str) -> str:
         """Returns the host that may grant in a zone."""
@@ -58,10 +90,6 @@
                 if not active:
                     self.gaps_s[zone] += 1
 
-    def gap_s(self, zone: str) -> float:
-        """Returns how long nobody could grant in a zone."""
-        return self.gaps_s[zone] * SAMPLE_S
-
     async def load(self) -> None:
         """Submits non-idempotent requests through all hosts."""
         teams = list(local_fleet.TEAM_KEYS)
@@ -85,6 +113,22 @@
             deadline_s=3.0,
         )
 
+    def result(self) -> SeatResult:
+        """Returns what the run showed."""
+        outcomes = list(self.outcomes.values())
+        refused = [repr(o) for o in outcomes if not o.value_or(None)]
+        return SeatResult(
+            self.seed,
+            self.gaps_s,
+            self.doubles,
+            self.wrong_outcomes(),
+            refused,
+            len(outcomes) - len(refused),
+            len(outcomes),
+            self.seats,
+            self.active,
+        )
+
     def wrong_outcomes(self) -> list[str]:
         """Returns requests that ran twice or whose outcome is untrue."""
         runs = collections.Counter(
@@ -103,13 +147,11 @@
         return wrong
 
 
-def run_seeds(
-    script: Script, first_seed: int, plan: local_fleet.FleetPlan
-) -> list[SeatRun]:
-    """Runs `script` under load on a fresh fleet for each seed."""
+def run_seed(script: Script, seed: int) -> SeatResult:
+    """Runs `script` under load on a fresh fleet."""
 
-    async def main(seed: int) -> SeatRun:
-        fleet = memory_fleet.MemoryFleet(plan, seed=seed)
+    async def main() -> SeatRun:
+        fleet = memory_fleet.MemoryFleet(PLAN, seed=seed)
         run = SeatRun(fleet, seed)
         await fleet.start()
         background = [
@@ -127,7 +169,4 @@
             await fleet.stop()
         return run
 
-    return [
-        virtual_time.run_virtual(main(seed), seed)
-        for seed in range(first_seed, first_seed + SEEDS)
-    ]
+    return virtual_time.run_virtual(main(), seed).result()
--- /dev/null
+++ b/tests/stand_ins/seat_scripts.py
@@ -0,0 +1,130 @@
+"""Faults of the seats of a zone, as scripts for `seat_run`."""
+
+import asyncio
+
+from stand_ins import memory_fleet
+from stand_ins import seat_run
+
+PLAN = seat_run.PLAN
+
+
+async def kill_dispatcher(run: seat_run.SeatRun, zone: str) -> None:
+    """Kills the dispatcher of a zone."""
+    await run.fleet.kill_host(run.holder(zone))
+    await asyncio.sleep(8.0)
+
+
+async def kill_standby(run: seat_run.SeatRun, zone: str) -> None:
+    """Kills the standby of a zone, then stops the log."""
+    holder = run.holder(zone)
+    hosts = run.fleet.hosts.items()
+    standby = next(
+        n for n, p in hosts if p.settings.zone == zone and n != holder
+    )
+    await run.fleet.kill_host(standby)
+    await asyncio.sleep(5.0)
+    run.fleet.platform.is_down = True
+    await asyncio.sleep(5.0)
+
+
+async def kill_zone(run: seat_run.SeatRun, zone: str, role: str) -> None:
+    """Kills all hosts of a zone and starts one of them again."""
+    holder = run.holder(zone)
+    names = [PLAN.entry_name(i) for i in range(PLAN.entry_hosts)]
+    for name in [n for n in names if n[-2] == zone]:
+        await run.fleet.kill_host(name)
+    await asyncio.sleep(1.0)
+    wanted = role == "dispatcher"
+    run.fleet.start_host(
+        next(
+            i
+            for i, n in enumerate(names)
+            if n[-2] == zone and (n == holder) is wanted
+        )
+    )
+    await asyncio.sleep(8.0 if wanted else 40.0)
+
+
+async def kill_during_outage(run: seat_run.SeatRun, zone: str) -> None:
+    """Kills the dispatcher of a zone while the log is down."""
+    run.fleet.platform.is_down = True
+    await run.fleet.kill_host(run.holder(zone))
+    await asyncio.sleep(10.0)
+    run.fleet.platform.is_down = False
+    await asyncio.sleep(10.0)
+
+
+async def stop_log(run: seat_run.SeatRun) -> None:
+    """Takes the log down for 20 s."""
+    run.fleet.platform.is_down = True
+    await asyncio.sleep(20.0)
+
+
+async def cut_dispatcher(run: seat_run.SeatRun, zone: str) -> None:
+    """Cuts a dispatcher off from the log and from its zone."""
+    holder = run.holder(zone)
+    hosts = run.fleet.hosts.items()
+    others = [n for n, p in hosts if p.settings.zone == zone and n != holder]
+    run.fleet.network.cut([holder], [memory_fleet.PLATFORM, *others])
+    await asyncio.sleep(12.0)
+    run.fleet.network.heal()
+    await asyncio.sleep(3.0)
+
+
+async def fault_at_random(run: seat_run.SeatRun) -> None:
+    """Cuts hosts off, kills and restarts them at random."""
+    names = [PLAN.entry_name(i) for i in range(PLAN.entry_hosts)]
+    for _ in range(8):
+        index = run.random.randrange(PLAN.entry_hosts)
+        if names[index] not in run.fleet.hosts:
+            run.fleet.start_host(index)
+        elif run.random.random() < 0.4:
+            await run.fleet.kill_host(names[index])
+        else:
+            far = run.random.sample([*names, memory_fleet.PLATFORM], 5)
+            run.fleet.network.cut([names[index]], far)
+        run.fleet.platform.is_down = run.random.random() < 0.2
+        await asyncio.sleep(run.random.uniform(0.1, 6.0))
+        if run.random.random() < 0.5:
+            run.fleet.network.heal()
+
+
+async def start_double(run: seat_run.SeatRun) -> None:
+    """Starts a second process with the dispatcher's name."""
+    first = run.holder("a")
+    index = [PLAN.entry_name(i) for i in range(9)].index(first)
+    run.fleet.start_double(index)
+    await asyncio.sleep(10.0)
+    hosts = run.fleet.hosts
+    run.seats = [
+        hosts[name].entry.duties.state.own_seats
+        for name in (first, f"{first}-double")
+    ]
+    run.active = run.fleet.active_hosts("a")
+
+
+async def leave_dispatcher(run: seat_run.SeatRun, zone: str) -> None:
+    """Lets the dispatcher of a zone leave."""
+    holder = run.holder(zone)
+    await run.fleet.hosts[holder].entry.leave()
+    await asyncio.sleep(0.5)
+    assert run.holder(zone) != holder
+    await run.fleet.kill_host(holder)
+    await asyncio.sleep(3.0)
+
+
+async def leave_both(run: seat_run.SeatRun, zone: str) -> None:
+    """Lets the dispatcher and the next standby of a zone leave."""
+    holder = run.holder(zone)
+    seats = {
+        name: parts.entry.duties.state.own_seats[0].number
+        for name, parts in run.fleet.hosts.items()
+        if parts.settings.zone == zone
+    }
+    standby = next(n for n, number in seats.items() if number == 1)
+    # The standby says that it leaves, but can't give its seat up.
+    run.fleet.network.cut([standby], [memory_fleet.PLATFORM])
+    first = asyncio.ensure_future(run.fleet.hosts[standby].entry.leave())
+    await asyncio.sleep(0.4)
+    await asyncio.gather(first, run.fleet.hosts[holder].entry.leave())
+    await asyncio.sleep(1.0)
--- a/tests/steps/invariants.py
+++ b/tests/steps/invariants.py
@@ -1,15 +1,11 @@
 """Steps of tests/invariants.feature."""
 
-import concurrent.futures
-import multiprocessing
-import os
+import functools
 
 import behave
 
 from stand_ins import fault_run
-
-# Runs are independent, so seeds share the cores; each has its own process.
-WORKERS = min(8, os.cpu_count() or 1)
+from stand_ins import seed_pool
 
 
 @behave.given('a fleet under load with the faults "{names}"')
@@ -20,13 +16,8 @@
 @behave.when("it runs with {count:d} seeds")
 def step(context, count):
     seeds = range(context.seed, context.seed + count)
-    with concurrent.futures.ProcessPoolExecutor(
-        WORKERS, multiprocessing.get_context("spawn")
-    ) as workers:
-        found = workers.map(
-            fault_run.find_violations, [context.faults] * count, seeds
-        )
-        context.found = dict(zip(seeds, found, strict=True))
+    run = functools.partial(fault_run.find_violations, context.faults)
+    context.found = seed_pool.run_seeds(run, seeds)
 
 
 @behave.then("every invariant holds in every run")
