Keep a crossing grant in use and wire upstream health into dispatch

When the cut healed, the dispatcher freed the grant on the withdrawal and gave the unit to another request, while the entry host accepted the old grant. Both started within 1 ms.

A withdrawal now only ends the wait. A grant that crosses it stays in use until its entry host gives it back, leaves it out of a report or is lost. A reply that comes after its question timed out reaches the handler, so that a grant in it is given back. The scenario "a grant that crosses a withdrawal is freed" demanded the fault; it is replaced by one that demands the release first.

Ruled out: numbering registrations, which needs a round trip for each repeat.

The dispatcher also uses the health of upstreams now: ejection, the platform's host list, and the ejected hosts of other zones from their heartbeats.

The checks of withdrawn keys and zones out asked whether any zone was isolated; they now ask whether the very entry host had a path to the platform since the change.

--- a/src/chervillead/assembly.py
+++ b/src/chervillead/assembly.py
@@ -82,7 +82,10 @@
         dial=dial,
     )
     requests = in_progress.RequestsInProgress()
-    entry = host_module.EntryHost(settings, reader, clock, requests.cancel)
+    hosts = host_list.HostListHolder(clock)
+    entry = host_module.EntryHost(
+        settings, reader, clock, requests.cancel, lambda: hosts.hosts
+    )
     pools = pool.UpstreamPools(
         clock,
         dial,
@@ -100,7 +103,7 @@
         _submission_ports(entry, settings, pools, running, requests, clock),
         dial,
         listen,
-        host_list.HostListHolder(clock),
+        hosts,
     )
 
 
--- a/src/chervillead/entries/dispatcher.py
+++ b/src/chervillead/entries/dispatcher.py
@@ -125,12 +125,11 @@
     def withdraw(self, message: messages.Withdraw) -> None:
         """Takes a request off the waiting list.
 
-        A grant that crossed the withdrawal is freed too: its entry host may
-        never have seen it.
+        A grant that crossed the withdrawal stays in use until its entry host
+        gives it back, leaves it out of a report, or is lost: the host may have
+        accepted that grant in the meantime.
         """
         self._waiting.remove(message.request_id)
-        if given := self._grants.of_request(message.request_id):
-            self._free(given.slot.grant_id)
 
     def release(self, message: messages.Release) -> None:
         """Frees the slot of a grant and grants it again."""
--- a/src/chervillead/entries/duties.py
+++ b/src/chervillead/entries/duties.py
@@ -11,6 +11,7 @@
 from chervillead.entries import recovery
 from chervillead.entries import seats
 from chervillead.entries import transfers
+from chervillead.entries import upstream_health
 from chervillead.platform import log_reader
 
 Post = abc.Callable[[str, messages.Message], object]
@@ -28,6 +29,7 @@
         peers: duty_module.PeerView,
         clock: types.Clock,
         post: Post,
+        health: upstream_health.HealthPorts,
     ) -> None:
         """Makes duties that start once this process holds a duty seat.
 
@@ -38,6 +40,7 @@
             peers: What this host knows of the others.
             clock: Source of time.
             post: Sends a message to an entry host, this one included.
+            health: Functions on the health of the zone's upstreams.
         """
         self._host = host
         self._zone = zone
@@ -61,6 +64,8 @@
             clock=clock,
             notify=post,
             may_grant=self._duty.may_act,
+            usable_slots=health.usable_slots,
+            note_release=health.note_release,
             deducted_units=self._escrow.deducted,
         )
 
--- a/src/chervillead/entries/host.py
+++ b/src/chervillead/entries/host.py
@@ -29,7 +29,8 @@
 from chervillead.entries import seats
 from chervillead.entries import streams
 from chervillead.entries import transfers
-from chervillead.platform import configuration as configuration_module
+from chervillead.entries import upstream_health
+from chervillead.platform import host_list
 from chervillead.platform import log_client
 from chervillead.platform import log_reader
 
@@ -46,6 +47,7 @@
         reader: log_reader.LogReader,
         clock: types.Clock,
         cancel: abc.Callable[[str], bool] = lambda request_id: False,
+        hosts: abc.Callable[[], host_list.HostList] = lambda: host_list.UNKNOWN,
     ) -> None:
         self._cancel = cancel
         self._settings = settings
@@ -60,6 +62,13 @@
         self._relay = relay.connect_ports(reader)
         self._held = held_grants.HeldGrants()
         self._waiters = grant_waiters.GrantWaiters(clock, self.post)
+        self._hosts = hosts
+        self._health = upstream_health.connect_health(
+            configuration=lambda: reader.configuration,
+            hosts=hosts,
+            ejected_elsewhere=self._membership.ejected,
+            clock=clock,
+        )
         self._duties = duties.Duties(
             host=settings.host,
             zone=settings.zone,
@@ -71,6 +80,7 @@
             ),
             clock=clock,
             post=self.post,
+            health=self._health,
         )
 
     @property
@@ -121,6 +131,7 @@
             self._stopping,
             self.dispatcher.free_slots() if may_grant else {},
             self.dispatcher.short_units() if may_grant else {},
+            self._health.ejected() if may_grant else {},
         )
 
     def post(self, host: str, message: messages.Message) -> bool:
@@ -178,6 +189,8 @@
                 return relay.answer_request(self._relay, message)
             case messages.Cancel():
                 self._pass_on_cancel(message)
+            case messages.Waiting() | messages.ClaimState():
+                pass  # the reply to a question that has timed out
             case _:
                 eliot.log_message(
                     "entries:unexpected", peer=peer, kind=type(message).__name__
@@ -283,6 +296,6 @@
         )
 
     def _may_start(self, upstream: types.Upstream) -> bool:
-        return configuration_module.host_takes_work(
-            self._reader.configuration, upstream.name
+        return host_list.host_takes_work(
+            self._reader.configuration, self._hosts(), upstream.name
         )
--- a/src/chervillead/entries/membership.py
+++ b/src/chervillead/entries/membership.py
@@ -51,6 +51,15 @@
             return float("inf")
         return self._clock.monotonic() - self._heard_s[host]
 
+    def ejected(self, pool: str) -> int:
+        """Returns how many upstreams of a pool the live peers have ejected."""
+        live = self.live
+        return sum(
+            heartbeat.ejected.get(pool, 0)
+            for host, heartbeat in self._heartbeats.items()
+            if host in live
+        )
+
     def offset_of(self, host: str) -> int:
         """Returns the offset that a peer last reported; -1 if none."""
         heartbeat = self._heartbeats.get(host)
--- a/src/chervillead/entries/messages.py
+++ b/src/chervillead/entries/messages.py
@@ -28,6 +28,7 @@
         free_slots: Free slots by queue if the sender is a dispatcher.
         short_units: Waiting requests that lack a unit of their team's limit, by
             team, if the sender is a dispatcher.
+        ejected: Ejected upstreams by pool, if the sender is a dispatcher.
     """
 
     offset: int
@@ -35,6 +36,7 @@
     leaving: bool
     free_slots: dict[str, int]
     short_units: dict[str, int]
+    ejected: dict[str, int] = {}
 
 
 class Register(typing.NamedTuple):
--- a/src/chervillead/entries/peer_stream.py
+++ b/src/chervillead/entries/peer_stream.py
@@ -92,13 +92,16 @@
             self._replies.pop(number, None)
 
     def take_frame(self, frame: codec.Frame) -> bool:
-        """Notes a frame; returns whether it was the reply to a question."""
+        """Notes a frame; returns whether a question waited for it.
+
+        A reply that comes after its question timed out is left to the handler:
+        a grant in it must be given back.
+        """
         self._last_heard_s = self._clock.monotonic()
-        if not frame.reply_to:
-            return False
         future = self._replies.get(frame.reply_to)
-        if future is not None and not future.done():
-            future.set_result(frame.message)
+        if future is None or future.done():
+            return False
+        future.set_result(frame.message)
         return True
 
     def close(self) -> None:
--- a/tests/entries/dispatcher.feature
+++ b/tests/entries/dispatcher.feature
@@ -109,11 +109,14 @@
     When 5.0 s pass at the dispatcher of z0
     Then team a runs 20 and waits for 10 in zone z0
 
-  Scenario: A grant that crosses a withdrawal is freed
-    # Guards against slots held for a request that no longer waits.
+  Scenario: A grant that crosses a withdrawal stays in use until its release
+    # Guards against a unit granted twice: the entry host may accept a grant
+    # that was under way when it withdrew.
     Given dispatchers of 1 zones with 1 hosts of 2 slots and a limit of 9
     When team a registers 3 requests in zone z0
     And all requests of team a are withdrawn in zone z0
+    Then team a runs 2 and waits for 0 in zone z0
+    When all grants are released in zone z0
     Then team a runs 0 and waits for 0 in zone z0
 
   Scenario: A grant that its entry host doesn't report lapses
--- a/tests/stand_ins/fault_run.py
+++ b/tests/stand_ins/fault_run.py
@@ -65,32 +65,24 @@
         ]
         return hosts + upstreams
 
-    def is_isolated(self, zone: str) -> bool:
-        """Returns whether no news can reach a zone at present.
-
-        Several faults together can isolate a zone: a cut from the other zones
-        during an outage of the platform does.
-        """
-        inside = self.zone_places(zone)
-        outside = [
-            place
-            for other in local_fleet.ZONES
-            for place in self.zone_places(other)
-            if place not in inside
-        ]
-        if not self.fleet.platform.is_down:
-            outside.append(memory_fleet.PLATFORM)
-        hosts = [name for name in self.fleet.hosts if name in inside]
-        sources = [
-            place
-            for place in outside
-            if place in self.fleet.hosts or place == memory_fleet.PLATFORM
-        ]
-        return all(
-            self.fleet.network.is_cut(host, source)
-            for host in hosts
-            for source in sources
-        )
+    def isolated_hosts(self) -> set[str]:
+        """Returns the entry hosts that no news can reach at present."""
+        network = self.fleet.network
+        reached: set[str] = set()
+        frontier = {
+            host
+            for host in self.fleet.hosts
+            if not self.fleet.platform.is_down
+            and not network.is_cut(host, memory_fleet.PLATFORM)
+        }
+        while frontier:
+            reached |= frontier
+            frontier = {
+                host
+                for host in set(self.fleet.hosts) - reached
+                if any(not network.is_cut(host, other) for other in reached)
+            }
+        return set(self.fleet.hosts) - reached
 
     async def wait_for_platform(self) -> None:
         """Returns when operators can publish."""
@@ -98,17 +90,22 @@
             await asyncio.sleep(0.1)
 
     async def watch_isolation(self) -> None:
-        """Notes when zones are isolated, until cancelled."""
+        """Notes when entry hosts are isolated, until cancelled."""
         since: dict[str, float] = {}
-        while True:
-            for zone in local_fleet.ZONES:
-                if self.is_isolated(zone):
-                    since.setdefault(zone, self.now_s)
-                elif zone in since:
-                    self.isolated.append(
-                        invariants.Interval(zone, since.pop(zone), self.now_s)
-                    )
-            await asyncio.sleep(0.1)
+        try:
+            while True:
+                isolated = self.isolated_hosts()
+                for host in isolated:
+                    since.setdefault(host, self.now_s)
+                for host in set(since) - isolated:
+                    self._note_isolated(host, since.pop(host))
+                await asyncio.sleep(0.1)
+        finally:
+            for host, start_s in since.items():
+                self._note_isolated(host, start_s)
+
+    def _note_isolated(self, host: str, start_s: float) -> None:
+        self.isolated.append(invariants.Interval(host, start_s, self.now_s))
 
     def evidence(self) -> invariants.Evidence:
         """Returns what the run recorded so far."""
@@ -122,6 +119,7 @@
                     record.queue,
                     record.started_s,
                     record.ended_s,
+                    record.grant_id.split(".")[0],
                 )
                 for name, state in self.fleet.upstreams.items()
                 for record in state.records
@@ -298,6 +296,7 @@
     await asyncio.sleep(20.0)
     await asyncio.gather(*tasks)
     watching.cancel()
+    await asyncio.gather(watching, return_exceptions=True)
     evidence = run.evidence()
     await run.fleet.stop()
     return evidence
--- a/tests/stand_ins/invariants.py
+++ b/tests/stand_ins/invariants.py
@@ -14,6 +14,8 @@
 
 # "Within seconds" in the requirements.
 GRACE_S = 5.0
+# A host that is isolated so soon after a change may have missed it.
+MAX_SPREAD_S = 1.0
 
 
 class Execution(typing.NamedTuple):
@@ -25,6 +27,7 @@
     queue: str
     started_s: float
     ended_s: float | None
+    dispatcher: str = ""
 
 
 class Submission(typing.NamedTuple):
@@ -74,9 +77,10 @@
         limits: Published limits.
         withdrawn_keys: When operators withdrew a key.
         zones_out: When operators had zones out.
-        isolated: When zones were cut off from the platform and from all other
-            zones. Such a zone serves on the last configuration that it has, so
-            it can't follow what operators publish meanwhile.
+        isolated: When entry hosts had no path to the platform, neither their
+            own nor through other entry hosts. Such a host serves on the last
+            configuration that it has, so it can't follow what operators
+            publish meanwhile.
         leaving: When upstreams drained or left.
         reboots: When the platform had hosts down for maintenance.
         planned_stops: From SIGTERM to the exit of entry hosts.
@@ -175,9 +179,10 @@
     """Yields starts in a zone that operators took out."""
     for execution in evidence.executions:
         zone = evidence.host_zones[execution.upstream]
-        if _is_isolated(evidence, execution.started_s, zone):
-            continue
-        if _within(evidence.zones_out, zone, execution.started_s):
+        out = _within(evidence.zones_out, zone, execution.started_s)
+        if out is not None and not _could_not_know(
+            evidence, execution.dispatcher, out.start_s, execution.started_s
+        ):
             yield (
                 f"{execution.request_id} started on {execution.upstream} at "
                 f"{execution.started_s:.3f}, {zone} was out"
@@ -187,10 +192,15 @@
 def check_leaving(evidence: Evidence) -> abc.Iterator[str]:
     """Yields starts on an upstream that was leaving."""
     for execution in evidence.executions:
-        zone = evidence.host_zones[execution.upstream]
-        if _is_isolated(evidence, execution.started_s, zone):
-            continue
-        if _within(evidence.leaving, execution.upstream, execution.started_s):
+        leaving = _within(
+            evidence.leaving, execution.upstream, execution.started_s
+        )
+        if leaving is not None and not _could_not_know(
+            evidence,
+            execution.dispatcher,
+            leaving.start_s,
+            execution.started_s,
+        ):
             yield (
                 f"{execution.request_id} started on leaving "
                 f"{execution.upstream} at {execution.started_s:.3f}"
@@ -213,20 +223,24 @@
 
 def check_withdrawn_key(evidence: Evidence) -> abc.Iterator[str]:
     """Yields requests that a withdrawn key still opened."""
-    started = {e.request_id for e in evidence.executions}
-    first = {s.request_id: s for s in reversed(evidence.submissions)}
+    submissions: dict[str, list[Submission]] = {}
     for submission in evidence.submissions:
-        withdrawn_s = evidence.withdrawn_keys.get(submission.key)
-        if withdrawn_s is None:
-            continue
-        if _is_isolated(evidence, submission.submitted_s):
+        submissions.setdefault(submission.request_id, []).append(submission)
+    for execution in evidence.executions:
+        causes = [
+            submission
+            for submission in submissions.get(execution.request_id, ())
+            if submission.submitted_s <= execution.started_s
+        ]
+        if not causes:
             continue
-        too_late = first[submission.request_id].submitted_s > (
-            withdrawn_s + GRACE_S
-        )
-        if too_late and submission.request_id in started:
+        cause = max(causes, key=lambda submission: submission.submitted_s)
+        withdrawn_s = evidence.withdrawn_keys.get(cause.key, float("inf"))
+        if cause.submitted_s > withdrawn_s + GRACE_S and not _could_not_know(
+            evidence, cause.entry_host, withdrawn_s, cause.submitted_s
+        ):
             yield (
-                f"{submission.request_id} ran, its key was withdrawn at "
+                f"{execution.request_id} ran, its key was withdrawn at "
                 f"{withdrawn_s:.3f}"
             )
 
@@ -283,9 +297,7 @@
             host
             for host, zone in evidence.host_zones.items()
             if _pool_at(evidence, host, reboot.start_s) == pool
-            and _within(
-                evidence.zones_out, zone, reboot.start_s, grace_s=GRACE_S
-            )
+            and _within(evidence.zones_out, zone, reboot.start_s) is not None
         )
         if len(unavailable) > evidence.pool_budgets[pool]:
             yield (
@@ -352,22 +364,32 @@
     subject: str,
     at_s: float,
     grace_s: float = GRACE_S,
-) -> bool:
-    return any(
-        interval.subject == subject
-        and interval.start_s + grace_s < at_s < interval.end_s
-        for interval in intervals
-    )
+) -> Interval | None:
+    """Returns the interval of a subject that a time lies in, if any."""
+    for interval in intervals:
+        if interval.subject == subject and (
+            interval.start_s + grace_s < at_s < interval.end_s
+        ):
+            return interval
+    return None
 
 
-def _is_isolated(
-    evidence: Evidence, at_s: float, zone: str | None = None
+def _could_not_know(
+    evidence: Evidence, host: str, change_s: float, at_s: float
 ) -> bool:
-    """Returns whether a zone, or any, was isolated or has just returned."""
+    """Returns whether a host was isolated since a change, or has just returned.
+
+    Args:
+        evidence: What the run recorded.
+        host: Name of an entry host; empty for any.
+        change_s: When operators published the change.
+        at_s: When the host should have followed it.
+    """
     return any(
-        interval.start_s <= at_s < interval.end_s + GRACE_S
+        interval.start_s <= change_s + MAX_SPREAD_S
+        and at_s < interval.end_s + GRACE_S
         for interval in evidence.isolated
-        if zone in (None, interval.subject)
+        if host in ("", interval.subject)
     )
 
 
@@ -380,13 +402,23 @@
     changes = [c for c in evidence.limits if c.team == team and c.at_s <= at_s]
     if not changes:
         return float("inf")
-    since_s = at_s - GRACE_S
-    for interval in reversed(evidence.isolated):
-        if interval.start_s <= since_s < interval.end_s + GRACE_S:
-            since_s = interval.start_s - GRACE_S
-    recent = [c.limit for c in changes if c.at_s > since_s]
-    before = [c.limit for c in changes if c.at_s <= since_s]
-    return max((*recent, *before[-1:]))
+    recent = [
+        c.limit
+        for position, c in enumerate(changes)
+        if _may_still_hold(evidence, changes[position + 1 :], at_s)
+    ]
+    return max(recent)
+
+
+def _may_still_hold(
+    evidence: Evidence, later: list[LimitChange], at_s: float
+) -> bool:
+    """Returns whether a limit may be in force although others followed it."""
+    return all(
+        change.at_s > at_s - GRACE_S
+        or _could_not_know(evidence, "", change.at_s, at_s)
+        for change in later
+    )
 
 
 def _pool_at(evidence: Evidence, host: str, at_s: float) -> str:
--- a/tests/stand_ins/local_fleet.py
+++ b/tests/stand_ins/local_fleet.py
@@ -288,7 +288,10 @@
                 plan.upstream_address(queue_index, index),
                 request,
             )
-            names = ("request_id", "team", "queue", "started", "ended", "how")
+            names = (
+                *("request_id", "team", "queue", "started", "ended", "how"),
+                "grant_id",
+            )
             found.extend(
                 dict(zip(names, values, strict=True))
                 for values in msgspec.json.decode(response.body)
--- a/tests/stand_ins/upstream.py
+++ b/tests/stand_ins/upstream.py
@@ -27,6 +27,7 @@
     started_s: float
     ended_s: float | None
     ending: str
+    grant_id: str = ""
 
 
 class UpstreamState:
@@ -118,6 +119,7 @@
                 started_s,
                 None,
                 "",
+                headers.get("chervillead-grant-id", ""),
             )
         )
         task = loop.create_task(self._work(request_id, self._run_s(body)))
--- a/tests/steps/entries_dispatcher.py
+++ b/tests/steps/entries_dispatcher.py
@@ -182,6 +182,11 @@
     change(context, "zones", "z0", out)
 
 
+@behave.when("all grants are released in zone z0")
+def step(context):
+    release(context, None)
+
+
 @behave.when("all grants are released and zone z0 returns")
 def step(context):
     release(context, None)
