Drain, reboot and roll out hosts within the availability budgets

Cause: the fold arbitrated drains, but nothing proposed them, and a host that died at rest could not be recorded as failed.

One entry host (the holder of the lowest live duty seat) proposes drains wave by wave, asks each upstream itself what still runs, reboots through PlatformClient.reboot_host, and stops a roll-out when a host of a wave fails. The fold now accepts 'failed' for a host at rest or granted, and 'returned' for a grant that is given up; it refuses drain records during a move.

Ruled out: a rolling window instead of waves, because a bad change would reach more hosts before the first failure shows; returning on the host list alone, because a lagging list shows a host live that has not rebooted yet.

--- a/src/chervillead/assembly.py
+++ b/src/chervillead/assembly.py
@@ -11,6 +11,7 @@
 from returns import result
 
 from chervillead import http_exchange
+from chervillead import maintenance_wiring
 from chervillead import settings as settings_module
 from chervillead import types
 from chervillead import verdicts
@@ -26,6 +27,7 @@
 from chervillead.platform import host_list
 from chervillead.platform import log_client
 from chervillead.platform import log_reader
+from chervillead.platform import maintenance
 from chervillead.platform import snapshot_writer
 from chervillead.upstreams import leases
 from chervillead.upstreams import pool
@@ -115,6 +117,20 @@
                 live=lambda: parts.entry.membership.live,
             )
         )
+        tasks.create_task(
+            maintenance.run_maintenance(
+                parts.reader,
+                parts.platform,
+                parts.host_list,
+                parts.clock,
+                maintenance_wiring.maintenance_ports(
+                    parts.settings.host,
+                    parts.reader,
+                    parts.entry.membership,
+                    parts.pools,
+                ),
+            )
+        )
         tasks.create_task(
             host_module.run_entry_host(
                 parts.entry,
--- /dev/null
+++ b/src/chervillead/maintenance_wiring.py
@@ -0,0 +1,57 @@
+"""Connects maintenance to the entry hosts and upstreams that it asks."""
+
+from chervillead import types
+from chervillead.entries import membership
+from chervillead.platform import log_reader
+from chervillead.platform import maintenance
+from chervillead.upstreams import pool
+from chervillead.upstreams import usage
+
+
+def maintenance_ports(
+    host: str,
+    reader: log_reader.LogReader,
+    members: membership.Membership,
+    pools: pool.UpstreamPools,
+) -> maintenance.MaintenancePorts:
+    """Returns the functions that maintenance needs.
+
+    Args:
+        host: Name of this entry host.
+        reader: Holder of the folded configuration.
+        members: Which entry hosts are live.
+        pools: Connections to upstreams; what runs on one is asked of itself,
+            since the grants of one dispatcher don't show all of it.
+    """
+
+    def upstream_of(name: str) -> types.Upstream | None:
+        entry = reader.configuration.hosts.get(name)
+        if entry is None:
+            return None
+        return types.Upstream(name, entry.zone, entry.address)
+
+    async def running(name: str) -> int | None:
+        upstream = upstream_of(name)
+        if upstream is None:
+            return None
+        reported = await usage.read_usage(pools, upstream)
+        return None if reported is None else reported.running
+
+    async def checkpoint(name: str) -> bool:
+        upstream = upstream_of(name)
+        return upstream is not None and (
+            await usage.checkpoint_all(pools, upstream)
+        )
+
+    def is_known(offset: int) -> bool:
+        heartbeats = map(members.heartbeat_of, members.live)
+        return all(h is None or h.offset >= offset for h in heartbeats)
+
+    return maintenance.MaintenancePorts(
+        is_runner=lambda: maintenance.is_runner(
+            reader.configuration, host, members.live
+        ),
+        is_known=is_known,
+        running=running,
+        checkpoint=checkpoint,
+    )
--- a/src/chervillead/platform/budgets.py
+++ b/src/chervillead/platform/budgets.py
@@ -50,6 +50,13 @@
         drain.state is not configuration_module.DrainState.RETURNED
     ):
         return True
+    return is_moving(configuration, host)
+
+
+def is_moving(
+    configuration: configuration_module.Configuration, host: str
+) -> bool:
+    """Returns whether the host has a move that has not joined."""
     move = configuration.moves.get(host)
     return move is not None and (
         move.state is not configuration_module.MoveState.JOINED
--- a/src/chervillead/platform/fold_hosts.py
+++ b/src/chervillead/platform/fold_hosts.py
@@ -15,13 +15,18 @@
 _DrainState = configuration_module.DrainState
 _MoveState = configuration_module.MoveState
 
-# States that may follow each state; None stands for no drain.
+# States that may follow each state; None stands for no drain. A host can fail
+# at any time, and a grant can be given up before the host is drained.
 _DRAIN_STEPS: dict[_DrainState | None, tuple[_DrainState, ...]] = {
-    None: (_DrainState.GRANTED,),
-    _DrainState.GRANTED: (_DrainState.DRAINED,),
+    None: (_DrainState.GRANTED, _DrainState.FAILED),
+    _DrainState.GRANTED: (
+        _DrainState.DRAINED,
+        _DrainState.RETURNED,
+        _DrainState.FAILED,
+    ),
     _DrainState.DRAINED: (_DrainState.RETURNED, _DrainState.FAILED),
     _DrainState.FAILED: (_DrainState.RETURNED,),
-    _DrainState.RETURNED: (_DrainState.GRANTED,),
+    _DrainState.RETURNED: (_DrainState.GRANTED, _DrainState.FAILED),
 }
 _MOVE_STEPS: dict[_MoveState | None, _MoveState] = {
     None: _MoveState.LEAVING,
@@ -101,13 +106,13 @@
             f"the drain of host {name!r} can't become {drain.state.value!r}, "
             f"allowed are {[state.value for state in allowed]}"
         )
+    if budgets.is_moving(configuration, name):
+        return result.Failure(
+            f"host {name!r} is on the move to pool "
+            f"{configuration.moves[name].to_pool!r}; its drain can become "
+            f"{drain.state.value!r} once it has joined"
+        )
     if drain.state is _DrainState.GRANTED:
-        if budgets.is_in_maintenance(configuration, name):
-            return result.Failure(
-                f"host {name!r} is on the move to pool "
-                f"{configuration.moves[name].to_pool!r}; it can be drained "
-                "once it has joined"
-            )
         refusal = budgets.refusal_of(configuration, name, drains=True)
         if refusal is not None:
             return result.Failure(refusal)
@@ -191,9 +196,8 @@
     host = configuration.hosts.get(name)
     if host is None:
         return result.Success(configuration)
-    move = configuration.moves.get(name)
-    if budgets.is_draining(configuration, name) or (
-        move is not None and move.state is not _MoveState.JOINED
+    if budgets.is_draining(configuration, name) or budgets.is_moving(
+        configuration, name
     ):
         return result.Failure(
             f"host {name!r} can't be removed during a drain or move; only one "
--- a/src/chervillead/platform/log_client.py
+++ b/src/chervillead/platform/log_client.py
@@ -2,7 +2,9 @@
 
 import asyncio
 from collections import abc
+import enum
 import typing
+import urllib.parse
 
 import msgspec
 from returns import result
@@ -25,6 +27,13 @@
     leaving: bool
 
 
+class RebootState(enum.Enum):
+    """What the platform says of a reboot that it was asked for."""
+
+    REBOOTING = "rebooting"
+    DONE = "done"
+
+
 class PlatformClient(typing.NamedTuple):
     """The platform's operations as functions; tests hand in others.
 
@@ -33,6 +42,8 @@
             when there is nothing new.
         append: Appends bytes; a failure doesn't say that nothing was appended.
         list_hosts: Returns the lagging list of live and leaving hosts.
+        reboot_host: Reboots a host, once for each id, and returns how far the
+            reboot of this id is; a failure doesn't say that it wasn't begun.
     """
 
     read: abc.Callable[
@@ -42,6 +53,9 @@
     list_hosts: abc.Callable[
         [], abc.Awaitable[result.Result[list[HostEntry], str]]
     ]
+    reboot_host: abc.Callable[
+        [str, str], abc.Awaitable[result.Result[RebootState, str]]
+    ]
 
 
 class _AppendReply(typing.TypedDict):
@@ -99,7 +113,16 @@
         reply = await call(http_exchange.HttpRequest("GET", "/hosts"))
         return reply.bind(_decode_hosts)
 
-    return PlatformClient(read, append, list_hosts)
+    async def reboot_host(
+        name: str, reboot_id: str
+    ) -> result.Result[RebootState, str]:
+        host = urllib.parse.quote(name, safe="")
+        query = urllib.parse.urlencode({"id": reboot_id})
+        path = f"/hosts/{host}/reboot?{query}"
+        reply = await call(http_exchange.HttpRequest("POST", path))
+        return reply.bind(_decode_reboot)
+
+    return PlatformClient(read, append, list_hosts, reboot_host)
 
 
 def _decode_page(body: bytes) -> result.Result[records.LogPage, str]:
@@ -119,6 +142,18 @@
         return result.Failure(f"malformed append reply: {error}")
 
 
+class _RebootReply(typing.TypedDict):
+    state: RebootState
+
+
+def _decode_reboot(body: bytes) -> result.Result[RebootState, str]:
+    try:
+        reply = msgspec.json.decode(body, type=_RebootReply)
+        return result.Success(reply["state"])
+    except msgspec.DecodeError as error:
+        return result.Failure(f"malformed reboot reply: {error}")
+
+
 class _HostMap(typing.TypedDict):
     name: str
     live: bool
--- /dev/null
+++ b/src/chervillead/platform/maintenance.py
@@ -0,0 +1,288 @@
+"""The task that drives drains, reboots, roll-outs and moves.
+
+One entry host runs it at a time, as a rule. Two that do propose the same
+records, of which the fold accepts one each, and ask for the same reboots, which
+the platform begins once for each id.
+"""
+
+import asyncio
+from collections import abc
+import typing
+
+import eliot
+
+from chervillead import types
+from chervillead.platform import budgets
+from chervillead.platform import configuration as configuration_module
+from chervillead.platform import drain_steps
+from chervillead.platform import host_list
+from chervillead.platform import host_watch
+from chervillead.platform import log_client
+from chervillead.platform import log_reader
+from chervillead.platform import pool_moves
+from chervillead.platform import publisher
+from chervillead.platform import records
+from chervillead.platform import rollouts
+
+TICK_S = 1.0
+# Older knowledge of the log allows no reboot and no proposal.
+CONFIRMED_S = 1.0
+PUBLISH_S = 5.0
+
+
+class MaintenancePorts(typing.NamedTuple):
+    """Functions that maintenance needs from the rest of an entry host.
+
+    Attributes:
+        is_runner: Whether this host holds the fleet's lowest live duty seat.
+        is_known: Whether every live entry host has folded an offset.
+        running: Asks a host's upstream how many tasks run there; None when it
+            does not answer.
+        checkpoint: Asks a host's upstream to checkpoint all of its tasks.
+    """
+
+    is_runner: abc.Callable[[], bool]
+    is_known: abc.Callable[[int], bool]
+    running: abc.Callable[[str], abc.Awaitable[int | None]]
+    checkpoint: abc.Callable[[str], abc.Awaitable[bool]]
+
+
+class MaintenanceContext(typing.NamedTuple):
+    """What one entry host's maintenance works with."""
+
+    reader: log_reader.LogReader
+    platform: log_client.PlatformClient
+    hosts: host_list.HostListHolder
+    clock: types.Clock
+    ports: MaintenancePorts
+    watch: host_watch.HostWatch
+
+
+async def run_maintenance(
+    reader: log_reader.LogReader,
+    platform: log_client.PlatformClient,
+    hosts: host_list.HostListHolder,
+    clock: types.Clock,
+    ports: MaintenancePorts,
+) -> None:
+    """Advances all maintenance each second, until cancelled."""
+    watch: host_watch.HostWatch | None = None
+    while True:
+        await asyncio.sleep(TICK_S)
+        if not ports.is_runner():
+            # What was seen as the runner long ago says nothing of now.
+            watch = None
+            continue
+        if watch is None:
+            watch = host_watch.HostWatch()
+            # The runner before may have seen them return a moment ago.
+            for name in rollouts.returned_hosts(reader.configuration):
+                watch.note_returned(name, clock.monotonic())
+        context = MaintenanceContext(
+            reader, platform, hosts, clock, ports, watch
+        )
+        if _is_informed(context):
+            await _advance_all(context)
+
+
+def is_runner(
+    configuration: configuration_module.Configuration,
+    host: str,
+    live: abc.Container[str],
+    *,
+    duty_number: int = 0,
+) -> bool:
+    """Returns whether `host` holds the lowest duty seat of a live host.
+
+    Seats of one zone follow the zone's index. Hosts may disagree on who is
+    live; two runners do no harm.
+    """
+    zones = configuration.zones
+    duties = [
+        (zones[seat.zone].index, seat.host)
+        for seat in configuration.seats.values()
+        if seat.number == duty_number and seat.zone in zones
+    ]
+    holders = (holder for _, holder in sorted(duties) if holder in live)
+    return next(holders, None) == host
+
+
+def hosts_of_interest(
+    configuration: configuration_module.Configuration,
+    hosts: host_list.HostList,
+) -> set[str]:
+    """Returns hosts in maintenance, and those that are listed as down."""
+    names = set(hosts.down) & set(configuration.hosts)
+    return names.union(
+        *(use.unavailable for use in configuration.pool_use.values())
+    )
+
+
+def _is_informed(context: MaintenanceContext) -> bool:
+    return (
+        context.reader.unconfirmed_s < CONFIRMED_S and not context.reader.alarms
+    )
+
+
+async def _advance_all(context: MaintenanceContext) -> None:
+    """Looks at each host of interest, then at the roll-outs."""
+    configuration = context.reader.configuration
+    names = hosts_of_interest(configuration, context.hosts.hosts)
+    context.watch.forget(names)
+    # Each host's step waits for its own upstream and record only.
+    await asyncio.gather(*(_advance_host(context, n) for n in sorted(names)))
+    if _is_informed(context):
+        for subject in rollouts.rollouts_to_stop(context.reader.configuration):
+            await _stop_rollout(context, subject)
+        for reason in rollouts.open_reasons(context.reader.configuration):
+            await _start_wave(context, reason)
+
+
+async def _advance_host(context: MaintenanceContext, name: str) -> None:
+    """Observes one host and takes its next step."""
+    running = await context.ports.running(name)
+    configuration = context.reader.configuration
+    if name not in configuration.hosts or not _is_informed(context):
+        return
+    now_s = context.clock.monotonic()
+    is_moving = budgets.is_moving(configuration, name)
+    kind = records.MOVE if is_moving else records.DRAIN
+    offset = host_watch.record_version(configuration, kind, name)
+    context.watch.note_record(name, offset, now_s)
+    context.watch.note(name, context.hosts.hosts, running, now_s)
+    if not context.ports.is_known(offset):
+        # An entry host that doesn't know of the record may still start work.
+        context.watch.hold(name, "idle", now_s, False)
+    signs = context.watch.signs(name, now_s)
+    if is_moving:
+        await _advance_move(context, name, signs)
+    else:
+        await _take_step(
+            context, name, drain_steps.next_step(configuration, name, signs)
+        )
+
+
+async def _advance_move(
+    context: MaintenanceContext, name: str, signs: host_watch.HostSigns
+) -> None:
+    configuration = context.reader.configuration
+    move = pool_moves.next_move(configuration, name, signs)
+    if move is not None:
+        await _publish(
+            context,
+            records.MOVE,
+            name,
+            {"to_pool": move.to_pool, "state": move.state.value},
+        )
+    elif pool_moves.needs_checkpoint(configuration, name, signs):
+        await context.ports.checkpoint(name)
+
+
+async def _take_step(
+    context: MaintenanceContext, name: str, step: drain_steps.Step
+) -> None:
+    now_s = context.clock.monotonic()
+    is_held = step.action is drain_steps.Action.HOLD
+    context.watch.hold(name, "held", now_s, is_held)
+    match step.action:
+        case drain_steps.Action.RECORD if step.drain is not None:
+            await _publish_drain(context, name, step.drain)
+        case drain_steps.Action.CHECKPOINT:
+            await context.ports.checkpoint(name)
+        case drain_steps.Action.REBOOT:
+            await _reboot(context, name)
+
+
+async def _reboot(context: MaintenanceContext, name: str) -> None:
+    """Asks for a host's reboot, or how far it is."""
+    offset = host_watch.record_version(
+        context.reader.configuration, records.DRAIN, name
+    )
+    asked = await context.platform.reboot_host(name, f"drain-{offset}")
+    context.watch.note_reboot(
+        name, asked.value_or(None), context.clock.monotonic()
+    )
+    eliot.log_message(
+        "maintenance:reboot",
+        host=name,
+        drain=offset,
+        state=asked.map(lambda state: state.value).value_or("unknown"),
+    )
+
+
+async def _start_wave(context: MaintenanceContext, reason: str) -> None:
+    """Grants the drains of a roll-out's next wave."""
+    configuration = context.reader.configuration
+    if reason not in rollouts.open_reasons(configuration):
+        return
+    soaking = context.watch.returned_within(
+        drain_steps.SOAK_S, context.clock.monotonic()
+    )
+    down = context.hosts.hosts.down
+    names = rollouts.pending_hosts(configuration, reason, soaking=soaking)
+    counts = await asyncio.gather(*(context.ports.running(n) for n in names))
+    running = {
+        name: count
+        for name, count in zip(names, counts, strict=True)
+        if count is not None
+    }
+    wave = rollouts.choose_wave(
+        context.reader.configuration,
+        reason,
+        running=running,
+        soaking=soaking,
+        down=down,
+    )
+    drain = configuration_module.Drain(
+        configuration_module.DrainState.GRANTED, reason
+    )
+    await asyncio.gather(*(_publish_drain(context, n, drain) for n in wave))
+
+
+async def _stop_rollout(context: MaintenanceContext, subject: str) -> None:
+    rollout = context.reader.configuration.rollouts[subject]
+    await _publish(
+        context,
+        records.ROLLOUT,
+        subject,
+        rollout._replace(stopped=True)._asdict(),
+    )
+
+
+async def _publish_drain(
+    context: MaintenanceContext, name: str, drain: configuration_module.Drain
+) -> None:
+    accepted = await _publish(
+        context,
+        records.DRAIN,
+        name,
+        {"state": drain.state.value, "reason": drain.reason},
+    )
+    if accepted and drain.state is configuration_module.DrainState.RETURNED:
+        context.watch.note_returned(name, context.clock.monotonic())
+
+
+async def _publish(
+    context: MaintenanceContext,
+    kind: str,
+    subject: str,
+    fields: dict[str, typing.Any],
+) -> bool:
+    """Proposes a record; returns whether the fold has accepted it."""
+    record = publisher.propose(context.reader, kind, subject, fields)
+    published = await publisher.publish(
+        record,
+        context.reader,
+        context.platform,
+        context.clock,
+        within_s=PUBLISH_S,
+    )
+    eliot.log_message(
+        "maintenance:proposed",
+        kind=kind,
+        subject=subject,
+        fields=fields,
+        publication=published.publication.value,
+        detail=published.detail,
+    )
+    return published.publication is publisher.Publication.ACCEPTED
--- /dev/null
+++ b/src/chervillead/platform/pool_moves.py
@@ -0,0 +1,49 @@
+"""Moves of hosts between pools: leaving, drained, joined.
+
+The fold lets a move begin only within the budget of the pool that the host
+leaves, and changes the pool only when the move is joined, so a host is in one
+pool at any time whoever races.
+"""
+
+from chervillead.platform import configuration as configuration_module
+from chervillead.platform import drain_steps
+from chervillead.platform import host_watch
+
+_State = configuration_module.MoveState
+
+
+def next_move(
+    configuration: configuration_module.Configuration,
+    name: str,
+    signs: host_watch.HostSigns,
+) -> configuration_module.Move | None:
+    """Returns the next state of a host's move to propose, or None to wait.
+
+    A host that dies on the move joins at once, as nothing runs there any more.
+    It can be recorded as failed only after that, and then counts against the
+    budget of its new pool.
+    """
+    move = configuration.moves.get(name)
+    if move is None:
+        return None
+    is_dead = signs.dead_s >= drain_steps.DEAD_S
+    is_idle = signs.idle_s >= drain_steps.QUIET_S
+    if move.state is _State.LEAVING and (is_idle or is_dead):
+        return move._replace(state=_State.DRAINED)
+    if move.state is _State.DRAINED:
+        return move._replace(state=_State.JOINED)
+    return None
+
+
+def needs_checkpoint(
+    configuration: configuration_module.Configuration,
+    name: str,
+    signs: host_watch.HostSigns,
+) -> bool:
+    """Returns whether what a leaving host runs is to be checkpointed."""
+    move = configuration.moves.get(name)
+    return (
+        move is not None
+        and move.state is _State.LEAVING
+        and signs.in_state_s >= drain_steps.FINISH_S
+    )
--- /dev/null
+++ b/src/chervillead/platform/rollouts.py
@@ -0,0 +1,200 @@
+"""Waves of roll-outs: which hosts to drain next, and when to stop.
+
+A drain's reason names the roll-out and its change, so the folded state alone
+says which hosts of a pool are done and which waves went wrong.
+"""
+
+from collections import abc
+import typing
+
+from returns import pipeline
+
+from chervillead.platform import budgets
+from chervillead.platform import configuration as configuration_module
+from chervillead.platform import fold_hosts
+
+_DrainState = configuration_module.DrainState
+
+
+class Candidate(typing.NamedTuple):
+    """A host that a roll-out has yet to maintain; sorts by its place."""
+
+    zone: str
+    rack: str
+    running: int
+    name: str
+
+
+def rollout_reason(subject: str, change: str) -> str:
+    """Returns the reason of the drains of a roll-out."""
+    return f"rollout {subject}: {change}"
+
+
+def open_reasons(
+    configuration: configuration_module.Configuration,
+) -> dict[str, configuration_module.Rollout]:
+    """Returns the roll-outs that go on, by the reason of their drains."""
+    return {
+        rollout_reason(subject, rollout.change): rollout
+        for subject, rollout in sorted(configuration.rollouts.items())
+        if not rollout.stopped and not _has_failed(configuration, subject)
+    }
+
+
+def rollouts_to_stop(
+    configuration: configuration_module.Configuration,
+) -> list[str]:
+    """Returns the roll-outs with a wave that went wrong."""
+    return [
+        subject
+        for subject, rollout in sorted(configuration.rollouts.items())
+        if not rollout.stopped and _has_failed(configuration, subject)
+    ]
+
+
+def choose_wave(
+    configuration: configuration_module.Configuration,
+    reason: str,
+    *,
+    running: abc.Mapping[str, int],
+    soaking: abc.Container[str] = (),
+    down: abc.Collection[str] = (),
+) -> list[str]:
+    """Returns the hosts of the next wave, as wide as the budget allows.
+
+    Args:
+        configuration: The state to judge by.
+        reason: A key of `open_reasons`.
+        running: Tasks by host, as the upstreams themselves report them; a host
+            without an entry did not answer and is left for a later wave.
+        soaking: Hosts that returned only a short time ago; a wave that may
+            still go wrong holds back the next one.
+        down: Hosts that the host list shows as dead. They count as failed
+            although the log doesn't say so yet.
+
+    Returns:
+        Hosts to drain, empty while the last wave is in progress.
+    """
+    candidates = []
+    for name in pending_hosts(configuration, reason, soaking=soaking):
+        host = configuration.hosts[name]
+        if name in running and name not in down:
+            candidates.append(
+                Candidate(host.zone, host.rack, running[name], name)
+            )
+    pool = open_reasons(configuration)[reason].pool
+    for name in sorted(down):
+        if name in configuration.hosts and (
+            configuration.hosts[name].pool == pool
+        ):
+            configuration = _with_drain(
+                configuration, name, _DrainState.FAILED, ""
+            )
+    return _grantable(configuration, reason, order_candidates(candidates))
+
+
+def pending_hosts(
+    configuration: configuration_module.Configuration,
+    reason: str,
+    *,
+    soaking: abc.Container[str] = (),
+) -> list[str]:
+    """Returns hosts to maintain, or none while a wave is in progress."""
+    rollout = open_reasons(configuration).get(reason)
+    pending = []
+    for name, host in configuration.hosts.items():
+        if rollout is None or host.pool != rollout.pool:
+            continue
+        drain = configuration.drains.get(name)
+        if drain is not None and drain.reason == reason:
+            if drain.state is not _DrainState.RETURNED or name in soaking:
+                return []
+        elif not budgets.is_in_maintenance(configuration, name):
+            pending.append(name)
+    return pending
+
+
+def returned_hosts(
+    configuration: configuration_module.Configuration,
+) -> list[str]:
+    """Returns hosts that an open roll-out has maintained."""
+    reasons = open_reasons(configuration)
+    return [
+        name
+        for name, drain in configuration.drains.items()
+        if drain.state is _DrainState.RETURNED and drain.reason in reasons
+    ]
+
+
+def order_candidates(
+    candidates: abc.Iterable[Candidate],
+) -> list[Candidate]:
+    """Returns the hosts in the order in which drains are tried.
+
+    Hosts of one rack follow each other, since a budget of racks is used up by
+    the first host of each. The racks with the most hosts left come first: the
+    racks then end at about the same time, so no wave at the end is narrowed by
+    a single long rack. Among equals, fewer running tasks come first.
+    """
+    racks: dict[tuple[str, str], list[Candidate]] = {}
+    for candidate in candidates:
+        place = (candidate.zone, candidate.rack)
+        racks.setdefault(place, []).append(candidate)
+
+    def rank(place: tuple[str, str]) -> tuple[int, int, tuple[str, str]]:
+        hosts = racks[place]
+        return -len(hosts), sum(host.running for host in hosts), place
+
+    return [
+        host
+        for place in sorted(racks, key=rank)
+        for host in sorted(racks[place], key=lambda h: (h.running, h.name))
+    ]
+
+
+def _grantable(
+    configuration: configuration_module.Configuration,
+    reason: str,
+    candidates: abc.Iterable[Candidate],
+) -> list[str]:
+    """Returns the candidates that the fold would accept one after another."""
+    granted = []
+    for candidate in candidates:
+        after = _with_drain(
+            configuration, candidate.name, _DrainState.GRANTED, reason
+        )
+        if after is not configuration:
+            granted.append(candidate.name)
+            configuration = after
+    return granted
+
+
+def _with_drain(
+    configuration: configuration_module.Configuration,
+    name: str,
+    state: configuration_module.DrainState,
+    reason: str,
+) -> configuration_module.Configuration:
+    """Returns the state after a drain, unchanged if the fold refuses it."""
+    applied = fold_hosts.apply_drain(
+        configuration, name, configuration_module.Drain(state, reason)
+    )
+    return (
+        applied.unwrap() if pipeline.is_successful(applied) else (configuration)
+    )
+
+
+def _has_failed(
+    configuration: configuration_module.Configuration, subject: str
+) -> bool:
+    """Returns whether a host failed because of the roll-out."""
+    rollout = configuration.rollouts[subject]
+    reason = rollout_reason(subject, rollout.change)
+    use = configuration.pool_use.get(rollout.pool)
+    drains = configuration.drains
+    return use is not None and any(
+        name in drains
+        and drains[name].state is _DrainState.FAILED
+        and drains[name].reason == reason
+        for name in use.unavailable
+    )
--- /dev/null
+++ b/src/chervillead/upstreams/usage.py
@@ -0,0 +1,56 @@
+"""What an upstream itself says of the tasks that run on it."""
+
+import typing
+
+import msgspec
+from returns import result
+
+from chervillead import http_exchange
+from chervillead import types
+from chervillead.upstreams import pool
+
+
+class Usage(typing.NamedTuple):
+    """Tasks on an upstream some seconds ago, whoever sent them."""
+
+    running: int
+
+
+class _UsageReply(typing.TypedDict):
+    running: int
+
+
+async def read_usage(
+    pools: pool.UpstreamPools, upstream: types.Upstream
+) -> Usage | None:
+    """Returns the usage that `upstream` reports; None without an answer."""
+    outcome = await _call(pools, upstream, "GET", "/usage")
+    response = outcome.value_or(None)
+    if response is None or response.status != 200:
+        return None
+    try:
+        reply = msgspec.json.decode(response.body, type=_UsageReply)
+    except msgspec.DecodeError:
+        return None
+    return Usage(reply["running"])
+
+
+async def checkpoint_all(
+    pools: pool.UpstreamPools, upstream: types.Upstream
+) -> bool:
+    """Asks `upstream` to checkpoint and end all of its tasks.
+
+    Returns:
+        Whether the upstream has taken the call. Only its usage tells when
+        nothing runs any more.
+    """
+    outcome = await _call(pools, upstream, "POST", "/checkpoint")
+    return outcome.map(lambda response: response.status == 200).value_or(False)
+
+
+async def _call(
+    pools: pool.UpstreamPools, upstream: types.Upstream, method: str, path: str
+) -> result.Result[http_exchange.HttpResponse, typing.Any]:
+    return await pools.pool(upstream).control.call(
+        http_exchange.HttpRequest(method, path), pool.CONTROL_TIMEOUT_S
+    )
--- a/tests/stand_ins/upstream.py
+++ b/tests/stand_ins/upstream.py
@@ -70,6 +70,11 @@
             await asyncio.wait((task,))
         return task is not None
 
+    async def checkpoint_all(self) -> None:
+        """Checkpoints all tasks and ends them."""
+        self.checkpoints += self.running
+        await asyncio.gather(*(self.stop(i) for i in self.running))
+
     def keep_answer(self, request_id: str, answer: bytes) -> None:
         """Keeps a finished answer for some seconds."""
         now_s = asyncio.get_running_loop().time()
@@ -165,6 +170,9 @@
             return await _handle_task(state, request, writer)
         if request.path == "/leases" or request.path.startswith("/tasks/"):
             return await _handle_control(state, request)
+        if request.path == "/checkpoint" and request.method == "POST":
+            await state.checkpoint_all()
+            return http_server.Reply(200)
         if request.path == "/usage":
             usage = {"running": state.lagging_usage(), "slots": state.slots}
             return http_server.Reply(200, msgspec.json.encode(usage))
--- /dev/null
+++ b/tests/steps/platform_maintenance.py
@@ -0,0 +1,211 @@
+"""Steps of tests/platform/maintenance.feature."""
+
+import asyncio
+import re
+
+import behave
+
+from chervillead.platform import configuration as configuration_module
+from chervillead.platform import drain_steps
+from chervillead.platform import host_watch
+from chervillead.platform import records
+from chervillead.platform import rollouts
+from stand_ins import maintenance_run
+from stand_ins import virtual_time
+
+ROLLOUT_S = 200.0
+
+
+@behave.when("a roll-out runs with load and {faults} on seeds {seeds}")
+def step(context, faults, seeds):
+    kinds = [] if faults == "no faults" else faults.split(",")
+    context.runs = [
+        maintenance_run.start_run(int(seed), kinds, duration_s=ROLLOUT_S)
+        for seed in seeds.split(",")
+    ]
+
+
+@behave.then("the stand-ins' records show no violation")
+def step(context):
+    for run, found in context.runs:
+        assert not found, found
+        assert run.fleet.platform.reboots, "nothing was rebooted"
+        assert any(s.answer for s in run.submissions), "nothing ran"
+
+
+@behave.then("the roll-out has ended: {ended}")
+def step(context, ended):
+    if ended == "yes":
+        for run, _ in context.runs:
+            names = [reboot[0] for reboot in run.fleet.platform.reboots]
+            expected = {f"{maintenance_run.QUEUE}-{i}" for i in range(8)}
+            assert set(names) == expected, names
+
+
+@behave.when("a roll-out runs whose first two hosts {wrong}")
+def step(context, wrong):
+    names = [f"{maintenance_run.QUEUE}-{index}" for index in (0, 4)]
+
+    async def fail_after_return(run):
+        while not any(
+            end_s < run.now_s for *_, end_s in run.fleet.platform.reboots
+        ):
+            await asyncio.sleep(1.0)
+        await asyncio.sleep(12.0)
+        await run.fail_hosts(names)
+
+    def prepare(run):
+        if wrong.startswith("don't"):
+            run.fleet.platform.lost_in_reboot.update(names)
+        else:
+            context.task = asyncio.ensure_future(fail_after_return(run))
+
+    context.wrong = names
+    long_s = drain_steps.RETURN_WITHIN_S if wrong.startswith("don't") else 0
+    context.runs = [
+        maintenance_run.start_run(
+            1, [], duration_s=120.0 + long_s, prepare=prepare
+        )
+    ]
+
+
+@behave.then("the roll-out is stopped by a record and no host reboots after it")
+def step(context):
+    run, found = context.runs[0]
+    assert not found, found
+    stops = [
+        run.appended_s[s.fate.offset]
+        for s in run.steps()
+        if any(r.stopped for r in s.configuration.rollouts.values())
+    ]
+    assert stops, "the roll-out goes on"
+    late = [r for r in run.fleet.platform.reboots if r[2] > stops[0]]
+    assert not late, late
+    assert len(run.fleet.platform.reboots) <= maintenance_run.BUDGET
+
+
+@behave.then("the hosts that went wrong are recorded as failed")
+def step(context):
+    drains = context.runs[0][0].state().drains
+    for name in context.wrong:
+        assert drains[name].state.value == "failed", drains[name]
+
+
+@behave.when("a host drains while a task of {run_s:d} s runs on it")
+def step(context, run_s):
+    async def main():
+        run = maintenance_run.MaintenanceRun(1)
+        await run.fleet.start(run.first_records())
+        background = asyncio.ensure_future(run.follow_platform())
+        entry = next(iter(run.fleet.hosts))
+        body = f"run={run_s};long".encode()
+        caller = asyncio.ensure_future(
+            run.fleet.submit(
+                entry,
+                maintenance_run.QUEUE,
+                "nursery-north",
+                body,
+                deadline_s=2 * run_s,
+            )
+        )
+        await asyncio.sleep(1.0)
+        name = next(n for n, s in run.fleet.upstreams.items() if s.running)
+        run.operate(records.DRAIN, name, state="granted", reason="by hand")
+        while not run.fleet.platform.reboots:
+            await asyncio.sleep(1.0)
+        context.reboot = run.fleet.platform.reboots[0]
+        await asyncio.sleep(1.0)
+        context.upstream = run.fleet.upstreams[name]
+        context.cut = run.running_at_reboot
+        background.cancel()
+        await caller
+        await run.fleet.stop()
+
+    virtual_time.run_virtual(main(), context.seed)
+
+
+@behave.then("the task has {ending} before the reboot")
+def step(context, ending):
+    record = context.upstream.records[0]
+    assert not context.cut, context.cut
+    assert record.ended_s < context.reboot[2], (record, context.reboot)
+    checkpointed = record.request_id in context.upstream.checkpoints
+    assert checkpointed == (ending == "been checkpointed"), record
+
+
+def _pool(*, drains=None, zones=("in", "in", "in"), **budget):
+    """Returns a state with 12 hosts in three zones, one rack of 4 in each."""
+    state = configuration_module.Configuration(
+        zones={
+            f"z{i}": configuration_module.Zone(
+                i, configuration_module.ZoneStatus(status)
+            )
+            for i, status in enumerate(zones)
+        },
+        pools={"p": configuration_module.Pool(**budget)},
+        rollouts={"r": configuration_module.Rollout("p", "kernel")},
+        hosts={
+            f"h{i}": configuration_module.Host("p", f"z{i // 4}", "r", ("a", i))
+            for i in range(12)
+        },
+        drains=drains or {},
+    )
+    return state._replace(
+        pool_use={
+            "p": configuration_module.PoolUse(
+                {f"z{i}": 4 for i in range(3)}, frozenset(drains or {})
+            )
+        }
+    )
+
+
+@behave.given(
+    "a pool of 12 hosts in racks of 4, two of them dead, and {budget}"
+)
+def step(context, budget):
+    hosts, racks, zones = map(int, re.findall(r"\d+", budget))
+    state = _pool(
+        max_unavailable=hosts,
+        max_unavailable_racks=racks,
+        max_unavailable_zones=zones,
+    )
+    context.wave = rollouts.choose_wave(
+        state,
+        rollouts.rollout_reason("r", "kernel"),
+        running={f"h{i}": i for i in range(12)},
+        down={"h0", "h1"},
+    )
+
+
+@behave.then("the next wave is {wave}")
+def step(context, wave):
+    expected = [] if wave == "empty" else wave.split()
+    assert context.wave == expected, context.wave
+
+
+@behave.given(
+    "a pool with a drained host whose budget is then used up by a zone"
+)
+def step(context):
+    reason = rollouts.rollout_reason("r", "kernel")
+    drained = configuration_module.Drain(
+        configuration_module.DrainState.DRAINED, reason
+    )
+    budget = {"max_unavailable": 4, "drains": {"h4": drained}}
+    context.free = _pool(**budget)
+    context.used_up = _pool(zones=("out", "in", "in"), **budget)
+
+
+@behave.then("the host is held, and given back without a reboot after a while")
+def step(context):
+    signs = host_watch.HostSigns(idle_s=60, well_s=60, in_state_s=60)
+
+    def action(state, held_s):
+        return drain_steps.next_step(state, "h4", signs._replace(held_s=held_s))
+
+    assert action(context.free, 0).action is drain_steps.Action.REBOOT
+    assert action(context.used_up, 0).action is drain_steps.Action.HOLD
+    given_back = action(context.used_up, drain_steps.HOLD_S).drain
+    assert given_back == configuration_module.Drain(
+        configuration_module.DrainState.RETURNED, drain_steps.NOT_REBOOTED
+    )
