Move hosts between pools and borrow them from the spare pool

Cause: the fold knew moves, but nothing completed them, and the spare pool was never used.

Heartbeats carry the load by queue.

Ruled out: a threshold on the backlog alone, because a burst of five times the mean crosses any that a lasting shortage would cross in time.

--- a/src/chervillead/assembly.py
+++ b/src/chervillead/assembly.py
@@ -24,6 +24,7 @@
 from chervillead.entries import dispatcher
 from chervillead.entries import host as host_module
 from chervillead.entries import messages
+from chervillead.platform import buffer_task
 from chervillead.platform import host_list
 from chervillead.platform import log_client
 from chervillead.platform import log_reader
@@ -117,18 +118,27 @@
                 live=lambda: parts.entry.membership.live,
             )
         )
+        ports = maintenance_wiring.maintenance_ports(
+            parts.settings.host,
+            parts.reader,
+            parts.entry.membership,
+            parts.pools,
+        )
         tasks.create_task(
             maintenance.run_maintenance(
                 parts.reader,
                 parts.platform,
                 parts.host_list,
                 parts.clock,
-                maintenance_wiring.maintenance_ports(
-                    parts.settings.host,
-                    parts.reader,
-                    parts.entry.membership,
-                    parts.pools,
-                ),
+                ports,
+            )
+        )
+        tasks.create_task(
+            buffer_task.run_buffer(
+                parts.reader,
+                parts.platform,
+                parts.clock,
+                maintenance_wiring.buffer_ports(parts.entry, ports),
             )
         )
         tasks.create_task(
--- a/src/chervillead/entries/host.py
+++ b/src/chervillead/entries/host.py
@@ -23,6 +23,7 @@
 from chervillead.entries import grant_waiters
 from chervillead.entries import membership
 from chervillead.entries import messages
+from chervillead.entries import queue_loads
 from chervillead.entries import seats
 from chervillead.entries import streams
 from chervillead.entries import transfers
@@ -95,6 +96,7 @@
             self._stopping,
             self._dispatcher.free_slots(),
             self._dispatcher.short_units(),
+            queue_loads.queue_loads(self._dispatcher),
         )
 
     def post(self, host: str, message: messages.Message) -> None:
--- a/src/chervillead/entries/messages.py
+++ b/src/chervillead/entries/messages.py
@@ -18,6 +18,20 @@
     zone: str
 
 
+class QueueLoad(typing.NamedTuple):
+    """Load of a queue in the sender's zone.
+
+    Attributes:
+        waiting: Requests that wait for a slot.
+        running: Grants in use.
+        run_ms: Mean run time; 0 if none is known.
+    """
+
+    waiting: int
+    running: int
+    run_ms: int
+
+
 class Heartbeat(typing.NamedTuple):
     """Sent on every stream at a fixed interval.
 
@@ -28,6 +42,7 @@
         free_slots: Free slots by queue if the sender is a dispatcher.
         short_units: Waiting requests that lack a unit of their team's limit, by
             team, if the sender is a dispatcher.
+        queue_loads: Load by queue; queues without any have no entry.
     """
 
     offset: int
@@ -35,6 +50,7 @@
     leaving: bool
     free_slots: dict[str, int]
     short_units: dict[str, int]
+    queue_loads: dict[str, QueueLoad] = {}
 
 
 class Register(typing.NamedTuple):
--- a/src/chervillead/maintenance_wiring.py
+++ b/src/chervillead/maintenance_wiring.py
@@ -1,12 +1,18 @@
 """Connects maintenance to the entry hosts and upstreams that it asks."""
 
 from chervillead import types
+from chervillead.entries import host as host_module
 from chervillead.entries import membership
+from chervillead.platform import buffer_task
 from chervillead.platform import log_reader
 from chervillead.platform import maintenance
 from chervillead.upstreams import pool
 from chervillead.upstreams import usage
 
+# A request that waits is registered with two zones, its own and the one with
+# the most free slots.
+WAITING_ZONES = 2
+
 
 def maintenance_ports(
     host: str,
@@ -55,3 +61,28 @@
         running=running,
         checkpoint=checkpoint,
     )
+
+
+def buffer_ports(
+    entry: host_module.EntryHost, ports: maintenance.MaintenancePorts
+) -> buffer_task.BufferPorts:
+    """Returns the functions that the buffer controller needs."""
+    members = entry.membership
+
+    def queue_samples() -> dict[str, buffer_task.QueueSample]:
+        heartbeats = [entry.current_heartbeat()]
+        heartbeats += filter(None, map(members.heartbeat_of, members.live))
+        samples: dict[str, buffer_task.QueueSample] = {}
+        for heartbeat in heartbeats:
+            for queue, load in heartbeat.queue_loads.items():
+                known = samples.get(queue, buffer_task.QueueSample(0, 0, 0.0))
+                samples[queue] = buffer_task.QueueSample(
+                    known.waiting + load.waiting / WAITING_ZONES,
+                    known.running + load.running,
+                    max(known.run_s, load.run_ms / 1000),
+                )
+        return samples
+
+    return buffer_task.BufferPorts(
+        ports.is_runner, queue_samples, ports.running
+    )
--- /dev/null
+++ b/src/chervillead/platform/demand.py
@@ -0,0 +1,89 @@
+"""How much of a pool its queues need, from samples of a second each."""
+
+import math
+import typing
+
+# Long beside a burst and its backlog (some 20 s), short beside a failure.
+MEAN_S = 120.0
+# A backlog of a burst may not count for more than this many pools.
+MAX_DEMAND = 2.0
+# Below this use, requests wait for units of a team's limit, not for slots.
+FULL_USE = 0.9
+
+
+class PoolLoad(typing.NamedTuple):
+    """Load of a pool at one time, summed over its queues and all zones.
+
+    Attributes:
+        slots: Slots of hosts that take work.
+        running: Slots in use.
+        waiting: Requests that wait.
+        run_s: Mean run time.
+        target_s: Shortest target of its queues.
+    """
+
+    slots: int
+    running: int
+    waiting: float
+    run_s: float
+    target_s: float
+
+
+class PoolDemand(typing.NamedTuple):
+    """What the samples of a pool come to.
+
+    Attributes:
+        slots: Slots that take work now.
+        mean: Mean of the slots asked for, running and waiting, over `MEAN_S`.
+        loss_s: Seconds for which new requests would have missed the target,
+            less twice the seconds since in which none would; 0 once hosts have
+            joined.
+        calm_s: Seconds since the target was last at risk.
+        run_s: Mean run time.
+        age_s: Seconds that were observed.
+    """
+
+    slots: int
+    mean: float = 0.0
+    loss_s: float = 0.0
+    calm_s: float = 0.0
+    run_s: float = 0.0
+    age_s: float = 0.0
+
+
+def clear_s(load: PoolLoad) -> float:
+    """Returns how long the pool would need for what waits now."""
+    if not load.waiting:
+        return 0.0
+    if load.slots <= 0:
+        return math.inf
+    if load.running < FULL_USE * load.slots:
+        return 0.0
+    return load.waiting * load.run_s / load.slots
+
+
+def note_load(
+    known: PoolDemand | None, load: PoolLoad, elapsed_s: float
+) -> PoolDemand:
+    """Returns the demand after a sample that stands for some seconds."""
+    asked: float = load.running
+    if clear_s(load) > 0:
+        ceiling = MAX_DEMAND * max(1, load.slots)
+        asked = max(asked, min(asked + load.waiting, ceiling))
+    if known is None:
+        return PoolDemand(load.slots, asked, run_s=load.run_s)
+    is_at_risk = clear_s(load) > load.target_s
+    # Bursts with their backlogs may take up to two thirds of the time.
+    change_s = elapsed_s if is_at_risk else -2 * elapsed_s
+    loss_s = 0.0 if load.slots > known.slots else known.loss_s + change_s
+    age_s = known.age_s + elapsed_s
+    # Until the window is full, all samples weigh the same.
+    weight = max(-math.expm1(-elapsed_s / MEAN_S), elapsed_s / age_s)
+    return PoolDemand(
+        load.slots,
+        known.mean + weight * (asked - known.mean),
+        max(0.0, loss_s),
+        0.0 if is_at_risk else known.calm_s + elapsed_s,
+        load.run_s,
+        age_s,
+    )
--- /dev/null
+++ b/tests/stand_ins/buffer_run.py
@@ -0,0 +1,104 @@
+"""A pool whose load changes, beside a spare pool, on a fleet in memory."""
+
+import asyncio
+from collections import abc
+import typing
+
+from chervillead.platform import records
+from stand_ins import local_fleet
+from stand_ins import maintenance_run
+from stand_ins import virtual_time
+
+RUN_S = 4.0
+SLOTS = maintenance_run.PLAN.slots * maintenance_run.PLAN.upstreams_per_queue
+
+# Part of the pool that is asked for at a time.
+Load = abc.Callable[[float], float]
+Fault = abc.Callable[
+    [maintenance_run.MaintenanceRun],
+    abc.Coroutine[typing.Any, typing.Any, None],
+]
+
+
+def bursts(at_s: float) -> float:
+    """Five times the mean for 6 s in 30 s, a twentieth of it in between."""
+    return 0.45 * (5.0 if at_s % 30.0 < 6.0 else 0.05)
+
+
+async def no_fault(run: maintenance_run.MaintenanceRun) -> None:
+    """Lets the fleet be."""
+
+
+async def serve(
+    run: maintenance_run.MaintenanceRun,
+    load: Load,
+    duration_s: float,
+    fault: Fault = no_fault,
+) -> dict[str, list[str]]:
+    """Sends the load to one queue; returns the violations."""
+    await run.fleet.start(run.first_records())
+    background = asyncio.ensure_future(run.follow_platform())
+    callers = [asyncio.ensure_future(fault(run))]
+    start_s, number = run.now_s, 0
+    while (at_s := run.now_s - start_s) < duration_s:
+        await asyncio.sleep(0.05)
+        chance = 0.05 * load(at_s) * SLOTS / RUN_S
+        while run.random.random() < chance:
+            callers.append(asyncio.ensure_future(_submit(run, number)))
+            number += 1
+            chance -= 1.0
+    await asyncio.gather(*callers)
+    found = run.judge()
+    background.cancel()
+    await run.fleet.stop()
+    return found
+
+
+async def _submit(run: maintenance_run.MaintenanceRun, number: int) -> None:
+    host = run.random.choice(list(run.fleet.hosts))
+    team = run.random.choice(list(local_fleet.TEAM_KEYS))
+    run_s = run.random.uniform(0.5, 1.5) * RUN_S
+    try:
+        await run.fleet.submit(
+            host,
+            maintenance_run.QUEUE,
+            team,
+            f"run={run_s:.3f};{number}".encode(),
+            idempotent=True,
+            deadline_s=60.0,
+        )
+    except asyncio.CancelledError:
+        return
+
+
+def moves(
+    run: maintenance_run.MaintenanceRun,
+) -> list[tuple[float, str, str, str]]:
+    """Returns time, host, next pool and state of each accepted move."""
+    found = []
+    for step in run.steps():
+        entry = run.fleet.platform.entries[step.fate.offset]
+        record = records.decode_record(entry[1]).unwrap()
+        if (
+            record.kind == records.MOVE
+            and step.fate.outcome.value == "accepted"
+        ):
+            found.append(
+                (
+                    run.appended_s[step.fate.offset],
+                    record.subject,
+                    record.fields["to_pool"],
+                    record.fields["state"],
+                )
+            )
+    return found
+
+
+def start_run(
+    seed: int, load: Load, duration_s: float, fault: Fault = no_fault
+) -> tuple[maintenance_run.MaintenanceRun, dict[str, list[str]]]:
+    """Runs one seed on a virtual clock."""
+    run = maintenance_run.MaintenanceRun(seed)
+    return run, virtual_time.run_virtual(
+        serve(run, load, duration_s, fault), seed
+    )
--- /dev/null
+++ b/tests/steps/platform_buffer.py
@@ -0,0 +1,108 @@
+"""Steps of tests/platform/buffer.feature."""
+
+import asyncio
+
+import behave
+
+from chervillead.platform import buffer
+from chervillead.platform import configuration as configuration_module
+from chervillead.platform import demand
+from chervillead.platform import records
+from stand_ins import buffer_run
+
+RISE_S = 60.0
+ZONE_S = 70.0
+
+
+@behave.when("the buffer controller sees bursts for {duration_s:d} s")
+def step(context, duration_s):
+    context.run, context.found = buffer_run.start_run(
+        1, buffer_run.bursts, duration_s
+    )
+
+
+@behave.then("no host is borrowed")
+def step(context):
+    assert not context.found, context.found
+    assert not buffer_run.moves(context.run), buffer_run.moves(context.run)
+
+
+@behave.when(
+    "the buffer controller sees a rise to {part:f} of the pool that lasts "
+    "{rise_s:d} s"
+)
+def step(context, part, rise_s):
+    def load(at_s):
+        return part if RISE_S < at_s < RISE_S + rise_s else 0.15
+
+    context.run, context.found = buffer_run.start_run(1, load, 620.0)
+    context.from_s = RISE_S
+
+
+@behave.when(
+    "the buffer controller sees a zone go out at {part:f} of the pool's load"
+)
+def step(context, part):
+    async def take_out(run):
+        await asyncio.sleep(ZONE_S)
+        run.operate(records.ZONE, "c", index=2, status="out")
+
+    context.run, context.found = buffer_run.start_run(
+        1, lambda at_s: part, 120.0, take_out
+    )
+    context.from_s = ZONE_S
+
+
+@behave.then("hosts are borrowed within {bound_s:d} s of the {event}")
+def step(context, bound_s, event):
+    assert not context.found, context.found
+    # The fleet starts some seconds before the load.
+    from_s = context.from_s + 3.0
+    times = [m[0] for m in buffer_run.moves(context.run) if m[3] == "joined"]
+    assert times and from_s <= times[0] <= from_s + bound_s, times
+
+
+@behave.then("each borrowed host is returned once and none is borrowed again")
+def step(context):
+    moves = buffer_run.moves(context.run)
+    joined = [(name, pool) for _, name, pool, s in moves if s == "joined"]
+    assert len(joined) == len(set(joined)), joined
+    pools = [pool for _, pool in joined]
+    assert pools.count("back-office") * 2 == len(pools), joined
+
+
+@behave.given(
+    "a short pool and a spare pool of 8 hosts with {use:f} and {budget:d}"
+)
+def step(context, use, budget):
+    names = [f"{pool}-{i}" for pool in ("p", "spare") for i in range(8)]
+    state = configuration_module.Configuration(
+        zones={"z": configuration_module.Zone(0)},
+        pools={
+            "p": configuration_module.Pool(),
+            "spare": configuration_module.Pool(
+                max_unavailable=budget, spare=True
+            ),
+        },
+        hosts={
+            name: configuration_module.Host(
+                name.split("-")[0], "z", "r", ("a", 1), slots=10
+            )
+            for name in names
+        },
+        pool_use={
+            pool: configuration_module.PoolUse({"z": 8})
+            for pool in ("p", "spare")
+        },
+    )
+    demands = {
+        "p": demand.PoolDemand(80, 120.0, age_s=300.0),
+        "spare": demand.PoolDemand(80, use * 80, age_s=300.0),
+    }
+    context.moves = buffer.choose_moves(state, demands, dict.fromkeys(names, 0))
+
+
+@behave.then("the buffer controller borrows {count:d} hosts")
+def step(context, count):
+    assert len(context.moves) == count, context.moves
+    assert {m.to_pool for m in context.moves} <= {"p"}
