--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -7,8 +7,11 @@
 from benchmarks import configuration_spread
 from benchmarks import deployments
 from benchmarks import dispatcher
+from benchmarks import escrow
+from benchmarks import fairness
 from benchmarks import figures
 from benchmarks import fold
+from benchmarks import pooling
 from benchmarks import request_path
 
 BENCHMARKS: tuple[
@@ -20,6 +23,9 @@
     black_hole.measure,
     request_path.measure,
     deployments.measure,
+    pooling.measure,
+    fairness.measure,
+    escrow.measure,
 )
 
 
--- a/src/chervillead/daemon.py
+++ b/src/chervillead/daemon.py
@@ -1,6 +1,7 @@
 """Runs one entry host as a process: signals, HTTP server, background tasks."""
 
 import asyncio
+from collections import abc
 import gc
 import signal
 import time
@@ -12,13 +13,20 @@
 from chervillead import settings as settings_module
 from chervillead import types
 from chervillead.callers import application
+from chervillead.callers import connections
+from chervillead.callers import headers
 
 SYSTEM_CLOCK = types.Clock(time.monotonic, time.time)
 # A request can't outlive its deadline, so a longer drain is never needed.
-DRAIN_TIMEOUT_S = application.MAX_DEADLINE_MS / 1000
+DRAIN_TIMEOUT_S = headers.MAX_DEADLINE_MS / 1000
+# Longer than the usual 60 s of balancers: a connection that this side closes
+# first can cut a request that is on its way.
+KEEP_ALIVE_S = 75
+# Reports to claim holders leave within this time, before the streams close.
+LAST_REPORTS_S = 0.25
 
-# Requests make few cycles, and each full collection walks all kept claims. The
-# interpreter's thresholds (700, 10, 10) cost a fifth of the time of a request.
+# Requests make few cycles, and each full collection walks all kept claims. With
+# the interpreter's thresholds (700, 10, 10), a request takes a fifth longer.
 GC_THRESHOLDS = (20_000, 20, 100)
 
 
@@ -32,7 +40,8 @@
     eliot.log_message("daemon:start", host=settings.host, zone=settings.zone)
     background = asyncio.create_task(assembly.run_background(parts))
     try:
-        await _serve_callers(settings, front_end, stopping)
+        await _serve_callers(settings, front_end, stopping, parts.entry.leave)
+        await _finish_running(front_end)
     finally:
         background.cancel()
         await asyncio.gather(background, return_exceptions=True)
@@ -44,6 +53,7 @@
     settings: settings_module.Settings,
     front_end: application.FrontEndPorts,
     stopping: asyncio.Event,
+    leave: abc.Callable[[], abc.Awaitable[None]],
 ) -> None:
     """Serves HTTP until a signal; then drains and returns."""
     app = application.build_application(front_end)
@@ -57,7 +67,8 @@
             log_config=None,
             access_log=False,
             proxy_headers=False,
-            http="httptools",
+            http=connections.CallerConnection,
+            timeout_keep_alive=KEEP_ALIVE_S,
             timeout_graceful_shutdown=int(DRAIN_TIMEOUT_S),
         )
     )
@@ -70,6 +81,15 @@
     stopped = asyncio.create_task(stopping.wait())
     await asyncio.wait((serving, stopped), return_when=asyncio.FIRST_COMPLETED)
     await asyncio.sleep(settings.stop_delay_s if stopping.is_set() else 0)
+    if stopping.is_set():
+        await leave()
     server.should_exit = True
     await serving
     await app.stop()  # type: ignore[no-untyped-call]
+
+
+async def _finish_running(front_end: application.FrontEndPorts) -> None:
+    """Waits for requests whose callers have left or fetch the answer later."""
+    if front_end.running:
+        await asyncio.wait(front_end.running, timeout=DRAIN_TIMEOUT_S)
+    await asyncio.sleep(LAST_REPORTS_S)
--- a/src/chervillead/entries/dispatch_client.py
+++ b/src/chervillead/entries/dispatch_client.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections import abc
-import random
 import typing
 
 from returns import pipeline
@@ -10,11 +9,10 @@
 
 from chervillead import types
 from chervillead import verdicts
+from chervillead.entries import dispatcher_choice
 from chervillead.entries import grant_waiters
 from chervillead.entries import messages
 from chervillead.entries import refusals
-from chervillead.entries import seats
-from chervillead.platform import configuration as configuration_module
 
 REGISTER_TIMEOUT_S = 0.5
 
@@ -33,26 +31,16 @@
 # until the new holder is active.
 PATIENCE_S = 6.0
 
+# A renewal can be under way when its sender gives up; it takes no longer than
+# the interval between renewals, a third of a lease.
+LAPSE_LEASES = 4 / 3
+
 Ask = abc.Callable[
     [str, messages.Message, float],
     abc.Awaitable[result.Result[messages.Message, verdicts.Refusal]],
 ]
 
 
-class DispatcherView(typing.NamedTuple):
-    """A dispatcher that this host can reach, whose zone is in service.
-
-    Attributes:
-        entry_host: Where it runs.
-        free_slots: Free slots that it last reported for the queue.
-        is_own: Whether it dispatches this host's zone.
-    """
-
-    entry_host: str
-    free_slots: int
-    is_own: bool
-
-
 class DispatchPorts(typing.NamedTuple):
     """What `acquire` needs from the rest of the process.
 
@@ -67,58 +55,14 @@
 
     ask: Ask
     post: grant_waiters.Post
-    dispatchers: abc.Callable[[types.Request], abc.Sequence[DispatcherView]]
+    dispatchers: abc.Callable[
+        [types.Request], abc.Sequence[dispatcher_choice.DispatcherView]
+    ]
     waiters: grant_waiters.GrantWaiters
     clock: types.Clock
     may_start: abc.Callable[[types.Upstream], bool] = lambda upstream: True
 
 
-def reachable_dispatchers(
-    configuration: configuration_module.Configuration,
-    own_zone: str,
-    queue: str,
-    heartbeat_of: abc.Callable[[str], messages.Heartbeat | None],
-    is_reachable: abc.Callable[[str], bool],
-) -> list[DispatcherView]:
-    """Returns the dispatchers of zones in service that this host can reach."""
-    views = []
-    for zone in configuration.zones:
-        holder = seats.duty_holder(configuration, zone)
-        if (
-            holder is None
-            or not configuration_module.zone_is_in(configuration, zone)
-            or not is_reachable(holder)
-        ):
-            continue
-        heartbeat = heartbeat_of(holder)
-        free = 0 if heartbeat is None else heartbeat.free_slots.get(queue, 0)
-        views.append(DispatcherView(holder, free, zone == own_zone))
-    return views
-
-
-def next_dispatcher(
-    views: abc.Iterable[DispatcherView],
-    registered: abc.Container[str],
-    registered_count: int,
-) -> DispatcherView | None:
-    """Returns the dispatcher to register with next, or None.
-
-    The own zone comes first, then the zone with the most free slots; any
-    further zone only while it reports free slots. Ties are broken at random, so
-    that the entry hosts don't all choose the same zone.
-    """
-    new = [view for view in views if view.entry_host not in registered]
-    own = next((view for view in new if view.is_own), None)
-    if own is not None:
-        return own
-    best = max(
-        new, key=lambda view: (view.free_slots, random.random()), default=None
-    )
-    if best is None or (registered_count >= 2 and best.free_slots <= 0):
-        return None
-    return best
-
-
 async def acquire(
     request: types.Request, ports: DispatchPorts
 ) -> result.Result[types.Grant, verdicts.Refusal]:
@@ -175,7 +119,7 @@
 
 def _forget_unreachable(
     pending: grant_waiters.PendingGrant,
-    views: abc.Iterable[DispatcherView],
+    views: abc.Iterable[dispatcher_choice.DispatcherView],
     ports: DispatchPorts,
 ) -> None:
     """Withdraws from dispatchers that are lost, replaced or out of service."""
@@ -187,7 +131,7 @@
 
 async def _register(
     pending: grant_waiters.PendingGrant,
-    views: abc.Iterable[DispatcherView],
+    views: abc.Iterable[dispatcher_choice.DispatcherView],
     ports: DispatchPorts,
 ) -> verdicts.Refusal | None:
     """Registers where that can help; returns the last failure to ask."""
@@ -203,7 +147,7 @@
             for view in views
             if pending.refused_until.get(view.entry_host, 0.0) <= now_s
         ]
-        view = next_dispatcher(
+        view = dispatcher_choice.next_dispatcher(
             open_views, pending.registered, len(pending.registered)
         )
         if view is None:
@@ -269,7 +213,7 @@
 def _may_move(
     pending: grant_waiters.PendingGrant,
     refused: messages.Refused,
-    views: abc.Iterable[DispatcherView],
+    views: abc.Iterable[dispatcher_choice.DispatcherView],
     now_s: float,
 ) -> bool:
     """Returns whether another dispatcher may grant what one has refused."""
@@ -314,13 +258,28 @@
     grant: types.Grant,
     ports: DispatchPorts,
     *,
-    started: bool,
+    verdict: verdicts.Verdict,
     failed: bool,
     run_s: float,
 ) -> None:
-    """Gives the slot of `grant` back to its dispatcher."""
+    """Gives the slot of `grant` back to its dispatcher.
+
+    A request that may have run can still be running: its caller gave up, or the
+    connection was lost. Its slot and unit are free only once the lease, which
+    nobody renews any more, has lapsed.
+    """
+    started = verdict is not verdicts.Verdict.NOT_RUN
     message = messages.Release(
         grant.grant_id, started, failed, int(run_s * 1000)
     )
-    ports.waiters.forget(grant.grant_id)
-    ports.post(grant.dispatcher, message)
+
+    def give_back() -> None:
+        ports.waiters.forget(grant.grant_id)
+        ports.post(grant.dispatcher, message)
+
+    if verdict is verdicts.Verdict.MAY_HAVE_RUN:
+        asyncio.get_running_loop().call_later(
+            grant.lease_s * LAPSE_LEASES, give_back
+        )
+    else:
+        give_back()
--- a/src/chervillead/entries/dispatcher.py
+++ b/src/chervillead/entries/dispatcher.py
@@ -22,7 +22,7 @@
 LEASE_MS = zone_ledger.LEASE_MS
 LAPSE_S = (zone_ledger.START_BY_MS + zone_ledger.LEASE_MS) / 1000
 
-Notify = abc.Callable[[str, messages.Message], None]
+Notify = abc.Callable[[str, messages.Message], object]
 NoteRelease = abc.Callable[[slots_module.HeldSlot, messages.Release], None]
 
 
@@ -50,8 +50,8 @@
             configuration: Returns the newest configuration.
             clock: Source of time.
             notify: Sends a message to an entry host.
-            may_grant: Whether the seat of this dispatcher is confirmed.
-            usable_slots: Returns how many slots of an upstream may be used.
+            may_grant: Whether its seat is confirmed.
+            usable_slots: Returns the slots of an upstream that may be used.
             note_release: Is told of each release.
             deducted_units: Returns a team's units that are being given away.
         """
@@ -129,8 +129,7 @@
         never have seen it.
         """
         self._waiting.remove(message.request_id)
-        given = self._grants.of_request(message.request_id)
-        if given is not None:
+        if given := self._grants.of_request(message.request_id):
             self._free(given.slot.grant_id)
 
     def release(self, message: messages.Release) -> None:
@@ -149,16 +148,16 @@
     def restore(self, entry_host: str, holdings: messages.Holdings) -> None:
         """Counts what an entry host holds as used, and lists what it waits for.
 
-        Grants of this dispatcher that the host does not report are freed once
-        it can no longer start them: it never received them.
+        Grants that the host has not reported for `LAPSE_S` are freed: it never
+        received them, or their release was lost.
         """
         self._ledger.current()
         now_s = self._clock.monotonic()
         reported = {holding.grant_id for holding in holdings.held}
-        for given in self._grants.of_entry_host(entry_host):
-            unseen = given.slot.grant_id not in reported
-            if unseen and now_s - given.given_s >= LAPSE_S:
-                self._free(given.slot.grant_id)
+        for grant_id in self._grants.lapsed(
+            entry_host, reported, now_s, LAPSE_S
+        ):
+            self._free(grant_id)
         for holding in holdings.held:
             if holding.grant_id not in self._grants:
                 self._ledger.hold(
--- a/src/chervillead/entries/membership.py
+++ b/src/chervillead/entries/membership.py
@@ -3,9 +3,11 @@
 import asyncio
 from collections import abc
 
+from chervillead import settings as settings_module
 from chervillead import types
 from chervillead.entries import messages
 from chervillead.entries import streams as streams_module
+from chervillead.platform import configuration as configuration_module
 
 HEARTBEAT_S = 0.25
 SUSPECT_S = 1.0
@@ -27,6 +29,16 @@
         heard = (h for h, at_s in self._heard_s.items() if at_s >= oldest_s)
         return frozenset((self._host, *heard))
 
+    @property
+    def staying(self) -> frozenset[str]:
+        """Live hosts that haven't said that they leave."""
+        return frozenset(
+            host
+            for host in self.live
+            if host not in self._heartbeats
+            or not self._heartbeats[host].leaving
+        )
+
     def heartbeat_of(self, host: str) -> messages.Heartbeat | None:
         """Returns the last heartbeat of a peer."""
         return self._heartbeats.get(host)
@@ -39,12 +51,38 @@
             return float("inf")
         return self._clock.monotonic() - self._heard_s[host]
 
+    def offset_of(self, host: str) -> int:
+        """Returns the offset that a peer last reported; -1 if none."""
+        heartbeat = self._heartbeats.get(host)
+        return -1 if heartbeat is None else heartbeat.offset
+
+    def offsets(self) -> dict[str, int]:
+        """Returns the offsets of the live peers."""
+        peers = self.live - {self._host}
+        return {peer: self.offset_of(peer) for peer in peers}
+
     def take(self, host: str, heartbeat: messages.Heartbeat) -> None:
         """Notes a heartbeat."""
         self._heartbeats[host] = heartbeat
         self._heard_s[host] = self._clock.monotonic()
 
 
+def known_peers(
+    settings: settings_module.Settings,
+    configuration: configuration_module.Configuration,
+) -> set[tuple[str, types.Address]]:
+    """Returns the other entry hosts that settings or seats name.
+
+    A seat record is newer than the settings, so its address counts.
+    """
+    known = {peer.host: peer.address for peer in settings.peers}
+    known.update(
+        (seat.host, seat.address) for seat in configuration.seats.values()
+    )
+    known.pop(settings.host, None)
+    return set(known.items())
+
+
 async def send_heartbeats(
     peer_streams: streams_module.PeerStreams,
     current: abc.Callable[[], messages.Heartbeat],
--- a/tests/stand_ins/dispatch_zones.py
+++ b/tests/stand_ins/dispatch_zones.py
@@ -11,6 +11,7 @@
 from chervillead import verdicts
 from chervillead.entries import dispatch_client
 from chervillead.entries import dispatcher
+from chervillead.entries import dispatcher_choice
 from chervillead.entries import grant_waiters
 from chervillead.entries import messages
 from chervillead.platform import configuration as configuration_module
@@ -172,8 +173,8 @@
 
         def dispatchers(
             request: types.Request,
-        ) -> list[dispatch_client.DispatcherView]:
-            return dispatch_client.reachable_dispatchers(
+        ) -> list[dispatcher_choice.DispatcherView]:
+            return dispatcher_choice.reachable_dispatchers(
                 self.configuration,
                 zone,
                 request.queue,
--- a/tests/stand_ins/fault_run.py
+++ b/tests/stand_ins/fault_run.py
@@ -13,6 +13,7 @@
 from returns import pipeline
 
 from chervillead import verdicts
+from chervillead.callers import credentials
 from chervillead.callers import request_ids
 from chervillead.platform import records
 from stand_ins import invariants
@@ -39,7 +40,11 @@
         self.limits: list[invariants.LimitChange] = []
         self.withdrawn_keys: dict[str, float] = {}
         self.zones_out: list[invariants.Interval] = []
+        self.isolated: list[invariants.Interval] = []
         self.leaving: list[invariants.Interval] = []
+        self.keys: dict[str, list[str]] = {
+            team: [key] for team, key in local_fleet.TEAM_KEYS.items()
+        }
 
     @property
     def now_s(self) -> float:
@@ -60,6 +65,51 @@
         ]
         return hosts + upstreams
 
+    def is_isolated(self, zone: str) -> bool:
+        """Returns whether no news can reach a zone at present.
+
+        Several faults together can isolate a zone: a cut from the other zones
+        during an outage of the platform does.
+        """
+        inside = self.zone_places(zone)
+        outside = [
+            place
+            for other in local_fleet.ZONES
+            for place in self.zone_places(other)
+            if place not in inside
+        ]
+        if not self.fleet.platform.is_down:
+            outside.append(memory_fleet.PLATFORM)
+        hosts = [name for name in self.fleet.hosts if name in inside]
+        sources = [
+            place
+            for place in outside
+            if place in self.fleet.hosts or place == memory_fleet.PLATFORM
+        ]
+        return all(
+            self.fleet.network.is_cut(host, source)
+            for host in hosts
+            for source in sources
+        )
+
+    async def wait_for_platform(self) -> None:
+        """Returns when operators can publish."""
+        while self.fleet.platform.is_down:
+            await asyncio.sleep(0.1)
+
+    async def watch_isolation(self) -> None:
+        """Notes when zones are isolated, until cancelled."""
+        since: dict[str, float] = {}
+        while True:
+            for zone in local_fleet.ZONES:
+                if self.is_isolated(zone):
+                    since.setdefault(zone, self.now_s)
+                elif zone in since:
+                    self.isolated.append(
+                        invariants.Interval(zone, since.pop(zone), self.now_s)
+                    )
+            await asyncio.sleep(0.1)
+
     def evidence(self) -> invariants.Evidence:
         """Returns what the run recorded so far."""
         names = list(self.fleet.upstreams)
@@ -80,6 +130,7 @@
             self.limits,
             self.withdrawn_keys,
             self.zones_out,
+            self.isolated,
             self.leaving,
             [],
             [],
@@ -165,19 +216,38 @@
     index = local_fleet.ZONES.index(zone)
     if any(i.subject == zone and i.end_s > run.now_s for i in run.zones_out):
         return
+    await run.wait_for_platform()
     started_s = run.now_s
     position = len(run.zones_out)
     run.zones_out.append(invariants.Interval(zone, started_s, float("inf")))
     run.fleet.publish_change(records.ZONE, zone, index=index, status="out")
     await asyncio.sleep(run.random.uniform(6.0, 12.0))
+    await run.wait_for_platform()
     run.zones_out[position] = invariants.Interval(zone, started_s, run.now_s)
     run.fleet.publish_change(records.ZONE, zone, index=index, status="in")
 
 
+async def withdraw_key(run: FaultRun) -> None:
+    """Operators grant a key to a team and withdraw it some seconds later."""
+    team = run.random.choice(list(local_fleet.TEAM_KEYS))
+    key = f"key-of-{team}-{run.fleet.platform.end:06d}"
+    subject = credentials.hash_key(key)
+    await run.wait_for_platform()
+    run.fleet.publish_change(records.KEY, subject, team=team)
+    await asyncio.sleep(run.random.uniform(1.0, 3.0))
+    run.keys[team].append(key)
+    await asyncio.sleep(run.random.uniform(1.0, 5.0))
+    await run.wait_for_platform()
+    run.withdrawn_keys[key] = run.now_s
+    run.fleet.publish_change(records.KEY, subject, team=team, withdrawn=True)
+    # Callers go on to use the key, as they do until somebody tells them.
+
+
 async def change_limit(run: FaultRun) -> None:
     """Operators lower or raise a team's limit."""
     team = run.random.choice(list(local_fleet.TEAM_KEYS))
     limit = run.random.choice((4, 10, 30, 64))
+    await run.wait_for_platform()
     run.limits.append(invariants.LimitChange(team, run.now_s, limit))
     run.fleet.publish_change(records.TEAM, team, share=1.0, limit=limit)
     await asyncio.sleep(0)
@@ -191,6 +261,7 @@
     "lost append answers": lose_append_answers,
     "broken upstream": break_upstream,
     "zone out": take_zone_out,
+    "key withdrawn": withdraw_key,
     "limit change": change_limit,
 }
 
@@ -207,6 +278,7 @@
     await run.fleet.start()
     for team in local_fleet.TEAM_KEYS:
         run.limits.append(invariants.LimitChange(team, 0.0, 64))
+    watching = asyncio.ensure_future(run.watch_isolation())
     end_s = run.now_s + duration_s
     tasks: list[asyncio.Task[typing.Any]] = []
 
@@ -225,6 +297,7 @@
     # A fault that starts last still ends, and late answers still arrive.
     await asyncio.sleep(20.0)
     await asyncio.gather(*tasks)
+    watching.cancel()
     evidence = run.evidence()
     await run.fleet.stop()
     return evidence
@@ -251,11 +324,14 @@
     request_id = request_ids.new_request_id(clock_s)
     queue = run.random.choice(local_fleet.QUEUES)
     team = run.random.choice(list(local_fleet.TEAM_KEYS))
+    key = run.random.choice(run.keys[team])
     run_s = run.random.expovariate(1 / 0.15)
     body = f"run={run_s:.4f};{number}".encode()
     idempotent = run.random.random() < 0.2
     for _ in range(MAX_TRIES):
-        last = await _submit(run, request_id, queue, team, body, idempotent)
+        last = await _submit(
+            run, request_id, queue, team, key, body, idempotent
+        )
         if last.answer is not None:
             return
         await asyncio.sleep(run.random.uniform(0.0, 2.0))
@@ -266,6 +342,7 @@
     request_id: str,
     queue: str,
     team: str,
+    key: str,
     body: bytes,
     idempotent: bool,
 ) -> invariants.Submission:
@@ -278,6 +355,7 @@
             queue,
             team,
             body,
+            key=key,
             request_id=request_id,
             idempotent=idempotent,
             deadline_s=run.random.uniform(1.0, 8.0),
@@ -291,7 +369,7 @@
     submission = invariants.Submission(
         request_id,
         host,
-        local_fleet.TEAM_KEYS[team],
+        key,
         team,
         queue,
         body,
--- a/tests/stand_ins/memory_fleet.py
+++ b/tests/stand_ins/memory_fleet.py
@@ -15,6 +15,7 @@
 from chervillead import types
 from chervillead import verdicts
 from chervillead.callers import credentials
+from chervillead.callers import request_claims
 from chervillead.callers import request_ids
 from chervillead.callers import submission
 from chervillead.platform import records
@@ -68,7 +69,9 @@
             self.publish(record)
         for index in range(self.plan.entry_hosts):
             self.start_host(index)
-        await asyncio.sleep(3.0)
+        # Seats become active after 3 s, and ids that are created within 2 s
+        # after that may be older than they say.
+        await asyncio.sleep(7.0)
 
     def publish(self, record: records.Record) -> int:
         """Appends a record to the log, as an operator's tool does."""
@@ -94,7 +97,23 @@
     def start_host(self, index: int) -> assembly.Assembly:
         """Starts an entry host, or a replacement of one that was killed."""
         name = self.plan.entry_name(index)
+        return self._start_host(
+            name, local_fleet.entry_settings(self.plan, index)
+        )
+
+    def start_double(self, index: int) -> assembly.Assembly:
+        """Starts a second process with the name of an entry host.
+
+        It stands at a place of its own, `NAME-double`, at other ports.
+        """
         document = local_fleet.entry_settings(self.plan, index)
+        for name in ("callers", "entries"):
+            document[name]["port"] += 50
+        return self._start_host(f"{document['host']}-double", document)
+
+    def _start_host(
+        self, name: str, document: dict[str, typing.Any]
+    ) -> assembly.Assembly:
         parts = assembly.assemble(
             settings_module.check_settings(document).unwrap(),
             virtual_time.clock(),
@@ -138,6 +157,7 @@
         request_id: str | None = None,
         idempotent: bool = False,
         deadline_s: float = 10.0,
+        key: str | None = None,
     ) -> submission.RequestOutcome:
         """Submits through one entry host as its front end does."""
         parts = self.hosts[host]
@@ -145,11 +165,15 @@
         authorized = credentials.authorize(
             parts.reader.configuration,
             queue,
-            local_fleet.TEAM_KEYS[team],
+            key or local_fleet.TEAM_KEYS[team],
             parts.reader.unconfirmed_s,
         )
         if isinstance(authorized, result.Failure):
             refusal: verdicts.Refusal = authorized.failure()
+            if request_id is not None and not idempotent:
+                refusal = await request_claims.check_refusal(
+                    refusal, request_id, parts.ports.lookup
+                )
             return result.Failure(refusal)
         request = types.Request(
             request_id or request_ids.new_request_id(clock.wall()),
@@ -169,6 +193,15 @@
         task.add_done_callback(submissions.discard)
         return await task
 
+    def active_hosts(self, zone: str) -> list[str]:
+        """Returns the places whose process may grant for a zone now."""
+        return [
+            name
+            for name, parts in self.hosts.items()
+            if parts.settings.zone == zone
+            and parts.entry.duties.state.may_act()
+        ]
+
     def executions(self) -> list[upstream_stand_in.TaskRecord]:
         """Returns what all upstreams recorded."""
         return [
