--- a/src/chervillead/assembly.py
+++ b/src/chervillead/assembly.py
@@ -29,11 +29,9 @@
 from chervillead.entries import host as host_module
 from chervillead.entries import host_tasks
 from chervillead.entries import messages
-from chervillead.platform import buffer_task
 from chervillead.platform import host_list
 from chervillead.platform import log_client
 from chervillead.platform import log_reader
-from chervillead.platform import maintenance
 from chervillead.platform import snapshot_writer
 from chervillead.upstreams import leases
 from chervillead.upstreams import pool
@@ -123,27 +121,15 @@
                 live=lambda: parts.entry.membership.live,
             )
         )
-        ports = maintenance_wiring.maintenance_ports(
-            parts.settings.host,
-            parts.reader,
-            parts.entry.membership,
-            parts.pools,
-        )
         tasks.create_task(
-            maintenance.run_maintenance(
+            maintenance_wiring.run_maintenance_tasks(
+                parts.settings.host,
+                parts.entry,
                 parts.reader,
                 parts.platform,
                 parts.host_list,
                 parts.clock,
-                ports,
-            )
-        )
-        tasks.create_task(
-            buffer_task.run_buffer(
-                parts.reader,
-                parts.platform,
-                parts.clock,
-                maintenance_wiring.buffer_ports(parts.entry, ports),
+                parts.pools,
             )
         )
         tasks.create_task(
--- a/src/chervillead/maintenance_wiring.py
+++ b/src/chervillead/maintenance_wiring.py
@@ -1,9 +1,13 @@
 """Connects maintenance to the entry hosts and upstreams that it asks."""
 
+import asyncio
+
 from chervillead import types
 from chervillead.entries import host as host_module
 from chervillead.entries import membership
 from chervillead.platform import buffer_task
+from chervillead.platform import host_list
+from chervillead.platform import log_client
 from chervillead.platform import log_reader
 from chervillead.platform import maintenance
 from chervillead.upstreams import pool
@@ -86,3 +90,25 @@
     return buffer_task.BufferPorts(
         ports.is_runner, queue_samples, ports.running
     )
+
+
+async def run_maintenance_tasks(
+    host: str,
+    entry: host_module.EntryHost,
+    reader: log_reader.LogReader,
+    platform: log_client.PlatformClient,
+    hosts: host_list.HostListHolder,
+    clock: types.Clock,
+    pools: pool.UpstreamPools,
+) -> None:
+    """Runs maintenance and the buffer controller until cancelled."""
+    ports = maintenance_ports(host, reader, entry.membership, pools)
+    async with asyncio.TaskGroup() as tasks:
+        tasks.create_task(
+            maintenance.run_maintenance(reader, platform, hosts, clock, ports)
+        )
+        tasks.create_task(
+            buffer_task.run_buffer(
+                reader, platform, clock, buffer_ports(entry, ports)
+            )
+        )
