--- a/src/chervillead/assembly.py
+++ b/src/chervillead/assembly.py
@@ -12,6 +12,7 @@
 from returns import result
 
 from chervillead import http_exchange
+from chervillead import maintenance_wiring
 from chervillead import settings as settings_module
 from chervillead import types
 from chervillead import verdicts
@@ -123,6 +124,17 @@
                 live=lambda: parts.entry.membership.live,
             )
         )
+        tasks.create_task(
+            maintenance_wiring.run_maintenance_tasks(
+                parts.settings.host,
+                parts.entry,
+                parts.reader,
+                parts.platform,
+                parts.host_list,
+                parts.clock,
+                parts.pools,
+            )
+        )
         tasks.create_task(
             host_tasks.run_entry_host(
                 parts.entry,
--- a/src/chervillead/entries/host.py
+++ b/src/chervillead/entries/host.py
@@ -25,6 +25,7 @@
 from chervillead.entries import held_grants
 from chervillead.entries import membership
 from chervillead.entries import messages
+from chervillead.entries import queue_loads
 from chervillead.entries import relay
 from chervillead.entries import seats
 from chervillead.entries import streams
@@ -132,6 +133,7 @@
             self.dispatcher.free_slots() if may_grant else {},
             self.dispatcher.short_units() if may_grant else {},
             self._health.ejected() if may_grant else {},
+            queue_loads.queue_loads(self.dispatcher) if may_grant else {},
         )
 
     def post(self, host: str, message: messages.Message) -> bool:
