Add the operators' commands and the status of an entry host

Operators could reach the log only by records written by hand. A change names the fields that differ, is based on the state at the end of the log, and ends with 0 accepted, 1 refused, 2 wrong usage or 3 unknown.

- A change without fields is refused.
A record without fields removes its subject; the test of the command line found `publish queue new` accepted as a removal.

--- a/src/chervillead/daemon.py
+++ b/src/chervillead/daemon.py
@@ -5,6 +5,7 @@
 import signal
 import time
 
+import blacksheep
 import eliot
 import uvicorn
 
@@ -14,6 +15,8 @@
 from chervillead.callers import application
 from chervillead.callers import connections
 from chervillead.callers import headers
+from chervillead.operators import endpoint
+from chervillead.operators import host_status
 
 SYSTEM_CLOCK = types.Clock(time.monotonic, time.time)
 # A request can't outlive its deadline, so a longer drain is never needed.
@@ -36,10 +39,14 @@
     gc.set_threshold(*GC_THRESHOLDS)
     stopping = asyncio.Event()
     front_end = assembly.front_end_ports(parts, stopping.is_set)
+    app = application.build_application(front_end)
+    endpoint.add_routes(
+        app, lambda: host_status.current(settings, parts.entry, parts.reader)
+    )
     eliot.log_message("daemon:start", host=settings.host, zone=settings.zone)
     background = asyncio.create_task(assembly.run_background(parts))
     try:
-        await _serve_callers(settings, front_end, stopping)
+        await _serve_callers(settings, app, stopping)
         await _finish_running(front_end)
     finally:
         background.cancel()
@@ -50,11 +57,10 @@
 
 async def _serve_callers(
     settings: settings_module.Settings,
-    front_end: application.FrontEndPorts,
+    app: blacksheep.Application,
     stopping: asyncio.Event,
 ) -> None:
     """Serves HTTP until a signal; then drains and returns."""
-    app = application.build_application(front_end)
     await app.start()  # type: ignore[no-untyped-call]
     server = uvicorn.Server(
         uvicorn.Config(
--- /dev/null
+++ b/src/chervillead/operators/change_commands.py
@@ -0,0 +1,213 @@
+"""Commands that publish targets, teams, pools, hosts and zones."""
+
+import cyclopts
+from returns import pipeline
+
+from chervillead import types
+from chervillead.operators import commands
+from chervillead.operators import publishing
+from chervillead.platform import records
+
+publish_app = cyclopts.App(
+    name="publish",
+    help=(
+        "Publishes a queue, team, pool, host or zone. What isn't given stays "
+        "as it is."
+    ),
+)
+
+
+@publish_app.command(
+    help_epilogue="Example: `chervillead publish queue portal --pool portal "
+    "--target-part 0.99 --target-s 2`"
+)
+def queue(
+    name: str,
+    /,
+    *,
+    log: commands.Log = commands.FROM_ENVIRONMENT,
+    how: commands.How = commands.AS_USUAL,
+    pool: str | None = None,
+    target_part: float | None = None,
+    target_s: float | None = None,
+    max_waiting: int | None = None,
+    open_to_all: bool | None = None,
+    refuse_keyed_after_unconfirmed_s: float | None = None,
+    remove: commands.Remove = False,
+) -> int:
+    """Publishes a queue and its target.
+
+    Args:
+        name: Queue to add, change or remove.
+        log: Where the log is.
+        how: How the change is published.
+        pool: Pool whose hosts serve the queue; a new queue needs one.
+        target_part: Part of the requests to be answered in time, above 0 to 1.
+        target_s: Time of the target, in seconds.
+        max_waiting: Bound of each zone's waiting list.
+        open_to_all: Whether work is taken without a key.
+        refuse_keyed_after_unconfirmed_s: Refuses keyed work once the
+            configuration has been unconfirmed for so many seconds.
+        remove: Removes the queue.
+    """
+    fields = commands.given(
+        pool=pool,
+        target_part=target_part,
+        target_s=target_s,
+        max_waiting=max_waiting,
+        open_to_all=open_to_all,
+        refuse_keyed_after_unconfirmed_s=refuse_keyed_after_unconfirmed_s,
+    )
+    change = publishing.Change(records.QUEUE, name, fields, remove)
+    return commands.publish(change, log, how)
+
+
+@publish_app.command(
+    help_epilogue="Example: `chervillead publish team nursery-north --share 2 "
+    "--limit 64`"
+)
+def team(
+    name: str,
+    /,
+    *,
+    log: commands.Log = commands.FROM_ENVIRONMENT,
+    how: commands.How = commands.AS_USUAL,
+    share: float | None = None,
+    limit: int | None = None,
+    remove: commands.Remove = False,
+) -> int:
+    """Publishes a team's share and limit.
+
+    Args:
+        name: Team to add, change or remove.
+        log: Where the log is.
+        how: How the change is published.
+        share: Relative part of the capacity when all is full.
+        limit: Most requests that may run at a time, across the fleet.
+        remove: Removes the team; its keys must be removed first.
+    """
+    fields = commands.given(share=share, limit=limit)
+    change = publishing.Change(records.TEAM, name, fields, remove)
+    return commands.publish(change, log, how)
+
+
+@publish_app.command(
+    help_epilogue="Example: `chervillead publish pool portal "
+    "--max-unavailable 2`"
+)
+def pool(
+    name: str,
+    /,
+    *,
+    log: commands.Log = commands.FROM_ENVIRONMENT,
+    how: commands.How = commands.AS_USUAL,
+    max_unavailable: int | None = None,
+    max_unavailable_racks: int | None = None,
+    max_unavailable_zones: int | None = None,
+    spare: bool | None = None,
+    remove: commands.Remove = False,
+) -> int:
+    """Publishes a pool and its availability budget.
+
+    Args:
+        name: Pool to add, change or remove.
+        log: Where the log is.
+        how: How the change is published.
+        max_unavailable: Hosts that may be unavailable at a time.
+        max_unavailable_racks: Racks that drains may touch at a time.
+        max_unavailable_zones: Zones that drains may touch at a time.
+        spare: Whether hosts may be borrowed from it.
+        remove: Removes the pool; nothing may use it.
+    """
+    fields = commands.given(
+        max_unavailable=max_unavailable,
+        max_unavailable_racks=max_unavailable_racks,
+        max_unavailable_zones=max_unavailable_zones,
+        spare=spare,
+    )
+    change = publishing.Change(records.POOL, name, fields, remove)
+    return commands.publish(change, log, how)
+
+
+@publish_app.command(
+    help_epilogue="Example: `chervillead publish host portal-8 --pool portal "
+    "--zone a --rack a-rack-1 --address 127.0.0.1:17390`"
+)
+def host(
+    name: str,
+    /,
+    *,
+    log: commands.Log = commands.FROM_ENVIRONMENT,
+    how: commands.How = commands.AS_USUAL,
+    pool: str | None = None,
+    zone: str | None = None,
+    rack: str | None = None,
+    address: str | None = None,
+    slots: int | None = None,
+    connections: int | None = None,
+    cores: float | None = None,
+    memory_mb: int | None = None,
+    accelerators: int | None = None,
+    remove: commands.Remove = False,
+) -> int:
+    """Publishes a worker. Its pool is changed only by `chervillead move`.
+
+    Args:
+        name: Host to add, change or remove.
+        log: Where the log is.
+        how: How the change is published.
+        pool: Its pool.
+        zone: Its availability zone.
+        rack: Its rack.
+        address: IP number and port of its service.
+        slots: Requests that it runs at a time.
+        connections: Connections that it takes.
+        cores: Processor cores.
+        memory_mb: Memory in MB.
+        accelerators: Accelerators.
+        remove: Removes the host.
+    """
+    fields = commands.given(
+        pool=pool, zone=zone, rack=rack, slots=slots, connections=connections
+    )
+    if address is not None:
+        parsed = types.parse_address(address)
+        if not pipeline.is_successful(parsed):
+            return commands.wrong_usage(f"--address: {parsed.failure()}")
+        fields["address"] = list(parsed.unwrap())
+    size = commands.given(
+        cores=cores, memory_mb=memory_mb, accelerators=accelerators
+    )
+    change = publishing.Change(records.HOST, name, fields, remove)
+    return commands.publish(
+        change,
+        log,
+        how,
+        complete=lambda found, state: publishing.with_size(found, size, state),
+    )
+
+
+@publish_app.command(
+    help_epilogue="Example: `chervillead publish zone e --index 4`"
+)
+def zone(
+    name: str,
+    /,
+    *,
+    log: commands.Log = commands.FROM_ENVIRONMENT,
+    how: commands.How = commands.AS_USUAL,
+    index: int | None = None,
+    remove: commands.Remove = False,
+) -> int:
+    """Declares an availability zone, or removes an unused one.
+
+    Args:
+        name: Zone to declare or remove.
+        log: Where the log is.
+        how: How the change is published.
+        index: Place of the zone in the order of claim zones; never changes.
+        remove: Removes the zone; nothing may use it.
+    """
+    fields = commands.given(index=index)
+    change = publishing.Change(records.ZONE, name, fields, remove)
+    return commands.publish(change, log, how)
--- /dev/null
+++ b/src/chervillead/operators/host_commands.py
@@ -0,0 +1,121 @@
+"""Commands for drains and moves of hosts."""
+
+import typing
+
+import cyclopts
+
+from chervillead.operators import commands
+from chervillead.operators import publishing
+from chervillead.platform import configuration as configuration_module
+from chervillead.platform import records
+
+drain_app = cyclopts.App(
+    name="drain", help="Grants and reports the maintenance of a host."
+)
+move_app = cyclopts.App(
+    name="move", help="Moves a host from its pool to another."
+)
+_DrainState = configuration_module.DrainState
+_MoveState = configuration_module.MoveState
+
+
+@drain_app.command(
+    help_epilogue="Example: `chervillead drain grant portal-3 --reason "
+    "'replace a fan'`"
+)
+def grant(
+    host: str,
+    /,
+    *,
+    log: commands.Log = commands.FROM_ENVIRONMENT,
+    how: commands.How = commands.AS_USUAL,
+    reason: str = "",
+) -> int:
+    """Asks for the maintenance of a host; its pool's budget decides.
+
+    Args:
+        host: Host to drain.
+        log: Where the log is.
+        how: How the change is published.
+        reason: Why; shown in reports.
+    """
+    fields = {"state": _DrainState.GRANTED.value, "reason": reason}
+    change = publishing.Change(records.DRAIN, host, fields)
+    return commands.publish(change, log, how)
+
+
+@drain_app.command(
+    name="set",
+    help_epilogue="Example: `chervillead drain set portal-3 returned`",
+)
+def set_drain(
+    host: str,
+    state: typing.Literal["drained", "returned", "failed"],
+    /,
+    *,
+    log: commands.Log = commands.FROM_ENVIRONMENT,
+    how: commands.How = commands.AS_USUAL,
+) -> int:
+    """Reports how far the maintenance of a host is.
+
+    Args:
+        host: Host in maintenance.
+        state: drained: nothing runs on it; returned: it takes work again;
+            failed: it didn't come back.
+        log: Where the log is.
+        how: How the change is published.
+    """
+    change = publishing.Change(
+        records.DRAIN, host, {"state": state}, must_exist=True
+    )
+    return commands.publish(change, log, how)
+
+
+@move_app.command(
+    help_epilogue="Example: `chervillead move start back-office-2 portal`"
+)
+def start(
+    host: str,
+    to_pool: str,
+    /,
+    *,
+    log: commands.Log = commands.FROM_ENVIRONMENT,
+    how: commands.How = commands.AS_USUAL,
+) -> int:
+    """Starts the move of a host; its pool's budget decides.
+
+    Args:
+        host: Host to move.
+        to_pool: Pool that it goes to.
+        log: Where the log is.
+        how: How the change is published.
+    """
+    fields = {"to_pool": to_pool, "state": _MoveState.LEAVING.value}
+    change = publishing.Change(records.MOVE, host, fields)
+    return commands.publish(change, log, how)
+
+
+@move_app.command(
+    name="set",
+    help_epilogue="Example: `chervillead move set back-office-2 joined`",
+)
+def set_move(
+    host: str,
+    state: typing.Literal["drained", "joined"],
+    /,
+    *,
+    log: commands.Log = commands.FROM_ENVIRONMENT,
+    how: commands.How = commands.AS_USUAL,
+) -> int:
+    """Reports how far the move of a host is.
+
+    Args:
+        host: Host on the move.
+        state: drained: nothing runs on it; joined: it is in its new pool.
+        log: Where the log is.
+        how: How the change is published.
+    """
+    change = publishing.Change(
+        records.MOVE, host, {"state": state}, must_exist=True
+    )
+    return commands.publish(change, log, how)
--- /dev/null
+++ b/src/chervillead/operators/host_status.py
@@ -0,0 +1,40 @@
+"""Collects what this entry host knows for its status document."""
+
+from chervillead import settings as settings_module
+from chervillead.entries import host as host_module
+from chervillead.entries import messages
+from chervillead.operators import status
+from chervillead.platform import log_reader
+
+
+def current(
+    settings: settings_module.Settings,
+    entry: host_module.EntryHost,
+    reader: log_reader.LogReader,
+) -> status.Status:
+    """Returns the fleet as the entry host sees it now."""
+    configuration = reader.configuration
+    waiting = entry.dispatcher.waiting
+
+    def heartbeat_of(host: str) -> messages.Heartbeat | None:
+        if host == settings.host:
+            return entry.current_heartbeat()
+        return entry.membership.heartbeat_of(host)
+
+    return status.build_status(
+        configuration,
+        status.HostView(
+            settings.host,
+            settings.zone,
+            reader.unconfirmed_s,
+            reader.alarms,
+            entry.membership.live,
+            entry.membership.silent_s,
+            heartbeat_of,
+            {
+                queue: sum(waiting.queue_counts(queue).values())
+                for queue in configuration.queues
+            },
+            entry.dispatcher.team_needs(),
+        ),
+    )
--- /dev/null
+++ b/src/chervillead/operators/key_commands.py
@@ -0,0 +1,114 @@
+"""Commands for keys. A key itself never goes to the log or a command line."""
+
+import pathlib
+import sys
+import typing
+
+import cyclopts
+from returns import pipeline
+from returns import result
+
+from chervillead.callers import credentials
+from chervillead.operators import commands
+from chervillead.operators import keys
+from chervillead.operators import publishing
+from chervillead.platform import configuration as configuration_module
+from chervillead.platform import records
+
+key_app = cyclopts.App(
+    name="key",
+    help=(
+        "Grants and withdraws keys. The key is read from a file or from "
+        "standard input; only its hash is published."
+    ),
+)
+
+
+@key_app.command(
+    help_epilogue="Example: `chervillead key grant nursery-north --generate`"
+)
+def grant(
+    team: str,
+    /,
+    *,
+    log: commands.Log = commands.FROM_ENVIRONMENT,
+    how: commands.How = commands.AS_USUAL,
+    queue: list[str] | None = None,
+    file: pathlib.Path | None = None,
+    generate: typing.Annotated[bool, cyclopts.Parameter(negative="")] = False,
+) -> int:
+    """Grants a key to a team.
+
+    Args:
+        team: Team that the key stands for.
+        log: Where the log is.
+        how: How the change is published.
+        queue: Queue that the key opens; repeat it for more. All by default.
+        file: File with the key; standard input by default.
+        generate: Makes a new key and prints it on standard error.
+    """
+    if generate and (file is not None or how.record_id is not None):
+        return commands.wrong_usage(
+            "--generate makes a new key, so it goes with neither --file nor "
+            "--record-id; give the key of the first attempt instead"
+        )
+    key = result.Success(keys.generate_key()) if generate else _read_key(file)
+    if not pipeline.is_successful(key):
+        return commands.wrong_usage(key.failure())
+    if generate and not how.dry_run:
+        # Before the answer: a key that may be in force must not be lost.
+        print(f"key: {key.unwrap()}", file=sys.stderr)
+    change = publishing.Change(
+        records.KEY,
+        credentials.hash_key(key.unwrap()),
+        {"team": team, "queues": queue, "withdrawn": False},
+    )
+    return commands.publish(change, log, how, complete=keys.check_grant)
+
+
+@key_app.command(
+    help_epilogue="Example: `chervillead key withdraw --hash 3f1c9a04d2b7`"
+)
+def withdraw(
+    *,
+    log: commands.Log = commands.FROM_ENVIRONMENT,
+    how: commands.How = commands.AS_USUAL,
+    hash_: typing.Annotated[
+        str | None, cyclopts.Parameter(name="--hash")
+    ] = None,
+    file: pathlib.Path | None = None,
+) -> int:
+    """Withdraws a key: it stops working within seconds.
+
+    Args:
+        log: Where the log is.
+        how: How the change is published.
+        hash_: Beginning of the key's hash, as `chervillead show keys` lists it.
+        file: File with the key; without --hash standard input by default.
+    """
+    fields = {"withdrawn": True}
+    if hash_ is not None:
+        change = publishing.Change(records.KEY, hash_, fields, must_exist=True)
+        return commands.publish(change, log, how, complete=_with_whole_hash)
+    key = _read_key(file)
+    if not pipeline.is_successful(key):
+        return commands.wrong_usage(key.failure())
+    subject = credentials.hash_key(key.unwrap())
+    change = publishing.Change(records.KEY, subject, fields, must_exist=True)
+    return commands.publish(change, log, how)
+
+
+def _with_whole_hash(
+    change: publishing.Change, state: configuration_module.Configuration
+) -> result.Result[publishing.Change, str]:
+    return keys.find_hash(change.subject, state.keys).map(
+        lambda found: change._replace(subject=found)
+    )
+
+
+def _read_key(file: pathlib.Path | None) -> result.Result[str, str]:
+    try:
+        text = sys.stdin.read() if file is None else file.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        return result.Failure(f"{file or 'standard input'}: {error}")
+    return keys.check_key(text)
--- /dev/null
+++ b/src/chervillead/operators/publishing.py
@@ -0,0 +1,267 @@
+"""Changes that operators publish, and what becomes of them.
+
+A change names only the fields that differ. It is based on the version that
+the operator's command has just read, so the log refuses it as stale if another
+operator was faster.
+"""
+
+from collections import abc
+import difflib
+import typing
+
+import msgspec
+from returns import pipeline
+from returns import result
+
+from chervillead.operators import session as session_module
+from chervillead.platform import configuration as configuration_module
+from chervillead.platform import fold
+from chervillead.platform import publisher
+from chervillead.platform import records
+
+EXIT_ACCEPTED = 0
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+EXIT_UNKNOWN = 3
+
+_EXIT_STATUS = {
+    publisher.Publication.ACCEPTED: EXIT_ACCEPTED,
+    publisher.Publication.REFUSED: EXIT_REFUSED,
+    publisher.Publication.UNKNOWN: EXIT_UNKNOWN,
+}
+
+
+class Change(typing.NamedTuple):
+    """A change of one subject.
+
+    Attributes:
+        kind: Kind of the record.
+        subject: Name of what changes.
+        fields: Fields that differ from the present ones.
+        remove: Whether the subject is removed.
+        must_exist: Whether an unknown subject is refused without an append.
+        must_be_new: Whether a known subject is refused without an append.
+    """
+
+    kind: str
+    subject: str
+    fields: abc.Mapping[str, typing.Any] = {}
+    remove: bool = False
+    must_exist: bool = False
+    must_be_new: bool = False
+
+
+class PublishAnswer(typing.TypedDict):
+    """What became of a change, or would become of it in a dry run."""
+
+    publication: str
+    kind: str
+    subject: str
+    record_id: str
+    offset: int | None
+    reason: str
+    dry_run: bool
+
+
+def values_of(
+    configuration: configuration_module.Configuration, kind: str
+) -> abc.Mapping[str, typing.Any]:
+    """Returns the values of a kind by subject."""
+    # The configuration's fields are named after the kinds.
+    return typing.cast(
+        abc.Mapping[str, typing.Any], getattr(configuration, f"{kind}s")
+    )
+
+
+def merged_fields(
+    current: typing.Any | None, changes: abc.Mapping[str, typing.Any]
+) -> dict[str, typing.Any]:
+    """Returns the fields of a record: the present ones with the changes."""
+    known = {} if current is None else msgspec.to_builtins(current._asdict())
+    return {**known, **changes}
+
+
+def with_size(
+    change: Change,
+    size: abc.Mapping[str, typing.Any],
+    configuration: configuration_module.Configuration,
+) -> result.Result[Change, str]:
+    """Returns the change of a host with the parts of its size that differ."""
+    if not size:
+        return result.Success(change)
+    host = configuration.hosts.get(change.subject)
+    default = configuration_module.Host._field_defaults["size"]
+    present = default if host is None else host.size
+    merged = list(present._replace(**size))
+    return result.Success(
+        change._replace(fields={**change.fields, "size": merged})
+    )
+
+
+def record_of(
+    change: Change,
+    session: session_module.Session,
+    record_id: str | None = None,
+) -> result.Result[records.Record, str]:
+    """Returns the record of a change, or why there can be none.
+
+    Args:
+        change: The change.
+        session: Session with the log.
+        record_id: Id of an earlier attempt at the same change, or None.
+    """
+    known = values_of(session.reader.configuration, change.kind)
+    current = known.get(change.subject)
+    if current is None and (change.must_exist or change.remove):
+        return result.Failure(
+            unknown_subject(change.kind, change.subject, known)
+        )
+    if current is not None and change.must_be_new:
+        return result.Failure(
+            f"{change.kind} {change.subject!r} exists already; take another "
+            "name or remove it first"
+        )
+    if not change.fields and not change.remove:
+        # A record without fields would remove the subject.
+        return result.Failure(
+            f"no field of {change.kind} {change.subject!r} is given, so there "
+            "is nothing to change"
+        )
+    fields = {} if change.remove else merged_fields(current, change.fields)
+    record = publisher.propose(
+        session.reader, change.kind, change.subject, fields
+    )
+    return result.Success(
+        record if record_id is None else record._replace(record_id=record_id)
+    )
+
+
+def unknown_subject(kind: str, name: str, known: abc.Iterable[str]) -> str:
+    """Returns a refusal that names what is allowed and the nearest name."""
+    allowed = sorted(known)
+    nearest = difflib.get_close_matches(name, allowed, 1)
+    hint = f"; did you mean {nearest[0]!r}?" if nearest else ""
+    return f"unknown {kind} {name!r}, known are {allowed}{hint}"
+
+
+async def publish_change(
+    change: Change,
+    session: session_module.Session,
+    *,
+    record_id: str | None = None,
+    dry_run: bool = False,
+    within_s: float = publisher.READ_BACK_S,
+) -> PublishAnswer:
+    """Publishes a change and returns its fate.
+
+    Args:
+        change: The change.
+        session: Session with the log.
+        record_id: Id of an earlier attempt whose answer was "unknown".
+        dry_run: Only says what the fold would make of the change now.
+        within_s: Time after which the answer is "unknown".
+    """
+    earlier = _earlier_fate(change, record_id, session)
+    if earlier is not None:
+        return _answer(change, earlier, dry_run)
+    proposed = record_of(change, session, record_id)
+    if not pipeline.is_successful(proposed):
+        refusal = publisher.PublishedRecord(
+            publisher.Publication.REFUSED,
+            record_id or "",
+            None,
+            proposed.failure(),
+        )
+        return _answer(change, refusal, dry_run)
+    record = proposed.unwrap()
+    if dry_run:
+        checked = publisher.check_record(record, session.reader)
+        return _answer(change, _published(checked), dry_run)
+    published = await publisher.publish(
+        record,
+        session.reader,
+        session.platform,
+        session.clock,
+        within_s=within_s,
+    )
+    return _answer(change, published, dry_run)
+
+
+def exit_status(answer: PublishAnswer) -> int:
+    """Returns the exit status of the command for an answer."""
+    return _EXIT_STATUS[publisher.Publication(answer["publication"])]
+
+
+def unread_answer(
+    change: Change, record_id: str | None, reason: str, *, dry_run: bool
+) -> PublishAnswer:
+    """Returns the answer when the log could not be read, so nothing was sent.
+
+    An earlier attempt under the same id may still have taken effect.
+    """
+    publication = (
+        publisher.Publication.REFUSED
+        if record_id is None
+        else publisher.Publication.UNKNOWN
+    )
+    published = publisher.PublishedRecord(
+        publication, record_id or "", None, f"not appended: {reason}"
+    )
+    return _answer(change, published, dry_run)
+
+
+def _earlier_fate(
+    change: Change, record_id: str | None, session: session_module.Session
+) -> publisher.PublishedRecord | None:
+    """Returns the fate of an earlier attempt, if the log shows it.
+
+    It must be known before the change is merged: based on the state that the
+    first attempt left, the second would look like a change of its own.
+    """
+    if record_id is None:
+        return None
+    fate = session.reader.fate_of(record_id)
+    if fate is not None:
+        return _published(fate)
+    configuration = session.reader.configuration
+    offset = configuration.recent_ids.get(record_id)
+    if offset is None:
+        return None
+    if configuration.versions.get((change.kind, change.subject)) == offset:
+        return publisher.PublishedRecord(
+            publisher.Publication.ACCEPTED, record_id, offset
+        )
+    return publisher.PublishedRecord(
+        publisher.Publication.UNKNOWN,
+        record_id,
+        offset,
+        f"the log held it at offset {offset}, before its newest snapshot; "
+        "`chervillead show` tells the present state",
+    )
+
+
+def _published(fate: fold.Fate) -> publisher.PublishedRecord:
+    if fate.outcome is fold.Outcome.ACCEPTED:
+        return publisher.PublishedRecord(
+            publisher.Publication.ACCEPTED, fate.record_id, fate.offset
+        )
+    return publisher.PublishedRecord(
+        publisher.Publication.REFUSED,
+        fate.record_id,
+        fate.offset,
+        f"{fate.outcome.value}: {fate.detail}",
+    )
+
+
+def _answer(
+    change: Change, published: publisher.PublishedRecord, dry_run: bool
+) -> PublishAnswer:
+    return PublishAnswer(
+        publication=published.publication.value,
+        kind=change.kind,
+        subject=change.subject,
+        record_id=published.record_id,
+        offset=None if dry_run else published.offset,
+        reason=published.detail,
+        dry_run=dry_run,
+    )
--- /dev/null
+++ b/src/chervillead/operators/session.py
@@ -0,0 +1,68 @@
+"""A session of an operator's command with the platform's log."""
+
+import asyncio
+from collections import abc
+import contextlib
+import typing
+
+from returns import result
+
+from chervillead import types
+from chervillead.platform import log_client
+from chervillead.platform import log_reader
+
+# A log of 100,000 records is read in a few seconds on loopback.
+READ_LOG_S = 30.0
+LOOK_S = 0.02
+
+
+class Session(typing.NamedTuple):
+    """The folded log and the client that it came through."""
+
+    reader: log_reader.LogReader
+    platform: log_client.PlatformClient
+    clock: types.Clock
+
+
+@contextlib.asynccontextmanager
+async def open_session(
+    platform: log_client.PlatformClient,
+    clock: types.Clock,
+    *,
+    within_s: float = READ_LOG_S,
+) -> abc.AsyncIterator[result.Result[Session, str]]:
+    """Follows the log while the context lasts.
+
+    Args:
+        platform: Client of the log.
+        clock: Source of time.
+        within_s: Time in which the log must have been read to its end.
+
+    Yields:
+        The session, or why the log could not be read to its end.
+    """
+    reader = log_reader.LogReader(clock)
+    following = asyncio.create_task(log_reader.follow_log(reader, platform))
+    try:
+        yield await _read_to_end(Session(reader, platform, clock), within_s)
+    finally:
+        following.cancel()
+        await asyncio.gather(following, return_exceptions=True)
+
+
+async def _read_to_end(
+    session: Session, within_s: float
+) -> result.Result[Session, str]:
+    """Waits until the log has confirmed the folded state once."""
+    reader = session.reader
+    give_up_s = session.clock.monotonic() + within_s
+    while session.clock.monotonic() < give_up_s:
+        if reader.unconfirmed_s != float("inf"):
+            return result.Success(session)
+        await asyncio.sleep(LOOK_S)
+    alarms = "; ".join(f"{a.name}: {a.detail}" for a in reader.alarms)
+    return result.Failure(
+        f"the platform's log was not read to its end within {within_s:g} s, "
+        f"the last offset read is {reader.configuration.offset}"
+        + (f" ({alarms})" if alarms else "")
+    )
--- a/src/chervillead/types.py
+++ b/src/chervillead/types.py
@@ -6,8 +6,13 @@
 """
 
 from collections import abc
+import ipaddress
 import typing
 
+from returns import result
+
+MAX_PORT = 65535
+
 
 class Address(typing.NamedTuple):
     """IP number and port of a listening socket."""
@@ -16,6 +21,23 @@
     port: int
 
 
+def parse_address(text: str) -> result.Result[Address, str]:
+    """Returns the address in a text such as "127.0.0.1:17000"."""
+    host, _, port = text.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    try:
+        ipaddress.ip_address(host)
+        number = int(port)
+    except ValueError:
+        number = 0
+    if not 1 <= number <= MAX_PORT:
+        return result.Failure(
+            f"got {text!r}, allowed is an IP number and a port from 1 to "
+            f"{MAX_PORT}, such as '127.0.0.1:17000'"
+        )
+    return result.Success(Address(host, number))
+
+
 class Size(typing.NamedTuple):
     """Resources that a request declares or a worker offers."""
 
