--- a/src/chervillead/daemon.py
+++ b/src/chervillead/daemon.py
@@ -1,6 +1,7 @@
 """Runs one entry host as a process: signals, HTTP server, background tasks."""
 
 import asyncio
+from collections import abc
 import gc
 import signal
 import time
@@ -46,7 +47,7 @@
     eliot.log_message("daemon:start", host=settings.host, zone=settings.zone)
     background = asyncio.create_task(assembly.run_background(parts))
     try:
-        await _serve_callers(settings, app, stopping)
+        await _serve_callers(settings, app, stopping, parts.entry.leave)
         await _finish_running(front_end)
     finally:
         background.cancel()
@@ -59,6 +60,7 @@
     settings: settings_module.Settings,
     app: blacksheep.Application,
     stopping: asyncio.Event,
+    leave: abc.Callable[[], abc.Awaitable[None]],
 ) -> None:
     """Serves HTTP until a signal; then drains and returns."""
     await app.start()  # type: ignore[no-untyped-call]
@@ -85,6 +87,8 @@
     stopped = asyncio.create_task(stopping.wait())
     await asyncio.wait((serving, stopped), return_when=asyncio.FIRST_COMPLETED)
     await asyncio.sleep(settings.stop_delay_s if stopping.is_set() else 0)
+    if stopping.is_set():
+        await leave()
     server.should_exit = True
     await serving
     await app.stop()  # type: ignore[no-untyped-call]
--- a/src/chervillead/platform/log_reader.py
+++ b/src/chervillead/platform/log_reader.py
@@ -33,6 +33,7 @@
         self._clock = clock
         self._configuration = configuration_module.EMPTY
         self._confirmed_s: float | None = None
+        self._asked_s: float | None = None
         self._changed = asyncio.Event()
         self._fates: dict[str, fold.Fate] = {}
         self._alarms: tuple[log_pages.Alarm, ...] = ()
@@ -76,9 +77,18 @@
         """Returns after the state has changed."""
         await self._changed.wait()
 
+    def start_read(self) -> None:
+        """Notes that the log is asked now."""
+        self._asked_s = self._clock.monotonic()
+
     def confirm(self) -> None:
-        """Notes that the log answered and has nothing beyond the state."""
-        self._confirmed_s = self._clock.monotonic()
+        """Notes that the log answered and has nothing beyond the state.
+
+        The state is confirmed for the time of the question: the answer may
+        have been under way while this process was paused.
+        """
+        now_s = self._clock.monotonic()
+        self._confirmed_s = now_s if self._asked_s is None else self._asked_s
 
     def raise_alarm(self, alarm: log_pages.Alarm) -> None:
         """Reports a fault of the log; the state is kept as it is."""
@@ -211,6 +221,7 @@
     failures = 0
     verify = False
     while True:
+        reader.start_read()
         offset = reader.configuration.offset
         asked = max(0, offset) if verify or reader.alarms else offset + 1
         page = await platform.read(asked, POLL_WAIT_S)
--- a/tests/stand_ins/memory_network.py
+++ b/tests/stand_ins/memory_network.py
@@ -33,11 +33,13 @@
         self._closed = False
         self.is_silent = False
         self._arrival_s = 0.0
+        self._unread_bytes = 0
         self.far_reader = asyncio.StreamReader()
         self.reverse: _MemoryWriter | None = None
 
     def write(self, data: bytes) -> None:
         if not self._closed and data:
+            self._unread_bytes += len(data)
             self._deliver(lambda: self._feed(data))
 
     async def drain(self) -> None:
@@ -56,12 +58,28 @@
     async def wait_closed(self) -> None:
         await asyncio.sleep(0)
 
+    @property
+    def transport(self) -> "_MemoryWriter":
+        return self
+
+    def get_write_buffer_size(self) -> int:
+        return self._unread_bytes
+
+    def abort(self) -> None:
+        """Ends the connection here at once; the far end learns of it later."""
+        if not self._closed:
+            self._closed = True
+            self._deliver(self._feed_end)
+        if self.reverse is not None:
+            self.reverse.reset()
+
     def reset(self) -> None:
         """Ends the direction at once, without what is under way."""
         self._closed = True
         self._feed_end()
 
     def _feed(self, data: bytes) -> None:
+        self._unread_bytes -= len(data)
         if not self.far_reader.at_eof() and not self.far_reader._eof:
             self.far_reader.feed_data(data)
 
@@ -83,6 +101,7 @@
         self._random = random.Random(seed)
         self._listeners: dict[types.Address, Listener] = {}
         self._cuts: set[frozenset[str]] = set()
+        self._silenced: set[str] = set()
         self._held: list[tuple[str, str, abc.Callable[[], None]]] = []
         self._writers: list[tuple[str, str, _MemoryWriter]] = []
         self._tasks: set[asyncio.Future[None]] = set()
@@ -127,9 +146,14 @@
             frozenset((place, other)) for place in places for other in others
         )
 
+    def hold_from(self, source: str) -> None:
+        """Holds what a place sends, while it still receives."""
+        self._silenced.add(source)
+
     def heal(self) -> None:
         """Ends all cuts; what was held arrives now, in order."""
         self._cuts.clear()
+        self._silenced.clear()
         held, self._held = self._held, []
         for _, _, action in held:
             action()
@@ -161,7 +185,7 @@
         def arrive() -> None:
             if writer.is_silent:
                 return
-            if self.is_cut(source, target):
+            if source in self._silenced or self.is_cut(source, target):
                 self._held.append((source, target, action))
             else:
                 action()
