Give every setting a range and name every problem of a file

Only two settings had a range, ranges were checked only once all types were right, the IP number of statsd wasn't checked, and a missing name was reported with a Python type.

--- a/src/chervillead/settings.py
+++ b/src/chervillead/settings.py
@@ -8,6 +8,7 @@
 import difflib
 import ipaddress
 import pathlib
+import re
 import typing
 
 import msgspec
@@ -29,7 +30,7 @@
 
     Attributes:
         address: IP number and port of the log and host list.
-        timeout_s: Bound of one call, in seconds, from 0.05 to 60.
+        timeout_s: Bound of one call, in seconds.
     """
 
     address: types.Address
@@ -48,7 +49,7 @@
         peers: Entry hosts to dial at the start.
         statsd: Where metrics go; None sends none.
         stop_delay_s: Time that a stopping host still accepts requests, for
-            the lag of the balancer; from 0 to 60.
+            the lag of the balancer, in seconds.
     """
 
     host: str
@@ -72,9 +73,53 @@
         return f"{self.path}: {self.value}; allowed: {self.allowed}"
 
 
-_RANGES: dict[str, tuple[float, float]] = {
-    "$.stop_delay_s": (0.0, 60.0),
-    "$.platform.timeout_s": (0.05, 60.0),
+class Range(typing.NamedTuple):
+    """Allowed values of a setting.
+
+    Attributes:
+        low: Lowest allowed value.
+        high: Highest allowed value.
+        unit: What is counted; the length counts for texts and lists.
+    """
+
+    low: float
+    high: float
+    unit: str
+
+    def __str__(self) -> str:
+        return f"{self.low:g} to {self.high:g} {self.unit}"
+
+
+class Setting(typing.NamedTuple):
+    """One setting as docs/settings.md lists it."""
+
+    path: str
+    allowed: str
+    default: str
+
+
+_NAME = Range(1, 64, "characters")
+_PORT = Range(1, types.MAX_PORT, "(port number)")
+IP_NUMBER = "an IP number"
+_TYPE_NAMES: dict[type, str] = {
+    str: "a text",
+    int: "a whole number",
+    float: "a number",
+}
+
+# By path, with [] for an index. IP numbers have no range.
+RANGES: dict[str, Range] = {
+    "$.host": _NAME,
+    "$.zone": _NAME,
+    "$.callers.port": _PORT,
+    "$.entries.port": _PORT,
+    "$.platform.address.port": _PORT,
+    "$.platform.timeout_s": Range(0.05, 60, "s"),
+    "$.peers": Range(0, 1000, "items"),
+    "$.peers[].host": _NAME,
+    "$.peers[].address.port": _PORT,
+    "$.statsd.port": _PORT,
+    "$.stop_delay_s": Range(0, 60, "s"),
 }
 
 
@@ -104,9 +149,31 @@
     problems = list(_check_value(document, Settings, "$"))
     if problems:
         return result.Failure(problems)
-    settings = _build(document, Settings)
-    problems = list(_check_ranges(settings))
-    return result.Failure(problems) if problems else result.Success(settings)
+    return result.Success(_build(document, Settings))
+
+
+def describe_settings() -> list[Setting]:
+    """Returns every setting with its allowed values and default, by path."""
+    return list(_describe(Settings, "$"))
+
+
+def _describe(
+    expected: typing.Any, path: str, default: object = None
+) -> abc.Iterator[Setting]:
+    expected = _without_none(expected, value=...)
+    if typing.get_origin(expected) is tuple:
+        yield Setting(path, str(RANGES[path]), "none")
+        item_type = typing.get_args(expected)[0]
+        yield from _describe(item_type, f"{path}[]", "required")
+    elif hasattr(expected, "_fields"):
+        hints = typing.get_type_hints(expected)
+        for name in expected._fields:
+            found = expected._field_defaults.get(name, default or "required")
+            found = "none" if found is None else found
+            yield from _describe(hints[name], f"{path}.{name}", found)
+    else:
+        allowed = str(RANGES[path]) if path in RANGES else IP_NUMBER
+        yield Setting(path, allowed, str(default))
 
 
 def _check_value(
@@ -116,10 +183,13 @@
     expected = _without_none(expected, value)
     if expected is None:
         return
+    allowed_range = RANGES.get(re.sub(r"\[\d+\]", "[]", path))
     if typing.get_origin(expected) is tuple:
         if not isinstance(value, list):
             yield SettingProblem(path, f"got {value!r}", "a list")
             return
+        shown = f"{len(value)} items"
+        yield from _check_range(len(value), allowed_range, path, shown)
         for index, item in enumerate(value):
             yield from _check_value(
                 item, typing.get_args(expected)[0], f"{path}[{index}]"
@@ -127,13 +197,43 @@
     elif hasattr(expected, "_fields"):
         yield from _check_mapping(value, expected, path)
     else:
-        try:
-            msgspec.convert(value, expected)
-        except msgspec.ValidationError:
-            yield SettingProblem(path, f"got {value!r}", expected.__name__)
-            return
-        if path.endswith(".address.host") or path.endswith("s.host"):
-            yield from _check_ip(value, path)
+        yield from _check_scalar(value, expected, path, allowed_range)
+
+
+def _check_scalar(
+    value: object,
+    expected: type,
+    path: str,
+    allowed_range: Range | None,
+) -> abc.Iterator[SettingProblem]:
+    try:
+        converted: typing.Any = msgspec.convert(value, expected)
+    except msgspec.ValidationError:
+        allowed = _allowed(expected, allowed_range)
+        yield SettingProblem(path, f"got {value!r}", allowed)
+        return
+    if allowed_range is not None:
+        size = len(converted) if isinstance(converted, str) else converted
+        yield from _check_range(size, allowed_range, path, repr(value))
+    else:
+        yield from _check_ip(value, path)
+
+
+def _check_range(
+    size: float, allowed: Range | None, path: str, shown: str
+) -> abc.Iterator[SettingProblem]:
+    """Yields a problem unless a value, length or count is in its range."""
+    if allowed is not None and not allowed.low <= size <= allowed.high:
+        yield SettingProblem(path, f"got {shown}", str(allowed))
+
+
+def _allowed(expected: typing.Any, allowed_range: Range | None) -> str:
+    """Returns what may stand at a place, in words."""
+    if hasattr(expected, "_fields"):
+        return f"a mapping with {', '.join(expected._fields)}"
+    if allowed_range is None:
+        return IP_NUMBER
+    return f"{_TYPE_NAMES[expected]}, {allowed_range}"
 
 
 def _check_mapping(
@@ -141,9 +241,8 @@
 ) -> abc.Iterator[SettingProblem]:
     names = expected._fields
     if not isinstance(value, dict):
-        yield SettingProblem(
-            path, f"got {value!r}", f"a mapping with {', '.join(names)}"
-        )
+        allowed = _allowed(expected, None)
+        yield SettingProblem(path, f"got {value!r}", allowed)
         return
     for name in value:
         if name not in names:
@@ -154,10 +253,13 @@
             )
     hints = typing.get_type_hints(expected)
     for name in names:
+        place = f"{path}.{name}"
         if name in value:
-            yield from _check_value(value[name], hints[name], f"{path}.{name}")
+            yield from _check_value(value[name], hints[name], place)
         elif name not in expected._field_defaults:
-            yield SettingProblem(f"{path}.{name}", "missing", str(hints[name]))
+            generic_place = re.sub(r"\[\d+\]", "[]", place)
+            allowed = _allowed(hints[name], RANGES.get(generic_place))
+            yield SettingProblem(place, "missing", allowed)
 
 
 def _check_ip(value: object, path: str) -> abc.Iterator[SettingProblem]:
@@ -165,18 +267,7 @@
     try:
         ipaddress.ip_address(str(value))
     except ValueError:
-        yield SettingProblem(path, f"got {value!r}", "an IP number")
-
-
-def _check_ranges(settings: Settings) -> abc.Iterator[SettingProblem]:
-    values = {
-        "$.stop_delay_s": settings.stop_delay_s,
-        "$.platform.timeout_s": settings.platform.timeout_s,
-    }
-    for path, value in values.items():
-        low, high = _RANGES[path]
-        if not low <= value <= high:
-            yield SettingProblem(path, f"got {value!r}", f"{low} to {high}")
+        yield SettingProblem(path, f"got {value!r}", IP_NUMBER)
 
 
 def _without_none(expected: typing.Any, value: object) -> typing.Any:
