Report service-level burn from counts that every entry host appends

Nothing said whether a queue met its target. Each entry host now counts its finished requests by bucket, queue and team, notes their times in an hdrhistogram, sends both to statsd if there is one, and appends a `burn` record in each period (setting burn_period_s, 300 s). Windows with missing counts are shown as missing, never as good.

Chosen: each host its own record instead of one merged record for each zone (docs/decisions/burn-report.md weighs both). The holder of the fleet's lowest live seat appends the parts of the last 6 hours again before the log drops them.

--- a/src/chervillead/command_line.py
+++ b/src/chervillead/command_line.py
@@ -17,6 +17,7 @@
 from chervillead.operators import host_commands
 from chervillead.operators import key_commands
 from chervillead.operators import publishing
+from chervillead.operators import report_commands
 from chervillead.operators import view_commands
 
 app = cyclopts.App(
@@ -32,6 +33,7 @@
     host_commands.drain_app,
     host_commands.move_app,
     key_commands.key_app,
+    report_commands.report_app,
 ):
     app.command(sub_app)
 app.command(
--- a/src/chervillead/daemon.py
+++ b/src/chervillead/daemon.py
@@ -11,11 +11,14 @@
 import uvicorn
 
 from chervillead import assembly
+from chervillead import metrics
 from chervillead import settings as settings_module
 from chervillead import types
 from chervillead.callers import application
 from chervillead.callers import connections
 from chervillead.callers import headers
+from chervillead.operators import burn
+from chervillead.operators import burn_carry
 from chervillead.operators import endpoint
 from chervillead.operators import host_status
 
@@ -40,18 +43,44 @@
     gc.set_threshold(*GC_THRESHOLDS)
     stopping = asyncio.Event()
     front_end = assembly.front_end_ports(parts, stopping.is_set)
+    counting = burn.start_counting(
+        front_end.submit,
+        host=settings.host,
+        zone=settings.zone,
+        period_s=settings.burn_period_s,
+        reader=parts.reader,
+        platform=parts.platform,
+        metrics=metrics.connect_metrics(settings.statsd),
+        clock=SYSTEM_CLOCK,
+    )
+    front_end = front_end._replace(submit=counting.submit)
     app = application.build_application(front_end)
     endpoint.add_routes(
         app, lambda: host_status.current(settings, parts.entry, parts.reader)
     )
     eliot.log_message("daemon:start", host=settings.host, zone=settings.zone)
     background = asyncio.create_task(assembly.run_background(parts))
+    appending = asyncio.create_task(counting.run())
+    carrying = asyncio.create_task(
+        burn_carry.carry_parts(
+            parts.reader,
+            parts.platform,
+            SYSTEM_CLOCK,
+            host=settings.host,
+            live=lambda: parts.entry.membership.live,
+            period_s=settings.burn_period_s,
+        )
+    )
     try:
         await _serve_callers(settings, app, stopping, parts.entry.leave)
         await _finish_running(front_end)
+        appending.cancel()
+        await counting.finish()
     finally:
-        background.cancel()
-        await asyncio.gather(background, return_exceptions=True)
+        tasks = background, appending, carrying
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         parts.pools.close()
         eliot.log_message("daemon:stopped", host=settings.host)
 
--- a/src/chervillead/metrics.py
+++ b/src/chervillead/metrics.py
@@ -1,6 +1,7 @@
 """Metrics to statsd; without an address they are dropped."""
 
 from collections import abc
+import re
 import typing
 
 import statsd
@@ -32,5 +33,10 @@
     return Metrics(client.incr, client.timing, client.gauge)
 
 
+def metric_name(*parts: str) -> str:
+    """Returns a name of a metric; in statsd, dots and colons separate."""
+    return ".".join(re.sub(r"[.:|@/\s]", "_", part) for part in parts)
+
+
 def _drop(name: str, value: float) -> None:
     """Ignores a metric."""
--- /dev/null
+++ b/src/chervillead/operators/burn.py
@@ -0,0 +1,273 @@
+"""Counts of finished requests of one entry host, and their records in the log.
+
+Each entry host appends its own `burn` record; docs/decisions/burn-report.md
+gives the reasons.
+"""
+
+import asyncio
+from collections import abc
+import typing
+import zlib
+
+import eliot
+from hdrh import histogram
+import msgspec
+from returns import pipeline
+from returns import result
+
+from chervillead import metrics as metrics_module
+from chervillead import reports
+from chervillead import types
+from chervillead.callers import submission
+from chervillead.platform import log_client
+from chervillead.platform import log_reader
+from chervillead.platform import publisher
+from chervillead.platform import records
+
+BUCKETS_PER_PERIOD = 5
+
+# A day of the usual periods: what a host keeps while the log takes nothing.
+MAX_PENDING = 288
+
+# A refusal below this status is about the request itself (a withdrawn key, an
+# id in use, a cancellation), so it says nothing about the service.
+FIRST_SERVER_STATUS = 500
+
+Publish = abc.Callable[
+    [records.Record], abc.Awaitable[publisher.PublishedRecord]
+]
+Submit = abc.Callable[
+    ..., abc.Coroutine[typing.Any, typing.Any, submission.RequestOutcome]
+]
+
+
+class BurnNotes:
+    """Counts of the period under way."""
+
+    def __init__(
+        self, *, host: str, zone: str, period_s: int, clock: types.Clock
+    ) -> None:
+        self._host = host
+        self._zone = zone
+        self._bucket_s = max(1, period_s // BUCKETS_PER_PERIOD)
+        self._clock = clock
+        self._from_s = int(clock.wall())
+        self._counts: dict[tuple[int, str, str], list[int]] = {}
+        self._times: dict[tuple[str, str], histogram.HdrHistogram] = {}
+
+    def note(
+        self,
+        queue: str,
+        team: str,
+        *,
+        run_s: float,
+        in_time: bool,
+        failed: bool,
+    ) -> None:
+        """Counts one finished request."""
+        # A clock that steps back must not count into a part that is cut.
+        now_s = max(self._from_s, int(self._clock.wall()))
+        start_s = max(self._from_s, now_s - now_s % self._bucket_s)
+        counts = self._counts.setdefault((start_s, queue, team), [0, 0, 0])
+        counts[2 if failed else 0 if in_time else 1] += 1
+        if failed:
+            return
+        times = self._times.get((queue, team))
+        if times is None:
+            times = self._times[queue, team] = reports.new_histogram()
+        ms = round(run_s * 1000)
+        times.record_value(
+            max(reports.SHORTEST_MS, min(reports.LONGEST_MS, ms))
+        )
+
+    def cut(self, *, is_last: bool = False) -> reports.Part:
+        """Returns the counts since the last cut and starts a new period."""
+        until_s = max(self._from_s, int(self._clock.wall()))
+        if any(start_s >= until_s for start_s, *_ in self._counts):
+            until_s += 1
+        part = reports.Part(
+            self._host,
+            self._zone,
+            self._from_s,
+            until_s,
+            is_last,
+            tuple(
+                reports.Count(*key, *counts)
+                for key, counts in sorted(self._counts.items())
+            ),
+            tuple(
+                reports.Times(*key, times.encode())
+                for key, times in sorted(self._times.items())
+            ),
+        )
+        self._from_s, self._counts, self._times = until_s, {}, {}
+        return part
+
+
+def counted(
+    submit: Submit,
+    notes: BurnNotes,
+    reader: log_reader.LogReader,
+    metrics: metrics_module.Metrics,
+    clock: types.Clock,
+) -> Submit:
+    """Returns `submit` with each finished request counted."""
+
+    async def submit_counted(
+        request: types.Request, *arguments: typing.Any
+    ) -> submission.RequestOutcome:
+        started_s = clock.monotonic()
+        outcome = await submit(request, *arguments)
+        status = _status_of(outcome)
+        queue = reader.configuration.queues.get(request.queue)
+        failed = status >= FIRST_SERVER_STATUS
+        refused = not pipeline.is_successful(outcome)
+        if queue is None or (refused and not failed):
+            return outcome
+        run_s = clock.monotonic() - started_s
+        in_time = not failed and run_s <= queue.target_s
+        notes.note(
+            request.queue,
+            request.team,
+            run_s=run_s,
+            in_time=in_time,
+            failed=failed,
+        )
+        word = "failed" if failed else "in_time" if in_time else "late"
+        name = metrics_module.metric_name("requests", request.queue)
+        metrics.increment(f"{name}.{word}", 1)
+        metrics.time_ms(f"{name}.time", run_s * 1000)
+        return outcome
+
+    return submit_counted
+
+
+def _status_of(outcome: submission.RequestOutcome) -> int:
+    if pipeline.is_successful(outcome):
+        return outcome.unwrap().status
+    return outcome.failure().status
+
+
+async def append_parts(
+    notes: BurnNotes,
+    pending: list[records.Record],
+    publish: Publish,
+    propose: abc.Callable[[reports.Part], records.Record],
+    *,
+    host: str,
+    period_s: int,
+    clock: types.Clock,
+) -> None:
+    """Appends a record in each period until cancelled.
+
+    The hosts take their turns at different times, so that other records can
+    be placed in time between theirs.
+    """
+    turn_s = zlib.crc32(host.encode()) % period_s
+    while True:
+        wall_s = clock.wall()
+        await asyncio.sleep(period_s - (wall_s - turn_s) % period_s)
+        pending.append(propose(notes.cut()))
+        if len(pending) > MAX_PENDING:
+            eliot.log_message("burn:dropped", record=pending[0].record_id)
+            del pending[0]
+        await append_pending(pending, publish)
+
+
+async def append_pending(
+    pending: list[records.Record], publish: Publish
+) -> None:
+    """Appends the oldest records first, until one can't be appended.
+
+    A record whose fate is unknown is appended again under the same id, so it
+    counts once whatever became of the first attempt.
+    """
+    while pending:
+        published = await publish(pending[0])
+        if published.publication is not publisher.Publication.ACCEPTED:
+            eliot.log_message("burn:not-appended", detail=published.detail)
+            return
+        del pending[0]
+
+
+def record_of(
+    part: reports.Part, reader: log_reader.LogReader
+) -> records.Record:
+    """Returns the record of a part."""
+    fields = msgspec.to_builtins(part._asdict(), builtin_types=(bytes,))
+    subject = f"{part.zone}/{part.host}"
+    return publisher.propose(reader, records.BURN, subject, fields)
+
+
+def read_part(record: records.Record) -> result.Result[reports.Part, str]:
+    """Returns the part in a record, or why there is none."""
+    ordered = [record.fields.get(name) for name in reports.Part._fields]
+    try:
+        return result.Success(msgspec.convert(ordered, reports.Part))
+    except msgspec.ValidationError as error:
+        return result.Failure(f"burn record {record.record_id!r}: {error}")
+
+
+class BurnPorts(typing.NamedTuple):
+    """The counting of one entry host.
+
+    Attributes:
+        submit: Submits and counts.
+        run: Appends records until cancelled.
+        finish: Appends the last record within a bounded time.
+    """
+
+    submit: Submit
+    run: abc.Callable[[], abc.Coroutine[typing.Any, typing.Any, None]]
+    finish: abc.Callable[[], abc.Coroutine[typing.Any, typing.Any, None]]
+
+
+def start_counting(
+    submit: Submit,
+    *,
+    host: str,
+    zone: str,
+    period_s: int,
+    reader: log_reader.LogReader,
+    platform: log_client.PlatformClient,
+    metrics: metrics_module.Metrics,
+    clock: types.Clock,
+    finish_within_s: float = 2.0,
+) -> BurnPorts:
+    """Returns the functions that count the requests of one entry host."""
+    notes = BurnNotes(host=host, zone=zone, period_s=period_s, clock=clock)
+    pending: list[records.Record] = []
+
+    def propose(part: reports.Part) -> records.Record:
+        return record_of(part, reader)
+
+    async def run() -> None:
+        async def publish(
+            record: records.Record,
+        ) -> publisher.PublishedRecord:
+            return await publisher.publish(record, reader, platform, clock)
+
+        await append_parts(
+            notes,
+            pending,
+            publish,
+            propose,
+            host=host,
+            period_s=period_s,
+            clock=clock,
+        )
+
+    async def finish() -> None:
+        async def publish(
+            record: records.Record,
+        ) -> publisher.PublishedRecord:
+            return await publisher.publish(
+                record, reader, platform, clock, within_s=finish_within_s
+            )
+
+        pending.append(propose(notes.cut(is_last=True)))
+        await append_pending(pending, publish)
+
+    return BurnPorts(
+        counted(submit, notes, reader, metrics, clock), run, finish
+    )
--- /dev/null
+++ b/src/chervillead/operators/burn_plots.py
@@ -0,0 +1,155 @@
+"""Plots of the burn report as SVG."""
+
+from collections import abc
+import io
+import typing
+
+import matplotlib
+from matplotlib import axes as axes_module
+from matplotlib import dates
+from matplotlib import figure
+
+from chervillead import reports
+from chervillead.operators import history as history_module
+from chervillead.platform import records
+
+# As wide as a telephone, so that text isn't scaled down there.
+INCHES = (4.2, 2.5)
+BARS = 60
+COLOURS = {"in_time": "#4477aa", "late": "#ddaa33", "failed": "#bb5566"}
+DAY_S = 86400
+
+
+def plot_queue(
+    queue: str, history: history_module.History, as_of_s: int, length_s: int
+) -> str:
+    """Returns an SVG of the requests of a queue, with events and gaps.
+
+    Args:
+        queue: Queue to plot.
+        history: Counts and events; there is at least one part.
+        as_of_s: End of the plot.
+        length_s: Its length.
+    """
+    step_s = max(1, length_s // BARS)
+    starts = range(as_of_s - length_s, as_of_s, step_s)
+    # Text stays text, and ids of two plots on one page differ.
+    options: typing.Any = {
+        "svg.fonttype": "none",
+        "svg.hashsalt": queue,
+        "font.size": 8,
+    }
+    with matplotlib.rc_context(options):
+        drawing = figure.Figure(figsize=INCHES, layout="constrained")
+        axes = drawing.add_subplot()
+        _draw_bars(axes, queue, history.parts, starts)
+        _draw_gap(axes, history.parts, starts.start)
+        _draw_zone_events(axes, history.events, starts)
+        _label(axes, queue, starts)
+        output = io.BytesIO()
+        drawing.savefig(
+            output, format="svg", metadata={"Date": None, "Creator": None}
+        )
+    text = output.getvalue().decode()
+    return text[text.index("<svg") :]
+
+
+def _draw_bars(
+    axes: axes_module.Axes,
+    queue: str,
+    parts: abc.Sequence[reports.Part],
+    starts: range,
+) -> None:
+    days = [_days(start_s) for start_s in starts]
+    base = [0.0] * len(starts)
+    for name, colour in COLOURS.items():
+        heights = _sums(parts, queue, name, starts)
+        axes.bar(
+            days,
+            heights,
+            width=_days(starts.step),
+            bottom=base,
+            align="edge",
+            color=colour,
+            label=name.replace("_", " "),
+        )
+        base = [low + more for low, more in zip(base, heights, strict=True)]
+
+
+def _draw_gap(
+    axes: axes_module.Axes, parts: abc.Sequence[reports.Part], from_s: int
+) -> None:
+    first_s = min(part.from_s for part in parts)
+    if first_s > from_s:
+        axes.axvspan(
+            _days(from_s), _days(first_s), color="#dddddd", label="missing"
+        )
+
+
+def _draw_zone_events(
+    axes: axes_module.Axes,
+    events: abc.Iterable[history_module.Event],
+    starts: range,
+) -> None:
+    """Marks zones that went out of service or returned.
+
+    The names stand on different heights, because two events of one outage are
+    often close to each other.
+    """
+    shown = [
+        event
+        for event in events
+        if event.kind == records.ZONE
+        and event.after_s is not None
+        and event.after_s >= starts.start
+    ]
+    for number, event in enumerate(shown):
+        day = _days(event.after_s or 0)
+        axes.axvline(day, color="#222222", ls=":", lw=1)
+        axes.annotate(
+            f"{event.name} {event.what.removeprefix('zone ')}",
+            (day, 1 - 0.1 * (number % 3)),
+            xytext=(2, -1),
+            xycoords=("data", "axes fraction"),
+            textcoords="offset points",
+            fontsize=7,
+            va="top",
+            bbox={"facecolor": "white", "alpha": 0.8, "lw": 0, "pad": 0.5},
+        )
+
+
+def _label(axes: axes_module.Axes, queue: str, starts: range) -> None:
+    axes.set_xlim(_days(starts.start), _days(starts.stop))
+    axes.set_ylim(0, max(1.0, axes.get_ylim()[1] * 1.5))
+    axes.set_title(queue, loc="left", fontsize=9)
+    axes.set_ylabel(f"requests in {starts.step} s")
+    locator = dates.AutoDateLocator(maxticks=6)  # type: ignore[no-untyped-call]
+    axes.xaxis.set_major_locator(locator)
+    axes.xaxis.set_major_formatter(
+        dates.ConciseDateFormatter(locator)  # type: ignore[no-untyped-call]
+    )
+    axes.legend(
+        fontsize=7,
+        ncols=4,
+        frameon=False,
+        loc="upper center",
+        bbox_to_anchor=(0.5, -0.2),
+    )
+
+
+def _sums(
+    parts: abc.Iterable[reports.Part], queue: str, name: str, starts: range
+) -> list[float]:
+    """Returns the counts of one sort in each stretch of a plot."""
+    sums = [0.0] * len(starts)
+    for part in reports.distinct(parts):
+        for count in part.counts:
+            index = (count.start_s - starts.start) // starts.step
+            if count.queue == queue and 0 <= index < len(sums):
+                sums[index] += getattr(count, name)
+    return sums
+
+
+def _days(seconds: float) -> float:
+    """Returns a time as matplotlib counts it: in days since the epoch."""
+    return seconds / DAY_S
--- /dev/null
+++ b/src/chervillead/operators/report_commands.py
@@ -0,0 +1,132 @@
+"""Commands for reports."""
+
+import asyncio
+from collections import abc
+import pathlib
+import sys
+
+import cyclopts
+from returns import pipeline
+from returns import result
+
+from chervillead.operators import burn_report
+from chervillead.operators import commands
+from chervillead.operators import history as history_module
+from chervillead.operators import publishing
+from chervillead.operators import tables
+from chervillead.platform import log_client
+
+report_app = cyclopts.App(name="report", help="Reports on the past.")
+
+
+@report_app.command(
+    help_epilogue="Example: `chervillead report burn --pairs 300/3600 --pairs "
+    "3600/21600 --html burn.html`"
+)
+def burn(
+    *,
+    log: commands.Log = commands.FROM_ENVIRONMENT,
+    pairs: list[str] | None = None,
+    html: pathlib.Path | None = None,
+) -> int:
+    """Reports how fast each queue and team uses up its error budget.
+
+    Args:
+        log: Where the log is.
+        pairs: Short and long window in seconds; repeat it for more. 300/3600
+            and 3600/21600 by default.
+        html: Also writes a page with plots to this file.
+    """
+    parsed = _parse_pairs(pairs)
+    address = commands.find_address("platform", log.platform)
+    if not pipeline.is_successful(parsed):
+        return commands.wrong_usage(parsed.failure())
+    if not pipeline.is_successful(address):
+        return commands.wrong_usage(address.failure())
+    platform = log_client.connect_platform(
+        address.unwrap(), timeout_s=log.timeout_s
+    )
+    history = asyncio.run(history_module.read_history(platform))
+    if not pipeline.is_successful(history):
+        print(f"the log can't be read: {history.failure()}", file=sys.stderr)
+        return publishing.EXIT_UNKNOWN
+    document = burn_report.build_report(history.unwrap(), parsed.unwrap())
+    if html is not None:
+        # matplotlib takes a second and 40 MB, which the entry hosts, that
+        # share this command line, must not spend.
+        from chervillead.operators import burn_page
+
+        html.write_text(burn_page.render_page(document, history.unwrap()))
+    if log.output == "json":
+        tables.print_json(document)
+    else:
+        _print_report(document)
+    return publishing.EXIT_ACCEPTED
+
+
+def _parse_pairs(
+    texts: list[str] | None,
+) -> result.Result[abc.Sequence[burn_report.Pair], str]:
+    if not texts:
+        return result.Success(burn_report.DEFAULT_PAIRS)
+    pairs: list[burn_report.Pair] = []
+    for text in texts:
+        short, _, long = text.partition("/")
+        if not (short.isdecimal() and long.isdecimal()) or not (
+            0 < int(short) < int(long)
+        ):
+            return result.Failure(
+                f"--pairs: got {text!r}, allowed is a shorter and a longer "
+                "window in seconds, such as '300/3600'"
+            )
+        pairs.append((int(short), int(long)))
+    return result.Success(pairs)
+
+
+def _print_report(document: burn_report.BurnDocument) -> None:
+    print(f"burn as of {burn_report.format_time(document['as_of_s'])}")
+    print(
+        f"counts go back to {burn_report.format_time(document['oldest_s'])}\n"
+    )
+    lengths = sorted({n for pair in document["pairs"] for n in pair})
+    columns = ["queue", "team", "target", "met", "budget left", "p50", "p99"]
+    rows = []
+    for row in document["rows"]:
+        left = row["budget_left"]
+        rows.append(
+            [
+                row["queue"],
+                row["team"] or "(no key)",
+                f"{row['target_part']:g} in {row['target_s']:g} s",
+                row["met"],
+                "unknown" if left is None else f"{left:.0%}",
+                row["p50_ms"],
+                row["p99_ms"],
+                *(
+                    burn_report.format_window(window)
+                    for window in row["windows"]
+                ),
+            ]
+        )
+    tables.print_table([*columns, *(f"burn {n} s" for n in lengths)], rows)
+    print("\nzones, drains, moves and roll-outs (* takes from a spare pool)")
+    tables.print_table(
+        ["after", "before", "kind", "name", "what"],
+        (
+            [
+                burn_report.format_time(event["after_s"]),
+                burn_report.format_time(event["before_s"]),
+                event["kind"],
+                event["name"],
+                event["what"] + (" *" if event["buffer"] else ""),
+            ]
+            for event in document["events"]
+        ),
+    )
+    lacking = [host for host in document["hosts"] if host["missing"] > 0]
+    if lacking:
+        print("\nmissing counts")
+        tables.print_table(
+            ["entry host", "missing"],
+            ([h["host"], f"{h['missing']:.0%}"] for h in lacking),
+        )
--- a/src/chervillead/settings.py
+++ b/src/chervillead/settings.py
@@ -50,6 +50,7 @@
         statsd: Where metrics go; None sends none.
         stop_delay_s: Time that a stopping host still accepts requests, for
             the lag of the balancer, in seconds.
+        burn_period_s: Time between two burn records of this host, in seconds.
     """
 
     host: str
@@ -60,6 +61,7 @@
     peers: tuple[Peer, ...] = ()
     statsd: types.Address | None = None
     stop_delay_s: float = 3.0
+    burn_period_s: int = 300
 
 
 class SettingProblem(typing.NamedTuple):
@@ -120,6 +122,7 @@
     "$.peers[].address.port": _PORT,
     "$.statsd.port": _PORT,
     "$.stop_delay_s": Range(0, 60, "s"),
+    "$.burn_period_s": Range(1, 3600, "s"),
 }
 
 
--- /dev/null
+++ b/tests/steps/operators_burn.py
@@ -0,0 +1,221 @@
+"""Steps of tests/operators/burn.feature."""
+
+import asyncio
+import itertools
+
+import behave
+from returns import result
+
+from chervillead import metrics
+from chervillead import reports
+from chervillead import types
+from chervillead import verdicts
+from chervillead.operators import burn
+from chervillead.platform import configuration as configuration_module
+from chervillead.platform import fold
+from chervillead.platform import records
+from stand_ins import log_fleet
+from stand_ins import virtual_time
+
+PERIOD_S = 300
+
+
+def request(number, queue="q"):
+    return types.Request(
+        f"id-{number}", queue, "t", b"", "", types.Size(), 1e9, True
+    )
+
+
+def count(fleet, host, submit, reader=None):
+    """Returns the counting of a host whose requests `submit` answers."""
+    return burn.start_counting(
+        submit,
+        host=host,
+        zone="a",
+        period_s=PERIOD_S,
+        reader=reader or fleet.start_reader(),
+        platform=fleet.client,
+        metrics=metrics.connect_metrics(None),
+        clock=virtual_time.clock(),
+    )
+
+
+def declare_queue(fleet):
+    fleet.append("zone", "a", index=0)
+    fleet.append("pool", "p", spare=False)
+    fleet.append("queue", "q", pool="p", target_s=1.0)
+
+
+def accepted_parts(fleet):
+    """Returns the parts that the fold of the whole log accepts."""
+    fleet.reference()
+    entries = list(records.decode_entries(fleet.published))
+    steps = fold.fold_records(configuration_module.EMPTY, entries)
+    return [
+        burn.read_part(entry.record).unwrap()
+        for entry, step in zip(entries, steps, strict=True)
+        if entry.record.kind == records.BURN
+        and step.fate.outcome is fold.Outcome.ACCEPTED
+    ]
+
+
+def total(parts, name):
+    return sum(getattr(c, name) for part in parts for c in part.counts)
+
+
+@behave.when(
+    "requests end in time, late, with a server error and with a refusal"
+)
+def step(context):
+    answer = types.Answer(200, "", b"")
+    ends = [
+        (0.5, result.Success(answer)),
+        (1.5, result.Success(answer)),
+        (9.0, result.Success(answer._replace(status=404))),
+        (0.1, result.Success(answer._replace(status=500))),
+        (0.0, result.Failure(verdicts.not_run("queue-full", 503))),
+        (0.2, result.Failure(verdicts.may_have_run("lost", 504))),
+        (0.0, result.Failure(verdicts.not_run("cancelled", 410))),
+        (0.0, result.Failure(verdicts.not_run("id-in-use", 422))),
+    ]
+
+    async def main():
+        fleet = log_fleet.LogFleet()
+        declare_queue(fleet)
+        waiting = iter(ends)
+
+        async def submit(asked, claimed):
+            run_s, outcome = next(waiting)
+            await asyncio.sleep(run_s)
+            return outcome
+
+        counting = count(fleet, "e1", submit)
+        await asyncio.sleep(1)
+        for number, (_, outcome) in enumerate(ends):
+            assert await counting.submit(request(number), True) is outcome
+        await counting.finish()
+        context.parts = accepted_parts(fleet)
+        await fleet.stop()
+
+    virtual_time.run_virtual(main(), context.seed)
+
+
+@behave.then("1 is in time, 2 are late, 3 have failed and 2 aren't counted")
+def step(context):
+    found = [
+        total(context.parts, name) for name in ("in_time", "late", "failed")
+    ]
+    assert found == [1, 2, 3], context.parts
+    merged = reports.merge_times(context.parts, "q", "t")
+    assert merged.get_total_count() == 3, merged.get_total_count()
+
+
+@behave.when(
+    "three hosts count requests while the log loses answers and is away"
+)
+def step(context):
+    async def main():
+        fleet = log_fleet.LogFleet()
+        declare_queue(fleet)
+        context.sent = 0
+
+        async def submit(asked):
+            return result.Success(types.Answer(200, "", b""))
+
+        countings = [count(fleet, f"e{n}", submit) for n in range(3)]
+        tasks = [asyncio.ensure_future(c.run()) for c in countings]
+        await asyncio.sleep(1)
+        for second in range(3600):
+            fleet.platform.is_down = 600 <= second < 1500
+            if second % 100 == 0:
+                fleet.platform.lose_answers = 2
+            for counting in countings:
+                await counting.submit(request(second))
+                context.sent += 1
+            await asyncio.sleep(1)
+        for counting, task in zip(countings, tasks, strict=True):
+            task.cancel()
+            await counting.finish()
+        context.parts = accepted_parts(fleet)
+        await fleet.stop()
+
+    virtual_time.run_virtual(main(), context.seed)
+
+
+@behave.then(
+    "the accepted records hold each request once and no time is missing"
+)
+def step(context):
+    parts = list(reports.distinct(context.parts))
+    assert len(parts) == len(context.parts), "a part was accepted twice"
+    assert total(parts, "in_time") == context.sent, (
+        total(parts, "in_time"),
+        context.sent,
+    )
+    first_s = max(
+        min(p.from_s for p in parts if p.host == f"e{n}") for n in range(3)
+    )
+    last_s = max(part.until_s for part in parts)
+    spans = reports.expected_spans(parts, (), as_of_s=last_s, period_s=PERIOD_S)
+    missing = reports.missing_part(parts, spans, from_s=first_s, until_s=last_s)
+    assert missing == 0, missing
+
+
+@behave.when("a host counts a request and stops before its period ends")
+def step(context):
+    async def main():
+        fleet = log_fleet.LogFleet()
+        declare_queue(fleet)
+
+        async def submit(asked):
+            return result.Success(types.Answer(200, "", b""))
+
+        counting = count(fleet, "e1", submit)
+        await asyncio.sleep(1)
+        await counting.submit(request(1))
+        await counting.finish()
+        context.parts = accepted_parts(fleet)
+        await fleet.stop()
+
+    virtual_time.run_virtual(main(), context.seed)
+
+
+@behave.then("its last record holds the request and says that it is the last")
+def step(context):
+    (part,) = context.parts
+    assert part.is_last and total([part], "in_time") == 1, part
+
+
+@behave.when("{hosts:d} hosts count for an hour with a period of 300 s")
+def step(context, hosts):
+    async def main():
+        fleet = log_fleet.LogFleet()
+        reader = fleet.start_reader()
+
+        async def submit(asked):
+            return result.Success(types.Answer(200, "", b""))
+
+        tasks = [
+            asyncio.ensure_future(
+                count(fleet, f"entry-{n}", submit, reader).run()
+            )
+            for n in range(hosts)
+        ]
+        await asyncio.sleep(3600)
+        for task in tasks:
+            task.cancel()
+        context.parts = accepted_parts(fleet)
+        await fleet.stop()
+
+    virtual_time.run_virtual(main(), context.seed)
+
+
+@behave.then("at most 27 records are appended in any period, spread over it")
+def step(context):
+    ends = sorted(part.until_s for part in context.parts)
+    assert 27 * 11 <= len(ends) <= 27 * 12, len(ends)
+    for start_s in ends:
+        within = [e for e in ends if start_s <= e < start_s + PERIOD_S]
+        assert len(within) <= 27, (start_s, len(within))
+    gaps = [b - a for a, b in itertools.pairwise(ends)]
+    assert max(gaps) < PERIOD_S / 4, max(gaps)
--- /dev/null
+++ b/tests/steps/operators_history.py
@@ -0,0 +1,126 @@
+"""Steps of tests/operators/history.feature."""
+
+import behave
+
+from chervillead import reports
+from chervillead import types
+from chervillead.operators import burn
+from chervillead.operators import history
+from chervillead.platform import configuration as configuration_module
+from chervillead.platform import fold
+from chervillead.platform import log_reader
+from chervillead.platform import records
+from chervillead.platform import snapshots
+
+
+class Log:
+    """Records at consecutive offsets, each based on the newest version."""
+
+    def __init__(self):
+        self.entries = []
+        self.state = configuration_module.EMPTY
+        self.reader = log_reader.LogReader(types.Clock(float, float))
+
+    def add(self, kind, subject, **fields):
+        """Appends a record and returns it."""
+        version = self.state.versions.get((kind, subject), -1)
+        number = len(self.entries)
+        return self.append(
+            records.Record(f"r{number}", kind, subject, version, fields)
+        )
+
+    def append(self, record):
+        """Appends and folds a record that may be in the log already."""
+        entry = records.OffsetRecord(len(self.entries), record)
+        self.entries.append(entry)
+        for step in fold.fold_records(self.state, (entry,)):
+            self.state = step.configuration
+        return record
+
+    def add_part(self, from_s):
+        """Appends an empty burn record."""
+        part = reports.Part("e1", "a", from_s, from_s + 300, False, (), ())
+        return self.append(burn.record_of(part, self.reader))
+
+
+def declare(log):
+    log.add("zone", "a", index=0)
+    for pool, spare in (("p", False), ("s", True)):
+        log.add("pool", pool, spare=spare, max_unavailable=1)
+        log.add(
+            "host",
+            f"host-{pool}",
+            pool=pool,
+            zone="a",
+            rack="r",
+            address=["127.0.0.1", 1],
+        )
+
+
+@behave.when(
+    "the log holds burn records, a zone out, its repeat and a refused drain"
+)
+def step(context):
+    log = Log()
+
+    declare(log)
+    log.add_part(0)
+    out = log.add("zone", "a", index=0, status="out")
+    log.append(out)
+    log.add("drain", "nobody", state="granted")
+    log.append(log.add_part(300))
+
+    context.history = history.build_history(log.entries)
+
+
+@behave.then("one event is placed between the burn records around it")
+def step(context):
+    events = [e for e in context.history.events if e.after_s is not None]
+    assert [(e.name, e.what) for e in events] == [("a", "zone out")], events
+    assert (events[0].after_s, events[0].before_s) == (300, 600), events
+
+
+@behave.then("each burn record counts once")
+def step(context):
+    assert len(context.history.parts) == 2, context.history.parts
+
+
+@behave.when("the log starts in the middle and holds a snapshot")
+def step(context):
+    log = Log()
+
+    declare(log)
+    log.append(snapshots.propose_snapshot(log.state))
+    log.add("zone", "a", index=0, status="out")
+
+    context.history = history.build_history(log.entries[3:])
+    context.state = log.state
+
+
+@behave.then(
+    "changes after the snapshot's state are told and the state is whole"
+)
+def step(context):
+    events = [(e.kind, e.what) for e in context.history.events]
+    assert events == [("zone", "zone out")], events
+    assert context.history.configuration.hosts == context.state.hosts
+    assert context.history.oldest == 3, context.history.oldest
+
+
+@behave.when("a host leaves a spare pool and one leaves another pool")
+def step(context):
+    log = Log()
+
+    declare(log)
+    log.add("move", "host-s", to_pool="p", state="leaving")
+    log.add("move", "host-p", to_pool="s", state="leaving")
+
+    context.history = history.build_history(log.entries)
+
+
+@behave.then("only the first is shown as taken from the buffer")
+def step(context):
+    found = [
+        (e.name, e.buffer) for e in context.history.events if e.kind == "move"
+    ]
+    assert found == [("host-s", True), ("host-p", False)], found
--- a/tests/steps/settings.py
+++ b/tests/steps/settings.py
@@ -62,6 +62,7 @@
         local_fleet.entry_settings(local_fleet.FleetPlan(), 0)
     )
     document["platform"]["timeout_s"] = 1.0
+    document["burn_period_s"] = 300
     document["statsd"] = {"host": "127.0.0.1", "port": 8125}
     *places, last = path.removeprefix("$.").split(".")
     target = document
