--- a/src/chervillead/operators/publishing.py
+++ b/src/chervillead/operators/publishing.py
@@ -19,6 +19,9 @@
 from chervillead.platform import publisher
 from chervillead.platform import records
 
+# A refusal that lists thousands of hosts hides its hint.
+MOST_NAMED = 20
+
 EXIT_ACCEPTED = 0
 EXIT_REFUSED = 1
 EXIT_USAGE = 2
@@ -141,6 +144,8 @@
     allowed = sorted(known)
     nearest = difflib.get_close_matches(name, allowed, 1)
     hint = f"; did you mean {nearest[0]!r}?" if nearest else ""
+    if len(allowed) > MOST_NAMED:
+        return f"unknown {kind} {name!r} among {len(allowed)} known{hint}"
     return f"unknown {kind} {name!r}, known are {allowed}{hint}"
 
 
