--- a/src/chervillead/daemon.py
+++ b/src/chervillead/daemon.py
@@ -7,6 +7,7 @@
 import socket
 import time
 
+import blacksheep
 import eliot
 from returns import pipeline
 from returns import result
@@ -14,11 +15,16 @@
 
 from chervillead import assembly
 from chervillead import http_exchange
+from chervillead import metrics
 from chervillead import settings as settings_module
 from chervillead import types
 from chervillead.callers import application
 from chervillead.callers import connections
 from chervillead.callers import headers
+from chervillead.operators import burn
+from chervillead.operators import burn_carry
+from chervillead.operators import endpoint
+from chervillead.operators import host_status
 
 SYSTEM_CLOCK = types.Clock(time.monotonic, time.time)
 # A request can't outlive its deadline, so a longer drain is never needed.
@@ -87,29 +93,64 @@
     gc.set_threshold(*GC_THRESHOLDS)
     stopping = asyncio.Event()
     front_end = assembly.front_end_ports(parts, stopping.is_set)
+    counting = burn.start_counting(
+        front_end.submit,
+        host=settings.host,
+        zone=settings.zone,
+        period_s=settings.burn_period_s,
+        reader=parts.reader,
+        platform=parts.platform,
+        metrics=metrics.connect_metrics(settings.statsd),
+        clock=SYSTEM_CLOCK,
+    )
+    front_end = front_end._replace(submit=counting.submit)
+    app = application.build_application(front_end)
+    endpoint.add_routes(
+        app, lambda: host_status.current(settings, parts.entry, parts.reader)
+    )
     eliot.log_message("daemon:start", host=settings.host, zone=settings.zone)
     background = asyncio.create_task(assembly.run_background(parts))
+    # Without its background tasks a host would serve on an old configuration;
+    # it leaves instead, and its supervisor starts it again.
+    background.add_done_callback(lambda task: stopping.set())
+    appending = asyncio.create_task(counting.run())
+    carrying = asyncio.create_task(
+        burn_carry.carry_parts(
+            parts.reader,
+            parts.platform,
+            SYSTEM_CLOCK,
+            host=settings.host,
+            live=lambda: parts.entry.membership.live,
+            period_s=settings.burn_period_s,
+        )
+    )
     try:
         await _serve_callers(
-            settings, callers, front_end, stopping, parts.entry.leave
+            settings, callers, app, stopping, parts.entry.leave
         )
         await _finish_running(front_end)
+        appending.cancel()
+        await counting.finish()
     finally:
-        background.cancel()
-        await asyncio.gather(background, return_exceptions=True)
+        tasks = background, appending, carrying
+        for task in tasks:
+            task.cancel()
+        ended = await asyncio.gather(*tasks, return_exceptions=True)
         parts.pools.close()
         eliot.log_message("daemon:stopped", host=settings.host)
+    for error in ended:
+        if isinstance(error, Exception):
+            raise error
 
 
 async def _serve_callers(
     settings: settings_module.Settings,
     listener: socket.socket,
-    front_end: application.FrontEndPorts,
+    app: blacksheep.Application,
     stopping: asyncio.Event,
     leave: abc.Callable[[], abc.Awaitable[None]],
 ) -> None:
     """Serves HTTP until a signal; then drains and returns."""
-    app = application.build_application(front_end)
     await app.start()  # type: ignore[no-untyped-call]
     server = uvicorn.Server(
         uvicorn.Config(
