--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -5,6 +5,7 @@
 
 from benchmarks import black_hole
 from benchmarks import configuration_spread
+from benchmarks import deployments
 from benchmarks import dispatcher
 from benchmarks import escrow
 from benchmarks import fairness
@@ -21,6 +22,7 @@
     dispatcher.measure,
     black_hole.measure,
     request_path.measure,
+    deployments.measure,
     pooling.measure,
     fairness.measure,
     escrow.measure,
