Add a client for callers with full-jitter backoff

Callers had to write the repeats themselves, and a fixed interval brings all of them back at once. The client keeps the id of a request over all attempts, waits at least as long as Retry-After asks, repeats only where the refusal allows it, and draws each delay from the whole window, after "Retry Storms When a Network Comes Back".

--- /dev/null
+++ b/src/chervillead/client.py
@@ -0,0 +1,168 @@
+"""A thin client for callers: one request, repeated only when that is safe.
+
+It keeps the id of the request over all attempts, so that a repeat never starts
+a second execution, waits at least as long as Retry-After asks, and draws each
+delay from the whole window between 0 and a bound that doubles (full jitter).
+The draw from the whole window follows "Retry Storms When a Network Comes
+Back": callers that failed together must not come back together.
+"""
+
+import asyncio
+from collections import abc
+import random
+import typing
+
+import msgspec
+from returns import result
+
+from chervillead import http_exchange
+from chervillead import types
+from chervillead import verdicts
+from chervillead.callers import request_ids
+
+FIRST_WINDOW_S = 0.5
+LARGEST_WINDOW_S = 20.0
+
+# Repeats of these make sense although they carry no Retry-After: the request
+# still runs elsewhere, or has ended without running.
+REPEATED_REASONS = frozenset(("already-submitted", "did-not-run"))
+
+Call = abc.Callable[
+    [http_exchange.HttpRequest], abc.Awaitable[http_exchange.HttpResponse]
+]
+Draw = abc.Callable[[float, float], float]
+Outcome: typing.TypeAlias = result.Result[types.Answer, verdicts.Refusal]
+
+
+class Work(typing.NamedTuple):
+    """What a caller wants done.
+
+    Attributes:
+        queue: Queue of the request.
+        body: Payload.
+        key: Key of the team, or None on a queue open to all.
+        content_type: Media type of the payload.
+        idempotent: Whether running it twice is harmless.
+        request_id: Id of an earlier submission, or None for a new request.
+    """
+
+    queue: str
+    body: bytes
+    key: str | None = None
+    content_type: str = "application/octet-stream"
+    idempotent: bool = False
+    request_id: str | None = None
+
+
+class _Problem(typing.TypedDict):
+    verdict: str
+    reason: str
+    detail: str
+    retry_after_s: typing.NotRequired[float | None]
+
+
+async def submit(
+    work: Work,
+    call: Call,
+    clock: types.Clock,
+    *,
+    within_s: float,
+    draw: Draw = random.uniform,
+) -> Outcome:
+    """Submits a request and returns its answer or the last refusal.
+
+    Args:
+        work: What to do.
+        call: Makes one HTTP call to an entry host or the balancer; it raises
+            OSError, TimeoutError or IncompleteResponseError if that fails.
+        clock: Source of time.
+        within_s: Time by which the caller needs the answer.
+        draw: Returns a random number between two bounds.
+    """
+    request_id = work.request_id or request_ids.new_request_id(clock.wall())
+    give_up_s = clock.monotonic() + within_s
+    outcome: Outcome = result.Failure(
+        verdicts.not_run("deadline-exceeded", 504, "no time was left")
+    )
+    for attempt in range(2**31):
+        left_s = give_up_s - clock.monotonic()
+        if left_s < 0.001:
+            break
+        request = _http_request(work, request_id, left_s)
+        outcome = await _attempt(request, call, left_s)
+        delay_s = next_delay(outcome, attempt, draw)
+        if delay_s is None or clock.monotonic() + delay_s >= give_up_s:
+            break
+        await asyncio.sleep(delay_s)
+    return outcome
+
+
+def next_delay(outcome: Outcome, attempt: int, draw: Draw) -> float | None:
+    """Returns the delay before the next attempt, or None if there is none.
+
+    Args:
+        outcome: Outcome of the attempt.
+        attempt: Its number, from 0.
+        draw: Returns a random number between two bounds.
+    """
+    refusal = outcome.swap().value_or(None)
+    if refusal is None:
+        return None
+    least_s = refusal.retry_after_s
+    if least_s is None and refusal.reason not in REPEATED_REASONS:
+        return None
+    window_s = min(LARGEST_WINDOW_S, FIRST_WINDOW_S * 2 ** min(attempt, 30))
+    return (least_s or 0.0) + draw(0.0, window_s)
+
+
+def _http_request(
+    work: Work, request_id: str, left_s: float
+) -> http_exchange.HttpRequest:
+    headers = [
+        ("chervillead-request-id", request_id),
+        ("chervillead-idempotent", "true" if work.idempotent else "false"),
+        ("chervillead-deadline-ms", str(int(left_s * 1000))),
+        ("content-type", work.content_type),
+    ]
+    if work.key is not None:
+        headers.append(("authorization", f"Bearer {work.key}"))
+    return http_exchange.HttpRequest(
+        "POST", f"/queues/{work.queue}/requests", tuple(headers), work.body
+    )
+
+
+async def _attempt(
+    request: http_exchange.HttpRequest, call: Call, left_s: float
+) -> Outcome:
+    try:
+        async with asyncio.timeout(left_s):
+            response = await call(request)
+    except (
+        OSError,
+        TimeoutError,
+        http_exchange.IncompleteResponseError,
+    ) as error:
+        # The entry host may have accepted the request before it was lost.
+        detail = f"{type(error).__name__}: {error}"
+        refusal = verdicts.may_have_run("connection-lost", 503, detail)
+        return result.Failure(refusal._replace(retry_after_s=0.0))
+    content_type = response.headers.get("content-type", "")
+    if content_type == "application/problem+json":
+        return result.Failure(_read_problem(response))
+    return result.Success(
+        types.Answer(response.status, content_type, response.body)
+    )
+
+
+def _read_problem(response: http_exchange.HttpResponse) -> verdicts.Refusal:
+    try:
+        problem = msgspec.json.decode(response.body, type=_Problem)
+        return verdicts.Refusal(
+            verdicts.Verdict(problem["verdict"]),
+            problem["reason"],
+            response.status,
+            problem["detail"],
+            problem.get("retry_after_s"),
+        )
+    except (msgspec.DecodeError, ValueError) as error:
+        return verdicts.may_have_run("malformed-problem", 502, str(error))
