--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -6,6 +6,7 @@
 from benchmarks import black_hole
 from benchmarks import client_backoff
 from benchmarks import configuration_spread
+from benchmarks import deployments
 from benchmarks import dispatcher
 from benchmarks import escrow
 from benchmarks import fairness
@@ -22,6 +23,7 @@
     dispatcher.measure,
     black_hole.measure,
     request_path.measure,
+    deployments.measure,
     pooling.measure,
     fairness.measure,
     escrow.measure,
--- a/tests/stand_ins/memory_fleet.py
+++ b/tests/stand_ins/memory_fleet.py
@@ -15,6 +15,7 @@
 from chervillead import types
 from chervillead import verdicts
 from chervillead.callers import credentials
+from chervillead.callers import request_claims
 from chervillead.callers import request_ids
 from chervillead.callers import submission
 from chervillead.platform import records
@@ -156,6 +157,7 @@
         request_id: str | None = None,
         idempotent: bool = False,
         deadline_s: float = 10.0,
+        key: str | None = None,
     ) -> submission.RequestOutcome:
         """Submits through one entry host as its front end does."""
         parts = self.hosts[host]
@@ -163,11 +165,15 @@
         authorized = credentials.authorize(
             parts.reader.configuration,
             queue,
-            local_fleet.TEAM_KEYS[team],
+            key or local_fleet.TEAM_KEYS[team],
             parts.reader.unconfirmed_s,
         )
         if isinstance(authorized, result.Failure):
             refusal: verdicts.Refusal = authorized.failure()
+            if request_id is not None and not idempotent:
+                refusal = await request_claims.check_refusal(
+                    refusal, request_id, parts.ports.lookup
+                )
             return result.Failure(refusal)
         request = types.Request(
             request_id or request_ids.new_request_id(clock.wall()),
