--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -4,6 +4,7 @@
 import sys
 
 from benchmarks import black_hole
+from benchmarks import capacity
 from benchmarks import configuration_spread
 from benchmarks import dispatcher
 from benchmarks import escrow
@@ -24,6 +25,7 @@
     pooling.measure,
     fairness.measure,
     escrow.measure,
+    capacity.measure,
 )
 
 
--- a/benchmarks/configuration_spread.py
+++ b/benchmarks/configuration_spread.py
@@ -30,7 +30,7 @@
 def measure() -> abc.Iterator[figures.BenchmarkResult]:
     """Yields the slowest change and the number of late hosts by fleet."""
     for readers, bound_s in FLEETS:
-        delays_s: list[float] = virtual_time.run_virtual(_spread(readers), SEED)
+        delays_s: list[float] = virtual_time.run_virtual(spread(readers), SEED)
         late = sum(delay_s > bound_s for delay_s in delays_s)
         yield figures.BenchmarkResult(
             f"spread: slowest of {len(delays_s)}, {readers} readers, virtual s",
@@ -62,7 +62,7 @@
     return client._replace(read=read)
 
 
-async def _spread(readers: int) -> list[float]:
+async def spread(readers: int) -> list[float]:
     """Returns the delay of each change at each reader."""
     platform = platform_stand_in.PlatformState()
     client = platform_stand_in.memory_client(platform)
--- a/benchmarks/fold.py
+++ b/benchmarks/fold.py
@@ -26,12 +26,12 @@
 
 def measure() -> abc.Iterator[figures.BenchmarkResult]:
     """Yields records a second and memory by size, and the growth."""
-    states = {size: _fleet_state(size) for size in SIZES}
+    states = {size: fleet_state(size) for size in SIZES}
     costs: dict[int, float] = dict.fromkeys(SIZES, float("inf"))
     # The sizes take turns, so that a busy machine slows all of them alike.
     for _ in range(_REPEATS):
         for size, state in states.items():
-            costs[size] = min(costs[size], _cost_s(state))
+            costs[size] = min(costs[size], cost_s(state))
     for size in SIZES:
         yield figures.BenchmarkResult(
             f"fold: records a second, {size} hosts", 1 / costs[size], "-", True
@@ -77,10 +77,11 @@
         )
 
 
-def _fold_all(
+def fold_all(
     state: configuration_module.Configuration,
     proposals: abc.Iterable[records.Record],
 ) -> configuration_module.Configuration:
+    """Returns the state after records that must all be accepted."""
     entries = itertools.starmap(
         records.OffsetRecord, enumerate(proposals, state.offset + 1)
     )
@@ -91,8 +92,9 @@
     return state
 
 
-def _fleet_state(size: int) -> configuration_module.Configuration:
-    return _fold_all(configuration_module.EMPTY, _fleet_records(size))
+def fleet_state(size: int) -> configuration_module.Configuration:
+    """Returns the state of a fleet of `size` hosts in all pools and zones."""
+    return fold_all(configuration_module.EMPTY, _fleet_records(size))
 
 
 def _maintenance_records(
@@ -101,7 +103,11 @@
     """Yields whole drains of random hosts, one after the other."""
     chooser = random.Random(7)
     hosts = chooser.sample(list(state.hosts), 1_000)
-    versions: dict[str, int] = {}
+    # A host that was maintained before has a version.
+    versions = {
+        host: state.versions.get((records.DRAIN, host), records.NO_VERSION)
+        for host in hosts
+    }
     offset = state.offset
     for number in range(_MEASURED // 3):
         host = hosts[number % len(hosts)]
@@ -110,23 +116,24 @@
                 f"{number}-{drain_state}",
                 records.DRAIN,
                 host,
-                versions.get(host, records.NO_VERSION),
+                versions[host],
                 {"state": drain_state, "reason": "kernel"},
             )
             offset += 1
             versions[host] = offset
 
 
-def _cost_s(state: configuration_module.Configuration) -> float:
+def cost_s(state: configuration_module.Configuration) -> float:
+    """Returns the processor seconds of folding one maintenance record."""
     proposals = list(_maintenance_records(state))
     start_s = time.process_time()
-    _fold_all(state, proposals)
+    fold_all(state, proposals)
     return (time.process_time() - start_s) / len(proposals)
 
 
 def _state_mb(size: int) -> float:
     tracemalloc.start()
-    state = _fleet_state(size)
+    state = fleet_state(size)
     used, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     assert state.hosts
