Look for pending hosts only when no wave is in progress

The maintenance controller walked over all hosts of the fleet twice a second for each open roll-out to find out that its wave was still in progress.

The hosts in maintenance of a pool are in its index `pool_use`, so the answer needs no walk. A wave without any host in maintenance still walks, because the hosts that soak are not in the index. Caching the pending hosts was ruled out: each record of the pool changes them.

The new scenario fails without the change.

--- a/src/chervillead/platform/rollouts.py
+++ b/src/chervillead/platform/rollouts.py
@@ -101,9 +101,11 @@
 ) -> list[str]:
     """Returns hosts to maintain, or none while a wave is in progress."""
     rollout = open_reasons(configuration).get(reason)
+    if rollout is None or _in_progress(configuration, rollout.pool, reason):
+        return []
     pending = []
     for name, host in configuration.hosts.items():
-        if rollout is None or host.pool != rollout.pool:
+        if host.pool != rollout.pool:
             continue
         drain = configuration.drains.get(name)
         if drain is not None and drain.reason == reason:
@@ -114,6 +116,24 @@
     return pending
 
 
+def _in_progress(
+    configuration: configuration_module.Configuration, pool: str, reason: str
+) -> bool:
+    """Returns whether a host of `pool` is in maintenance for `reason`.
+
+    The pool's index answers this without a walk over all hosts, which would
+    be made twice a second for each roll-out.
+    """
+    use = configuration.pool_use.get(pool)
+    drains = configuration.drains
+    return use is not None and any(
+        name in drains
+        and drains[name].reason == reason
+        and drains[name].state is not _DrainState.RETURNED
+        for name in use.unavailable
+    )
+
+
 def returned_hosts(
     configuration: configuration_module.Configuration,
 ) -> list[str]:
--- a/tests/platform/maintenance.feature
+++ b/tests/platform/maintenance.feature
@@ -49,6 +49,13 @@
     Given a pool with a drained host whose budget is then used up by a zone
     Then the host is held, and given back without a reboot after a while
 
+  Scenario: A roll-out waits for its wave without a walk over all hosts
+    # Guards against a cost of all hosts each second for each roll-out, and
+    # against a roll-out that stays at its first wave.
+    Given a pool whose roll-out has drained host h4
+    Then no host is pending, and the hosts are not walked over
+    And 11 hosts are pending once h4 has returned
+
   Scenario Outline: The wave of a pool with <budget>
     # Guards against waves that are narrower than the budget allows.
     Given a pool of 12 hosts in racks of 4, two of them dead, and <budget>
--- a/tests/steps/platform_maintenance.py
+++ b/tests/steps/platform_maintenance.py
@@ -159,6 +159,43 @@
     )
 
 
+class LookedUpOnly(dict):
+    """Hosts that may be looked up by name only."""
+
+    def __iter__(self):
+        raise AssertionError("all hosts were walked over")
+
+    items = values = keys = __iter__
+
+
+@behave.given("a pool whose roll-out has drained host h4")
+def step(context):
+    context.reason = rollouts.rollout_reason("r", "kernel")
+    context.drain = configuration_module.Drain(
+        configuration_module.DrainState.DRAINED, context.reason
+    )
+    context.state = _pool(drains={"h4": context.drain})
+
+
+@behave.then("no host is pending, and the hosts are not walked over")
+def step(context):
+    state = context.state._replace(hosts=LookedUpOnly(context.state.hosts))
+    assert rollouts.pending_hosts(state, context.reason) == []
+
+
+@behave.then("11 hosts are pending once h4 has returned")
+def step(context):
+    returned = context.drain._replace(
+        state=configuration_module.DrainState.RETURNED
+    )
+    state = context.state._replace(drains={"h4": returned})
+    state = state._replace(
+        pool_use={"p": state.pool_use["p"]._replace(unavailable=frozenset())}
+    )
+    pending = rollouts.pending_hosts(state, context.reason)
+    assert len(pending) == 11 and "h4" not in pending, pending
+
+
 @behave.given(
     "a pool of 12 hosts in racks of 4, two of them dead, and {budget}"
 )
