--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -9,6 +9,7 @@
 from benchmarks import figures
 from benchmarks.slopes import dispatch
 from benchmarks.slopes import line
+from benchmarks.slopes import maintenance
 from benchmarks.slopes import memory
 from benchmarks.slopes import platform
 from benchmarks.slopes import streams
@@ -20,6 +21,7 @@
     "index": platform.measure_index,
     "spread": platform.measure_spread,
     "maintenance": platform.measure_maintenance,
+    "look": maintenance.measure_look,
     "appends": platform.measure_appends,
     "heartbeats": streams.measure_heartbeats,
     "requests": streams.measure_requests,
