--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -7,6 +7,7 @@
 import sys
 
 from benchmarks import figures
+from benchmarks.slopes import burn
 from benchmarks.slopes import dispatch
 from benchmarks.slopes import line
 from benchmarks.slopes import maintenance
@@ -22,6 +23,7 @@
     "spread": platform.measure_spread,
     "maintenance": platform.measure_maintenance,
     "look": maintenance.measure_look,
+    "burn": burn.measure_burn,
     "appends": platform.measure_appends,
     "heartbeats": streams.measure_heartbeats,
     "requests": streams.measure_requests,
--- a/benchmarks/slopes/platform.py
+++ b/benchmarks/slopes/platform.py
@@ -22,6 +22,8 @@
 
 SIZES = (1_000, 4_000, 16_000)
 READERS = (9, 50, 200)
+ENTRY_HOSTS_A_ZONE = 22
+BURN_PERIOD_S = 300
 SPREAD_TARGET_S = 11.0
 MAINTAINED_A_DAY = 762
 # Nothing states how long a host's maintenance takes.
@@ -216,9 +218,10 @@
     """Yields the appends a second against the log's limit."""
 
     def per_s(zones: int) -> float:
-        burn = zones / 300
+        # Each entry host appends one burn record in a period.
+        burn_records = zones * ENTRY_HOSTS_A_ZONE / BURN_PERIOD_S
         changes = line.CHANGES_A_DAY / line.DAY_S
-        return zones / transfers.TRANSFER_INTERVAL_S + burn + changes
+        return zones / transfers.TRANSFER_INTERVAL_S + burn_records + changes
 
     yield line.Slope(
         "log: appends, all zones transfer each second",
