--- a/src/chervillead/entries/capacity.py
+++ b/src/chervillead/entries/capacity.py
@@ -51,7 +51,6 @@
         self._loads: dict[str, HostLoad] = {}
         self._hosts: dict[str, configuration_module.Host] = {}
         self._pools: dict[str, _PoolIndex] = {}
-        self._reduced: set[str] = set()
         self._sizes_here: dict[str, set[types.Size]] = {}
         self._sizes_anywhere: dict[str, set[types.Size]] = {}
 
@@ -61,7 +60,6 @@
         """Rebuilds the index from a new configuration."""
         self._hosts = {}
         self._pools = {}
-        self._reduced = set()
         self._sizes_here = {}
         self._sizes_anywhere = {}
         for name, host in configuration.hosts.items():
@@ -75,13 +73,12 @@
                 self._enter(name, host)
 
     def refresh_limits(self) -> None:
-        """Asks again how many slots the hosts with a reduced limit may use.
+        """Asks again how many slots each host may use.
 
-        Time alone only raises a limit: after an ejection, or in the ramp after
-        a zone's return. Asking all 1,777 hosts of a zone every 100 ms took more
-        of a core than the 1.3% that control may use.
+        Ejection and the ramp after a zone's return change it with time, without
+        a new configuration.
         """
-        for name in list(self._reduced):
+        for name in self._hosts:
             self.refresh_limit(name)
 
     def refresh_limit(self, upstream: str) -> None:
@@ -159,10 +156,6 @@
     def _enter(self, name: str, host: configuration_module.Host) -> None:
         index = self._pools[host.pool]
         limit = index.limits[name] = self._usable_slots(name, host)
-        if limit < host.slots:
-            self._reduced.add(name)
-        else:
-            self._reduced.discard(name)
         index.total += limit
         used = self._loads.get(name, HostLoad()).slots
         if used >= limit:
--- a/src/chervillead/entries/dispatcher.py
+++ b/src/chervillead/entries/dispatcher.py
@@ -51,8 +51,7 @@
             clock: Source of time.
             notify: Sends a message to an entry host.
             may_grant: Whether its seat is confirmed.
-            usable_slots: Returns the slots of an upstream that may be used;
-                they become fewer only when one of its releases is noted.
+            usable_slots: Returns the slots of an upstream that may be used.
             note_release: Is told of each release.
             deducted_units: Returns a team's units that are being given away.
         """
@@ -69,8 +68,10 @@
             usable_slots=usable_slots,
             deducted_units=deducted_units,
         )
-        self._capacity = self._ledger.capacity
-        self._grants = self._ledger.grants
+        self._capacity, self._grants = (
+            self._ledger.capacity,
+            self._ledger.grants,
+        )
         self._waiting = waiting_list.WaitingList()
         self._run_times = admission.RunTimes()
         self._swept: configuration_module.Configuration | None = None
