--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -4,6 +4,7 @@
 import sys
 
 from benchmarks import black_hole
+from benchmarks import capacity
 from benchmarks import client_backoff
 from benchmarks import configuration_spread
 from benchmarks import deployments
@@ -28,6 +29,7 @@
     fairness.measure,
     escrow.measure,
     client_backoff.measure,
+    capacity.measure,
 )
 
 
