Do less for each grant and release in the dispatcher

Cause, by cProfile of an entry host under 32 connections: register takes 173 and release 87 of about 900 profiled us of an idempotent request, spread thin. Of these, the team's units took 13 although they depend on the configuration alone, the sums of sizes that are zero 8, the ramp of a zone that returned long ago 9, the use of pools 27, and the entry of the waiting list is made for requests that never wait. The seat's confirmation takes 11 and stays at each grant.

Units are kept until the next configuration, and the rest is skipped where it changes nothing.

--- a/src/chervillead/entries/admission.py
+++ b/src/chervillead/entries/admission.py
@@ -50,8 +50,8 @@
 
     def change(self, pool: str, team: str, change: int, now_s: float) -> None:
         """Notes that a team uses more or fewer slots of a pool."""
-        use = self.use(pool, team, now_s)
-        self._uses[(pool, team)] = use._replace(running=use.running + change)
+        running, average, _ = self.use(pool, team, now_s)
+        self._uses[(pool, team)] = Use(running + change, average, now_s)
 
 
 def decay_use(use: Use, now_s: float) -> Use:
@@ -188,5 +188,7 @@
 
 def ramped_slots(slots: int, since_return_s: float) -> int:
     """Returns how many of a host's slots are used after its zone's return."""
-    part = min(1.0, max(RAMP_START, since_return_s / RAMP_S))
+    if since_return_s >= RAMP_S:
+        return slots
+    part = max(RAMP_START, since_return_s / RAMP_S)
     return math.ceil(slots * part)
--- a/src/chervillead/entries/capacity.py
+++ b/src/chervillead/entries/capacity.py
@@ -13,6 +13,8 @@
 from chervillead.platform import configuration as configuration_module
 from chervillead.upstreams import slots
 
+NO_SIZE = types.Size()
+
 UsableSlots = abc.Callable[[str, configuration_module.Host], int]
 
 
@@ -185,6 +187,8 @@
 def _add_sizes(
     size: types.Size, other: types.Size, sign: int = 1
 ) -> types.Size:
+    if other == NO_SIZE:
+        return size
     # Rounding keeps fractions of cores from adding up to a host that is never
     # quite idle again.
     return types.Size(
--- a/src/chervillead/entries/dispatcher.py
+++ b/src/chervillead/entries/dispatcher.py
@@ -107,6 +107,9 @@
         if refused is not None:
             return refused
         queue = configuration.queues[message.queue]
+        granted = self._ledger.try_grant(entry_host, queue.pool, message)
+        if granted is not None:
+            return granted
         now_s = self._clock.monotonic()
         entry = waiting_list.WaitingRequest(
             entry_host,
@@ -115,11 +118,6 @@
             now_s + queue.target_s,
             now_s + message.time_left_ms / 1000,
         )
-        granted = self._ledger.try_grant(
-            entry.entry_host, entry.pool, entry.register
-        )
-        if granted is not None:
-            return granted
         return self._wait(entry, queue)
 
     def withdraw(self, message: messages.Withdraw) -> None:
--- a/src/chervillead/entries/zone_ledger.py
+++ b/src/chervillead/entries/zone_ledger.py
@@ -36,6 +36,8 @@
         self._usable_slots = usable_slots
         self._deducted_units = deducted_units
         self._seen = configuration_module.EMPTY
+        # Units by team under the configuration that was seen last.
+        self._units: dict[str, int] = {}
         self._returned_s = -math.inf
         self._grants = grant_table.GrantTable()
         self._capacity = capacity_module.ZoneCapacity(zone, self._slots_now)
@@ -61,6 +63,7 @@
         if new is seen:
             return new
         self._seen = new
+        self._units.clear()
         was_out = self._zone in seen.zones and not (
             configuration_module.zone_is_in(seen, self._zone)
         )
@@ -74,7 +77,10 @@
 
     def units(self, team: str) -> int:
         """Returns the units of a team that the zone may use."""
-        units = team_units.zone_units(self._seen, team, self._zone)
+        units = self._units.get(team)
+        if units is None:
+            units = team_units.zone_units(self._seen, team, self._zone)
+            self._units[team] = units
         return units - self._deducted_units(team)
 
     def limit(self, team: str) -> int:
