--- a/src/chervillead/assembly.py
+++ b/src/chervillead/assembly.py
@@ -13,6 +13,7 @@
 from returns import result
 
 from chervillead import http_exchange
+from chervillead import maintenance_wiring
 from chervillead import settings as settings_module
 from chervillead import types
 from chervillead import verdicts
@@ -83,7 +84,10 @@
         dial=dial,
     )
     requests = in_progress.RequestsInProgress()
-    entry = host_module.EntryHost(settings, reader, clock, requests.cancel)
+    hosts = host_list.HostListHolder(clock)
+    entry = host_module.EntryHost(
+        settings, reader, clock, requests.cancel, lambda: hosts.hosts
+    )
     pools = pool.UpstreamPools(
         clock,
         dial,
@@ -101,7 +105,7 @@
         _submission_ports(entry, settings, pools, running, requests, clock),
         dial,
         listen,
-        host_list.HostListHolder(clock),
+        hosts,
     )
 
 
@@ -121,6 +125,17 @@
                 live=lambda: parts.entry.membership.live,
             )
         )
+        tasks.create_task(
+            maintenance_wiring.run_maintenance_tasks(
+                parts.settings.host,
+                parts.entry,
+                parts.reader,
+                parts.platform,
+                parts.host_list,
+                parts.clock,
+                parts.pools,
+            )
+        )
         tasks.create_task(
             host_tasks.run_entry_host(
                 parts.entry,
--- a/src/chervillead/entries/dispatch_client.py
+++ b/src/chervillead/entries/dispatch_client.py
@@ -64,7 +64,7 @@
     clock: types.Clock
     may_start: abc.Callable[[types.Upstream], bool] = lambda upstream: True
     register_here: abc.Callable[
-        [messages.Register], tuple[str, messages.Message | None] | None
+        [messages.Register], tuple[str, messages.Message] | None
     ] = lambda register: None
 
 
--- a/src/chervillead/entries/duties.py
+++ b/src/chervillead/entries/duties.py
@@ -11,6 +11,8 @@
 from chervillead.entries import recovery
 from chervillead.entries import seats
 from chervillead.entries import transfers
+from chervillead.entries import upstream_health
+from chervillead.platform import configuration as configuration_module
 from chervillead.platform import log_reader
 
 Post = abc.Callable[[str, messages.Message], object]
@@ -28,6 +30,7 @@
         peers: duty_module.PeerView,
         clock: types.Clock,
         post: Post,
+        health: upstream_health.HealthPorts,
     ) -> None:
         """Makes duties that start once this process holds a duty seat.
 
@@ -38,6 +41,7 @@
             peers: What this host knows of the others.
             clock: Source of time.
             post: Sends a message to an entry host, this one included.
+            health: Functions on the health of the zone's upstreams.
         """
         self._host = host
         self._zone = zone
@@ -61,6 +65,8 @@
             clock=clock,
             notify=post,
             may_grant=self._duty.may_act,
+            usable_slots=health.usable_slots,
+            note_release=health.note_release,
             deducted_units=self._escrow.deducted,
         )
 
@@ -84,6 +90,19 @@
         """Seat of this process and whether it may act on it."""
         return self._duty
 
+    def register_here(
+        self, register: messages.Register
+    ) -> tuple[str, messages.Message] | None:
+        """Registers with this dispatcher if the log says that it serves."""
+        configuration = self._reader.configuration
+        if seats.duty_holder(
+            configuration, self._zone
+        ) != self._host or not configuration_module.zone_is_in(
+            configuration, self._zone
+        ):
+            return None
+        return self._host, self._dispatcher.register(self._host, register)
+
     def answer_claim(
         self, message: messages.Claim | messages.Lookup
     ) -> messages.ClaimState | messages.Refused:
--- a/src/chervillead/entries/host.py
+++ b/src/chervillead/entries/host.py
@@ -25,11 +25,13 @@
 from chervillead.entries import held_grants
 from chervillead.entries import membership
 from chervillead.entries import messages
+from chervillead.entries import queue_loads
 from chervillead.entries import relay
 from chervillead.entries import seats
 from chervillead.entries import streams
 from chervillead.entries import transfers
-from chervillead.platform import configuration as configuration_module
+from chervillead.entries import upstream_health
+from chervillead.platform import host_list
 from chervillead.platform import log_client
 from chervillead.platform import log_reader
 
@@ -46,6 +48,7 @@
         reader: log_reader.LogReader,
         clock: types.Clock,
         cancel: abc.Callable[[str], bool] = lambda request_id: False,
+        hosts: abc.Callable[[], host_list.HostList] = lambda: host_list.UNKNOWN,
     ) -> None:
         self._cancel = cancel
         self._settings = settings
@@ -63,6 +66,13 @@
         self._claim_holders = claim_holders.ClaimHolders(
             lambda: reader.configuration
         )
+        self._hosts = hosts
+        self._health = upstream_health.connect_health(
+            configuration=lambda: reader.configuration,
+            hosts=hosts,
+            ejected_elsewhere=self._membership.ejected,
+            clock=clock,
+        )
         self._duties = duties.Duties(
             host=settings.host,
             zone=settings.zone,
@@ -74,6 +84,7 @@
             ),
             clock=clock,
             post=self.post,
+            health=self._health,
         )
 
     @property
@@ -124,6 +135,8 @@
             self._stopping,
             self.dispatcher.free_slots() if may_grant else {},
             self.dispatcher.short_units() if may_grant else {},
+            self._health.ejected() if may_grant else {},
+            queue_loads.queue_loads(self.dispatcher) if may_grant else {},
         )
 
     def post(self, host: str, message: messages.Message) -> bool:
@@ -148,11 +161,6 @@
         """Sends a question to any entry host, this one included."""
         if host != self._settings.host:
             return await self._streams.ask(host, message, timeout_s)
-        return self._ask_self(message)
-
-    def _ask_self(
-        self, message: messages.Message
-    ) -> result.Result[messages.Message, verdicts.Refusal]:
         reply = self.handle(self._settings.host, message)
         if reply is None:
             return result.Failure(verdicts.not_run("no-reply", 503))
@@ -181,6 +189,8 @@
                 return relay.answer_request(self._relay, message)
             case messages.Cancel():
                 self._pass_on_cancel(message)
+            case messages.Waiting() | messages.ClaimState():
+                pass  # the reply to a question that has timed out
             case _:
                 eliot.log_message(
                     "entries:unexpected", peer=peer, kind=type(message).__name__
@@ -245,7 +255,7 @@
             self._waiters,
             self._clock,
             self._may_start,
-            self._register_here,
+            self._duties.register_here,
         )
 
     def escrow_ports(
@@ -279,19 +289,7 @@
             lambda host: host in live,
         )
 
-    def _register_here(
-        self, register: messages.Register
-    ) -> tuple[str, messages.Message | None] | None:
-        """Registers with the dispatcher of this host's zone if it runs here."""
-        configuration = self._reader.configuration
-        zone, host = self._settings.zone, self._settings.host
-        if seats.duty_holder(
-            configuration, zone
-        ) != host or not configuration_module.zone_is_in(configuration, zone):
-            return None
-        return host, self.dispatcher.register(host, register)
-
     def _may_start(self, upstream: types.Upstream) -> bool:
-        return configuration_module.host_takes_work(
-            self._reader.configuration, upstream.name
+        return host_list.host_takes_work(
+            self._reader.configuration, self._hosts(), upstream.name
         )
--- /dev/null
+++ b/src/chervillead/maintenance_wiring.py
@@ -0,0 +1,114 @@
+"""Connects maintenance to the entry hosts and upstreams that it asks."""
+
+import asyncio
+
+from chervillead import types
+from chervillead.entries import host as host_module
+from chervillead.entries import membership
+from chervillead.platform import buffer_task
+from chervillead.platform import host_list
+from chervillead.platform import log_client
+from chervillead.platform import log_reader
+from chervillead.platform import maintenance
+from chervillead.upstreams import pool
+from chervillead.upstreams import usage
+
+# A request that waits is registered with two zones, its own and the one with
+# the most free slots.
+WAITING_ZONES = 2
+
+
+def maintenance_ports(
+    host: str,
+    reader: log_reader.LogReader,
+    members: membership.Membership,
+    pools: pool.UpstreamPools,
+) -> maintenance.MaintenancePorts:
+    """Returns the functions that maintenance needs.
+
+    Args:
+        host: Name of this entry host.
+        reader: Holder of the folded configuration.
+        members: Which entry hosts are live.
+        pools: Connections to upstreams; what runs on one is asked of itself,
+            since the grants of one dispatcher don't show all of it.
+    """
+
+    def upstream_of(name: str) -> types.Upstream | None:
+        entry = reader.configuration.hosts.get(name)
+        if entry is None:
+            return None
+        return types.Upstream(name, entry.zone, entry.address)
+
+    async def running(name: str) -> int | None:
+        upstream = upstream_of(name)
+        if upstream is None:
+            return None
+        reported = await usage.read_usage(pools, upstream)
+        return None if reported is None else reported.running
+
+    async def checkpoint(name: str) -> bool:
+        upstream = upstream_of(name)
+        return upstream is not None and (
+            await usage.checkpoint_all(pools, upstream)
+        )
+
+    def is_known(offset: int) -> bool:
+        heartbeats = map(members.heartbeat_of, members.live)
+        return all(h is None or h.offset >= offset for h in heartbeats)
+
+    return maintenance.MaintenancePorts(
+        is_runner=lambda: maintenance.is_runner(
+            reader.configuration, host, members.live
+        ),
+        is_known=is_known,
+        running=running,
+        checkpoint=checkpoint,
+    )
+
+
+def buffer_ports(
+    entry: host_module.EntryHost, ports: maintenance.MaintenancePorts
+) -> buffer_task.BufferPorts:
+    """Returns the functions that the buffer controller needs."""
+    members = entry.membership
+
+    def queue_samples() -> dict[str, buffer_task.QueueSample]:
+        heartbeats = [entry.current_heartbeat()]
+        heartbeats += filter(None, map(members.heartbeat_of, members.live))
+        samples: dict[str, buffer_task.QueueSample] = {}
+        for heartbeat in heartbeats:
+            for queue, load in heartbeat.queue_loads.items():
+                known = samples.get(queue, buffer_task.QueueSample(0, 0, 0.0))
+                samples[queue] = buffer_task.QueueSample(
+                    known.waiting + load.waiting / WAITING_ZONES,
+                    known.running + load.running,
+                    max(known.run_s, load.run_ms / 1000),
+                )
+        return samples
+
+    return buffer_task.BufferPorts(
+        ports.is_runner, queue_samples, ports.running
+    )
+
+
+async def run_maintenance_tasks(
+    host: str,
+    entry: host_module.EntryHost,
+    reader: log_reader.LogReader,
+    platform: log_client.PlatformClient,
+    hosts: host_list.HostListHolder,
+    clock: types.Clock,
+    pools: pool.UpstreamPools,
+) -> None:
+    """Runs maintenance and the buffer controller until cancelled."""
+    ports = maintenance_ports(host, reader, entry.membership, pools)
+    async with asyncio.TaskGroup() as tasks:
+        tasks.create_task(
+            maintenance.run_maintenance(reader, platform, hosts, clock, ports)
+        )
+        tasks.create_task(
+            buffer_task.run_buffer(
+                reader, platform, clock, buffer_ports(entry, ports)
+            )
+        )
