--- a/src/chervillead/entries/duties.py
+++ b/src/chervillead/entries/duties.py
@@ -12,6 +12,7 @@
 from chervillead.entries import seats
 from chervillead.entries import transfers
 from chervillead.entries import upstream_health
+from chervillead.platform import configuration as configuration_module
 from chervillead.platform import log_reader
 
 Post = abc.Callable[[str, messages.Message], object]
@@ -89,6 +90,19 @@
         """Seat of this process and whether it may act on it."""
         return self._duty
 
+    def register_here(
+        self, register: messages.Register
+    ) -> tuple[str, messages.Message] | None:
+        """Registers with this dispatcher if the log says that it serves."""
+        configuration = self._reader.configuration
+        if seats.duty_holder(
+            configuration, self._zone
+        ) != self._host or not configuration_module.zone_is_in(
+            configuration, self._zone
+        ):
+            return None
+        return self._host, self._dispatcher.register(self._host, register)
+
     def answer_claim(
         self, message: messages.Claim | messages.Lookup
     ) -> messages.ClaimState | messages.Refused:
