Show that each invariant check can fail

Eight checks are shown on runs of a product with a named fault put in: it accepts every claim, says "not run" of a lost call, passes on any answer, uses the whole limit in each zone, starts work in zones out, accepts withdrawn keys, takes work for another team, goes back to older keys. The four checks whose runs live elsewhere (budget, one-pool, leaving, graceful-stop) are shown on evidence with one violation.

The upstream stand-in's crossed answer had the right body under another id, so the check of answers could not have failed; it now holds another body. The fleet in memory submits for the team that the product found for the key.

--- a/tests/invariants.feature
+++ b/tests/invariants.feature
@@ -19,3 +19,32 @@
       | limit change                                             | 6     |
       | key withdrawn, zone cut                                  | 6     |
       | kill, zone cut, host cut, platform outage, lost append answers, broken upstream, zone out, key withdrawn, limit change | 12 |
+
+  Scenario Outline: A product that <fault> fails the check <check>
+    # Guards against a check that can't fail.
+    Given a fleet under load with the faults "<faults>"
+    When the product <fault> in runs with 3 seeds
+    Then the check "<check>" finds it
+
+    Examples:
+      | fault                             | check         | faults          |
+      | accepts every claim               | at-most-once  | kill            |
+      | says not run of a lost call       | true-refusal  | broken upstream |
+      | passes on any answer              | own-answer    | broken upstream |
+      | uses the whole limit in each zone | team-limit    | limit change    |
+      | starts work in zones out          | zone-out      | zone out        |
+      | accepts withdrawn keys            | withdrawn-key | key withdrawn   |
+      | takes work for another team       | key-team      | kill            |
+      | goes back to older keys           | config        | key withdrawn   |
+
+  Scenario Outline: The check <check> reports <violation>
+    # Guards against a check that can't fail, where a run can't show it.
+    Given evidence of <violation>
+    Then only the check "<check>" reports it
+
+    Examples:
+      | check         | violation                              |
+      | budget        | two reboots above a budget of one      |
+      | one-pool      | a start on a host of another pool      |
+      | leaving       | a start on a host that left 8 s before |
+      | graceful-stop | a connection that a planned stop broke |
--- /dev/null
+++ b/tests/stand_ins/deliberate_faults.py
@@ -0,0 +1,121 @@
+"""Faults put into the product on purpose, to show that each check can fail."""
+
+from collections import abc
+import contextlib
+import typing
+from unittest import mock
+
+from returns import result
+
+from chervillead import verdicts
+from chervillead.callers import credentials
+from chervillead.entries import claims
+from chervillead.entries import messages
+from chervillead.platform import configuration as configuration_module
+from chervillead.platform import team_units
+from chervillead.upstreams import connections
+from stand_ins import local_fleet
+
+
+def _accept_every_claim(
+    table: claims.ClaimTable, message: messages.Claim
+) -> messages.ClaimState:
+    return messages.ClaimState(
+        message.request_id, messages.CLAIM_ACCEPTED, message.owner
+    )
+
+
+def _call_lost_calls_not_run(
+    reason: str, status: int, detail: str
+) -> connections.CallOutcome:
+    return result.Failure(verdicts.not_run(reason, status, detail))
+
+
+def _pass_on_any_answer(
+    call: connections.Call, response: typing.Any
+) -> connections.CallOutcome:
+    return result.Success(response)
+
+
+def _use_whole_limit(
+    configuration: configuration_module.Configuration, team: str, zone: str
+) -> int:
+    return configuration.teams[team].limit if team else 0
+
+
+def _authorize_withdrawn(
+    configuration: configuration_module.Configuration, *arguments: typing.Any
+) -> result.Result[str, verdicts.Refusal]:
+    keys = {
+        name: key._replace(withdrawn=False)
+        for name, key in configuration.keys.items()
+    }
+    return _AUTHORIZE(configuration._replace(keys=keys), *arguments)
+
+
+def _authorize_for_first_team(
+    configuration: configuration_module.Configuration, *arguments: typing.Any
+) -> result.Result[str, verdicts.Refusal]:
+    first = next(iter(local_fleet.TEAM_KEYS))
+    return _AUTHORIZE(configuration, *arguments).map(lambda team: first)
+
+
+class _AlternatingKeys:
+    """Answers every other question from a state before the withdrawals."""
+
+    def __init__(self) -> None:
+        self._count = 0
+
+    def authorize(
+        self, *arguments: typing.Any
+    ) -> result.Result[str, verdicts.Refusal]:
+        self._count += 1
+        if self._count % 2:
+            return _authorize_withdrawn(*arguments)
+        return _AUTHORIZE(*arguments)
+
+
+_AUTHORIZE = credentials.authorize
+
+# What is replaced, and by what, for each fault.
+FAULTS: dict[str, tuple[typing.Any, str, typing.Any]] = {
+    "accepts every claim": (claims.ClaimTable, "claim", _accept_every_claim),
+    "says not run of a lost call": (
+        connections,
+        "_lost",
+        _call_lost_calls_not_run,
+    ),
+    "passes on any answer": (connections, "_check_echo", _pass_on_any_answer),
+    "uses the whole limit in each zone": (
+        team_units,
+        "zone_units",
+        _use_whole_limit,
+    ),
+    "starts work in zones out": (
+        configuration_module,
+        "zone_is_in",
+        lambda configuration, zone: True,
+    ),
+    "accepts withdrawn keys": (credentials, "authorize", _authorize_withdrawn),
+    "takes work for another team": (
+        credentials,
+        "authorize",
+        _authorize_for_first_team,
+    ),
+    "goes back to older keys": (
+        credentials,
+        "authorize",
+        _AlternatingKeys().authorize,
+    ),
+}
+
+
+@contextlib.contextmanager
+def applied(name: str) -> abc.Iterator[None]:
+    """Puts a fault into the product; an empty name puts none."""
+    if not name:
+        yield
+        return
+    owner, attribute, replacement = FAULTS[name]
+    with mock.patch.object(owner, attribute, replacement):
+        yield
--- a/tests/stand_ins/fault_run.py
+++ b/tests/stand_ins/fault_run.py
@@ -16,6 +16,7 @@
 from chervillead.callers import credentials
 from chervillead.callers import request_ids
 from chervillead.platform import records
+from stand_ins import deliberate_faults
 from stand_ins import invariants
 from stand_ins import local_fleet
 from stand_ins import memory_fleet
@@ -303,15 +304,21 @@
 
 
 def find_violations(
-    kinds: abc.Sequence[str], seed: int
+    kinds: abc.Sequence[str], seed: int, *, fault: str = ""
 ) -> dict[str, list[str]]:
     """Runs one seed on a virtual clock and returns what broke.
 
+    Args:
+        kinds: Faults of the surroundings, by the names in `FAULTS`.
+        seed: Seed of all random choices.
+        fault: Name of a fault to put into the product, if any.
+
     Raises:
         RuntimeError: Nothing ran, so the checks would hold for no reason.
     """
     run = FaultRun(PLAN, seed)
-    evidence = virtual_time.run_virtual(run_faults(run, kinds), seed)
+    with deliberate_faults.applied(fault):
+        evidence = virtual_time.run_virtual(run_faults(run, kinds), seed)
     if not any(s.answer is not None for s in evidence.submissions):
         raise RuntimeError(f"seed {seed}: no submission was answered")
     return invariants.violations(evidence)
--- a/tests/stand_ins/memory_fleet.py
+++ b/tests/stand_ins/memory_fleet.py
@@ -178,7 +178,7 @@
         request = types.Request(
             request_id or request_ids.new_request_id(clock.wall()),
             queue,
-            team,
+            authorized.unwrap(),
             body,
             "text/plain",
             types.Size(),
--- a/tests/stand_ins/upstream.py
+++ b/tests/stand_ins/upstream.py
@@ -264,6 +264,7 @@
         return None
     if state.failure == "crossed":
         echo = ((REQUEST_ID, "00000000-0000-7000-8000-000000000000"),)
+        answer = b"done:another request"
     return http_server.Reply(200, answer, echo)
 
 
