Ask the upstream before a lapsed grant of a silent entry host is freed

Cause: an entry host that is cut off from its peers only goes on renewing the leases of what it runs, but the dispatcher freed its grants after 3 s of silence. The dispatcher now frees a lapsed grant when its upstream says that the task is over, or the platform lists the host as down. Ruled out: ending the task from the entry host's side, which would lose work in every partition.

--- a/src/chervillead/assembly.py
+++ b/src/chervillead/assembly.py
@@ -37,6 +37,8 @@
 from chervillead.upstreams import leases
 from chervillead.upstreams import pool
 from chervillead.upstreams import retry_budget
+from chervillead.upstreams import slots
+from chervillead.upstreams import usage
 
 
 class Assembly(typing.NamedTuple):
@@ -145,6 +147,7 @@
                 parts.clock,
                 dial=parts.dial,
                 listen=parts.listen,
+                is_task_over=lambda slot: _is_task_over(parts, slot),
             )
         )
         tasks.create_task(
@@ -157,6 +160,15 @@
         )
 
 
+async def _is_task_over(parts: Assembly, slot: slots.HeldSlot) -> bool:
+    """Returns whether the task of a grant can't run any more."""
+    host = parts.reader.configuration.hosts.get(slot.upstream)
+    if host is None or slot.upstream in parts.host_list.hosts.down:
+        return True
+    upstream = types.Upstream(slot.upstream, host.zone, host.address)
+    return await usage.is_task_over(parts.pools, upstream, slot.request_id)
+
+
 def front_end_ports(
     parts: Assembly, is_stopping: abc.Callable[[], bool]
 ) -> application.FrontEndPorts:
--- a/src/chervillead/entries/dispatcher.py
+++ b/src/chervillead/entries/dispatcher.py
@@ -165,6 +165,7 @@
                         holding.team,
                         entry_host,
                         holding.size,
+                        holding.request_id,
                     )
                 )
         for register in holdings.waiting:
@@ -172,19 +173,26 @@
             if not isinstance(reply, messages.Waiting):
                 self._notify(entry_host, reply)
 
-    def expire_entry_host(self, entry_host: str) -> None:
-        """Frees the lapsed grants of an entry host that shows no sign of life.
+    def lapsed_grants(self, entry_host: str) -> list[slots_module.HeldSlot]:
+        """Returns what may be freed of an entry host without a sign of life.
 
-        The caller makes sure that the host has been silent for `LAPSE_S`; its
-        younger grants lapse at a later call.
+        The caller makes sure that the host has been silent for `LAPSE_S`, and
+        asks the upstreams before it frees a grant: the host may only be cut off
+        from this dispatcher, and still renew the leases of what it runs.
         """
         now_s = self._clock.monotonic()
         for entry in self._waiting.entries:
             if entry.entry_host == entry_host:
                 self._waiting.remove(entry.register.request_id)
-        for given in self._grants.of_entry_host(entry_host):
-            if now_s - given.given_s >= LAPSE_S:
-                self._free(given.slot.grant_id)
+        return [
+            given.slot
+            for given in self._grants.of_entry_host(entry_host)
+            if now_s - given.given_s >= LAPSE_S
+        ]
+
+    def free_lapsed(self, grant_id: str) -> None:
+        """Frees a lapsed grant whose task is over."""
+        self._free(grant_id)
 
     def grant_waiting(self) -> None:
         """Grants free slots to waiting requests, or sends them on.
--- a/src/chervillead/entries/host_tasks.py
+++ b/src/chervillead/entries/host_tasks.py
@@ -30,6 +30,7 @@
     *,
     dial: http_exchange.Dial = http_exchange.dial,
     listen: http_exchange.Listen = http_exchange.listen,
+    is_task_over: recovery.IsTaskOver,
 ) -> None:
     """Listens for peers, dials them, and keeps a seat, until cancelled."""
 
@@ -71,7 +72,7 @@
                     host.ask,
                 )
             )
-            _start_recovery(tasks, host, settings, reader)
+            _start_recovery(tasks, host, settings, reader, is_task_over)
     finally:
         host.streams.close()
 
@@ -81,6 +82,7 @@
     host: host_module.EntryHost,
     settings: settings_module.Settings,
     reader: log_reader.LogReader,
+    is_task_over: recovery.IsTaskOver,
 ) -> None:
     tasks.create_task(
         recovery.report_holdings(host.report_holdings, reader, host.streams)
@@ -93,6 +95,7 @@
             reader,
             host.streams,
             host.membership,
+            is_task_over,
         )
     )
 
--- a/src/chervillead/entries/recovery.py
+++ b/src/chervillead/entries/recovery.py
@@ -11,6 +11,10 @@
 from chervillead.entries import slot_recovery
 from chervillead.entries import streams as streams_module
 from chervillead.platform import log_reader
+from chervillead.upstreams import slots
+
+# Asks whether the task of a grant no longer runs; False if nobody knows.
+IsTaskOver = abc.Callable[[slots.HeldSlot], abc.Awaitable[bool]]
 
 CHECK_S = 0.25
 # A holder that lost its seat can grant until its last confirmation is over,
@@ -57,6 +61,7 @@
     reader: log_reader.LogReader,
     streams: streams_module.PeerStreams,
     membership: membership_module.Membership,
+    is_task_over: IsTaskOver,
 ) -> None:
     """Frees what lost entry hosts held and marks their claims as lost."""
     started_s = asyncio.get_running_loop().time()
@@ -78,11 +83,22 @@
         holders = {s.entry_host for s in dispatcher.slots.held.values()}
         for peer in holders - {host}:
             if silent_s(peer) > dispatcher_module.LAPSE_S:
-                dispatcher.expire_entry_host(peer)
+                await _free_lapsed(peer, dispatcher, is_task_over)
         claims.lose_owners(is_dead)
         await asyncio.sleep(CHECK_S)
 
 
+async def _free_lapsed(
+    peer: str, dispatcher: dispatcher_module.Dispatcher, is_over: IsTaskOver
+) -> None:
+    """Frees the grants of a silent entry host whose tasks are over."""
+    lapsed = dispatcher.lapsed_grants(peer)
+    answers = await asyncio.gather(*(is_over(slot) for slot in lapsed))
+    for slot, over in zip(lapsed, answers, strict=True):
+        if over:
+            dispatcher.free_lapsed(slot.grant_id)
+
+
 def _drop_waiting_of_lost(
     host: str,
     dispatcher: dispatcher_module.Dispatcher,
--- a/src/chervillead/entries/slot_recovery.py
+++ b/src/chervillead/entries/slot_recovery.py
@@ -7,14 +7,16 @@
 def held_by_host(
     table: slots.SlotTable,
 ) -> dict[str, list[messages.Holding]]:
-    """Returns the grants in use, by entry host, for a hand-over.
-
-    The table doesn't keep request ids, and a successor needs none.
-    """
+    """Returns the grants in use, by entry host, for a hand-over."""
     held: dict[str, list[messages.Holding]] = {}
     for slot in table.held.values():
         holding = messages.Holding(
-            slot.grant_id, "", slot.upstream, slot.queue, slot.team, slot.size
+            slot.grant_id,
+            slot.request_id,
+            slot.upstream,
+            slot.queue,
+            slot.team,
+            slot.size,
         )
         held.setdefault(slot.entry_host, []).append(holding)
     return held
--- a/src/chervillead/entries/zone_ledger.py
+++ b/src/chervillead/entries/zone_ledger.py
@@ -130,6 +130,7 @@
             message.team,
             entry_host,
             message.size,
+            message.request_id.rpartition("/")[0] or message.request_id,
         )
         self.hold(slot, granted)
         return granted
--- a/src/chervillead/upstreams/slots.py
+++ b/src/chervillead/upstreams/slots.py
@@ -15,6 +15,7 @@
     team: str
     entry_host: str
     size: types.Size
+    request_id: str = ""
 
 
 class SlotTable:
--- a/src/chervillead/upstreams/usage.py
+++ b/src/chervillead/upstreams/usage.py
@@ -35,6 +35,22 @@
     return Usage(reply["running"])
 
 
+async def is_task_over(
+    pools: pool.UpstreamPools, upstream: types.Upstream, request_id: str
+) -> bool:
+    """Returns whether `upstream` says that it doesn't run a task any more.
+
+    No answer counts as running.
+    """
+    outcome = await pools.pool(upstream).control.call(
+        http_exchange.HttpRequest("GET", f"/tasks/{request_id}"),
+        pool.CONTROL_TIMEOUT_S,
+        request_id=request_id,
+    )
+    response = outcome.value_or(None)
+    return response is not None and response.status in (200, 404, 410)
+
+
 async def checkpoint_all(
     pools: pool.UpstreamPools, upstream: types.Upstream
 ) -> bool:
--- a/tests/steps/entries_dispatcher.py
+++ b/tests/steps/entries_dispatcher.py
@@ -155,7 +155,8 @@
 )
 def step(context, time_s):
     context.now_s += time_s
-    context.dispatcher.expire_entry_host(HOST)
+    for slot in context.dispatcher.lapsed_grants(HOST):
+        context.dispatcher.free_lapsed(slot.grant_id)
 
 
 @behave.when("{time_s:f} s pass at the dispatcher of z0")
