Count what the upstreams run and what a lowered limit still lets run

Cause, found by a trial with long tasks and entry hosts cut off from their peers only: a successor took over a zone without knowing what the cut-off host ran, and granted its units again. And after a limit was lowered, a zone below its part granted new work while other zones still ran more than theirs.

A new holder of a duty seat asks the upstreams of its zone what they run (GET /tasks) before it grants. A dispatcher names the teams that run more than their units in its heartbeat, and the others withhold grants to them.

Ruled out: stopping the tasks of a cut-off entry host, which loses work in every partition; counting running tasks of all teams in heartbeats, which grows with teams times zones.

--- a/src/chervillead/assembly.py
+++ b/src/chervillead/assembly.py
@@ -148,6 +148,7 @@
                 dial=parts.dial,
                 listen=parts.listen,
                 is_task_over=lambda slot: _is_task_over(parts, slot),
+                read_tasks=lambda name: _read_tasks(parts, name),
             )
         )
         tasks.create_task(
@@ -169,6 +170,17 @@
     return await usage.is_task_over(parts.pools, upstream, slot.request_id)
 
 
+async def _read_tasks(
+    parts: Assembly, name: str
+) -> abc.Sequence[usage.ReportedTask] | None:
+    """Returns what the upstream `name` runs; None without an answer."""
+    host = parts.reader.configuration.hosts.get(name)
+    if host is None:
+        return ()
+    upstream = types.Upstream(name, host.zone, host.address)
+    return await usage.read_tasks(parts.pools, upstream)
+
+
 def front_end_ports(
     parts: Assembly, is_stopping: abc.Callable[[], bool]
 ) -> application.FrontEndPorts:
--- a/src/chervillead/entries/dispatcher.py
+++ b/src/chervillead/entries/dispatcher.py
@@ -41,6 +41,7 @@
         usable_slots: capacity.UsableSlots = lambda name, host: host.slots,
         note_release: NoteRelease = lambda slot, message: None,
         deducted_units: abc.Callable[[str], int] = lambda team: 0,
+        is_over_elsewhere: abc.Callable[[str], bool] = lambda team: False,
     ) -> None:
         """Makes an empty dispatcher.
 
@@ -54,6 +55,8 @@
             usable_slots: Returns the slots of an upstream that may be used.
             note_release: Is told of each release.
             deducted_units: Returns a team's units that are being given away.
+            is_over_elsewhere: Whether a team runs more than its units in
+                another zone, so that a grant here could exceed a lowered limit.
         """
         self._zone = zone
         self._clock = clock
@@ -67,6 +70,7 @@
             clock=clock,
             usable_slots=usable_slots,
             deducted_units=deducted_units,
+            is_over_elsewhere=is_over_elsewhere,
         )
         self._capacity, self._grants = (
             self._ledger.capacity,
@@ -173,6 +177,12 @@
             if not isinstance(reply, messages.Waiting):
                 self._notify(entry_host, reply)
 
+    def adopt(self, slot: slots_module.HeldSlot) -> None:
+        """Counts a task as running that nobody has reported yet."""
+        self._ledger.current()
+        if slot.grant_id not in self._grants:
+            self._ledger.hold(slot)
+
     def lapsed_grants(self, entry_host: str) -> list[slots_module.HeldSlot]:
         """Returns what may be freed of an entry host without a sign of life.
 
@@ -222,6 +232,10 @@
         """Returns the waiting requests that lack a unit, by team."""
         return unit_needs.short_units(self._ledger, self._waiting)
 
+    def over_units(self) -> list[str]:
+        """Returns the teams that run more than their units here."""
+        return unit_needs.over_units(self._ledger)
+
     def team_needs(self) -> dict[str, escrow.TeamNeed]:
         """Returns what the zone has and needs of each team's limit."""
         return unit_needs.team_needs(self._ledger, self._waiting)
--- a/src/chervillead/entries/duties.py
+++ b/src/chervillead/entries/duties.py
@@ -31,6 +31,7 @@
         clock: types.Clock,
         post: Post,
         health: upstream_health.HealthPorts,
+        is_over_elsewhere: abc.Callable[[str], bool],
     ) -> None:
         """Makes duties that start once this process holds a duty seat.
 
@@ -42,6 +43,8 @@
             clock: Source of time.
             post: Sends a message to an entry host, this one included.
             health: Functions on the health of the zone's upstreams.
+            is_over_elsewhere: Whether a team runs more than its units in
+                another zone.
         """
         self._host = host
         self._zone = zone
@@ -49,6 +52,7 @@
         self._clock = clock
         self._post = post
         self._successor: str | None = None
+        self._adopted: int | None = None
         self._duty = duty_module.DutyState(
             zone=zone, reader=reader, peers=peers, clock=clock
         )
@@ -64,10 +68,11 @@
             configuration=lambda: reader.configuration,
             clock=clock,
             notify=post,
-            may_grant=self._duty.may_act,
+            may_grant=self.may_grant,
             usable_slots=health.usable_slots,
             note_release=health.note_release,
             deducted_units=self._escrow.deducted,
+            is_over_elsewhere=is_over_elsewhere,
         )
 
     @property
@@ -103,6 +108,27 @@
             return None
         return self._host, self._dispatcher.register(self._host, register)
 
+    def may_grant(self) -> bool:
+        """Returns whether the dispatcher may grant right now.
+
+        A new holder first counts what the upstreams of its zone run: an entry
+        host that is cut off from it can't report what it holds.
+        """
+        return (
+            self._duty.may_act()
+            and self._adopted == self._duty.active_incarnation
+        )
+
+    def note_adopted(self, incarnation: int) -> None:
+        """Notes that an incarnation has counted what the upstreams run."""
+        self._adopted = incarnation
+        self._dispatcher.grant_waiting()
+
+    @property
+    def adopted(self) -> int | None:
+        """Incarnation that has counted what the upstreams run."""
+        return self._adopted
+
     def answer_claim(
         self, message: messages.Claim | messages.Lookup
     ) -> messages.ClaimState | messages.Refused:
--- a/src/chervillead/entries/host.py
+++ b/src/chervillead/entries/host.py
@@ -85,6 +85,7 @@
             clock=clock,
             post=self.post,
             health=self._health,
+            is_over_elsewhere=self._membership.is_over_units,
         )
 
     @property
@@ -128,7 +129,7 @@
         """Returns what this host tells the others of itself."""
         unconfirmed_s = self._reader.unconfirmed_s
         age_ms = -1 if unconfirmed_s == float("inf") else unconfirmed_s * 1000
-        may_grant = self._duties.state.may_act()
+        may_grant = self._duties.may_grant()
         return messages.Heartbeat(
             self._reader.configuration.offset,
             int(age_ms),
@@ -136,6 +137,7 @@
             self.dispatcher.free_slots() if may_grant else {},
             self.dispatcher.short_units() if may_grant else {},
             self._health.ejected() if may_grant else {},
+            self.dispatcher.over_units() if may_grant else [],
             queue_loads.queue_loads(self.dispatcher) if may_grant else {},
         )
 
@@ -274,7 +276,7 @@
                 self._membership.heartbeat_of,
                 lambda host: host in self._membership.live,
             ),
-            may_grant=self._duties.state.may_act,
+            may_grant=self._duties.may_grant,
         )
 
     def _dispatchers(
--- a/src/chervillead/entries/host_tasks.py
+++ b/src/chervillead/entries/host_tasks.py
@@ -5,6 +5,7 @@
 from chervillead import http_exchange
 from chervillead import settings as settings_module
 from chervillead import types
+from chervillead.entries import adoption
 from chervillead.entries import duty
 from chervillead.entries import host as host_module
 from chervillead.entries import membership
@@ -31,6 +32,7 @@
     dial: http_exchange.Dial = http_exchange.dial,
     listen: http_exchange.Listen = http_exchange.listen,
     is_task_over: recovery.IsTaskOver,
+    read_tasks: adoption.ReadTasks,
 ) -> None:
     """Listens for peers, dials them, and keeps a seat, until cancelled."""
 
@@ -73,6 +75,11 @@
                 )
             )
             _start_recovery(tasks, host, settings, reader, is_task_over)
+            tasks.create_task(
+                adoption.adopt_running(
+                    host.duties, reader, settings.zone, read_tasks
+                )
+            )
     finally:
         host.streams.close()
 
--- a/src/chervillead/entries/membership.py
+++ b/src/chervillead/entries/membership.py
@@ -21,6 +21,7 @@
         self._clock = clock
         self._heartbeats: dict[str, messages.Heartbeat] = {}
         self._heard_s: dict[str, float] = {}
+        self._over: set[str] = set()
 
     @property
     def live(self) -> frozenset[str]:
@@ -60,6 +61,14 @@
             if host in live
         )
 
+    def is_over_units(self, team: str) -> bool:
+        """Returns whether a live peer runs more of a team than its units."""
+        return any(
+            team in self._heartbeats[host].over_units
+            and self.silent_s(host) <= SUSPECT_S
+            for host in self._over
+        )
+
     def offset_of(self, host: str) -> int:
         """Returns the offset that a peer last reported; -1 if none."""
         heartbeat = self._heartbeats.get(host)
@@ -73,6 +82,11 @@
     def take(self, host: str, heartbeat: messages.Heartbeat) -> None:
         """Notes a heartbeat."""
         self._heartbeats[host] = heartbeat
+        # Nearly always empty, so that grants need not look at every peer.
+        if heartbeat.over_units:
+            self._over.add(host)
+        else:
+            self._over.discard(host)
         self._heard_s[host] = self._clock.monotonic()
 
 
--- a/src/chervillead/entries/messages.py
+++ b/src/chervillead/entries/messages.py
@@ -43,6 +43,8 @@
         short_units: Waiting requests that lack a unit of their team's limit, by
             team, if the sender is a dispatcher.
         ejected: Ejected upstreams by pool, if the sender is a dispatcher.
+        over_units: Teams that run more than their units after their limit was
+            lowered, if the sender is a dispatcher.
         queue_loads: Load by queue; queues without any have no entry.
     """
 
@@ -52,6 +54,7 @@
     free_slots: dict[str, int]
     short_units: dict[str, int]
     ejected: dict[str, int] = {}
+    over_units: list[str] = []
     queue_loads: dict[str, QueueLoad] = {}
 
 
--- a/src/chervillead/entries/unit_needs.py
+++ b/src/chervillead/entries/unit_needs.py
@@ -25,6 +25,12 @@
     return dict(short)
 
 
+def over_units(ledger: zone_ledger.ZoneLedger) -> list[str]:
+    """Returns the teams that run more than their units of a lowered limit."""
+    teams = ledger.current().teams
+    return [team for team in teams if ledger.units_left(team) < 0]
+
+
 def team_needs(
     ledger: zone_ledger.ZoneLedger, waiting: waiting_list.WaitingList
 ) -> dict[str, escrow.TeamNeed]:
--- a/src/chervillead/entries/zone_ledger.py
+++ b/src/chervillead/entries/zone_ledger.py
@@ -29,12 +29,14 @@
         clock: types.Clock,
         usable_slots: capacity_module.UsableSlots,
         deducted_units: abc.Callable[[str], int],
+        is_over_elsewhere: abc.Callable[[str], bool],
     ) -> None:
         self._zone = zone
         self._configuration = configuration
         self._clock = clock
         self._usable_slots = usable_slots
         self._deducted_units = deducted_units
+        self._is_over_elsewhere = is_over_elsewhere
         self._seen = configuration_module.EMPTY
         # Units by team under the configuration that was seen last.
         self._units: dict[str, int] = {}
@@ -110,7 +112,10 @@
         self, entry_host: str, pool: str, message: messages.Register
     ) -> messages.Granted | None:
         """Grants a slot if there is one and the team has a unit for it."""
-        if message.team and self.units_left(message.team) <= 0:
+        team = message.team
+        if team and (
+            self.units_left(team) <= 0 or self._is_over_elsewhere(team)
+        ):
             return None
         found = self._capacity.pick(pool, message.size)
         if found is None:
--- a/src/chervillead/upstreams/usage.py
+++ b/src/chervillead/upstreams/usage.py
@@ -16,6 +16,22 @@
     running: int
 
 
+class ReportedTask(typing.NamedTuple):
+    """A task that runs on an upstream, as the upstream knows it."""
+
+    request_id: str
+    grant_id: str
+    team: str
+    queue: str
+
+
+class _TaskMap(typing.TypedDict):
+    request_id: str
+    grant_id: str
+    team: str
+    queue: str
+
+
 class _UsageReply(typing.TypedDict):
     running: int
 
@@ -35,6 +51,21 @@
     return Usage(reply["running"])
 
 
+async def read_tasks(
+    pools: pool.UpstreamPools, upstream: types.Upstream
+) -> list[ReportedTask] | None:
+    """Returns the tasks that run on `upstream`; None without an answer."""
+    outcome = await _call(pools, upstream, "GET", "/tasks")
+    response = outcome.value_or(None)
+    if response is None or response.status != 200:
+        return None
+    try:
+        tasks = msgspec.json.decode(response.body, type=list[_TaskMap])
+    except msgspec.DecodeError:
+        return None
+    return [ReportedTask(**task) for task in tasks]
+
+
 async def is_task_over(
     pools: pool.UpstreamPools, upstream: types.Upstream, request_id: str
 ) -> bool:
--- a/tests/invariants.feature
+++ b/tests/invariants.feature
@@ -14,6 +14,7 @@
       | zone cut                                                 | 6     |
       | host cut                                                 | 6     |
       | platform outage, lost append answers, kill               | 6     |
+      | peers cut, limit change                                  | 6     |
       | broken upstream                                          | 6     |
       | zone out                                                 | 6     |
       | limit change                                             | 6     |
