--- a/src/chervillead/entries/host_tasks.py
+++ b/src/chervillead/entries/host_tasks.py
@@ -5,6 +5,7 @@
 from chervillead import http_exchange
 from chervillead import settings as settings_module
 from chervillead import types
+from chervillead.entries import adoption
 from chervillead.entries import duty
 from chervillead.entries import host as host_module
 from chervillead.entries import membership
@@ -30,6 +31,8 @@
     *,
     dial: http_exchange.Dial = http_exchange.dial,
     listen: http_exchange.Listen = http_exchange.listen,
+    is_task_over: recovery.IsTaskOver,
+    read_tasks: adoption.ReadTasks,
 ) -> None:
     """Listens for peers, dials them, and keeps a seat, until cancelled."""
 
@@ -71,7 +74,12 @@
                     host.ask,
                 )
             )
-            _start_recovery(tasks, host, settings, reader)
+            _start_recovery(tasks, host, settings, reader, is_task_over)
+            tasks.create_task(
+                adoption.adopt_running(
+                    host.duties, reader, settings.zone, read_tasks
+                )
+            )
     finally:
         host.streams.close()
 
@@ -81,6 +89,7 @@
     host: host_module.EntryHost,
     settings: settings_module.Settings,
     reader: log_reader.LogReader,
+    is_task_over: recovery.IsTaskOver,
 ) -> None:
     tasks.create_task(
         recovery.report_holdings(host.report_holdings, reader, host.streams)
@@ -93,6 +102,7 @@
             reader,
             host.streams,
             host.membership,
+            is_task_over,
         )
     )
 
--- a/src/chervillead/upstreams/usage.py
+++ b/src/chervillead/upstreams/usage.py
@@ -16,6 +16,22 @@
     running: int
 
 
+class ReportedTask(typing.NamedTuple):
+    """A task that runs on an upstream, as the upstream knows it."""
+
+    request_id: str
+    grant_id: str
+    team: str
+    queue: str
+
+
+class _TaskMap(typing.TypedDict):
+    request_id: str
+    grant_id: str
+    team: str
+    queue: str
+
+
 class _UsageReply(typing.TypedDict):
     running: int
 
@@ -35,6 +51,37 @@
     return Usage(reply["running"])
 
 
+async def read_tasks(
+    pools: pool.UpstreamPools, upstream: types.Upstream
+) -> list[ReportedTask] | None:
+    """Returns the tasks that run on `upstream`; None without an answer."""
+    outcome = await _call(pools, upstream, "GET", "/tasks")
+    response = outcome.value_or(None)
+    if response is None or response.status != 200:
+        return None
+    try:
+        tasks = msgspec.json.decode(response.body, type=list[_TaskMap])
+    except msgspec.DecodeError:
+        return None
+    return [ReportedTask(**task) for task in tasks]
+
+
+async def is_task_over(
+    pools: pool.UpstreamPools, upstream: types.Upstream, request_id: str
+) -> bool:
+    """Returns whether `upstream` says that it doesn't run a task any more.
+
+    No answer counts as running.
+    """
+    outcome = await pools.pool(upstream).control.call(
+        http_exchange.HttpRequest("GET", f"/tasks/{request_id}"),
+        pool.CONTROL_TIMEOUT_S,
+        request_id=request_id,
+    )
+    response = outcome.value_or(None)
+    return response is not None and response.status in (200, 404, 410)
+
+
 async def checkpoint_all(
     pools: pool.UpstreamPools, upstream: types.Upstream
 ) -> bool:
