--- a/src/chervillead/assembly.py
+++ b/src/chervillead/assembly.py
@@ -14,6 +14,7 @@
 
 from chervillead import http_exchange
 from chervillead import maintenance_wiring
+from chervillead import recovery_wiring
 from chervillead import settings as settings_module
 from chervillead import types
 from chervillead import verdicts
@@ -37,8 +38,6 @@
 from chervillead.upstreams import leases
 from chervillead.upstreams import pool
 from chervillead.upstreams import retry_budget
-from chervillead.upstreams import slots
-from chervillead.upstreams import usage
 
 
 class Assembly(typing.NamedTuple):
@@ -113,6 +112,11 @@
 
 async def run_background(parts: Assembly) -> None:
     """Runs all tasks but the front end until cancelled."""
+    asked = recovery_wiring.recovery_ports(
+        lambda: parts.reader.configuration,
+        lambda: parts.host_list.hosts,
+        parts.pools,
+    )
     async with asyncio.TaskGroup() as tasks:
         tasks.create_task(log_reader.follow_log(parts.reader, parts.platform))
         tasks.create_task(
@@ -147,8 +151,8 @@
                 parts.clock,
                 dial=parts.dial,
                 listen=parts.listen,
-                is_task_over=lambda slot: _is_task_over(parts, slot),
-                read_tasks=lambda name: _read_tasks(parts, name),
+                is_task_over=asked.is_task_over,
+                read_tasks=asked.read_tasks,
             )
         )
         tasks.create_task(
@@ -161,26 +165,6 @@
         )
 
 
-async def _is_task_over(parts: Assembly, slot: slots.HeldSlot) -> bool:
-    """Returns whether the task of a grant can't run any more."""
-    host = parts.reader.configuration.hosts.get(slot.upstream)
-    if host is None or slot.upstream in parts.host_list.hosts.down:
-        return True
-    upstream = types.Upstream(slot.upstream, host.zone, host.address)
-    return await usage.is_task_over(parts.pools, upstream, slot.request_id)
-
-
-async def _read_tasks(
-    parts: Assembly, name: str
-) -> abc.Sequence[usage.ReportedTask] | None:
-    """Returns what the upstream `name` runs; None without an answer."""
-    host = parts.reader.configuration.hosts.get(name)
-    if host is None:
-        return ()
-    upstream = types.Upstream(name, host.zone, host.address)
-    return await usage.read_tasks(parts.pools, upstream)
-
-
 def front_end_ports(
     parts: Assembly, is_stopping: abc.Callable[[], bool]
 ) -> application.FrontEndPorts:
--- a/src/chervillead/maintenance_wiring.py
+++ b/src/chervillead/maintenance_wiring.py
@@ -6,6 +6,7 @@
 from chervillead.entries import host as host_module
 from chervillead.entries import membership
 from chervillead.platform import buffer_task
+from chervillead.platform import configuration as configuration_module
 from chervillead.platform import host_list
 from chervillead.platform import log_client
 from chervillead.platform import log_reader
@@ -35,10 +36,7 @@
     """
 
     def upstream_of(name: str) -> types.Upstream | None:
-        entry = reader.configuration.hosts.get(name)
-        if entry is None:
-            return None
-        return types.Upstream(name, entry.zone, entry.address)
+        return configuration_module.upstream_of(reader.configuration, name)
 
     async def running(name: str) -> int | None:
         upstream = upstream_of(name)
--- a/src/chervillead/platform/configuration.py
+++ b/src/chervillead/platform/configuration.py
@@ -238,3 +238,13 @@
         return False
     move = configuration.moves.get(name)
     return move is None or move.state is MoveState.JOINED
+
+
+def upstream_of(
+    configuration: Configuration, name: str
+) -> types.Upstream | None:
+    """Returns where the host `name` is called; None if it isn't known."""
+    host = configuration.hosts.get(name)
+    if host is None:
+        return None
+    return types.Upstream(name, host.zone, host.address)
