Show the checks of maintenance and pools able to fail by product faults

Cause: budget, leaving and one-pool were shown on made evidence only. A product that counts nothing against a budget, one that gives work to leaving hosts and one that picks hosts of any pool now make them red in real runs. graceful-stop stays shown on evidence: its runs are real processes, which can't be patched.

--- a/tests/invariants.feature
+++ b/tests/invariants.feature
@@ -37,6 +37,7 @@
       | accepts withdrawn keys            | withdrawn-key | key withdrawn   |
       | takes work for another team       | key-team      | kill            |
       | goes back to older keys           | config        | key withdrawn   |
+      | picks hosts of any pool           | one-pool      | kill            |
 
   Scenario Outline: The check <check> reports <violation>
     # Guards against a check that can't fail, where a run can't show it.
--- a/tests/platform/maintenance.feature
+++ b/tests/platform/maintenance.feature
@@ -21,6 +21,16 @@
       | operators who race                                          | 1     | -     |
       | kills of entry hosts,outages of the platform,zones taken out,racks that die,operators who race,lost append answers | 1,2 | - |
 
+  Scenario Outline: A product that <fault> fails the check <check>
+    # Guards against a check of roll-outs that can't fail.
+    When a roll-out runs on a product that <fault>
+    Then the roll-out fails the check "<check>"
+
+    Examples:
+      | fault                           | check   |
+      | counts nothing against a budget | budget  |
+      | gives work to leaving hosts     | leaving |
+
   Scenario Outline: A wave in which hosts <go wrong>
     # Guards against a roll-out that goes on after it broke hosts.
     When a roll-out runs whose first two hosts <go wrong>
--- a/tests/steps/platform_maintenance.py
+++ b/tests/steps/platform_maintenance.py
@@ -10,10 +10,12 @@
 from chervillead.platform import host_watch
 from chervillead.platform import records
 from chervillead.platform import rollouts
+from stand_ins import deliberate_faults
 from stand_ins import maintenance_run
 from stand_ins import virtual_time
 
 ROLLOUT_S = 200.0
+FAULTY_ROLLOUT_S = 60.0
 
 
 @behave.when("a roll-out runs with load and {faults} on seeds {seeds}")
@@ -25,6 +27,20 @@
     ]
 
 
+@behave.when("a roll-out runs on a product that {fault}")
+def step(context, fault):
+    with deliberate_faults.applied(fault):
+        context.runs = [
+            maintenance_run.start_run(1, [], duration_s=FAULTY_ROLLOUT_S)
+        ]
+
+
+@behave.then('the roll-out fails the check "{name}"')
+def step(context, name):
+    found = context.runs[0][1]
+    assert name in found, f"found by {sorted(found)} only"
+
+
 @behave.then("the stand-ins' records show no violation")
 def step(context):
     for run, found in context.runs:
