--- a/src/chervillead/callers/submission.py
+++ b/src/chervillead/callers/submission.py
@@ -142,20 +142,24 @@
     outcome: RequestOutcome = result.Failure(
         verdicts.not_run("deadline-exceeded", 504, "the deadline had passed")
     )
+    may_have_run = False
     async for attempt in _attempts(request, ports, progress):
         outcome = attempt
+        if _verdict_of(attempt) is verdicts.Verdict.MAY_HAVE_RUN:
+            may_have_run = True
         if not _may_repeat(request, attempt, ports):
             break
-    if (
-        progress.is_cancelled()
-        and _verdict_of(outcome) is verdicts.Verdict.NOT_RUN
-    ):
-        return result.Failure(
-            verdicts.not_run(
-                stopping.CANCELLED, 410, "cancelled before it started"
-            )
+    if _verdict_of(outcome) is not verdicts.Verdict.NOT_RUN:
+        return outcome
+    refusal = outcome.failure()
+    if progress.is_cancelled():
+        refusal = verdicts.not_run(
+            stopping.CANCELLED, 410, "cancelled before it started"
         )
-    return outcome
+    if may_have_run:
+        # Only the last attempt certainly did not run.
+        refusal = refusal._replace(verdict=verdicts.Verdict.MAY_HAVE_RUN)
+    return result.Failure(refusal)
 
 
 async def _attempts(
--- a/tests/callers/submission.feature
+++ b/tests/callers/submission.feature
@@ -39,6 +39,11 @@
       | idempotent     | 2    | ran          |
       | non-idempotent | 1    | may-have-run |
 
+  Scenario: A repeat that finds no slot says what the first attempt left open
+    # Guards against "not run" said of a submission whose first attempt ran.
+    When an idempotent request is lost once and then finds no slot
+    Then its refusal "no-dispatcher" says "may-have-run"
+
   Scenario: A report of an earlier submission leaves a later claim alone
     # Guards against a repeated or late report that frees or ends a claim, after
     # which the request could run twice.
--- a/tests/stand_ins/invariants.py
+++ b/tests/stand_ins/invariants.py
@@ -132,9 +132,10 @@
     resubmitted = _last_submissions(evidence)
     for submission in evidence.submissions:
         refusal = submission.refusal
-        if submission.idempotent or refusal is None:
+        if refusal is None or refusal.verdict is not verdicts.Verdict.NOT_RUN:
             continue
-        if refusal.verdict is not verdicts.Verdict.NOT_RUN:
+        if submission.idempotent:
+            yield from _false_refusals_of_repeats(evidence, submission)
             continue
         start_s = starts.get(submission.request_id, float("inf"))
         is_last = resubmitted[submission.request_id] is submission
@@ -147,6 +148,24 @@
             )
 
 
+def _false_refusals_of_repeats(
+    evidence: Evidence, submission: Submission
+) -> abc.Iterator[str]:
+    """Yields starts during an idempotent submission that says "not run".
+
+    Its verdict describes this submission only, so starts at other times don't
+    count.
+    """
+    for execution in evidence.executions:
+        if execution.request_id == submission.request_id and (
+            submission.submitted_s <= execution.started_s <= submission.ended_s
+        ):
+            yield (
+                f"idempotent {submission.request_id} was refused as not run "
+                f"and started at {execution.started_s:.3f}"
+            )
+
+
 def check_own_answer(evidence: Evidence) -> abc.Iterator[str]:
     """Yields answers that aren't the whole answer to their request."""
     for submission in evidence.submissions:
--- a/tests/steps/callers_submission.py
+++ b/tests/steps/callers_submission.py
@@ -5,10 +5,12 @@
 
 import behave
 from returns import pipeline
+from returns import result
 
 from chervillead import types
 from chervillead import verdicts
 from chervillead.callers import request_ids
+from chervillead.callers import submission
 from chervillead.entries import claims
 from chervillead.entries import messages
 from stand_ins import local_fleet
@@ -230,3 +232,45 @@
 def step(context):
     state = context.claims.lookup(messages.Lookup("id"))
     assert (state.state, state.attempt) == (messages.CLAIM_RUNNING, 2), state
+
+
+@behave.when("an idempotent request is lost once and then finds no slot")
+def step(context):
+    async def main():
+        clock = virtual_time.clock()
+        request = types.Request(
+            *("id", "queue", "team", b"", "text/plain", types.Size()),
+            clock.monotonic() + 10.0,
+            idempotent=True,
+        )
+        upstream = types.Upstream("u", "a", types.Address("127.0.0.1", 1))
+        grant = types.Grant("g", "id", "e", upstream, 1.0, 2.0)
+        no_slot = verdicts.not_run("no-dispatcher", 503, retry_after_s=1.0)
+        grants = iter((result.Success(grant), result.Failure(no_slot)))
+        lost = verdicts.may_have_run("upstream-connection-lost", 502)
+
+        async def acquire(request):
+            return next(grants)
+
+        async def send(request, grant):
+            return result.Failure(lost)
+
+        unused = dict.fromkeys(submission.SubmissionPorts._fields)
+        ports = submission.SubmissionPorts(**unused)._replace(
+            acquire=acquire,
+            send=send,
+            release=lambda *arguments: None,
+            withdraw=lambda request_id: None,
+            may_retry=lambda: True,
+            log=lambda *arguments, **fields: None,
+            clock=clock,
+        )
+        return await submission.submit(request, ports, claimed=False)
+
+    context.outcome = virtual_time.run_virtual(main(), context.seed)
+
+
+@behave.then('its refusal "{reason}" says "{verdict}"')
+def step(context, reason, verdict):
+    refusal = context.outcome.failure()
+    assert (refusal.reason, refusal.verdict.value) == (reason, verdict), refusal
