Show the check of planned stops able to fail with a real process

Cause: graceful-stop was the last check shown on made evidence only. A fleet of entry hosts that end at once on SIGTERM makes it red under load; the fault is in a start module of the tests, not in the product. Ruled out: SIGKILL in its place, which says nothing about the handling of SIGTERM.

--- a/tests/callers/signals.feature
+++ b/tests/callers/signals.feature
@@ -10,3 +10,9 @@
     Then no invariant is violated
     And each caller that lost its host learnt the truth from another one
     And the stopped host served kept connections after SIGTERM and exited with 0
+
+  Scenario: A product that ends at once on SIGTERM fails the check graceful-stop
+    # Guards against a check that can't fail.
+    Given two teams that load a fleet of 4 abrupt entry hosts
+    When the dispatcher of zone c gets SIGTERM in the middle of the load
+    Then the check "graceful-stop" finds requests that were cut
--- a/tests/stand_ins/local_fleet.py
+++ b/tests/stand_ins/local_fleet.py
@@ -57,6 +57,7 @@
         upstreams_per_queue: Upstreams of each service.
         slots: Slots of each upstream.
         stop_delay_s: The entry hosts' delay for the balancer's lag.
+        entry_module: Module that runs an entry host.
         zones: Zones in use; an entry host alone needs a plan with one.
     """
 
@@ -66,6 +67,7 @@
     slots: int = 8
     stop_delay_s: float = 0.3
     zones: tuple[str, ...] = ZONES
+    entry_module: str = "chervillead"
 
     @property
     def platform(self) -> types.Address:
@@ -155,7 +157,9 @@
     name = fleet.plan.entry_name(index)
     path = fleet.folder / f"{name}.yaml"
     path.write_text(yaml.safe_dump(entry_settings(fleet.plan, index)))
-    start_process(fleet, name, "chervillead", "entry", "--settings", str(path))
+    start_process(
+        fleet, name, fleet.plan.entry_module, "entry", "--settings", str(path)
+    )
 
 
 def start_fleet(
--- a/tests/steps/callers_signals.py
+++ b/tests/steps/callers_signals.py
@@ -56,8 +56,21 @@
     "two teams that load a fleet of {count:d} entry hosts on kept connections"
 )
 def step(context, count):
+    start_fleet(context, count, "chervillead")
+
+
+@behave.given("two teams that load a fleet of {count:d} abrupt entry hosts")
+def step(context, count):
+    start_fleet(context, count, "stand_ins.abrupt_entry")
+
+
+def start_fleet(context, count, entry_module):
+    """Starts a fleet that ends with the scenario."""
     plan = local_fleet.FleetPlan(
-        entry_hosts=count, upstreams_per_queue=4, stop_delay_s=5.0
+        entry_hosts=count,
+        upstreams_per_queue=4,
+        stop_delay_s=5.0,
+        entry_module=entry_module,
     )
     folder = pathlib.Path(tempfile.mkdtemp(prefix="callers-signals-"))
     context.add_cleanup(shutil.rmtree, folder)
@@ -86,6 +99,35 @@
     asyncio.run(main())
 
 
+@behave.when(
+    "the dispatcher of zone {zone} gets SIGTERM in the middle of the load"
+)
+def step(context, zone):
+    async def main():
+        fleet = context.fleet
+        await local_fleet.wait_until_ready(fleet)
+        load = process_load.ProcessLoad(fleet.plan)
+        load.start(CALLERS_PER_HOST)
+        await load.wait_for_submissions(BETWEEN)
+        name = await fleet_state.seat_holder(fleet.plan, zone)
+        started_s = time.monotonic()
+        fleet.processes[name].send_signal(signal.SIGTERM)
+        await asyncio.to_thread(fleet.processes[name].wait, 60)
+        load.unavailable.add(name)
+        load.planned_stops.append(
+            invariants.Interval(name, started_s, time.monotonic())
+        )
+        await load.finish()
+        context.evidence = await load.evidence()
+
+    asyncio.run(main())
+
+
+@behave.then('the check "{name}" finds requests that were cut')
+def step(context, name):
+    assert name in invariants.violations(context.evidence)
+
+
 @behave.then("no invariant is violated")
 def step(context):
     answered = [s for s in context.evidence.submissions if s.answer]
