--- a/benchmarks/slopes/dispatch.py
+++ b/benchmarks/slopes/dispatch.py
@@ -129,7 +129,7 @@
             return records.Record("t", records.TRANSFER, "zone-0", 0, fields)
 
         async def publish(record: records.Record) -> None:
-            raise NotImplementedError
+            raise AssertionError("the decision publishes nothing")
 
         ports = transfers.EscrowPorts(
             part.team_needs,
--- a/src/chervillead/platform/snapshots.py
+++ b/src/chervillead/platform/snapshots.py
@@ -52,7 +52,7 @@
     """Returns mappings that aren't dictionaries as such."""
     if isinstance(value, abc.Mapping):
         return dict(value)
-    raise NotImplementedError(f"can't encode {type(value).__name__}")
+    raise TypeError(f"can't encode {type(value).__name__}")
 
 
 def decode_configuration(
