Run features on several processes

Cause: `make test` ran all features one after the other and took 8 min 46 s, most of it in a few features that start real processes. Each feature file now runs in a process of its own, four at a time, the longest first. Ruled out: dropping or shortening features.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,6 @@
 VENV := .venv
 # A fixed hash seed keeps the order of sets, and so each seeded run, the same.
 RUN := PYTHONHASHSEED=0 PYTHONPATH=src:tests $(VENV)/bin/python
-BEHAVE := PYTHONHASHSEED=0 PYTHONPATH=src:tests $(VENV)/bin/behave
 
 .PHONY: run test bench lint environment
 
@@ -20,7 +19,7 @@
 	$(RUN) -m stand_ins.local_fleet $(if $(KEEP),--keep)
 
 test: environment
-	$(BEHAVE) --no-capture $(or $(FEATURES),tests)
+	$(RUN) -m stand_ins.run_features $(or $(FEATURES),tests)
 
 bench: environment
 	$(RUN) -m benchmarks
--- /dev/null
+++ b/tests/stand_ins/run_features.py
@@ -0,0 +1,120 @@
+"""Runs behave features on several processes and prints one summary.
+
+Each feature file runs in a process of its own, so scenarios can't share state,
+and the time of a whole run is that of its longest features.
+
+Example:
+    python -m stand_ins.run_features tests/callers tests/client.feature
+"""
+
+import asyncio
+import os
+import pathlib
+import re
+import sys
+import time
+import typing
+
+# Features that start real processes need processors of their own.
+PROCESSES = max(1, min(4, (os.cpu_count() or 2) - 2))
+# Features that take longest start first, so none is left alone at the end.
+LONGEST_FIRST = (
+    "invariants.feature",
+    "fleet_processes.feature",
+    "callers/signals.feature",
+    "fleet/maintenance.feature",
+    "operators/pages.feature",
+    "examples.feature",
+)
+_COUNTS = re.compile(r"^(\d+) scenarios? passed(.*)$", re.MULTILINE)
+_NOT_PASSED = re.compile(r"(\d+) (?:failed|error)")
+
+
+class FeatureResult(typing.NamedTuple):
+    """Outcome of one feature file."""
+
+    path: pathlib.Path
+    passed: int
+    failed: int
+    duration_s: float
+    output: str
+
+
+def find_features(arguments: list[str]) -> list[pathlib.Path]:
+    """Returns the feature files in files and folders, longest first."""
+    found = {
+        path
+        for argument in arguments
+        for path in (
+            pathlib.Path(argument).rglob("*.feature")
+            if pathlib.Path(argument).is_dir()
+            else [pathlib.Path(argument.partition(":")[0])]
+        )
+    }
+    return sorted(found, key=lambda path: (_rank(path), str(path)))
+
+
+def _rank(path: pathlib.Path) -> int:
+    for rank, ending in enumerate(LONGEST_FIRST):
+        if str(path).endswith(ending):
+            return rank
+    return len(LONGEST_FIRST)
+
+
+def count_scenarios(output: str, status: int) -> tuple[int, int]:
+    """Returns how many scenarios passed and failed, from behave's summary.
+
+    A run that ends badly without a failed scenario counts as one failure.
+    """
+    match = _COUNTS.search(output)
+    if match is None:
+        return 0, 1
+    failed = sum(int(n) for n in _NOT_PASSED.findall(match.group(2)))
+    return int(match.group(1)), max(failed, 1 if status else 0)
+
+
+async def run_feature(path: pathlib.Path) -> FeatureResult:
+    """Runs one feature file with behave."""
+    started_s = time.monotonic()
+    process = await asyncio.create_subprocess_exec(
+        str(pathlib.Path(sys.executable).with_name("behave")),
+        "--no-capture",
+        "--format",
+        "progress",
+        str(path),
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+    data, _ = await process.communicate()
+    output = data.decode(errors="replace")
+    passed, failed = count_scenarios(output, process.returncode or 0)
+    duration_s = time.monotonic() - started_s
+    return FeatureResult(path, passed, failed, duration_s, output)
+
+
+async def run_all(paths: list[pathlib.Path]) -> int:
+    """Runs the features, prints the results and returns the exit status."""
+    free = asyncio.Semaphore(PROCESSES)
+
+    async def run_one(path: pathlib.Path) -> FeatureResult:
+        async with free:
+            outcome = await run_feature(path)
+        verdict = "passed" if not outcome.failed else "FAILED"
+        print(
+            f"{verdict} {path}: {outcome.passed} scenarios, "
+            f"{outcome.duration_s:.1f} s",
+            flush=True,
+        )
+        if outcome.failed:
+            print(outcome.output, flush=True)
+        return outcome
+
+    outcomes = await asyncio.gather(*map(run_one, paths))
+    passed = sum(outcome.passed for outcome in outcomes)
+    failed = sum(outcome.failed for outcome in outcomes)
+    print(f"{passed} scenarios passed, {failed} failed, 0 skipped")
+    return 1 if failed or not passed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(run_all(find_features(sys.argv[1:] or ["tests"]))))
