--- a/benchmarks/configuration_spread.py
+++ b/benchmarks/configuration_spread.py
@@ -13,9 +13,9 @@
 from returns import result
 
 from benchmarks import figures
-from chervillead.platform import log_client
-from chervillead.platform import log_reader
-from chervillead.platform import records
+from chervillead.fleet import log_client
+from chervillead.fleet import log_reader
+from chervillead.fleet import records
 from stand_ins import platform as platform_stand_in
 from stand_ins import virtual_time
 
--- a/benchmarks/deployment_baseline.py
+++ b/benchmarks/deployment_baseline.py
@@ -8,7 +8,7 @@
 import collections
 
 from benchmarks import deployment_model
-from chervillead.platform import configuration as configuration_module
+from chervillead.fleet import configuration as configuration_module
 
 IDLE_SPARES = 2
 
--- a/benchmarks/deployment_model.py
+++ b/benchmarks/deployment_model.py
@@ -11,7 +11,7 @@
 import typing
 
 from chervillead import types
-from chervillead.platform import configuration as configuration_module
+from chervillead.fleet import configuration as configuration_module
 
 ZONES = ("a", "b", "c", "d")
 # Share of each team when all is full, and its part of the requests: the
--- a/benchmarks/deployment_product.py
+++ b/benchmarks/deployment_product.py
@@ -4,18 +4,18 @@
 from chervillead import types
 from chervillead.entries import dispatcher as dispatcher_module
 from chervillead.entries import messages
-from chervillead.platform import budgets
-from chervillead.platform import buffer
-from chervillead.platform import buffer_task
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import demand
-from chervillead.platform import drain_steps
-from chervillead.platform import fold_hosts
-from chervillead.platform import host_list
-from chervillead.platform import host_watch
-from chervillead.platform import log_client
-from chervillead.platform import pool_moves
-from chervillead.platform import rollouts
+from chervillead.fleet import budgets
+from chervillead.fleet import buffer
+from chervillead.fleet import buffer_task
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import demand
+from chervillead.fleet import drain_steps
+from chervillead.fleet import fold_hosts
+from chervillead.fleet import host_list
+from chervillead.fleet import host_watch
+from chervillead.fleet import log_client
+from chervillead.fleet import pool_moves
+from chervillead.fleet import rollouts
 
 RETRY_S = 0.5
 
--- a/benchmarks/deployments.py
+++ b/benchmarks/deployments.py
@@ -13,7 +13,7 @@
 from benchmarks import deployment_model
 from benchmarks import deployment_product
 from benchmarks import figures
-from chervillead.platform import configuration as configuration_module
+from chervillead.fleet import configuration as configuration_module
 
 SEED = 20261204
 UNTIL_S = 1500.0
--- a/benchmarks/fold.py
+++ b/benchmarks/fold.py
@@ -12,9 +12,9 @@
 import typing
 
 from benchmarks import figures
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import fold
-from chervillead.platform import records
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import fold
+from chervillead.fleet import records
 
 SIZES = (1_000, 4_000, 16_000)
 POOLS = 36
--- a/benchmarks/slopes/burn.py
+++ b/benchmarks/slopes/burn.py
@@ -8,9 +8,9 @@
 from benchmarks.slopes import line
 from chervillead import types
 from chervillead.entries import duty
+from chervillead.fleet import log_reader
+from chervillead.fleet import records
 from chervillead.operators import burn
-from chervillead.platform import log_reader
-from chervillead.platform import records
 
 # Every team on every queue; two queues a team would be 148 pairs.
 PAIRS = line.POOLS * line.TEAMS
--- a/benchmarks/slopes/dispatch.py
+++ b/benchmarks/slopes/dispatch.py
@@ -15,8 +15,8 @@
 from chervillead.entries import host_tasks
 from chervillead.entries import messages
 from chervillead.entries import transfers
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import records
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import records
 from stand_ins import dispatch_zones
 from stand_ins import virtual_time
 
--- a/benchmarks/slopes/maintenance.py
+++ b/benchmarks/slopes/maintenance.py
@@ -5,11 +5,11 @@
 
 from benchmarks import fold as fold_benchmark
 from benchmarks.slopes import line
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import host_list
-from chervillead.platform import maintenance
-from chervillead.platform import records
-from chervillead.platform import rollouts
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import host_list
+from chervillead.fleet import maintenance
+from chervillead.fleet import records
+from chervillead.fleet import rollouts
 
 SIZES = (1_000, 4_000, 16_000)
 
--- a/benchmarks/slopes/platform.py
+++ b/benchmarks/slopes/platform.py
@@ -12,11 +12,11 @@
 from chervillead.entries import duty
 from chervillead.entries import messages
 from chervillead.entries import transfers
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import fold
-from chervillead.platform import persistent_map
-from chervillead.platform import records
-from chervillead.platform import snapshots
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import fold
+from chervillead.fleet import persistent_map
+from chervillead.fleet import records
+from chervillead.fleet import snapshots
 from stand_ins import platform as platform_stand_in
 from stand_ins import virtual_time
 
--- a/docs/examples/escrowed_limit.py
+++ b/docs/examples/escrowed_limit.py
@@ -8,10 +8,10 @@
 from collections import abc
 import typing
 
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import fold
-from chervillead.platform import records
-from chervillead.platform import team_units
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import fold
+from chervillead.fleet import records
+from chervillead.fleet import team_units
 
 ZONES = ("a", "b")
 TEAM = "invoices"
--- a/docs/examples/fold_records.py
+++ b/docs/examples/fold_records.py
@@ -6,9 +6,9 @@
 
 from collections import abc
 
-from chervillead.platform import configuration
-from chervillead.platform import fold
-from chervillead.platform import records
+from chervillead.fleet import configuration
+from chervillead.fleet import fold
+from chervillead.fleet import records
 
 
 def example_records() -> abc.Iterator[records.Record]:
--- a/src/chervillead/__init__.py
+++ b/src/chervillead/__init__.py
@@ -3,7 +3,7 @@
 Modules are imported from their packages, for example::
 
     from chervillead import client
-    from chervillead.platform import fold
+    from chervillead.fleet import fold
 
 For embedders: `client` submits requests as a caller does, `types` and
 `verdicts` hold the values and errors, `platform.fold` folds records, `reports`
--- a/src/chervillead/assembly.py
+++ b/src/chervillead/assembly.py
@@ -31,10 +31,10 @@
 from chervillead.entries import host as host_module
 from chervillead.entries import host_tasks
 from chervillead.entries import messages
-from chervillead.platform import host_list
-from chervillead.platform import log_client
-from chervillead.platform import log_reader
-from chervillead.platform import snapshot_writer
+from chervillead.fleet import host_list
+from chervillead.fleet import log_client
+from chervillead.fleet import log_reader
+from chervillead.fleet import snapshot_writer
 from chervillead.upstreams import leases
 from chervillead.upstreams import pool
 from chervillead.upstreams import retry_budget
--- a/src/chervillead/callers/credentials.py
+++ b/src/chervillead/callers/credentials.py
@@ -5,7 +5,7 @@
 from returns import result
 
 from chervillead import verdicts
-from chervillead.platform import configuration as configuration_module
+from chervillead.fleet import configuration as configuration_module
 
 MIN_KEY_CHARACTERS = 16
 MAX_KEY_CHARACTERS = 256
--- a/src/chervillead/entries/adoption.py
+++ b/src/chervillead/entries/adoption.py
@@ -11,7 +11,7 @@
 
 from chervillead import types
 from chervillead.entries import duties as duties_module
-from chervillead.platform import log_reader
+from chervillead.fleet import log_reader
 from chervillead.upstreams import slots
 from chervillead.upstreams import usage
 
--- a/src/chervillead/entries/capacity.py
+++ b/src/chervillead/entries/capacity.py
@@ -10,7 +10,7 @@
 import typing
 
 from chervillead import types
-from chervillead.platform import configuration as configuration_module
+from chervillead.fleet import configuration as configuration_module
 from chervillead.upstreams import slots
 
 NO_SIZE = types.Size()
--- a/src/chervillead/entries/claim_holders.py
+++ b/src/chervillead/entries/claim_holders.py
@@ -4,7 +4,7 @@
 
 from chervillead.callers import request_ids
 from chervillead.entries import seats
-from chervillead.platform import configuration as configuration_module
+from chervillead.fleet import configuration as configuration_module
 
 
 class ClaimHolders:
--- a/src/chervillead/entries/codec.py
+++ b/src/chervillead/entries/codec.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from chervillead.entries import job_messages
 from chervillead.entries import messages
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
@@ -56,6 +57,11 @@
     "config-request": messages.ConfigRequest,
     "config-records": messages.ConfigRecords,
     "config-snapshot": messages.ConfigSnapshot,
+    "submit-job": job_messages.SubmitJob,
+    "find-job": job_messages.FindJob,
+    "cancel-job": job_messages.CancelJob,
+    "count-pending": job_messages.CountPending,
+    "job-reply": job_messages.JobReply,
 }
 _NAMES = {message_type: kind for kind, message_type in _KINDS.items()}
 _DECODERS: dict[str, msgspec.msgpack.Decoder[typing.Any]] = {
--- a/src/chervillead/entries/dispatcher.py
+++ b/src/chervillead/entries/dispatcher.py
@@ -16,7 +16,7 @@
 from chervillead.entries import unit_needs
 from chervillead.entries import waiting_list
 from chervillead.entries import zone_ledger
-from chervillead.platform import configuration as configuration_module
+from chervillead.fleet import configuration as configuration_module
 from chervillead.upstreams import slots as slots_module
 
 LEASE_MS = zone_ledger.LEASE_MS
--- a/src/chervillead/entries/dispatcher_choice.py
+++ b/src/chervillead/entries/dispatcher_choice.py
@@ -6,7 +6,7 @@
 
 from chervillead.entries import messages
 from chervillead.entries import seats
-from chervillead.platform import configuration as configuration_module
+from chervillead.fleet import configuration as configuration_module
 
 
 class DispatcherView(typing.NamedTuple):
--- a/src/chervillead/entries/duties.py
+++ b/src/chervillead/entries/duties.py
@@ -12,8 +12,8 @@
 from chervillead.entries import seats
 from chervillead.entries import transfers
 from chervillead.entries import upstream_health
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import log_reader
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import log_reader
 
 Post = abc.Callable[[str, messages.Message], object]
 
--- a/src/chervillead/entries/duty.py
+++ b/src/chervillead/entries/duty.py
@@ -14,9 +14,9 @@
 
 from chervillead import types
 from chervillead.entries import seats
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import log_reader
-from chervillead.platform import records
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import log_reader
+from chervillead.fleet import records
 
 # One lease (2 s) plus the longest start-by time (1 s): by then what an earlier
 # holder granted has been reported or has lapsed.
--- a/src/chervillead/entries/escrow.py
+++ b/src/chervillead/entries/escrow.py
@@ -8,7 +8,7 @@
 import math
 import typing
 
-from chervillead.platform import records
+from chervillead.fleet import records
 
 # A zone keeps one free unit of each team, so that the next request starts there
 # without a transfer.
--- a/src/chervillead/entries/host.py
+++ b/src/chervillead/entries/host.py
@@ -31,9 +31,9 @@
 from chervillead.entries import streams
 from chervillead.entries import transfers
 from chervillead.entries import upstream_health
-from chervillead.platform import host_list
-from chervillead.platform import log_client
-from chervillead.platform import log_reader
+from chervillead.fleet import host_list
+from chervillead.fleet import log_client
+from chervillead.fleet import log_reader
 
 HAND_OVER_TIMEOUT_S = 3.0
 GIVE_UP_TIMEOUT_S = 1.0
--- a/src/chervillead/entries/host_tasks.py
+++ b/src/chervillead/entries/host_tasks.py
@@ -14,10 +14,10 @@
 from chervillead.entries import seat_keeper
 from chervillead.entries import streams
 from chervillead.entries import transfers
-from chervillead.platform import log_client
-from chervillead.platform import log_reader
-from chervillead.platform import publisher
-from chervillead.platform import records
+from chervillead.fleet import log_client
+from chervillead.fleet import log_reader
+from chervillead.fleet import publisher
+from chervillead.fleet import records
 
 FOLLOW_S = 0.1
 
--- /dev/null
+++ b/src/chervillead/entries/job_messages.py
@@ -0,0 +1,67 @@
+"""Calls about jobs between entry hosts.
+
+Each can be received twice without harm: it names the job that it is about.
+"""
+
+import typing
+
+from chervillead.jobs import model
+
+
+class SubmitJob(typing.NamedTuple):
+    """Asks the owner of a partition to store a job."""
+
+    partition: int
+    spec: model.JobSpec
+    timeout_ms: int
+
+
+class FindJob(typing.NamedTuple):
+    """Asks the owner of a partition for the state of a job."""
+
+    partition: int
+    job_id: str
+
+
+class CancelJob(typing.NamedTuple):
+    """Asks the owner of a partition to cancel a job."""
+
+    partition: int
+    job_id: str
+    timeout_ms: int
+
+
+class CountPending(typing.NamedTuple):
+    """Asks the owner of a partition for the waiting jobs of a queue."""
+
+    partition: int
+    queue: str
+
+
+class JobReply(typing.NamedTuple):
+    """Answer of an owner.
+
+    Attributes:
+        verdict: A `verdicts.Verdict` value; "ran" if the call succeeded.
+        reason: Identifier of the refusal; empty if there is none.
+        status: HTTP status that fits a refusal.
+        detail: Explanation for people.
+        retry_after_ms: When a new attempt makes sense; -1 if none does.
+        phase: State of the job that was asked for.
+        account: Client account of that job.
+        queue: Queue of that job.
+        pending: Number of waiting jobs that was asked for.
+    """
+
+    verdict: str
+    reason: str = ""
+    status: int = 200
+    detail: str = ""
+    retry_after_ms: int = -1
+    phase: str = ""
+    account: str = ""
+    queue: str = ""
+    pending: int = 0
+
+
+JobCall = SubmitJob | FindJob | CancelJob | CountPending
--- /dev/null
+++ b/src/chervillead/entries/job_streams.py
@@ -0,0 +1,147 @@
+"""Streams that carry calls about jobs between entry hosts.
+
+A host dials another one when it has a call for it and keeps the stream. One
+task serves each accepted stream, and one more each call on it, since a call
+waits for the store.
+"""
+
+import asyncio
+from collections import abc
+
+from returns import result
+
+from chervillead import http_exchange
+from chervillead import types
+from chervillead import verdicts
+from chervillead.entries import codec
+from chervillead.entries import job_messages
+from chervillead.entries import peer_stream
+
+DIAL_TIMEOUT_S = 0.4
+# A stream on which an answer is overdue may have gone silent for good.
+CALL_TIMEOUT_S = 1.2
+
+Serve = abc.Callable[
+    [job_messages.JobCall], abc.Awaitable[job_messages.JobReply]
+]
+CallOutcome = result.Result[job_messages.JobReply, verdicts.Refusal]
+
+
+class JobStreams:
+    """The dialled streams of this host, by address."""
+
+    def __init__(
+        self,
+        clock: types.Clock,
+        *,
+        dial: http_exchange.Dial = http_exchange.dial,
+    ) -> None:
+        self._clock = clock
+        self._dial = dial
+        self._streams: dict[types.Address, peer_stream.PeerStream] = {}
+        self._dialling: dict[types.Address, asyncio.Lock] = {}
+        self._readers: set[asyncio.Task[None]] = set()
+
+    async def call(
+        self,
+        address: types.Address,
+        message: job_messages.JobCall,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> CallOutcome:
+        """Sends a call once and returns the reply."""
+        try:
+            stream = await self._open(address)
+        except (OSError, TimeoutError) as error:
+            return result.Failure(
+                verdicts.not_run(
+                    "peer-unreachable",
+                    503,
+                    f"{address.host}:{address.port}: {error!r}",
+                    retry_after_s=1.0,
+                )
+            )
+        try:
+            reply = await stream.ask(message, timeout_s)
+        except (TimeoutError, ConnectionError) as error:
+            self._drop(address, stream)
+            return result.Failure(
+                verdicts.may_have_run(
+                    "peer-silent",
+                    504,
+                    f"{address.host}:{address.port}: {error!r}",
+                )
+            )
+        assert isinstance(reply, job_messages.JobReply)
+        return result.Success(reply)
+
+    def close(self) -> None:
+        """Closes all streams."""
+        for task in self._readers:
+            task.cancel()
+        for stream in self._streams.values():
+            stream.close()
+
+    async def _open(self, address: types.Address) -> peer_stream.PeerStream:
+        lock = self._dialling.setdefault(address, asyncio.Lock())
+        async with lock:
+            stream = self._streams.get(address)
+            if stream is not None and not stream.is_closed:
+                return stream
+            async with asyncio.timeout(DIAL_TIMEOUT_S):
+                reader, writer = await self._dial(address)
+            stream = peer_stream.PeerStream(
+                f"{address.host}:{address.port}", writer, self._clock
+            )
+            self._streams[address] = stream
+            task = asyncio.create_task(self._read(address, stream, reader))
+            self._readers.add(task)
+            task.add_done_callback(self._readers.discard)
+            return stream
+
+    async def _read(
+        self,
+        address: types.Address,
+        stream: peer_stream.PeerStream,
+        reader: asyncio.StreamReader,
+    ) -> None:
+        try:
+            async for frame in codec.read_frames(reader):
+                stream.take_frame(frame)
+        except codec.MalformedFrameError:
+            pass
+        finally:
+            self._drop(address, stream)
+
+    def _drop(
+        self, address: types.Address, stream: peer_stream.PeerStream
+    ) -> None:
+        stream.close()
+        if self._streams.get(address) is stream:
+            del self._streams[address]
+
+
+def serve_calls(serve: Serve, clock: types.Clock) -> http_exchange.ServeStreams:
+    """Returns the function that serves one accepted stream."""
+
+    async def serve_stream(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        stream = peer_stream.PeerStream("", writer, clock)
+        tasks: set[asyncio.Task[None]] = set()
+
+        async def answer(frame: codec.Frame) -> None:
+            if isinstance(frame.message, job_messages.JobCall):
+                reply = await serve(frame.message)
+                stream.post(reply, frame.number)
+
+        try:
+            async for frame in codec.read_frames(reader):
+                task = asyncio.create_task(answer(frame))
+                tasks.add(task)
+                task.add_done_callback(tasks.discard)
+        except codec.MalformedFrameError:
+            pass
+        finally:
+            stream.close()
+
+    return serve_stream
--- a/src/chervillead/entries/membership.py
+++ b/src/chervillead/entries/membership.py
@@ -7,7 +7,7 @@
 from chervillead import types
 from chervillead.entries import messages
 from chervillead.entries import streams as streams_module
-from chervillead.platform import configuration as configuration_module
+from chervillead.fleet import configuration as configuration_module
 
 HEARTBEAT_S = 0.25
 SUSPECT_S = 1.0
--- a/src/chervillead/entries/messages.py
+++ b/src/chervillead/entries/messages.py
@@ -9,6 +9,7 @@
 
 from chervillead import types
 from chervillead import verdicts
+from chervillead.entries import job_messages
 
 
 class Hello(typing.NamedTuple):
@@ -260,4 +261,6 @@
     | ConfigRequest
     | ConfigRecords
     | ConfigSnapshot
+    | job_messages.JobCall
+    | job_messages.JobReply
 )
--- a/src/chervillead/entries/recovery.py
+++ b/src/chervillead/entries/recovery.py
@@ -10,7 +10,7 @@
 from chervillead.entries import seats
 from chervillead.entries import slot_recovery
 from chervillead.entries import streams as streams_module
-from chervillead.platform import log_reader
+from chervillead.fleet import log_reader
 from chervillead.upstreams import slots
 
 # Asks whether the task of a grant no longer runs; False if nobody knows.
--- a/src/chervillead/entries/refusals.py
+++ b/src/chervillead/entries/refusals.py
@@ -8,7 +8,7 @@
 from chervillead.entries import messages
 from chervillead.entries import waiting_list
 from chervillead.entries import zone_ledger
-from chervillead.platform import configuration as configuration_module
+from chervillead.fleet import configuration as configuration_module
 
 DISPATCHER_UNAVAILABLE = "dispatcher-unavailable"
 ZONE_OUT = "zone-out"
--- a/src/chervillead/entries/relay.py
+++ b/src/chervillead/entries/relay.py
@@ -20,10 +20,10 @@
 from chervillead.entries import membership
 from chervillead.entries import messages
 from chervillead.entries import seats
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import log_reader
-from chervillead.platform import records
-from chervillead.platform import snapshots
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import log_reader
+from chervillead.fleet import records
+from chervillead.fleet import snapshots
 
 CHECK_S = 0.25
 # A host that reads the log itself is behind for about one poll (200 ms).
--- a/src/chervillead/entries/seat_keeper.py
+++ b/src/chervillead/entries/seat_keeper.py
@@ -9,9 +9,9 @@
 from chervillead.entries import duty as duty_module
 from chervillead.entries import membership as membership_module
 from chervillead.entries import seats
-from chervillead.platform import log_reader
-from chervillead.platform import publisher
-from chervillead.platform import records
+from chervillead.fleet import log_reader
+from chervillead.fleet import publisher
+from chervillead.fleet import records
 
 CHECK_S = 0.1
 
--- a/src/chervillead/entries/seats.py
+++ b/src/chervillead/entries/seats.py
@@ -9,9 +9,9 @@
 import typing
 
 from chervillead import types
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import fold_seats
-from chervillead.platform import records
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import fold_seats
+from chervillead.fleet import records
 
 # Holders of lower seats dispatch and hold claims; the others stand by.
 DUTY_NUMBER = 0
--- a/src/chervillead/entries/transfers.py
+++ b/src/chervillead/entries/transfers.py
@@ -10,11 +10,11 @@
 from chervillead.entries import escrow as escrow_module
 from chervillead.entries import messages
 from chervillead.entries import seats
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import log_client
-from chervillead.platform import log_reader
-from chervillead.platform import publisher
-from chervillead.platform import records
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import log_client
+from chervillead.fleet import log_reader
+from chervillead.fleet import publisher
+from chervillead.fleet import records
 
 TRANSFER_INTERVAL_S = 1.0
 
--- a/src/chervillead/entries/upstream_health.py
+++ b/src/chervillead/entries/upstream_health.py
@@ -9,8 +9,8 @@
 
 from chervillead import types
 from chervillead.entries import messages
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import host_list
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import host_list
 from chervillead.upstreams import ejection
 from chervillead.upstreams import slots
 
--- a/src/chervillead/entries/zone_ledger.py
+++ b/src/chervillead/entries/zone_ledger.py
@@ -9,8 +9,8 @@
 from chervillead.entries import capacity as capacity_module
 from chervillead.entries import grant_table
 from chervillead.entries import messages
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import team_units
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import team_units
 from chervillead.upstreams import slots
 
 START_BY_MS = 1000
--- a/src/chervillead/fleet/budgets.py
+++ b/src/chervillead/fleet/budgets.py
@@ -6,7 +6,7 @@
 
 import typing
 
-from chervillead.platform import configuration as configuration_module
+from chervillead.fleet import configuration as configuration_module
 
 # A failed drain counts as a known failure: the host is gone, but no rack or
 # zone is held up by maintenance any more.
--- a/src/chervillead/fleet/buffer.py
+++ b/src/chervillead/fleet/buffer.py
@@ -11,10 +11,10 @@
 import math
 import typing
 
-from chervillead.platform import budgets
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import demand as demand_module
-from chervillead.platform import drain_steps
+from chervillead.fleet import budgets
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import demand as demand_module
+from chervillead.fleet import drain_steps
 
 # Connections, caches and slow start of a host that joins.
 WARM_UP_S = 20.0
--- a/src/chervillead/fleet/buffer_task.py
+++ b/src/chervillead/fleet/buffer_task.py
@@ -11,13 +11,13 @@
 import eliot
 
 from chervillead import types
-from chervillead.platform import buffer
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import demand as demand_module
-from chervillead.platform import log_client
-from chervillead.platform import log_reader
-from chervillead.platform import publisher
-from chervillead.platform import records
+from chervillead.fleet import buffer
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import demand as demand_module
+from chervillead.fleet import log_client
+from chervillead.fleet import log_reader
+from chervillead.fleet import publisher
+from chervillead.fleet import records
 
 SAMPLE_S = 1.0
 CONFIRMED_S = 1.0
--- a/src/chervillead/fleet/drain_steps.py
+++ b/src/chervillead/fleet/drain_steps.py
@@ -3,11 +3,11 @@
 import enum
 import typing
 
-from chervillead.platform import budgets
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import host_watch
-from chervillead.platform import log_client
-from chervillead.platform import rollouts
+from chervillead.fleet import budgets
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import host_watch
+from chervillead.fleet import log_client
+from chervillead.fleet import rollouts
 
 _State = configuration_module.DrainState
 
--- a/src/chervillead/fleet/fold.py
+++ b/src/chervillead/fleet/fold.py
@@ -13,11 +13,11 @@
 
 from returns import pipeline
 
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import fold_rules
-from chervillead.platform import persistent_map
-from chervillead.platform import record_fields
-from chervillead.platform import records
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import fold_rules
+from chervillead.fleet import persistent_map
+from chervillead.fleet import record_fields
+from chervillead.fleet import records
 
 # A proposer gives up long before this many records have passed, so a repeat
 # of an older id can't be a late retry.
--- a/src/chervillead/fleet/fold_hosts.py
+++ b/src/chervillead/fleet/fold_hosts.py
@@ -6,9 +6,9 @@
 
 from returns import result
 
-from chervillead.platform import budgets
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import persistent_map
+from chervillead.fleet import budgets
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import persistent_map
 
 Applied = result.Result[configuration_module.Configuration, str]
 
--- a/src/chervillead/fleet/fold_rules.py
+++ b/src/chervillead/fleet/fold_rules.py
@@ -11,13 +11,13 @@
 
 from returns import result
 
-from chervillead.platform import budgets
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import fold_hosts
-from chervillead.platform import fold_seats
-from chervillead.platform import fold_transfers
-from chervillead.platform import persistent_map
-from chervillead.platform import records
+from chervillead.fleet import budgets
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import fold_hosts
+from chervillead.fleet import fold_seats
+from chervillead.fleet import fold_transfers
+from chervillead.fleet import persistent_map
+from chervillead.fleet import records
 
 Applied = result.Result[configuration_module.Configuration, str]
 Rule = abc.Callable[
--- a/src/chervillead/fleet/fold_seats.py
+++ b/src/chervillead/fleet/fold_seats.py
@@ -2,8 +2,8 @@
 
 from returns import result
 
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import persistent_map
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import persistent_map
 
 # The dispatcher and claims of a zone are held by the seats below this number.
 DUTY_SEATS = 1
--- a/src/chervillead/fleet/fold_transfers.py
+++ b/src/chervillead/fleet/fold_transfers.py
@@ -2,10 +2,10 @@
 
 from returns import result
 
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import persistent_map
-from chervillead.platform import records
-from chervillead.platform import team_units
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import persistent_map
+from chervillead.fleet import records
+from chervillead.fleet import team_units
 
 
 def apply_transfer(
--- a/src/chervillead/fleet/host_list.py
+++ b/src/chervillead/fleet/host_list.py
@@ -13,8 +13,8 @@
 from returns import pipeline
 
 from chervillead import types
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import log_client
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import log_client
 
 # The list lags by seconds anyway; polling faster gains little.
 POLL_S = 1.0
--- a/src/chervillead/fleet/host_watch.py
+++ b/src/chervillead/fleet/host_watch.py
@@ -3,9 +3,9 @@
 from collections import abc
 import typing
 
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import host_list
-from chervillead.platform import log_client
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import host_list
+from chervillead.fleet import log_client
 
 
 class HostSigns(typing.NamedTuple):
--- a/src/chervillead/fleet/log_client.py
+++ b/src/chervillead/fleet/log_client.py
@@ -11,7 +11,7 @@
 
 from chervillead import http_exchange
 from chervillead import types
-from chervillead.platform import records
+from chervillead.fleet import records
 
 READ_LIMIT = 1000
 
--- a/src/chervillead/fleet/log_pages.py
+++ b/src/chervillead/fleet/log_pages.py
@@ -7,7 +7,7 @@
 
 import typing
 
-from chervillead.platform import records
+from chervillead.fleet import records
 
 GAP = "gap"
 BACKWARDS = "end-went-backwards"
--- a/src/chervillead/fleet/log_reader.py
+++ b/src/chervillead/fleet/log_reader.py
@@ -10,12 +10,12 @@
 from returns import pipeline
 
 from chervillead import types
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import fold
-from chervillead.platform import log_client
-from chervillead.platform import log_pages
-from chervillead.platform import records
-from chervillead.platform import snapshots
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import fold
+from chervillead.fleet import log_client
+from chervillead.fleet import log_pages
+from chervillead.fleet import records
+from chervillead.fleet import snapshots
 
 POLL_WAIT_S = 0.2
 MAX_BACKOFF_S = 2.0
--- a/src/chervillead/fleet/maintenance.py
+++ b/src/chervillead/fleet/maintenance.py
@@ -12,17 +12,17 @@
 import eliot
 
 from chervillead import types
-from chervillead.platform import budgets
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import drain_steps
-from chervillead.platform import host_list
-from chervillead.platform import host_watch
-from chervillead.platform import log_client
-from chervillead.platform import log_reader
-from chervillead.platform import pool_moves
-from chervillead.platform import publisher
-from chervillead.platform import records
-from chervillead.platform import rollouts
+from chervillead.fleet import budgets
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import drain_steps
+from chervillead.fleet import host_list
+from chervillead.fleet import host_watch
+from chervillead.fleet import log_client
+from chervillead.fleet import log_reader
+from chervillead.fleet import pool_moves
+from chervillead.fleet import publisher
+from chervillead.fleet import records
+from chervillead.fleet import rollouts
 
 TICK_S = 1.0
 # Older knowledge of the log allows no reboot and no proposal.
--- a/src/chervillead/fleet/pool_moves.py
+++ b/src/chervillead/fleet/pool_moves.py
@@ -5,9 +5,9 @@
 pool at any time whoever races.
 """
 
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import drain_steps
-from chervillead.platform import host_watch
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import drain_steps
+from chervillead.fleet import host_watch
 
 _State = configuration_module.MoveState
 
--- a/src/chervillead/fleet/publisher.py
+++ b/src/chervillead/fleet/publisher.py
@@ -10,10 +10,10 @@
 from returns import result
 
 from chervillead import types
-from chervillead.platform import fold
-from chervillead.platform import log_client
-from chervillead.platform import log_reader
-from chervillead.platform import records
+from chervillead.fleet import fold
+from chervillead.fleet import log_client
+from chervillead.fleet import log_reader
+from chervillead.fleet import records
 
 READ_BACK_S = 10.0
 
--- a/src/chervillead/fleet/record_fields.py
+++ b/src/chervillead/fleet/record_fields.py
@@ -5,8 +5,8 @@
 import msgspec
 from returns import result
 
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import records
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import records
 
 VALUE_TYPES: dict[str, type] = {
     records.QUEUE: configuration_module.Queue,
--- a/src/chervillead/fleet/rollouts.py
+++ b/src/chervillead/fleet/rollouts.py
@@ -9,9 +9,9 @@
 
 from returns import pipeline
 
-from chervillead.platform import budgets
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import fold_hosts
+from chervillead.fleet import budgets
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import fold_hosts
 
 _DrainState = configuration_module.DrainState
 
--- a/src/chervillead/fleet/snapshot_writer.py
+++ b/src/chervillead/fleet/snapshot_writer.py
@@ -7,10 +7,10 @@
 import eliot
 
 from chervillead import types
-from chervillead.platform import log_client
-from chervillead.platform import log_reader
-from chervillead.platform import publisher
-from chervillead.platform import snapshots
+from chervillead.fleet import log_client
+from chervillead.fleet import log_reader
+from chervillead.fleet import publisher
+from chervillead.fleet import snapshots
 
 CHECK_S = 1.0
 
--- a/src/chervillead/fleet/snapshots.py
+++ b/src/chervillead/fleet/snapshots.py
@@ -13,10 +13,10 @@
 from returns import pipeline
 from returns import result
 
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import log_client
-from chervillead.platform import persistent_map
-from chervillead.platform import records
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import log_client
+from chervillead.fleet import persistent_map
+from chervillead.fleet import records
 
 # Raised when the encoding changes; a reader refuses another version.
 FORMAT_VERSION = 1
--- a/src/chervillead/fleet/team_units.py
+++ b/src/chervillead/fleet/team_units.py
@@ -4,7 +4,7 @@
 zones must never exceed the limit, also while hosts know different versions.
 """
 
-from chervillead.platform import configuration as configuration_module
+from chervillead.fleet import configuration as configuration_module
 
 
 def initial_units(limit: int, zones: tuple[str, ...]) -> dict[str, int]:
--- /dev/null
+++ b/src/chervillead/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about jobs: plain functions over typed state, no network."""
--- /dev/null
+++ b/src/chervillead/jobs/job_state.py
@@ -0,0 +1,278 @@
+"""State of one job and the legal changes of it.
+
+What lasts of a job is its spec and its progress: ends that count, cancelling
+and failure. Runs belong to the owner's memory; a new owner learns of them by
+looking at the workers.
+"""
+
+from collections import abc
+import enum
+import typing
+
+from chervillead.jobs import model
+
+
+class Phase(enum.Enum):
+    """What callers are shown."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+class EndKind(enum.Enum):
+    """How a run ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LEASE_EXPIRED = "lease-expired"
+    GANG_BROKEN = "gang-broken"
+    GANG_INCOMPLETE = "gang-incomplete"
+    VANISHED = "vanished"
+
+
+class RunPhase(enum.Enum):
+    """What the owner knows of a run on a worker."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    UNCERTAIN = "uncertain"
+    STOPPING = "stopping"
+
+
+class Run:
+    """One run of a task on one worker, as its owner knows it."""
+
+    def __init__(
+        self,
+        job_id: str,
+        task: model.TaskKey,
+        number: int,
+        worker_id: str,
+        *,
+        reserved: model.Resources,
+        begun_s: float,
+        phase: RunPhase = RunPhase.STARTING,
+    ) -> None:
+        self.job_id = job_id
+        self.task = task
+        self.number = number
+        self.worker_id = worker_id
+        self.reserved = reserved
+        self.begun_s = begun_s
+        self.phase = phase
+        # Readings of the worker's clock: the answer to the start, the answer
+        # to a stop, and the last time at which an unanswered start may begin.
+        self.started_clock_ms: int | None = None
+        self.stopped_clock_ms: int | None = None
+        self.start_by_clock_ms = 0
+        self.stop_wanted = False
+        self.stop_reason = ""
+        self.usage = 0
+        self.percent = 100
+        self.checkpoint = ""
+
+    @property
+    def key(self) -> "RunKey":
+        """Name of the run on its worker."""
+        return RunKey(self.job_id, self.task, self.number)
+
+
+class RunKey(typing.NamedTuple):
+    """Name of a run."""
+
+    job_id: str
+    task: model.TaskKey
+    number: int
+
+
+class End(typing.NamedTuple):
+    """The end of a run as its worker reports it."""
+
+    run: RunKey
+    kind: EndKind
+    checkpoint: str = ""
+
+
+class JobState:
+    """One job: its spec, its progress and the runs under way."""
+
+    def __init__(self, spec: model.JobSpec, *, received_s: float) -> None:
+        self._spec = spec
+        self._received_s = received_s
+        self.done: dict[tuple[int, int], set[int]] = {}
+        self.failed_runs: dict[model.TaskKey, set[int]] = {}
+        self.highest_run: dict[model.TaskKey, int] = {}
+        self.checkpoints: dict[model.TaskKey, str] = {}
+        self.runs: dict[model.TaskKey, list[Run]] = {}
+        self.retry_at_s: dict[model.TaskKey, float] = {}
+        self.ended_s: float | None = None
+        self.has_started = False
+        self.is_cancelled = False
+        self.is_failed = False
+        # Tasks of a job that a former owner may have started wait until this
+        # time or until all workers have been looked at.
+        self.unsettled_until_s = 0.0
+        self.waiting: dict[tuple[int, int], set[int]] = {
+            (occurrence, number): set(range(step.tasks))
+            for occurrence in range(spec.occurrences)
+            for number, step in enumerate(spec.steps)
+        }
+
+    @property
+    def spec(self) -> model.JobSpec:
+        """The job as it was accepted."""
+        return self._spec
+
+    @property
+    def received_s(self) -> float:
+        """Time of the owner's clock at which the job was accepted."""
+        return self._received_s
+
+    @property
+    def is_over(self) -> bool:
+        """Whether no task of the job will be started any more."""
+        return self.is_cancelled or self.is_failed or self.is_completed
+
+    @property
+    def is_completed(self) -> bool:
+        """Whether all tasks have ended as done."""
+        return all(
+            len(self.done.get((occurrence, number), ())) >= step.tasks
+            for occurrence in range(self._spec.occurrences)
+            for number, step in enumerate(self._spec.steps)
+        )
+
+    @property
+    def phase(self) -> Phase:
+        """What callers are shown."""
+        if self.is_completed:
+            return Phase.COMPLETED
+        if self.is_cancelled:
+            return Phase.CANCELLED
+        if self.is_failed:
+            return Phase.FAILED
+        return Phase.RUNNING if self.has_started else Phase.QUEUED
+
+    def step(self, task: model.TaskKey) -> model.Step:
+        """Returns the step of a task."""
+        return self._spec.steps[task.step]
+
+    def has(self, task: model.TaskKey) -> bool:
+        """Returns whether the job has such a task."""
+        return (
+            0 <= task.occurrence < self._spec.occurrences
+            and 0 <= task.step < len(self._spec.steps)
+            and 0 <= task.number < self._spec.steps[task.step].tasks
+        )
+
+    def is_done(self, task: model.TaskKey) -> bool:
+        """Returns whether a run of the task has ended as done."""
+        return task.number in self.done.get((task.occurrence, task.step), ())
+
+    def step_is_done(self, occurrence: int, number: int) -> bool:
+        """Returns whether all tasks of a step have ended as done."""
+        done = self.done.get((occurrence, number), ())
+        return len(done) >= self._spec.steps[number].tasks
+
+    def active_runs(self) -> abc.Iterator[Run]:
+        """Yields all runs that may be on a worker."""
+        for runs in self.runs.values():
+            yield from runs
+
+    def next_run_number(self, task: model.TaskKey) -> int:
+        """Returns the number of the task's next run."""
+        return self.highest_run.get(task, 0) + 1
+
+    def add_run(self, run: Run) -> None:
+        """Notes a run that was ordered or found on a worker."""
+        task = run.task
+        self.runs.setdefault(task, []).append(run)
+        self.highest_run[task] = max(self.highest_run.get(task, 0), run.number)
+        self.waiting[task.occurrence, task.step].discard(task.number)
+        if run.phase is RunPhase.RUNNING:
+            self.has_started = True
+
+    def remove_run(self, run: Run) -> None:
+        """Forgets a run that certainly is on no worker any more."""
+        runs = self.runs.get(run.task, [])
+        if run in runs:
+            runs.remove(run)
+        if not runs:
+            self.runs.pop(run.task, None)
+            if not self.is_done(run.task) and not self.is_over:
+                key = run.task.occurrence, run.task.step
+                self.waiting[key].add(run.task.number)
+
+    def find_run(self, key: RunKey, worker_id: str) -> Run | None:
+        """Returns the run of that name on that worker."""
+        return next(
+            (
+                run
+                for run in self.runs.get(key.task, ())
+                if run.number == key.number and run.worker_id == worker_id
+            ),
+            None,
+        )
+
+    def note_end(self, end: End, max_attempts: int, now_s: float) -> bool:
+        """Applies the end of a run.
+
+        Returns:
+            Whether the progress that lasts has changed.
+        """
+        task = end.run.task
+        self.highest_run[task] = max(
+            self.highest_run.get(task, 0), end.run.number
+        )
+        if end.checkpoint:
+            self.checkpoints[task] = end.checkpoint
+        if self.is_done(task):
+            return False
+        if end.kind is EndKind.DONE and not self.step(task).long_running:
+            self._note_done(task, now_s)
+            return True
+        if end.kind is EndKind.FAILED:
+            return self._note_failure(end, max_attempts, now_s)
+        return False
+
+    def _note_done(self, task: model.TaskKey, now_s: float) -> None:
+        key = task.occurrence, task.step
+        if self.step(task).gang:
+            self.done[key] = set(range(self.step(task).tasks))
+            self.waiting[key].clear()
+        else:
+            self.done.setdefault(key, set()).add(task.number)
+            self.waiting[key].discard(task.number)
+        self.has_started = True
+        if self.is_completed:
+            self.ended_s = now_s
+
+    def _note_failure(self, end: End, max_attempts: int, now_s: float) -> bool:
+        task = end.run.task
+        if self.step(task).long_running:
+            return False
+        failed = self.failed_runs.setdefault(task, set())
+        if end.run.number in failed:
+            return False
+        failed.add(end.run.number)
+        self.has_started = True
+        if len(failed) >= max_attempts and not self.is_over:
+            self.is_failed = True
+            self.ended_s = now_s
+            self._clear_waiting()
+        return True
+
+    def cancel(self, now_s: float) -> None:
+        """Cancels the job; an ended job stays as it is."""
+        if not self.is_over:
+            self.is_cancelled = True
+            self.ended_s = now_s
+            self._clear_waiting()
+
+    def _clear_waiting(self) -> None:
+        for indexes in self.waiting.values():
+            indexes.clear()
--- /dev/null
+++ b/src/chervillead/jobs/readiness.py
@@ -0,0 +1,62 @@
+"""Which tasks of a job may be started now."""
+
+from collections import abc
+import typing
+
+from chervillead.jobs import job_state
+from chervillead.jobs import model
+
+
+class ReadyTask(typing.NamedTuple):
+    """A task whose turn has come."""
+
+    job: job_state.JobState
+    task: model.TaskKey
+    step: model.Step
+
+
+def ready_tasks(
+    job: job_state.JobState, now_s: float, now_unix_ms: float
+) -> abc.Iterator[ReadyTask]:
+    """Yields the tasks of a job that may be started, in order of steps.
+
+    Args:
+        job: The job.
+        now_s: Time of the owner's clock.
+        now_unix_ms: Time of day, for schedules.
+    """
+    if job.is_over or now_s < job.unsettled_until_s:
+        return
+    for (occurrence, number), indexes in job.waiting.items():
+        if not indexes or not is_due(job.spec, occurrence, now_unix_ms):
+            continue
+        step = job.spec.steps[number]
+        if not all(job.step_is_done(occurrence, n) for n in step.after):
+            continue
+        for index in sorted(indexes):
+            task = model.TaskKey(occurrence, number, index)
+            if job.retry_at_s.get(task, 0.0) <= now_s:
+                yield ReadyTask(job, task, step)
+
+
+def is_due(spec: model.JobSpec, occurrence: int, now_unix_ms: float) -> bool:
+    """Returns whether an occurrence of a job may begin."""
+    schedule = spec.schedule
+    if not schedule.repeats:
+        return True
+    due_ms = schedule.start_unix_ms + occurrence * schedule.interval_ms
+    return now_unix_ms >= due_ms
+
+
+def next_due_ms(spec: model.JobSpec, now_unix_ms: float) -> float | None:
+    """Returns when the next occurrence is due, or None without any more."""
+    schedule = spec.schedule
+    return next(
+        (
+            float(schedule.start_unix_ms + number * schedule.interval_ms)
+            for number in range(schedule.repeats)
+            if schedule.start_unix_ms + number * schedule.interval_ms
+            > now_unix_ms
+        ),
+        None,
+    )
--- a/src/chervillead/maintenance_wiring.py
+++ b/src/chervillead/maintenance_wiring.py
@@ -5,12 +5,12 @@
 from chervillead import types
 from chervillead.entries import host as host_module
 from chervillead.entries import membership
-from chervillead.platform import buffer_task
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import host_list
-from chervillead.platform import log_client
-from chervillead.platform import log_reader
-from chervillead.platform import maintenance
+from chervillead.fleet import buffer_task
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import host_list
+from chervillead.fleet import log_client
+from chervillead.fleet import log_reader
+from chervillead.fleet import maintenance
 from chervillead.upstreams import pool
 from chervillead.upstreams import usage
 
--- /dev/null
+++ b/src/chervillead/metrics_page.py
@@ -0,0 +1,65 @@
+"""Counters and latency histograms as a page of text."""
+
+from collections import abc
+
+import prometheus_client
+
+BUCKETS_S = (
+    0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 1.5, 2, 3, 5, 8, 13, 20, 40,
+)  # fmt: skip
+
+_COUNTERS: dict[str, tuple[str, tuple[str, ...]]] = {
+    "chervillead_calls": ("Calls of callers.", ("method", "status")),
+    "chervillead_store_calls": ("Calls to the store.", ("path", "status")),
+    "chervillead_worker_calls": ("Calls to workers.", ("path", "status")),
+    "chervillead_machine_calls": ("Calls for hosts.", ("path", "status")),
+    "chervillead_starts": ("Orders to start a run.", ("outcome",)),
+    "chervillead_runs_ended": ("Runs that ended.", ("kind",)),
+    "chervillead_jobs_ended": ("Jobs that ended.", ("phase",)),
+}
+_HISTOGRAMS = {
+    "call_seconds": "Time to answer a caller.",
+    "job_seconds": "Time from a job's acceptance to its end.",
+}
+
+
+class MetricsPage:
+    """The metrics of one process."""
+
+    def __init__(self) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        self._counters = {
+            name: prometheus_client.Counter(
+                name, text, labels, registry=self._registry
+            )
+            for name, (text, labels) in _COUNTERS.items()
+        }
+        self._histograms = {
+            name: prometheus_client.Histogram(
+                f"chervillead_{name}",
+                text,
+                buckets=BUCKETS_S,
+                registry=self._registry,
+            )
+            for name, text in _HISTOGRAMS.items()
+        }
+
+    def count(self, name: str, *labels: str) -> None:
+        """Adds one to a counter."""
+        self._counters[name].labels(*labels).inc()
+
+    def observe(self, name: str, seconds: float) -> None:
+        """Notes a duration."""
+        self._histograms[name].observe(seconds)
+
+    def gauge(
+        self, name: str, text: str, value: abc.Callable[[], float]
+    ) -> None:
+        """Adds a value that is read when the page is asked for."""
+        prometheus_client.Gauge(
+            name, text, registry=self._registry
+        ).set_function(value)
+
+    def render(self) -> bytes:
+        """Returns the page."""
+        return prometheus_client.generate_latest(self._registry)
--- a/src/chervillead/operators/burn.py
+++ b/src/chervillead/operators/burn.py
@@ -19,10 +19,10 @@
 from chervillead import reports
 from chervillead import types
 from chervillead.callers import submission
-from chervillead.platform import log_client
-from chervillead.platform import log_reader
-from chervillead.platform import publisher
-from chervillead.platform import records
+from chervillead.fleet import log_client
+from chervillead.fleet import log_reader
+from chervillead.fleet import publisher
+from chervillead.fleet import records
 
 BUCKETS_PER_PERIOD = 5
 
--- a/src/chervillead/operators/burn_carry.py
+++ b/src/chervillead/operators/burn_carry.py
@@ -13,13 +13,13 @@
 
 from chervillead import reports
 from chervillead import types
+from chervillead.fleet import log_client
+from chervillead.fleet import log_reader
+from chervillead.fleet import publisher
+from chervillead.fleet import records
+from chervillead.fleet import snapshots
 from chervillead.operators import burn
 from chervillead.operators import history
-from chervillead.platform import log_client
-from chervillead.platform import log_reader
-from chervillead.platform import publisher
-from chervillead.platform import records
-from chervillead.platform import snapshots
 
 LONGEST_WINDOW_S = 21_600
 
--- a/src/chervillead/operators/burn_plots.py
+++ b/src/chervillead/operators/burn_plots.py
@@ -10,8 +10,8 @@
 from matplotlib import figure
 
 from chervillead import reports
+from chervillead.fleet import records
 from chervillead.operators import history as history_module
-from chervillead.platform import records
 
 # As wide as a telephone, so that text isn't scaled down there.
 INCHES = (4.2, 2.5)
--- a/src/chervillead/operators/burn_report.py
+++ b/src/chervillead/operators/burn_report.py
@@ -5,8 +5,8 @@
 import typing
 
 from chervillead import reports
+from chervillead.fleet import configuration as configuration_module
 from chervillead.operators import history as history_module
-from chervillead.platform import configuration as configuration_module
 
 # A short and a long window: the long one shows that a burn matters, the short
 # one that it still goes on.
--- a/src/chervillead/operators/change_commands.py
+++ b/src/chervillead/operators/change_commands.py
@@ -4,9 +4,9 @@
 from returns import pipeline
 
 from chervillead import types
+from chervillead.fleet import records
 from chervillead.operators import commands
 from chervillead.operators import publishing
-from chervillead.platform import records
 
 publish_app = cyclopts.App(
     name="publish",
--- a/src/chervillead/operators/commands.py
+++ b/src/chervillead/operators/commands.py
@@ -12,11 +12,11 @@
 from returns import result
 
 from chervillead import types
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import log_client
 from chervillead.operators import publishing
 from chervillead.operators import session as session_module
 from chervillead.operators import tables
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import log_client
 
 CLOCK = types.Clock(time.monotonic, time.time)
 Output = typing.Literal["text", "json"]
--- a/src/chervillead/operators/fleet_commands.py
+++ b/src/chervillead/operators/fleet_commands.py
@@ -4,10 +4,10 @@
 
 import cyclopts
 
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import records
 from chervillead.operators import commands
 from chervillead.operators import publishing
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import records
 
 zone_app = cyclopts.App(
     name="zone", help="Takes an availability zone out of service and back."
--- a/src/chervillead/operators/history.py
+++ b/src/chervillead/operators/history.py
@@ -11,12 +11,12 @@
 from returns import result
 
 from chervillead import reports
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import fold
+from chervillead.fleet import log_client
+from chervillead.fleet import records
+from chervillead.fleet import snapshots
 from chervillead.operators import burn
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import fold
-from chervillead.platform import log_client
-from chervillead.platform import records
-from chervillead.platform import snapshots
 
 EVENT_KINDS = frozenset(
     (records.ZONE, records.DRAIN, records.MOVE, records.ROLLOUT)
--- a/src/chervillead/operators/host_commands.py
+++ b/src/chervillead/operators/host_commands.py
@@ -4,10 +4,10 @@
 
 import cyclopts
 
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import records
 from chervillead.operators import commands
 from chervillead.operators import publishing
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import records
 
 drain_app = cyclopts.App(
     name="drain", help="Grants and reports the maintenance of a host."
--- a/src/chervillead/operators/host_status.py
+++ b/src/chervillead/operators/host_status.py
@@ -3,8 +3,8 @@
 from chervillead import settings as settings_module
 from chervillead.entries import host as host_module
 from chervillead.entries import messages
+from chervillead.fleet import log_reader
 from chervillead.operators import status
-from chervillead.platform import log_reader
 
 
 def current(
--- a/src/chervillead/operators/key_commands.py
+++ b/src/chervillead/operators/key_commands.py
@@ -9,11 +9,11 @@
 from returns import result
 
 from chervillead.callers import credentials
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import records
 from chervillead.operators import commands
 from chervillead.operators import keys
 from chervillead.operators import publishing
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import records
 
 key_app = cyclopts.App(
     name="key",
--- a/src/chervillead/operators/keys.py
+++ b/src/chervillead/operators/keys.py
@@ -6,8 +6,8 @@
 from returns import result
 
 from chervillead.callers import credentials
+from chervillead.fleet import configuration as configuration_module
 from chervillead.operators import publishing
-from chervillead.platform import configuration as configuration_module
 
 # 32 random bytes; nobody has to type a key.
 GENERATED_BYTES = 32
--- a/src/chervillead/operators/listing.py
+++ b/src/chervillead/operators/listing.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import records
 from chervillead.operators import publishing
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import records
 
 # Kinds that operators can look at, by the name that `show` takes.
 SHOWN = {
--- a/src/chervillead/operators/publishing.py
+++ b/src/chervillead/operators/publishing.py
@@ -13,11 +13,11 @@
 from returns import pipeline
 from returns import result
 
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import fold
+from chervillead.fleet import publisher
+from chervillead.fleet import records
 from chervillead.operators import session as session_module
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import fold
-from chervillead.platform import publisher
-from chervillead.platform import records
 
 # A refusal that lists thousands of hosts hides its hint.
 MOST_NAMED = 20
--- a/src/chervillead/operators/report_commands.py
+++ b/src/chervillead/operators/report_commands.py
@@ -9,12 +9,12 @@
 from returns import pipeline
 from returns import result
 
+from chervillead.fleet import log_client
 from chervillead.operators import burn_report
 from chervillead.operators import commands
 from chervillead.operators import history as history_module
 from chervillead.operators import publishing
 from chervillead.operators import tables
-from chervillead.platform import log_client
 
 report_app = cyclopts.App(name="report", help="Reports on the past.")
 
--- a/src/chervillead/operators/session.py
+++ b/src/chervillead/operators/session.py
@@ -8,8 +8,8 @@
 from returns import result
 
 from chervillead import types
-from chervillead.platform import log_client
-from chervillead.platform import log_reader
+from chervillead.fleet import log_client
+from chervillead.fleet import log_reader
 
 # A log of 100,000 records is read in a few seconds on loopback.
 READ_LOG_S = 30.0
--- a/src/chervillead/operators/status.py
+++ b/src/chervillead/operators/status.py
@@ -12,8 +12,8 @@
 from chervillead.entries import escrow
 from chervillead.entries import messages
 from chervillead.entries import seats
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import log_pages
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import log_pages
 
 # `free_by_zone` and the dispatcher's numbers of a host without that duty.
 _NO_NUMBERS: abc.Mapping[str, int] = {}
--- /dev/null
+++ b/src/chervillead/platform/__main__.py
@@ -0,0 +1,31 @@
+"""Starts an entry host on the platform: `python3 -m chervillead.platform`."""
+
+import os
+import pathlib
+import sys
+
+from returns import pipeline
+import uvloop
+
+from chervillead import bounded_logs
+from chervillead.platform import daemon
+from chervillead.platform import settings
+
+EXIT_BAD_SETTINGS = 2
+
+
+def main() -> int:
+    """Runs the host and returns the exit status of the process."""
+    path = os.environ.get(settings.SETTINGS_VARIABLE, "")
+    checked = settings.load_settings(pathlib.Path(path))
+    if not pipeline.is_successful(checked):
+        print(checked.failure(), file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    log = bounded_logs.write_bounded_logs()
+    uvloop.run(daemon.serve(checked.unwrap()))
+    log.flush()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/chervillead/platform/caller_routes.py
@@ -0,0 +1,212 @@
+"""The platform's HTTP routes for callers, as calls about jobs."""
+
+from collections import abc
+import typing
+
+import blacksheep
+import msgspec
+from returns import pipeline
+from returns import result
+
+from chervillead import types
+from chervillead import verdicts
+from chervillead.jobs import job_calls
+from chervillead.jobs import validation
+from chervillead.platform import job_bodies
+
+# Callers without a deadline of their own wait this long.
+DEFAULT_DEADLINE_MS = 3000
+_JSON = b"application/json"
+
+
+class RoutePorts(typing.NamedTuple):
+    """What the routes need.
+
+    Attributes:
+        jobs: Calls about jobs.
+        clock: Source of time.
+        is_ready: Whether the balancer should send connections here.
+        is_stopping: Whether connections are closed after an answer.
+        observe: Notes a duration in seconds, by name.
+        increment: Adds to a counter, by name and label.
+    """
+
+    jobs: job_calls.JobPorts
+    clock: types.Clock
+    is_ready: abc.Callable[[], bool]
+    is_stopping: abc.Callable[[], bool]
+    observe: abc.Callable[[str, float], None]
+    increment: abc.Callable[..., None]
+
+
+class _Call(typing.NamedTuple):
+    """One call of a caller, decoded."""
+
+    admission: job_calls.Admission
+    job_id: str
+    time_left_s: float
+
+
+def build_application(ports: RoutePorts) -> blacksheep.Application:
+    """Returns the application that serves callers and the balancer."""
+    router = blacksheep.Router()
+    application = blacksheep.Application(router=router)
+
+    async def handle(request: blacksheep.Request) -> blacksheep.Response:
+        began_s = ports.clock.monotonic()
+        path = request.url.path.decode("latin-1")
+        if path == "/ready" and request.method == "GET":
+            return _answer(200 if ports.is_ready() else 503, None, ports)
+        call = _decode_call(request, path, ports)
+        if not pipeline.is_successful(call):
+            response = _refuse(call.failure(), path, ports)
+        else:
+            response = await _dispatch(request, call.unwrap(), path, ports)
+        duration_s = ports.clock.monotonic() - began_s
+        ports.observe("call_seconds", duration_s)
+        ports.increment(
+            "chervillead_calls", request.method, str(response.status)
+        )
+        return response
+
+    router.fallback = handle
+    return application
+
+
+def _decode_call(
+    request: blacksheep.Request, path: str, ports: RoutePorts
+) -> result.Result[_Call, verdicts.Refusal]:
+    host = (_header(request, b"host") or "").partition(":")[0]
+    admission = job_calls.admit(
+        ports.jobs, host, path, _header(request, b"key")
+    )
+    deadline = _header(request, b"deadline-ms") or ""
+    time_left_ms = int(deadline) if deadline.isdigit() else DEFAULT_DEADLINE_MS
+    return admission.map(
+        lambda found: _Call(
+            found,
+            path[len(found.queue.path_prefix) :].strip("/"),
+            time_left_ms / 1000,
+        )
+    )
+
+
+async def _dispatch(
+    request: blacksheep.Request, call: _Call, path: str, ports: RoutePorts
+) -> blacksheep.Response:
+    if not call.job_id and request.method == "GET":
+        return await _count(call, path, ports)
+    if not validation.is_job_id(call.job_id):
+        refusal = verdicts.not_run(
+            "bad-job-id",
+            404 if request.method != "POST" else 400,
+            f"{call.job_id!r} is not 16 hexadecimal digits",
+        )
+        return _refuse(refusal, path, ports)
+    if request.method == "POST":
+        return await _submit(request, call, path, ports)
+    if request.method == "GET":
+        return await _find(call, path, ports)
+    if request.method == "DELETE":
+        return await _cancel(call, path, ports)
+    refusal = verdicts.not_run("bad-method", 405, request.method)
+    return _refuse(refusal, path, ports)
+
+
+async def _submit(
+    request: blacksheep.Request, call: _Call, path: str, ports: RoutePorts
+) -> blacksheep.Response:
+    configuration = ports.jobs.configuration()
+    limit = configuration.max_body_bytes if configuration is not None else 0
+    body = await request.read() or b""
+    if len(body) > limit:
+        refusal = verdicts.not_run(
+            "body-too-large", 413, f"{len(body)} bytes, at most {limit}"
+        )
+        return _refuse(refusal, path, ports)
+    decoded = job_bodies.decode_job(
+        body,
+        job_id=call.job_id,
+        queue=call.admission.queue,
+        account=call.admission.account,
+        now_unix_ms=int(1000 * ports.clock.wall()),
+    )
+    if not pipeline.is_successful(decoded):
+        refusal = verdicts.not_run("bad-job", 400, decoded.failure().detail)
+        return _refuse(refusal, path, ports)
+    stored = await job_calls.submit(
+        ports.jobs, decoded.unwrap(), call.time_left_s
+    )
+    if not pipeline.is_successful(stored):
+        return _refuse(stored.failure(), path, ports)
+    return _answer(200, None, ports)
+
+
+async def _find(
+    call: _Call, path: str, ports: RoutePorts
+) -> blacksheep.Response:
+    found = await job_calls.find(
+        ports.jobs, call.admission, call.job_id, call.time_left_s
+    )
+    if not pipeline.is_successful(found):
+        return _refuse(found.failure(), path, ports)
+    return _answer(200, {"State": found.unwrap().phase}, ports)
+
+
+async def _cancel(
+    call: _Call, path: str, ports: RoutePorts
+) -> blacksheep.Response:
+    outcome = await job_calls.cancel(
+        ports.jobs, call.admission, call.job_id, call.time_left_s
+    )
+    if not pipeline.is_successful(outcome):
+        return _refuse(outcome.failure(), path, ports)
+    return _answer(200, None, ports)
+
+
+async def _count(
+    call: _Call, path: str, ports: RoutePorts
+) -> blacksheep.Response:
+    outcome = await job_calls.count_pending(
+        ports.jobs, call.admission.queue, call.time_left_s
+    )
+    if not pipeline.is_successful(outcome):
+        return _refuse(outcome.failure(), path, ports)
+    return _answer(200, {"Pending": outcome.unwrap()}, ports)
+
+
+def _refuse(
+    refusal: verdicts.Refusal, path: str, ports: RoutePorts
+) -> blacksheep.Response:
+    ports.jobs.log(
+        "call:refused",
+        path=path,
+        reason=refusal.reason,
+        status=refusal.status,
+        verdict=refusal.verdict.value,
+        detail=refusal.detail,
+    )
+    response = _answer(
+        refusal.status,
+        {"Reason": refusal.reason, "Detail": refusal.detail},
+        ports,
+    )
+    if refusal.retry_after_s is not None:
+        seconds = str(max(1, round(refusal.retry_after_s))).encode()
+        response.add_header(b"retry-after", seconds)
+    return response
+
+
+def _answer(
+    status: int, fields: dict[str, object] | None, ports: RoutePorts
+) -> blacksheep.Response:
+    content = blacksheep.Content(_JSON, msgspec.json.encode(fields or {}))
+    response = blacksheep.Response(status, content=content)
+    if ports.is_stopping():
+        response.add_header(b"connection", b"close")
+    return response
+
+
+def _header(request: blacksheep.Request, name: bytes) -> str | None:
+    value = request.headers.get_first(name)
+    return None if value is None else value.decode("latin-1")
--- /dev/null
+++ b/src/chervillead/platform/fleet_configuration.py
@@ -0,0 +1,110 @@
+"""Decodes what operators write to the store."""
+
+import typing
+
+import msgspec
+
+from chervillead.jobs import model
+from chervillead.platform import registrations
+
+OPERATOR_TOPIC = "keyed.op"
+STATUS_TOPIC = "keyed.status"
+CONFIGURATION_KEY = "config"
+EVACUATE_PREFIX = "evacuate/"
+WAVE_PREFIX = "wave/"
+
+
+class Wave(typing.NamedTuple):
+    """Hosts that are due for upkeep.
+
+    Attributes:
+        number: Number of the wave.
+        machines: Names of the hosts.
+        duration_s: Time in which all of them should be done.
+        cap: Hosts that may be down at once.
+    """
+
+    number: int
+    machines: tuple[str, ...]
+    duration_s: float
+    cap: int
+
+
+def decode_configuration(value: bytes) -> model.FleetConfiguration:
+    """Returns the configuration in a record.
+
+    Raises:
+        msgspec.DecodeError: The record isn't JSON.
+        KeyError: A field is missing.
+    """
+    fields = msgspec.json.decode(value)
+    tenants = fields.get("Tenants") or ()
+    return model.FleetConfiguration(
+        version=fields["Version"],
+        queues={
+            route["Name"]: _decode_queue(route) for route in fields["Routes"]
+        },
+        pools={
+            service["Name"]: model.Pool(
+                service["Name"],
+                service.get("EnforcesCapacity", True),
+                service.get("Spare", False),
+            )
+            for service in fields["Services"]
+        },
+        accounts={
+            tenant["Name"]: model.Account(
+                tenant["Name"],
+                tenant.get("Weight", 1),
+                registrations.decode_resources(tenant.get("Cap") or {}),
+            )
+            for tenant in tenants
+        },
+        account_of_key={
+            key: tenant["Name"]
+            for tenant in tenants
+            for key in tenant.get("ApiKeys") or ()
+        },
+        max_body_bytes=(fields.get("Limits") or {}).get("MaxBodyBytes", 262144),
+    )
+
+
+def _decode_queue(route: dict[str, typing.Any]) -> model.Queue:
+    advice = route.get("Advice")
+    return model.Queue(
+        name=route["Name"],
+        host=route["Host"],
+        path_prefix=route["PathPrefix"],
+        pool=route["Service"],
+        priority=route.get("Priority", 0),
+        max_attempts=route.get("MaxAttempts") or 1,
+        stretch=route.get("Stretch") or 1.0,
+        target_ms=route.get("TargetLatencyMs", 0),
+        is_public=route.get("Public", False),
+        advice=advice
+        and model.AdvicePolicy(
+            advice["DecideMs"], advice["PerWorkerMs"], advice["ValidMs"]
+        ),
+    )
+
+
+def decode_wave(value: bytes) -> Wave:
+    """Returns the wave in a record.
+
+    Raises:
+        msgspec.DecodeError: The record isn't JSON.
+        KeyError: A field is missing.
+    """
+    fields = msgspec.json.decode(value)
+    return Wave(
+        fields["Wave"],
+        tuple(fields["Machines"]),
+        fields["DurationS"],
+        fields["Cap"],
+    )
+
+
+def encode_wave_status(*, is_completed: bool) -> bytes:
+    """Returns the record that tells operators how far a wave is."""
+    state = "completed" if is_completed else "running"
+    return msgspec.json.encode({"State": state})
--- /dev/null
+++ b/src/chervillead/platform/fleet_view.py
@@ -0,0 +1,126 @@
+"""What operators and workers wrote to the store, kept up to date."""
+
+from collections import abc
+
+import msgspec
+
+from chervillead.jobs import model
+from chervillead.platform import fleet_configuration
+from chervillead.platform import registrations
+from chervillead.store import keyed_follower
+from chervillead.workers import interface as worker_interface
+
+
+class FleetView:
+    """The newest configuration, zones out, waves and workers."""
+
+    def __init__(
+        self,
+        boot_time: abc.Callable[[], float],
+        log: abc.Callable[..., None],
+    ) -> None:
+        self._boot_time = boot_time
+        self._log = log
+        self._configuration: model.FleetConfiguration | None = None
+        self._zones_out: frozenset[str] = frozenset()
+        self._waves: dict[int, fleet_configuration.Wave] = {}
+        self._workers: dict[str, worker_interface.Registration] = {}
+        self._confirmed_s = float("-inf")
+        self._on_change: abc.Callable[[], None] = lambda: None
+
+    @property
+    def configuration(self) -> model.FleetConfiguration | None:
+        """The newest configuration, or None before the first."""
+        return self._configuration
+
+    @property
+    def zones_out(self) -> frozenset[str]:
+        """Availability zones that operators took out."""
+        return self._zones_out
+
+    @property
+    def waves(self) -> abc.Mapping[int, fleet_configuration.Wave]:
+        """Waves of upkeep by number."""
+        return self._waves
+
+    @property
+    def workers(self) -> abc.Mapping[str, worker_interface.Registration]:
+        """Registered workers by id."""
+        return self._workers
+
+    def on_change(self, action: abc.Callable[[], None]) -> None:
+        """Calls `action` after each change."""
+        self._on_change = action
+
+    def age_s(self) -> float:
+        """Returns for how long the configuration has been unconfirmed."""
+        return self._boot_time() - self._confirmed_s
+
+    def confirm(self, as_of_s: float) -> None:
+        """Notes that the store confirmed what operators wrote."""
+        self._confirmed_s = max(self._confirmed_s, as_of_s)
+
+    def apply_operator(self, changes: list[keyed_follower.Change]) -> None:
+        """Applies changes of what operators wrote."""
+        for change in changes:
+            try:
+                self._apply_operator_change(change)
+            except (msgspec.DecodeError, KeyError, TypeError) as error:
+                self._log(
+                    "record:unreadable", key=change.key, error=repr(error)
+                )
+        self._on_change()
+
+    def _apply_operator_change(self, change: keyed_follower.Change) -> None:
+        key, value = change
+        if key == fleet_configuration.CONFIGURATION_KEY and value:
+            self._apply_configuration(
+                fleet_configuration.decode_configuration(value)
+            )
+        elif key.startswith(fleet_configuration.EVACUATE_PREFIX):
+            zone = key.removeprefix(fleet_configuration.EVACUATE_PREFIX)
+            out = self._zones_out - {zone}
+            self._zones_out = out if value is None else out | {zone}
+            self._log("zone:out" if value else "zone:back", zone=zone)
+        elif key.startswith(fleet_configuration.WAVE_PREFIX) and value:
+            wave = fleet_configuration.decode_wave(value)
+            self._waves[wave.number] = wave
+            self._log(
+                "wave:published",
+                wave=wave.number,
+                machines=len(wave.machines),
+                duration_s=wave.duration_s,
+                cap=wave.cap,
+            )
+
+    def _apply_configuration(self, found: model.FleetConfiguration) -> None:
+        current = self._configuration
+        if current is not None and found.version <= current.version:
+            return
+        self._configuration = found
+        self._log(
+            "configuration:applied",
+            version=found.version,
+            queues=len(found.queues),
+            accounts=len(found.accounts),
+            keys=len(found.account_of_key),
+        )
+
+    def apply_workers(self, changes: list[keyed_follower.Change]) -> None:
+        """Applies changes of what workers wrote."""
+        changed = False
+        for change in changes:
+            found = change.value and registrations.decode_registration(
+                change.key, change.value
+            )
+            if found == self._workers.get(change.key):
+                continue
+            changed = True
+            if found:
+                self._workers[change.key] = found
+                continue
+            former = self._workers.pop(change.key, None)
+            if former is not None:
+                self._log("worker:unlisted", worker=change.key)
+        if changed:
+            self._on_change()
--- /dev/null
+++ b/src/chervillead/platform/settings.py
@@ -0,0 +1,178 @@
+"""Decodes the settings file that the platform writes."""
+
+import pathlib
+import typing
+
+from returns import pipeline
+from returns import result
+import yaml
+
+from chervillead import settings as settings_module
+from chervillead import types
+from chervillead.pools import ports as ports_module
+
+SETTINGS_VARIABLE = "CHERVILLEAD_CONFIG"
+# libyaml parses the file several times faster than the Python loader.
+_Loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+
+
+class StoreSettings(typing.NamedTuple):
+    """The platform's store.
+
+    Attributes:
+        address: Where it takes calls.
+        partitions: Partitions of each topic.
+        max_record_bytes: Longest record.
+        max_call_bytes: Longest append.
+    """
+
+    address: types.Address
+    partitions: int
+    max_record_bytes: int
+    max_call_bytes: int
+
+
+class EntrySettings(typing.NamedTuple):
+    """Settings of an entry host on the platform.
+
+    Attributes:
+        host: Name of the machine.
+        zone: Its availability zone.
+        callers: Where callers connect.
+        ready: Where the balancer asks whether the host is ready.
+        entries: Where other entry hosts connect.
+        metrics: Where metrics are served.
+        store: The platform's store.
+        machines: Address of the machines service; None if there is none.
+        advice: Address of the advisory service; None if there is none.
+        limits: Bounds of the platform.
+        config_max_age_s: Age of the configuration from which on keyed calls
+            are refused.
+        stop_grace_s: Time between SIGTERM and SIGKILL.
+    """
+
+    host: str
+    zone: str
+    callers: types.Address
+    ready: types.Address
+    entries: types.Address
+    metrics: types.Address
+    store: StoreSettings
+    machines: types.Address | None
+    advice: types.Address | None
+    limits: ports_module.Limits
+    config_max_age_s: float
+    stop_grace_s: float
+
+
+class _SettingError(Exception):
+    """A field is missing or holds something else."""
+
+
+# A withdrawn key must stop working within the platform's bound; the rest of it
+# is left for calls that are under way.
+CONFIG_AGE_SHARE = 0.8
+
+
+def load_settings(
+    path: pathlib.Path,
+) -> result.Result[EntrySettings, settings_module.SettingProblem]:
+    """Reads and checks a settings file; fields that nobody reads may come."""
+    try:
+        document = yaml.load(path.read_bytes(), Loader=_Loader)
+    except (OSError, yaml.YAMLError) as error:
+        return result.Failure(
+            settings_module.SettingProblem(
+                str(path), str(error), "a readable YAML file"
+            )
+        )
+    return decode_settings(document)
+
+
+def decode_settings(
+    document: object,
+) -> result.Result[EntrySettings, settings_module.SettingProblem]:
+    """Returns the settings in a parsed file."""
+    try:
+        return result.Success(_decode(document))
+    except _SettingError as error:
+        return result.Failure(
+            settings_module.SettingProblem(*map(str, error.args))
+        )
+
+
+def _decode(document: object) -> EntrySettings:
+    ports = _field(document, "InternalPorts", list)
+    if len(ports) != 2 or not all(isinstance(port, int) for port in ports):
+        raise _SettingError(
+            "InternalPorts", ports, "the first and the last port"
+        )
+    ip = _field(document, "Ip", str)
+    return EntrySettings(
+        host=_field(document, "Node", str),
+        zone=_field(document, "Zone", str),
+        callers=_address(document, "ListenAddrs.Front"),
+        ready=_address(document, "ListenAddrs.ReadyAddr"),
+        entries=types.Address(ip, ports[0]),
+        metrics=types.Address(ip, ports[0] + 1),
+        store=StoreSettings(
+            _address(document, "platform.Address"),
+            _field(document, "platform.parts", int),
+            _field(document, "platform.RecordBytes", int),
+            _field(document, "platform.CallBytes", int),
+        ),
+        machines=_optional_address(document, "Cloud.Address"),
+        advice=_optional_address(document, "Advice"),
+        limits=_limits(document),
+        config_max_age_s=CONFIG_AGE_SHARE
+        * _number(document, "Bounds.RevokeMs", 5000)
+        / 1000,
+        stop_grace_s=_number(document, "Bounds.GraceS", 6),
+    )
+
+
+def _limits(document: object) -> ports_module.Limits:
+    return ports_module.Limits(
+        max_lease_ms=int(_number(document, "Bounds.MaxHoldMs", 6000)),
+        state_kept_s=_number(document, "Bounds.status_s", 120),
+        notice_ms=int(_number(document, "Bounds.NoticeMs", 4500)),
+        upkeep_s=_number(document, "Bounds.MaintenanceS", 2),
+        move_s=_number(document, "Bounds.MoveS", 1.5),
+        pace_ms=int(_number(document, "Bounds.PaceMs", 100)),
+    )
+
+
+def _find(document: object, path: str) -> object:
+    value = document
+    for name in path.split("."):
+        if not isinstance(value, dict):
+            return None
+        value = value.get(name)
+    return value
+
+
+def _field(document: object, path: str, expected: type) -> typing.Any:
+    value = _find(document, path)
+    if not isinstance(value, expected):
+        raise _SettingError(path, value, f"a value of type {expected.__name__}")
+    return value
+
+
+def _number(document: object, path: str, default: float) -> float:
+    value = _find(document, path)
+    if value is None:
+        return default
+    if not isinstance(value, int | float) or value < 0:
+        raise _SettingError(path, value, "a number of at least 0")
+    return float(value)
+
+
+def _address(document: object, path: str) -> types.Address:
+    parsed = types.parse_address(_field(document, path, str))
+    if not pipeline.is_successful(parsed):
+        raise _SettingError(path, _find(document, path), parsed.failure())
+    return parsed.unwrap()
+
+
+def _optional_address(document: object, path: str) -> types.Address | None:
+    return _address(document, path) if _find(document, path) else None
--- /dev/null
+++ b/src/chervillead/platform/store_client.py
@@ -0,0 +1,322 @@
+"""The platform's store as the product's store interface."""
+
+import base64
+import binascii
+from collections import abc
+import struct
+import typing
+import urllib.parse
+
+import msgspec
+from returns import pipeline
+from returns import result
+
+from chervillead import http_channel
+from chervillead import http_exchange
+from chervillead import types
+from chervillead import verdicts
+from chervillead.store import interface
+
+# The store answers within milliseconds; a connection that lost an answer
+# returns nothing further, so waiting longer doesn't help.
+TIMEOUT_S = 0.7
+MAX_PAGES = 10_000
+
+_LENGTH = struct.Struct(">I")
+_HEAD = struct.Struct(">QQ")
+
+_REFUSED = {
+    "fenced": interface.Refused.FENCED,
+    "seq": interface.Refused.SEQUENCE,
+}
+
+
+class _Reply(typing.NamedTuple):
+    status: int
+    body: bytes
+
+
+_Call: typing.TypeAlias = abc.Callable[
+    [str, str, dict[str, object], bytes, float],
+    abc.Awaitable[result.Result[_Reply, interface.StoreFailure]],
+]
+
+
+def connect_store(
+    address: types.Address,
+    count: abc.Callable[..., None],
+    *,
+    dial: http_exchange.Dial = http_exchange.dial,
+) -> interface.Store:
+    """Returns the store at `address`."""
+    channels = http_channel.HttpChannels(address, dial=dial)
+
+    async def call(
+        method: str,
+        path: str,
+        query: dict[str, object],
+        body: bytes,
+        timeout_s: float,
+    ) -> result.Result[_Reply, interface.StoreFailure]:
+        target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
+        headers = (
+            (("content-type", "application/json"),)
+            if method == "POST" and not query
+            else ()
+        )
+        outcome = await channels.call(
+            http_exchange.HttpRequest(method, target, headers, body), timeout_s
+        )
+        if not pipeline.is_successful(outcome):
+            failure = outcome.failure()
+            count("chervillead_store_calls", path, "unanswered")
+            return result.Failure(
+                interface.StoreFailure(failure.verdict, failure.detail)
+            )
+        response = outcome.unwrap()
+        count("chervillead_store_calls", path, str(response.status))
+        if response.status == 200:
+            return result.Success(_Reply(200, response.body))
+        return result.Failure(_failure(path, response))
+
+    return interface.Store(
+        append=_append(call),
+        read=_read(call),
+        newest=_newest(call),
+        join=_join(call),
+        leave=_leave(call),
+        owners=_owners(call),
+    )
+
+
+def _failure(
+    path: str, response: http_exchange.HttpResponse
+) -> interface.StoreFailure:
+    """Returns the failure that an answer other than 200 stands for."""
+    fields = _fields(response.body)
+    detail = f"{path}: {response.status} {fields}"
+    if response.status == 409:
+        reason = _REFUSED.get(
+            str(fields.get("Reason")), interface.Refused.NOT_A_MEMBER
+        )
+        # The expected sequence number stands under the name of the sequence.
+        expected = fields.get("Seq")
+        return interface.StoreFailure(
+            verdicts.Verdict.NOT_RUN,
+            detail,
+            reason,
+            expected if isinstance(expected, int) else None,
+        )
+    if response.status == 410:
+        return interface.StoreFailure(
+            verdicts.Verdict.NOT_RUN, detail, interface.Refused.EXPIRED
+        )
+    verdict = (
+        verdicts.Verdict.NOT_RUN
+        if response.status in (400, 403, 404, 429, 503, 507)
+        else verdicts.Verdict.MAY_HAVE_RUN
+    )
+    return interface.StoreFailure(verdict, detail)
+
+
+def _fields(body: bytes) -> dict[str, typing.Any]:
+    try:
+        decoded = msgspec.json.decode(body) if body else {}
+    except msgspec.DecodeError:
+        return {}
+    return decoded if isinstance(decoded, dict) else {}
+
+
+def _malformed(path: str, error: Exception) -> interface.StoreFailure:
+    return interface.StoreFailure(
+        verdicts.Verdict.MAY_HAVE_RUN, f"{path}: malformed answer: {error!r}"
+    )
+
+
+def encode_records(records: abc.Iterable[interface.KeyedRecord]) -> bytes:
+    """Returns records as an append carries them."""
+    return b"".join(
+        _LENGTH.pack(1 + len(key) + len(record.value))
+        + bytes([len(key)])
+        + key
+        + record.value
+        for record in records
+        for key in (record.key.encode(),)
+    )
+
+
+def decode_records(
+    data: bytes, first_offset: int
+) -> abc.Iterator[interface.KeyedRecord]:
+    """Yields the records of a read; those without a readable key are empty."""
+    position = 0
+    offset = first_offset
+    while position + _LENGTH.size <= len(data):
+        (length,) = _LENGTH.unpack_from(data, position)
+        position += _LENGTH.size
+        content = data[position : position + length]
+        position += length
+        yield _decode_record(content, offset)
+        offset += 1
+
+
+def _decode_record(content: bytes, offset: int) -> interface.KeyedRecord:
+    key_length = content[0] if content else 0
+    key = content[1 : 1 + key_length].decode(errors="replace")
+    return interface.KeyedRecord(key, content[1 + key_length :], offset)
+
+
+def _append(call: _Call) -> typing.Any:
+    async def append(
+        topic: str,
+        partition: int,
+        records: abc.Sequence[interface.KeyedRecord],
+        producer: interface.Producer | None,
+    ) -> result.Result[int, interface.StoreFailure]:
+        query: dict[str, object] = {"Topic": topic, "part": partition}
+        if producer is not None:
+            query["Producer"] = producer.name
+            query["epoch"] = producer.epoch
+            query["Seq"] = producer.sequence
+        reply = await call(
+            "POST", "/log-append", query, encode_records(records), TIMEOUT_S
+        )
+        return reply.map(lambda found: _fields(found.body).get("End", 0))
+
+    return append
+
+
+def _read(call: _Call) -> typing.Any:
+    async def read(
+        topic: str, partition: int, offset: int, wait_ms: int
+    ) -> result.Result[interface.ReadPage, interface.StoreFailure]:
+        query: dict[str, object] = {
+            "Topic": topic,
+            "part": partition,
+            "From": offset,
+        }
+        if wait_ms:
+            query["WaitMs"] = wait_ms
+        reply = await call(
+            "GET", "/log-read", query, b"", TIMEOUT_S + wait_ms / 1000
+        )
+        if not pipeline.is_successful(reply):
+            return result.Failure(reply.failure())
+        body = reply.unwrap().body
+        if len(body) < _HEAD.size:
+            return result.Failure(_malformed("/log-read", EOFError()))
+        records = tuple(decode_records(body[_HEAD.size :], offset))
+        return result.Success(
+            interface.ReadPage(records, offset + len(records))
+        )
+
+    return read
+
+
+def _newest(call: _Call) -> typing.Any:
+    async def newest(
+        topic: str, partition: int
+    ) -> result.Result[interface.NewestPage, interface.StoreFailure]:
+        records: list[interface.KeyedRecord] = []
+        end: int | None = None
+        query: dict[str, object] = {"Topic": topic, "part": partition}
+        for _ in range(MAX_PAGES):
+            reply = await call("GET", "/log-newest", query, b"", TIMEOUT_S)
+            if not pipeline.is_successful(reply):
+                failure = reply.failure()
+                if failure.detail.startswith("/log-newest: 404"):
+                    return result.Success(interface.NewestPage((), 0))
+                return result.Failure(failure)
+            fields = _fields(reply.unwrap().body)
+            try:
+                page = [_newest_record(item) for item in fields["items"]]
+                # Pages are not a snapshot: what changes after the first one is
+                # read again from its end on.
+                end = fields["End"] if end is None else end
+                has_more = fields["HasMore"]
+            except (KeyError, TypeError, binascii.Error) as error:
+                return result.Failure(_malformed("/log-newest", error))
+            records.extend(page)
+            if not has_more or not page:
+                break
+            query["After"] = page[-1].key
+        return result.Success(
+            interface.NewestPage(tuple(records), typing.cast(int, end))
+        )
+
+    return newest
+
+
+def _newest_record(item: dict[str, typing.Any]) -> interface.KeyedRecord:
+    return interface.KeyedRecord(
+        item["Key"], base64.b64decode(item["Value"]), item["Offset"]
+    )
+
+
+def _post(path: str, call: _Call, fields: dict[str, object]) -> typing.Any:
+    return call("POST", path, {}, msgspec.json.encode(fields), TIMEOUT_S)
+
+
+def _join(call: _Call) -> typing.Any:
+    async def join(
+        group: str, member: str, topic: str, ttl_ms: int, generation: int
+    ) -> result.Result[interface.Membership, interface.StoreFailure]:
+        reply = await _post(
+            "/log-join",
+            call,
+            {
+                "group": group,
+                "Member": member,
+                "Topics": [topic],
+                "TtlMs": ttl_ms,
+                "Generation": generation,
+            },
+        )
+        if not pipeline.is_successful(reply):
+            return result.Failure(reply.failure())
+        fields = _fields(reply.unwrap().body)
+        try:
+            return result.Success(
+                interface.Membership(
+                    fields["Generation"],
+                    frozenset(row[1] for row in fields["parts"]),
+                )
+            )
+        except (KeyError, TypeError, IndexError) as error:
+            return result.Failure(_malformed("/log-join", error))
+
+    return join
+
+
+def _leave(call: _Call) -> typing.Any:
+    async def leave(
+        group: str, member: str
+    ) -> result.Result[None, interface.StoreFailure]:
+        reply = await _post(
+            "/log-leave", call, {"group": group, "Member": member}
+        )
+        if pipeline.is_successful(reply):
+            return result.Success(None)
+        return result.Failure(reply.failure())
+
+    return leave
+
+
+def _owners(call: _Call) -> typing.Any:
+    async def owners(
+        group: str,
+    ) -> result.Result[dict[int, str], interface.StoreFailure]:
+        reply = await call(
+            "GET", "/log-owners", {"group": group}, b"", TIMEOUT_S
+        )
+        if not pipeline.is_successful(reply):
+            return result.Failure(reply.failure())
+        try:
+            rows = msgspec.json.decode(reply.unwrap().body)
+            if isinstance(rows, dict):
+                rows = rows.get("parts") or rows.get("items") or []
+            return result.Success({row[1]: row[2] for row in rows if row[2]})
+        except (msgspec.DecodeError, TypeError, IndexError) as error:
+            return result.Failure(_malformed("/log-owners", error))
+
+    return owners
--- /dev/null
+++ b/src/chervillead/pools/ownership.py
@@ -0,0 +1,208 @@
+"""Which partitions this host owns, as the store's group membership says.
+
+A host owns a partition from the answer that dealt it until it has not been
+confirmed for the time to live. The generation of that answer is the fencing
+token: it rises with every change, so a later owner always has a higher one.
+"""
+
+import asyncio
+from collections import abc
+import typing
+
+from returns import pipeline
+
+from chervillead import types
+from chervillead.pools import cells
+from chervillead.pools import partition_owner
+from chervillead.pools import ports as ports_module
+from chervillead.pools import takeover
+from chervillead.store import group_commit
+from chervillead.store import interface as store_interface
+
+# Shorter lets another host take over sooner; longer bears a pause of the store.
+TTL_S = 2.5
+JOIN_INTERVAL_S = 0.5
+# A partition that couldn't be opened is tried again after this time.
+OPEN_RETRY_S = 0.2
+
+
+class Member(typing.NamedTuple):
+    """A host as the group knows it: its address and one life of it.
+
+    Attributes:
+        address: Where it takes calls of other hosts.
+        incarnation: Differs between two lives of a process.
+        host: Its name.
+        zone: Its availability zone.
+    """
+
+    address: types.Address
+    incarnation: str
+    host: str
+    zone: str
+
+    def __str__(self) -> str:
+        host, port = self.address
+        return f"{host}:{port}/{self.incarnation}/{self.host}/{self.zone}"
+
+
+def parse_member(text: str) -> Member | None:
+    """Returns the member in a text, or None if it holds something else."""
+    fields = text.split("/")
+    address = types.parse_address(fields[0])
+    if len(fields) != 4 or not pipeline.is_successful(address):
+        return None
+    return Member(address.unwrap(), *fields[1:])
+
+
+class Ownership:
+    """The partitions of this host and their owners' tasks."""
+
+    def __init__(
+        self,
+        member: Member,
+        ports: ports_module.OwnerPorts,
+        boot_time: abc.Callable[[], float],
+    ) -> None:
+        self._member = member
+        self._ports = ports
+        self._boot_time = boot_time
+        self._generation = 0
+        self._confirmed_s = float("-inf")
+        self._owners: dict[int, partition_owner.PartitionOwner] = {}
+        self._tasks: dict[int, asyncio.Task[None]] = {}
+        self._is_leaving = False
+        self._on_change: abc.Callable[[], None] = lambda: None
+
+    @property
+    def member(self) -> Member:
+        """This host as the group knows it."""
+        return self._member
+
+    @property
+    def owners(self) -> abc.Mapping[int, partition_owner.PartitionOwner]:
+        """Owners of this host's partitions."""
+        return self._owners
+
+    def on_change(self, action: abc.Callable[[], None]) -> None:
+        """Calls `action` whenever a partition comes or goes."""
+        self._on_change = action
+
+    def is_confirmed(self) -> bool:
+        """Returns whether the ownership surely still holds."""
+        return self._boot_time() - self._confirmed_s < TTL_S
+
+    def owner_of(self, partition: int) -> partition_owner.PartitionOwner | None:
+        """Returns the owner of a partition that is ready to serve."""
+        owner = self._owners.get(partition)
+        if owner is None or not owner.is_loaded or not self.is_confirmed():
+            return None
+        return owner
+
+    async def keep_joined(self) -> None:
+        """Keeps the membership until cancelled or left."""
+        await self._leave_former_lives()
+        is_lost = False
+        while True:
+            sent_s = self._boot_time()
+            outcome = await self._ports.store.join(
+                cells.OWNERS_GROUP,
+                str(self._member),
+                cells.JOBS_TOPIC,
+                int(1000 * TTL_S),
+                self._generation,
+            )
+            if self._is_leaving:
+                # The answer of a join that overlapped with leaving would bring
+                # the membership back.
+                await self._ports.store.leave(
+                    cells.OWNERS_GROUP, str(self._member)
+                )
+                return
+            if pipeline.is_successful(outcome):
+                if is_lost:
+                    self._ports.log("dependency:regained", name="store group")
+                is_lost = False
+                self._apply(outcome.unwrap(), sent_s)
+            else:
+                if not is_lost:
+                    self._ports.log(
+                        "dependency:lost",
+                        name="store group",
+                        error=outcome.failure().detail,
+                    )
+                is_lost = True
+            await asyncio.sleep(JOIN_INTERVAL_S if not is_lost else 0.15)
+
+    async def leave(self) -> None:
+        """Stops owning and tells the group."""
+        self._is_leaving = True
+        for partition in list(self._owners):
+            self._drop(partition, "leaving")
+        await self._ports.store.leave(cells.OWNERS_GROUP, str(self._member))
+
+    async def _leave_former_lives(self) -> None:
+        """Removes former processes of this address, which surely ended."""
+        outcome = await self._ports.store.owners(cells.OWNERS_GROUP)
+        if not pipeline.is_successful(outcome):
+            return
+        members = set(outcome.unwrap().values())
+        for text in sorted(members):
+            former = parse_member(text)
+            if (
+                former is not None
+                and former.address == self._member.address
+                and former.incarnation != self._member.incarnation
+            ):
+                await self._ports.store.leave(cells.OWNERS_GROUP, text)
+
+    def _apply(
+        self, membership: store_interface.Membership, sent_s: float
+    ) -> None:
+        self._confirmed_s = sent_s
+        generation = membership.generation
+        for partition in list(self._owners):
+            fenced = self._tasks[partition].done()
+            if partition not in membership.partitions or fenced:
+                self._drop(partition, "fenced" if fenced else "reassigned")
+        for partition in sorted(membership.partitions):
+            if partition not in self._owners:
+                self._gain(partition, generation)
+        self._generation = generation
+
+    def _gain(self, partition: int, token: int) -> None:
+        writer = group_commit.PartitionWriter(
+            self._ports.store, cells.JOBS_TOPIC, partition, token
+        )
+        owner = partition_owner.PartitionOwner(
+            partition,
+            token,
+            writer,
+            self._ports,
+            may_start=self.is_confirmed,
+            may_extend_lease=self.is_confirmed,
+        )
+        self._owners[partition] = owner
+        self._tasks[partition] = asyncio.create_task(self._own(owner, writer))
+        self._ports.log("owner:gained", partition=partition, token=token)
+
+    async def _own(
+        self,
+        owner: partition_owner.PartitionOwner,
+        writer: group_commit.PartitionWriter,
+    ) -> None:
+        if not await takeover.load(owner, writer, self._ports):
+            return
+        self._on_change()
+        await owner.run()
+
+    def _drop(self, partition: int, reason: str) -> None:
+        owner = self._owners.pop(partition)
+        self._tasks.pop(partition).cancel()
+        self._ports.log(
+            "owner:lost",
+            partition=partition,
+            token=owner.token,
+            reason=reason,
+        )
+        self._on_change()
--- /dev/null
+++ b/src/chervillead/pools/takeover.py
@@ -0,0 +1,79 @@
+"""Rebuilds a partition for a new owner from the store's records."""
+
+import asyncio
+
+import msgspec
+from returns import pipeline
+
+from chervillead.jobs import job_state
+from chervillead.jobs import records
+from chervillead.pools import cells
+from chervillead.pools import partition_owner
+from chervillead.pools import ports as ports_module
+from chervillead.store import group_commit
+from chervillead.store import interface as store_interface
+
+RETRY_S = 0.1
+
+
+async def load(
+    owner: partition_owner.PartitionOwner,
+    writer: group_commit.PartitionWriter,
+    ports: ports_module.OwnerPorts,
+) -> bool:
+    """Shuts the former owner out, then reads what it had stored.
+
+    Returns:
+        False if a newer owner has shut this one out.
+    """
+    while True:
+        failure = await writer.open()
+        if failure is None:
+            break
+        if writer.is_fenced:
+            return False
+        await asyncio.sleep(RETRY_S)
+    while True:
+        outcome = await ports.store.newest(cells.JOBS_TOPIC, owner.partition)
+        if pipeline.is_successful(outcome):
+            break
+        await asyncio.sleep(RETRY_S)
+    jobs = restore(outcome.unwrap().records, ports)
+    owner.load(jobs)
+    ports.log(
+        "owner:loaded",
+        partition=owner.partition,
+        token=owner.token,
+        jobs=len(jobs),
+    )
+    return True
+
+
+def restore(
+    stored: tuple[store_interface.KeyedRecord, ...],
+    ports: ports_module.OwnerPorts,
+) -> list[job_state.JobState]:
+    """Returns the jobs in the records of a partition."""
+    now_s = ports.clock.monotonic()
+    now_unix_ms = 1000 * ports.clock.wall()
+    jobs: dict[str, job_state.JobState] = {}
+    for record in stored:
+        if record.key.startswith(records.SPEC_PREFIX):
+            try:
+                spec = records.decode_spec(record.value)
+            except msgspec.DecodeError as error:
+                ports.log("record:unreadable", key=record.key, error=str(error))
+                continue
+            age_s = max(0.0, now_unix_ms - spec.accepted_unix_ms) / 1000
+            jobs[spec.job_id] = job_state.JobState(
+                spec, received_s=now_s - age_s
+            )
+    for record in stored:
+        job = jobs.get(record.key[1:])
+        if not record.key.startswith(records.PROGRESS_PREFIX) or job is None:
+            continue
+        try:
+            records.apply_progress(job, record.value, now_s)
+        except msgspec.DecodeError as error:
+            ports.log("record:unreadable", key=record.key, error=str(error))
+    return list(jobs.values())
--- a/src/chervillead/recovery_wiring.py
+++ b/src/chervillead/recovery_wiring.py
@@ -5,8 +5,8 @@
 
 from chervillead.entries import adoption
 from chervillead.entries import recovery
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import host_list
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import host_list
 from chervillead.upstreams import pool
 from chervillead.upstreams import slots
 from chervillead.upstreams import usage
--- /dev/null
+++ b/src/chervillead/store/__init__.py
@@ -0,0 +1,1 @@
+"""The store that keeps what must last: its interface and uses of it."""
--- /dev/null
+++ b/src/chervillead/store/keyed_follower.py
@@ -0,0 +1,87 @@
+"""Follows a keyed topic: the newest record of each key, kept up to date.
+
+A follower that falls behind the retained history, or that the store has
+forgotten, reads the newest records anew, so nothing is missed and keys that
+were dropped meanwhile go.
+"""
+
+import asyncio
+from collections import abc
+import typing
+
+from returns import pipeline
+
+from chervillead.store import interface
+
+RETRY_S = 0.2
+
+
+class Change(typing.NamedTuple):
+    """A change of a topic: a key's new value, or None if it was dropped."""
+
+    key: str
+    value: bytes | None
+
+
+async def follow(
+    store: interface.Store,
+    topic: str,
+    *,
+    wait_ms: int,
+    pause_s: float = 0.0,
+    boot_time: abc.Callable[[], float],
+    apply: abc.Callable[[list[Change]], None],
+    confirmed: abc.Callable[[float], None],
+    failed: abc.Callable[[interface.StoreFailure], None],
+) -> None:
+    """Follows partition 0 of a topic until cancelled.
+
+    Args:
+        store: The store.
+        topic: Its topic.
+        wait_ms: How long a read waits for a record.
+        pause_s: Time between two reads, which gathers frequent changes.
+        boot_time: Clock that also counts while the machine is suspended.
+        apply: Gets the changes in order.
+        confirmed: Gets the time up to which the state is known to be current.
+        failed: Gets each failure.
+    """
+    offset: int | None = None
+    keys: set[str] = set()
+    while True:
+        begun_s = boot_time()
+        if offset is None:
+            newest = await store.newest(topic, 0)
+            if not pipeline.is_successful(newest):
+                failed(newest.failure())
+                await asyncio.sleep(RETRY_S)
+                continue
+            page = newest.unwrap()
+            present = {record.key for record in page.records}
+            apply(
+                [Change(r.key, r.value) for r in page.records]
+                + [Change(key, None) for key in sorted(keys - present)]
+            )
+            keys, offset = present, page.end
+            confirmed(begun_s)
+            continue
+        read = await store.read(topic, 0, offset, wait_ms)
+        if not pipeline.is_successful(read):
+            failed(read.failure())
+            if read.failure().refused is interface.Refused.EXPIRED:
+                offset = None
+            else:
+                await asyncio.sleep(RETRY_S)
+            continue
+        changes = [
+            Change(record.key, record.value or None)
+            for record in read.unwrap().records
+        ]
+        for change in changes:
+            (keys.discard if change.value is None else keys.add)(change.key)
+        if changes:
+            apply(changes)
+        offset = read.unwrap().next_offset
+        confirmed(begun_s)
+        if pause_s:
+            await asyncio.sleep(pause_s)
--- a/src/chervillead/upstreams/pool.py
+++ b/src/chervillead/upstreams/pool.py
@@ -10,7 +10,7 @@
 from chervillead import http_exchange
 from chervillead import types
 from chervillead import verdicts
-from chervillead.platform import configuration as configuration_module
+from chervillead.fleet import configuration as configuration_module
 from chervillead.upstreams import connections
 from chervillead.upstreams import lanes
 
--- /dev/null
+++ b/src/chervillead/workers/view.py
@@ -0,0 +1,150 @@
+"""What the owner of a pool knows of one worker."""
+
+import collections
+import typing
+
+from chervillead.jobs import job_state
+from chervillead.jobs import model
+from chervillead.jobs import placement
+from chervillead.workers import interface
+
+# A worker's clock may be this much slower than ours, so that a lease lasts
+# longer here than on the worker.
+SLOWEST_CLOCK = 0.98
+# An unhealthy answer keeps a worker out of placement for this time.
+UNHEALTHY_S = 1.0
+
+
+class ClockReading(typing.NamedTuple):
+    """A worker's clock as read at a time of ours."""
+
+    clock_ms: int
+    at_s: float
+
+
+class WorkerView:
+    """One worker: its registration, clock, lease and runs."""
+
+    def __init__(
+        self, registration: interface.Registration, *, known_s: float
+    ) -> None:
+        self.registration = registration
+        self.known_s = known_s
+        self.is_registered = True
+        self.incarnation: int | None = None
+        self.runs: dict[job_state.RunKey, job_state.Run] = {}
+        self.applied_end = 0
+        self.acknowledged = 0
+        self.avoid_until_s = 0.0
+        self.reserved_for_upkeep = False
+        self.last_contact_s: float | None = None
+        self.recent_failures: collections.deque[bool] = collections.deque(
+            maxlen=8
+        )
+        self._clock: ClockReading | None = None
+        self._lease_until_clock_ms = 0
+
+    @property
+    def worker_id(self) -> str:
+        """Id of the worker."""
+        return self.registration.worker_id
+
+    @property
+    def has_been_seen(self) -> bool:
+        """Whether it has answered this owner."""
+        return self.incarnation is not None
+
+    @property
+    def risk(self) -> float:
+        """Share of the recent runs that failed; 0 for a sound worker."""
+        if len(self.recent_failures) < 3:
+            return 0.0
+        failed = sum(self.recent_failures) / len(self.recent_failures)
+        return failed if failed > 0.4 else 0.0
+
+    def note_clock(self, clock_ms: int, now_s: float) -> None:
+        """Notes a reading of the worker's clock."""
+        if self._clock is None or clock_ms >= self._clock.clock_ms:
+            self._clock = ClockReading(clock_ms, now_s)
+
+    def clock_at(self, now_s: float) -> int | None:
+        """Returns an estimate of the worker's clock, or None if unknown."""
+        if self._clock is None:
+            return None
+        return self._clock.clock_ms + int(1000 * (now_s - self._clock.at_s))
+
+    def extend_lease(self, until_clock_ms: int) -> None:
+        """Notes that a lease was offered, whether or not it arrived."""
+        self._lease_until_clock_ms = max(
+            self._lease_until_clock_ms, until_clock_ms
+        )
+
+    def lease_ends_s(self) -> float:
+        """Returns our time at which everything on it has surely ended."""
+        if self._clock is None:
+            return float("inf")
+        left_ms = max(0, self._lease_until_clock_ms - self._clock.clock_ms)
+        return self._clock.at_s + left_ms / 1000 / SLOWEST_CLOCK
+
+    def forget_life(self, incarnation: int) -> list[job_state.Run]:
+        """Starts anew with another life of the worker.
+
+        Returns:
+            The runs that ended with the former life.
+        """
+        lost = [
+            run
+            for run in self.runs.values()
+            if run.phase is not job_state.RunPhase.STARTING
+        ]
+        self.incarnation = incarnation
+        self.applied_end = 0
+        self.acknowledged = 0
+        self._clock = None
+        self._lease_until_clock_ms = 0
+        return lost
+
+    def reserved(self) -> model.Resources:
+        """Returns what its runs take of its capacity."""
+        total = model.Resources()
+        for run in self.runs.values():
+            total = total.plus(run.reserved)
+        return total
+
+    def as_site(
+        self, step_of: "typing.Callable[[job_state.Run], model.Step | None]"
+    ) -> placement.Site:
+        """Returns the worker as placement sees it."""
+        step_tasks: dict[tuple[str, int, int], int] = {}
+        serving = filling = 0
+        for run in self.runs.values():
+            key = run.job_id, run.task.occurrence, run.task.step
+            step_tasks[key] = step_tasks.get(key, 0) + 1
+            step = step_of(run)
+            if step is not None and step.latency_target_ms:
+                serving += 1
+            if step is not None and step.fills:
+                filling += 1
+        capacity = self.registration.capacity
+        return placement.Site(
+            self.worker_id,
+            self.registration.rack,
+            self.registration.labels,
+            capacity.minus(self.reserved()),
+            capacity,
+            step_tasks,
+            serving,
+            filling,
+            self.risk,
+        )
+
+    def takes_work(self, now_s: float, zones_out: frozenset[str]) -> bool:
+        """Returns whether new tasks may go to it."""
+        return (
+            self.is_registered
+            and self.has_been_seen
+            and not self.registration.is_draining
+            and not self.reserved_for_upkeep
+            and self.registration.zone not in zones_out
+            and self.avoid_until_s <= now_s
+        )
--- /dev/null
+++ b/src/chervillead/workers/watch.py
@@ -0,0 +1,225 @@
+"""The tasks that talk to one worker: its looks and its orders.
+
+One task keeps a look open, which extends the lease and returns as soon as a
+run ends. A few tasks send orders, each over a connection of its own, because an
+answer that is lost would hold up every order behind it.
+"""
+
+import asyncio
+from collections import abc
+import typing
+
+from returns import pipeline
+
+from chervillead import types
+from chervillead.jobs import job_state
+from chervillead.workers import interface
+from chervillead.workers import view as view_module
+
+ORDER_LANES = 2
+# Longest wait of one look; the lease must be extended well before it ends.
+LOOK_WAIT_S = 1.0
+# A look that only extends leases waits this long after an unanswered one.
+RETRY_S = 0.15
+MAX_RETRY_S = 0.5
+# Ends whose record the store has not taken yet would make each look return at
+# once, so looks wait for the record this long.
+RECORD_WAIT_S = 0.4
+STOP_REPEAT_S = 0.3
+START_WINDOW_MS = 1500
+
+
+class WatchPorts(typing.NamedTuple):
+    """What the tasks of a worker need from the owner.
+
+    Attributes:
+        clock: Source of time.
+        lease_ms: Length of a lease.
+        may_extend_lease: Whether this owner may still keep runs alive.
+        may_start: Whether this owner may still start runs.
+        apply_look: Applies a look; returns the records that must be stored
+            before its ends are acknowledged.
+        start_answered: Notes the outcome of a start.
+        start_order: Returns the order for a run, or None if it is obsolete.
+        lost_contact: Notes that a look failed.
+        log: Writes a log line.
+    """
+
+    clock: types.Clock
+    lease_ms: int
+    may_extend_lease: abc.Callable[[], bool]
+    may_start: abc.Callable[[], bool]
+    apply_look: abc.Callable[
+        [view_module.WorkerView, interface.Look],
+        list[asyncio.Future[None]],
+    ]
+    start_answered: abc.Callable[
+        [view_module.WorkerView, job_state.Run, interface.OrderOutcome], None
+    ]
+    start_order: abc.Callable[
+        [view_module.WorkerView, job_state.Run], interface.StartOrder | None
+    ]
+    lost_contact: abc.Callable[
+        [view_module.WorkerView, interface.OrderFailure], None
+    ]
+    log: abc.Callable[..., None]
+
+
+class Order(typing.NamedTuple):
+    """A start, stop or pace that waits to be sent."""
+
+    run: job_state.Run
+    kind: str
+    percent: int = 100
+
+
+class WorkerWatch:
+    """The tasks of one worker and what they share."""
+
+    def __init__(
+        self,
+        view: view_module.WorkerView,
+        calls: interface.WorkerCalls,
+        ports: WatchPorts,
+    ) -> None:
+        self._view = view
+        self._calls = calls
+        self._ports = ports
+        self._orders: asyncio.Queue[Order] = asyncio.Queue()
+        self._busy = asyncio.Event()
+        self._busy.set()
+        self._stop_sent_s: dict[job_state.RunKey, float] = {}
+
+    @property
+    def view(self) -> view_module.WorkerView:
+        """What is known of the worker."""
+        return self._view
+
+    def start(self, run: job_state.Run) -> None:
+        """Queues the start of a run."""
+        self._orders.put_nowait(Order(run, "start"))
+        self._busy.set()
+
+    def stop(self, run: job_state.Run, reason: str) -> None:
+        """Queues the stop of a run; a repeat within a moment is dropped."""
+        now_s = self._ports.clock.monotonic()
+        run.stop_wanted = True
+        run.stop_reason = run.stop_reason or reason
+        if now_s - self._stop_sent_s.get(run.key, -1e9) < STOP_REPEAT_S:
+            return
+        self._stop_sent_s[run.key] = now_s
+        self._orders.put_nowait(Order(run, "stop"))
+        self._busy.set()
+
+    def pace(self, run: job_state.Run, percent: int) -> None:
+        """Queues a change of the share at which a run works."""
+        run.percent = percent
+        self._orders.put_nowait(Order(run, "pace", percent))
+
+    def wake(self) -> None:
+        """Ends the rest between two looks."""
+        self._busy.set()
+
+    async def run(self) -> None:
+        """Watches the worker until cancelled."""
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._keep_looking())
+                for _ in range(ORDER_LANES):
+                    group.create_task(self._send_orders())
+        finally:
+            self._calls.close()
+
+    async def _keep_looking(self) -> None:
+        failures = 0
+        while True:
+            if self._is_idle():
+                self._busy.clear()
+                await self._busy.wait()
+                # The start that woke this task goes first.
+                await asyncio.sleep(0)
+            sent_s = self._ports.clock.monotonic()
+            outcome = await self._calls.look(self._next_look(sent_s, failures))
+            if not pipeline.is_successful(outcome):
+                failures += 1
+                self._ports.lost_contact(self._view, outcome.failure())
+                await asyncio.sleep(min(MAX_RETRY_S, RETRY_S * failures))
+                continue
+            failures = 0
+            await self._apply(outcome.unwrap())
+
+    async def _apply(self, look: interface.Look) -> None:
+        view = self._view
+        records = self._ports.apply_look(view, look)
+        for run in list(view.runs.values()):
+            if run.stop_wanted:
+                self.stop(run, run.stop_reason)
+        if not records:
+            view.acknowledged = view.applied_end
+            return
+        number = view.applied_end
+        done, pending = await asyncio.wait(records, timeout=RECORD_WAIT_S)
+        if not pending and not any(record.exception() for record in done):
+            view.acknowledged = number
+
+    def _is_idle(self) -> bool:
+        view = self._view
+        return (
+            view.has_been_seen
+            and not view.runs
+            and view.acknowledged >= view.applied_end
+        )
+
+    def _next_look(self, now_s: float, failures: int) -> interface.LookOrder:
+        view = self._view
+        lease_until = None
+        clock_ms = view.clock_at(now_s)
+        if clock_ms is not None and self._ports.may_extend_lease():
+            lease_until = clock_ms + self._ports.lease_ms
+            view.extend_lease(lease_until)
+        rests = bool(view.runs) and not failures and not self._has_doubts()
+        wait_ms = int(1000 * LOOK_WAIT_S) if rests else 0
+        return interface.LookOrder(view.acknowledged, lease_until, wait_ms)
+
+    def _has_doubts(self) -> bool:
+        return any(
+            run.phase is job_state.RunPhase.UNCERTAIN
+            for run in self._view.runs.values()
+        )
+
+    async def _send_orders(self) -> None:
+        while True:
+            order = await self._orders.get()
+            if order.kind == "start":
+                await self._send_start(order.run)
+            elif order.kind == "pace":
+                await self._calls.pace(order.run.key, order.percent)
+            else:
+                await self._send_stop(order.run)
+
+    async def _send_start(self, run: job_state.Run) -> None:
+        ports = self._ports
+        order = ports.start_order(self._view, run)
+        if order is None:
+            return
+        run.start_by_clock_ms = order.start_by_clock_ms
+        self._view.extend_lease(order.start_by_clock_ms)
+        outcome = await self._calls.start(order)
+        ports.start_answered(self._view, run, outcome)
+
+    async def _send_stop(self, run: job_state.Run) -> None:
+        outcome = await self._calls.stop(run.key)
+        if pipeline.is_successful(outcome):
+            run.stopped_clock_ms = outcome.unwrap()
+            self._view.note_clock(
+                outcome.unwrap(), self._ports.clock.monotonic()
+            )
+        else:
+            self._ports.log(
+                "worker:stop-failed",
+                job=run.job_id,
+                task=list(run.task),
+                run=run.number,
+                worker=self._view.worker_id,
+                error=outcome.failure().detail,
+            )
--- a/tests/stand_ins/buffer_run.py
+++ b/tests/stand_ins/buffer_run.py
@@ -4,7 +4,7 @@
 from collections import abc
 import typing
 
-from chervillead.platform import records
+from chervillead.fleet import records
 from stand_ins import local_fleet
 from stand_ins import maintenance_run
 from stand_ins import virtual_time
--- a/tests/stand_ins/deliberate_faults.py
+++ b/tests/stand_ins/deliberate_faults.py
@@ -13,9 +13,9 @@
 from chervillead.entries import capacity
 from chervillead.entries import claims
 from chervillead.entries import messages
-from chervillead.platform import budgets
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import team_units
+from chervillead.fleet import budgets
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import team_units
 from chervillead.upstreams import connections
 from stand_ins import local_fleet
 
--- a/tests/stand_ins/dispatch_zones.py
+++ b/tests/stand_ins/dispatch_zones.py
@@ -14,7 +14,7 @@
 from chervillead.entries import dispatcher_choice
 from chervillead.entries import grant_waiters
 from chervillead.entries import messages
-from chervillead.platform import configuration as configuration_module
+from chervillead.fleet import configuration as configuration_module
 from stand_ins import virtual_time
 
 POOL = "rooms"
--- a/tests/stand_ins/escrow_machine.py
+++ b/tests/stand_ins/escrow_machine.py
@@ -16,9 +16,9 @@
 from chervillead.entries import escrow
 from chervillead.entries import messages
 from chervillead.entries import transfers
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import fold
-from chervillead.platform import records
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import fold
+from chervillead.fleet import records
 
 ZONES = ("z0", "z1", "z2")
 TEAM = "a"
--- a/tests/stand_ins/fault_run.py
+++ b/tests/stand_ins/fault_run.py
@@ -15,7 +15,7 @@
 from chervillead import verdicts
 from chervillead.callers import credentials
 from chervillead.callers import request_ids
-from chervillead.platform import records
+from chervillead.fleet import records
 from stand_ins import deliberate_faults
 from stand_ins import invariants
 from stand_ins import local_fleet
--- a/tests/stand_ins/fleet_state.py
+++ b/tests/stand_ins/fleet_state.py
@@ -5,10 +5,10 @@
 from collections import abc
 
 from chervillead import http_exchange
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import fold
-from chervillead.platform import log_client
-from chervillead.platform import records
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import fold
+from chervillead.fleet import log_client
+from chervillead.fleet import records
 from stand_ins import invariants
 from stand_ins import local_fleet
 
--- a/tests/stand_ins/fold_machine.py
+++ b/tests/stand_ins/fold_machine.py
@@ -9,10 +9,10 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import fold
-from chervillead.platform import records
-from chervillead.platform import team_units
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import fold
+from chervillead.fleet import records
+from chervillead.fleet import team_units
 from stand_ins import fold_shapes
 
 
--- a/tests/stand_ins/fold_shapes.py
+++ b/tests/stand_ins/fold_shapes.py
@@ -5,7 +5,7 @@
 
 from hypothesis import strategies
 
-from chervillead.platform import records
+from chervillead.fleet import records
 
 ZONES = ("z0", "z1", "z2")
 POOLS = ("p0", "p1", "p2")
--- a/tests/stand_ins/local_fleet.py
+++ b/tests/stand_ins/local_fleet.py
@@ -24,8 +24,8 @@
 from chervillead import types
 from chervillead.callers import credentials
 from chervillead.callers import request_ids
-from chervillead.platform import log_client
-from chervillead.platform import records
+from chervillead.fleet import log_client
+from chervillead.fleet import records
 from stand_ins import free_ports
 
 LOOPBACK = free_ports.LOOPBACK
--- a/tests/stand_ins/log_fleet.py
+++ b/tests/stand_ins/log_fleet.py
@@ -4,13 +4,13 @@
 import random
 import typing
 
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import fold
-from chervillead.platform import log_client
-from chervillead.platform import log_reader
-from chervillead.platform import publisher
-from chervillead.platform import records
-from chervillead.platform import snapshot_writer
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import fold
+from chervillead.fleet import log_client
+from chervillead.fleet import log_reader
+from chervillead.fleet import publisher
+from chervillead.fleet import records
+from chervillead.fleet import snapshot_writer
 from stand_ins import platform as platform_stand_in
 from stand_ins import virtual_time
 
--- a/tests/stand_ins/maintenance_run.py
+++ b/tests/stand_ins/maintenance_run.py
@@ -8,10 +8,10 @@
 from collections import abc
 import typing
 
-from chervillead.platform import budgets
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import fold
-from chervillead.platform import records
+from chervillead.fleet import budgets
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import fold
+from chervillead.fleet import records
 from stand_ins import fault_run
 from stand_ins import invariants
 from stand_ins import local_fleet
--- a/tests/stand_ins/memory_fleet.py
+++ b/tests/stand_ins/memory_fleet.py
@@ -18,7 +18,7 @@
 from chervillead.callers import request_claims
 from chervillead.callers import request_ids
 from chervillead.callers import submission
-from chervillead.platform import records
+from chervillead.fleet import records
 from stand_ins import http_server
 from stand_ins import local_fleet
 from stand_ins import memory_network
--- a/tests/stand_ins/platform.py
+++ b/tests/stand_ins/platform.py
@@ -12,8 +12,8 @@
 import msgspec
 from returns import result
 
-from chervillead.platform import log_client
-from chervillead.platform import records
+from chervillead.fleet import log_client
+from chervillead.fleet import records
 from stand_ins import http_server
 
 MAX_APPENDS_PER_S = 400
--- a/tests/steps/entries_claims.py
+++ b/tests/steps/entries_claims.py
@@ -8,7 +8,7 @@
 from chervillead.entries import claim_holders
 from chervillead.entries import claims
 from chervillead.entries import messages
-from chervillead.platform import configuration
+from chervillead.fleet import configuration
 
 START_S = 1_800_000_000.0
 
--- a/tests/steps/entries_dispatch_client.py
+++ b/tests/steps/entries_dispatch_client.py
@@ -10,7 +10,7 @@
 from chervillead.entries import dispatch_client
 from chervillead.entries import dispatcher_choice
 from chervillead.entries import messages
-from chervillead.platform import configuration as configuration_module
+from chervillead.fleet import configuration as configuration_module
 from stand_ins import dispatch_zones
 from stand_ins import virtual_time
 
--- a/tests/steps/entries_dispatcher.py
+++ b/tests/steps/entries_dispatcher.py
@@ -6,7 +6,7 @@
 
 from chervillead import types
 from chervillead.entries import messages
-from chervillead.platform import configuration as configuration_module
+from chervillead.fleet import configuration as configuration_module
 from stand_ins import dispatch_zones
 
 HOST = "entry-x"
--- a/tests/steps/entries_duty.py
+++ b/tests/steps/entries_duty.py
@@ -9,8 +9,8 @@
 
 from chervillead import types
 from chervillead.entries import duty
-from chervillead.platform import log_reader
-from chervillead.platform import records
+from chervillead.fleet import log_reader
+from chervillead.fleet import records
 from stand_ins import fleet_state
 from stand_ins import invariants
 from stand_ins import local_fleet
--- a/tests/steps/entries_escrow.py
+++ b/tests/steps/entries_escrow.py
@@ -7,8 +7,8 @@
 from hypothesis import stateful
 
 from chervillead.entries import escrow
-from chervillead.platform import records
-from chervillead.platform import team_units
+from chervillead.fleet import records
+from chervillead.fleet import team_units
 from stand_ins import dispatch_zones
 from stand_ins import escrow_machine
 from stand_ins import local_fleet
--- a/tests/steps/entries_relay.py
+++ b/tests/steps/entries_relay.py
@@ -11,8 +11,8 @@
 from chervillead import types
 from chervillead.callers import credentials
 from chervillead.entries import relay
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import records
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import records
 from stand_ins import local_fleet
 from stand_ins import memory_fleet
 from stand_ins import virtual_time
--- a/tests/steps/fleet_buffer.py
+++ b/tests/steps/fleet_buffer.py
@@ -1,13 +1,13 @@
-"""Steps of tests/platform/buffer.feature."""
+"""Steps of tests/fleet/buffer.feature."""
 
 import asyncio
 
 import behave
 
-from chervillead.platform import buffer
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import demand
-from chervillead.platform import records
+from chervillead.fleet import buffer
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import demand
+from chervillead.fleet import records
 from stand_ins import buffer_run
 
 RISE_S = 60.0
--- a/tests/steps/fleet_fold.py
+++ b/tests/steps/fleet_fold.py
@@ -1,4 +1,4 @@
-"""Steps of tests/platform/fold.feature."""
+"""Steps of tests/fleet/fold.feature."""
 
 import itertools
 import json
@@ -8,12 +8,12 @@
 import hypothesis
 from hypothesis import stateful
 
-from chervillead.platform import budgets
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import fold
-from chervillead.platform import fold_rules
-from chervillead.platform import persistent_map
-from chervillead.platform import records
+from chervillead.fleet import budgets
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import fold
+from chervillead.fleet import fold_rules
+from chervillead.fleet import persistent_map
+from chervillead.fleet import records
 from stand_ins import fold_machine
 
 
--- a/tests/steps/fleet_host_list.py
+++ b/tests/steps/fleet_host_list.py
@@ -1,12 +1,12 @@
-"""Steps of tests/platform/host_list.feature."""
+"""Steps of tests/fleet/host_list.feature."""
 
 import asyncio
 
 import behave
 
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import host_list
-from chervillead.platform import log_client
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import host_list
+from chervillead.fleet import log_client
 from stand_ins import platform as platform_stand_in
 from stand_ins import virtual_time
 
--- a/tests/steps/fleet_log_reader.py
+++ b/tests/steps/fleet_log_reader.py
@@ -1,12 +1,12 @@
-"""Steps of tests/platform/log_reader.feature."""
+"""Steps of tests/fleet/log_reader.feature."""
 
 import asyncio
 
 import behave
 
-from chervillead.platform import publisher
-from chervillead.platform import records
-from chervillead.platform import snapshots
+from chervillead.fleet import publisher
+from chervillead.fleet import records
+from chervillead.fleet import snapshots
 from stand_ins import local_fleet
 from stand_ins import log_fleet
 from stand_ins import memory_fleet
--- a/tests/steps/fleet_maintenance.py
+++ b/tests/steps/fleet_maintenance.py
@@ -1,15 +1,15 @@
-"""Steps of tests/platform/maintenance.feature."""
+"""Steps of tests/fleet/maintenance.feature."""
 
 import asyncio
 import re
 
 import behave
 
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import drain_steps
-from chervillead.platform import host_watch
-from chervillead.platform import records
-from chervillead.platform import rollouts
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import drain_steps
+from chervillead.fleet import host_watch
+from chervillead.fleet import records
+from chervillead.fleet import rollouts
 from stand_ins import deliberate_faults
 from stand_ins import maintenance_run
 from stand_ins import virtual_time
--- a/tests/steps/fleet_persistent_map.py
+++ b/tests/steps/fleet_persistent_map.py
@@ -1,10 +1,10 @@
-"""Steps of tests/platform/persistent_map.feature."""
+"""Steps of tests/fleet/persistent_map.feature."""
 
 import behave
 import hypothesis
 from hypothesis import strategies
 
-from chervillead.platform import persistent_map
+from chervillead.fleet import persistent_map
 
 
 @behave.when("hypothesis changes persistent maps and dictionaries alike")
--- a/tests/steps/fleet_pool_moves.py
+++ b/tests/steps/fleet_pool_moves.py
@@ -1,10 +1,10 @@
-"""Steps of tests/platform/pool_moves.feature."""
+"""Steps of tests/fleet/pool_moves.feature."""
 
 import asyncio
 
 import behave
 
-from chervillead.platform import records
+from chervillead.fleet import records
 from stand_ins import buffer_run
 from stand_ins import maintenance_run
 
--- a/tests/steps/fleet_publisher.py
+++ b/tests/steps/fleet_publisher.py
@@ -1,14 +1,14 @@
-"""Steps of tests/platform/publisher.feature."""
+"""Steps of tests/fleet/publisher.feature."""
 
 import asyncio
 import collections
 
 import behave
 
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import fold
-from chervillead.platform import publisher
-from chervillead.platform import records
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import fold
+from chervillead.fleet import publisher
+from chervillead.fleet import records
 from stand_ins import log_fleet
 from stand_ins import virtual_time
 
--- a/tests/steps/fleet_snapshots.py
+++ b/tests/steps/fleet_snapshots.py
@@ -1,4 +1,4 @@
-"""Steps of tests/platform/snapshots.feature."""
+"""Steps of tests/fleet/snapshots.feature."""
 
 import asyncio
 import random
@@ -10,9 +10,9 @@
 import msgspec
 from returns import pipeline
 
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import records
-from chervillead.platform import snapshots
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import records
+from chervillead.fleet import snapshots
 from stand_ins import log_fleet
 from stand_ins import virtual_time
 
--- a/tests/steps/operators_burn.py
+++ b/tests/steps/operators_burn.py
@@ -10,10 +10,10 @@
 from chervillead import reports
 from chervillead import types
 from chervillead import verdicts
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import fold
+from chervillead.fleet import records
 from chervillead.operators import burn
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import fold
-from chervillead.platform import records
 from stand_ins import log_fleet
 from stand_ins import virtual_time
 
--- a/tests/steps/operators_burn_carry.py
+++ b/tests/steps/operators_burn_carry.py
@@ -6,9 +6,9 @@
 import behave
 
 from chervillead import reports
+from chervillead.fleet import records
 from chervillead.operators import burn
 from chervillead.operators import burn_carry
-from chervillead.platform import records
 from stand_ins import log_fleet
 from stand_ins import virtual_time
 
--- a/tests/steps/operators_burn_report.py
+++ b/tests/steps/operators_burn_report.py
@@ -6,10 +6,10 @@
 
 from chervillead import reports
 from chervillead import types
+from chervillead.fleet import configuration as configuration_module
 from chervillead.operators import burn_page
 from chervillead.operators import burn_report
 from chervillead.operators import history
-from chervillead.platform import configuration as configuration_module
 
 QUEUE = "<script>q&"
 
--- a/tests/steps/operators_history.py
+++ b/tests/steps/operators_history.py
@@ -4,13 +4,13 @@
 
 from chervillead import reports
 from chervillead import types
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import fold
+from chervillead.fleet import log_reader
+from chervillead.fleet import records
+from chervillead.fleet import snapshots
 from chervillead.operators import burn
 from chervillead.operators import history
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import fold
-from chervillead.platform import log_reader
-from chervillead.platform import records
-from chervillead.platform import snapshots
 
 
 class Log:
--- a/tests/steps/operators_keys.py
+++ b/tests/steps/operators_keys.py
@@ -3,10 +3,10 @@
 import behave
 from returns import pipeline
 
+from chervillead.fleet import configuration as configuration_module
+from chervillead.fleet import records
 from chervillead.operators import keys
 from chervillead.operators import publishing
-from chervillead.platform import configuration as configuration_module
-from chervillead.platform import records
 
 
 @behave.when("an empty, a short, a long and a non-ASCII key are checked")
--- a/tests/steps/operators_publishing.py
+++ b/tests/steps/operators_publishing.py
@@ -4,9 +4,9 @@
 
 import behave
 
+from chervillead.fleet import records
 from chervillead.operators import publishing
 from chervillead.operators import session as session_module
-from chervillead.platform import records
 from stand_ins import log_fleet
 from stand_ins import virtual_time
 
--- a/tests/steps/operators_status.py
+++ b/tests/steps/operators_status.py
@@ -6,8 +6,8 @@
 from chervillead import types
 from chervillead.entries import escrow
 from chervillead.entries import messages
+from chervillead.fleet import configuration as configuration_module
 from chervillead.operators import status
-from chervillead.platform import configuration as configuration_module
 
 ADDRESS = types.Address("127.0.0.1", 1)
 
