Keep ends, leases and departed workers right through takeovers

A failed task of an owner or worker is logged and starts the owner anew. A worker that has seen a newer token ends the owner's orders.

--- a/src/chervillead/entries/job_streams.py
+++ b/src/chervillead/entries/job_streams.py
@@ -139,7 +139,9 @@
                 task = asyncio.create_task(answer(frame))
                 tasks.add(task)
                 task.add_done_callback(tasks.discard)
-        except codec.MalformedFrameError:
+        except (codec.MalformedFrameError, asyncio.CancelledError):
+            # The stream ends with the process; asyncio would log an error for
+            # a cancelled connection.
             pass
         finally:
             stream.close()
--- a/src/chervillead/platform/daemon.py
+++ b/src/chervillead/platform/daemon.py
@@ -35,6 +35,8 @@
 OPERATOR_WAIT_MS = 1000
 # Workers write often; their changes are read together.
 WORKERS_PAUSE_S = 0.25
+# A worker writes at most this often while a lease can last.
+WORKER_HISTORY = 12
 # The balancer notices within two of its questions, a second apart, that the
 # host isn't ready.
 BALANCER_LAG_S = 2.3
@@ -101,7 +103,12 @@
                     worker_id: found
                     for worker_id, found in self.view.workers.items()
                     if self.partition_of(found.pool) == partition
-                }
+                },
+                [
+                    found
+                    for found in self.view.departed()
+                    if self.partition_of(found.pool) == partition
+                ],
             )
 
     def is_ready(self) -> bool:
@@ -201,6 +208,8 @@
         apply=parts.view.apply_workers,
         confirmed=lambda as_of_s: None,
         failed=lambda failure: None,
+        apply_history=parts.view.apply_worker_history,
+        history_per_key=WORKER_HISTORY,
     )
 
 
--- a/src/chervillead/platform/fleet_view.py
+++ b/src/chervillead/platform/fleet_view.py
@@ -1,6 +1,7 @@
 """What operators and workers wrote to the store, kept up to date."""
 
 from collections import abc
+import typing
 
 import msgspec
 
@@ -10,6 +11,15 @@
 from chervillead.store import keyed_follower
 from chervillead.workers import interface as worker_interface
 
+# The longest lease on the slowest clock, and the time in which an owner that
+# was replaced may still extend it.
+DEPARTED_KEPT_S = 14.0
+
+
+class _Departed(typing.NamedTuple):
+    registration: worker_interface.Registration
+    at_s: float
+
 
 class FleetView:
     """The newest configuration, zones out, waves and workers."""
@@ -25,6 +35,7 @@
         self._zones_out: frozenset[str] = frozenset()
         self._waves: dict[int, fleet_configuration.Wave] = {}
         self._workers: dict[str, worker_interface.Registration] = {}
+        self._departed: dict[str, _Departed] = {}
         self._confirmed_s = float("-inf")
         self._on_change: abc.Callable[[], None] = lambda: None
 
@@ -48,6 +59,18 @@
         """Registered workers by id."""
         return self._workers
 
+    def departed(self) -> list[worker_interface.Registration]:
+        """Returns workers that were dropped lately without having drained.
+
+        They may be cut off from the store and still run tasks.
+        """
+        now_s = self._boot_time()
+        return [
+            found.registration
+            for found in self._departed.values()
+            if now_s - found.at_s < DEPARTED_KEPT_S
+        ]
+
     def on_change(self, action: abc.Callable[[], None]) -> None:
         """Calls `action` after each change."""
         self._on_change = action
@@ -106,6 +129,20 @@
             keys=len(found.account_of_key),
         )
 
+    def apply_worker_history(
+        self, changes: list[keyed_follower.Change]
+    ) -> None:
+        """Finds workers that were dropped before this process started."""
+        for key, value in changes:
+            found = value and registrations.decode_registration(key, value)
+            if not found or key in self._workers:
+                continue
+            if found.is_draining:
+                self._departed.pop(key, None)
+            else:
+                self._departed[key] = _Departed(found, self._boot_time())
+        self._on_change()
+
     def apply_workers(self, changes: list[keyed_follower.Change]) -> None:
         """Applies changes of what workers wrote."""
         changed = False
@@ -118,8 +155,13 @@
             changed = True
             if found:
                 self._workers[change.key] = found
+                self._departed.pop(change.key, None)
                 continue
             former = self._workers.pop(change.key, None)
+            if former is not None and not former.is_draining:
+                self._departed[change.key] = _Departed(
+                    former, self._boot_time()
+                )
             if former is not None:
                 self._log("worker:unlisted", worker=change.key)
         if changed:
--- a/src/chervillead/platform/store_client.py
+++ b/src/chervillead/platform/store_client.py
@@ -108,8 +108,12 @@
             expected if isinstance(expected, int) else None,
         )
     if response.status == 410:
+        first = fields.get("First")
         return interface.StoreFailure(
-            verdicts.Verdict.NOT_RUN, detail, interface.Refused.EXPIRED
+            verdicts.Verdict.NOT_RUN,
+            detail,
+            interface.Refused.EXPIRED,
+            first if isinstance(first, int) else None,
         )
     verdict = (
         verdicts.Verdict.NOT_RUN
--- a/src/chervillead/pools/ownership.py
+++ b/src/chervillead/pools/ownership.py
@@ -71,6 +71,9 @@
         self._confirmed_s = float("-inf")
         self._owners: dict[int, partition_owner.PartitionOwner] = {}
         self._tasks: dict[int, asyncio.Task[None]] = {}
+        # Tokens that a newer owner has shut out; the same one must not return.
+        self._fenced_tokens: dict[int, int] = {}
+        self._failed: set[int] = set()
         self._is_leaving = False
         self._on_change: abc.Callable[[], None] = lambda: None
 
@@ -163,10 +166,14 @@
         generation = membership.generation
         for partition in list(self._owners):
             fenced = self._tasks[partition].done()
+            if fenced and partition not in self._failed:
+                self._fenced_tokens[partition] = self._owners[partition].token
             if partition not in membership.partitions or fenced:
                 self._drop(partition, "fenced" if fenced else "reassigned")
+        self._failed.clear()
         for partition in sorted(membership.partitions):
-            if partition not in self._owners:
+            fenced_token = self._fenced_tokens.get(partition, -1)
+            if partition not in self._owners and generation > fenced_token:
                 self._gain(partition, generation)
         self._generation = generation
 
@@ -194,7 +201,16 @@
         if not await takeover.load(owner, writer, self._ports):
             return
         self._on_change()
-        await owner.run()
+        try:
+            await owner.run()
+        except Exception as error:
+            self._failed.add(owner.partition)
+            self._ports.log(
+                "owner:failed",
+                partition=owner.partition,
+                token=owner.token,
+                error=partition_owner.describe_error(error),
+            )
 
     def _drop(self, partition: int, reason: str) -> None:
         owner = self._owners.pop(partition)
--- a/src/chervillead/pools/partition_owner.py
+++ b/src/chervillead/pools/partition_owner.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections import abc
+import traceback
 import typing
 
 from returns import pipeline
@@ -37,10 +38,17 @@
 STATE_MARGIN_S = 30.0
 # A store that has not taken records for this long won't take a new job soon.
 STORE_PATIENCE_S = 0.4
+# A worker that didn't answer gets no new work for this time.
+UNREACHABLE_S = 0.3
 RETRY_AFTER_S = 1.0
 # A new owner numbers runs from here on above the highest that it knows of, so
 # the runs of a former owner that it never saw keep other numbers.
 RUN_NUMBER_GAP = 8
+# Long enough to bear a change of owner, and short enough that the tasks of a
+# worker that crashed start elsewhere soon.
+LEASE_MS = 6000
+# An owner that was replaced notices within this time at the latest.
+REPLACED_OWNER_S = 2.5
 
 
 class PartitionOwner:
@@ -66,10 +74,13 @@
         self._submitting: dict[str, asyncio.Future[None]] = {}
         self._watches: dict[str, watch_module.WorkerWatch] = {}
         self._watch_tasks: dict[str, asyncio.Task[None]] = {}
+        self._lease_ms = min(LEASE_MS, ports.limits.max_lease_ms)
         self._wake = asyncio.Event()
         self._began_s = ports.clock.monotonic()
         self._unsettled: set[str] = set()
         self._is_loaded = False
+        self._is_fenced = False
+        self._failure: BaseException | None = None
 
     @property
     def token(self) -> int:
@@ -204,18 +215,32 @@
     # Workers.
 
     def update_workers(
-        self, registrations: abc.Mapping[str, worker_interface.Registration]
+        self,
+        registrations: abc.Mapping[str, worker_interface.Registration],
+        departed: abc.Iterable[worker_interface.Registration] = (),
     ) -> None:
-        """Applies the list of the workers of this partition's pools."""
+        """Applies the list of the workers of this partition's pools.
+
+        Args:
+            registrations: The listed workers.
+            departed: Workers that fell silent a short time ago.
+        """
         now_s = self._ports.clock.monotonic()
+        for registration in departed:
+            # It may still run tasks of a former owner under their lease.
+            if registration.worker_id not in self._watches:
+                self._open_worker(registration, now_s)
         for worker_id, registration in registrations.items():
             watch = self._watches.get(worker_id)
             if watch is None:
                 self._open_worker(registration, now_s)
                 continue
             watch.view.is_registered = True
-            if watch.view.registration.address != registration.address:
-                self._close_worker(worker_id, "address changed")
+            view = watch.view
+            moved = view.registration.address != registration.address
+            reborn = view.registration.incarnation != registration.incarnation
+            if moved or (view.is_replaced and reborn):
+                self._close_worker(worker_id, "started again")
                 self._open_worker(registration, now_s)
             else:
                 watch.view.registration = registration
@@ -230,7 +255,7 @@
         view = view_module.WorkerView(registration, known_s=now_s)
         ports = watch_module.WatchPorts(
             clock=self._ports.clock,
-            lease_ms=self._ports.limits.max_lease_ms,
+            lease_ms=self._lease_ms,
             may_extend_lease=self._may_extend_lease,
             may_start=self._may_start,
             apply_look=self.apply_look,
@@ -242,9 +267,11 @@
         calls = self._ports.open_worker(registration, self._token)
         watch = watch_module.WorkerWatch(view, calls, ports)
         self._watches[registration.worker_id] = watch
-        self._watch_tasks[registration.worker_id] = asyncio.create_task(
-            watch.run()
+        task = asyncio.create_task(watch.run())
+        task.add_done_callback(
+            lambda done: self._watch_ended(registration.worker_id, done)
         )
+        self._watch_tasks[registration.worker_id] = task
         self._ports.log(
             "worker:found",
             worker=registration.worker_id,
@@ -254,6 +281,17 @@
             token=self._token,
         )
 
+    def _watch_ended(self, worker_id: str, task: asyncio.Task[None]) -> None:
+        """Gives the partition up if a task of a worker fails."""
+        if not task.cancelled() and task.exception() is not None:
+            self._failure = task.exception()
+            self._ports.log(
+                "worker:task-failed",
+                worker=worker_id,
+                error=describe_error(task.exception()),
+            )
+            self.wake()
+
     def _close_worker(self, worker_id: str, reason: str) -> None:
         watch = self._watches.pop(worker_id)
         self._watch_tasks.pop(worker_id).cancel()
@@ -274,7 +312,22 @@
             runs=len(view.runs),
         )
         now_s = self._ports.clock.monotonic()
-        view.avoid_until_s = max(view.avoid_until_s, now_s + 0.3)
+        view.avoid_until_s = max(view.avoid_until_s, now_s + UNREACHABLE_S)
+        if failure.refused is worker_interface.Refused.FENCED:
+            self._note_fenced()
+        if failure.refused is worker_interface.Refused.OTHER_INSTANCE:
+            view.is_replaced = True
+            for run in list(view.runs.values()):
+                self._run_ended(view, run, job_state.EndKind.VANISHED)
+
+    def _note_fenced(self) -> None:
+        """Stops all orders: a worker has seen a newer owner."""
+        if not self._is_fenced:
+            self._is_fenced = True
+            self._ports.log(
+                "owner:fenced", partition=self._partition, token=self._token
+            )
+            self.wake()
 
     def apply_look(
         self, view: view_module.WorkerView, look: worker_interface.Look
@@ -289,6 +342,8 @@
             lost = view.forget_life(look.incarnation)
             for run in lost:
                 self._run_ended(view, run, job_state.EndKind.VANISHED)
+            # A former owner may just have extended the lease to its limit.
+            view.extend_lease(look.clock_ms + self._lease_ms)
         view.note_clock(look.clock_ms, now_s)
         view.last_contact_s = now_s
         listed = {running.run for running in look.running}
@@ -429,7 +484,7 @@
                 if clock_ms > barrier:
                     self._run_ended(view, run, job_state.EndKind.VANISHED)
                 elif stopped is None and not run.stop_wanted:
-                    self._watches[view.worker_id].stop(run, "no answer")
+                    self._stop_run(run, "no answer")
 
     def _run_ended(
         self,
@@ -541,12 +596,15 @@
         if failure.verdict is verdicts.Verdict.MAY_HAVE_RUN:
             if run.phase is job_state.RunPhase.STARTING:
                 run.phase = job_state.RunPhase.UNCERTAIN
-            self._watches[view.worker_id].wake()
+            watch = self._watches.get(view.worker_id)
+            if watch is not None:
+                watch.wake()
             return
+        if refused is worker_interface.Refused.FENCED:
+            self._note_fenced()
         if refused in (
             worker_interface.Refused.UNHEALTHY,
             worker_interface.Refused.OTHER_INSTANCE,
-            worker_interface.Refused.FENCED,
             None,
         ):
             view.avoid_until_s = now_s + view_module.UNHEALTHY_S
@@ -566,6 +624,10 @@
                 except TimeoutError:
                     pass
                 self._wake.clear()
+                if self._failure is not None:
+                    raise self._failure
+                if self._is_fenced:
+                    return
                 self._expire_workers()
                 self._settle()
                 self._place()
@@ -588,7 +650,8 @@
                     self._run_ended(view, run, job_state.EndKind.LEASE_EXPIRED)
             if view.is_registered or view.runs:
                 continue
-            if view.has_been_seen or now_s > self._bound_s(view):
+            is_done = view.has_been_seen or view.is_replaced
+            if is_done or now_s > self._bound_s(view):
                 self._close_worker(worker_id, "gone")
 
     def _bound_s(self, view: view_module.WorkerView) -> float:
@@ -597,8 +660,8 @@
         A former owner may have extended leases until it noticed that it was
         replaced, and each lasts its full length on a slow clock.
         """
-        lease_s = self._ports.limits.max_lease_ms / 1000
-        return view.known_s + 2.5 + lease_s / view_module.SLOWEST_CLOCK
+        lease_s = self._lease_ms / 1000 / view_module.SLOWEST_CLOCK
+        return view.known_s + REPLACED_OWNER_S + lease_s
 
     def _settle(self) -> None:
         """Frees the tasks of taken-over jobs once all workers are known."""
@@ -606,7 +669,9 @@
             return
         now_s = self._ports.clock.monotonic()
         if any(
-            not watch.view.has_been_seen and now_s <= self._bound_s(watch.view)
+            not watch.view.has_been_seen
+            and not watch.view.is_replaced
+            and now_s <= self._bound_s(watch.view)
             for watch in self._watches.values()
         ):
             return
@@ -771,6 +836,11 @@
     }
 
 
+def describe_error(error: BaseException | None) -> str:
+    """Returns an error with the place where it was raised."""
+    return "".join(traceback.format_exception(error)[-6:])
+
+
 def unknown_job(job_id: str) -> verdicts.Refusal:
     """Returns the refusal of a call about a job that doesn't exist."""
     return verdicts.not_run("unknown-job", 410, f"no job {job_id}")
--- a/src/chervillead/store/keyed_follower.py
+++ b/src/chervillead/store/keyed_follower.py
@@ -33,6 +33,8 @@
     apply: abc.Callable[[list[Change]], None],
     confirmed: abc.Callable[[float], None],
     failed: abc.Callable[[interface.StoreFailure], None],
+    apply_history: abc.Callable[[list[Change]], None] | None = None,
+    history_per_key: int = 0,
 ) -> None:
     """Follows partition 0 of a topic until cancelled.
 
@@ -45,6 +47,9 @@
         apply: Gets the changes in order.
         confirmed: Gets the time up to which the state is known to be current.
         failed: Gets each failure.
+        apply_history: Gets older records once, after the newest ones: keys that
+            were dropped a short time ago are among them.
+        history_per_key: How many older records to read for each present key.
     """
     offset: int | None = None
     keys: set[str] = set()
@@ -63,6 +68,10 @@
                 + [Change(key, None) for key in sorted(keys - present)]
             )
             keys, offset = present, page.end
+            if apply_history is not None:
+                count = history_per_key * max(1, len(present))
+                apply_history(await _read_history(store, topic, offset, count))
+                apply_history = None
             confirmed(begun_s)
             continue
         read = await store.read(topic, 0, offset, wait_ms)
@@ -85,3 +94,21 @@
         confirmed(begun_s)
         if pause_s:
             await asyncio.sleep(pause_s)
+
+
+async def _read_history(
+    store: interface.Store, topic: str, end: int, count: int
+) -> list[Change]:
+    """Returns up to `count` records before an offset, oldest first."""
+    read = await store.read(topic, 0, max(0, end - count), 0)
+    if not pipeline.is_successful(read):
+        first = read.failure().expected
+        if first is None or first >= end:
+            return []
+        read = await store.read(topic, 0, first, 0)
+    if not pipeline.is_successful(read):
+        return []
+    return [
+        Change(record.key, record.value or None)
+        for record in read.unwrap().records
+    ]
--- a/src/chervillead/workers/view.py
+++ b/src/chervillead/workers/view.py
@@ -31,6 +31,8 @@
         self.registration = registration
         self.known_s = known_s
         self.is_registered = True
+        # Another process answers at its address, so it has surely ended.
+        self.is_replaced = False
         self.incarnation: int | None = None
         self.runs: dict[job_state.RunKey, job_state.Run] = {}
         self.applied_end = 0
@@ -143,6 +145,7 @@
         return (
             self.is_registered
             and self.has_been_seen
+            and not self.is_replaced
             and not self.registration.is_draining
             and not self.reserved_for_upkeep
             and self.registration.zone not in zones_out
--- a/src/chervillead/workers/watch.py
+++ b/src/chervillead/workers/watch.py
@@ -73,6 +73,14 @@
     percent: int = 100
 
 
+class _Ends(typing.NamedTuple):
+    """Ends up to a number, in one life of a worker, and their records."""
+
+    number: int
+    incarnation: int | None
+    records: list[asyncio.Future[None]]
+
+
 class WorkerWatch:
     """The tasks of one worker and what they share."""
 
@@ -89,6 +97,7 @@
         self._busy = asyncio.Event()
         self._busy.set()
         self._stop_sent_s: dict[job_state.RunKey, float] = {}
+        self._unrecorded: list[_Ends] = []
 
     @property
     def view(self) -> view_module.WorkerView:
@@ -154,17 +163,27 @@
         for run in list(view.runs.values()):
             if run.stop_wanted:
                 self.stop(run, run.stop_reason)
-        if not records:
-            view.acknowledged = view.applied_end
-            return
-        number = view.applied_end
-        done, pending = await asyncio.wait(records, timeout=RECORD_WAIT_S)
-        if not pending and not any(record.exception() for record in done):
-            view.acknowledged = number
+        self._unrecorded.append(
+            _Ends(view.applied_end, view.incarnation, records)
+        )
+        waiting = [r for ends in self._unrecorded for r in ends.records]
+        if waiting:
+            await asyncio.wait(waiting, timeout=RECORD_WAIT_S)
+        self._acknowledge_recorded()
+
+    def _acknowledge_recorded(self) -> None:
+        """Acknowledges ends up to the first whose record isn't stored."""
+        while self._unrecorded and all(
+            record.done() and not record.cancelled() and not record.exception()
+            for record in self._unrecorded[0].records
+        ):
+            ends = self._unrecorded.pop(0)
+            if ends.incarnation == self._view.incarnation:
+                self._view.acknowledged = ends.number
 
     def _is_idle(self) -> bool:
         view = self._view
-        return (
+        return view.is_replaced or (
             view.has_been_seen
             and not view.runs
             and view.acknowledged >= view.applied_end
@@ -174,7 +193,13 @@
         view = self._view
         lease_until = None
         clock_ms = view.clock_at(now_s)
-        if clock_ms is not None and self._ports.may_extend_lease():
+        # A worker that doesn't answer is offered no lease: its runs would
+        # never be known to have ended.
+        if (
+            clock_ms is not None
+            and not failures
+            and self._ports.may_extend_lease()
+        ):
             lease_until = clock_ms + self._ports.lease_ms
             view.extend_lease(lease_until)
         rests = bool(view.runs) and not failures and not self._has_doubts()
