Bring hosts through waves of upkeep

Each owner now empties the hosts of its pools within its part of the wave's cap, idle ones first, stops lasting tasks only within their availability budgets, and orders the upkeep under its fencing token. The store keeps which host has begun, so a later owner goes on.

Ruled out: one keeper for all pools, which would need the pool owners' consent for each task that it ends.

--- /dev/null
+++ b/src/chervillead/jobs/upkeep.py
@@ -0,0 +1,119 @@
+"""Which hosts go down for upkeep next, and which of their tasks may be stopped.
+
+Answers the pattern of a wave that falls into the bursts of a pool: upkeep waits
+for hosts that are idle anyhow, until the time that is left forces it. The
+availability budgets hold throughout.
+"""
+
+from collections import abc
+import typing
+
+from chervillead.jobs import job_state
+from chervillead.jobs import model
+
+# A run that was started is at work after this time.
+STARTUP_S = 1.2
+# Time that is kept free at the end of a wave.
+MARGIN_S = 3.0
+
+
+class Candidate(typing.NamedTuple):
+    """A host that is due and up.
+
+    Attributes:
+        machine: Its name.
+        batch_tasks: Tasks on it that end by themselves.
+        lasting_tasks: Tasks on it that run until their job is cancelled.
+    """
+
+    machine: str
+    batch_tasks: int
+    lasting_tasks: int
+
+
+def split_cap(cap: int, due_by_pool: abc.Mapping[str, int]) -> dict[str, int]:
+    """Returns how many hosts of each pool may be down at once.
+
+    Every owner computes the same split from what operators published, so the
+    cap of a wave holds without agreement. The parts add up to at most `cap`; a
+    pool whose part is 0 waits until others are done.
+    """
+    due = {pool: count for pool, count in sorted(due_by_pool.items()) if count}
+    total = sum(due.values())
+    if not total:
+        return {}
+    parts = {pool: cap * count // total for pool, count in due.items()}
+    left = cap - sum(parts.values())
+    by_remainder = sorted(
+        due, key=lambda pool: (-(cap * due[pool] % total), pool)
+    )
+    for pool in by_remainder[: max(0, left)]:
+        parts[pool] += 1
+    return {pool: min(part, due[pool]) for pool, part in parts.items()}
+
+
+def is_pressing(
+    *, due: int, slots: int, time_left_s: float, round_s: float
+) -> bool:
+    """Returns whether upkeep can't wait for idle hosts any more.
+
+    Args:
+        due: Hosts of the pool that are still due.
+        slots: Hosts that may be down at once.
+        time_left_s: Time to the end of the wave.
+        round_s: Time from the choice of a host to its return.
+    """
+    rounds = -(-due // max(1, slots))
+    return time_left_s - MARGIN_S <= rounds * round_s
+
+
+def next_hosts(
+    candidates: abc.Iterable[Candidate],
+    *,
+    slots: int,
+    pressing: bool,
+    tasks_waiting: int,
+) -> list[str]:
+    """Returns the hosts to empty now, idle ones first.
+
+    Args:
+        candidates: Hosts that are due and up.
+        slots: How many more hosts may be emptied.
+        pressing: Whether upkeep can't wait for idle hosts.
+        tasks_waiting: Tasks that wait for room in the pool.
+    """
+    if tasks_waiting and not pressing:
+        return []
+    ranked = sorted(
+        candidates, key=lambda c: (c.batch_tasks, c.lasting_tasks, c.machine)
+    )
+    allowed = (c for c in ranked if pressing or not c.batch_tasks)
+    return [c.machine for c in allowed][: max(0, slots)]
+
+
+def is_at_work(run: job_state.Run, now_s: float) -> bool:
+    """Returns whether a run of a lasting task serves."""
+    return (
+        run.phase is job_state.RunPhase.RUNNING
+        and not run.stop_wanted
+        and run.percent == 100
+        and now_s - run.begun_s >= STARTUP_S
+    )
+
+
+def may_stop(
+    job: job_state.JobState, task: model.TaskKey, now_s: float
+) -> bool:
+    """Returns whether a lasting task may be away by an order of ours."""
+    step = job.step(task)
+    if step.max_unavailable is None:
+        return True
+    away = sum(
+        not any(
+            is_at_work(run, now_s)
+            for run in job.runs.get(task._replace(number=number), ())
+        )
+        for number in range(step.tasks)
+        if number != task.number
+    )
+    return away < step.max_unavailable
--- /dev/null
+++ b/src/chervillead/machines/interface.py
@@ -0,0 +1,104 @@
+"""What the product needs of the service that switches hosts."""
+
+from collections import abc
+import enum
+import typing
+
+from returns import result
+
+from chervillead import verdicts
+from chervillead.jobs import model
+
+
+class MachineState(enum.Enum):
+    """What a host does."""
+
+    UP = "up"
+    MOVING = "moving"
+    UPKEEP = "upkeep"
+    DOWN = "down"
+
+
+class Machine(typing.NamedTuple):
+    """A host.
+
+    Attributes:
+        name: Its name, which it keeps.
+        pool: Pool that it belongs to.
+        state: What it does.
+        zone: Its availability zone.
+        labels: Labels of its workers.
+        capacity: What it has.
+        worker_id: Id of its worker; empty for a host that is switched off.
+    """
+
+    name: str
+    pool: str
+    state: MachineState
+    zone: str
+    labels: frozenset[str]
+    capacity: model.Resources
+    worker_id: str
+
+
+class Wave(typing.NamedTuple):
+    """Hosts that are due for upkeep.
+
+    Attributes:
+        number: Number of the wave.
+        machines: Names of the hosts.
+        duration_s: Time in which all of them should be done.
+        cap: Hosts that may be down at once.
+        seen_s: Our time at which the wave was first seen.
+    """
+
+    number: int
+    machines: tuple[str, ...]
+    duration_s: float
+    cap: int
+    seen_s: float
+
+
+class Refused(enum.Enum):
+    """Why an order for a host was refused, which then was not carried out."""
+
+    FENCED = "fenced"
+    BUSY = "busy"
+    NOT_IN_WAVE = "not-in-wave"
+    UNKNOWN = "unknown"
+    TOO_MANY = "too-many"
+
+
+class MachineFailure(typing.NamedTuple):
+    """A call that didn't succeed.
+
+    Attributes:
+        verdict: Whether the order may have been carried out.
+        detail: Explanation for logs.
+        refused: Why it was refused; None if there was no answer.
+    """
+
+    verdict: verdicts.Verdict
+    detail: str
+    refused: Refused | None = None
+
+
+class MachineCalls(typing.NamedTuple):
+    """Calls for hosts; orders name their holder's fencing token.
+
+    Attributes:
+        list_machines: Returns all hosts.
+        upkeep: Starts the upkeep of a host in a wave under a token; a repeat
+            of one that is done changes nothing.
+        move: Moves a host to a pool under a token.
+    """
+
+    list_machines: abc.Callable[
+        [], abc.Awaitable[result.Result[tuple[Machine, ...], MachineFailure]]
+    ]
+    upkeep: abc.Callable[
+        [str, int, int], abc.Awaitable[result.Result[None, MachineFailure]]
+    ]
+    move: abc.Callable[
+        [str, str, int], abc.Awaitable[result.Result[None, MachineFailure]]
+    ]
--- /dev/null
+++ b/src/chervillead/machines/upkeep_task.py
@@ -0,0 +1,265 @@
+"""Brings the hosts of one owner's pools through waves of upkeep."""
+
+import asyncio
+from collections import abc
+import typing
+
+from returns import pipeline
+
+from chervillead.jobs import upkeep
+from chervillead.machines import interface
+from chervillead.pools import partition_owner
+from chervillead.pools import ports as ports_module
+from chervillead.store import interface as store_interface
+
+UPKEEP_TOPIC = "keyed.upkeep"
+PERIOD_S = 0.25
+IDLE_PERIOD_S = 0.5
+# The list of hosts is read this often while hosts are due.
+LIST_PERIOD_S = 1.0
+# Tasks that end by themselves are waited for this long when upkeep presses.
+BATCH_PATIENCE_S = 4.0
+REFUSED_PAUSE_S = 0.5
+
+
+class UpkeepPorts(typing.NamedTuple):
+    """What upkeep needs.
+
+    Attributes:
+        calls: The service that switches hosts.
+        store: The store, which keeps what has been done.
+        waves: Returns the waves that operators published.
+        report: Writes how far a wave is: its number and whether it is done.
+    """
+
+    calls: interface.MachineCalls
+    store: store_interface.Store
+    waves: abc.Callable[[], abc.Iterable[interface.Wave]]
+    report: abc.Callable[[int, bool], abc.Awaitable[bool]]
+
+
+class _Emptying(typing.NamedTuple):
+    """A host that gets no new work and is about to go down."""
+
+    machine: str
+    worker_id: str
+    wave: int
+    since_s: float
+
+
+class UpkeepKeeper:
+    """Upkeep of the hosts of one partition's pools."""
+
+    def __init__(
+        self,
+        owner: partition_owner.PartitionOwner,
+        owns_pool: abc.Callable[[str], bool],
+        ports: UpkeepPorts,
+        owner_ports: ports_module.OwnerPorts,
+        *,
+        reports_waves: bool,
+    ) -> None:
+        self._owner = owner
+        self._owns_pool = owns_pool
+        self._ports = ports
+        self._clock = owner_ports.clock
+        self._log = owner_ports.log
+        self._limits = owner_ports.limits
+        self._reports_waves = reports_waves
+        self._machines: dict[str, interface.Machine] = {}
+        self._listed_s = float("-inf")
+        self._done: set[tuple[int, str]] = set()
+        self._down_until_s: dict[str, float] = {}
+        self._emptying: dict[str, _Emptying] = {}
+        self._paused_until_s: dict[str, float] = {}
+        self._reported: dict[int, bool] = {}
+        self._is_fenced = False
+
+    async def run(self) -> None:
+        """Works through waves until cancelled."""
+        while True:
+            waves = [w for w in self._ports.waves() if not self._is_over(w)]
+            if waves and not self._is_fenced:
+                await self._refresh()
+                for wave in waves:
+                    await self._advance(wave)
+            await asyncio.sleep(PERIOD_S if waves else IDLE_PERIOD_S)
+
+    def _is_over(self, wave: interface.Wave) -> bool:
+        return self._reported.get(wave.number) is True
+
+    async def _refresh(self) -> None:
+        """Reads the list of hosts and what has been done."""
+        now_s = self._clock.monotonic()
+        if now_s - self._listed_s < LIST_PERIOD_S:
+            return
+        listed = await self._ports.calls.list_machines()
+        done = await self._ports.store.newest(UPKEEP_TOPIC, 0)
+        if pipeline.is_successful(listed) and pipeline.is_successful(done):
+            self._machines = {m.name: m for m in listed.unwrap()}
+            self._listed_s = now_s
+            for record in done.unwrap().records:
+                wave, _, machine = record.key.partition("/")
+                self._done.add((int(wave), machine))
+
+    async def _advance(self, wave: interface.Wave) -> None:
+        if not self._machines:
+            return
+        if self._reports_waves:
+            await self._report(wave)
+        due = [
+            self._machines[name]
+            for name in wave.machines
+            if name in self._machines and (wave.number, name) not in self._done
+        ]
+        mine = [m for m in due if self._owns_pool(m.pool)]
+        slots = self._slots(wave, due)
+        self._choose(wave, mine, slots)
+        for entry in list(self._emptying.values()):
+            if entry.wave == wave.number:
+                await self._empty(entry, wave)
+
+    def _slots(
+        self, wave: interface.Wave, due: list[interface.Machine]
+    ) -> dict[str, int]:
+        """Returns how many more hosts of each pool may be chosen."""
+        counts: dict[str, int] = {}
+        for name in wave.machines:
+            if name in self._machines:
+                pool = self._machines[name].pool
+                counts[pool] = counts.get(pool, 0) + 1
+        parts = upkeep.split_cap(wave.cap, counts)
+        now_s = self._clock.monotonic()
+        for name, until_s in self._down_until_s.items():
+            if now_s < until_s and name in self._machines:
+                pool = self._machines[name].pool
+                parts[pool] = parts.get(pool, 0) - 1
+        for machine in self._emptying.values():
+            pool = self._machines[machine.machine].pool
+            parts[pool] = parts.get(pool, 0) - 1
+        return parts
+
+    def _choose(
+        self,
+        wave: interface.Wave,
+        mine: list[interface.Machine],
+        slots: abc.Mapping[str, int],
+    ) -> None:
+        now_s = self._clock.monotonic()
+        by_pool: dict[str, list[interface.Machine]] = {}
+        for machine in mine:
+            if machine.name not in self._emptying:
+                by_pool.setdefault(machine.pool, []).append(machine)
+        for pool, machines in by_pool.items():
+            pressing = upkeep.is_pressing(
+                due=len(machines),
+                slots=max(1, slots.get(pool, 0)),
+                time_left_s=wave.seen_s + wave.duration_s - now_s,
+                round_s=self._limits.upkeep_s + BATCH_PATIENCE_S,
+            )
+            candidates = (
+                self._candidate(machine)
+                for machine in machines
+                if machine.state is interface.MachineState.UP
+                and self._paused_until_s.get(machine.name, 0.0) <= now_s
+            )
+            chosen = upkeep.next_hosts(
+                candidates,
+                slots=slots.get(pool, 0),
+                pressing=pressing,
+                tasks_waiting=self._owner.waiting_tasks(pool),
+            )
+            for name in chosen:
+                worker_id = self._machines[name].worker_id
+                self._emptying[name] = _Emptying(
+                    name, worker_id, wave.number, now_s
+                )
+                self._owner.reserve_for_upkeep(worker_id)
+                self._log(
+                    "upkeep:chosen",
+                    machine=name,
+                    worker=worker_id,
+                    wave=wave.number,
+                    pressing=pressing,
+                )
+
+    def _candidate(self, machine: interface.Machine) -> upkeep.Candidate:
+        batch, lasting = self._owner.task_counts(machine.worker_id)
+        return upkeep.Candidate(machine.name, batch, lasting)
+
+    async def _empty(self, entry: _Emptying, wave: interface.Wave) -> None:
+        """Stops what may be stopped; orders the upkeep of an empty host."""
+        self._owner.stop_lasting(entry.worker_id, "upkeep")
+        batch, lasting = self._owner.task_counts(entry.worker_id)
+        now_s = self._clock.monotonic()
+        if lasting or (batch and now_s - entry.since_s < BATCH_PATIENCE_S):
+            return
+        if not self._owner.may_order():
+            return
+        outcome = await self._ports.calls.upkeep(
+            entry.machine, wave.number, self._owner.token
+        )
+        if pipeline.is_successful(outcome):
+            await self._note_begun(entry, wave)
+            return
+        failure = outcome.failure()
+        self._log(
+            "upkeep:failed",
+            machine=entry.machine,
+            wave=wave.number,
+            refused=failure.refused and failure.refused.value,
+            error=failure.detail,
+        )
+        if failure.refused is interface.Refused.FENCED:
+            # Another owner acts on this host; its own records say what is due.
+            self._is_fenced = True
+        if failure.refused in (
+            interface.Refused.NOT_IN_WAVE,
+            interface.Refused.UNKNOWN,
+        ):
+            self._done.add((wave.number, entry.machine))
+        if failure.refused is not None:
+            self._release(entry, now_s + REFUSED_PAUSE_S)
+
+    async def _note_begun(self, entry: _Emptying, wave: interface.Wave) -> None:
+        now_s = self._clock.monotonic()
+        self._done.add((wave.number, entry.machine))
+        # The host counts as down a little longer than its upkeep takes.
+        self._down_until_s[entry.machine] = now_s + self._limits.upkeep_s + 0.5
+        self._emptying.pop(entry.machine, None)
+        self._owner.host_went_down(entry.worker_id)
+        self._log(
+            "upkeep:begun",
+            machine=entry.machine,
+            worker=entry.worker_id,
+            wave=wave.number,
+            token=self._owner.token,
+        )
+        key = f"{wave.number}/{entry.machine}"
+        record = store_interface.KeyedRecord(key, b"begun")
+        stored = await self._ports.store.append(
+            UPKEEP_TOPIC, 0, (record,), None
+        )
+        if not pipeline.is_successful(stored):
+            # A later owner orders it once more, which changes nothing.
+            self._log(
+                "upkeep:unrecorded", key=key, error=stored.failure().detail
+            )
+
+    def _release(self, entry: _Emptying, until_s: float) -> None:
+        self._emptying.pop(entry.machine, None)
+        self._paused_until_s[entry.machine] = until_s
+        self._owner.release_from_upkeep(entry.worker_id)
+
+    async def _report(self, wave: interface.Wave) -> None:
+        """Tells operators how far a wave is."""
+        is_done = all(
+            (wave.number, name) in self._done
+            for name in wave.machines
+            if name in self._machines
+        )
+        if self._reported.get(wave.number) == is_done:
+            return
+        if await self._ports.report(wave.number, is_done):
+            self._reported[wave.number] = is_done
+            self._log("wave:reported", wave=wave.number, completed=is_done)
--- a/src/chervillead/platform/daemon.py
+++ b/src/chervillead/platform/daemon.py
@@ -8,6 +8,7 @@
 import socket
 import time
 
+from returns import pipeline
 import uvicorn
 
 from chervillead import bounded_logs
@@ -17,9 +18,11 @@
 from chervillead.callers import connections
 from chervillead.entries import job_streams
 from chervillead.jobs import job_calls
+from chervillead.machines import upkeep_task
 from chervillead.platform import caller_routes
 from chervillead.platform import fleet_configuration
 from chervillead.platform import fleet_view
+from chervillead.platform import machine_client
 from chervillead.platform import registrations
 from chervillead.platform import settings as settings_module
 from chervillead.platform import store_client
@@ -28,6 +31,7 @@
 from chervillead.pools import job_router
 from chervillead.pools import job_service
 from chervillead.pools import ownership
+from chervillead.pools import partition_owner
 from chervillead.pools import ports as ports_module
 from chervillead.store import interface as store_interface
 from chervillead.store import keyed_follower
@@ -60,27 +64,28 @@
         self.metrics = metrics_page.MetricsPage()
         self.log = bounded_logs.bound_log(host=settings.host)
         self.stopping = asyncio.Event()
-        self.view = fleet_view.FleetView(boot_time, self.log)
+        self.view = fleet_view.FleetView(
+            boot_time, SYSTEM_CLOCK.monotonic, self.log
+        )
         self.store: store_interface.Store = store_client.connect_store(
             settings.store.address, self.metrics.count
         )
         member = ownership.Member(
             settings.entries, secrets.token_hex(4), settings.host, settings.zone
         )
+        self.owner_ports = ports_module.OwnerPorts(
+            store=self.store,
+            open_worker=worker_client.opener(self.metrics.count),
+            clock=SYSTEM_CLOCK,
+            limits=settings.limits,
+            configuration=lambda: self.view.configuration,
+            zones_out=lambda: self.view.zones_out,
+            log=self.log,
+            increment=self.metrics.count,
+            observe=self.metrics.observe,
+        )
         self.owned = ownership.Ownership(
-            member,
-            ports_module.OwnerPorts(
-                store=self.store,
-                open_worker=worker_client.opener(self.metrics.count),
-                clock=SYSTEM_CLOCK,
-                limits=settings.limits,
-                configuration=lambda: self.view.configuration,
-                zones_out=lambda: self.view.zones_out,
-                log=self.log,
-                increment=self.metrics.count,
-                observe=self.metrics.observe,
-            ),
-            boot_time,
+            member, self.owner_ports, boot_time, self.keep_hosts
         )
         self.streams = job_streams.JobStreams(SYSTEM_CLOCK)
         self.router = job_router.JobRouter(
@@ -111,6 +116,36 @@
                 ],
             )
 
+    async def keep_hosts(self, owner: partition_owner.PartitionOwner) -> None:
+        """Looks after the hosts of an owner's pools until cancelled."""
+        if self.settings.machines is None:
+            return
+        calls = machine_client.connect_machines(
+            self.settings.machines, self.settings.host, self.metrics.count
+        )
+        ports = upkeep_task.UpkeepPorts(
+            calls, self.store, self.view.waves.values, self.report_wave
+        )
+        keeper = upkeep_task.UpkeepKeeper(
+            owner,
+            lambda pool: self.partition_of(pool) == owner.partition,
+            ports,
+            self.owner_ports,
+            reports_waves=owner.partition == cells.MACHINES_PARTITION,
+        )
+        await keeper.run()
+
+    async def report_wave(self, number: int, is_completed: bool) -> bool:
+        """Tells operators how far a wave is."""
+        record = store_interface.KeyedRecord(
+            f"{fleet_configuration.WAVE_PREFIX}{number}",
+            fleet_configuration.encode_wave_status(is_completed=is_completed),
+        )
+        outcome = await self.store.append(
+            fleet_configuration.STATUS_TOPIC, 0, (record,), None
+        )
+        return pipeline.is_successful(outcome)
+
     def is_ready(self) -> bool:
         """Returns whether the balancer should send connections here."""
         return (
--- a/src/chervillead/platform/fleet_configuration.py
+++ b/src/chervillead/platform/fleet_configuration.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from chervillead.jobs import model
+from chervillead.machines import interface
 from chervillead.platform import registrations
 
 OPERATOR_TOPIC = "keyed.op"
@@ -14,22 +15,6 @@
 WAVE_PREFIX = "wave/"
 
 
-class Wave(typing.NamedTuple):
-    """Hosts that are due for upkeep.
-
-    Attributes:
-        number: Number of the wave.
-        machines: Names of the hosts.
-        duration_s: Time in which all of them should be done.
-        cap: Hosts that may be down at once.
-    """
-
-    number: int
-    machines: tuple[str, ...]
-    duration_s: float
-    cap: int
-
-
 def decode_configuration(value: bytes) -> model.FleetConfiguration:
     """Returns the configuration in a record.
 
@@ -88,19 +73,20 @@
     )
 
 
-def decode_wave(value: bytes) -> Wave:
-    """Returns the wave in a record.
+def decode_wave(value: bytes, seen_s: float) -> interface.Wave:
+    """Returns the wave in a record that was seen at a time of ours.
 
     Raises:
         msgspec.DecodeError: The record isn't JSON.
         KeyError: A field is missing.
     """
     fields = msgspec.json.decode(value)
-    return Wave(
+    return interface.Wave(
         fields["Wave"],
         tuple(fields["Machines"]),
         fields["DurationS"],
         fields["Cap"],
+        seen_s,
     )
 
 
--- a/src/chervillead/platform/fleet_view.py
+++ b/src/chervillead/platform/fleet_view.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from chervillead.jobs import model
+from chervillead.machines import interface
 from chervillead.platform import fleet_configuration
 from chervillead.platform import registrations
 from chervillead.store import keyed_follower
@@ -27,13 +28,15 @@
     def __init__(
         self,
         boot_time: abc.Callable[[], float],
+        monotonic: abc.Callable[[], float],
         log: abc.Callable[..., None],
     ) -> None:
         self._boot_time = boot_time
+        self._monotonic = monotonic
         self._log = log
         self._configuration: model.FleetConfiguration | None = None
         self._zones_out: frozenset[str] = frozenset()
-        self._waves: dict[int, fleet_configuration.Wave] = {}
+        self._waves: dict[int, interface.Wave] = {}
         self._workers: dict[str, worker_interface.Registration] = {}
         self._departed: dict[str, _Departed] = {}
         self._confirmed_s = float("-inf")
@@ -50,7 +53,7 @@
         return self._zones_out
 
     @property
-    def waves(self) -> abc.Mapping[int, fleet_configuration.Wave]:
+    def waves(self) -> abc.Mapping[int, interface.Wave]:
         """Waves of upkeep by number."""
         return self._waves
 
@@ -106,7 +109,9 @@
             self._zones_out = out if value is None else out | {zone}
             self._log("zone:out" if value else "zone:back", zone=zone)
         elif key.startswith(fleet_configuration.WAVE_PREFIX) and value:
-            wave = fleet_configuration.decode_wave(value)
+            wave = fleet_configuration.decode_wave(value, self._monotonic())
+            if wave.number in self._waves:
+                return
             self._waves[wave.number] = wave
             self._log(
                 "wave:published",
--- /dev/null
+++ b/src/chervillead/platform/machine_client.py
@@ -0,0 +1,157 @@
+"""The platform's machines service as the product's interface."""
+
+from collections import abc
+import typing
+import urllib.parse
+
+import msgspec
+from returns import pipeline
+from returns import result
+
+from chervillead import http_channel
+from chervillead import http_exchange
+from chervillead import types
+from chervillead import verdicts
+from chervillead.machines import interface
+from chervillead.platform import registrations
+
+TIMEOUT_S = 1.0
+MAX_PAGES = 1000
+
+_STATES = {
+    "up": interface.MachineState.UP,
+    "moving": interface.MachineState.MOVING,
+    "upkeep": interface.MachineState.UPKEEP,
+    "down": interface.MachineState.DOWN,
+}
+_REFUSED = {
+    "fence": interface.Refused.FENCED,
+    "busy": interface.Refused.BUSY,
+    "wave": interface.Refused.NOT_IN_WAVE,
+}
+_STATUS_REFUSED = {
+    400: interface.Refused.UNKNOWN,
+    429: interface.Refused.TOO_MANY,
+    503: interface.Refused.TOO_MANY,
+}
+
+
+def connect_machines(
+    address: types.Address,
+    holder: str,
+    count: abc.Callable[..., None],
+    *,
+    dial: http_exchange.Dial = http_exchange.dial,
+) -> interface.MachineCalls:
+    """Returns the service at `address`; orders name `holder`."""
+    channels = http_channel.HttpChannels(address, dial=dial)
+
+    async def call(
+        request: http_exchange.HttpRequest,
+    ) -> result.Result[http_exchange.HttpResponse, interface.MachineFailure]:
+        outcome = await channels.call(request, TIMEOUT_S)
+        path = request.path.partition("?")[0]
+        if not pipeline.is_successful(outcome):
+            failure = outcome.failure()
+            count("chervillead_machine_calls", path, "unanswered")
+            return result.Failure(
+                interface.MachineFailure(failure.verdict, failure.detail)
+            )
+        response = outcome.unwrap()
+        count("chervillead_machine_calls", path, str(response.status))
+        if response.status == 200:
+            return result.Success(response)
+        return result.Failure(_refusal(path, response))
+
+    async def list_machines() -> result.Result[
+        tuple[interface.Machine, ...], interface.MachineFailure
+    ]:
+        found: list[interface.Machine] = []
+        token: str | None = None
+        for _ in range(MAX_PAGES):
+            query = "?" + urllib.parse.urlencode({"PageToken": token})
+            path = "/machines" + (query if token else "")
+            outcome = await call(http_exchange.HttpRequest("GET", path))
+            if not pipeline.is_successful(outcome):
+                return result.Failure(outcome.failure())
+            try:
+                fields = msgspec.json.decode(outcome.unwrap().body)
+                found.extend(map(_decode, fields["Machines"]))
+            except (msgspec.DecodeError, KeyError, TypeError) as error:
+                return result.Failure(
+                    interface.MachineFailure(
+                        verdicts.Verdict.RAN, f"{path}: malformed: {error!r}"
+                    )
+                )
+            token = fields.get("NextPageToken")
+            if not token:
+                break
+        return result.Success(tuple(found))
+
+    async def order(
+        path: str, token: int, fields: dict[str, object]
+    ) -> result.Result[None, interface.MachineFailure]:
+        headers = (
+            ("content-type", "application/json"),
+            ("lease-holder", holder),
+            ("fencing-token", str(token)),
+        )
+        outcome = await call(
+            http_exchange.HttpRequest(
+                "POST", path, headers, msgspec.json.encode(fields)
+            )
+        )
+        if pipeline.is_successful(outcome):
+            return result.Success(None)
+        return result.Failure(outcome.failure())
+
+    async def upkeep(
+        machine: str, wave: int, token: int
+    ) -> result.Result[None, interface.MachineFailure]:
+        return await order(
+            "/machine-upkeep", token, {"Machine": machine, "Wave": wave}
+        )
+
+    async def move(
+        machine: str, pool: str, token: int
+    ) -> result.Result[None, interface.MachineFailure]:
+        return await order(
+            "/machine-move", token, {"Machine": machine, "Pool": pool}
+        )
+
+    return interface.MachineCalls(list_machines, upkeep, move)
+
+
+def _refusal(
+    path: str, response: http_exchange.HttpResponse
+) -> interface.MachineFailure:
+    try:
+        fields = msgspec.json.decode(response.body) if response.body else {}
+    except msgspec.DecodeError:
+        fields = {}
+    reason = fields.get("Reason")
+    refused = (
+        _REFUSED.get(str(reason))
+        if response.status == 409
+        else _STATUS_REFUSED.get(response.status)
+    )
+    return interface.MachineFailure(
+        verdicts.Verdict.MAY_HAVE_RUN
+        if refused is None
+        else verdicts.Verdict.NOT_RUN,
+        f"{path}: {response.status} {reason}",
+        refused,
+    )
+
+
+def _decode(fields: dict[str, typing.Any]) -> interface.Machine:
+    return interface.Machine(
+        name=fields["Machine"],
+        pool=fields["Pool"],
+        state=_STATES.get(fields["State"], interface.MachineState.DOWN),
+        zone=fields["Zone"],
+        labels=frozenset(fields.get("Labels") or ()),
+        capacity=registrations.decode_resources(fields.get("Capacity") or {}),
+        # Machines of the spare pool are off and name no runner.
+        worker_id=fields.get("Id") or "",
+    )
--- a/src/chervillead/pools/ownership.py
+++ b/src/chervillead/pools/ownership.py
@@ -55,6 +55,13 @@
     return Member(address.unwrap(), *fields[1:])
 
 
+# Runs beside an owner for as long as it owns its partition.
+RunBeside = abc.Callable[
+    [partition_owner.PartitionOwner],
+    abc.Coroutine[typing.Any, typing.Any, None],
+]
+
+
 class Ownership:
     """The partitions of this host and their owners' tasks."""
 
@@ -63,7 +70,9 @@
         member: Member,
         ports: ports_module.OwnerPorts,
         boot_time: abc.Callable[[], float],
+        run_beside: RunBeside,
     ) -> None:
+        self._run_beside = run_beside
         self._member = member
         self._ports = ports
         self._boot_time = boot_time
@@ -202,7 +211,10 @@
             return
         self._on_change()
         try:
-            await owner.run()
+            async with asyncio.TaskGroup() as group:
+                beside = group.create_task(self._run_beside(owner))
+                await owner.run()
+                beside.cancel()
         except Exception as error:
             self._failed.add(owner.partition)
             self._ports.log(
--- a/src/chervillead/pools/partition_owner.py
+++ b/src/chervillead/pools/partition_owner.py
@@ -21,6 +21,7 @@
 from chervillead.jobs import placement
 from chervillead.jobs import readiness
 from chervillead.jobs import records
+from chervillead.jobs import upkeep
 from chervillead.pools import ports as ports_module
 from chervillead.store import group_commit
 from chervillead.workers import interface as worker_interface
@@ -212,6 +213,67 @@
             for job in self._jobs.values()
         )
 
+    # Upkeep.
+
+    def may_order(self) -> bool:
+        """Returns whether orders may be given now."""
+        return self._may_start() and not self._is_fenced
+
+    def waiting_tasks(self, pool: str) -> int:
+        """Returns the tasks of a pool that wait to be started."""
+        return sum(
+            len(indexes)
+            for job in self._jobs.values()
+            if job.spec.pool == pool and not job.is_over
+            for (occurrence, number), indexes in job.waiting.items()
+            if all(
+                job.step_is_done(occurrence, earlier)
+                for earlier in job.spec.steps[number].after
+            )
+        )
+
+    def reserve_for_upkeep(self, worker_id: str) -> None:
+        """Keeps new work from a worker whose host is about to go down."""
+        watch = self._watches.get(worker_id)
+        if watch is not None:
+            watch.view.reserved_for_upkeep = True
+
+    def release_from_upkeep(self, worker_id: str) -> None:
+        """Lets new work go to a worker again."""
+        watch = self._watches.get(worker_id)
+        if watch is not None:
+            watch.view.reserved_for_upkeep = False
+            self.wake()
+
+    def task_counts(self, worker_id: str) -> tuple[int, int]:
+        """Returns the batch and the lasting tasks on a worker."""
+        watch = self._watches.get(worker_id)
+        runs = list(watch.view.runs.values()) if watch is not None else []
+        lasting = sum(self._is_lasting(run) for run in runs)
+        return len(runs) - lasting, lasting
+
+    def stop_lasting(self, worker_id: str, reason: str) -> None:
+        """Stops lasting tasks on a worker as far as their budgets allow."""
+        watch = self._watches.get(worker_id)
+        if watch is None:
+            return
+        now_s = self._ports.clock.monotonic()
+        for run in list(watch.view.runs.values()):
+            job = self._jobs.get(run.job_id)
+            if job is None or run.stop_wanted or not self._is_lasting(run):
+                continue
+            if upkeep.may_stop(job, run.task, now_s):
+                watch.stop(run, reason)
+
+    def host_went_down(self, worker_id: str) -> None:
+        """Ends the runs of a worker whose host was taken down by us."""
+        if worker_id in self._watches:
+            self._close_worker(worker_id, "upkeep")
+
+    def _is_lasting(self, run: job_state.Run) -> bool:
+        step = self._step_of(run)
+        return step is not None and step.long_running
+
     # Workers.
 
     def update_workers(
