--- a/src/chervillead/jobs/upkeep.py
+++ b/src/chervillead/jobs/upkeep.py
@@ -102,15 +102,26 @@
 
 
 def may_stop(
-    job: job_state.JobState, task: model.TaskKey, now_s: float
+    job: job_state.JobState,
+    task: model.TaskKey,
+    now_s: float,
+    in_contact: abc.Callable[[str], bool],
 ) -> bool:
-    """Returns whether a lasting task may be away by an order of ours."""
+    """Returns whether a lasting task may be away by an order of ours.
+
+    Args:
+        job: The job.
+        task: The task that would be stopped.
+        now_s: Time of the owner's clock.
+        in_contact: Whether a worker has answered just now: one that is silent
+            may have crashed, and its tasks with it.
+    """
     step = job.step(task)
     if step.max_unavailable is None:
         return True
     away = sum(
         not any(
-            is_at_work(run, now_s)
+            is_at_work(run, now_s) and in_contact(run.worker_id)
             for run in job.runs.get(task._replace(number=number), ())
         )
         for number in range(step.tasks)
--- a/src/chervillead/machines/upkeep_task.py
+++ b/src/chervillead/machines/upkeep_task.py
@@ -78,6 +78,8 @@
     async def run(self) -> None:
         """Works through waves until cancelled."""
         while True:
+            if self._owner.has_unseen_workers():
+                await self._drop_ended_workers()
             waves = [w for w in self._ports.waves() if not self._is_over(w)]
             if waves and not self._is_fenced:
                 await self._refresh()
@@ -85,6 +87,22 @@
                     await self._advance(wave)
             await asyncio.sleep(PERIOD_S if waves else IDLE_PERIOD_S)
 
+    async def _drop_ended_workers(self) -> None:
+        """Looks whether workers that don't answer have ended.
+
+        A host that is up and names a worker may be cut off; one that is down,
+        or names another worker, runs nothing of it any more.
+        """
+        listed = await self._ports.calls.list_machines()
+        if pipeline.is_successful(listed):
+            self._owner.drop_ended_workers(
+                {
+                    machine.worker_id
+                    for machine in listed.unwrap()
+                    if machine.state is interface.MachineState.UP
+                }
+            )
+
     def _is_over(self, wave: interface.Wave) -> bool:
         return self._reported.get(wave.number) is True
 
@@ -194,6 +212,8 @@
         now_s = self._clock.monotonic()
         if lasting or (batch and now_s - entry.since_s < BATCH_PATIENCE_S):
             return
+        if self._owner.has_unrecorded_ends(entry.worker_id):
+            return
         if not self._owner.may_order():
             return
         outcome = await self._ports.calls.upkeep(
--- a/src/chervillead/pools/partition_owner.py
+++ b/src/chervillead/pools/partition_owner.py
@@ -41,6 +41,9 @@
 STORE_PATIENCE_S = 0.4
 # A worker that didn't answer gets no new work for this time.
 UNREACHABLE_S = 0.3
+# A busy worker is looked at once a second; one that has not answered for this
+# long may have crashed.
+CONTACT_S = 1.5
 RETRY_AFTER_S = 1.0
 # A new owner numbers runs from here on above the highest that it knows of, so
 # the runs of a former owner that it never saw keep other numbers.
@@ -79,6 +82,8 @@
         self._wake = asyncio.Event()
         self._began_s = ports.clock.monotonic()
         self._unsettled: set[str] = set()
+        # Lives of workers that have surely ended.
+        self._ended_workers: set[str] = set()
         self._is_loaded = False
         self._is_fenced = False
         self._failure: BaseException | None = None
@@ -217,7 +222,31 @@
 
     def may_order(self) -> bool:
         """Returns whether orders may be given now."""
-        return self._may_start() and not self._is_fenced
+        return (
+            self._may_start()
+            and not self._is_fenced
+            and not self._writer.failing_for_s()
+        )
+
+    def has_unrecorded_ends(self, worker_id: str) -> bool:
+        """Returns whether ends on a worker would be lost with it."""
+        watch = self._watches.get(worker_id)
+        if watch is None:
+            return False
+        return watch.view.acknowledged < watch.view.applied_end
+
+    def has_unseen_workers(self) -> bool:
+        """Returns whether jobs wait for workers that don't answer."""
+        return bool(self._unsettled) and any(
+            not watch.view.has_been_seen for watch in self._watches.values()
+        )
+
+    def drop_ended_workers(self, living: abc.Container[str]) -> None:
+        """Drops workers that don't answer and whose host has another life."""
+        for worker_id, watch in list(self._watches.items()):
+            if not watch.view.has_been_seen and worker_id not in living:
+                self._close_worker(worker_id, "its host runs no such worker")
+        self.wake()
 
     def waiting_tasks(self, pool: str) -> int:
         """Returns the tasks of a pool that wait to be started."""
@@ -262,9 +291,15 @@
             job = self._jobs.get(run.job_id)
             if job is None or run.stop_wanted or not self._is_lasting(run):
                 continue
-            if upkeep.may_stop(job, run.task, now_s):
+            if upkeep.may_stop(job, run.task, now_s, self._in_contact):
                 watch.stop(run, reason)
 
+    def _in_contact(self, worker_id: str) -> bool:
+        watch = self._watches.get(worker_id)
+        last_s = watch.view.last_contact_s if watch is not None else None
+        now_s = self._ports.clock.monotonic()
+        return last_s is not None and now_s - last_s < CONTACT_S
+
     def host_went_down(self, worker_id: str) -> None:
         """Ends the runs of a worker whose host was taken down by us."""
         if worker_id in self._watches:
@@ -287,10 +322,13 @@
             registrations: The listed workers.
             departed: Workers that fell silent a short time ago.
         """
+        if not self._is_loaded:
+            return
         now_s = self._ports.clock.monotonic()
         for registration in departed:
             # It may still run tasks of a former owner under their lease.
-            if registration.worker_id not in self._watches:
+            worker_id = registration.worker_id
+            if worker_id not in {*self._watches, *self._ended_workers}:
                 self._open_worker(registration, now_s)
         for worker_id, registration in registrations.items():
             watch = self._watches.get(worker_id)
@@ -357,6 +395,7 @@
     def _close_worker(self, worker_id: str, reason: str) -> None:
         watch = self._watches.pop(worker_id)
         self._watch_tasks.pop(worker_id).cancel()
+        self._ended_workers.add(worker_id)
         for run in list(watch.view.runs.values()):
             self._run_ended(watch.view, run, job_state.EndKind.VANISHED)
         self._ports.log("worker:dropped", worker=worker_id, reason=reason)
@@ -694,6 +733,7 @@
                 self._settle()
                 self._place()
         finally:
+            self._is_loaded = False
             writing.cancel()
             self._writer.close()
             for task in self._watch_tasks.values():
