Test owners, orders and calls on stand-ins of the platform

The stand-ins of the store and the workers speak the published protocol over a network in memory, on a virtual clock; the entry hosts are the real ones, so the daemon's wiring moved into an assembly that takes its clock and network.

A job is now refused at once, as not run, while the store takes no records, and records that never left can be withdrawn.

--- /dev/null
+++ b/src/chervillead/platform/assembly.py
@@ -0,0 +1,248 @@
+"""Wires one entry host on the platform from its settings."""
+
+import asyncio
+from collections import abc
+import secrets
+import time
+import typing
+
+from returns import pipeline
+
+from chervillead import http_exchange
+from chervillead import metrics_page
+from chervillead import types
+from chervillead.entries import job_streams
+from chervillead.jobs import job_calls
+from chervillead.machines import upkeep_task
+from chervillead.platform import fleet_configuration
+from chervillead.platform import fleet_view
+from chervillead.platform import machine_client
+from chervillead.platform import registrations
+from chervillead.platform import settings as settings_module
+from chervillead.platform import store_client
+from chervillead.platform import worker_client
+from chervillead.pools import cells
+from chervillead.pools import job_router
+from chervillead.pools import job_service
+from chervillead.pools import ownership
+from chervillead.pools import partition_owner
+from chervillead.pools import ports as ports_module
+from chervillead.store import interface as store_interface
+from chervillead.store import keyed_follower
+
+OPERATOR_WAIT_MS = 1000
+# Workers write often; their changes are read together.
+WORKERS_PAUSE_S = 0.25
+# A worker writes at most this often while a lease can last.
+WORKER_HISTORY = 12
+
+
+def boot_time() -> float:
+    """Returns a clock that also counts while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Surroundings(typing.NamedTuple):
+    """What a host stands in: time and network.
+
+    Attributes:
+        clock: Source of time.
+        boot_time: Clock that also counts while the machine is suspended.
+        dial: Opens connections.
+        listen: Accepts connections.
+    """
+
+    clock: types.Clock = types.Clock(time.monotonic, time.time)
+    boot_time: abc.Callable[[], float] = boot_time
+    dial: http_exchange.Dial = http_exchange.dial
+    listen: http_exchange.Listen = http_exchange.listen
+
+
+class EntryHost:
+    """The parts of one entry host."""
+
+    def __init__(
+        self,
+        settings: settings_module.EntrySettings,
+        log: abc.Callable[..., None],
+        surroundings: Surroundings,
+    ) -> None:
+        self.settings = settings
+        self.surroundings = surroundings
+        self.clock = surroundings.clock
+        self.metrics = metrics_page.MetricsPage()
+        self.log = log
+        self.stopping = asyncio.Event()
+        self.view = fleet_view.FleetView(
+            surroundings.boot_time, self.clock.monotonic, self.log
+        )
+        self.store: store_interface.Store = store_client.connect_store(
+            settings.store.address,
+            self.metrics.count,
+            dial=surroundings.dial,
+        )
+        member = ownership.Member(
+            settings.entries, secrets.token_hex(4), settings.host, settings.zone
+        )
+        self.owner_ports = ports_module.OwnerPorts(
+            store=self.store,
+            open_worker=worker_client.opener(
+                self.metrics.count, dial=surroundings.dial
+            ),
+            clock=self.clock,
+            limits=settings.limits,
+            configuration=lambda: self.view.configuration,
+            zones_out=lambda: self.view.zones_out,
+            log=self.log,
+            increment=self.metrics.count,
+            observe=self.metrics.observe,
+        )
+        self.owned = ownership.Ownership(
+            member, self.owner_ports, surroundings.boot_time, self.keep_hosts
+        )
+        self.streams = job_streams.JobStreams(
+            self.clock, dial=surroundings.dial
+        )
+        self.router = job_router.JobRouter(
+            self.store, self.streams, self.owned, self.clock, self.log
+        )
+        self.view.on_change(self.update_workers)
+        self.owned.on_change(self.update_workers)
+
+    def partition_of(self, pool: str) -> int:
+        """Returns the partition of a pool."""
+        return cells.partition_of(pool, self.settings.store.partitions)
+
+    def update_workers(self) -> None:
+        """Gives each owner the workers of its pools."""
+        for partition, owner in self.owned.owners.items():
+            if not owner.is_loaded:
+                continue
+            owner.update_workers(
+                {
+                    worker_id: found
+                    for worker_id, found in self.view.workers.items()
+                    if self.partition_of(found.pool) == partition
+                },
+                [
+                    found
+                    for found in self.view.departed()
+                    if self.partition_of(found.pool) == partition
+                ],
+            )
+
+    async def keep_hosts(self, owner: partition_owner.PartitionOwner) -> None:
+        """Looks after the hosts of an owner's pools until cancelled."""
+        if self.settings.machines is None:
+            return
+        calls = machine_client.connect_machines(
+            self.settings.machines,
+            self.settings.host,
+            self.metrics.count,
+            dial=self.surroundings.dial,
+        )
+        ports = upkeep_task.UpkeepPorts(
+            calls, self.store, self.view.waves.values, self.report_wave
+        )
+        keeper = upkeep_task.UpkeepKeeper(
+            owner,
+            lambda pool: self.partition_of(pool) == owner.partition,
+            ports,
+            self.owner_ports,
+            reports_waves=owner.partition == cells.MACHINES_PARTITION,
+        )
+        await keeper.run()
+
+    async def report_wave(self, number: int, is_completed: bool) -> bool:
+        """Tells operators how far a wave is."""
+        record = store_interface.KeyedRecord(
+            f"{fleet_configuration.WAVE_PREFIX}{number}",
+            fleet_configuration.encode_wave_status(is_completed=is_completed),
+        )
+        outcome = await self.store.append(
+            fleet_configuration.STATUS_TOPIC, 0, (record,), None
+        )
+        return pipeline.is_successful(outcome)
+
+    def is_ready(self) -> bool:
+        """Returns whether the balancer should send connections here."""
+        return (
+            not self.stopping.is_set()
+            and self.view.configuration is not None
+            and self.is_current()
+            and bool(self.router.members)
+        )
+
+    def is_current(self) -> bool:
+        """Returns whether withdrawn keys are surely known."""
+        return self.view.age_s() < self.settings.config_max_age_s
+
+    def job_ports(self) -> job_calls.JobPorts:
+        """Returns what calls about jobs need of this host."""
+        return job_calls.JobPorts(
+            configuration=lambda: self.view.configuration,
+            is_current=self.is_current,
+            partition_of=self.partition_of,
+            call_owner=self.router.call,
+            log=self.log,
+        )
+
+    def background(self) -> list[abc.Coroutine[typing.Any, typing.Any, None]]:
+        """Returns the tasks that run for as long as the host does."""
+        return [
+            _follow_operator(self),
+            _follow_workers(self),
+            self.owned.keep_joined(),
+            self.router.keep_fresh(),
+            _serve_entries(self),
+        ]
+
+
+async def _follow_operator(host: EntryHost) -> None:
+    is_lost = False
+
+    def confirmed(as_of_s: float) -> None:
+        nonlocal is_lost
+        host.view.confirm(as_of_s)
+        if is_lost:
+            host.log("dependency:regained", name="store")
+        is_lost = False
+
+    def failed(failure: store_interface.StoreFailure) -> None:
+        nonlocal is_lost
+        if not is_lost:
+            host.log("dependency:lost", name="store", error=failure.detail)
+        is_lost = True
+
+    await keyed_follower.follow(
+        host.store,
+        fleet_configuration.OPERATOR_TOPIC,
+        wait_ms=OPERATOR_WAIT_MS,
+        boot_time=host.surroundings.boot_time,
+        apply=host.view.apply_operator,
+        confirmed=confirmed,
+        failed=failed,
+    )
+
+
+async def _follow_workers(host: EntryHost) -> None:
+    await keyed_follower.follow(
+        host.store,
+        registrations.SERVERS_TOPIC,
+        wait_ms=0,
+        pause_s=WORKERS_PAUSE_S,
+        boot_time=host.surroundings.boot_time,
+        apply=host.view.apply_workers,
+        confirmed=lambda as_of_s: None,
+        failed=lambda failure: None,
+        apply_history=host.view.apply_worker_history,
+        history_per_key=WORKER_HISTORY,
+    )
+
+
+async def _serve_entries(host: EntryHost) -> None:
+    serve_stream = job_streams.serve_calls(
+        lambda call: job_service.serve(call, host.owned.owner_of),
+        host.clock,
+    )
+    await host.surroundings.listen(host.settings.entries, serve_stream)
--- a/src/chervillead/pools/ownership.py
+++ b/src/chervillead/pools/ownership.py
@@ -84,6 +84,7 @@
         self._fenced_tokens: dict[int, int] = {}
         self._failed: set[int] = set()
         self._is_leaving = False
+        self._store_is_away = False
         self._on_change: abc.Callable[[], None] = lambda: None
 
     @property
@@ -131,6 +132,7 @@
                     cells.OWNERS_GROUP, str(self._member)
                 )
                 return
+            self._store_is_away = not pipeline.is_successful(outcome)
             if pipeline.is_successful(outcome):
                 if is_lost:
                     self._ports.log("dependency:regained", name="store group")
@@ -195,6 +197,7 @@
             token,
             writer,
             self._ports,
+            store_is_away=lambda: self._store_is_away,
             may_start=self.is_confirmed,
             may_extend_lease=self.is_confirmed,
         )
--- a/src/chervillead/pools/partition_owner.py
+++ b/src/chervillead/pools/partition_owner.py
@@ -65,9 +65,11 @@
         writer: group_commit.PartitionWriter,
         ports: ports_module.OwnerPorts,
         *,
+        store_is_away: abc.Callable[[], bool],
         may_start: abc.Callable[[], bool],
         may_extend_lease: abc.Callable[[], bool],
     ) -> None:
+        self._store_is_away = store_is_away
         self._partition = partition
         self._token = token
         self._writer = writer
@@ -143,7 +145,8 @@
             return result.Success(None)
         stored = self._submitting.get(spec.job_id)
         if stored is None:
-            if self._writer.failing_for_s() > STORE_PATIENCE_S:
+            failing_s = self._writer.failing_for_s()
+            if self._store_is_away() or failing_s > STORE_PATIENCE_S:
                 return result.Failure(_store_away("no records are taken"))
             stored = self._writer.append(
                 records.spec_key(spec.job_id), records.encode_spec(spec)
@@ -185,6 +188,7 @@
             pool=spec.pool,
             account=spec.account,
             steps=[step.tasks for step in spec.steps],
+            traits=sorted(_traits(spec)),
             token=self._token,
         )
         self.wake()
@@ -905,6 +909,25 @@
         )
 
 
+def _traits(spec: model.JobSpec) -> set[str]:
+    """Returns what is special about a job's steps, for logs."""
+    names = (
+        "checkpointing",
+        "gang",
+        "same_rack",
+        "required_label",
+        "data_rack",
+        "max_per_worker",
+        "speculative",
+        "long_running",
+        "latency_target_ms",
+        "fills",
+    )
+    return {
+        name for step in spec.steps for name in names if getattr(step, name)
+    }
+
+
 def _within_cap(
     configuration: model.FleetConfiguration,
     account: str,
--- a/src/chervillead/store/group_commit.py
+++ b/src/chervillead/store/group_commit.py
@@ -140,6 +140,7 @@
 
     async def _send(self, batch: list[_Entry]) -> None:
         """Sends one batch until the store has taken it."""
+        may_be_stored = False
         newest = {entry.record.key: entry.record for entry in batch}
         records = tuple(newest.values())
         while True:
@@ -162,6 +163,14 @@
             loop = asyncio.get_running_loop()
             if self._failing_since_s is None:
                 self._failing_since_s = loop.time()
+            if failure.verdict is not verdicts.Verdict.NOT_RUN:
+                may_be_stored = True
+            if not may_be_stored:
+                # Nothing has left, so the records can still be withdrawn.
+                self._waiting[:0] = batch
+                self._wake.set()
+                await asyncio.sleep(RETRY_S)
+                return
             await asyncio.sleep(RETRY_S)
         self._failing_since_s = None
         self._sequence += 1
@@ -176,8 +185,3 @@
             if not entry.stored.done():
                 entry.stored.set_exception(FencedError())
         self._waiting.clear()
-
-
-def may_be_stored(failure: interface.StoreFailure) -> bool:
-    """Returns whether a failed append may have been executed."""
-    return failure.verdict is not verdicts.Verdict.NOT_RUN
--- /dev/null
+++ b/tests/stand_ins/platform_fleet.py
@@ -0,0 +1,342 @@
+"""Entry hosts on the platform's stand-ins, in memory and on a virtual clock.
+
+The hosts are the real ones; the store, the workers and the network between all
+of them are stand-ins. The checks judge from the workers' records.
+"""
+
+import asyncio
+from collections import abc
+import typing
+
+import msgspec
+from returns import pipeline
+from returns import result
+
+from chervillead import types
+from chervillead import verdicts
+from chervillead.jobs import job_calls
+from chervillead.platform import assembly
+from chervillead.platform import job_bodies
+from chervillead.platform import settings as settings_module
+from chervillead.pools import ports as ports_module
+from stand_ins import http_server
+from stand_ins import memory_network
+from stand_ins import platform_store
+from stand_ins import platform_worker
+from stand_ins import virtual_time
+
+POOL = "billing"
+QUEUE_HOST = "queue.example"
+QUEUE_PATH = "/jobs/"
+KEY = "key-1"
+MAX_ATTEMPTS = 3
+HEARTBEAT_S = 0.5
+SILENCE_S = 1.5
+STORE_PORT = 9000
+ENTRY_PORT = 7000
+WORKER_PORT = 8000
+
+
+def configuration(version: int = 1, **changes: typing.Any) -> bytes:
+    """Returns a configuration as operators write it."""
+    tenant = {
+        "Name": "team-1",
+        "ApiKeys": [KEY],
+        "Weight": 1,
+        "Cap": {"Cpu": 0, "MemMb": 0, "Gpu": 0},
+    }
+    fields = {
+        "Version": version,
+        "Routes": [
+            {
+                "Name": "queue-1",
+                "Host": QUEUE_HOST,
+                "PathPrefix": QUEUE_PATH,
+                "Service": POOL,
+                "MaxAttempts": MAX_ATTEMPTS,
+                "Stretch": 1.5,
+                "TargetLatencyMs": 600,
+                "Public": False,
+            }
+        ],
+        "Services": [{"Name": POOL, "EnforcesCapacity": True}],
+        "Limits": {"MaxBodyBytes": 262144},
+        "Tenants": [tenant],
+    }
+    return msgspec.json.encode(fields | changes)
+
+
+class _RunningHost(typing.NamedTuple):
+    host: assembly.EntryHost
+    tasks: list[asyncio.Task[None]]
+
+
+class PlatformFleet:
+    """Entry hosts, a store and workers.
+
+    Attributes:
+        store: The store.
+        workers: Workers by id.
+        network: The network between all of them.
+        logs: Log lines of all hosts.
+    """
+
+    def __init__(
+        self, *, hosts: int = 3, workers: int = 3, seed: int = 0
+    ) -> None:
+        self.store = platform_store.StoreStandIn()
+        self.network = memory_network.MemoryNetwork(seed=seed)
+        self.logs: list[dict[str, typing.Any]] = []
+        self.workers = {
+            f"i-{number}": platform_worker.WorkerStandIn(f"i-{number}")
+            for number in range(workers)
+        }
+        self._host_names = [f"host-{number}" for number in range(hosts)]
+        self._hosts: dict[str, _RunningHost] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        self._sequence = 0
+        self.unlisted: set[str] = set()
+
+    @property
+    def hosts(self) -> dict[str, assembly.EntryHost]:
+        """The running entry hosts by name."""
+        return {name: found.host for name, found in self._hosts.items()}
+
+    async def start(self) -> None:
+        """Starts everything and waits until jobs can be taken."""
+        self.store.put("keyed.op", "config", configuration())
+        for place, worker_id in enumerate(self.workers):
+            serve = http_server.serve_connections(
+                self.workers[worker_id].handle
+            )
+            self._listen(
+                worker_id, _address("10.1.0.1", WORKER_PORT + place), serve
+            )
+        self._tasks.append(asyncio.create_task(self._heartbeats()))
+        await asyncio.sleep(0.1)
+        for name in self._host_names:
+            self.start_host(name)
+        await asyncio.sleep(4)
+
+    def start_host(self, name: str) -> None:
+        """Starts an entry host."""
+        place = self._host_names.index(name)
+        store_address = _address("10.0.0.1", STORE_PORT + place)
+        self._listen(
+            f"store-{name}",
+            store_address,
+            http_server.serve_connections(self.store.handler_for(name)),
+        )
+        address = _address(f"10.2.0.{place + 1}", ENTRY_PORT)
+        loop = asyncio.get_running_loop()
+
+        def log(message_type: str, **fields: object) -> None:
+            line = {"message_type": message_type, "host": name}
+            self.logs.append(line | {"at_s": loop.time()} | fields)
+
+        host = assembly.EntryHost(
+            settings_module.EntrySettings(
+                host=name,
+                zone="zone-a",
+                callers=address,
+                ready=address,
+                entries=address,
+                metrics=address,
+                store=settings_module.StoreSettings(
+                    store_address, platform_store.PARTITIONS, 262144, 2097152
+                ),
+                machines=None,
+                advice=None,
+                limits=ports_module.Limits(),
+                config_max_age_s=4.0,
+                stop_grace_s=6.0,
+            ),
+            log,
+            assembly.Surroundings(
+                virtual_time.clock(),
+                loop.time,
+                self.network.dial_from(name),
+                self.network.listen_at(name),
+            ),
+        )
+        tasks = [asyncio.create_task(work) for work in host.background()]
+        self._hosts[name] = _RunningHost(host, tasks)
+
+    async def kill_host(self, name: str) -> None:
+        """Ends a host's process without a word."""
+        running = self._hosts.pop(name)
+        # The store must not hear of it, as with SIGKILL.
+        self.network.reset_place(name)
+        owned = running.host.owned
+        for task in (*running.tasks, *owned._tasks.values()):
+            task.cancel()
+        await asyncio.gather(*running.tasks, return_exceptions=True)
+        running.host.streams.close()
+
+    async def stop(self) -> None:
+        """Ends everything."""
+        for name in list(self._hosts):
+            await self.kill_host(name)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def owner_host(self) -> str:
+        """Returns the host that owns the pool's partition."""
+        return next(
+            name
+            for name, host in self.hosts.items()
+            if host.owned.owner_of(host.partition_of(POOL)) is not None
+        )
+
+    def other_host(self) -> str:
+        """Returns a host that doesn't own the pool's partition."""
+        owner = self.owner_host()
+        return next(name for name in self.hosts if name != owner)
+
+    async def submit(
+        self,
+        job_id: str,
+        steps: list[dict[str, typing.Any]],
+        *,
+        host: str | None = None,
+        key: str = KEY,
+        **fields: typing.Any,
+    ) -> result.Result[None, verdicts.Refusal]:
+        """Submits a job as a caller's body through a host."""
+        found = self.hosts[host or self.other_host()]
+        ports = found.job_ports()
+        admission = job_calls.admit(ports, QUEUE_HOST, QUEUE_PATH + job_id, key)
+        if not pipeline.is_successful(admission):
+            return result.Failure(admission.failure())
+        body = msgspec.json.encode({"Spec": "x", "Phases": steps} | fields)
+        decoded = job_bodies.decode_job(
+            body,
+            job_id=job_id,
+            queue=admission.unwrap().queue,
+            account=admission.unwrap().account,
+            now_unix_ms=int(1000 * found.clock.wall()),
+        )
+        if not pipeline.is_successful(decoded):
+            detail = decoded.failure().detail
+            return result.Failure(verdicts.not_run("bad-job", 400, detail))
+        return await job_calls.submit(ports, decoded.unwrap(), 3.0)
+
+    async def phase(self, job_id: str, *, host: str | None = None) -> str:
+        """Returns the state of a job, or the reason of the refusal."""
+        ports = self.hosts[host or next(iter(self.hosts))].job_ports()
+        admission = job_calls.admit(ports, QUEUE_HOST, QUEUE_PATH, KEY)
+        if not pipeline.is_successful(admission):
+            return admission.failure().reason
+        found = await job_calls.find(ports, admission.unwrap(), job_id, 3.0)
+        if pipeline.is_successful(found):
+            return found.unwrap().phase
+        return found.failure().reason
+
+    async def cancel(
+        self, job_id: str
+    ) -> result.Result[None, verdicts.Refusal]:
+        """Cancels a job."""
+        ports = self.hosts[self.other_host()].job_ports()
+        admission = job_calls.admit(ports, QUEUE_HOST, QUEUE_PATH, KEY)
+        return await job_calls.cancel(ports, admission.unwrap(), job_id, 3.0)
+
+    def runs(self, job_id: str) -> list[platform_worker.RunRecord]:
+        """Returns all runs of a job, oldest first."""
+        found = [
+            record
+            for worker in self.workers.values()
+            for record in worker.records
+            if record.task.startswith(job_id)
+        ]
+        return sorted(found, key=lambda record: record.began_s)
+
+    def violations(self) -> abc.Iterator[str]:
+        """Yields every broken promise that the workers saw."""
+        records = [
+            record
+            for worker in self.workers.values()
+            for record in worker.records
+        ]
+        by_task: dict[str, list[platform_worker.RunRecord]] = {}
+        for record in sorted(records, key=lambda r: r.began_s):
+            by_task.setdefault(record.task, []).append(record)
+        noted = {
+            (task, run)
+            for worker in self.workers.values()
+            for task, run, how in worker.acknowledged
+            if how == "done"
+        }
+        for task, runs in by_task.items():
+            for earlier, later in zip(runs, runs[1:], strict=False):
+                if later.began_s < earlier.ended_s:
+                    yield f"{task}: runs {earlier} and {later} overlap"
+                if earlier.how == "done" and (task, earlier.run) in noted:
+                    yield f"{task}: {later} began after a recorded end"
+
+    def _listen(
+        self,
+        place: str,
+        address: types.Address,
+        serve: typing.Any,
+    ) -> None:
+        listen = self.network.listen_at(place)
+        self._tasks.append(asyncio.create_task(listen(address, serve)))
+
+    async def _heartbeats(self) -> None:
+        """Registers workers; silent ones are dropped after a while."""
+        dropped: set[str] = set()
+        while True:
+            self._sequence += 1
+            for place, worker in enumerate(self.workers.values()):
+                key = worker.worker_id
+                if worker.silent or key in self.unlisted:
+                    if key not in dropped:
+                        self.store.put("keyed.servers", key, b"")
+                        dropped.add(key)
+                    continue
+                dropped.discard(key)
+                self.store.put("keyed.servers", key, self._entry(place, worker))
+            await asyncio.sleep(HEARTBEAT_S)
+
+    def _entry(
+        self, place: int, worker: platform_worker.WorkerStandIn
+    ) -> bytes:
+        return msgspec.json.encode(
+            {
+                "Service": POOL,
+                "Address": f"10.1.0.1:{WORKER_PORT + place}",
+                "Zone": "zone-a",
+                "Version": "v1",
+                "Slots": 8,
+                "State": "ready",
+                "ColdRemainingMs": 0,
+                "Capacity": {
+                    "Cpu": worker.cpu,
+                    "MemMb": worker.memory_mb,
+                    "Gpu": 0,
+                },
+                "Labels": ["a", f"r1-{place % 2}"],
+                "Seq": self._sequence,
+                "born": worker.born,
+            }
+        )
+
+
+def _address(host: str, port: int) -> types.Address:
+    return types.Address(host, port)
+
+
+def step(tasks: int = 1, **fields: typing.Any) -> dict[str, typing.Any]:
+    """Returns a step as a caller's body has it."""
+    return {
+        "Count": tasks,
+        "Cpu": 1000,
+        "MemMb": 100,
+        "EstimateMs": 500,
+    } | fields
+
+
+def job_id(number: int) -> str:
+    """Returns the id of a numbered job."""
+    return f"{number:016x}"
--- /dev/null
+++ b/tests/steps/platform_adapter.py
@@ -0,0 +1,72 @@
+"""Steps of tests/platform/calls.feature that need no fleet."""
+
+import behave
+import msgspec
+from returns import pipeline
+import yaml
+
+from chervillead.jobs import model
+from chervillead.platform import job_bodies
+from chervillead.platform import registrations
+from chervillead.platform import settings as settings_module
+
+SETTINGS = """
+Node: "front-1"
+Zone: "zone-a"
+Ip: "10.1.0.23"
+ListenAddrs: {Front: "10.1.0.23:8340", ReadyAddr: "10.1.0.23:8343"}
+InternalPorts: [7000, 7015]
+Bounds: {RevokeMs: 5000, GraceS: 6, MaxHoldMs: 6000}
+platform:
+  Address: "10.200.1.7:8344"
+  parts: 24
+  RecordBytes: 262144
+  CallBytes: 2097152
+Cloud: {Address: "10.200.0.82:8344"}
+Unknown: "is ignored"
+"""
+
+
+@behave.when("a caller submits {body}")
+def step(context, body):
+    context.decoded = job_bodies.decode_job(
+        body.encode(),
+        job_id="0" * 16,
+        queue=model.Queue("queue-1", "queue.example", "/jobs/", "billing"),
+        account="team-1",
+        now_unix_ms=0,
+    )
+
+
+@behave.then("the body is refused because {problem}")
+def step(context, problem):
+    assert not pipeline.is_successful(context.decoded)
+    assert problem in context.decoded.failure().detail, context.decoded
+
+
+@behave.when("the list of workers has the entry {entry}")
+def step(context, entry):
+    context.entry = registrations.decode_registration("i-1", entry.encode())
+
+
+@behave.then("the entry names no worker")
+def step(context):
+    assert context.entry is None
+
+
+@behave.when("the platform's settings have {field} set to {value}")
+def step(context, field, value):
+    document = yaml.safe_load(SETTINGS)
+    assert pipeline.is_successful(settings_module.decode_settings(document))
+    place = document
+    *tables, name = field.split(".")
+    for table in tables:
+        place = place[table]
+    place[name] = msgspec.json.decode(value.encode())
+    context.settings = settings_module.decode_settings(document)
+
+
+@behave.then("the problem names {field}")
+def step(context, field):
+    assert not pipeline.is_successful(context.settings)
+    assert context.settings.failure().path == field
--- /dev/null
+++ b/tests/steps/platform_fleet.py
@@ -0,0 +1,416 @@
+"""Steps of the features that run entry hosts on the platform's stand-ins.
+
+Given and when steps only note what is to happen; the first then step plays all
+of it on a virtual clock and keeps what the checks need.
+"""
+
+import asyncio
+import collections
+import functools
+
+import behave
+
+from stand_ins import platform_fleet
+from stand_ins import virtual_time
+
+JOB = platform_fleet.job_id(1)
+
+
+class Played:
+    """What a scenario left behind."""
+
+    def __init__(self, fleet, phases, outcomes):
+        self.fleet = fleet
+        self.phases = phases
+        self.outcomes = outcomes
+        self.runs = fleet.runs(JOB)
+        self.violations = list(fleet.violations())
+
+
+def note(context, action, **arguments):
+    """Notes an action of the scenario."""
+    context.actions.append(functools.partial(action, **arguments))
+
+
+def play(context):
+    """Plays the scenario once and returns what it left behind."""
+    if not hasattr(context, "played"):
+        context.played = virtual_time.run_virtual(
+            run_scenario(context), context.seed
+        )
+    return context.played
+
+
+async def run_scenario(context):
+    fleet = platform_fleet.PlatformFleet(
+        hosts=context.hosts, workers=context.workers, seed=context.seed
+    )
+    for worker in fleet.workers.values():
+        worker.work_s = context.work_s
+    await fleet.start()
+    outcomes = []
+    for action in context.actions:
+        outcome = await action(fleet)
+        if outcome is not None:
+            outcomes.append(outcome)
+    phases = {host: await fleet.phase(JOB, host=host) for host in fleet.hosts}
+    await fleet.stop()
+    return Played(fleet, phases, outcomes)
+
+
+@behave.given("a platform fleet of {hosts:d} hosts and {workers:d} worker")
+@behave.given("a platform fleet of {hosts:d} hosts and {workers:d} workers")
+def step(context, hosts, workers):
+    context.hosts, context.workers = hosts, workers
+    context.work_s = 0.5
+    context.actions = []
+
+
+@behave.given("tasks work for {seconds:g} s")
+def step(context, seconds):
+    context.work_s = seconds
+
+
+async def submit(fleet, steps, host=None, **arguments):
+    name = host(fleet) if host is not None else None
+    return await fleet.submit(JOB, steps, host=name, **arguments)
+
+
+@behave.when("a job of {tasks:d} task is submitted")
+@behave.when("a job of {tasks:d} tasks is submitted")
+def step(context, tasks):
+    context.tasks = tasks
+    note(context, submit, steps=[platform_fleet.step(tasks)])
+
+
+@behave.when("a job of {first:d} tasks and then {second:d} tasks is submitted")
+def step(context, first, second):
+    steps = [
+        platform_fleet.step(first),
+        platform_fleet.step(second, After=[0]),
+    ]
+    note(context, submit, steps=steps)
+
+
+@behave.when(
+    "a job of {first:d} short tasks beside {second:d} tasks of {seconds:d} s "
+    "is submitted"
+)
+def step(context, first, second, seconds):
+    async def submit_both(fleet):
+        for worker in fleet.workers.values():
+            worker.work_by_step["1"] = seconds
+        steps = [platform_fleet.step(first), platform_fleet.step(second)]
+        return await submit(fleet, steps)
+
+    note(context, submit_both)
+
+
+@behave.when("the store takes {milliseconds:d} ms for an append")
+def step(context, milliseconds):
+    async def slow_down(fleet):
+        fleet.store.append_s = milliseconds / 1000
+
+    note(context, slow_down)
+
+
+@behave.when("a job of {tasks:d} tasks with at most 1 on a worker is submitted")
+def step(context, tasks):
+    note(context, submit, steps=[platform_fleet.step(tasks, AntiAffinity=1)])
+
+
+@behave.when("a job of {tasks:d} tasks that always fail is submitted")
+def step(context, tasks):
+    async def fail_and_submit(fleet):
+        for worker in fleet.workers.values():
+            worker.failing.add(JOB)
+        return await submit(fleet, [platform_fleet.step(tasks)])
+
+    note(context, fail_and_submit)
+
+
+@behave.when("a job of {tasks:d} tasks that last is submitted")
+def step(context, tasks):
+    async def last_and_submit(fleet):
+        for worker in fleet.workers.values():
+            worker.lasting.add(JOB)
+        steps = [platform_fleet.step(tasks, LongRunning=True)]
+        return await submit(fleet, steps)
+
+    note(context, last_and_submit)
+
+
+@behave.when("a job of {tasks:d} task is submitted with an unknown key")
+def step(context, tasks):
+    note(context, submit, steps=[platform_fleet.step(tasks)], key="no-such-key")
+
+
+@behave.when("a job of {tasks:d} task is submitted through that host")
+def step(context, tasks):
+    note(
+        context,
+        submit,
+        steps=[platform_fleet.step(tasks)],
+        host=lambda fleet: context.turned_away,
+    )
+
+
+@behave.when("the same job is submitted through every host")
+def step(context):
+    async def submit_everywhere(fleet):
+        steps = [platform_fleet.step(context.tasks)]
+        for host in list(fleet.hosts):
+            await fleet.submit(JOB, steps, host=host)
+
+    note(context, submit_everywhere)
+
+
+@behave.when("the job is cancelled")
+def step(context):
+    async def cancel(fleet):
+        await asyncio.sleep(0.5)
+        return await fleet.cancel(JOB)
+
+    note(context, cancel)
+
+
+@behave.when("{seconds:d} s pass")
+def step(context, seconds):
+    async def wait(fleet):
+        await asyncio.sleep(seconds)
+
+    note(context, wait)
+
+
+@behave.when("the owner is killed")
+def step(context):
+    async def kill(fleet):
+        await asyncio.sleep(0.3)
+        await fleet.kill_host(fleet.owner_host())
+
+    note(context, kill)
+
+
+@behave.when("all hosts are killed and start again")
+def step(context):
+    async def kill_all(fleet):
+        names = list(fleet.hosts)
+        for name in names:
+            await fleet.kill_host(name)
+        await asyncio.sleep(0.5)
+        for name in names:
+            fleet.start_host(name)
+
+    note(context, kill_all)
+
+
+@behave.when("the owner is turned away by the store")
+def step(context):
+    async def turn_away(fleet):
+        await asyncio.sleep(0.3)
+        fleet.store.turned_away.add(fleet.owner_host())
+
+    note(context, turn_away)
+
+
+@behave.when("a host is turned away by the store")
+def step(context):
+    async def turn_away(fleet):
+        context.turned_away = fleet.other_host()
+        fleet.store.turned_away.add(context.turned_away)
+
+    note(context, turn_away)
+
+
+@behave.when("the store serves every host again")
+def step(context):
+    async def serve_again(fleet):
+        fleet.store.turned_away.clear()
+
+    note(context, serve_again)
+
+
+@behave.when("the store goes down")
+def step(context):
+    async def go_down(fleet):
+        fleet.store.down = True
+
+    note(context, go_down)
+
+
+@behave.when("the store is down for {seconds:d} s")
+def step(context, seconds):
+    async def go_down(fleet):
+        await asyncio.sleep(0.3)
+        fleet.store.down = True
+        await asyncio.sleep(seconds)
+        fleet.store.down = False
+
+    note(context, go_down)
+
+
+@behave.when("the store forgets its history")
+def step(context):
+    async def forget(fleet):
+        fleet.store.forget("keyed.servers")
+        fleet.store.forget("keyed.op")
+
+    note(context, forget)
+
+
+@behave.when("all partitions are dealt anew")
+def step(context):
+    async def deal(fleet):
+        await asyncio.sleep(0.5)
+        fleet.store.deal_anew("pool-owners")
+
+    note(context, deal)
+
+
+@behave.when("operators withdraw the key")
+def step(context):
+    async def withdraw(fleet):
+        fleet.store.put(
+            "keyed.op", "config", platform_fleet.configuration(2, Tenants=[])
+        )
+
+    note(context, withdraw)
+
+
+def first_busy(fleet):
+    return next(w for w in fleet.workers.values() if w.running())
+
+
+@behave.when("a worker with tasks is cut off and drops out of the list")
+def step(context):
+    async def cut(fleet):
+        await asyncio.sleep(0.3)
+        worker = first_busy(fleet)
+        fleet.unlisted.add(worker.worker_id)
+        fleet.network.cut([worker.worker_id], fleet.hosts)
+
+    note(context, cut)
+
+
+@behave.when("a worker with tasks crashes for good")
+def step(context):
+    async def crash(fleet):
+        await asyncio.sleep(0.3)
+        worker = first_busy(fleet)
+        worker.silent = True
+        worker._end_all("gone", list_ends=False)
+
+    note(context, crash)
+
+
+@behave.when("every worker starts again")
+def step(context):
+    async def restart(fleet):
+        await asyncio.sleep(0.5)
+        for worker in fleet.workers.values():
+            worker.restart()
+            fleet.network.reset_place(worker.worker_id)
+
+    note(context, restart)
+
+
+def lose_starts(context, count, late_s):
+    async def lose(fleet):
+        for worker in fleet.workers.values():
+            worker.lose_starts = count
+            worker.late_starts_s = late_s
+
+    note(context, lose)
+
+
+@behave.when(
+    "the next {count:d} starts on each worker get no answer and come "
+    "{seconds:d} s late"
+)
+def step(context, count, seconds):
+    lose_starts(context, count, seconds)
+
+
+@behave.when(
+    "the next {count:d} starts on each worker get no answer and are lost"
+)
+def step(context, count):
+    lose_starts(context, count, None)
+
+
+@behave.then("the job is shown as {phase} by every host")
+def step(context, phase):
+    phases = play(context).phases
+    assert set(phases.values()) == {phase}, (phases, play(context).runs)
+
+
+@behave.then("the workers saw no broken promise")
+def step(context):
+    assert not play(context).violations, play(context).violations
+
+
+@behave.then("each task ran once")
+def step(context):
+    counts = collections.Counter(run.task for run in play(context).runs)
+    assert counts and set(counts.values()) == {1}, play(context).runs
+
+
+@behave.then("no task of it ran more than {count:d} times")
+def step(context, count):
+    counts = collections.Counter(run.task for run in play(context).runs)
+    assert counts and max(counts.values()) <= count, counts
+
+
+@behave.then("no task of it ever ran")
+def step(context):
+    assert not play(context).runs
+
+
+@behave.then("nothing of it runs")
+def step(context):
+    runs = play(context).runs
+    assert runs and all(run.how for run in runs), runs
+
+
+@behave.then("{count:d} tasks of it run")
+def step(context, count):
+    running = [run for run in play(context).runs if not run.how]
+    assert len(running) == count, play(context).runs
+
+
+@behave.then("no step began before the steps ahead of it were done")
+def step(context):
+    runs = play(context).runs
+    first_ends = [r.ended_s for r in runs if r.task.split(".")[2] == "0"]
+    second_starts = [r.began_s for r in runs if r.task.split(".")[2] == "1"]
+    assert second_starts and min(second_starts) >= max(first_ends), runs
+
+
+@behave.then("no worker ran {count:d} tasks of it at once")
+def step(context, count):
+    assert most_at_once(context) < count, play(context).runs
+
+
+@behave.then("no worker ever ran more than {count:d} tasks at once")
+def step(context, count):
+    assert 0 < most_at_once(context) <= count
+
+
+def most_at_once(context):
+    """Returns the most runs that any worker had at one moment."""
+    most = 0
+    for worker in play(context).fleet.workers.values():
+        for run in worker.records:
+            beside = sum(
+                other.began_s <= run.began_s < other.ended_s
+                for other in worker.records
+            )
+            most = max(most, beside)
+    return most
+
+
+@behave.then("the call is refused with status {status:d} as {verdict}")
+def step(context, status, verdict):
+    refusal = play(context).outcomes[-1].failure()
+    found = refusal.status, refusal.verdict.value
+    assert found == (status, verdict), refusal
