--- a/src/chervillead/jobs/job_state.py
+++ b/src/chervillead/jobs/job_state.py
@@ -72,7 +72,8 @@
         self.stop_wanted = False
         self.stop_reason = ""
         self.usage = 0
-        self.percent = 100
+        self.progress_percent = 0
+        self.pace_percent = 100
         self.checkpoint = ""
 
     @property
--- a/src/chervillead/jobs/upkeep.py
+++ b/src/chervillead/jobs/upkeep.py
@@ -11,8 +11,6 @@
 from chervillead.jobs import job_state
 from chervillead.jobs import model
 
-# A run that was started is at work after this time.
-STARTUP_S = 1.2
 # Time that is kept free at the end of a wave.
 MARGIN_S = 3.0
 
@@ -31,25 +29,48 @@
     lasting_tasks: int
 
 
-def split_cap(cap: int, due_by_pool: abc.Mapping[str, int]) -> dict[str, int]:
+def split_cap(
+    cap: int,
+    hosts_by_pool: abc.Mapping[str, int],
+    finished: abc.Container[str] = (),
+) -> dict[str, int]:
     """Returns how many hosts of each pool may be down at once.
 
     Every owner computes the same split from what operators published, so the
-    cap of a wave holds without agreement. The parts add up to at most `cap`; a
-    pool whose part is 0 waits until others are done.
+    cap of a wave holds without agreement. A pool whose part is 0 waits until
+    those that have one are finished.
+
+    Args:
+        cap: Hosts that may be down at once, over all pools.
+        hosts_by_pool: Hosts of the wave in each pool, done or not.
+        finished: Pools whose hosts are all up again.
     """
-    due = {pool: count for pool, count in sorted(due_by_pool.items()) if count}
-    total = sum(due.values())
-    if not total:
-        return {}
-    parts = {pool: cap * count // total for pool, count in due.items()}
+    counts = {
+        pool: count for pool, count in sorted(hosts_by_pool.items()) if count
+    }
+    while counts:
+        parts = _proportional(cap, counts)
+        served = [pool for pool, part in parts.items() if part]
+        if any(pool not in finished for pool in served):
+            return parts
+        for pool in served:
+            del counts[pool]
+        if not served:
+            break
+    return {}
+
+
+def _proportional(cap: int, counts: abc.Mapping[str, int]) -> dict[str, int]:
+    """Splits a cap by largest remainders."""
+    total = sum(counts.values())
+    parts = {pool: cap * count // total for pool, count in counts.items()}
     left = cap - sum(parts.values())
     by_remainder = sorted(
-        due, key=lambda pool: (-(cap * due[pool] % total), pool)
+        counts, key=lambda pool: (-(cap * counts[pool] % total), pool)
     )
     for pool in by_remainder[: max(0, left)]:
         parts[pool] += 1
-    return {pool: min(part, due[pool]) for pool, part in parts.items()}
+    return {pool: min(part, counts[pool]) for pool, part in parts.items()}
 
 
 def is_pressing(
@@ -91,20 +112,19 @@
     return [c.machine for c in allowed][: max(0, slots)]
 
 
-def is_at_work(run: job_state.Run, now_s: float) -> bool:
+def is_at_work(run: job_state.Run) -> bool:
     """Returns whether a run of a lasting task serves."""
     return (
         run.phase is job_state.RunPhase.RUNNING
         and not run.stop_wanted
-        and run.percent == 100
-        and now_s - run.begun_s >= STARTUP_S
+        and run.progress_percent >= 100
+        and run.pace_percent == 100
     )
 
 
 def may_stop(
     job: job_state.JobState,
     task: model.TaskKey,
-    now_s: float,
     in_contact: abc.Callable[[str], bool],
 ) -> bool:
     """Returns whether a lasting task may be away by an order of ours.
@@ -112,7 +132,6 @@
     Args:
         job: The job.
         task: The task that would be stopped.
-        now_s: Time of the owner's clock.
         in_contact: Whether a worker has answered just now: one that is silent
             may have crashed, and its tasks with it.
     """
@@ -121,7 +140,7 @@
         return True
     away = sum(
         not any(
-            is_at_work(run, now_s) and in_contact(run.worker_id)
+            is_at_work(run) and in_contact(run.worker_id)
             for run in job.runs.get(task._replace(number=number), ())
         )
         for number in range(step.tasks)
--- a/src/chervillead/machines/upkeep_task.py
+++ b/src/chervillead/machines/upkeep_task.py
@@ -1,6 +1,7 @@
 """Brings the hosts of one owner's pools through waves of upkeep."""
 
 import asyncio
+import collections
 from collections import abc
 import typing
 
@@ -20,6 +21,8 @@
 # Tasks that end by themselves are waited for this long when upkeep presses.
 BATCH_PATIENCE_S = 4.0
 REFUSED_PAUSE_S = 0.5
+# A host counts as down this much longer than its upkeep takes.
+BACK_MARGIN_S = 0.5
 
 
 class UpkeepPorts(typing.NamedTuple):
@@ -73,6 +76,8 @@
         self._emptying: dict[str, _Emptying] = {}
         self._paused_until_s: dict[str, float] = {}
         self._reported: dict[int, bool] = {}
+        # When all hosts of a pool were first known to have begun a wave.
+        self._finished_s: dict[tuple[int, str], float] = {}
         self._is_fenced = False
 
     async def run(self) -> None:
@@ -141,13 +146,23 @@
         self, wave: interface.Wave, due: list[interface.Machine]
     ) -> dict[str, int]:
         """Returns how many more hosts of each pool may be chosen."""
-        counts: dict[str, int] = {}
-        for name in wave.machines:
-            if name in self._machines:
-                pool = self._machines[name].pool
-                counts[pool] = counts.get(pool, 0) + 1
-        parts = upkeep.split_cap(wave.cap, counts)
         now_s = self._clock.monotonic()
+        counts = collections.Counter(
+            self._machines[name].pool
+            for name in wave.machines
+            if name in self._machines
+        )
+        due_pools = {machine.pool for machine in due}
+        for pool in counts:
+            if pool not in due_pools:
+                self._finished_s.setdefault((wave.number, pool), now_s)
+        back_s = self._limits.upkeep_s + BACK_MARGIN_S
+        finished = {
+            pool
+            for (number, pool), since_s in self._finished_s.items()
+            if number == wave.number and now_s - since_s > back_s
+        }
+        parts = upkeep.split_cap(wave.cap, counts, finished)
         for name, until_s in self._down_until_s.items():
             if now_s < until_s and name in self._machines:
                 pool = self._machines[name].pool
@@ -244,8 +259,9 @@
     async def _note_begun(self, entry: _Emptying, wave: interface.Wave) -> None:
         now_s = self._clock.monotonic()
         self._done.add((wave.number, entry.machine))
-        # The host counts as down a little longer than its upkeep takes.
-        self._down_until_s[entry.machine] = now_s + self._limits.upkeep_s + 0.5
+        self._down_until_s[entry.machine] = (
+            now_s + self._limits.upkeep_s + BACK_MARGIN_S
+        )
         self._emptying.pop(entry.machine, None)
         self._owner.host_went_down(entry.worker_id)
         self._log(
--- a/src/chervillead/platform/worker_client.py
+++ b/src/chervillead/platform/worker_client.py
@@ -211,7 +211,8 @@
             interface.RunningTask(
                 parse_task_name(row[0], row[1]),
                 row[2] or "",
-                int(row[3]) if len(row) > 3 else 0,
+                int(row[3]),
+                int(row[4]) if len(row) > 4 else 0,
             )
             for row in fields.get("Running") or ()
         ),
--- a/src/chervillead/pools/partition_owner.py
+++ b/src/chervillead/pools/partition_owner.py
@@ -290,12 +290,11 @@
         watch = self._watches.get(worker_id)
         if watch is None:
             return
-        now_s = self._ports.clock.monotonic()
         for run in list(watch.view.runs.values()):
             job = self._jobs.get(run.job_id)
             if job is None or run.stop_wanted or not self._is_lasting(run):
                 continue
-            if upkeep.may_stop(job, run.task, now_s, self._in_contact):
+            if upkeep.may_stop(job, run.task, self._in_contact):
                 watch.stop(run, reason)
 
     def _in_contact(self, worker_id: str) -> bool:
@@ -508,6 +507,7 @@
         if run.started_clock_ms is None:
             run.started_clock_ms = clock_ms
         run.usage = running.usage
+        run.progress_percent = running.progress_percent
         run.checkpoint = running.checkpoint
         if running.checkpoint and job is not None:
             job.checkpoints[key.task] = running.checkpoint
--- a/src/chervillead/workers/interface.py
+++ b/src/chervillead/workers/interface.py
@@ -44,12 +44,14 @@
     Attributes:
         run: The run.
         checkpoint: Its newest checkpoint; empty for none.
+        progress_percent: How far the run is; a lasting task is at work at 100.
         usage: Tail latency in milliseconds of a task that serves users,
             millicores in use of any other, over the last half second.
     """
 
     run: job_state.RunKey
     checkpoint: str
+    progress_percent: int
     usage: int
 
 
--- a/src/chervillead/workers/watch.py
+++ b/src/chervillead/workers/watch.py
@@ -122,7 +122,7 @@
 
     def pace(self, run: job_state.Run, percent: int) -> None:
         """Queues a change of the share at which a run works."""
-        run.percent = percent
+        run.pace_percent = percent
         self._orders.put_nowait(Order(run, "pace", percent))
 
     def wake(self) -> None:
--- a/tests/stand_ins/platform_worker.py
+++ b/tests/stand_ins/platform_worker.py
@@ -14,6 +14,8 @@
 
 MAX_LEASE_MS = 6000
 STOP_S = 0.2
+# A lasting task is at work after this time.
+STARTUP_S = 1.5
 
 
 class RunRecord(typing.NamedTuple):
@@ -175,9 +177,16 @@
             except TimeoutError:
                 pass
         self._expire()
-        running = [[task, run, "", 0] for task, run in self._running]
+        running = [
+            [task, run, "", self._progress(place), 0]
+            for (task, run), place in self._running.items()
+        ]
         return self._reply(200, Running=running, Ended=list(self._ended))
 
+    def _progress(self, place: int) -> int:
+        ran_s = asyncio.get_running_loop().time() - self.records[place].began_s
+        return 100 if ran_s >= STARTUP_S else 0
+
     def _extend(self, until_ms: int) -> None:
         limit_ms = self.clock_ms() + MAX_LEASE_MS
         self.highest_lease_ms = max(
