Split the owner into modules, and place gangs, copies, lasting tasks and fillers

One state is now shared by modules with one job each: intake, run tracking, workers, placing, emptying of hosts, advice. A lasting task that finds no room stops the batch runs that began last on one worker; lasting tasks leave draining workers; a member of a gang whose start is not accepted has the others stopped before they give up by themselves.

--- a/src/chervillead/jobs/job_state.py
+++ b/src/chervillead/jobs/job_state.py
@@ -69,6 +69,7 @@
         self.started_clock_ms: int | None = None
         self.stopped_clock_ms: int | None = None
         self.start_by_clock_ms = 0
+        self.ticket = ""
         self.stop_wanted = False
         self.stop_reason = ""
         self.usage = 0
@@ -110,6 +111,7 @@
         self.checkpoints: dict[model.TaskKey, str] = {}
         self.runs: dict[model.TaskKey, list[Run]] = {}
         self.retry_at_s: dict[model.TaskKey, float] = {}
+        self.durations_s: dict[tuple[int, int], list[float]] = {}
         self.ended_s: float | None = None
         self.has_started = False
         self.is_cancelled = False
@@ -185,8 +187,35 @@
             yield from runs
 
     def next_run_number(self, task: model.TaskKey) -> int:
-        """Returns the number of the task's next run."""
-        return self.highest_run.get(task, 0) + 1
+        """Returns the number of the task's next run.
+
+        All members of a gang share the number of a run.
+        """
+        if not self.step(task).gang:
+            return self.highest_run.get(task, 0) + 1
+        return 1 + max(
+            self.highest_run.get(task._replace(number=number), 0)
+            for number in range(self.step(task).tasks)
+        )
+
+    def checkpoint_for(self, task: model.TaskKey) -> str:
+        """Returns the checkpoint that a new run resumes from.
+
+        All members of a gang must carry the same one, whichever reported it.
+        """
+        if not self.step(task).checkpointing:
+            return ""
+        if not self.step(task).gang:
+            return self.checkpoints.get(task, "")
+        return max(
+            self.checkpoints.get(task._replace(number=number), "")
+            for number in range(self.step(task).tasks)
+        )
+
+    def note_duration(self, task: model.TaskKey, duration_s: float) -> None:
+        """Notes how long a run took that ended as done."""
+        key = task.occurrence, task.step
+        self.durations_s.setdefault(key, []).append(duration_s)
 
     def add_run(self, run: Run) -> None:
         """Notes a run that was ordered or found on a worker."""
@@ -256,6 +285,9 @@
         task = end.run.task
         if self.step(task).long_running:
             return False
+        if self.step(task).gang:
+            # One failure of any member is a failure of the gang.
+            task = task._replace(number=0)
         failed = self.failed_runs.setdefault(task, set())
         if end.run.number in failed:
             return False
--- a/src/chervillead/jobs/limits.py
+++ b/src/chervillead/jobs/limits.py
@@ -5,6 +5,8 @@
 between them can break the cap.
 """
 
+from collections import abc
+
 from chervillead.jobs import model
 
 
@@ -42,3 +44,37 @@
 def working_pools(configuration: model.FleetConfiguration) -> int:
     """Returns how many pools may run tasks."""
     return sum(not pool.is_spare for pool in configuration.pools.values())
+
+
+def within_cap(
+    configuration: model.FleetConfiguration,
+    account: str,
+    running: abc.Mapping[str, model.Resources],
+    need: model.Resources,
+) -> bool:
+    """Returns whether an account may have more running in one pool."""
+    found = configuration.accounts.get(account)
+    if found is None:
+        return True
+    part = cap_part(found.cap, working_pools(configuration))
+    used = running.get(account, model.Resources())
+    return allows(part, found.cap, used, need)
+
+
+def account_loads(
+    configuration: model.FleetConfiguration,
+    running: abc.Mapping[str, model.Resources],
+) -> dict[str, float]:
+    """Returns what accounts have running, as a factor of their shares."""
+    total = sum(used.millicores for used in running.values())
+    weights = sum(a.weight for a in configuration.accounts.values())
+    if not total or not weights:
+        return {}
+    return {
+        name: used.millicores
+        / total
+        / (configuration.accounts[name].weight / weights)
+        for name, used in running.items()
+        if name in configuration.accounts
+        and configuration.accounts[name].weight > 0
+    }
--- a/src/chervillead/jobs/ordering.py
+++ b/src/chervillead/jobs/ordering.py
@@ -55,10 +55,11 @@
     priority = queue.priority if queue is not None else 0
     long_running = any(step.long_running for step in job.spec.steps)
     if long_running:
-        return (priority, 0, 0.0, job.received_s)
+        # Lasting tasks are few, and their users notice each second without.
+        return (-1.0, priority, 0.0, 0.0, job.received_s)
     waited_ms = 1000 * (now_s - job.received_s)
     left_ms = target_ms(job.spec, queue) - waited_ms
     slack_ms = left_ms - remaining_chain_ms(job)
     is_late = slack_ms < 0
     over_share = max(0.0, account_load - 1.0)
-    return (priority, int(is_late), over_share, slack_ms)
+    return (priority, float(is_late), over_share, slack_ms)
--- a/src/chervillead/jobs/placement.py
+++ b/src/chervillead/jobs/placement.py
@@ -8,6 +8,7 @@
 from collections import abc
 import typing
 
+from chervillead.jobs import job_state
 from chervillead.jobs import model
 
 
@@ -76,3 +77,77 @@
         return (site.risk, far, disturbed + disturbing, used)
 
     return min(allowed, key=rank, default=None)
+
+
+def gang_sites(
+    sites: abc.Sequence[Site],
+    step: model.Step,
+    step_key: tuple[str, int, int],
+    count: int,
+) -> list[str] | None:
+    """Returns a worker for each member of a gang, or None if not all fit.
+
+    A gang that is slower across racks goes to one rack if any has room for all
+    of it.
+    """
+    racks = sorted({site.rack for site in sites})
+    if step.same_rack:
+        for rack in racks:
+            inside = [site for site in sites if site.rack == rack]
+            chosen = _fill(inside, step, step_key, count)
+            if chosen is not None:
+                return chosen
+    return _fill(sites, step, step_key, count)
+
+
+def _fill(
+    sites: abc.Sequence[Site],
+    step: model.Step,
+    step_key: tuple[str, int, int],
+    count: int,
+) -> list[str] | None:
+    """Places equal tasks one after the other on copies of the sites."""
+    left = list(sites)
+    chosen: list[str] = []
+    for _ in range(count):
+        site = best_site(left, step, step_key)
+        if site is None:
+            return None
+        chosen.append(site.worker_id)
+        tasks = dict(site.step_tasks)
+        tasks[step_key] = tasks.get(step_key, 0) + 1
+        taken = site._replace(
+            free=site.free.minus(step.reserved), step_tasks=tasks
+        )
+        left = [taken if other is site else other for other in left]
+    return chosen
+
+
+def victims(
+    site: Site,
+    step: model.Step,
+    runs: abc.Collection[job_state.Run],
+    now_s: float,
+) -> list[job_state.Run] | None:
+    """Returns the fewest batch runs whose room a task needs, or None.
+
+    Runs that began last go first, as they lose the least work. What is being
+    stopped already counts as room that comes.
+    """
+    if not site.capacity.covers(step.reserved):
+        return None
+    free = site.free
+    stopping = [run for run in runs if run.stop_wanted]
+    others = sorted(
+        (run for run in runs if not run.stop_wanted),
+        key=lambda run: now_s - run.begun_s,
+    )
+    for run in stopping:
+        free = free.plus(run.reserved)
+    chosen: list[job_state.Run] = []
+    for run in others:
+        if free.covers(step.reserved):
+            break
+        free = free.plus(run.reserved)
+        chosen.append(run)
+    return chosen if free.covers(step.reserved) else None
--- a/src/chervillead/machines/upkeep_task.py
+++ b/src/chervillead/machines/upkeep_task.py
@@ -83,7 +83,7 @@
     async def run(self) -> None:
         """Works through waves until cancelled."""
         while True:
-            if self._owner.has_unseen_workers():
+            if self._owner.workers.has_unseen():
                 await self._drop_ended_workers()
             waves = [w for w in self._ports.waves() if not self._is_over(w)]
             if waves and not self._is_fenced:
@@ -100,7 +100,7 @@
         """
         listed = await self._ports.calls.list_machines()
         if pipeline.is_successful(listed):
-            self._owner.drop_ended_workers(
+            self._owner.workers.drop_ended(
                 {
                     machine.worker_id
                     for machine in listed.unwrap()
@@ -200,14 +200,14 @@
                 candidates,
                 slots=slots.get(pool, 0),
                 pressing=pressing,
-                tasks_waiting=self._owner.waiting_tasks(pool),
+                tasks_waiting=self._owner.hosts.waiting_tasks(pool),
             )
             for name in chosen:
                 worker_id = self._machines[name].worker_id
                 self._emptying[name] = _Emptying(
                     name, worker_id, wave.number, now_s
                 )
-                self._owner.reserve_for_upkeep(worker_id)
+                self._owner.hosts.reserve(worker_id, reserved=True)
                 self._log(
                     "upkeep:chosen",
                     machine=name,
@@ -217,22 +217,22 @@
                 )
 
     def _candidate(self, machine: interface.Machine) -> upkeep.Candidate:
-        batch, lasting = self._owner.task_counts(machine.worker_id)
+        batch, lasting = self._owner.hosts.task_counts(machine.worker_id)
         return upkeep.Candidate(machine.name, batch, lasting)
 
     async def _empty(self, entry: _Emptying, wave: interface.Wave) -> None:
         """Stops what may be stopped; orders the upkeep of an empty host."""
-        self._owner.stop_lasting(entry.worker_id, "upkeep")
-        batch, lasting = self._owner.task_counts(entry.worker_id)
+        self._owner.hosts.stop_lasting(entry.worker_id, "upkeep")
+        batch, lasting = self._owner.hosts.task_counts(entry.worker_id)
         now_s = self._clock.monotonic()
         if lasting or (batch and now_s - entry.since_s < BATCH_PATIENCE_S):
             return
-        if self._owner.has_unrecorded_ends(entry.worker_id):
+        if self._owner.hosts.has_unrecorded_ends(entry.worker_id):
             return
-        if not self._owner.may_order():
+        if not self._owner.state.may_order():
             return
         outcome = await self._ports.calls.upkeep(
-            entry.machine, wave.number, self._owner.token
+            entry.machine, wave.number, self._owner.state.token
         )
         if pipeline.is_successful(outcome):
             await self._note_begun(entry, wave)
@@ -263,13 +263,13 @@
             now_s + self._limits.upkeep_s + BACK_MARGIN_S
         )
         self._emptying.pop(entry.machine, None)
-        self._owner.host_went_down(entry.worker_id)
+        self._owner.hosts.host_went_down(entry.worker_id)
         self._log(
             "upkeep:begun",
             machine=entry.machine,
             worker=entry.worker_id,
             wave=wave.number,
-            token=self._owner.token,
+            token=self._owner.state.token,
         )
         key = f"{wave.number}/{entry.machine}"
         record = store_interface.KeyedRecord(key, b"begun")
@@ -285,7 +285,7 @@
     def _release(self, entry: _Emptying, until_s: float) -> None:
         self._emptying.pop(entry.machine, None)
         self._paused_until_s[entry.machine] = until_s
-        self._owner.release_from_upkeep(entry.worker_id)
+        self._owner.hosts.reserve(entry.worker_id, reserved=False)
 
     async def _report(self, wave: interface.Wave) -> None:
         """Tells operators how far a wave is."""
--- /dev/null
+++ b/src/chervillead/platform/advice_client.py
@@ -0,0 +1,58 @@
+"""The platform's advisory service as the product's function."""
+
+from collections import abc
+
+import msgspec
+from returns import pipeline
+from returns import result
+
+from chervillead import http_channel
+from chervillead import http_exchange
+from chervillead import types
+from chervillead.pools import ports
+
+TIMEOUT_S = 3.0
+
+
+def connect_advice(
+    address: types.Address, *, dial: http_exchange.Dial = http_exchange.dial
+) -> ports.AskAdvice:
+    """Returns the function that asks the service at `address`."""
+    channel = http_channel.HttpChannel(address, dial=dial)
+
+    async def ask(
+        job_id: str, occurrence: int, step: int, workers: abc.Sequence[str]
+    ) -> result.Result[ports.Advice, ports.AdviceFailure]:
+        fields = {
+            # The step's name is that of its tasks without their numbers.
+            "Phase": f"{job_id}.{occurrence}.{step}",
+            "Workers": list(workers),
+        }
+        request = http_exchange.HttpRequest(
+            "POST",
+            "/advise",
+            (("content-type", "application/json"),),
+            msgspec.json.encode(fields),
+        )
+        outcome = await channel.call(request, TIMEOUT_S)
+        if not pipeline.is_successful(outcome):
+            return result.Failure(ports.AdviceFailure(outcome.failure().detail))
+        response = outcome.unwrap()
+        if response.status != 200:
+            return result.Failure(
+                ports.AdviceFailure(f"/advise: {response.status}")
+            )
+        try:
+            found = msgspec.json.decode(response.body)
+            return result.Success(
+                ports.Advice(
+                    {row[0]: row[1] for row in found["Good"]},
+                    found["ValidMs"] / 1000,
+                )
+            )
+        except (msgspec.DecodeError, KeyError, TypeError, IndexError) as error:
+            return result.Failure(
+                ports.AdviceFailure(f"/advise: malformed: {error!r}")
+            )
+
+    return ask
--- a/src/chervillead/platform/assembly.py
+++ b/src/chervillead/platform/assembly.py
@@ -14,6 +14,7 @@
 from chervillead.entries import job_streams
 from chervillead.jobs import job_calls
 from chervillead.machines import upkeep_task
+from chervillead.platform import advice_client
 from chervillead.platform import fleet_configuration
 from chervillead.platform import fleet_view
 from chervillead.platform import machine_client
@@ -96,6 +97,10 @@
             log=self.log,
             increment=self.metrics.count,
             observe=self.metrics.observe,
+            ask_advice=settings.advice
+            and advice_client.connect_advice(
+                settings.advice, dial=surroundings.dial
+            ),
         )
         self.owned = ownership.Ownership(
             member, self.owner_ports, surroundings.boot_time, self.keep_hosts
@@ -116,9 +121,9 @@
     def update_workers(self) -> None:
         """Gives each owner the workers of its pools."""
         for partition, owner in self.owned.owners.items():
-            if not owner.is_loaded:
+            if not owner.state.is_loaded:
                 continue
-            owner.update_workers(
+            owner.workers.update(
                 {
                     worker_id: found
                     for worker_id, found in self.view.workers.items()
@@ -146,10 +151,10 @@
         )
         keeper = upkeep_task.UpkeepKeeper(
             owner,
-            lambda pool: self.partition_of(pool) == owner.partition,
+            lambda pool: self.partition_of(pool) == owner.state.partition,
             ports,
             self.owner_ports,
-            reports_waves=owner.partition == cells.MACHINES_PARTITION,
+            reports_waves=owner.state.partition == cells.MACHINES_PARTITION,
         )
         await keeper.run()
 
--- /dev/null
+++ b/src/chervillead/pools/host_emptying.py
@@ -0,0 +1,83 @@
+"""What upkeep asks of an owner: emptying hosts without breaking budgets."""
+
+from chervillead.jobs import job_state
+from chervillead.jobs import upkeep
+from chervillead.pools import owner_state
+from chervillead.pools import worker_book
+
+
+class HostEmptying:
+    """Workers whose hosts are about to go down."""
+
+    def __init__(
+        self, state: owner_state.OwnerState, workers: worker_book.WorkerBook
+    ) -> None:
+        self._state = state
+        self._workers = workers
+
+    def waiting_tasks(self, pool: str) -> int:
+        """Returns the tasks of a pool that wait to be started."""
+        return sum(
+            len(indexes)
+            for job in self._state.jobs.values()
+            if job.spec.pool == pool and not job.is_over
+            for (occurrence, number), indexes in job.waiting.items()
+            if all(
+                job.step_is_done(occurrence, earlier)
+                for earlier in job.spec.steps[number].after
+            )
+        )
+
+    def reserve(self, worker_id: str, *, reserved: bool) -> None:
+        """Keeps new work from a worker, or lets it go there again."""
+        watch = self._state.watches.get(worker_id)
+        if watch is not None:
+            watch.view.reserved_for_upkeep = reserved
+            self._state.wake()
+
+    def task_counts(self, worker_id: str) -> tuple[int, int]:
+        """Returns the batch and the lasting tasks on a worker."""
+        watch = self._state.watches.get(worker_id)
+        runs = list(watch.view.runs.values()) if watch is not None else []
+        lasting = sum(self._is_lasting(run) for run in runs)
+        return len(runs) - lasting, lasting
+
+    def stop_lasting(self, worker_id: str, reason: str) -> None:
+        """Stops lasting tasks on a worker as far as their budgets allow."""
+        state = self._state
+        watch = state.watches.get(worker_id)
+        if watch is None:
+            return
+        for run in list(watch.view.runs.values()):
+            job = state.jobs.get(run.job_id)
+            if job is None or run.stop_wanted or not self._is_lasting(run):
+                continue
+            if upkeep.may_stop(job, run.task, state.in_contact):
+                watch.stop(run, reason)
+
+    def has_unrecorded_ends(self, worker_id: str) -> bool:
+        """Returns whether ends on a worker would be lost with it."""
+        watch = self._state.watches.get(worker_id)
+        if watch is None:
+            return False
+        return watch.view.acknowledged < watch.view.applied_end
+
+    def host_went_down(self, worker_id: str) -> None:
+        """Ends the runs of a worker whose host was taken down by us."""
+        if worker_id in self._state.watches:
+            self._workers.close(worker_id, "upkeep")
+
+    def move_from_draining(self) -> None:
+        """Stops lasting tasks on workers that leave, to start elsewhere."""
+        if not self._state.may_order():
+            return
+        for watch in self._state.watches.values():
+            if not watch.view.registration.is_draining:
+                continue
+            for run in list(watch.view.runs.values()):
+                if self._is_lasting(run) and not run.stop_wanted:
+                    watch.stop(run, "its worker is draining")
+
+    def _is_lasting(self, run: job_state.Run) -> bool:
+        step = self._state.step_of(run)
+        return step is not None and step.long_running
--- a/src/chervillead/pools/ownership.py
+++ b/src/chervillead/pools/ownership.py
@@ -13,6 +13,7 @@
 
 from chervillead import types
 from chervillead.pools import cells
+from chervillead.pools import owner_state
 from chervillead.pools import partition_owner
 from chervillead.pools import ports as ports_module
 from chervillead.pools import takeover
@@ -108,7 +109,11 @@
     def owner_of(self, partition: int) -> partition_owner.PartitionOwner | None:
         """Returns the owner of a partition that is ready to serve."""
         owner = self._owners.get(partition)
-        if owner is None or not owner.is_loaded or not self.is_confirmed():
+        if (
+            owner is None
+            or not owner.state.is_loaded
+            or not self.is_confirmed()
+        ):
             return None
         return owner
 
@@ -178,7 +183,9 @@
         for partition in list(self._owners):
             fenced = self._tasks[partition].done()
             if fenced and partition not in self._failed:
-                self._fenced_tokens[partition] = self._owners[partition].token
+                self._fenced_tokens[partition] = self._owners[
+                    partition
+                ].state.token
             if partition not in membership.partitions or fenced:
                 self._drop(partition, "fenced" if fenced else "reassigned")
         self._failed.clear()
@@ -197,9 +204,9 @@
             token,
             writer,
             self._ports,
-            store_is_away=lambda: self._store_is_away,
-            may_start=self.is_confirmed,
-            may_extend_lease=self.is_confirmed,
+            owner_state.Permissions(
+                self.is_confirmed, lambda: self._store_is_away
+            ),
         )
         self._owners[partition] = owner
         self._tasks[partition] = asyncio.create_task(self._own(owner, writer))
@@ -219,12 +226,12 @@
                 await owner.run()
                 beside.cancel()
         except Exception as error:
-            self._failed.add(owner.partition)
+            self._failed.add(owner.state.partition)
             self._ports.log(
                 "owner:failed",
-                partition=owner.partition,
-                token=owner.token,
-                error=partition_owner.describe_error(error),
+                partition=owner.state.partition,
+                token=owner.state.token,
+                error=owner_state.describe_error(error),
             )
 
     def _drop(self, partition: int, reason: str) -> None:
@@ -233,7 +240,7 @@
         self._ports.log(
             "owner:lost",
             partition=partition,
-            token=owner.token,
+            token=owner.state.token,
             reason=reason,
         )
         self._on_change()
--- a/src/chervillead/pools/ports.py
+++ b/src/chervillead/pools/ports.py
@@ -3,6 +3,8 @@
 from collections import abc
 import typing
 
+from returns import result
+
 from chervillead import types
 from chervillead.jobs import model
 from chervillead.store import interface as store_interface
@@ -29,6 +31,26 @@
     pace_ms: int = 100
 
 
+class Advice(typing.NamedTuple):
+    """Workers that may run a step: tickets by worker, valid for a while."""
+
+    tickets: dict[str, str]
+    valid_s: float
+
+
+class AdviceFailure(typing.NamedTuple):
+    """A call for advice that brought none."""
+
+    detail: str
+
+
+# Asks which of some workers may run a step of a job's occurrence.
+AskAdvice = abc.Callable[
+    [str, int, int, abc.Sequence[str]],
+    abc.Awaitable[result.Result[Advice, AdviceFailure]],
+]
+
+
 class OwnerPorts(typing.NamedTuple):
     """What an owner of pools needs.
 
@@ -42,6 +64,8 @@
         log: Writes a log line.
         increment: Adds to a counter, by name and label.
         observe: Notes a duration in seconds, by name.
+        ask_advice: Asks which workers may run a step; None without such a
+            service.
     """
 
     store: store_interface.Store
@@ -53,3 +77,4 @@
     log: abc.Callable[..., None]
     increment: abc.Callable[..., None]
     observe: abc.Callable[[str, float], None]
+    ask_advice: AskAdvice | None = None
--- /dev/null
+++ b/src/chervillead/pools/run_tracking.py
@@ -0,0 +1,312 @@
+"""Applies what workers say of their runs: looks and answers to starts."""
+
+import asyncio
+
+from returns import pipeline
+
+from chervillead import verdicts
+from chervillead.jobs import job_state
+from chervillead.jobs import model
+from chervillead.pools import owner_state
+from chervillead.workers import interface as worker_interface
+from chervillead.workers import view as view_module
+from chervillead.workers import watch as watch_module
+
+# A task whose run failed waits this long, doubled for each failure.
+RETRY_DELAY_S = 0.05
+MAX_RETRY_DELAY_S = 1.0
+# A worker that said that it has no room is left alone for this time.
+NO_ROOM_S = 0.2
+# Attempts of a job whose queue operators have removed.
+UNBOUNDED_ATTEMPTS = 1_000_000
+
+
+def apply_look(
+    state: owner_state.OwnerState,
+    view: view_module.WorkerView,
+    look: worker_interface.Look,
+) -> list[asyncio.Future[None]]:
+    """Applies what a worker lists.
+
+    Returns:
+        Records that must be stored before the ends are acknowledged.
+    """
+    now_s = state.now_s()
+    if view.incarnation != look.incarnation:
+        for run in view.forget_life(look.incarnation):
+            state.end_run(view, run, job_state.EndKind.VANISHED)
+        # A former owner may just have extended the lease to its limit.
+        view.extend_lease(look.clock_ms + state.lease_ms)
+    view.note_clock(look.clock_ms, now_s)
+    view.last_contact_s = now_s
+    listed = {running.run for running in look.running}
+    for running in look.running:
+        _apply_running(state, view, running, look.clock_ms)
+    dirty: dict[str, job_state.JobState] = {}
+    for ended in look.ended:
+        if ended.number <= view.applied_end:
+            continue
+        view.applied_end = ended.number
+        listed.add(ended.end.run)
+        job = _apply_end(state, view, ended.end)
+        if job is not None:
+            dirty[job.spec.job_id] = job
+    _drop_unlisted(state, view, listed, look.clock_ms)
+    state.wake()
+    return [state.record(job) for job in dirty.values()]
+
+
+def _apply_running(
+    state: owner_state.OwnerState,
+    view: view_module.WorkerView,
+    running: worker_interface.RunningTask,
+    clock_ms: int,
+) -> None:
+    job = state.jobs.get(running.run.job_id)
+    if job is not None and not job.has(running.run.task):
+        job = None
+    run = view.runs.get(running.run) or _adopt(state, view, running.run, job)
+    if run.phase in (
+        job_state.RunPhase.STARTING,
+        job_state.RunPhase.UNCERTAIN,
+    ):
+        run.phase = job_state.RunPhase.RUNNING
+    if run.started_clock_ms is None:
+        run.started_clock_ms = clock_ms
+    run.usage = running.usage
+    run.progress_percent = running.progress_percent
+    if job is None:
+        state.stop_run(run, "unknown job")
+        return
+    job.has_started = True
+    if running.checkpoint:
+        job.checkpoints[run.task] = running.checkpoint
+    if job.is_over:
+        state.stop_run(run, job.phase.value)
+    elif job.is_done(run.task):
+        state.stop_run(run, "another run is done")
+
+
+def _adopt(
+    state: owner_state.OwnerState,
+    view: view_module.WorkerView,
+    key: job_state.RunKey,
+    job: job_state.JobState | None,
+) -> job_state.Run:
+    """Takes over a run that a former owner started."""
+    run = job_state.Run(
+        key.job_id,
+        key.task,
+        key.number,
+        view.worker_id,
+        reserved=model.Resources(),
+        begun_s=state.now_s(),
+        phase=job_state.RunPhase.RUNNING,
+    )
+    if job is not None:
+        run.reserved = job.step(key.task).reserved
+        job.add_run(run)
+    view.runs[key] = run
+    state.log_run("run:found", run)
+    return run
+
+
+def _apply_end(
+    state: owner_state.OwnerState,
+    view: view_module.WorkerView,
+    end: job_state.End,
+) -> job_state.JobState | None:
+    """Applies an end; returns the job if its lasting progress changed."""
+    job = state.jobs.get(end.run.job_id)
+    run = view.runs.pop(end.run, None)
+    if job is None or not job.has(end.run.task):
+        return None
+    now_s = state.now_s()
+    queue = state.queue_of(job)
+    attempts = queue.max_attempts if queue is not None else UNBOUNDED_ATTEMPTS
+    changed = job.note_end(end, attempts, now_s)
+    state.log(
+        "run:ended",
+        job=end.run.job_id,
+        task=list(end.run.task),
+        run=end.run.number,
+        worker=view.worker_id,
+        how=end.kind.value,
+    )
+    state.ports.increment("chervillead_runs_ended", end.kind.value)
+    if end.kind in (job_state.EndKind.DONE, job_state.EndKind.FAILED):
+        view.recent_failures.append(end.kind is job_state.EndKind.FAILED)
+    if run is not None:
+        if end.kind is job_state.EndKind.FAILED:
+            _delay_retry(job, run, now_s)
+        if end.kind is job_state.EndKind.DONE:
+            job.note_duration(run.task, now_s - run.begun_s)
+        job.remove_run(run)
+    if job.is_done(end.run.task) or job.is_over:
+        state.stop_runs(job.runs.get(end.run.task, ()), "another run is done")
+    if changed and job.is_over:
+        _note_job_end(state, job)
+    return job if changed else None
+
+
+def _note_job_end(
+    state: owner_state.OwnerState, job: job_state.JobState
+) -> None:
+    state.log("job:ended", job=job.spec.job_id, phase=job.phase.value)
+    state.ports.increment("chervillead_jobs_ended", job.phase.value)
+    state.ports.observe("job_seconds", state.now_s() - job.received_s)
+    state.stop_runs(job.active_runs(), job.phase.value)
+
+
+def _delay_retry(
+    job: job_state.JobState, run: job_state.Run, now_s: float
+) -> None:
+    failures = len(job.failed_runs.get(run.task, ()))
+    delay_s = min(MAX_RETRY_DELAY_S, RETRY_DELAY_S * 2**failures)
+    job.retry_at_s[run.task] = now_s + delay_s
+
+
+def _drop_unlisted(
+    state: owner_state.OwnerState,
+    view: view_module.WorkerView,
+    listed: set[job_state.RunKey],
+    clock_ms: int,
+) -> None:
+    """Ends runs that a worker should list but doesn't."""
+    for key, run in list(view.runs.items()):
+        if key in listed:
+            continue
+        started = run.started_clock_ms
+        stopped = run.stopped_clock_ms
+        if started is not None and clock_ms > started:
+            state.end_run(view, run, job_state.EndKind.VANISHED)
+        elif run.phase is job_state.RunPhase.UNCERTAIN:
+            # A stop that was carried out shuts the run out for good, and so
+            # does the last moment at which it could have started.
+            barrier = run.start_by_clock_ms if stopped is None else stopped
+            if clock_ms > barrier:
+                state.end_run(view, run, job_state.EndKind.VANISHED)
+            elif stopped is None and not run.stop_wanted:
+                state.stop_run(run, "no answer")
+
+
+def start_order(
+    state: owner_state.OwnerState,
+    view: view_module.WorkerView,
+    run: job_state.Run,
+) -> worker_interface.StartOrder | None:
+    """Returns the order for a run, checked once more just before it."""
+    now_s = state.now_s()
+    job = state.jobs.get(run.job_id)
+    clock_ms = view.clock_at(now_s)
+    if (
+        job is None
+        or job.is_over
+        or job.is_done(run.task)
+        or run.stop_wanted
+        or clock_ms is None
+        or not state.permissions.may_start()
+        or not view.takes_work(now_s, state.ports.zones_out())
+    ):
+        state.end_run(view, run, job_state.EndKind.VANISHED)
+        break_gang(state, run)
+        return None
+    return worker_interface.StartOrder(
+        run.key,
+        job.spec.payload,
+        clock_ms + watch_module.START_WINDOW_MS,
+        job.checkpoint_for(run.task),
+        run.ticket,
+    )
+
+
+def start_answered(
+    state: owner_state.OwnerState,
+    view: view_module.WorkerView,
+    run: job_state.Run,
+    outcome: worker_interface.OrderOutcome,
+) -> None:
+    """Applies the answer to a start, or its absence."""
+    if pipeline.is_successful(outcome):
+        _start_accepted(state, view, run, outcome.unwrap())
+        return
+    failure = outcome.failure()
+    refused = failure.refused
+    state.log_run(
+        "run:start-failed",
+        run,
+        verdict=failure.verdict.value,
+        refused=refused and refused.value,
+        error=failure.detail,
+    )
+    state.ports.increment(
+        "chervillead_starts", refused.value if refused else "unanswered"
+    )
+    if failure.verdict is verdicts.Verdict.MAY_HAVE_RUN:
+        if run.phase is job_state.RunPhase.STARTING:
+            run.phase = job_state.RunPhase.UNCERTAIN
+        watch = state.watches.get(view.worker_id)
+        if watch is not None:
+            watch.wake()
+    else:
+        _note_refusal(state, view, refused)
+        state.end_run(view, run, job_state.EndKind.VANISHED)
+    break_gang(state, run)
+
+
+def _start_accepted(
+    state: owner_state.OwnerState,
+    view: view_module.WorkerView,
+    run: job_state.Run,
+    clock_ms: int,
+) -> None:
+    view.note_clock(clock_ms, state.now_s())
+    if run.key not in view.runs:
+        return
+    run.started_clock_ms = clock_ms
+    if run.phase is job_state.RunPhase.STARTING:
+        run.phase = job_state.RunPhase.RUNNING
+    job = state.jobs.get(run.job_id)
+    if job is not None:
+        job.has_started = True
+    state.log_run("run:started", run, token=state.token)
+    state.ports.increment("chervillead_starts", "accepted")
+    if run.stop_wanted:
+        state.stop_run(run, run.stop_reason)
+
+
+def _note_refusal(
+    state: owner_state.OwnerState,
+    view: view_module.WorkerView,
+    refused: worker_interface.Refused | None,
+) -> None:
+    now_s = state.now_s()
+    if refused is worker_interface.Refused.FENCED:
+        state.note_fenced()
+    elif refused is worker_interface.Refused.NO_ROOM:
+        view.avoid_until_s = now_s + NO_ROOM_S
+    elif refused in (
+        worker_interface.Refused.UNHEALTHY,
+        worker_interface.Refused.OTHER_INSTANCE,
+        None,
+    ):
+        view.avoid_until_s = now_s + view_module.UNHEALTHY_S
+
+
+def break_gang(state: owner_state.OwnerState, run: job_state.Run) -> None:
+    """Stops the other members of a gang whose start was not accepted.
+
+    They would wait for the missing one until they give up by themselves.
+    """
+    job = state.jobs.get(run.job_id)
+    if job is None or not job.has(run.task) or not job.step(run.task).gang:
+        return
+    members = (
+        other
+        for other in job.active_runs()
+        if other.task.step == run.task.step
+        and other.task.occurrence == run.task.occurrence
+        and other.number == run.number
+        and other is not run
+    )
+    state.stop_runs(members, "a member of the gang did not start")
--- a/src/chervillead/pools/takeover.py
+++ b/src/chervillead/pools/takeover.py
@@ -34,7 +34,9 @@
             return False
         await asyncio.sleep(RETRY_S)
     while True:
-        outcome = await ports.store.newest(cells.JOBS_TOPIC, owner.partition)
+        outcome = await ports.store.newest(
+            cells.JOBS_TOPIC, owner.state.partition
+        )
         if pipeline.is_successful(outcome):
             break
         await asyncio.sleep(RETRY_S)
@@ -42,8 +44,8 @@
     owner.load(jobs)
     ports.log(
         "owner:loaded",
-        partition=owner.partition,
-        token=owner.token,
+        partition=owner.state.partition,
+        token=owner.state.token,
         jobs=len(jobs),
     )
     return True
--- /dev/null
+++ b/src/chervillead/pools/worker_book.py
@@ -0,0 +1,217 @@
+"""Workers of an owner: found, departed, silent, expired and gone."""
+
+import asyncio
+from collections import abc
+
+from chervillead.jobs import job_state
+from chervillead.pools import owner_state
+from chervillead.pools import run_tracking
+from chervillead.workers import interface as worker_interface
+from chervillead.workers import view as view_module
+from chervillead.workers import watch as watch_module
+
+# A worker that didn't answer gets no new work for this time.
+UNREACHABLE_S = 0.3
+# An owner that was replaced notices within this time at the latest.
+REPLACED_OWNER_S = 2.5
+
+
+class WorkerBook:
+    """The tasks of an owner's workers."""
+
+    def __init__(self, state: owner_state.OwnerState) -> None:
+        self._state = state
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._began_s = state.now_s()
+
+    def update(
+        self,
+        registrations: abc.Mapping[str, worker_interface.Registration],
+        departed: abc.Iterable[worker_interface.Registration] = (),
+    ) -> None:
+        """Applies the list of the workers of this partition's pools.
+
+        Args:
+            registrations: The listed workers.
+            departed: Workers that fell silent a short time ago.
+        """
+        state = self._state
+        if not state.is_loaded:
+            return
+        known = {*state.watches, *state.ended_workers}
+        for registration in departed:
+            # It may still run tasks of a former owner under their lease.
+            if registration.worker_id not in known:
+                self._open(registration)
+        for worker_id, registration in registrations.items():
+            self._update_one(worker_id, registration)
+        for worker_id, watch in state.watches.items():
+            if worker_id not in registrations:
+                watch.view.is_registered = False
+        state.wake()
+
+    def _update_one(
+        self, worker_id: str, registration: worker_interface.Registration
+    ) -> None:
+        watch = self._state.watches.get(worker_id)
+        if watch is None:
+            self._open(registration)
+            return
+        view = watch.view
+        moved = view.registration.address != registration.address
+        reborn = view.registration.incarnation != registration.incarnation
+        if moved or (view.is_replaced and reborn):
+            self.close(worker_id, "started again")
+            self._open(registration)
+            return
+        view.is_registered = True
+        view.registration = registration
+
+    def _open(self, registration: worker_interface.Registration) -> None:
+        state = self._state
+        view = view_module.WorkerView(registration, known_s=state.now_s())
+        ports = watch_module.WatchPorts(
+            clock=state.ports.clock,
+            lease_ms=state.lease_ms,
+            may_extend_lease=state.permissions.may_start,
+            apply_look=lambda view, look: run_tracking.apply_look(
+                state, view, look
+            ),
+            start_answered=lambda view, run, outcome: (
+                run_tracking.start_answered(state, view, run, outcome)
+            ),
+            start_order=lambda view, run: run_tracking.start_order(
+                state, view, run
+            ),
+            lost_contact=self._lost_contact,
+            log=state.log,
+        )
+        calls = state.ports.open_worker(registration, state.token)
+        watch = watch_module.WorkerWatch(view, calls, ports)
+        state.watches[registration.worker_id] = watch
+        task = asyncio.create_task(watch.run())
+        task.add_done_callback(
+            lambda done: self._watch_ended(registration.worker_id, done)
+        )
+        self._tasks[registration.worker_id] = task
+        state.log(
+            "worker:found",
+            worker=registration.worker_id,
+            pool=registration.pool,
+            zone=registration.zone,
+            incarnation=registration.incarnation,
+            token=state.token,
+        )
+
+    def _watch_ended(self, worker_id: str, task: asyncio.Task[None]) -> None:
+        """Gives the partition up if a task of a worker fails."""
+        if task.cancelled() or task.exception() is None:
+            return
+        self._state.failure = task.exception()
+        self._state.log(
+            "worker:task-failed",
+            worker=worker_id,
+            error=owner_state.describe_error(task.exception()),
+        )
+        self._state.wake()
+
+    def close(self, worker_id: str, reason: str) -> None:
+        """Stops watching a worker that surely runs nothing any more."""
+        state = self._state
+        watch = state.watches.pop(worker_id)
+        self._tasks.pop(worker_id).cancel()
+        state.ended_workers.add(worker_id)
+        for run in list(watch.view.runs.values()):
+            state.end_run(watch.view, run, job_state.EndKind.VANISHED)
+        state.log("worker:dropped", worker=worker_id, reason=reason)
+
+    async def close_all(self) -> None:
+        """Ends the tasks of all workers."""
+        for task in self._tasks.values():
+            task.cancel()
+        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+
+    def _lost_contact(
+        self,
+        view: view_module.WorkerView,
+        failure: worker_interface.OrderFailure,
+    ) -> None:
+        state = self._state
+        state.log(
+            "worker:unreachable",
+            worker=view.worker_id,
+            error=failure.detail,
+            refused=failure.refused and failure.refused.value,
+            runs=len(view.runs),
+        )
+        view.avoid_until_s = max(
+            view.avoid_until_s, state.now_s() + UNREACHABLE_S
+        )
+        if failure.refused is worker_interface.Refused.FENCED:
+            state.note_fenced()
+        if failure.refused is worker_interface.Refused.OTHER_INSTANCE:
+            view.is_replaced = True
+            for run in list(view.runs.values()):
+                state.end_run(view, run, job_state.EndKind.VANISHED)
+
+    def expire(self) -> None:
+        """Ends runs whose lease has surely expired, and drops lost workers."""
+        state = self._state
+        now_s = state.now_s()
+        for worker_id, watch in list(state.watches.items()):
+            view = watch.view
+            if view.runs and view.has_been_seen and now_s > view.lease_ends_s():
+                for run in list(view.runs.values()):
+                    state.end_run(view, run, job_state.EndKind.LEASE_EXPIRED)
+            if view.is_registered or view.runs:
+                continue
+            is_done = view.has_been_seen or view.is_replaced
+            if is_done or now_s > self._bound_s(view):
+                self.close(worker_id, "gone")
+
+    def _bound_s(self, view: view_module.WorkerView) -> float:
+        """Returns when a worker that never answered surely runs nothing.
+
+        A former owner may have extended leases until it noticed that it was
+        replaced, and each lasts its full length on a slow clock.
+        """
+        lease_s = self._state.lease_ms / 1000 / view_module.SLOWEST_CLOCK
+        return view.known_s + REPLACED_OWNER_S + lease_s
+
+    def settle(self) -> None:
+        """Frees the tasks of taken-over jobs once all workers are known."""
+        state = self._state
+        if not state.unsettled or not state.watches:
+            return
+        now_s = state.now_s()
+        if any(
+            not watch.view.has_been_seen
+            and not watch.view.is_replaced
+            and now_s <= self._bound_s(watch.view)
+            for watch in state.watches.values()
+        ):
+            return
+        for job_id in state.unsettled:
+            state.jobs[job_id].unsettled_until_s = 0.0
+        state.log(
+            "owner:settled",
+            partition=state.partition,
+            token=state.token,
+            jobs=len(state.unsettled),
+            after_s=round(now_s - self._began_s, 3),
+        )
+        state.unsettled.clear()
+
+    def has_unseen(self) -> bool:
+        """Returns whether jobs wait for workers that don't answer."""
+        return bool(self._state.unsettled) and any(
+            not watch.view.has_been_seen
+            for watch in self._state.watches.values()
+        )
+
+    def drop_ended(self, living: abc.Container[str]) -> None:
+        """Drops workers that don't answer and whose host has another life."""
+        for worker_id, watch in list(self._state.watches.items()):
+            if not watch.view.has_been_seen and worker_id not in living:
+                self.close(worker_id, "its host runs no such worker")
+        self._state.wake()
--- a/src/chervillead/store/group_commit.py
+++ b/src/chervillead/store/group_commit.py
@@ -85,6 +85,10 @@
                 return True
         return False
 
+    def drop(self, key: str) -> None:
+        """Has the store forget a key; nobody waits for it."""
+        self.append(key, b"")
+
     async def open(self) -> interface.StoreFailure | None:
         """Sets the epoch, which shuts out any former owner.
 
--- /dev/null
+++ b/src/chervillead/workers/pacing.py
@@ -0,0 +1,44 @@
+"""Paces the filling tasks of each worker by the serving ones beside them."""
+
+from collections import abc
+
+from chervillead.jobs import job_state
+from chervillead.jobs import model
+from chervillead.jobs import pacing
+from chervillead.workers import watch as watch_module
+
+StepOf = abc.Callable[[job_state.Run], model.Step | None]
+
+
+def pace_workers(
+    watches: abc.Iterable[watch_module.WorkerWatch], step_of: StepOf
+) -> None:
+    """Orders the changes of pace that new looks call for."""
+    for watch in watches:
+        if watch.take_new_look():
+            _pace_worker(watch, step_of)
+
+
+def _pace_worker(watch: watch_module.WorkerWatch, step_of: StepOf) -> None:
+    runs = [
+        (run, step)
+        for run in watch.view.runs.values()
+        for step in (step_of(run),)
+        if step is not None and run.phase is job_state.RunPhase.RUNNING
+    ]
+    filling = [run for run, step in runs if step.fills and not run.stop_wanted]
+    if not filling:
+        return
+    serving = [(run, step) for run, step in runs if step.latency_target_ms]
+    for run in filling:
+        percent = min(
+            (
+                pacing.next_percent(
+                    run.pace_percent, served.usage, step.latency_target_ms
+                )
+                for served, step in serving
+            ),
+            default=100,
+        )
+        if percent != run.pace_percent:
+            watch.pace(run, percent)
--- a/src/chervillead/workers/watch.py
+++ b/src/chervillead/workers/watch.py
@@ -36,7 +36,6 @@
         clock: Source of time.
         lease_ms: Length of a lease.
         may_extend_lease: Whether this owner may still keep runs alive.
-        may_start: Whether this owner may still start runs.
         apply_look: Applies a look; returns the records that must be stored
             before its ends are acknowledged.
         start_answered: Notes the outcome of a start.
@@ -48,7 +47,6 @@
     clock: types.Clock
     lease_ms: int
     may_extend_lease: abc.Callable[[], bool]
-    may_start: abc.Callable[[], bool]
     apply_look: abc.Callable[
         [view_module.WorkerView, interface.Look],
         list[asyncio.Future[None]],
@@ -98,6 +96,7 @@
         self._busy.set()
         self._stop_sent_s: dict[job_state.RunKey, float] = {}
         self._unrecorded: list[_Ends] = []
+        self._has_new_look = False
 
     @property
     def view(self) -> view_module.WorkerView:
@@ -125,6 +124,11 @@
         run.pace_percent = percent
         self._orders.put_nowait(Order(run, "pace", percent))
 
+    def take_new_look(self) -> bool:
+        """Returns whether a look was applied since the last call."""
+        is_new, self._has_new_look = self._has_new_look, False
+        return is_new
+
     def wake(self) -> None:
         """Ends the rest between two looks."""
         self._busy.set()
@@ -160,6 +164,7 @@
     async def _apply(self, look: interface.Look) -> None:
         view = self._view
         records = self._ports.apply_look(view, look)
+        self._has_new_look = True
         for run in list(view.runs.values()):
             if run.stop_wanted:
                 self.stop(run, run.stop_reason)
