Test the decisions of placement, pacing, copies and order

Cause: the decisions added with the split of the owner had no tests of their own. Each scenario names the failure that it guards against; they need no network.

--- /dev/null
+++ b/tests/steps/jobs_placement.py
@@ -0,0 +1,185 @@
+"""Steps of tests/jobs/placement.feature."""
+
+import behave
+
+from chervillead.jobs import job_state
+from chervillead.jobs import model
+from chervillead.jobs import ordering
+from chervillead.jobs import pacing
+from chervillead.jobs import placement
+from chervillead.jobs import speculation
+
+KEY = ("0" * 16, 0, 0)
+
+
+def site(worker_id, rack, cores, **changes):
+    found = placement.Site(
+        worker_id,
+        rack,
+        frozenset({rack, "x"}),
+        model.Resources(1000 * cores, 1000),
+        model.Resources(8000, 1000),
+        {},
+    )
+    return found._replace(**changes)
+
+
+def cores(count, **changes):
+    return model.Step(1, model.Resources(1000 * count), **changes)
+
+
+@behave.given(
+    "a worker with 4 free cores, label x and {beside:d} tasks of the step"
+)
+def step(context, beside):
+    context.sites = [site("i-1", "r1", 4, step_tasks={KEY: beside})]
+
+
+@behave.when(
+    'a task of 2 cores asks for label "{label}" and at most {most:d} a worker'
+)
+@behave.when(
+    'a task of 2 cores asks for label "" and at most {most:d} a worker'
+)
+def step(context, most, label=""):
+    wanted = cores(2, required_label=label, max_per_worker=most)
+    context.chosen = placement.best_site(context.sites, wanted, KEY)
+
+
+@behave.then("the worker is {verdict}")
+def step(context, verdict):
+    assert (context.chosen is not None) == (verdict == "chosen")
+
+
+@behave.given("workers on racks r1 and r2 with 8 free cores each")
+def step(context):
+    context.sites = [site("i-1", "r1", 8), site("i-2", "r2", 8)]
+
+
+@behave.given("the worker on r1 fails most of its tasks")
+def step(context):
+    context.sites[0] = context.sites[0]._replace(risk=0.8)
+
+
+@behave.when("a task whose data is on r2 is placed")
+def step(context):
+    wanted = cores(2, data_rack="r2")
+    context.chosen = placement.best_site(context.sites, wanted, KEY)
+
+
+@behave.when("a task without data is placed")
+def step(context):
+    context.chosen = placement.best_site(context.sites, cores(2), KEY)
+
+
+@behave.then("it goes to rack {rack}")
+def step(context, rack):
+    assert context.chosen.rack == rack
+
+
+@behave.when("a gang of {members:d} tasks of 2 cores is placed on {racks}")
+def step(context, members, racks):
+    wanted = cores(2, gang=True, same_rack=racks == "one rack")
+    context.places = placement.gang_sites(context.sites, wanted, KEY, members)
+
+
+@behave.then("{placed:d} of them get a place on {used:d} racks")
+def step(context, placed, used):
+    places = context.places or []
+    assert (len(places), len(set(places))) == (placed, used), places
+
+
+@behave.given(
+    "a full worker with batch runs of 2 cores begun 5 s, 3 s and 1 s ago"
+)
+def step(context):
+    context.sites = [site("i-1", "r1", 0)]
+    context.runs = [
+        job_state.Run(
+            KEY[0],
+            model.TaskKey(0, 0, number),
+            1,
+            "i-1",
+            reserved=model.Resources(2000),
+            begun_s=-begun_s,
+        )
+        for number, begun_s in enumerate((5, 3, 1))
+    ]
+
+
+@behave.when("a lasting task of 3 cores needs room there")
+def step(context):
+    context.victims = placement.victims(
+        context.sites[0], cores(3), context.runs, 0.0
+    )
+
+
+@behave.then("the runs begun 1 s and 3 s ago are stopped")
+def step(context):
+    assert [run.begun_s for run in context.victims] == [-1, -3]
+
+
+@behave.when(
+    "fillers at {now:d} percent stand beside a tail of {tail:d} of 100 ms"
+)
+def step(context, now, tail):
+    context.percent = pacing.next_percent(now, tail, 100)
+
+
+@behave.then("they go on at {percent:d} percent")
+def step(context, percent):
+    assert context.percent == percent
+
+
+@behave.given("a step that {allows} copies with 3 tasks done in 1 s each")
+def step(context, allows):
+    wanted = cores(1, speculative=allows == "allows")._replace(tasks=4)
+    spec = model.JobSpec(KEY[0], "queue", "pool", "", "", (wanted,))
+    context.job = job_state.JobState(spec, received_s=0.0)
+    for number in range(3):
+        context.job.note_duration(model.TaskKey(0, 0, number), 1.0)
+
+
+@behave.when("a fourth task has run for {seconds:g} s")
+def step(context, seconds):
+    context.job.add_run(
+        job_state.Run(
+            KEY[0],
+            model.TaskKey(0, 0, 3),
+            1,
+            "i-1",
+            reserved=model.Resources(),
+            begun_s=-seconds,
+            phase=job_state.RunPhase.RUNNING,
+        )
+    )
+
+
+@behave.then("it gets {copies:d} copies")
+def step(context, copies):
+    found = list(speculation.stragglers(context.job, 0.0))
+    assert len(found) == copies
+
+
+@behave.when(
+    "jobs have waited for {waits} s with a target of 2 s and 1 s of work"
+)
+def step(context, waits):
+    queue = model.Queue("queue", "", "", "pool", stretch=1.0, target_ms=1000)
+    wanted = cores(1)._replace(estimate_ms=1000)
+    spec = model.JobSpec(KEY[0], "queue", "pool", "", "", (wanted,))
+    jobs = [
+        job_state.JobState(spec, received_s=-float(wait))
+        for wait in waits.split(",")
+    ]
+    context.order = sorted(
+        range(len(jobs)),
+        key=lambda place: ordering.sort_key(
+            jobs[place], queue, now_s=0.0, account_load=0.0
+        ),
+    )
+
+
+@behave.then("they are taken in the order {order}")
+def step(context, order):
+    assert context.order == list(map(int, order.split(","))), context.order
