--- a/src/chervillead/jobs/job_calls.py
+++ b/src/chervillead/jobs/job_calls.py
@@ -35,6 +35,7 @@
             withdrawn keys to be known.
         partition_of: Returns the partition of a pool.
         call_owner: Calls the owner of a partition.
+        former_pools: Returns the pools that a queue had a short time ago.
         log: Writes a log line.
     """
 
@@ -42,6 +43,7 @@
     is_current: abc.Callable[[], bool]
     partition_of: abc.Callable[[str], int]
     call_owner: CallOwner
+    former_pools: abc.Callable[[str], abc.Collection[str]]
     log: abc.Callable[..., None]
 
 
@@ -83,12 +85,26 @@
 async def submit(
     ports: JobPorts, spec: model.JobSpec, time_left_s: float
 ) -> result.Result[None, verdicts.Refusal]:
-    """Has a job stored."""
+    """Has a job stored.
+
+    A caller repeats a submission whose answer was lost. If the queue went to
+    another pool meanwhile, the job may already be with its former owner.
+    """
     budget_s = call_budget_s(time_left_s)
+    partition = ports.partition_of(spec.pool)
+    former = {ports.partition_of(p) for p in ports.former_pools(spec.queue)}
+    for other in sorted(former - {partition}):
+        found = (
+            await ports.call_owner(
+                job_messages.FindJob(other, spec.job_id), budget_s
+            )
+        ).bind(_checked)
+        if pipeline.is_successful(found):
+            return result.Success(None)
+        if found.failure().status != 410:
+            return result.Failure(_not_ready("the queue is changing its pool"))
     outcome = await ports.call_owner(
-        job_messages.SubmitJob(
-            ports.partition_of(spec.pool), spec, int(1000 * budget_s)
-        ),
+        job_messages.SubmitJob(partition, spec, int(1000 * budget_s)),
         budget_s,
     )
     return outcome.bind(_checked).map(lambda reply: None)
--- a/src/chervillead/platform/assembly.py
+++ b/src/chervillead/platform/assembly.py
@@ -189,6 +189,7 @@
             is_current=self.is_current,
             partition_of=self.partition_of,
             call_owner=self.router.call,
+            former_pools=self.view.former_pools,
             log=self.log,
         )
 
--- a/src/chervillead/platform/fleet_view.py
+++ b/src/chervillead/platform/fleet_view.py
@@ -15,6 +15,8 @@
 # The longest lease on the slowest clock, and the time in which an owner that
 # was replaced may still extend it.
 DEPARTED_KEPT_S = 14.0
+# Callers repeat a submission within their deadline, a few seconds.
+FORMER_POOL_S = 30.0
 
 
 class _Departed(typing.NamedTuple):
@@ -39,6 +41,8 @@
         self._waves: dict[int, interface.Wave] = {}
         self._workers: dict[str, worker_interface.Registration] = {}
         self._departed: dict[str, _Departed] = {}
+        # Pools that queues had, with the time at which they lost them.
+        self._former_pools: dict[str, dict[str, float]] = {}
         self._confirmed_s = float("-inf")
         self._on_change: abc.Callable[[], None] = lambda: None
 
@@ -74,6 +78,24 @@
             if now_s - found.at_s < DEPARTED_KEPT_S
         ]
 
+    def former_pools(self, queue: str) -> list[str]:
+        """Returns the pools that a queue had a short time ago."""
+        now_s = self._boot_time()
+        return [
+            pool
+            for pool, until_s in self._former_pools.get(queue, {}).items()
+            if now_s - until_s < FORMER_POOL_S
+        ]
+
+    def _note_former_pools(
+        self, former: model.FleetConfiguration, found: model.FleetConfiguration
+    ) -> None:
+        for name, queue in former.queues.items():
+            successor = found.queues.get(name)
+            if successor is None or successor.pool != queue.pool:
+                pools = self._former_pools.setdefault(name, {})
+                pools[queue.pool] = self._boot_time()
+
     def on_change(self, action: abc.Callable[[], None]) -> None:
         """Calls `action` after each change."""
         self._on_change = action
@@ -125,6 +147,8 @@
         current = self._configuration
         if current is not None and found.version <= current.version:
             return
+        if current is not None:
+            self._note_former_pools(current, found)
         self._configuration = found
         self._log(
             "configuration:applied",
--- a/tests/platform/calls.feature
+++ b/tests/platform/calls.feature
@@ -41,6 +41,17 @@
     Then the job is shown as completed by every host
     And each task ran once
 
+  Scenario: A queue goes to another pool between two submissions of a job
+    # Guards against a second job under the same id at the new pool's owner.
+    Given a platform fleet of 2 hosts and 2 workers
+    And the second worker belongs to another pool
+    When a job of 3 tasks is submitted
+    And operators give the queue to the other pool
+    And the same job is submitted through every host
+    And 5 s pass
+    Then the job is shown as completed by every host
+    And each task ran once
+
   Scenario Outline: A body that isn't a job is refused
     # Guards against bodies that stop a host or are half accepted.
     When a caller submits <body>
--- a/tests/stand_ins/platform_fleet.py
+++ b/tests/stand_ins/platform_fleet.py
@@ -26,6 +26,7 @@
 from stand_ins import virtual_time
 
 POOL = "billing"
+OTHER_POOL = "receipts"
 QUEUE_HOST = "queue.example"
 QUEUE_PATH = "/jobs/"
 KEY = "key-1"
@@ -37,7 +38,9 @@
 WORKER_PORT = 8000
 
 
-def configuration(version: int = 1, **changes: typing.Any) -> bytes:
+def configuration(
+    version: int = 1, *, pool: str = POOL, **changes: typing.Any
+) -> bytes:
     """Returns a configuration as operators write it."""
     tenant = {
         "Name": "team-1",
@@ -52,14 +55,17 @@
                 "Name": "queue-1",
                 "Host": QUEUE_HOST,
                 "PathPrefix": QUEUE_PATH,
-                "Service": POOL,
+                "Service": pool,
                 "MaxAttempts": MAX_ATTEMPTS,
                 "Stretch": 1.5,
                 "TargetLatencyMs": 600,
                 "Public": False,
             }
         ],
-        "Services": [{"Name": POOL, "EnforcesCapacity": True}],
+        "Services": [
+            {"Name": name, "EnforcesCapacity": True}
+            for name in (POOL, OTHER_POOL)
+        ],
         "Limits": {"MaxBodyBytes": 262144},
         "Tenants": [tenant],
     }
@@ -96,6 +102,8 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._sequence = 0
         self.unlisted: set[str] = set()
+        # Workers that belong to the other pool.
+        self.of_other_pool: set[str] = set()
 
     @property
     def hosts(self) -> dict[str, assembly.EntryHost]:
@@ -304,7 +312,11 @@
     ) -> bytes:
         return msgspec.json.encode(
             {
-                "Service": POOL,
+                "Service": (
+                    OTHER_POOL
+                    if worker.worker_id in self.of_other_pool
+                    else POOL
+                ),
                 "Address": f"10.1.0.1:{WORKER_PORT + place}",
                 "Zone": "zone-a",
                 "Version": "v1",
--- a/tests/steps/platform_fleet.py
+++ b/tests/steps/platform_fleet.py
@@ -47,6 +47,7 @@
     )
     for worker in fleet.workers.values():
         worker.work_s = context.work_s
+    fleet.of_other_pool = getattr(context, "of_other_pool", set())
     await fleet.start()
     outcomes = []
     for action in context.actions:
@@ -66,6 +67,11 @@
     context.actions = []
 
 
+@behave.given("the second worker belongs to another pool")
+def step(context):
+    context.of_other_pool = {"i-1"}
+
+
 @behave.given("tasks work for {seconds:g} s")
 def step(context, seconds):
     context.work_s = seconds
@@ -286,6 +292,18 @@
     note(context, deal)
 
 
+@behave.when("operators give the queue to the other pool")
+def step(context):
+    async def give(fleet):
+        pool = platform_fleet.OTHER_POOL
+        fleet.store.put(
+            "keyed.op", "config", platform_fleet.configuration(2, pool=pool)
+        )
+        await asyncio.sleep(0.5)
+
+    note(context, give)
+
+
 @behave.when("operators withdraw the key")
 def step(context):
     async def withdraw(fleet):
