Let hosts that the store turns away learn from other hosts

It now asks another host for what operators published, with its age, and for the list of owners. A withdrawn key stops working there too, since the age counts from before the question.

The scenario that expected such a host to refuse now takes the store from all hosts, which is as strict for the key; a new one withdraws the key while one host is turned away.

--- a/src/chervillead/entries/codec.py
+++ b/src/chervillead/entries/codec.py
@@ -62,6 +62,8 @@
     "cancel-job": job_messages.CancelJob,
     "count-pending": job_messages.CountPending,
     "job-reply": job_messages.JobReply,
+    "ask-operator-records": job_messages.AskOperatorRecords,
+    "operator-records": job_messages.OperatorRecords,
 }
 _NAMES = {message_type: kind for kind, message_type in _KINDS.items()}
 _DECODERS: dict[str, msgspec.msgpack.Decoder[typing.Any]] = {
--- a/src/chervillead/entries/job_messages.py
+++ b/src/chervillead/entries/job_messages.py
@@ -64,4 +64,32 @@
     pending: int = 0
 
 
+class AskOperatorRecords(typing.NamedTuple):
+    """Asks another host for what operators published.
+
+    Attributes:
+        digest: Digest of the records that the sender has.
+    """
+
+    digest: int
+
+
+class OperatorRecords(typing.NamedTuple):
+    """What operators published, as a host knows it.
+
+    Attributes:
+        digest: Digest of the records.
+        age_ms: Time since the store confirmed them; -1 if it never did.
+        records: Keys and values; empty if the digests are equal.
+        owners: Members of the owners' group by partition.
+    """
+
+    digest: int
+    age_ms: int
+    records: tuple[tuple[str, bytes], ...]
+    owners: dict[int, str] = {}
+
+
 JobCall = SubmitJob | FindJob | CancelJob | CountPending
+Call = JobCall | AskOperatorRecords
+Reply = JobReply | OperatorRecords
--- a/src/chervillead/entries/messages.py
+++ b/src/chervillead/entries/messages.py
@@ -261,6 +261,6 @@
     | ConfigRequest
     | ConfigRecords
     | ConfigSnapshot
-    | job_messages.JobCall
-    | job_messages.JobReply
+    | job_messages.Call
+    | job_messages.Reply
 )
--- a/src/chervillead/platform/assembly.py
+++ b/src/chervillead/platform/assembly.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import random
 import secrets
 import time
 import typing
@@ -11,6 +12,7 @@
 from chervillead import http_exchange
 from chervillead import metrics_page
 from chervillead import types
+from chervillead.entries import job_messages
 from chervillead.entries import job_streams
 from chervillead.jobs import job_calls
 from chervillead.machines import upkeep_task
@@ -32,6 +34,9 @@
 from chervillead.store import keyed_follower
 
 OPERATOR_WAIT_MS = 1000
+# A host whose own reads are this old asks another one, this often.
+BORROW_AGE_S = 1.8
+BORROW_S = 0.4
 # Workers write often; their changes are read together.
 WORKERS_PAUSE_S = 0.25
 # A worker writes at most this often while a lease can last.
@@ -201,6 +206,7 @@
             self.owned.keep_joined(),
             self.router.keep_fresh(),
             _serve_entries(self),
+            _borrow_operator_records(self),
         ]
 
 
@@ -247,8 +253,34 @@
 
 
 async def _serve_entries(host: EntryHost) -> None:
-    serve_stream = job_streams.serve_calls(
-        lambda call: job_service.serve(call, host.owned.owner_of),
-        host.clock,
+    async def serve(call: job_messages.Call) -> job_messages.Reply:
+        if isinstance(call, job_messages.AskOperatorRecords):
+            lent = host.view.lend_records(call)
+            return lent._replace(owners=host.router.lend())
+        return await job_service.serve(call, host.owned.owner_of)
+
+    await host.surroundings.listen(
+        host.settings.entries, job_streams.serve_calls(serve, host.clock)
     )
-    await host.surroundings.listen(host.settings.entries, serve_stream)
+
+
+async def _borrow_operator_records(host: EntryHost) -> None:
+    """Learns what operators wrote from other hosts while the store is away."""
+    while True:
+        await asyncio.sleep(BORROW_S)
+        own = host.owned.member.address
+        addresses = sorted(
+            {m.address for m in host.router.members.values()} - {own}
+        )
+        if host.view.age_s() < BORROW_AGE_S or not addresses:
+            continue
+        asked_s = host.surroundings.boot_time()
+        outcome = await host.streams.ask(
+            random.choice(addresses),
+            job_messages.AskOperatorRecords(host.view.digest()),
+            BORROW_S,
+        )
+        lent = outcome.value_or(None)
+        if isinstance(lent, job_messages.OperatorRecords):
+            host.view.borrow_records(lent, asked_s)
+            host.router.borrow(lent.owners)
--- a/src/chervillead/platform/fleet_view.py
+++ b/src/chervillead/platform/fleet_view.py
@@ -4,7 +4,9 @@
 import typing
 
 import msgspec
+import xxhash
 
+from chervillead.entries import job_messages
 from chervillead.jobs import model
 from chervillead.machines import interface
 from chervillead.platform import fleet_configuration
@@ -38,6 +40,7 @@
         self._log = log
         self._configuration: model.FleetConfiguration | None = None
         self._zones_out: frozenset[str] = frozenset()
+        self._records: dict[str, bytes] = {}
         self._waves: dict[int, interface.Wave] = {}
         self._workers: dict[str, worker_interface.Registration] = {}
         self._departed: dict[str, _Departed] = {}
@@ -104,6 +107,46 @@
         """Returns for how long the configuration has been unconfirmed."""
         return self._boot_time() - self._confirmed_s
 
+    def digest(self) -> int:
+        """Returns a digest of what operators wrote."""
+        hasher = xxhash.xxh64()
+        for key, value in sorted(self._records.items()):
+            hasher.update(f"{key}/{len(value)}/".encode())
+            hasher.update(value)
+        return hasher.intdigest() >> 1
+
+    def lend_records(
+        self, asked: job_messages.AskOperatorRecords
+    ) -> job_messages.OperatorRecords:
+        """Returns what operators wrote, for a host without the store."""
+        digest = self.digest()
+        age_s = self.age_s()
+        return job_messages.OperatorRecords(
+            digest,
+            int(1000 * age_s) if age_s < float("inf") else -1,
+            () if asked.digest == digest else tuple(self._records.items()),
+        )
+
+    def borrow_records(
+        self, lent: job_messages.OperatorRecords, asked_s: float
+    ) -> None:
+        """Applies what another host knows, if it knows it to be newer.
+
+        Args:
+            lent: Its answer.
+            asked_s: When it was asked, before which its age counts.
+        """
+        as_of_s = asked_s - lent.age_ms / 1000
+        if lent.age_ms < 0 or as_of_s <= self._confirmed_s:
+            return
+        if lent.records:
+            dropped = self._records.keys() - {key for key, _ in lent.records}
+            self.apply_operator(
+                [keyed_follower.Change(*record) for record in lent.records]
+                + [keyed_follower.Change(key, None) for key in sorted(dropped)]
+            )
+        self.confirm(as_of_s)
+
     def confirm(self, as_of_s: float) -> None:
         """Notes that the store confirmed what operators wrote."""
         self._confirmed_s = max(self._confirmed_s, as_of_s)
@@ -111,6 +154,10 @@
     def apply_operator(self, changes: list[keyed_follower.Change]) -> None:
         """Applies changes of what operators wrote."""
         for change in changes:
+            if change.value is None:
+                self._records.pop(change.key, None)
+            else:
+                self._records[change.key] = change.value
             try:
                 self._apply_operator_change(change)
             except (msgspec.DecodeError, KeyError, TypeError) as error:
--- a/src/chervillead/pools/job_router.py
+++ b/src/chervillead/pools/job_router.py
@@ -47,6 +47,8 @@
         self._log = log
         self._members: dict[int, ownership.Member] = {}
         self._refresh = asyncio.Event()
+        self._owners: dict[int, str] = {}
+        self._read_s = float("-inf")
 
     @property
     def members(self) -> abc.Mapping[int, ownership.Member]:
@@ -61,6 +63,7 @@
             outcome = await self._store.owners(cells.OWNERS_GROUP)
             if pipeline.is_successful(outcome):
                 self._apply(outcome.unwrap())
+                self._read_s = self._clock.monotonic()
             if is_lost == pipeline.is_successful(outcome):
                 is_lost = not is_lost
                 self._log(
@@ -74,7 +77,17 @@
             except TimeoutError:
                 pass
 
-    def _apply(self, owners: abc.Mapping[int, str]) -> None:
+    def lend(self) -> dict[int, str]:
+        """Returns the list of owners for a host without the store."""
+        return self._owners
+
+    def borrow(self, owners: dict[int, str]) -> None:
+        """Applies another host's list while the own one can't be read."""
+        if owners and self._clock.monotonic() - self._read_s > REFRESH_S:
+            self._apply(owners)
+
+    def _apply(self, owners: dict[int, str]) -> None:
+        self._owners = owners
         parsed = {
             partition: ownership.parse_member(text)
             for partition, text in owners.items()
--- a/tests/steps/platform_fleet.py
+++ b/tests/steps/platform_fleet.py
@@ -9,6 +9,7 @@
 import functools
 
 import behave
+from returns import pipeline
 
 from stand_ins import platform_fleet
 from stand_ins import virtual_time
@@ -247,6 +248,15 @@
     note(context, turn_away)
 
 
+@behave.when("every host is turned away by the store")
+def step(context):
+    async def turn_away(fleet):
+        context.turned_away = fleet.other_host()
+        fleet.store.turned_away.update(fleet.hosts)
+
+    note(context, turn_away)
+
+
 @behave.when("the store serves every host again")
 def step(context):
     async def serve_again(fleet):
@@ -446,6 +456,12 @@
     return most
 
 
+@behave.then("the first call is accepted")
+def step(context):
+    first = play(context).outcomes[0]
+    assert pipeline.is_successful(first), first
+
+
 @behave.then("the call is refused with status {status:d} as {verdict}")
 def step(context, status, verdict):
     refusal = play(context).outcomes[-1].failure()
