Wait with upkeep until a former owner's hosts are up again

Ruled out: a split of the cap that adds up to more than the cap; the scenarios of the split cover it.

A stand-in of the hosts' service checks waves with tasks running, with the owner killed and with an availability budget.

--- a/src/chervillead/machines/upkeep_task.py
+++ b/src/chervillead/machines/upkeep_task.py
@@ -81,12 +81,18 @@
         self._is_fenced = False
 
     async def run(self) -> None:
-        """Works through waves until cancelled."""
+        """Works through waves until cancelled.
+
+        Hosts that a former owner has just taken down are up again before the
+        first order.
+        """
+        orders_from_s = self._clock.monotonic() + self._back_s
         while True:
             if self._owner.workers.has_unseen():
                 await self._drop_ended_workers()
             waves = [w for w in self._ports.waves() if not self._is_over(w)]
-            if waves and not self._is_fenced:
+            is_early = self._clock.monotonic() < orders_from_s
+            if waves and not self._is_fenced and not is_early:
                 await self._refresh()
                 for wave in waves:
                     await self._advance(wave)
@@ -108,6 +114,11 @@
                 }
             )
 
+    @property
+    def _back_s(self) -> float:
+        """Time after which a host that went down counts as up."""
+        return self._limits.upkeep_s + BACK_MARGIN_S
+
     def _is_over(self, wave: interface.Wave) -> bool:
         return self._reported.get(wave.number) is True
 
@@ -156,11 +167,10 @@
         for pool in counts:
             if pool not in due_pools:
                 self._finished_s.setdefault((wave.number, pool), now_s)
-        back_s = self._limits.upkeep_s + BACK_MARGIN_S
         finished = {
             pool
             for (number, pool), since_s in self._finished_s.items()
-            if number == wave.number and now_s - since_s > back_s
+            if number == wave.number and now_s - since_s > self._back_s
         }
         parts = upkeep.split_cap(wave.cap, counts, finished)
         for name, until_s in self._down_until_s.items():
@@ -259,9 +269,7 @@
     async def _note_begun(self, entry: _Emptying, wave: interface.Wave) -> None:
         now_s = self._clock.monotonic()
         self._done.add((wave.number, entry.machine))
-        self._down_until_s[entry.machine] = (
-            now_s + self._limits.upkeep_s + BACK_MARGIN_S
-        )
+        self._down_until_s[entry.machine] = now_s + self._back_s
         self._emptying.pop(entry.machine, None)
         self._owner.hosts.host_went_down(entry.worker_id)
         self._log(
--- /dev/null
+++ b/tests/machines/upkeep_task.feature
@@ -0,0 +1,33 @@
+Feature: Waves of upkeep
+  Owners bring their pools' hosts through a wave within its cap.
+
+  Scenario: A wave is worked off while tasks run
+    # Guards against tasks that are killed by upkeep, and against a wave that is
+    # never reported as completed.
+    Given a platform fleet of 2 hosts and 4 workers
+    When operators publish a wave over all hosts with a cap of 2
+    And a job of 12 tasks is submitted
+    And 25 s pass
+    Then the job is shown as completed by every host
+    And each task ran once
+    And every host had its upkeep once, at most 2 at a time
+    And the wave is reported as completed
+
+  Scenario: The owner is killed in the middle of a wave
+    # Guards against a new owner that doesn't count the hosts that the former one
+    # had just taken down.
+    Given a platform fleet of 3 hosts and 4 workers
+    When operators publish a wave over all hosts with a cap of 1
+    And the owner takes a host down and is killed
+    And 30 s pass
+    Then every host had its upkeep once, at most 1 at a time
+    And the wave is reported as completed
+
+  Scenario: A lasting step keeps its availability budget
+    # Guards against two tasks of a step that are away by orders of ours.
+    Given a platform fleet of 2 hosts and 4 workers
+    When a job of 3 lasting tasks of which 1 may be away is submitted
+    And operators publish a wave over all hosts with a cap of 4
+    And 40 s pass
+    Then every host had its upkeep once, at most 4 at a time
+    And at most 1 task of it was away at a time
--- a/tests/stand_ins/platform_fleet.py
+++ b/tests/stand_ins/platform_fleet.py
@@ -21,6 +21,7 @@
 from chervillead.pools import ports as ports_module
 from stand_ins import http_server
 from stand_ins import memory_network
+from stand_ins import platform_machines
 from stand_ins import platform_store
 from stand_ins import platform_worker
 from stand_ins import virtual_time
@@ -36,6 +37,7 @@
 STORE_PORT = 9000
 ENTRY_PORT = 7000
 WORKER_PORT = 8000
+MACHINES_ADDRESS = types.Address("10.0.0.2", 9100)
 
 
 def configuration(
@@ -97,6 +99,7 @@
             f"i-{number}": platform_worker.WorkerStandIn(f"i-{number}")
             for number in range(workers)
         }
+        self.machines = platform_machines.MachinesStandIn(self.workers, POOL)
         self._host_names = [f"host-{number}" for number in range(hosts)]
         self._hosts: dict[str, _RunningHost] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -120,6 +123,11 @@
             self._listen(
                 worker_id, _address("10.1.0.1", WORKER_PORT + place), serve
             )
+        self._listen(
+            "machines",
+            MACHINES_ADDRESS,
+            http_server.serve_connections(self.machines.handle),
+        )
         self._tasks.append(asyncio.create_task(self._heartbeats()))
         await asyncio.sleep(0.1)
         for name in self._host_names:
@@ -153,7 +161,7 @@
                 store=settings_module.StoreSettings(
                     store_address, platform_store.PARTITIONS, 262144, 2097152
                 ),
-                machines=None,
+                machines=MACHINES_ADDRESS,
                 advice=None,
                 limits=ports_module.Limits(),
                 config_max_age_s=4.0,
--- /dev/null
+++ b/tests/stand_ins/platform_machines.py
@@ -0,0 +1,119 @@
+"""A stand-in of the platform's service that switches hosts.
+
+It checks fencing tokens for each host and keeps when each was down, from which
+the checks judge.
+"""
+
+import asyncio
+from collections import abc
+import typing
+
+import msgspec
+
+from stand_ins import http_server
+from stand_ins import platform_worker
+
+UPKEEP_S = 2.0
+
+
+class Upkeep(typing.NamedTuple):
+    """One upkeep of a host."""
+
+    machine: str
+    wave: int
+    began_s: float
+    ended_s: float
+
+
+class MachinesStandIn:
+    """Hosts, each with one worker.
+
+    Attributes:
+        upkeeps: All upkeeps, in the order of their beginning.
+    """
+
+    def __init__(
+        self,
+        workers: abc.Mapping[str, platform_worker.WorkerStandIn],
+        pool: str,
+    ) -> None:
+        self.upkeeps: list[Upkeep] = []
+        self._workers = {
+            name.replace("i-", "m-"): worker for name, worker in workers.items()
+        }
+        self._pool = pool
+        self._tokens: dict[str, int] = {}
+        self._done: set[tuple[str, int]] = set()
+
+    @property
+    def names(self) -> list[str]:
+        """Names of the hosts."""
+        return list(self._workers)
+
+    def most_down(self) -> int:
+        """Returns the most hosts that were down at one moment."""
+        return max(
+            (
+                sum(
+                    other.began_s <= upkeep.began_s < other.ended_s
+                    for other in self.upkeeps
+                )
+                for upkeep in self.upkeeps
+            ),
+            default=0,
+        )
+
+    async def handle(
+        self,
+        request: http_server.ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> http_server.Reply | None:
+        """Answers one call."""
+        await asyncio.sleep(0.002)
+        if request.path == "/machines":
+            rows = [self._row(name) for name in self._workers]
+            return _json({"Machines": rows, "NextPageToken": None})
+        fields = msgspec.json.decode(request.body)
+        name, wave = fields["Machine"], fields["Wave"]
+        token = int(request.headers["fencing-token"])
+        if token < self._tokens.get(name, 0):
+            return _json({"Reason": "fence"}, 409)
+        self._tokens[name] = token
+        if (name, wave) in self._done:
+            return _json({})
+        if self._workers[name].silent:
+            return _json({"Reason": "busy"}, 409)
+        self._done.add((name, wave))
+        self._take_down(name, wave)
+        return _json({})
+
+    def _take_down(self, name: str, wave: int) -> None:
+        worker = self._workers[name]
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        self.upkeeps.append(Upkeep(name, wave, began_s, began_s + UPKEEP_S))
+        worker.restart()
+        worker.silent = True
+
+        def come_back() -> None:
+            worker.restart()
+            worker.worker_id += "-new"
+            worker.silent = False
+
+        loop.call_later(UPKEEP_S, come_back)
+
+    def _row(self, name: str) -> dict[str, typing.Any]:
+        worker = self._workers[name]
+        return {
+            "Machine": name,
+            "Pool": self._pool,
+            "State": "upkeep" if worker.silent else "up",
+            "Zone": "zone-a",
+            "Labels": ["a", "r1-0"],
+            "Capacity": {"Cpu": worker.cpu, "MemMb": worker.memory_mb},
+            "Id": worker.worker_id,
+        }
+
+
+def _json(fields: object, status: int = 200) -> http_server.Reply:
+    return http_server.Reply(status, msgspec.json.encode(fields))
--- a/tests/stand_ins/platform_store.py
+++ b/tests/stand_ins/platform_store.py
@@ -114,6 +114,10 @@
             place = members.index(holder) + 1 if holder in members else 0
             found.holders[partition] = members[place % len(members)]
 
+    def remove_member(self, group: str, member: str) -> None:
+        """Takes a member out of a group, as when its time to live ended."""
+        self._leave(group, member)
+
     def holders(self, group: str) -> dict[int, str]:
         """Returns the member of each partition."""
         return dict(self._groups[group].holders)
--- a/tests/steps/platform_fleet.py
+++ b/tests/steps/platform_fleet.py
@@ -9,9 +9,11 @@
 import functools
 
 import behave
+import msgspec
 from returns import pipeline
 
 from stand_ins import platform_fleet
+from stand_ins import platform_worker
 from stand_ins import virtual_time
 
 JOB = platform_fleet.job_id(1)
@@ -73,6 +75,80 @@
     context.of_other_pool = {"i-1"}
 
 
+@behave.when("operators publish a wave over all hosts with a cap of {cap:d}")
+def step(context, cap):
+    async def publish(fleet):
+        wave = {
+            "Wave": 1,
+            "Machines": fleet.machines.names,
+            "DurationS": 20,
+            "Cap": cap,
+        }
+        fleet.store.put("keyed.op", "wave/1", msgspec.json.encode(wave))
+
+    note(context, publish)
+
+
+@behave.when("the owner takes a host down and is killed")
+def step(context):
+    async def kill(fleet):
+        while not fleet.machines.upkeeps:
+            await asyncio.sleep(0.05)
+        await fleet.kill_host(fleet.owner_host())
+        living = {str(host.owned.member) for host in fleet.hosts.values()}
+        members = set(fleet.store.holders("pool-owners").values())
+        for member in members - living:
+            fleet.store.remove_member("pool-owners", member)
+
+    note(context, kill)
+
+
+@behave.when(
+    "a job of {tasks:d} lasting tasks of which {away:d} may be away is "
+    "submitted"
+)
+def step(context, tasks, away):
+    async def last_and_submit(fleet):
+        for worker in fleet.workers.values():
+            worker.lasting.add(JOB)
+        steps = [platform_fleet.step(tasks, LongRunning=True, MayMiss=away)]
+        return await submit(fleet, steps)
+
+    note(context, last_and_submit)
+
+
+@behave.then("every host had its upkeep once, at most {cap:d} at a time")
+def step(context, cap):
+    machines = play(context).fleet.machines
+    done = [upkeep.machine for upkeep in machines.upkeeps]
+    assert sorted(done) == sorted(machines.names), machines.upkeeps
+    assert machines.most_down() <= cap, machines.upkeeps
+
+
+@behave.then("the wave is reported as completed")
+def step(context):
+    value = play(context).fleet.store.value("keyed.status", 0, "wave/1")
+    assert value and msgspec.json.decode(value) == {"State": "completed"}
+
+
+@behave.then("at most {away:d} task of it was away at a time")
+def step(context, away):
+    runs = play(context).runs
+    tasks = {run.task for run in runs}
+    for run in runs:
+        if run.how != "stopped":
+            continue
+        # Just after a task was stopped, the others must be at work.
+        at_work = {
+            other.task
+            for other in runs
+            if other.began_s + platform_worker.STARTUP_S
+            <= run.ended_s
+            < other.ended_s
+        }
+        assert len(tasks - at_work) <= away, (run, runs)
+
+
 @behave.given("tasks work for {seconds:g} s")
 def step(context, seconds):
     context.work_s = seconds
