--- a/Makefile
+++ b/Makefile
@@ -14,9 +14,11 @@
 	$(VENV)/bin/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
 	touch $@
 
-# Starts a local fleet, sends requests through it and stops it (KEEP=1 leaves it up).
+# Starts a local fleet, sends requests through it and stops it (KEEP=1 leaves it
+# up); then takes a job of two steps through hosts on the platform's stand-ins.
 run: environment
 	$(RUN) -m stand_ins.local_fleet $(if $(KEEP),--keep)
+	$(if $(KEEP),,$(RUN) -m stand_ins.local_platform)
 
 test: environment
 	$(RUN) -m stand_ins.run_features $(or $(FEATURES),tests)
--- a/tests/stand_ins/http_server.py
+++ b/tests/stand_ins/http_server.py
@@ -104,7 +104,13 @@
                 if reply is not None:
                     writer.write(encode_reply(reply))
                     await writer.drain()
-        except (ConnectionError, httptools.HttpParserError):
+        except (
+            ConnectionError,
+            httptools.HttpParserError,
+            asyncio.CancelledError,
+        ):
+            # A stand-in that ends cancels its connections; asyncio would log
+            # each of them as an error.
             pass
         finally:
             writer.close()
--- /dev/null
+++ b/tests/stand_ins/local_platform.py
@@ -0,0 +1,269 @@
+"""Runs entry hosts on the platform's stand-ins as processes on loopback.
+
+`python -m stand_ins.local_platform` starts a store, workers and three entry
+hosts, submits a job of two steps, waits until it is shown as completed, stops
+the hosts with SIGTERM and prints what each process cost.
+"""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import signal
+import sys
+import tempfile
+import time
+import typing
+
+import msgspec
+import psutil
+import yaml
+
+from chervillead import http_exchange
+from chervillead import types
+from stand_ins import free_ports
+from stand_ins import http_server
+from stand_ins import platform_fleet
+from stand_ins import platform_store
+from stand_ins import platform_worker
+
+HOSTS = 3
+WORKERS = 3
+# Front, ready, and two ports between hosts for each entry host.
+PORTS_PER_HOST = 4
+START_TIMEOUT_S = 30.0
+JOB_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 10.0
+
+
+class Cost(typing.NamedTuple):
+    """What a process used up to a moment."""
+
+    processor_s: float
+    memory_mb: float
+
+
+class Outcome(typing.NamedTuple):
+    """What a run showed.
+
+    Attributes:
+        phase: State of the job at the end.
+        took_s: Time from its submission to that state.
+        runs: Runs that the workers saw.
+        start_costs: What each process had used when it was ready.
+        exit_codes: How the processes ended.
+    """
+
+    phase: str
+    took_s: float
+    runs: int
+    start_costs: list[Cost]
+    exit_codes: list[int]
+
+
+class LocalPlatform:
+    """The stand-ins and the processes of one run."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        count = HOSTS * PORTS_PER_HOST + WORKERS + 2
+        self._held = free_ports.hold_ports(count)
+        self._folder = folder
+        self._store = platform_store.StoreStandIn()
+        self._workers = [
+            platform_worker.WorkerStandIn(f"i-{number}")
+            for number in range(WORKERS)
+        ]
+        self._processes: list[asyncio.subprocess.Process] = []
+        self._servers: list[asyncio.Server] = []
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def _port(self, place: int) -> int:
+        return self._held.base + place
+
+    def front(self, host: int) -> types.Address:
+        """Returns where a host takes callers."""
+        port = self._port(host * PORTS_PER_HOST)
+        return types.Address(free_ports.LOOPBACK, port)
+
+    def _settings(self, host: int) -> dict[str, typing.Any]:
+        first = host * PORTS_PER_HOST
+        store_port = self._port(HOSTS * PORTS_PER_HOST + WORKERS)
+        loopback = free_ports.LOOPBACK
+        return {
+            "Node": f"host-{host}",
+            "Zone": "zone-a",
+            "Ip": loopback,
+            "ListenAddrs": {
+                "Front": f"{loopback}:{self._port(first)}",
+                "ReadyAddr": f"{loopback}:{self._port(first + 1)}",
+            },
+            "InternalPorts": [self._port(first + 2), self._port(first + 3)],
+            "Bounds": {"RevokeMs": 5000, "GraceS": 6, "MaxHoldMs": 6000},
+            "platform": {
+                "Address": f"{loopback}:{store_port}",
+                "parts": platform_store.PARTITIONS,
+                "RecordBytes": 262144,
+                "CallBytes": 2097152,
+            },
+        }
+
+    async def start(self) -> None:
+        """Starts the stand-ins and the processes."""
+        self._held.release()
+        loopback = free_ports.LOOPBACK
+        first = HOSTS * PORTS_PER_HOST
+        self._servers.append(
+            await http_server.serve(
+                self._store.handler_for("any"),
+                loopback,
+                self._port(first + WORKERS),
+            )
+        )
+        for place, worker in enumerate(self._workers):
+            self._servers.append(
+                await http_server.serve(
+                    worker.handle, loopback, self._port(first + place)
+                )
+            )
+        # Calls of this run name the address of the host that they go to.
+        configuration = platform_fleet.configuration(queue_host=loopback)
+        self._store.put("keyed.op", "config", configuration)
+        self._tasks.append(asyncio.create_task(self._heartbeats()))
+        for host in range(HOSTS):
+            await self._start_host(host)
+
+    async def _start_host(self, host: int) -> None:
+        path = self._folder / f"host-{host}.yaml"
+        path.write_text(yaml.safe_dump(self._settings(host)))
+        log = (self._folder / f"host-{host}.log").open("wb")
+        with log:
+            self._processes.append(
+                await asyncio.create_subprocess_exec(
+                    sys.executable,
+                    "-m",
+                    "chervillead.platform",
+                    env=os.environ | {"CHERVILLEAD_CONFIG": str(path)},
+                    stdout=log,
+                    stderr=log,
+                )
+            )
+
+    async def _heartbeats(self) -> None:
+        first = HOSTS * PORTS_PER_HOST
+        for sequence in range(1_000_000):
+            for place, worker in enumerate(self._workers):
+                address = f"{free_ports.LOOPBACK}:{self._port(first + place)}"
+                entry = platform_fleet.worker_entry(worker, address, sequence)
+                self._store.put("keyed.servers", worker.worker_id, entry)
+            await asyncio.sleep(platform_fleet.HEARTBEAT_S)
+
+    async def wait_until_ready(self) -> list[Cost]:
+        """Waits for all hosts; returns what each process had used by then."""
+        costs = []
+        for host, process in enumerate(self._processes):
+            async with asyncio.timeout(START_TIMEOUT_S):
+                while await self._status("GET", host, "/ready") != 200:
+                    await asyncio.sleep(0.1)
+            costs.append(_cost(process.pid))
+        return costs
+
+    async def _status(
+        self, method: str, host: int, path: str, body: bytes = b""
+    ) -> int:
+        response = await self._call(method, host, path, body)
+        return response.status if response is not None else 0
+
+    async def _call(
+        self, method: str, host: int, path: str, body: bytes = b""
+    ) -> http_exchange.HttpResponse | None:
+        request = http_exchange.HttpRequest(
+            method, path, (("key", platform_fleet.KEY),), body
+        )
+        with contextlib.suppress(
+            OSError, http_exchange.IncompleteResponseError
+        ):
+            return await http_exchange.call_once(
+                http_exchange.dial, self.front(host), request
+            )
+        return None
+
+    async def run_job(self) -> tuple[str, float]:
+        """Submits a job of two steps and waits for its end."""
+        began_s = time.monotonic()
+        path = platform_fleet.QUEUE_PATH + platform_fleet.job_id(1)
+        steps = [platform_fleet.step(4), platform_fleet.step(2, After=[0])]
+        body = msgspec.json.encode({"Spec": "two steps", "Phases": steps})
+        status = await self._status("POST", 0, path, body)
+        phase = f"refused with {status}"
+        while status == 200 and time.monotonic() - began_s < JOB_TIMEOUT_S:
+            response = await self._call("GET", HOSTS - 1, path)
+            if response is not None and response.status == 200:
+                phase = msgspec.json.decode(response.body)["State"]
+            if phase == "completed":
+                break
+            await asyncio.sleep(0.05)
+        return phase, time.monotonic() - began_s
+
+    async def stop(self) -> list[int]:
+        """Stops the processes with SIGTERM and returns how they ended."""
+        for process in self._processes:
+            if process.returncode is None:
+                process.send_signal(signal.SIGTERM)
+        codes = []
+        for process in self._processes:
+            try:
+                async with asyncio.timeout(STOP_TIMEOUT_S):
+                    codes.append(await process.wait())
+            except TimeoutError:
+                process.kill()
+                codes.append(await process.wait())
+        for task in self._tasks:
+            task.cancel()
+        for server in self._servers:
+            server.close()
+        return codes
+
+    def runs(self) -> int:
+        """Returns the runs that the workers saw."""
+        return sum(len(worker.records) for worker in self._workers)
+
+
+def _cost(pid: int) -> Cost:
+    process = psutil.Process(pid)
+    times = process.cpu_times()
+    return Cost(
+        times.user + times.system, process.memory_info().rss / 1024 / 1024
+    )
+
+
+async def run_once(folder: pathlib.Path) -> Outcome:
+    """Runs one job on a platform of its own."""
+    local = LocalPlatform(folder)
+    try:
+        await local.start()
+        costs = await local.wait_until_ready()
+        phase, took_s = await local.run_job()
+    finally:
+        codes = await local.stop()
+    return Outcome(phase, took_s, local.runs(), costs, codes)
+
+
+def main() -> int:
+    """Runs one job, prints the outcome and returns the exit status."""
+    with tempfile.TemporaryDirectory() as folder:
+        outcome = asyncio.run(run_once(pathlib.Path(folder)))
+    print(
+        f"job of two steps: {outcome.phase} after {outcome.took_s:.2f} s, "
+        f"{outcome.runs} runs"
+    )
+    for cost in outcome.start_costs:
+        print(
+            f"a host at its start: {cost.processor_s:.2f} s of processor "
+            f"time, {cost.memory_mb:.0f} MB"
+        )
+    clean = all(code == 0 for code in outcome.exit_codes)
+    return 0 if outcome.phase == "completed" and clean else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/stand_ins/platform_fleet.py
+++ b/tests/stand_ins/platform_fleet.py
@@ -41,7 +41,11 @@
 
 
 def configuration(
-    version: int = 1, *, pool: str = POOL, **changes: typing.Any
+    version: int = 1,
+    *,
+    pool: str = POOL,
+    queue_host: str = QUEUE_HOST,
+    **changes: typing.Any,
 ) -> bytes:
     """Returns a configuration as operators write it."""
     tenant = {
@@ -55,7 +59,7 @@
         "Routes": [
             {
                 "Name": "queue-1",
-                "Host": QUEUE_HOST,
+                "Host": queue_host,
                 "PathPrefix": QUEUE_PATH,
                 "Service": pool,
                 "MaxAttempts": MAX_ATTEMPTS,
@@ -318,31 +322,46 @@
     def _entry(
         self, place: int, worker: platform_worker.WorkerStandIn
     ) -> bytes:
-        return msgspec.json.encode(
-            {
-                "Service": (
-                    OTHER_POOL
-                    if worker.worker_id in self.of_other_pool
-                    else POOL
-                ),
-                "Address": f"10.1.0.1:{WORKER_PORT + place}",
-                "Zone": "zone-a",
-                "Version": "v1",
-                "Slots": 8,
-                "State": "ready",
-                "ColdRemainingMs": 0,
-                "Capacity": {
-                    "Cpu": worker.cpu,
-                    "MemMb": worker.memory_mb,
-                    "Gpu": 0,
-                },
-                "Labels": ["a", f"r1-{place % 2}"],
-                "Seq": self._sequence,
-                "born": worker.born,
-            }
+        other = worker.worker_id in self.of_other_pool
+        return worker_entry(
+            worker,
+            f"10.1.0.1:{WORKER_PORT + place}",
+            self._sequence,
+            pool=OTHER_POOL if other else POOL,
+            rack=f"r1-{place % 2}",
         )
 
 
+def worker_entry(
+    worker: platform_worker.WorkerStandIn,
+    address: str,
+    sequence: int,
+    *,
+    pool: str = POOL,
+    rack: str = "r1-0",
+) -> bytes:
+    """Returns what a worker says of itself in the store."""
+    return msgspec.json.encode(
+        {
+            "Service": pool,
+            "Address": address,
+            "Zone": "zone-a",
+            "Version": "v1",
+            "Slots": 8,
+            "State": "ready",
+            "ColdRemainingMs": 0,
+            "Capacity": {
+                "Cpu": worker.cpu,
+                "MemMb": worker.memory_mb,
+                "Gpu": 0,
+            },
+            "Labels": ["a", rack],
+            "Seq": sequence,
+            "born": worker.born,
+        }
+    )
+
+
 def _address(host: str, port: int) -> types.Address:
     return types.Address(host, port)
 
