--- a/src/chervillead/http_channel.py
+++ b/src/chervillead/http_channel.py
@@ -48,7 +48,11 @@
     @property
     def is_open(self) -> bool:
         """Whether the next call uses a connection that is open already."""
-        return self._streams is not None and not self._streams[0].at_eof()
+        if self._streams is None:
+            return False
+        reader, writer = self._streams
+        # A connection that was reset isn't at its end, but can't be written to.
+        return not reader.at_eof() and not writer.is_closing()
 
     @property
     def is_busy(self) -> bool:
@@ -97,7 +101,7 @@
             self._streams = None
 
     async def _open(self) -> http_exchange.Streams:
-        if self._streams is not None and self._streams[0].at_eof():
+        if not self.is_open:
             self.close()
         if self._streams is None:
             self._streams = await self._dial(self._address)
--- /dev/null
+++ b/tests/steps/http_channel.py
@@ -0,0 +1,62 @@
+"""Steps of tests/http_channel.feature."""
+
+import asyncio
+import socket
+import struct
+
+import behave
+from returns import pipeline
+import uvloop
+
+from chervillead import http_channel
+from chervillead import http_exchange
+from chervillead import types
+
+# With this option a close sends a reset.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+@behave.given("a server that {ends} each connection after its answer")
+def step(context, ends):
+    context.resets = ends == "resets"
+
+
+async def make_calls(context, count):
+    connections = 0
+
+    async def serve(reader, writer):
+        nonlocal connections
+        connections += 1
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        if context.resets:
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    channels = http_channel.HttpChannels(types.Address("127.0.0.1", port))
+    outcomes = []
+    for _ in range(count):
+        request = http_exchange.HttpRequest("GET", "/")
+        outcomes.append(await channels.call(request, 1.0))
+        await asyncio.sleep(0.1)
+    server.close()
+    return outcomes, connections
+
+
+@behave.when("{count:d} calls are made one after the other")
+def step(context, count):
+    context.outcomes, context.connections = uvloop.run(
+        make_calls(context, count)
+    )
+
+
+@behave.then("all of them are answered on connections of their own")
+def step(context):
+    assert all(map(pipeline.is_successful, context.outcomes)), context.outcomes
+    assert context.connections == len(context.outcomes)
