Avoid workers that fail, stall or slow down what they start

A worker is suspect after two failures of jobs that failed nowhere else and is then tried with one task at a time; a task goes to a worker where it hasn't failed; a run without progress for 2.2 s is stopped and started elsewhere.

--- a/src/chervillead/jobs/job_state.py
+++ b/src/chervillead/jobs/job_state.py
@@ -7,10 +7,14 @@
 
 from collections import abc
 import enum
+import statistics
 import typing
 
 from chervillead.jobs import model
 
+# Runs of a step that must have ended before their median says anything.
+MIN_DURATIONS = 3
+
 
 class Phase(enum.Enum):
     """What callers are shown."""
@@ -74,6 +78,7 @@
         self.stop_reason = ""
         self.usage = 0
         self.progress_percent = 0
+        self.progress_since_s = begun_s
         self.pace_percent = 100
         self.checkpoint = ""
 
@@ -111,6 +116,8 @@
         self.checkpoints: dict[model.TaskKey, str] = {}
         self.runs: dict[model.TaskKey, list[Run]] = {}
         self.retry_at_s: dict[model.TaskKey, float] = {}
+        # Workers on which runs of a task failed, and of the job at all.
+        self.failed_on: dict[model.TaskKey, set[str]] = {}
         self.durations_s: dict[tuple[int, int], list[float]] = {}
         self.ended_s: float | None = None
         self.has_started = False
@@ -212,6 +219,24 @@
             for number in range(self.step(task).tasks)
         )
 
+    def note_failed_on(self, task: model.TaskKey, worker_id: str) -> bool:
+        """Notes that a run failed on a worker.
+
+        Returns:
+            Whether the worker may be at fault: no other one failed this job.
+        """
+        self.failed_on.setdefault(task, set()).add(worker_id)
+        return set().union(*self.failed_on.values()) == {worker_id}
+
+    def relative_duration(
+        self, task: model.TaskKey, duration_s: float
+    ) -> float | None:
+        """Returns a duration as a factor of the usual one of its step."""
+        known = self.durations_s.get((task.occurrence, task.step), [])
+        if len(known) < MIN_DURATIONS:
+            return None
+        return duration_s / max(0.001, statistics.median(known))
+
     def note_duration(self, task: model.TaskKey, duration_s: float) -> None:
         """Notes how long a run took that ended as done."""
         key = task.occurrence, task.step
--- a/src/chervillead/pools/partition_owner.py
+++ b/src/chervillead/pools/partition_owner.py
@@ -16,6 +16,7 @@
 from chervillead.pools import owner_state
 from chervillead.pools import placing
 from chervillead.pools import ports as ports_module
+from chervillead.pools import run_tracking
 from chervillead.pools import worker_book
 from chervillead.store import group_commit
 from chervillead.workers import pacing
@@ -113,6 +114,7 @@
         self._workers.expire()
         self._workers.settle()
         self._hosts.move_from_draining()
+        run_tracking.stop_stalled(state)
         self._drop_old_jobs()
         pacing.pace_workers(state.watches.values(), state.step_of)
         configuration = state.ports.configuration()
--- a/src/chervillead/pools/placing.py
+++ b/src/chervillead/pools/placing.py
@@ -130,13 +130,16 @@
         pool = ready.job.spec.pool
         taken = {run.worker_id for run in ready.job.runs.get(ready.task, ())}
         tickets = self._tickets(ready.job, ready.task)
-        return [
+        found = [
             site
             for worker_id, site in self._sites.items()
             if self._state.watches[worker_id].view.registration.pool == pool
             and worker_id not in taken
             and (tickets is None or worker_id in tickets)
         ]
+        failed_on = ready.job.failed_on.get(ready.task, set())
+        others = [site for site in found if site.worker_id not in failed_on]
+        return others or found
 
     def _begin(
         self, ready: readiness.ReadyTask, worker_id: str, number: int
--- a/src/chervillead/pools/run_tracking.py
+++ b/src/chervillead/pools/run_tracking.py
@@ -7,6 +7,7 @@
 from chervillead import verdicts
 from chervillead.jobs import job_state
 from chervillead.jobs import model
+from chervillead.jobs import worker_health
 from chervillead.pools import owner_state
 from chervillead.workers import interface as worker_interface
 from chervillead.workers import view as view_module
@@ -74,7 +75,9 @@
     if run.started_clock_ms is None:
         run.started_clock_ms = clock_ms
     run.usage = running.usage
-    run.progress_percent = running.progress_percent
+    if run.progress_percent != running.progress_percent:
+        run.progress_percent = running.progress_percent
+        run.progress_since_s = state.now_s()
     if job is None:
         state.stop_run(run, "unknown job")
         return
@@ -134,13 +137,10 @@
         how=end.kind.value,
     )
     state.ports.increment("chervillead_runs_ended", end.kind.value)
-    if end.kind in (job_state.EndKind.DONE, job_state.EndKind.FAILED):
-        view.recent_failures.append(end.kind is job_state.EndKind.FAILED)
     if run is not None:
+        _note_health(view, job, run, end.kind, now_s)
         if end.kind is job_state.EndKind.FAILED:
             _delay_retry(job, run, now_s)
-        if end.kind is job_state.EndKind.DONE:
-            job.note_duration(run.task, now_s - run.begun_s)
         job.remove_run(run)
     if job.is_done(end.run.task) or job.is_over:
         state.stop_runs(job.runs.get(end.run.task, ()), "another run is done")
@@ -149,6 +149,49 @@
     return job if changed else None
 
 
+def _note_health(
+    view: view_module.WorkerView,
+    job: job_state.JobState,
+    run: job_state.Run,
+    kind: job_state.EndKind,
+    now_s: float,
+) -> None:
+    """Notes what the end of a run says of its worker."""
+    if kind is job_state.EndKind.DONE:
+        duration_s = now_s - run.begun_s
+        view.health.note_done(job.relative_duration(run.task, duration_s))
+        job.note_duration(run.task, duration_s)
+    # A lasting task may fail at any time, on any worker.
+    if kind is not job_state.EndKind.FAILED or job.step(run.task).long_running:
+        return
+    if job.note_failed_on(run.task, view.worker_id):
+        view.health.note_failure(now_s)
+
+
+def stop_stalled(state: owner_state.OwnerState) -> None:
+    """Stops batch runs that make no progress, to start them elsewhere."""
+    now_s = state.now_s()
+    for worker_id, watch in state.watches.items():
+        if not state.in_contact(worker_id):
+            continue
+        for run in list(watch.view.runs.values()):
+            step = state.step_of(run)
+            if (
+                step is None
+                or step.long_running
+                or step.gang
+                or step.fills
+                or run.stop_wanted
+                or run.phase is not job_state.RunPhase.RUNNING
+                or not worker_health.is_stalled(run.progress_since_s, now_s)
+            ):
+                continue
+            state.log_run("run:stalled", run, progress=run.progress_percent)
+            watch.view.health.note_failure(now_s)
+            state.jobs[run.job_id].note_failed_on(run.task, worker_id)
+            watch.stop(run, "no progress")
+
+
 def _note_job_end(
     state: owner_state.OwnerState, job: job_state.JobState
 ) -> None:
--- a/src/chervillead/workers/view.py
+++ b/src/chervillead/workers/view.py
@@ -1,11 +1,11 @@
 """What the owner of a pool knows of one worker."""
 
-import collections
 import typing
 
 from chervillead.jobs import job_state
 from chervillead.jobs import model
 from chervillead.jobs import placement
+from chervillead.jobs import worker_health
 from chervillead.workers import interface
 
 # A worker's clock may be this much slower than ours, so that a lease lasts
@@ -40,9 +40,7 @@
         self.avoid_until_s = 0.0
         self.reserved_for_upkeep = False
         self.last_contact_s: float | None = None
-        self.recent_failures: collections.deque[bool] = collections.deque(
-            maxlen=8
-        )
+        self.health = worker_health.WorkerHealth()
         self._clock: ClockReading | None = None
         self._lease_until_clock_ms = 0
 
@@ -56,14 +54,6 @@
         """Whether it has answered this owner."""
         return self.incarnation is not None
 
-    @property
-    def risk(self) -> float:
-        """Share of the recent runs that failed; 0 for a sound worker."""
-        if len(self.recent_failures) < 3:
-            return 0.0
-        failed = sum(self.recent_failures) / len(self.recent_failures)
-        return failed if failed > 0.4 else 0.0
-
     def note_clock(self, clock_ms: int, now_s: float) -> None:
         """Notes a reading of the worker's clock."""
         if self._clock is None or clock_ms >= self._clock.clock_ms:
@@ -137,7 +127,7 @@
             step_tasks,
             serving,
             filling,
-            self.risk,
+            self.health.risk,
         )
 
     def takes_work(self, now_s: float, zones_out: frozenset[str]) -> bool:
@@ -150,4 +140,5 @@
             and not self.reserved_for_upkeep
             and self.registration.zone not in zones_out
             and self.avoid_until_s <= now_s
+            and self.health.takes_work(now_s, is_busy=bool(self.runs))
         )
--- a/tests/stand_ins/platform_worker.py
+++ b/tests/stand_ins/platform_worker.py
@@ -184,8 +184,14 @@
         return self._reply(200, Running=running, Ended=list(self._ended))
 
     def _progress(self, place: int) -> int:
-        ran_s = asyncio.get_running_loop().time() - self.records[place].began_s
-        return 100 if ran_s >= STARTUP_S else 0
+        """Returns the progress of a run; a lasting one is at work at 100."""
+        record = self.records[place]
+        ran_s = asyncio.get_running_loop().time() - record.began_s
+        if record.task.partition(".")[0] in self.lasting:
+            return 100 if ran_s >= STARTUP_S else 0
+        step = record.task.split(".")[2]
+        work_s = self.work_by_step.get(step, self.work_s)
+        return min(99, int(100 * ran_s / work_s))
 
     def _extend(self, until_ms: int) -> None:
         limit_ms = self.clock_ms() + MAX_LEASE_MS
