--- a/src/chervillead/pools/run_tracking.py
+++ b/src/chervillead/pools/run_tracking.py
@@ -249,7 +249,7 @@
         or run.stop_wanted
         or clock_ms is None
         or not state.permissions.may_start()
-        or not view.takes_work(now_s, state.ports.zones_out())
+        or not view.may_start(state.ports.zones_out())
     ):
         state.end_run(view, run, job_state.EndKind.VANISHED)
         break_gang(state, run)
--- a/src/chervillead/workers/view.py
+++ b/src/chervillead/workers/view.py
@@ -130,8 +130,8 @@
             self.health.risk,
         )
 
-    def takes_work(self, now_s: float, zones_out: frozenset[str]) -> bool:
-        """Returns whether new tasks may go to it."""
+    def may_start(self, zones_out: frozenset[str]) -> bool:
+        """Returns whether a start that was decided may still be sent."""
         return (
             self.is_registered
             and self.has_been_seen
@@ -139,6 +139,12 @@
             and not self.registration.is_draining
             and not self.reserved_for_upkeep
             and self.registration.zone not in zones_out
+        )
+
+    def takes_work(self, now_s: float, zones_out: frozenset[str]) -> bool:
+        """Returns whether new tasks should go to it."""
+        return (
+            self.may_start(zones_out)
             and self.avoid_until_s <= now_s
             and self.health.takes_work(now_s, is_busy=bool(self.runs))
         )
--- a/tests/pools/orders.feature
+++ b/tests/pools/orders.feature
@@ -38,6 +38,15 @@
     Then the job is shown as failed by every host
     And no task of it ran more than 3 times
 
+  Scenario: A suspect worker is tried again
+    # Guards against starts that are decided and then dropped for ever, because
+    # the run itself makes the worker busy.
+    Given a platform fleet of 2 hosts and 1 worker
+    When a job of 2 tasks that fail at first is submitted
+    And 9 s pass
+    Then the job is shown as completed by every host
+    And no task of it ran more than 3 times
+
   Scenario: A cancelled job stops
     # Guards against runs that go on, or begin, after a cancel was acknowledged.
     Given a platform fleet of 2 hosts and 2 workers
--- a/tests/steps/platform_fleet.py
+++ b/tests/steps/platform_fleet.py
@@ -212,6 +212,20 @@
     note(context, fail_and_submit)
 
 
+@behave.when("a job of {tasks:d} tasks that fail at first is submitted")
+def step(context, tasks):
+    async def fail_and_recover(fleet):
+        for worker in fleet.workers.values():
+            worker.failing.add(JOB)
+        outcome = await submit(fleet, [platform_fleet.step(tasks)])
+        await asyncio.sleep(0.7)
+        for worker in fleet.workers.values():
+            worker.failing.clear()
+        return outcome
+
+    note(context, fail_and_recover)
+
+
 @behave.when("a job of {tasks:d} tasks that last is submitted")
 def step(context, tasks):
     async def last_and_submit(fleet):
