Wait for the workers that the list of hosts names before taking tasks over

It now reads the list of hosts first, and waits for each worker that a running host names, or for the longest lease; without that list it waits until lapsed workers must be back.

Ruled out: a bound of the lease that is too short; the worker wasn't waited for.

--- a/src/chervillead/machines/upkeep_task.py
+++ b/src/chervillead/machines/upkeep_task.py
@@ -89,7 +89,7 @@
         orders_from_s = self._clock.monotonic() + self._back_s
         while True:
             if self._owner.workers.has_unseen():
-                await self._drop_ended_workers()
+                await self._look_at_hosts()
             waves = [w for w in self._ports.waves() if not self._is_over(w)]
             is_early = self._clock.monotonic() < orders_from_s
             if waves and not self._is_fenced and not is_early:
@@ -98,19 +98,21 @@
                     await self._advance(wave)
             await asyncio.sleep(PERIOD_S if waves else IDLE_PERIOD_S)
 
-    async def _drop_ended_workers(self) -> None:
-        """Looks whether workers that don't answer have ended.
+    async def _look_at_hosts(self) -> None:
+        """Looks which workers may live beside those that are known.
 
         A host that is up and names a worker may be cut off; one that is down,
         or names another worker, runs nothing of it any more.
         """
         listed = await self._ports.calls.list_machines()
         if pipeline.is_successful(listed):
-            self._owner.workers.drop_ended(
+            self._owner.workers.apply_hosts(
                 {
                     machine.worker_id
                     for machine in listed.unwrap()
                     if machine.state is interface.MachineState.UP
+                    and machine.worker_id
+                    and self._owns_pool(machine.pool)
                 }
             )
 
--- a/src/chervillead/pools/worker_book.py
+++ b/src/chervillead/pools/worker_book.py
@@ -14,6 +14,9 @@
 UNREACHABLE_S = 0.3
 # An owner that was replaced notices within this time at the latest.
 REPLACED_OWNER_S = 2.5
+# Without the list of hosts, workers that lapsed from the store's list while it
+# was away are waited for this long.
+HOSTS_PATIENCE_S = 2.5
 
 
 class WorkerBook:
@@ -23,6 +26,8 @@
         self._state = state
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._began_s = state.now_s()
+        # Workers that the list of hosts names; None before it was read.
+        self._expected: set[str] | None = None
 
     def update(
         self,
@@ -184,6 +189,8 @@
         if not state.unsettled or not state.watches:
             return
         now_s = state.now_s()
+        if self._is_list_incomplete(now_s):
+            return
         if any(
             not watch.view.has_been_seen
             and not watch.view.is_replaced
@@ -202,15 +209,45 @@
         )
         state.unsettled.clear()
 
+    def _is_list_incomplete(self, now_s: float) -> bool:
+        """Returns whether workers may run tasks that nobody has listed yet.
+
+        After an outage of the store, workers come back into its list one by
+        one, and those that are cut off don't; the list of hosts names them.
+        """
+        if self._expected is None:
+            return now_s - self._began_s < HOSTS_PATIENCE_S
+        lease_s = self._state.lease_ms / 1000 / view_module.SLOWEST_CLOCK
+        if now_s > self._began_s + REPLACED_OWNER_S + lease_s:
+            return False
+        return bool(self._missing())
+
+    def _missing(self) -> set[str]:
+        known = self._state.watches.keys() | self._state.ended_workers
+        return (self._expected or set()) - known
+
     def has_unseen(self) -> bool:
         """Returns whether jobs wait for workers that don't answer."""
-        return bool(self._state.unsettled) and any(
-            not watch.view.has_been_seen
-            for watch in self._state.watches.values()
+        if not self._state.unsettled:
+            return False
+        return (
+            self._expected is None
+            or bool(self._missing())
+            or any(
+                not watch.view.has_been_seen
+                for watch in self._state.watches.values()
+            )
         )
 
-    def drop_ended(self, living: abc.Container[str]) -> None:
-        """Drops workers that don't answer and whose host has another life."""
+    def apply_hosts(self, living: set[str]) -> None:
+        """Applies the list of hosts.
+
+        Args:
+            living: Workers of this owner's pools whose hosts are up. One that
+                isn't known yet may run tasks; one that doesn't answer and
+                isn't among them has ended.
+        """
+        self._expected = living
         for worker_id, watch in list(self._state.watches.items()):
             if not watch.view.has_been_seen and worker_id not in living:
                 self.close(worker_id, "its host runs no such worker")
--- a/tests/pools/takeover.feature
+++ b/tests/pools/takeover.feature
@@ -87,6 +87,18 @@
     Then the job is shown as completed by every host
     And the workers saw no broken promise
 
+  Scenario: A host that starts learns of the workers one by one
+    # Guards against a new owner that starts tasks before it knows the workers
+    # that lapsed from the list while the store was away.
+    Given a platform fleet of 3 hosts and 6 workers
+    And tasks work for 5 s
+    When a job of 6 tasks is submitted
+    And all hosts are killed and start again while workers come back one by one
+    And 30 s pass
+    Then the job is shown as completed by every host
+    And each task ran once
+    And the workers saw no broken promise
+
   Scenario: A worker crashes for good
     # Guards against looks that keep the lease of a silent worker alive in the
     # owner's books, so that its tasks never start elsewhere.
--- a/tests/steps/platform_fleet.py
+++ b/tests/steps/platform_fleet.py
@@ -320,6 +320,27 @@
     note(context, kill_all)
 
 
+@behave.when(
+    "all hosts are killed and start again while workers come back one by one"
+)
+def step(context):
+    async def kill_all(fleet):
+        await asyncio.sleep(0.3)
+        names = list(fleet.hosts)
+        for name in names:
+            await fleet.kill_host(name)
+        fleet.unlisted.update(fleet.workers)
+        await asyncio.sleep(0.6)
+        fleet.store.forget("keyed.servers")
+        for name in names:
+            fleet.start_host(name)
+        for worker_id in fleet.workers:
+            fleet.unlisted.discard(worker_id)
+            await asyncio.sleep(1.0)
+
+    note(context, kill_all)
+
+
 @behave.when("the owner is turned away by the store")
 def step(context):
     async def turn_away(fleet):
