--- a/tests/stand_ins/platform_fleet.py
+++ b/tests/stand_ins/platform_fleet.py
@@ -91,6 +91,8 @@
         workers: Workers by id.
         network: The network between all of them.
         logs: Log lines of all hosts.
+        unlisted: Workers that the store's list leaves out.
+        accepted: Jobs that were accepted, if the run keeps them.
     """
 
     def __init__(
@@ -109,6 +111,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._sequence = 0
         self.unlisted: set[str] = set()
+        self.accepted: list[str] = []
         # Workers that belong to the other pool.
         self.of_other_pool: set[str] = set()
 
--- /dev/null
+++ b/tests/steps/pools_random_faults.py
@@ -0,0 +1,83 @@
+"""Steps of tests/pools/random_faults.feature."""
+
+from unittest import mock
+
+import behave
+import hypothesis
+from hypothesis import strategies
+
+from chervillead.pools import worker_book
+from chervillead.workers import watch
+from stand_ins import random_faults
+
+
+def acknowledge_all(self):
+    self._view.acknowledged = self._view.applied_end
+
+
+def settle_at_once(self):
+    for job_id in self._state.unsettled:
+        self._state.jobs[job_id].unsettled_until_s = 0.0
+    self._state.unsettled.clear()
+
+
+PLANTED = {
+    "acknowledges ends before they are recorded": (
+        watch.WorkerWatch,
+        "_acknowledge_recorded",
+        acknowledge_all,
+    ),
+    "starts tasks without waiting for workers": (
+        worker_book.WorkerBook,
+        "settle",
+        settle_at_once,
+    ),
+}
+
+
+@behave.given("a product that {fault}")
+def step(context, fault):
+    patch = mock.patch.object(*PLANTED[fault])
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@behave.when("{count:d} lists of up to {most:d} faults are drawn and played")
+def step(context, count, most):
+    fault = strategies.tuples(
+        strategies.integers(0, len(random_faults.FAULTS) - 1),
+        strategies.sampled_from((0.1, 0.4, 1.0, 2.0)),
+    )
+
+    @hypothesis.settings(
+        max_examples=count,
+        deadline=None,
+        derandomize=True,
+        database=None,
+        phases=[hypothesis.Phase.generate],
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    @hypothesis.given(strategies.lists(fault, min_size=1, max_size=most))
+    def play(faults):
+        outcome = random_faults.run_seeded(faults, context.seed)
+        names = [random_faults.FAULTS[place].__name__ for place, _ in faults]
+        assert not outcome.violations, (names, faults, outcome)
+        phases = set(outcome.phases.values())
+        assert phases <= {"completed"}, (names, faults, outcome)
+
+    context.found = None
+    try:
+        play()
+    except AssertionError as error:
+        context.found = error
+
+
+@behave.then("no task ran twice and every accepted job was completed")
+def step(context):
+    if context.found is not None:
+        raise context.found
+
+
+@behave.then("a broken promise is found")
+def step(context):
+    assert context.found is not None
