Read the settings anew on SIGHUP

Cause: SIGHUP wrote a line and changed nothing. The bound on the age of the configuration now takes effect, the changed fields are logged, and a file that can't be used changes nothing.

--- a/src/chervillead/platform/__main__.py
+++ b/src/chervillead/platform/__main__.py
@@ -16,13 +16,13 @@
 
 def main() -> int:
     """Runs the host and returns the exit status of the process."""
-    path = os.environ.get(settings.SETTINGS_VARIABLE, "")
-    checked = settings.load_settings(pathlib.Path(path))
+    path = pathlib.Path(os.environ.get(settings.SETTINGS_VARIABLE, ""))
+    checked = settings.load_settings(path)
     if not pipeline.is_successful(checked):
         print(checked.failure(), file=sys.stderr)
         return EXIT_BAD_SETTINGS
     log = bounded_logs.write_bounded_logs()
-    uvloop.run(daemon.serve(checked.unwrap()))
+    uvloop.run(daemon.serve(checked.unwrap(), path))
     log.flush()
     return 0
 
--- a/src/chervillead/platform/daemon.py
+++ b/src/chervillead/platform/daemon.py
@@ -3,10 +3,12 @@
 import asyncio
 import contextlib
 import gc
+import pathlib
 import signal
 import socket
 import time
 
+from returns import pipeline
 import uvicorn
 
 from chervillead import bounded_logs
@@ -24,8 +26,10 @@
 GC_THRESHOLDS = (20_000, 20, 100)
 
 
-async def serve(settings: settings_module.EntrySettings) -> None:
-    """Runs an entry host until SIGTERM."""
+async def serve(
+    settings: settings_module.EntrySettings, path: pathlib.Path
+) -> None:
+    """Runs an entry host until SIGTERM; SIGHUP reads its settings anew."""
     loop = asyncio.get_running_loop()
     host = assembly.EntryHost(
         settings,
@@ -34,9 +38,7 @@
     )
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, host.stopping.set)
-    loop.add_signal_handler(
-        signal.SIGHUP, lambda: host.log("process:reload", changed=[])
-    )
+    loop.add_signal_handler(signal.SIGHUP, lambda: reload_settings(host, path))
     host.log(
         "process:start",
         zone=settings.zone,
@@ -59,6 +61,28 @@
     host.log("process:stopped")
 
 
+def reload_settings(host: assembly.EntryHost, path: pathlib.Path) -> None:
+    """Reads the settings anew; a file that can't be used changes nothing."""
+    loaded = settings_module.load_settings(path)
+    if not pipeline.is_successful(loaded):
+        host.log("process:reload-refused", problem=str(loaded.failure()))
+        return
+    found = loaded.unwrap()
+    changed = [
+        name
+        for name, former, value in zip(
+            found._fields, host.settings, found, strict=True
+        )
+        if former != value
+    ]
+    # Addresses are bound and owners hold their limits, so the rest takes
+    # effect at the next start.
+    host.settings = host.settings._replace(
+        config_max_age_s=found.config_max_age_s
+    )
+    host.log("process:reload", changed=changed, applied=["config_max_age_s"])
+
+
 def _note_end(host: assembly.EntryHost, task: asyncio.Task[None]) -> None:
     """Ends the process when one of its tasks fails; it starts anew."""
     if task.cancelled() or host.stopping.is_set():
--- a/tests/platform/calls.feature
+++ b/tests/platform/calls.feature
@@ -96,6 +96,17 @@
       | {"Service":"a","Address":"10.0.0.1:80","State":"sleeping"}    |
       | {"Service":7,"Address":"10.0.0.1:80","State":"ready"}         |
 
+  Scenario Outline: Settings are read anew
+    # Guards against a file that is half written and stops a running host.
+    When the settings file changes to <content> and is read anew
+    Then the bound on the age of the configuration is <bound> s
+    And the log has the line <line>
+
+    Examples:
+      | content            | bound | line                   |
+      | RevokeMs of 2500   | 2     | process:reload         |
+      | an unreadable text | 4     | process:reload-refused |
+
   Scenario Outline: Bad settings are named before anything starts
     # Guards against a host that starts with settings it can't use.
     When the platform's settings have <field> set to <value>
--- a/tests/steps/platform_adapter.py
+++ b/tests/steps/platform_adapter.py
@@ -1,11 +1,17 @@
 """Steps of tests/platform/calls.feature that need no fleet."""
 
+import asyncio
+import pathlib
+import tempfile
+
 import behave
 import msgspec
 from returns import pipeline
 import yaml
 
 from chervillead.jobs import model
+from chervillead.platform import assembly
+from chervillead.platform import daemon
 from chervillead.platform import job_bodies
 from chervillead.platform import registrations
 from chervillead.platform import settings as settings_module
@@ -54,6 +60,40 @@
     assert context.entry is None
 
 
+@behave.when("the settings file changes to {content} and is read anew")
+def step(context, content):
+    settings = settings_module.decode_settings(yaml.safe_load(SETTINGS))
+    context.lines = []
+
+    async def read_anew():
+        host = assembly.EntryHost(
+            settings.unwrap(),
+            lambda message_type, **fields: context.lines.append(message_type),
+            assembly.Surroundings(),
+        )
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "settings.yaml"
+            path.write_text(
+                SETTINGS.replace("5000", "2500")
+                if content.startswith("RevokeMs")
+                else "Node: ["
+            )
+            daemon.reload_settings(host, path)
+        return host
+
+    context.host = asyncio.run(read_anew())
+
+
+@behave.then("the bound on the age of the configuration is {bound:g} s")
+def step(context, bound):
+    assert context.host.settings.config_max_age_s == bound
+
+
+@behave.then("the log has the line {line}")
+def step(context, line):
+    assert line in context.lines, context.lines
+
+
 @behave.when("the platform's settings have {field} set to {value}")
 def step(context, field, value):
     document = yaml.safe_load(SETTINGS)
