Split runs, starts and record codec out, and explain every reason and line

It now also collects the log lines of hosts on the platform, and reads OPERATIONS.md beside the runbook.

--- a/src/chervillead/jobs/job_state.py
+++ b/src/chervillead/jobs/job_state.py
@@ -8,9 +8,9 @@
 from collections import abc
 import enum
 import statistics
-import typing
 
 from chervillead.jobs import model
+from chervillead.jobs import task_runs
 
 # Runs of a step that must have ended before their median says anything.
 MIN_DURATIONS = 3
@@ -26,84 +26,6 @@
     CANCELLED = "cancelled"
 
 
-class EndKind(enum.Enum):
-    """How a run ended."""
-
-    DONE = "done"
-    FAILED = "failed"
-    STOPPED = "stopped"
-    LEASE_EXPIRED = "lease-expired"
-    GANG_BROKEN = "gang-broken"
-    GANG_INCOMPLETE = "gang-incomplete"
-    VANISHED = "vanished"
-
-
-class RunPhase(enum.Enum):
-    """What the owner knows of a run on a worker."""
-
-    STARTING = "starting"
-    RUNNING = "running"
-    UNCERTAIN = "uncertain"
-    STOPPING = "stopping"
-
-
-class Run:
-    """One run of a task on one worker, as its owner knows it."""
-
-    def __init__(
-        self,
-        job_id: str,
-        task: model.TaskKey,
-        number: int,
-        worker_id: str,
-        *,
-        reserved: model.Resources,
-        begun_s: float,
-        phase: RunPhase = RunPhase.STARTING,
-    ) -> None:
-        self.job_id = job_id
-        self.task = task
-        self.number = number
-        self.worker_id = worker_id
-        self.reserved = reserved
-        self.begun_s = begun_s
-        self.phase = phase
-        # Readings of the worker's clock: the answer to the start, the answer
-        # to a stop, and the last time at which an unanswered start may begin.
-        self.started_clock_ms: int | None = None
-        self.stopped_clock_ms: int | None = None
-        self.start_by_clock_ms = 0
-        self.ticket = ""
-        self.stop_wanted = False
-        self.stop_reason = ""
-        self.usage = 0
-        self.progress_percent = 0
-        self.progress_since_s = begun_s
-        self.pace_percent = 100
-        self.checkpoint = ""
-
-    @property
-    def key(self) -> "RunKey":
-        """Name of the run on its worker."""
-        return RunKey(self.job_id, self.task, self.number)
-
-
-class RunKey(typing.NamedTuple):
-    """Name of a run."""
-
-    job_id: str
-    task: model.TaskKey
-    number: int
-
-
-class End(typing.NamedTuple):
-    """The end of a run as its worker reports it."""
-
-    run: RunKey
-    kind: EndKind
-    checkpoint: str = ""
-
-
 class JobState:
     """One job: its spec, its progress and the runs under way."""
 
@@ -114,7 +36,7 @@
         self.failed_runs: dict[model.TaskKey, set[int]] = {}
         self.highest_run: dict[model.TaskKey, int] = {}
         self.checkpoints: dict[model.TaskKey, str] = {}
-        self.runs: dict[model.TaskKey, list[Run]] = {}
+        self.runs: dict[model.TaskKey, list[task_runs.Run]] = {}
         self.retry_at_s: dict[model.TaskKey, float] = {}
         # Workers on which runs of a task failed, and of the job at all.
         self.failed_on: dict[model.TaskKey, set[str]] = {}
@@ -188,7 +110,7 @@
         done = self.done.get((occurrence, number), ())
         return len(done) >= self._spec.steps[number].tasks
 
-    def active_runs(self) -> abc.Iterator[Run]:
+    def active_runs(self) -> abc.Iterator[task_runs.Run]:
         """Yields all runs that may be on a worker."""
         for runs in self.runs.values():
             yield from runs
@@ -242,16 +164,16 @@
         key = task.occurrence, task.step
         self.durations_s.setdefault(key, []).append(duration_s)
 
-    def add_run(self, run: Run) -> None:
+    def add_run(self, run: task_runs.Run) -> None:
         """Notes a run that was ordered or found on a worker."""
         task = run.task
         self.runs.setdefault(task, []).append(run)
         self.highest_run[task] = max(self.highest_run.get(task, 0), run.number)
         self.waiting[task.occurrence, task.step].discard(task.number)
-        if run.phase is RunPhase.RUNNING:
+        if run.phase is task_runs.RunPhase.RUNNING:
             self.has_started = True
 
-    def remove_run(self, run: Run) -> None:
+    def remove_run(self, run: task_runs.Run) -> None:
         """Forgets a run that certainly is on no worker any more."""
         runs = self.runs.get(run.task, [])
         if run in runs:
@@ -262,18 +184,9 @@
                 key = run.task.occurrence, run.task.step
                 self.waiting[key].add(run.task.number)
 
-    def find_run(self, key: RunKey, worker_id: str) -> Run | None:
-        """Returns the run of that name on that worker."""
-        return next(
-            (
-                run
-                for run in self.runs.get(key.task, ())
-                if run.number == key.number and run.worker_id == worker_id
-            ),
-            None,
-        )
-
-    def note_end(self, end: End, max_attempts: int, now_s: float) -> bool:
+    def note_end(
+        self, end: task_runs.End, max_attempts: int, now_s: float
+    ) -> bool:
         """Applies the end of a run.
 
         Returns:
@@ -287,10 +200,13 @@
             self.checkpoints[task] = end.checkpoint
         if self.is_done(task):
             return False
-        if end.kind is EndKind.DONE and not self.step(task).long_running:
+        if (
+            end.kind is task_runs.EndKind.DONE
+            and not self.step(task).long_running
+        ):
             self._note_done(task, now_s)
             return True
-        if end.kind is EndKind.FAILED:
+        if end.kind is task_runs.EndKind.FAILED:
             return self._note_failure(end, max_attempts, now_s)
         return False
 
@@ -306,7 +222,9 @@
         if self.is_completed:
             self.ended_s = now_s
 
-    def _note_failure(self, end: End, max_attempts: int, now_s: float) -> bool:
+    def _note_failure(
+        self, end: task_runs.End, max_attempts: int, now_s: float
+    ) -> bool:
         task = end.run.task
         if self.step(task).long_running:
             return False
--- a/src/chervillead/jobs/placement.py
+++ b/src/chervillead/jobs/placement.py
@@ -8,8 +8,8 @@
 from collections import abc
 import typing
 
-from chervillead.jobs import job_state
 from chervillead.jobs import model
+from chervillead.jobs import task_runs
 
 
 class Site(typing.NamedTuple):
@@ -126,9 +126,9 @@
 def victims(
     site: Site,
     step: model.Step,
-    runs: abc.Collection[job_state.Run],
+    runs: abc.Collection[task_runs.Run],
     now_s: float,
-) -> list[job_state.Run] | None:
+) -> list[task_runs.Run] | None:
     """Returns the fewest batch runs whose room a task needs, or None.
 
     Runs that began last go first, as they lose the least work. What is being
@@ -144,7 +144,7 @@
     )
     for run in stopping:
         free = free.plus(run.reserved)
-    chosen: list[job_state.Run] = []
+    chosen: list[task_runs.Run] = []
     for run in others:
         if free.covers(step.reserved):
             break
--- a/src/chervillead/jobs/speculation.py
+++ b/src/chervillead/jobs/speculation.py
@@ -9,6 +9,7 @@
 
 from chervillead.jobs import job_state
 from chervillead.jobs import readiness
+from chervillead.jobs import task_runs
 
 # A task that takes this many times the median of its step is a straggler.
 STRAGGLER_FACTOR = 2.0
@@ -43,11 +44,11 @@
 
 
 def _is_straggling(
-    runs: list[job_state.Run], limit_s: float, now_s: float
+    runs: list[task_runs.Run], limit_s: float, now_s: float
 ) -> bool:
     return (
         len(runs) == 1
-        and runs[0].phase is job_state.RunPhase.RUNNING
+        and runs[0].phase is task_runs.RunPhase.RUNNING
         and not runs[0].stop_wanted
         and now_s - runs[0].begun_s > limit_s
     )
--- a/src/chervillead/jobs/upkeep.py
+++ b/src/chervillead/jobs/upkeep.py
@@ -10,6 +10,7 @@
 
 from chervillead.jobs import job_state
 from chervillead.jobs import model
+from chervillead.jobs import task_runs
 
 # Time that is kept free at the end of a wave.
 MARGIN_S = 3.0
@@ -112,10 +113,10 @@
     return [c.machine for c in allowed][: max(0, slots)]
 
 
-def is_at_work(run: job_state.Run) -> bool:
+def is_at_work(run: task_runs.Run) -> bool:
     """Returns whether a run of a lasting task serves."""
     return (
-        run.phase is job_state.RunPhase.RUNNING
+        run.phase is task_runs.RunPhase.RUNNING
         and not run.stop_wanted
         and run.progress_percent >= 100
         and run.pace_percent == 100
--- a/src/chervillead/platform/store_client.py
+++ b/src/chervillead/platform/store_client.py
@@ -3,7 +3,6 @@
 import base64
 import binascii
 from collections import abc
-import struct
 import typing
 import urllib.parse
 
@@ -15,6 +14,7 @@
 from chervillead import http_exchange
 from chervillead import types
 from chervillead import verdicts
+from chervillead.platform import store_records
 from chervillead.store import interface
 
 # The store answers within milliseconds; a connection that lost an answer
@@ -22,9 +22,6 @@
 TIMEOUT_S = 0.7
 MAX_PAGES = 10_000
 
-_LENGTH = struct.Struct(">I")
-_HEAD = struct.Struct(">QQ")
-
 _REFUSED = {
     "fenced": interface.Refused.FENCED,
     "seq": interface.Refused.SEQUENCE,
@@ -137,39 +134,6 @@
     )
 
 
-def encode_records(records: abc.Iterable[interface.KeyedRecord]) -> bytes:
-    """Returns records as an append carries them."""
-    return b"".join(
-        _LENGTH.pack(1 + len(key) + len(record.value))
-        + bytes([len(key)])
-        + key
-        + record.value
-        for record in records
-        for key in (record.key.encode(),)
-    )
-
-
-def decode_records(
-    data: bytes, first_offset: int
-) -> abc.Iterator[interface.KeyedRecord]:
-    """Yields the records of a read; those without a readable key are empty."""
-    position = 0
-    offset = first_offset
-    while position + _LENGTH.size <= len(data):
-        (length,) = _LENGTH.unpack_from(data, position)
-        position += _LENGTH.size
-        content = data[position : position + length]
-        position += length
-        yield _decode_record(content, offset)
-        offset += 1
-
-
-def _decode_record(content: bytes, offset: int) -> interface.KeyedRecord:
-    key_length = content[0] if content else 0
-    key = content[1 : 1 + key_length].decode(errors="replace")
-    return interface.KeyedRecord(key, content[1 + key_length :], offset)
-
-
 def _append(call: _Call) -> typing.Any:
     async def append(
         topic: str,
@@ -183,7 +147,11 @@
             query["epoch"] = producer.epoch
             query["Seq"] = producer.sequence
         reply = await call(
-            "POST", "/log-append", query, encode_records(records), TIMEOUT_S
+            "POST",
+            "/log-append",
+            query,
+            store_records.encode_records(records),
+            TIMEOUT_S,
         )
         return reply.map(lambda found: _fields(found.body).get("End", 0))
 
@@ -207,9 +175,9 @@
         if not pipeline.is_successful(reply):
             return result.Failure(reply.failure())
         body = reply.unwrap().body
-        if len(body) < _HEAD.size:
+        if len(body) < store_records.HEAD.size:
             return result.Failure(_malformed("/log-read", EOFError()))
-        records = tuple(decode_records(body[_HEAD.size :], offset))
+        records = tuple(store_records.decode_page(body, offset))
         return result.Success(
             interface.ReadPage(records, offset + len(records))
         )
--- a/src/chervillead/platform/worker_client.py
+++ b/src/chervillead/platform/worker_client.py
@@ -10,8 +10,8 @@
 from chervillead import http_channel
 from chervillead import http_exchange
 from chervillead import verdicts
-from chervillead.jobs import job_state
 from chervillead.jobs import model
+from chervillead.jobs import task_runs
 from chervillead.workers import interface
 
 # A worker answers an order within milliseconds; one whose answer is lost
@@ -20,12 +20,12 @@
 LOOK_TIMEOUT_S = 0.5
 
 _END_KINDS = {
-    "done": job_state.EndKind.DONE,
-    "failed": job_state.EndKind.FAILED,
-    "stopped": job_state.EndKind.STOPPED,
-    "lapsed": job_state.EndKind.LEASE_EXPIRED,
-    "broken": job_state.EndKind.GANG_BROKEN,
-    "alone": job_state.EndKind.GANG_INCOMPLETE,
+    "done": task_runs.EndKind.DONE,
+    "failed": task_runs.EndKind.FAILED,
+    "stopped": task_runs.EndKind.STOPPED,
+    "lapsed": task_runs.EndKind.LEASE_EXPIRED,
+    "broken": task_runs.EndKind.GANG_BROKEN,
+    "alone": task_runs.EndKind.GANG_INCOMPLETE,
 }
 _REFUSED = {
     "fence": interface.Refused.FENCED,
@@ -42,13 +42,13 @@
 }
 
 
-def task_name(run: job_state.RunKey) -> str:
+def task_name(run: task_runs.RunKey) -> str:
     """Returns the name of a run's task on the wire."""
     task = run.task
     return f"{run.job_id}.{task.occurrence}.{task.step}.{task.number}"
 
 
-def parse_task_name(name: str, run: int) -> job_state.RunKey:
+def parse_task_name(name: str, run: int) -> task_runs.RunKey:
     """Returns the run of a task name and a run number.
 
     Raises:
@@ -56,7 +56,7 @@
     """
     job_id, occurrence, step, index = name.split(".")
     task = model.TaskKey(int(occurrence), int(step), int(index))
-    return job_state.RunKey(job_id, task, run)
+    return task_runs.RunKey(job_id, task, run)
 
 
 def opener(
@@ -137,11 +137,11 @@
             fields["Ticket"] = start.ticket
         return await order("/run-start", **fields)
 
-    async def stop(run: job_state.RunKey) -> interface.OrderOutcome:
+    async def stop(run: task_runs.RunKey) -> interface.OrderOutcome:
         return await order("/run-stop", Task=task_name(run), Run=run.number)
 
     async def pace(
-        run: job_state.RunKey, percent: int
+        run: task_runs.RunKey, percent: int
     ) -> interface.OrderOutcome:
         return await order(
             "/pace", Task=task_name(run), Run=run.number, Percent=percent
@@ -219,7 +219,7 @@
         ended=tuple(
             interface.EndedRun(
                 row[0],
-                job_state.End(
+                task_runs.End(
                     parse_task_name(row[1], row[2]),
                     _END_KINDS[row[3]],
                     row[4] or "",
--- a/src/chervillead/pools/host_emptying.py
+++ b/src/chervillead/pools/host_emptying.py
@@ -1,6 +1,6 @@
 """What upkeep asks of an owner: emptying hosts without breaking budgets."""
 
-from chervillead.jobs import job_state
+from chervillead.jobs import task_runs
 from chervillead.jobs import upkeep
 from chervillead.pools import owner_state
 from chervillead.pools import worker_book
@@ -78,6 +78,6 @@
                 if self._is_lasting(run) and not run.stop_wanted:
                     watch.stop(run, "its worker is draining")
 
-    def _is_lasting(self, run: job_state.Run) -> bool:
+    def _is_lasting(self, run: task_runs.Run) -> bool:
         step = self._state.step_of(run)
         return step is not None and step.long_running
--- a/src/chervillead/pools/job_router.py
+++ b/src/chervillead/pools/job_router.py
@@ -6,7 +6,6 @@
 
 import asyncio
 from collections import abc
-import typing
 
 from returns import pipeline
 from returns import result
@@ -154,8 +153,3 @@
     if may_have_run and refusal.verdict is verdicts.Verdict.NOT_RUN:
         return verdicts.may_have_run(refusal.reason, 504, refusal.detail)
     return refusal
-
-
-Call: typing.TypeAlias = abc.Callable[
-    [job_messages.JobCall, float], abc.Awaitable[ReplyOutcome]
-]
--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -7,6 +7,7 @@
 from chervillead.jobs import job_state
 from chervillead.jobs import model
 from chervillead.jobs import records
+from chervillead.jobs import task_runs
 from chervillead.pools import ports as ports_module
 from chervillead.store import group_commit
 from chervillead.workers import view as view_module
@@ -112,7 +113,7 @@
         self._ports.log(message_type, **fields)
 
     def log_run(
-        self, message_type: str, run: job_state.Run, **fields: object
+        self, message_type: str, run: task_runs.Run, **fields: object
     ) -> None:
         """Writes a log line about a run."""
         self._ports.log(
@@ -146,7 +147,7 @@
             and not self._writer.failing_for_s()
         )
 
-    def step_of(self, run: job_state.Run) -> model.Step | None:
+    def step_of(self, run: task_runs.Run) -> model.Step | None:
         """Returns the step of a run, or None if its job isn't known."""
         job = self.jobs.get(run.job_id)
         if job is None or not job.has(run.task):
@@ -167,13 +168,13 @@
             records.encode_progress(job),
         )
 
-    def stop_run(self, run: job_state.Run, reason: str) -> None:
+    def stop_run(self, run: task_runs.Run, reason: str) -> None:
         """Has a run stopped."""
         watch = self.watches.get(run.worker_id)
         if watch is not None:
             watch.stop(run, reason)
 
-    def stop_runs(self, runs: abc.Iterable[job_state.Run], reason: str) -> None:
+    def stop_runs(self, runs: abc.Iterable[task_runs.Run], reason: str) -> None:
         """Has runs stopped."""
         for run in list(runs):
             self.stop_run(run, reason)
@@ -181,8 +182,8 @@
     def end_run(
         self,
         view: view_module.WorkerView,
-        run: job_state.Run,
-        kind: job_state.EndKind,
+        run: task_runs.Run,
+        kind: task_runs.EndKind,
     ) -> None:
         """Ends a run that its worker never reported as ended."""
         view.runs.pop(run.key, None)
--- a/src/chervillead/pools/placing.py
+++ b/src/chervillead/pools/placing.py
@@ -14,6 +14,7 @@
 from chervillead.jobs import placement
 from chervillead.jobs import readiness
 from chervillead.jobs import speculation
+from chervillead.jobs import task_runs
 from chervillead.pools import owner_state
 
 Tickets = abc.Callable[
@@ -144,7 +145,7 @@
     def _begin(
         self, ready: readiness.ReadyTask, worker_id: str, number: int
     ) -> None:
-        run = job_state.Run(
+        run = task_runs.Run(
             ready.job.spec.job_id,
             ready.task,
             number,
@@ -186,7 +187,7 @@
             )
             self._state.stop_runs(victims, "preempted by a lasting task")
 
-    def _is_lasting(self, run: job_state.Run) -> bool:
+    def _is_lasting(self, run: task_runs.Run) -> bool:
         step = self._state.step_of(run)
         return step is not None and step.long_running
 
--- a/src/chervillead/pools/run_tracking.py
+++ b/src/chervillead/pools/run_tracking.py
@@ -1,23 +1,18 @@
-"""Applies what workers say of their runs: looks and answers to starts."""
+"""Applies what workers list of their runs and ends."""
 
 import asyncio
 
-from returns import pipeline
-
-from chervillead import verdicts
 from chervillead.jobs import job_state
 from chervillead.jobs import model
+from chervillead.jobs import task_runs
 from chervillead.jobs import worker_health
 from chervillead.pools import owner_state
 from chervillead.workers import interface as worker_interface
 from chervillead.workers import view as view_module
-from chervillead.workers import watch as watch_module
 
 # A task whose run failed waits this long, doubled for each failure.
 RETRY_DELAY_S = 0.05
 MAX_RETRY_DELAY_S = 1.0
-# A worker that said that it has no room is left alone for this time.
-NO_ROOM_S = 0.2
 # Attempts of a job whose queue operators have removed.
 UNBOUNDED_ATTEMPTS = 1_000_000
 
@@ -35,7 +30,7 @@
     now_s = state.now_s()
     if view.incarnation != look.incarnation:
         for run in view.forget_life(look.incarnation):
-            state.end_run(view, run, job_state.EndKind.VANISHED)
+            state.end_run(view, run, task_runs.EndKind.VANISHED)
         # A former owner may just have extended the lease to its limit.
         view.extend_lease(look.clock_ms + state.lease_ms)
     view.note_clock(look.clock_ms, now_s)
@@ -68,10 +63,10 @@
         job = None
     run = view.runs.get(running.run) or _adopt(state, view, running.run, job)
     if run.phase in (
-        job_state.RunPhase.STARTING,
-        job_state.RunPhase.UNCERTAIN,
+        task_runs.RunPhase.STARTING,
+        task_runs.RunPhase.UNCERTAIN,
     ):
-        run.phase = job_state.RunPhase.RUNNING
+        run.phase = task_runs.RunPhase.RUNNING
     if run.started_clock_ms is None:
         run.started_clock_ms = clock_ms
     run.usage = running.usage
@@ -93,18 +88,18 @@
 def _adopt(
     state: owner_state.OwnerState,
     view: view_module.WorkerView,
-    key: job_state.RunKey,
+    key: task_runs.RunKey,
     job: job_state.JobState | None,
-) -> job_state.Run:
+) -> task_runs.Run:
     """Takes over a run that a former owner started."""
-    run = job_state.Run(
+    run = task_runs.Run(
         key.job_id,
         key.task,
         key.number,
         view.worker_id,
         reserved=model.Resources(),
         begun_s=state.now_s(),
-        phase=job_state.RunPhase.RUNNING,
+        phase=task_runs.RunPhase.RUNNING,
     )
     if job is not None:
         run.reserved = job.step(key.task).reserved
@@ -117,7 +112,7 @@
 def _apply_end(
     state: owner_state.OwnerState,
     view: view_module.WorkerView,
-    end: job_state.End,
+    end: task_runs.End,
 ) -> job_state.JobState | None:
     """Applies an end; returns the job if its lasting progress changed."""
     job = state.jobs.get(end.run.job_id)
@@ -139,7 +134,7 @@
     state.ports.increment("chervillead_runs_ended", end.kind.value)
     if run is not None:
         _note_health(view, job, run, end.kind, now_s)
-        if end.kind is job_state.EndKind.FAILED:
+        if end.kind is task_runs.EndKind.FAILED:
             _delay_retry(job, run, now_s)
         job.remove_run(run)
     if job.is_done(end.run.task) or job.is_over:
@@ -152,17 +147,17 @@
 def _note_health(
     view: view_module.WorkerView,
     job: job_state.JobState,
-    run: job_state.Run,
-    kind: job_state.EndKind,
+    run: task_runs.Run,
+    kind: task_runs.EndKind,
     now_s: float,
 ) -> None:
     """Notes what the end of a run says of its worker."""
-    if kind is job_state.EndKind.DONE:
+    if kind is task_runs.EndKind.DONE:
         duration_s = now_s - run.begun_s
         view.health.note_done(job.relative_duration(run.task, duration_s))
         job.note_duration(run.task, duration_s)
     # A lasting task may fail at any time, on any worker.
-    if kind is not job_state.EndKind.FAILED or job.step(run.task).long_running:
+    if kind is not task_runs.EndKind.FAILED or job.step(run.task).long_running:
         return
     if job.note_failed_on(run.task, view.worker_id):
         view.health.note_failure(now_s)
@@ -182,7 +177,7 @@
                 or step.gang
                 or step.fills
                 or run.stop_wanted
-                or run.phase is not job_state.RunPhase.RUNNING
+                or run.phase is not task_runs.RunPhase.RUNNING
                 or not worker_health.is_stalled(run.progress_since_s, now_s)
             ):
                 continue
@@ -202,7 +197,7 @@
 
 
 def _delay_retry(
-    job: job_state.JobState, run: job_state.Run, now_s: float
+    job: job_state.JobState, run: task_runs.Run, now_s: float
 ) -> None:
     failures = len(job.failed_runs.get(run.task, ()))
     delay_s = min(MAX_RETRY_DELAY_S, RETRY_DELAY_S * 2**failures)
@@ -212,7 +207,7 @@
 def _drop_unlisted(
     state: owner_state.OwnerState,
     view: view_module.WorkerView,
-    listed: set[job_state.RunKey],
+    listed: set[task_runs.RunKey],
     clock_ms: int,
 ) -> None:
     """Ends runs that a worker should list but doesn't."""
@@ -222,134 +217,12 @@
         started = run.started_clock_ms
         stopped = run.stopped_clock_ms
         if started is not None and clock_ms > started:
-            state.end_run(view, run, job_state.EndKind.VANISHED)
-        elif run.phase is job_state.RunPhase.UNCERTAIN:
+            state.end_run(view, run, task_runs.EndKind.VANISHED)
+        elif run.phase is task_runs.RunPhase.UNCERTAIN:
             # A stop that was carried out shuts the run out for good, and so
             # does the last moment at which it could have started.
             barrier = run.start_by_clock_ms if stopped is None else stopped
             if clock_ms > barrier:
-                state.end_run(view, run, job_state.EndKind.VANISHED)
+                state.end_run(view, run, task_runs.EndKind.VANISHED)
             elif stopped is None and not run.stop_wanted:
                 state.stop_run(run, "no answer")
-
-
-def start_order(
-    state: owner_state.OwnerState,
-    view: view_module.WorkerView,
-    run: job_state.Run,
-) -> worker_interface.StartOrder | None:
-    """Returns the order for a run, checked once more just before it."""
-    now_s = state.now_s()
-    job = state.jobs.get(run.job_id)
-    clock_ms = view.clock_at(now_s)
-    if (
-        job is None
-        or job.is_over
-        or job.is_done(run.task)
-        or run.stop_wanted
-        or clock_ms is None
-        or not state.permissions.may_start()
-        or not view.may_start(state.ports.zones_out())
-    ):
-        state.end_run(view, run, job_state.EndKind.VANISHED)
-        break_gang(state, run)
-        return None
-    return worker_interface.StartOrder(
-        run.key,
-        job.spec.payload,
-        clock_ms + watch_module.START_WINDOW_MS,
-        job.checkpoint_for(run.task),
-        run.ticket,
-    )
-
-
-def start_answered(
-    state: owner_state.OwnerState,
-    view: view_module.WorkerView,
-    run: job_state.Run,
-    outcome: worker_interface.OrderOutcome,
-) -> None:
-    """Applies the answer to a start, or its absence."""
-    if pipeline.is_successful(outcome):
-        _start_accepted(state, view, run, outcome.unwrap())
-        return
-    failure = outcome.failure()
-    refused = failure.refused
-    state.log_run(
-        "run:start-failed",
-        run,
-        verdict=failure.verdict.value,
-        refused=refused and refused.value,
-        error=failure.detail,
-    )
-    state.ports.increment(
-        "chervillead_starts", refused.value if refused else "unanswered"
-    )
-    if failure.verdict is verdicts.Verdict.MAY_HAVE_RUN:
-        if run.phase is job_state.RunPhase.STARTING:
-            run.phase = job_state.RunPhase.UNCERTAIN
-        watch = state.watches.get(view.worker_id)
-        if watch is not None:
-            watch.wake()
-    else:
-        _note_refusal(state, view, refused)
-        state.end_run(view, run, job_state.EndKind.VANISHED)
-    break_gang(state, run)
-
-
-def _start_accepted(
-    state: owner_state.OwnerState,
-    view: view_module.WorkerView,
-    run: job_state.Run,
-    clock_ms: int,
-) -> None:
-    view.note_clock(clock_ms, state.now_s())
-    if run.key not in view.runs:
-        return
-    run.started_clock_ms = clock_ms
-    if run.phase is job_state.RunPhase.STARTING:
-        run.phase = job_state.RunPhase.RUNNING
-    job = state.jobs.get(run.job_id)
-    if job is not None:
-        job.has_started = True
-    state.log_run("run:started", run, token=state.token)
-    state.ports.increment("chervillead_starts", "accepted")
-    if run.stop_wanted:
-        state.stop_run(run, run.stop_reason)
-
-
-def _note_refusal(
-    state: owner_state.OwnerState,
-    view: view_module.WorkerView,
-    refused: worker_interface.Refused | None,
-) -> None:
-    now_s = state.now_s()
-    if refused is worker_interface.Refused.FENCED:
-        state.note_fenced()
-    elif refused is worker_interface.Refused.NO_ROOM:
-        view.avoid_until_s = now_s + NO_ROOM_S
-    elif refused in (
-        worker_interface.Refused.UNHEALTHY,
-        worker_interface.Refused.OTHER_INSTANCE,
-        None,
-    ):
-        view.avoid_until_s = now_s + view_module.UNHEALTHY_S
-
-
-def break_gang(state: owner_state.OwnerState, run: job_state.Run) -> None:
-    """Stops the other members of a gang whose start was not accepted.
-
-    They would wait for the missing one until they give up by themselves.
-    """
-    job = state.jobs.get(run.job_id)
-    if job is None or not job.has(run.task) or not job.step(run.task).gang:
-        return
-    members = (
-        other
-        for other in job.active_runs()
-        if other.task.step == run.task.step
-        and other.task.occurrence == run.task.occurrence
-        and other.number == run.number
-        and other is not run
-    )
-    state.stop_runs(members, "a member of the gang did not start")
--- /dev/null
+++ b/src/chervillead/pools/start_tracking.py
@@ -0,0 +1,135 @@
+"""Orders to start runs, and what their answers say."""
+
+from returns import pipeline
+
+from chervillead import verdicts
+from chervillead.jobs import task_runs
+from chervillead.pools import owner_state
+from chervillead.workers import interface as worker_interface
+from chervillead.workers import view as view_module
+from chervillead.workers import watch as watch_module
+
+# A worker that said that it has no room is left alone for this time.
+NO_ROOM_S = 0.2
+
+
+def start_order(
+    state: owner_state.OwnerState,
+    view: view_module.WorkerView,
+    run: task_runs.Run,
+) -> worker_interface.StartOrder | None:
+    """Returns the order for a run, checked once more just before it."""
+    now_s = state.now_s()
+    job = state.jobs.get(run.job_id)
+    clock_ms = view.clock_at(now_s)
+    if (
+        job is None
+        or job.is_over
+        or job.is_done(run.task)
+        or run.stop_wanted
+        or clock_ms is None
+        or not state.permissions.may_start()
+        or not view.may_start(state.ports.zones_out())
+    ):
+        state.end_run(view, run, task_runs.EndKind.VANISHED)
+        break_gang(state, run)
+        return None
+    return worker_interface.StartOrder(
+        run.key,
+        job.spec.payload,
+        clock_ms + watch_module.START_WINDOW_MS,
+        job.checkpoint_for(run.task),
+        run.ticket,
+    )
+
+
+def start_answered(
+    state: owner_state.OwnerState,
+    view: view_module.WorkerView,
+    run: task_runs.Run,
+    outcome: worker_interface.OrderOutcome,
+) -> None:
+    """Applies the answer to a start, or its absence."""
+    if pipeline.is_successful(outcome):
+        _start_accepted(state, view, run, outcome.unwrap())
+        return
+    failure = outcome.failure()
+    refused = failure.refused
+    state.log_run(
+        "run:start-failed",
+        run,
+        verdict=failure.verdict.value,
+        refused=refused and refused.value,
+        error=failure.detail,
+    )
+    state.ports.increment(
+        "chervillead_starts", refused.value if refused else "unanswered"
+    )
+    if failure.verdict is verdicts.Verdict.MAY_HAVE_RUN:
+        if run.phase is task_runs.RunPhase.STARTING:
+            run.phase = task_runs.RunPhase.UNCERTAIN
+        watch = state.watches.get(view.worker_id)
+        if watch is not None:
+            watch.wake()
+    else:
+        _note_refusal(state, view, refused)
+        state.end_run(view, run, task_runs.EndKind.VANISHED)
+    break_gang(state, run)
+
+
+def _start_accepted(
+    state: owner_state.OwnerState,
+    view: view_module.WorkerView,
+    run: task_runs.Run,
+    clock_ms: int,
+) -> None:
+    view.note_clock(clock_ms, state.now_s())
+    if run.key not in view.runs:
+        return
+    run.started_clock_ms = clock_ms
+    if run.phase is task_runs.RunPhase.STARTING:
+        run.phase = task_runs.RunPhase.RUNNING
+    job = state.jobs.get(run.job_id)
+    if job is not None:
+        job.has_started = True
+    state.log_run("run:started", run, token=state.token)
+    state.ports.increment("chervillead_starts", "accepted")
+    if run.stop_wanted:
+        state.stop_run(run, run.stop_reason)
+
+
+def _note_refusal(
+    state: owner_state.OwnerState,
+    view: view_module.WorkerView,
+    refused: worker_interface.Refused | None,
+) -> None:
+    now_s = state.now_s()
+    if refused is worker_interface.Refused.FENCED:
+        state.note_fenced()
+    elif refused is worker_interface.Refused.NO_ROOM:
+        view.avoid_until_s = now_s + NO_ROOM_S
+    elif refused in (
+        worker_interface.Refused.UNHEALTHY,
+        worker_interface.Refused.OTHER_INSTANCE,
+        None,
+    ):
+        view.avoid_until_s = now_s + view_module.UNHEALTHY_S
+
+
+def break_gang(state: owner_state.OwnerState, run: task_runs.Run) -> None:
+    """Stops the other members of a gang whose start was not accepted.
+
+    They would wait for the missing one until they give up by themselves.
+    """
+    job = state.jobs.get(run.job_id)
+    if job is None or not job.has(run.task) or not job.step(run.task).gang:
+        return
+    members = (
+        other
+        for other in job.active_runs()
+        if other.task.step == run.task.step
+        and other.task.occurrence == run.task.occurrence
+        and other.number == run.number
+        and other is not run
+    )
+    state.stop_runs(members, "a member of the gang did not start")
--- a/src/chervillead/pools/worker_book.py
+++ b/src/chervillead/pools/worker_book.py
@@ -3,9 +3,10 @@
 import asyncio
 from collections import abc
 
-from chervillead.jobs import job_state
+from chervillead.jobs import task_runs
 from chervillead.pools import owner_state
 from chervillead.pools import run_tracking
+from chervillead.pools import start_tracking
 from chervillead.workers import interface as worker_interface
 from chervillead.workers import view as view_module
 from chervillead.workers import watch as watch_module
@@ -83,9 +84,9 @@
                 state, view, look
             ),
             start_answered=lambda view, run, outcome: (
-                run_tracking.start_answered(state, view, run, outcome)
+                start_tracking.start_answered(state, view, run, outcome)
             ),
-            start_order=lambda view, run: run_tracking.start_order(
+            start_order=lambda view, run: start_tracking.start_order(
                 state, view, run
             ),
             lost_contact=self._lost_contact,
@@ -127,7 +128,7 @@
         self._tasks.pop(worker_id).cancel()
         state.ended_workers.add(worker_id)
         for run in list(watch.view.runs.values()):
-            state.end_run(watch.view, run, job_state.EndKind.VANISHED)
+            state.end_run(watch.view, run, task_runs.EndKind.VANISHED)
         state.log("worker:dropped", worker=worker_id, reason=reason)
 
     async def close_all(self) -> None:
@@ -157,7 +158,7 @@
         if failure.refused is worker_interface.Refused.OTHER_INSTANCE:
             view.is_replaced = True
             for run in list(view.runs.values()):
-                state.end_run(view, run, job_state.EndKind.VANISHED)
+                state.end_run(view, run, task_runs.EndKind.VANISHED)
 
     def expire(self) -> None:
         """Ends runs whose lease has surely expired, and drops lost workers."""
@@ -167,7 +168,7 @@
             view = watch.view
             if view.runs and view.has_been_seen and now_s > view.lease_ends_s():
                 for run in list(view.runs.values()):
-                    state.end_run(view, run, job_state.EndKind.LEASE_EXPIRED)
+                    state.end_run(view, run, task_runs.EndKind.LEASE_EXPIRED)
             if view.is_registered or view.runs:
                 continue
             is_done = view.has_been_seen or view.is_replaced
--- a/src/chervillead/workers/interface.py
+++ b/src/chervillead/workers/interface.py
@@ -8,8 +8,8 @@
 
 from chervillead import types
 from chervillead import verdicts
-from chervillead.jobs import job_state
 from chervillead.jobs import model
+from chervillead.jobs import task_runs
 
 
 class Registration(typing.NamedTuple):
@@ -49,7 +49,7 @@
             millicores in use of any other, over the last half second.
     """
 
-    run: job_state.RunKey
+    run: task_runs.RunKey
     checkpoint: str
     progress_percent: int
     usage: int
@@ -59,7 +59,7 @@
     """An end that a worker lists, with its number on that worker."""
 
     number: int
-    end: job_state.End
+    end: task_runs.End
 
 
 class Look(typing.NamedTuple):
@@ -118,7 +118,7 @@
         ticket: Ticket of the queue's advisory service; empty for none.
     """
 
-    run: job_state.RunKey
+    run: task_runs.RunKey
     payload: str
     start_by_clock_ms: int
     checkpoint: str = ""
@@ -158,8 +158,8 @@
         [LookOrder], abc.Awaitable[result.Result[Look, OrderFailure]]
     ]
     start: abc.Callable[[StartOrder], abc.Awaitable[OrderOutcome]]
-    stop: abc.Callable[[job_state.RunKey], abc.Awaitable[OrderOutcome]]
-    pace: abc.Callable[[job_state.RunKey, int], abc.Awaitable[OrderOutcome]]
+    stop: abc.Callable[[task_runs.RunKey], abc.Awaitable[OrderOutcome]]
+    pace: abc.Callable[[task_runs.RunKey, int], abc.Awaitable[OrderOutcome]]
     close: abc.Callable[[], None]
 
 
--- a/src/chervillead/workers/pacing.py
+++ b/src/chervillead/workers/pacing.py
@@ -2,12 +2,12 @@
 
 from collections import abc
 
-from chervillead.jobs import job_state
 from chervillead.jobs import model
 from chervillead.jobs import pacing
+from chervillead.jobs import task_runs
 from chervillead.workers import watch as watch_module
 
-StepOf = abc.Callable[[job_state.Run], model.Step | None]
+StepOf = abc.Callable[[task_runs.Run], model.Step | None]
 
 
 def pace_workers(
@@ -24,7 +24,7 @@
         (run, step)
         for run in watch.view.runs.values()
         for step in (step_of(run),)
-        if step is not None and run.phase is job_state.RunPhase.RUNNING
+        if step is not None and run.phase is task_runs.RunPhase.RUNNING
     ]
     filling = [run for run, step in runs if step.fills and not run.stop_wanted]
     if not filling:
--- a/src/chervillead/workers/view.py
+++ b/src/chervillead/workers/view.py
@@ -2,9 +2,9 @@
 
 import typing
 
-from chervillead.jobs import job_state
 from chervillead.jobs import model
 from chervillead.jobs import placement
+from chervillead.jobs import task_runs
 from chervillead.jobs import worker_health
 from chervillead.workers import interface
 
@@ -34,7 +34,7 @@
         # Another process answers at its address, so it has surely ended.
         self.is_replaced = False
         self.incarnation: int | None = None
-        self.runs: dict[job_state.RunKey, job_state.Run] = {}
+        self.runs: dict[task_runs.RunKey, task_runs.Run] = {}
         self.applied_end = 0
         self.acknowledged = 0
         self.avoid_until_s = 0.0
@@ -78,7 +78,7 @@
         left_ms = max(0, self._lease_until_clock_ms - self._clock.clock_ms)
         return self._clock.at_s + left_ms / 1000 / SLOWEST_CLOCK
 
-    def forget_life(self, incarnation: int) -> list[job_state.Run]:
+    def forget_life(self, incarnation: int) -> list[task_runs.Run]:
         """Starts anew with another life of the worker.
 
         Returns:
@@ -87,7 +87,7 @@
         lost = [
             run
             for run in self.runs.values()
-            if run.phase is not job_state.RunPhase.STARTING
+            if run.phase is not task_runs.RunPhase.STARTING
         ]
         self.incarnation = incarnation
         self.applied_end = 0
@@ -104,7 +104,7 @@
         return total
 
     def as_site(
-        self, step_of: "typing.Callable[[job_state.Run], model.Step | None]"
+        self, step_of: "typing.Callable[[task_runs.Run], model.Step | None]"
     ) -> placement.Site:
         """Returns the worker as placement sees it."""
         step_tasks: dict[tuple[str, int, int], int] = {}
--- a/src/chervillead/workers/watch.py
+++ b/src/chervillead/workers/watch.py
@@ -12,7 +12,7 @@
 from returns import pipeline
 
 from chervillead import types
-from chervillead.jobs import job_state
+from chervillead.jobs import task_runs
 from chervillead.workers import interface
 from chervillead.workers import view as view_module
 
@@ -52,10 +52,10 @@
         list[asyncio.Future[None]],
     ]
     start_answered: abc.Callable[
-        [view_module.WorkerView, job_state.Run, interface.OrderOutcome], None
+        [view_module.WorkerView, task_runs.Run, interface.OrderOutcome], None
     ]
     start_order: abc.Callable[
-        [view_module.WorkerView, job_state.Run], interface.StartOrder | None
+        [view_module.WorkerView, task_runs.Run], interface.StartOrder | None
     ]
     lost_contact: abc.Callable[
         [view_module.WorkerView, interface.OrderFailure], None
@@ -66,7 +66,7 @@
 class Order(typing.NamedTuple):
     """A start, stop or pace that waits to be sent."""
 
-    run: job_state.Run
+    run: task_runs.Run
     kind: str
     percent: int = 100
 
@@ -94,7 +94,7 @@
         self._orders: asyncio.Queue[Order] = asyncio.Queue()
         self._busy = asyncio.Event()
         self._busy.set()
-        self._stop_sent_s: dict[job_state.RunKey, float] = {}
+        self._stop_sent_s: dict[task_runs.RunKey, float] = {}
         self._unrecorded: list[_Ends] = []
         self._has_new_look = False
 
@@ -103,12 +103,12 @@
         """What is known of the worker."""
         return self._view
 
-    def start(self, run: job_state.Run) -> None:
+    def start(self, run: task_runs.Run) -> None:
         """Queues the start of a run."""
         self._orders.put_nowait(Order(run, "start"))
         self._busy.set()
 
-    def stop(self, run: job_state.Run, reason: str) -> None:
+    def stop(self, run: task_runs.Run, reason: str) -> None:
         """Queues the stop of a run; a repeat within a moment is dropped."""
         now_s = self._ports.clock.monotonic()
         run.stop_wanted = True
@@ -119,7 +119,7 @@
         self._orders.put_nowait(Order(run, "stop"))
         self._busy.set()
 
-    def pace(self, run: job_state.Run, percent: int) -> None:
+    def pace(self, run: task_runs.Run, percent: int) -> None:
         """Queues a change of the share at which a run works."""
         run.pace_percent = percent
         self._orders.put_nowait(Order(run, "pace", percent))
@@ -213,7 +213,7 @@
 
     def _has_doubts(self) -> bool:
         return any(
-            run.phase is job_state.RunPhase.UNCERTAIN
+            run.phase is task_runs.RunPhase.UNCERTAIN
             for run in self._view.runs.values()
         )
 
@@ -227,7 +227,7 @@
             else:
                 await self._send_stop(order.run)
 
-    async def _send_start(self, run: job_state.Run) -> None:
+    async def _send_start(self, run: task_runs.Run) -> None:
         ports = self._ports
         order = ports.start_order(self._view, run)
         if order is None:
@@ -237,7 +237,7 @@
         outcome = await self._calls.start(order)
         ports.start_answered(self._view, run, outcome)
 
-    async def _send_stop(self, run: job_state.Run) -> None:
+    async def _send_stop(self, run: task_runs.Run) -> None:
         outcome = await self._calls.stop(run.key)
         if pipeline.is_successful(outcome):
             run.stopped_clock_ms = outcome.unwrap()
--- a/tests/steps/jobs_placement.py
+++ b/tests/steps/jobs_placement.py
@@ -8,6 +8,7 @@
 from chervillead.jobs import pacing
 from chervillead.jobs import placement
 from chervillead.jobs import speculation
+from chervillead.jobs import task_runs
 
 KEY = ("0" * 16, 0, 0)
 
@@ -95,7 +96,7 @@
 def step(context):
     context.sites = [site("i-1", "r1", 0)]
     context.runs = [
-        job_state.Run(
+        task_runs.Run(
             KEY[0],
             model.TaskKey(0, 0, number),
             1,
@@ -143,14 +144,14 @@
 @behave.when("a fourth task has run for {seconds:g} s")
 def step(context, seconds):
     context.job.add_run(
-        job_state.Run(
+        task_runs.Run(
             KEY[0],
             model.TaskKey(0, 0, 3),
             1,
             "i-1",
             reserved=model.Resources(),
             begun_s=-seconds,
-            phase=job_state.RunPhase.RUNNING,
+            phase=task_runs.RunPhase.RUNNING,
         )
     )
 
--- a/tests/steps/jobs_upkeep.py
+++ b/tests/steps/jobs_upkeep.py
@@ -4,6 +4,7 @@
 
 from chervillead.jobs import job_state
 from chervillead.jobs import model
+from chervillead.jobs import task_runs
 from chervillead.jobs import upkeep
 
 POOLS = "abcdefgh"
@@ -31,14 +32,14 @@
 
 
 def lasting_run(number, progress):
-    run = job_state.Run(
+    run = task_runs.Run(
         "0" * 16,
         model.TaskKey(0, 0, number),
         1,
         f"i-{number}",
         reserved=model.Resources(),
         begun_s=0.0,
-        phase=job_state.RunPhase.RUNNING,
+        phase=task_runs.RunPhase.RUNNING,
     )
     run.progress_percent = progress
     return run
--- a/tests/steps/operators_pages.py
+++ b/tests/steps/operators_pages.py
@@ -20,6 +20,9 @@
     "_refused": 1,
     "_try_later": 1,
     "log_message": 0,
+    "log": 0,
+    "_log": 0,
+    "log_run": 0,
     "Alarm": 0,
 }
 
@@ -71,7 +74,8 @@
 
 @behave.then("the runbook names each of them")
 def step(context):
-    page = (ROOT / "docs" / "RUNBOOK.md").read_text()
+    pages = ("RUNBOOK.md", "OPERATIONS.md")
+    page = "\n".join((ROOT / "docs" / name).read_text() for name in pages)
     # Only the first column explains; a mention elsewhere doesn't.
     cells = re.findall(r"^\| ([^|]+) \|", page, re.MULTILINE)
     named = set(re.findall(r"`([^`]+)`", " ".join(cells)))
