--- a/tests/stand_ins/drawn_orders.py
+++ b/tests/stand_ins/drawn_orders.py
@@ -1,8 +1,8 @@
 """Property tests that draw the same orders whatever modules are loaded.
 
 The library collects numbers and texts from the sources of all loaded modules
-and draws some of them. An unrelated new module so changed every drawn order, and
-a planted fault that had been found was not found any more.
+and draws some of them. An unrelated new module so changed every drawn order,
+and a planted fault that had been found was not found any more.
 """
 
 from collections import abc
