Number the runs of a new owner above those of all former owners

Cause: a run's number came from the job's record. A job whose tasks had all been started by an owner that was then killed, and of which no end was recorded, had no numbers in it, so the new owner began at 1 again: two runs of one task had the same number, and failed ones would count once against the attempt budget. With packed placement tests/pools/takeover.feature:52 shows it, since all tasks of a job then lie on the worker that is cut off.

Ruled out: recording each start, which costs an append for each task; a gap above the recorded numbers, which was there and knows nothing of tasks without a record.

Change: numbers start above eight for each generation that went before, the token being known without a record.

--- a/src/chervillead/jobs/job_state.py
+++ b/src/chervillead/jobs/job_state.py
@@ -35,6 +35,8 @@
         self.done: dict[tuple[int, int], set[int]] = {}
         self.failed_runs: dict[model.TaskKey, set[int]] = {}
         self.highest_run: dict[model.TaskKey, int] = {}
+        # Former owners may have started unrecorded runs up to this number.
+        self.former_runs = 0
         self.checkpoints: dict[model.TaskKey, str] = {}
         self.runs: dict[model.TaskKey, list[task_runs.Run]] = {}
         self.retry_at_s: dict[model.TaskKey, float] = {}
@@ -121,9 +123,12 @@
         All members of a gang share the number of a run.
         """
         if not self.step(task).gang:
-            return self.highest_run.get(task, 0) + 1
+            return 1 + max(self.former_runs, self.highest_run.get(task, 0))
         return 1 + max(
-            self.highest_run.get(task._replace(number=number), 0)
+            max(
+                self.former_runs,
+                self.highest_run.get(task._replace(number=number), 0),
+            )
             for number in range(self.step(task).tasks)
         )
 
--- a/src/chervillead/pools/partition_owner.py
+++ b/src/chervillead/pools/partition_owner.py
@@ -25,9 +25,10 @@
 GATHER_S = 0.003
 # Schedules, retries and leases are looked at this often.
 TICK_S = 0.1
-# A new owner numbers runs from here on above the highest that it knows of, so
-# the runs of a former owner that it never saw keep other numbers.
-RUN_NUMBER_GAP = 8
+# An owner's runs of one task that may stay unrecorded. The numbers of a new
+# owner start above this many for each former token, so that the runs which it
+# never saw keep other numbers.
+RUNS_OF_OWNER = 8
 # The state of an ended job is kept this much longer than it must be shown.
 STATE_MARGIN_S = 30.0
 
@@ -80,8 +81,7 @@
         state = self._state
         for job in jobs:
             job.unsettled_until_s = float("inf")
-            for task in job.highest_run:
-                job.highest_run[task] += RUN_NUMBER_GAP
+            job.former_runs = RUNS_OF_OWNER * state.token
             state.jobs[job.spec.job_id] = job
             if not job.is_over:
                 state.unsettled.add(job.spec.job_id)
