Let pools follow their load, ordered by one owner of all hosts

Change: jobs.pool_sizes decides how many hosts a pool needs from what runs, waits and rises; machines.pool_resizing borrows from the spare pool and turns idle hosts off; a pool that lacks hosts gets those that others don't need at the moment, by one move. Placement packs tasks, half of a lasting step at most on one worker, so that hosts become idle. The owner of partition 0 orders all hosts, upkeep included, under its token, and counts the cap of a wave; the time of each order is recorded before it is given, so that a new owner lends at once all hosts that weren't ordered in the last 3 s. Keepers of partitions without pools don't read the list of hosts any more.

--- a/src/chervillead/entries/codec.py
+++ b/src/chervillead/entries/codec.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from chervillead.entries import host_messages
 from chervillead.entries import job_messages
 from chervillead.entries import messages
 
@@ -64,6 +65,11 @@
     "job-reply": job_messages.JobReply,
     "ask-operator-records": job_messages.AskOperatorRecords,
     "operator-records": job_messages.OperatorRecords,
+    "begin-upkeep": host_messages.BeginUpkeep,
+    "turn-off-host": host_messages.TurnOffHost,
+    "borrow-hosts": host_messages.BorrowHosts,
+    "offer-hosts": host_messages.OfferHosts,
+    "host-reply": host_messages.HostReply,
 }
 _NAMES = {message_type: kind for kind, message_type in _KINDS.items()}
 _DECODERS: dict[str, msgspec.msgpack.Decoder[typing.Any]] = {
--- a/src/chervillead/entries/job_messages.py
+++ b/src/chervillead/entries/job_messages.py
@@ -5,6 +5,7 @@
 
 import typing
 
+from chervillead.entries import host_messages
 from chervillead.jobs import model
 
 
@@ -91,5 +92,5 @@
 
 
 JobCall = SubmitJob | FindJob | CancelJob | CountPending
-Call = JobCall | AskOperatorRecords
-Reply = JobReply | OperatorRecords
+Call = JobCall | AskOperatorRecords | host_messages.HostCall
+Reply = JobReply | OperatorRecords | host_messages.HostReply
--- a/src/chervillead/jobs/placement.py
+++ b/src/chervillead/jobs/placement.py
@@ -1,8 +1,9 @@
 """Where a task may run, and which of these places is best.
 
-Answers the pattern of bursts that ask more than a pool holds: tasks are packed
-by all their resources, and serving tasks are spread, since those that fill or
-serve beside them slow them down.
+Answers the pattern of bursts in turn: tasks are packed on few workers, so that
+the hosts of the others can serve another pool. Serving tasks keep away from
+those that fill, which slow them down, and half of a lasting step at most goes
+to one worker, so that a crash leaves the other half.
 """
 
 from collections import abc
@@ -73,8 +74,12 @@
         far = bool(wanted_rack) and site.rack != wanted_rack
         disturbed = site.serving if step.fills else 0
         disturbing = site.filling if step.latency_target_ms else 0
-        used = 1 - site.free.millicores / max(1, site.capacity.millicores)
-        return (site.risk, far, disturbed + disturbing, used)
+        crowded = (
+            step.long_running
+            and 2 * site.step_tasks.get(step_key, 0) >= step.tasks
+        )
+        room = site.free.millicores / max(1, site.capacity.millicores)
+        return (site.risk, far, disturbed + disturbing, crowded, room)
 
     return min(allowed, key=rank, default=None)
 
--- /dev/null
+++ b/src/chervillead/machines/host_orders.py
@@ -0,0 +1,297 @@
+"""Orders for all hosts, given by one owner under one fencing token.
+
+The owners of pools ask for upkeep, for hosts and to be rid of hosts; only the
+owner of the machines' partition orders them. So no two holders ever order one
+host in turn, also not when it changes its pool, and the cap of a wave holds
+whatever pools its hosts belong to.
+"""
+
+import asyncio
+from collections import abc
+import typing
+
+from returns import pipeline
+from returns import result
+
+from chervillead.entries import host_messages
+from chervillead.machines import interface
+from chervillead.machines import shortages
+from chervillead.pools import owner_state
+from chervillead.pools import ports as ports_module
+from chervillead.store import interface as store_interface
+
+# Calls between hosts end after a little more than this.
+ORDER_TIMEOUT_S = 0.9
+# The list is read again after this time.
+LIST_AGE_S = 0.2
+# Keeps when each host was last ordered, from before the order on.
+ORDERS_TOPIC = "keyed.hosts"
+# A host counts as down this much longer than its upkeep takes.
+BACK_MARGIN_S = 0.5
+# An order without an answer may be carried out this much later.
+LATE_ORDER_S = 3.0
+
+WAVE_FULL = "wave-full"
+STARTING = "starting"
+UNANSWERED = "unanswered"
+UNRECORDED = "unrecorded"
+
+_Outcome = result.Result[None, interface.MachineFailure]
+
+
+class Fleet(typing.NamedTuple):
+    """What orders depend on.
+
+    Attributes:
+        waves: Returns the published waves of upkeep by number.
+        spare_pools: Returns the pools whose hosts are switched off.
+        zones_out: Returns the availability zones that operators took out.
+    """
+
+    waves: abc.Callable[[], abc.Mapping[int, interface.Wave]]
+    spare_pools: abc.Callable[[], abc.Collection[str]]
+    zones_out: abc.Callable[[], frozenset[str]]
+
+
+class HostOrders:
+    """The orders of one owner of all hosts."""
+
+    def __init__(
+        self,
+        state: owner_state.OwnerState,
+        calls: interface.MachineCalls,
+        fleet: Fleet,
+        ports: ports_module.OwnerPorts,
+    ) -> None:
+        self._state = state
+        self._calls = calls
+        self._fleet = fleet
+        self._clock = ports.clock
+        self._limits = ports.limits
+        self._store = ports.store
+        # A former owner's upkeep is over by then.
+        self._from_s = self._now_s() + max(
+            self._back_s, ports.limits.host_lease_s
+        )
+        self._hosts: dict[str, interface.Machine] = {}
+        self._listed_s = float("-inf")
+        self._listing = asyncio.Lock()
+        self._begun: set[tuple[int, str]] = set()
+        self._down_until_s: dict[tuple[int, str], float] = {}
+        self._moved_until_s: dict[str, float] = {}
+        # Hosts that a former owner ordered just before; None before they were
+        # read.
+        self._former_orders: set[str] | None = None
+        self._shortages = shortages.Shortages()
+
+    @property
+    def token(self) -> int:
+        """Fencing token of the orders."""
+        return self._state.token
+
+    @property
+    def _back_s(self) -> float:
+        """Time after which a host that went down counts as up."""
+        return self._limits.upkeep_s + BACK_MARGIN_S
+
+    def _now_s(self) -> float:
+        return self._clock.monotonic()
+
+    async def serve(
+        self, call: host_messages.HostCall
+    ) -> host_messages.HostReply:
+        """Carries out a call, or says why not."""
+        if not self._state.may_order():
+            return host_messages.HostReply(STARTING)
+        try:
+            async with asyncio.timeout(ORDER_TIMEOUT_S):
+                return await self._serve(call)
+        except TimeoutError:
+            return host_messages.HostReply(UNANSWERED, may_have_run=True)
+
+    async def _serve(
+        self, call: host_messages.HostCall
+    ) -> host_messages.HostReply:
+        if isinstance(call, host_messages.BeginUpkeep):
+            if self._now_s() < self._from_s:
+                return host_messages.HostReply(STARTING)
+            return await self._begin_upkeep(call.machine, call.wave)
+        if isinstance(call, host_messages.OfferHosts):
+            wanted = self._shortages.claim(call.pool, call.idle, self._now_s())
+            return host_messages.HostReply(hosts=wanted)
+        if not await self._read_former_orders() or not await self._refresh():
+            return host_messages.HostReply(
+                UNANSWERED, detail="the hosts or their orders can't be read"
+            )
+        if isinstance(call, host_messages.TurnOffHost):
+            return await self._turn_off(call.worker_id)
+        return await self._lend(call.pool, call.wanted)
+
+    async def _read_former_orders(self) -> bool:
+        """Learns which hosts another owner has just ordered.
+
+        Orders of two owners for one host must not follow each other closely.
+        """
+        if self._former_orders is not None:
+            return True
+        read = await self._store.newest(ORDERS_TOPIC, 0)
+        if not pipeline.is_successful(read):
+            return False
+        recent_unix_ms = 1000 * (self._clock.wall() - self._limits.host_lease_s)
+        self._former_orders = {
+            record.key
+            for record in read.unwrap().records
+            if int(record.value) > recent_unix_ms
+        }
+        return True
+
+    def _is_free(self, host: interface.Machine) -> bool:
+        """Returns whether a host may be ordered by this owner now."""
+        now_s = self._now_s()
+        was_ordered = host.name in (self._former_orders or ())
+        return not (was_ordered and now_s < self._from_s) and (
+            self._moved_until_s.get(host.name, 0.0) <= now_s
+        )
+
+    async def _note_orders(self, machines: abc.Iterable[str]) -> bool:
+        """Records that hosts are about to be ordered."""
+        value = str(int(1000 * self._clock.wall())).encode()
+        records = tuple(
+            store_interface.KeyedRecord(name, value) for name in machines
+        )
+        if not records:
+            return True
+        stored = await self._store.append(ORDERS_TOPIC, 0, records, None)
+        return pipeline.is_successful(stored)
+
+    async def _refresh(self) -> bool:
+        """Reads the list of hosts unless it has just been read."""
+        async with self._listing:
+            if self._now_s() - self._listed_s < LIST_AGE_S:
+                return True
+            asked_s = self._now_s()
+            listed = await self._calls.list_machines()
+            if not pipeline.is_successful(listed):
+                return False
+            self._hosts = {host.name: host for host in listed.unwrap()}
+            self._listed_s = asked_s
+            return True
+
+    async def _begin_upkeep(
+        self, machine: str, number: int
+    ) -> host_messages.HostReply:
+        """Takes a host down, at most as many of a wave as its cap."""
+        key = number, machine
+        if key in self._begun:
+            return host_messages.HostReply()
+        wave = self._fleet.waves().get(number)
+        now_s = self._now_s()
+        down = sum(
+            until_s > now_s
+            for other, until_s in self._down_until_s.items()
+            if other[0] == number and other != key
+        )
+        if wave is None or down >= wave.cap:
+            return host_messages.HostReply(WAVE_FULL)
+        # Counts from now on: an order without an answer may be carried out.
+        self._down_until_s[key] = now_s + self._back_s + LATE_ORDER_S
+        if not await self._note_orders([machine]):
+            del self._down_until_s[key]
+            return host_messages.HostReply(UNRECORDED)
+        outcome = await self._calls.upkeep(machine, number, self.token)
+        if pipeline.is_successful(outcome):
+            self._begun.add(key)
+            self._down_until_s[key] = self._now_s() + self._back_s
+        elif outcome.failure().refused is not None:
+            del self._down_until_s[key]
+        return _reply(outcome)
+
+    async def _turn_off(self, worker_id: str) -> host_messages.HostReply:
+        host = next(
+            (h for h in self._hosts.values() if h.worker_id == worker_id), None
+        )
+        if host is None or host.state is not interface.MachineState.UP:
+            # It has moved already, or its worker has ended otherwise.
+            return host_messages.HostReply()
+        spare = min(self._fleet.spare_pools(), default=None)
+        if spare is None:
+            return host_messages.HostReply(interface.Refused.UNKNOWN.value)
+        if not self._is_free(host):
+            return host_messages.HostReply(STARTING)
+        if not await self._note_orders([host.name]):
+            return host_messages.HostReply(UNRECORDED)
+        pool = self._shortages.destination(self._now_s())
+        if pool is not None and pool != host.pool:
+            outcome = await self._move(host, pool)
+            if _refused(outcome) is not interface.Refused.UNKNOWN:
+                return _reply(outcome)
+        return _reply(await self._move(host, spare))
+
+    async def _lend(self, pool: str, count: int) -> host_messages.HostReply:
+        """Moves hosts from the spare pool, spread over the zones."""
+        sent = self._shortages.take_sent(pool)
+        count = max(0, count - sent)
+        spare = self._fleet.spare_pools()
+        idle = [
+            host
+            for host in self._hosts.values()
+            if host.pool in spare
+            and host.state is interface.MachineState.UP
+            and host.zone not in self._fleet.zones_out()
+            and self._is_free(host)
+        ]
+        chosen = _spread_over_zones(idle)[:count]
+        if not await self._note_orders(host.name for host in chosen):
+            return host_messages.HostReply(UNRECORDED)
+        outcomes = await asyncio.gather(
+            *(self._move(host, pool) for host in chosen)
+        )
+        moved = sum(pipeline.is_successful(outcome) for outcome in outcomes)
+        self._shortages.note(pool, count - moved, self._now_s())
+        return host_messages.HostReply(hosts=sent + moved)
+
+    async def _move(self, host: interface.Machine, pool: str) -> _Outcome:
+        now_s = self._now_s()
+        # The list may still show it where it was.
+        self._moved_until_s[host.name] = now_s + self._limits.move_s
+        outcome = await self._calls.move(host.name, pool, self.token)
+        failure = None if pipeline.is_successful(outcome) else outcome.failure()
+        self._state.log(
+            "host:moved" if failure is None else "host:move-failed",
+            machine=host.name,
+            worker=host.worker_id,
+            former=host.pool,
+            pool=pool,
+            token=self.token,
+            error=failure and failure.detail,
+        )
+        return outcome
+
+
+def _spread_over_zones(
+    hosts: abc.Iterable[interface.Machine],
+) -> list[interface.Machine]:
+    """Returns hosts so that neighbours lie in different zones."""
+    seen: dict[str, int] = {}
+    ranked = []
+    for host in sorted(hosts, key=lambda host: host.name):
+        seen[host.zone] = seen.get(host.zone, 0) + 1
+        ranked.append((seen[host.zone], host.zone, host.name, host))
+    return [host for *_, host in sorted(ranked)]
+
+
+def _refused(outcome: _Outcome) -> interface.Refused | None:
+    if pipeline.is_successful(outcome):
+        return None
+    return outcome.failure().refused
+
+
+def _reply(outcome: _Outcome) -> host_messages.HostReply:
+    if pipeline.is_successful(outcome):
+        return host_messages.HostReply()
+    failure = outcome.failure()
+    return host_messages.HostReply(
+        failure.refused.value if failure.refused else UNANSWERED,
+        may_have_run=failure.refused is None,
+        detail=failure.detail,
+    )
--- a/src/chervillead/machines/interface.py
+++ b/src/chervillead/machines/interface.py
@@ -83,6 +83,11 @@
     refused: Refused | None = None
 
 
+ListMachines = abc.Callable[
+    [], abc.Awaitable[result.Result[tuple[Machine, ...], MachineFailure]]
+]
+
+
 class MachineCalls(typing.NamedTuple):
     """Calls for hosts; orders name their holder's fencing token.
 
@@ -93,9 +98,7 @@
         move: Moves a host to a pool under a token.
     """
 
-    list_machines: abc.Callable[
-        [], abc.Awaitable[result.Result[tuple[Machine, ...], MachineFailure]]
-    ]
+    list_machines: ListMachines
     upkeep: abc.Callable[
         [str, int, int], abc.Awaitable[result.Result[None, MachineFailure]]
     ]
--- a/src/chervillead/machines/upkeep_task.py
+++ b/src/chervillead/machines/upkeep_task.py
@@ -8,6 +8,8 @@
 from returns import pipeline
 
 from chervillead.jobs import upkeep
+from chervillead.machines import host_calls
+from chervillead.machines import host_orders
 from chervillead.machines import interface
 from chervillead.pools import partition_owner
 from chervillead.pools import ports as ports_module
@@ -21,21 +23,22 @@
 # Tasks that end by themselves are waited for this long when upkeep presses.
 BATCH_PATIENCE_S = 4.0
 REFUSED_PAUSE_S = 0.5
-# A host counts as down this much longer than its upkeep takes.
-BACK_MARGIN_S = 0.5
+PURPOSE = "upkeep"
 
 
 class UpkeepPorts(typing.NamedTuple):
     """What upkeep needs.
 
     Attributes:
-        calls: The service that switches hosts.
+        list_machines: Returns all hosts.
+        hosts: Orders for hosts.
         store: The store, which keeps what has been done.
         waves: Returns the waves that operators published.
         report: Writes how far a wave is: its number and whether it is done.
     """
 
-    calls: interface.MachineCalls
+    list_machines: interface.ListMachines
+    hosts: host_calls.HostCalls
     store: store_interface.Store
     waves: abc.Callable[[], abc.Iterable[interface.Wave]]
     report: abc.Callable[[int, bool], abc.Awaitable[bool]]
@@ -68,6 +71,7 @@
         self._clock = owner_ports.clock
         self._log = owner_ports.log
         self._limits = owner_ports.limits
+        self._configuration = owner_ports.configuration
         self._reports_waves = reports_waves
         self._machines: dict[str, interface.Machine] = {}
         self._listed_s = float("-inf")
@@ -78,7 +82,6 @@
         self._reported: dict[int, bool] = {}
         # When all hosts of a pool were first known to have begun a wave.
         self._finished_s: dict[tuple[int, str], float] = {}
-        self._is_fenced = False
 
     async def run(self) -> None:
         """Works through waves until cancelled.
@@ -92,19 +95,42 @@
                 await self._look_at_hosts()
             waves = [w for w in self._ports.waves() if not self._is_over(w)]
             is_early = self._clock.monotonic() < orders_from_s
-            if waves and not self._is_fenced and not is_early:
+            if waves and not is_early and self._is_concerned():
                 await self._refresh()
                 for wave in waves:
                     await self._advance(wave)
             await asyncio.sleep(PERIOD_S if waves else IDLE_PERIOD_S)
 
+    def _is_concerned(self) -> bool:
+        """Returns whether the partition has pools or reports on waves."""
+        configuration = self._configuration()
+        return self._reports_waves or (
+            configuration is not None
+            and any(self._owns_pool(pool) for pool in configuration.pools)
+        )
+
+    def is_due(self, worker_id: str) -> bool:
+        """Returns whether a wave still waits for the host of a worker."""
+        now_s = self._clock.monotonic()
+        names = [
+            machine.name
+            for machine in self._machines.values()
+            if machine.worker_id == worker_id
+        ]
+        return any(
+            name in wave.machines and (wave.number, name) not in self._done
+            for wave in self._ports.waves()
+            if now_s < wave.seen_s + wave.duration_s
+            for name in names
+        )
+
     async def _look_at_hosts(self) -> None:
         """Looks which workers may live beside those that are known.
 
         A host that is up and names a worker may be cut off; one that is down,
         or names another worker, runs nothing of it any more.
         """
-        listed = await self._ports.calls.list_machines()
+        listed = await self._ports.list_machines()
         if pipeline.is_successful(listed):
             self._owner.workers.apply_hosts(
                 {
@@ -119,7 +145,7 @@
     @property
     def _back_s(self) -> float:
         """Time after which a host that went down counts as up."""
-        return self._limits.upkeep_s + BACK_MARGIN_S
+        return self._limits.upkeep_s + host_orders.BACK_MARGIN_S
 
     def _is_over(self, wave: interface.Wave) -> bool:
         return self._reported.get(wave.number) is True
@@ -129,7 +155,7 @@
         now_s = self._clock.monotonic()
         if now_s - self._listed_s < LIST_PERIOD_S:
             return
-        listed = await self._ports.calls.list_machines()
+        listed = await self._ports.list_machines()
         done = await self._ports.store.newest(UPKEEP_TOPIC, 0)
         if pipeline.is_successful(listed) and pipeline.is_successful(done):
             self._machines = {m.name: m for m in listed.unwrap()}
@@ -216,10 +242,11 @@
             )
             for name in chosen:
                 worker_id = self._machines[name].worker_id
+                if not self._owner.hosts.reserve(worker_id, PURPOSE):
+                    continue
                 self._emptying[name] = _Emptying(
                     name, worker_id, wave.number, now_s
                 )
-                self._owner.hosts.reserve(worker_id, reserved=True)
                 self._log(
                     "upkeep:chosen",
                     machine=name,
@@ -237,14 +264,16 @@
         self._owner.hosts.stop_lasting(entry.worker_id, "upkeep")
         batch, lasting = self._owner.hosts.task_counts(entry.worker_id)
         now_s = self._clock.monotonic()
-        if lasting or (batch and now_s - entry.since_s < BATCH_PATIENCE_S):
+        is_unclear = batch or not self._owner.hosts.is_known(entry.worker_id)
+        is_patient = now_s - entry.since_s < BATCH_PATIENCE_S
+        if lasting or (is_unclear and is_patient):
             return
         if self._owner.hosts.has_unrecorded_ends(entry.worker_id):
             return
         if not self._owner.state.may_order():
             return
-        outcome = await self._ports.calls.upkeep(
-            entry.machine, wave.number, self._owner.state.token
+        outcome = await self._ports.hosts.begin_upkeep(
+            entry.machine, wave.number
         )
         if pipeline.is_successful(outcome):
             await self._note_begun(entry, wave)
@@ -257,9 +286,6 @@
             refused=failure.refused and failure.refused.value,
             error=failure.detail,
         )
-        if failure.refused is interface.Refused.FENCED:
-            # Another owner acts on this host; its own records say what is due.
-            self._is_fenced = True
         if failure.refused in (
             interface.Refused.NOT_IN_WAVE,
             interface.Refused.UNKNOWN,
@@ -273,7 +299,10 @@
         self._done.add((wave.number, entry.machine))
         self._down_until_s[entry.machine] = now_s + self._back_s
         self._emptying.pop(entry.machine, None)
-        self._owner.hosts.host_went_down(entry.worker_id)
+        if await self._is_down(entry):
+            self._owner.hosts.host_went_down(entry.worker_id, PURPOSE)
+        else:
+            self._owner.hosts.give_back(entry.worker_id)
         self._log(
             "upkeep:begun",
             machine=entry.machine,
@@ -292,10 +321,25 @@
                 "upkeep:unrecorded", key=key, error=stored.failure().detail
             )
 
+    async def _is_down(self, entry: _Emptying) -> bool:
+        """Returns whether a host surely doesn't run its worker any more.
+
+        The order is answered with success also if the upkeep was done long ago;
+        then the worker is a later one and runs on.
+        """
+        listed = await self._ports.list_machines()
+        if not pipeline.is_successful(listed):
+            return False
+        return not any(
+            machine.state is interface.MachineState.UP
+            and machine.worker_id == entry.worker_id
+            for machine in listed.unwrap()
+        )
+
     def _release(self, entry: _Emptying, until_s: float) -> None:
         self._emptying.pop(entry.machine, None)
         self._paused_until_s[entry.machine] = until_s
-        self._owner.hosts.reserve(entry.worker_id, reserved=False)
+        self._owner.hosts.give_back(entry.worker_id)
 
     async def _report(self, wave: interface.Wave) -> None:
         """Tells operators how far a wave is."""
--- a/src/chervillead/platform/assembly.py
+++ b/src/chervillead/platform/assembly.py
@@ -7,18 +7,17 @@
 import time
 import typing
 
-from returns import pipeline
-
 from chervillead import http_exchange
 from chervillead import metrics_page
 from chervillead import types
+from chervillead.entries import host_messages
 from chervillead.entries import job_messages
 from chervillead.entries import job_streams
 from chervillead.jobs import job_calls
-from chervillead.machines import upkeep_task
 from chervillead.platform import advice_client
 from chervillead.platform import fleet_configuration
 from chervillead.platform import fleet_view
+from chervillead.platform import host_keeping
 from chervillead.platform import machine_client
 from chervillead.platform import registrations
 from chervillead.platform import settings as settings_module
@@ -114,7 +113,18 @@
             self.clock, dial=surroundings.dial
         )
         self.router = job_router.JobRouter(
-            self.store, self.streams, self.owned, self.clock, self.log
+            self.store,
+            self.streams,
+            self.owned,
+            self.clock,
+            self.log,
+            self.serve_hosts,
+        )
+        self.host_keeping = host_keeping.HostKeeping(
+            self.view,
+            self.owner_ports,
+            self.partition_of,
+            self.router.ask_hosts_owner,
         )
         self.view.on_change(self.update_workers)
         self.owned.on_change(self.update_workers)
@@ -123,6 +133,12 @@
         """Returns the partition of a pool."""
         return cells.partition_of(pool, self.settings.store.partitions)
 
+    async def serve_hosts(
+        self, call: host_messages.HostCall
+    ) -> host_messages.HostReply:
+        """Answers a call about hosts."""
+        return await self.host_keeping.serve(call)
+
     def update_workers(self) -> None:
         """Gives each owner the workers of its pools."""
         for partition, owner in self.owned.owners.items():
@@ -151,28 +167,7 @@
             self.metrics.count,
             dial=self.surroundings.dial,
         )
-        ports = upkeep_task.UpkeepPorts(
-            calls, self.store, self.view.waves.values, self.report_wave
-        )
-        keeper = upkeep_task.UpkeepKeeper(
-            owner,
-            lambda pool: self.partition_of(pool) == owner.state.partition,
-            ports,
-            self.owner_ports,
-            reports_waves=owner.state.partition == cells.MACHINES_PARTITION,
-        )
-        await keeper.run()
-
-    async def report_wave(self, number: int, is_completed: bool) -> bool:
-        """Tells operators how far a wave is."""
-        record = store_interface.KeyedRecord(
-            f"{fleet_configuration.WAVE_PREFIX}{number}",
-            fleet_configuration.encode_wave_status(is_completed=is_completed),
-        )
-        outcome = await self.store.append(
-            fleet_configuration.STATUS_TOPIC, 0, (record,), None
-        )
-        return pipeline.is_successful(outcome)
+        await self.host_keeping.run(owner, calls)
 
     def is_ready(self) -> bool:
         """Returns whether the balancer should send connections here."""
@@ -257,6 +252,8 @@
         if isinstance(call, job_messages.AskOperatorRecords):
             lent = host.view.lend_records(call)
             return lent._replace(owners=host.router.lend())
+        if isinstance(call, host_messages.HostCall):
+            return await host.serve_hosts(call)
         return await job_service.serve(call, host.owned.owner_of)
 
     await host.surroundings.listen(
--- a/src/chervillead/platform/settings.py
+++ b/src/chervillead/platform/settings.py
@@ -138,6 +138,7 @@
         notice_ms=int(_number(document, "Bounds.NoticeMs", 4500)),
         upkeep_s=_number(document, "Bounds.MaintenanceS", 2),
         move_s=_number(document, "Bounds.MoveS", 1.5),
+        host_lease_s=_number(document, "Bounds.LeaseMs", 3000) / 1000,
         pace_ms=int(_number(document, "Bounds.PaceMs", 100)),
     )
 
--- a/src/chervillead/pools/host_emptying.py
+++ b/src/chervillead/pools/host_emptying.py
@@ -1,4 +1,4 @@
-"""What upkeep asks of an owner: emptying hosts without breaking budgets."""
+"""What is asked of an owner before a host goes down: emptying it in budget."""
 
 from chervillead.jobs import task_runs
 from chervillead.jobs import upkeep
@@ -28,13 +28,32 @@
             )
         )
 
-    def reserve(self, worker_id: str, *, reserved: bool) -> None:
-        """Keeps new work from a worker, or lets it go there again."""
+    def reserve(self, worker_id: str, purpose: str) -> bool:
+        """Keeps new work from a worker.
+
+        Returns:
+            False if the worker is being emptied for something else.
+        """
+        watch = self._state.watches.get(worker_id)
+        if watch is None:
+            return True
+        if watch.view.emptied_for not in ("", purpose):
+            return False
+        watch.view.emptied_for = purpose
+        return True
+
+    def give_back(self, worker_id: str) -> None:
+        """Lets new work go to a worker again."""
         watch = self._state.watches.get(worker_id)
         if watch is not None:
-            watch.view.reserved_for_upkeep = reserved
+            watch.view.emptied_for = ""
             self._state.wake()
 
+    def is_known(self, worker_id: str) -> bool:
+        """Returns whether what runs on a worker is known."""
+        watch = self._state.watches.get(worker_id)
+        return watch is None or watch.view.has_been_seen
+
     def task_counts(self, worker_id: str) -> tuple[int, int]:
         """Returns the batch and the lasting tasks on a worker."""
         watch = self._state.watches.get(worker_id)
@@ -62,10 +81,13 @@
             return False
         return watch.view.acknowledged < watch.view.applied_end
 
-    def host_went_down(self, worker_id: str) -> None:
+    def host_went_down(self, worker_id: str, reason: str) -> None:
         """Ends the runs of a worker whose host was taken down by us."""
-        if worker_id in self._state.watches:
-            self._workers.close(worker_id, "upkeep")
+        watch = self._state.watches.get(worker_id)
+        if watch is not None:
+            incarnation = watch.view.registration.incarnation
+            self._state.taken_down[worker_id] = incarnation
+            self._workers.close(worker_id, reason)
 
     def move_from_draining(self) -> None:
         """Stops lasting tasks on workers that leave, to start elsewhere."""
--- a/src/chervillead/pools/job_router.py
+++ b/src/chervillead/pools/job_router.py
@@ -6,12 +6,14 @@
 
 import asyncio
 from collections import abc
+import typing
 
 from returns import pipeline
 from returns import result
 
 from chervillead import types
 from chervillead import verdicts
+from chervillead.entries import host_messages
 from chervillead.entries import job_messages
 from chervillead.entries import job_streams
 from chervillead.pools import cells
@@ -25,6 +27,10 @@
 MIN_REFRESH_S = 0.15
 RETRY_S = 0.1
 
+# Answers calls about hosts where this host orders them.
+ServeHosts = abc.Callable[
+    [host_messages.HostCall], abc.Awaitable[host_messages.HostReply]
+]
 ReplyOutcome = result.Result[job_messages.JobReply, verdicts.Refusal]
 
 
@@ -38,7 +44,9 @@
         owned: ownership.Ownership,
         clock: types.Clock,
         log: abc.Callable[..., None],
+        serve_hosts: ServeHosts,
     ) -> None:
+        self._serve_hosts = serve_hosts
         self._store = store
         self._streams = streams
         self._owned = owned
@@ -121,6 +129,21 @@
             self._refresh.set()
             await asyncio.sleep(RETRY_S)
 
+    async def ask_hosts_owner(
+        self, call: host_messages.HostCall
+    ) -> result.Result[host_messages.HostReply, verdicts.Refusal]:
+        """Sends a call once to the owner of all hosts."""
+        partition = cells.MACHINES_PARTITION
+        if self._owned.owner_of(partition) is not None:
+            return result.Success(await self._serve_hosts(call))
+        member = self._members.get(partition)
+        if member is None or member.address == self._owned.member.address:
+            return result.Failure(_no_owner(partition))
+        outcome = await self._streams.ask(member.address, call)
+        return outcome.map(
+            lambda reply: typing.cast(host_messages.HostReply, reply)
+        )
+
     async def _attempt(
         self, call: job_messages.JobCall, left_s: float
     ) -> ReplyOutcome:
@@ -129,18 +152,20 @@
             return result.Success(reply)
         member = self._members.get(call.partition)
         if member is None or member.address == self._owned.member.address:
-            return result.Failure(
-                verdicts.not_run(
-                    "no-owner",
-                    503,
-                    f"partition {call.partition} has no owner yet",
-                    retry_after_s=1.0,
-                )
-            )
+            return result.Failure(_no_owner(call.partition))
         timeout_s = min(left_s, job_streams.CALL_TIMEOUT_S)
         return await self._streams.call(member.address, call, timeout_s)
 
 
+def _no_owner(partition: int) -> verdicts.Refusal:
+    return verdicts.not_run(
+        "no-owner",
+        503,
+        f"partition {partition} has no owner yet",
+        retry_after_s=1.0,
+    )
+
+
 def _refusal_of(outcome: ReplyOutcome) -> verdicts.Refusal | None:
     if pipeline.is_successful(outcome):
         return job_service.reply_refusal(outcome.unwrap())
--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -45,7 +45,9 @@
         jobs: All known jobs by id.
         watches: The watched workers by id.
         unsettled: Jobs whose tasks a former owner may have started.
-        ended_workers: Lives of workers that have surely ended.
+        ended_workers: Workers that have surely ended.
+        taken_down: Incarnations of workers whose hosts were taken down by us;
+            the store lists them for a while longer.
         is_loaded: Whether all jobs of the partition are known.
         is_fenced: Whether a worker has seen a newer owner.
         failure: Error that ended one of the owner's tasks.
@@ -70,6 +72,7 @@
         self.watches: dict[str, watch_module.WorkerWatch] = {}
         self.unsettled: set[str] = set()
         self.ended_workers: set[str] = set()
+        self.taken_down: dict[str, int] = {}
         self.is_loaded = False
         self.is_fenced = False
         self.failure: BaseException | None = None
--- a/src/chervillead/pools/ports.py
+++ b/src/chervillead/pools/ports.py
@@ -20,6 +20,7 @@
         notice_ms: How long a task must be at work to count as available.
         upkeep_s: How long the upkeep of a host takes.
         move_s: How long a host takes to change its pool.
+        host_lease_s: Time between the orders of two owners of all hosts.
         pace_ms: How long a worker takes to follow a change of pace.
     """
 
@@ -28,6 +29,7 @@
     notice_ms: int = 4500
     upkeep_s: float = 2.0
     move_s: float = 1.5
+    host_lease_s: float = 3.0
     pace_ms: int = 100
 
 
--- a/src/chervillead/pools/worker_book.py
+++ b/src/chervillead/pools/worker_book.py
@@ -61,7 +61,9 @@
     ) -> None:
         watch = self._state.watches.get(worker_id)
         if watch is None:
-            self._open(registration)
+            taken_down = self._state.taken_down.get(worker_id)
+            if taken_down != registration.incarnation:
+                self._open(registration)
             return
         view = watch.view
         moved = view.registration.address != registration.address
--- a/src/chervillead/workers/view.py
+++ b/src/chervillead/workers/view.py
@@ -38,7 +38,8 @@
         self.applied_end = 0
         self.acknowledged = 0
         self.avoid_until_s = 0.0
-        self.reserved_for_upkeep = False
+        # What its host is being emptied for; empty if it takes work.
+        self.emptied_for = ""
         self.last_contact_s: float | None = None
         self.health = worker_health.WorkerHealth()
         self._clock: ClockReading | None = None
@@ -137,7 +138,7 @@
             and self.has_been_seen
             and not self.is_replaced
             and not self.registration.is_draining
-            and not self.reserved_for_upkeep
+            and not self.emptied_for
             and self.registration.zone not in zones_out
         )
 
--- a/tests/machines/upkeep_task.feature
+++ b/tests/machines/upkeep_task.feature
@@ -23,6 +23,21 @@
     Then every host had its upkeep once, at most 1 at a time
     And the wave is reported as completed
 
+  Scenario: A new owner repeats upkeep that was done long ago
+    # Guards against a worker that counts as gone because an order was answered
+    # with success: its host was not taken down again, and its tasks run on.
+    Given a platform fleet of 3 hosts and 4 workers
+    And tasks work for 9 s
+    When operators publish a wave over all hosts with a cap of 4
+    And 22 s pass
+    And a job of 6 tasks is submitted
+    And the records of upkeep are lost
+    And a worker with tasks is cut off from all hosts but the owner
+    And the owner is turned away by the store
+    And 40 s pass
+    Then the job is shown as completed by every host
+    And the workers saw no broken promise
+
   Scenario: A lasting step keeps its availability budget
     # Guards against two tasks of a step that are away by orders of ours.
     Given a platform fleet of 2 hosts and 4 workers
--- a/tests/stand_ins/platform_fleet.py
+++ b/tests/stand_ins/platform_fleet.py
@@ -28,6 +28,7 @@
 
 POOL = "billing"
 OTHER_POOL = "receipts"
+SPARE_POOL = "portal"
 QUEUE_HOST = "queue.example"
 QUEUE_PATH = "/jobs/"
 KEY = "key-1"
@@ -71,7 +72,8 @@
         "Services": [
             {"Name": name, "EnforcesCapacity": True}
             for name in (POOL, OTHER_POOL)
-        ],
+        ]
+        + [{"Name": SPARE_POOL, "EnforcesCapacity": True, "Spare": True}],
         "Limits": {"MaxBodyBytes": 262144},
         "Tenants": [tenant],
     }
@@ -96,7 +98,12 @@
     """
 
     def __init__(
-        self, *, hosts: int = 3, workers: int = 3, seed: int = 0
+        self,
+        *,
+        hosts: int = 3,
+        workers: int = 3,
+        seed: int = 0,
+        switched_off: int = 0,
     ) -> None:
         self.store = platform_store.StoreStandIn()
         self.network = memory_network.MemoryNetwork(seed=seed)
@@ -105,7 +112,12 @@
             f"i-{number}": platform_worker.WorkerStandIn(f"i-{number}")
             for number in range(workers)
         }
-        self.machines = platform_machines.MachinesStandIn(self.workers, POOL)
+        self.machines = platform_machines.MachinesStandIn(
+            self.workers,
+            POOL,
+            spare_pool=SPARE_POOL,
+            switched_off=switched_off,
+        )
         self._host_names = [f"host-{number}" for number in range(hosts)]
         self._hosts: dict[str, _RunningHost] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -325,12 +337,14 @@
     def _entry(
         self, place: int, worker: platform_worker.WorkerStandIn
     ) -> bytes:
-        other = worker.worker_id in self.of_other_pool
+        pool = self.machines.pools[list(self.machines.pools)[place]]
+        if worker.worker_id in self.of_other_pool:
+            pool = OTHER_POOL
         return worker_entry(
             worker,
             f"10.1.0.1:{WORKER_PORT + place}",
             self._sequence,
-            pool=OTHER_POOL if other else POOL,
+            pool=pool,
             rack=f"r1-{place % 2}",
         )
 
--- a/tests/stand_ins/platform_machines.py
+++ b/tests/stand_ins/platform_machines.py
@@ -14,6 +14,7 @@
 from stand_ins import platform_worker
 
 UPKEEP_S = 2.0
+MOVE_S = 1.5
 
 
 class Upkeep(typing.NamedTuple):
@@ -25,23 +26,44 @@
     ended_s: float
 
 
+class Order(typing.NamedTuple):
+    """One order that was carried out."""
+
+    machine: str
+    holder: str
+    token: int
+    pool: str
+    at_s: float
+
+
 class MachinesStandIn:
     """Hosts, each with one worker.
 
     Attributes:
         upkeeps: All upkeeps, in the order of their beginning.
+        orders: All orders that were carried out; those for upkeep name no pool.
+        pools: The pool of each host.
     """
 
     def __init__(
         self,
         workers: abc.Mapping[str, platform_worker.WorkerStandIn],
         pool: str,
+        *,
+        spare_pool: str = "",
+        switched_off: int = 0,
     ) -> None:
         self.upkeeps: list[Upkeep] = []
+        self.orders: list[Order] = []
         self._workers = {
             name.replace("i-", "m-"): worker for name, worker in workers.items()
         }
-        self._pool = pool
+        self.pools = dict.fromkeys(self._workers, pool)
+        self._spare_pool = spare_pool
+        for name in list(self._workers)[len(self._workers) - switched_off :]:
+            self.pools[name] = spare_pool
+            self._workers[name].silent = True
+        self._moving: set[str] = set()
         self._tokens: dict[str, int] = {}
         self._done: set[tuple[str, int]] = set()
 
@@ -74,11 +96,45 @@
             rows = [self._row(name) for name in self._workers]
             return _json({"Machines": rows, "NextPageToken": None})
         fields = msgspec.json.decode(request.body)
-        name, wave = fields["Machine"], fields["Wave"]
+        name = fields["Machine"]
         token = int(request.headers["fencing-token"])
         if token < self._tokens.get(name, 0):
             return _json({"Reason": "fence"}, 409)
         self._tokens[name] = token
+        if request.path == "/machine-move":
+            reply = self._move(name, fields["Pool"])
+        else:
+            reply = self._upkeep(name, fields["Wave"])
+        if reply.status == 200:
+            holder = request.headers["lease-holder"]
+            now_s = asyncio.get_running_loop().time()
+            pool = fields.get("Pool", "")
+            self.orders.append(Order(name, holder, token, pool, now_s))
+        return reply
+
+    def _move(self, name: str, pool: str) -> http_server.Reply:
+        if self.pools[name] == pool:
+            return _json({})
+        is_off = self.pools[name] == self._spare_pool
+        if name in self._moving or (self._workers[name].silent and not is_off):
+            return _json({"Reason": "busy"}, 409)
+        self.pools[name] = pool
+        worker = self._workers[name]
+        worker.restart()
+        worker.silent = True
+        self._moving.add(name)
+
+        def arrive() -> None:
+            self._moving.discard(name)
+            if pool != self._spare_pool:
+                worker.restart()
+                worker.worker_id += "-moved"
+                worker.silent = False
+
+        asyncio.get_running_loop().call_later(MOVE_S, arrive)
+        return _json({})
+
+    def _upkeep(self, name: str, wave: int) -> http_server.Reply:
         if (name, wave) in self._done:
             return _json({})
         if self._workers[name].silent:
@@ -104,14 +160,17 @@
 
     def _row(self, name: str) -> dict[str, typing.Any]:
         worker = self._workers[name]
+        is_off = self.pools[name] == self._spare_pool
+        is_moving = name in self._moving
+        state = "upkeep" if worker.silent and not is_off else "up"
         return {
             "Machine": name,
-            "Pool": self._pool,
-            "State": "upkeep" if worker.silent else "up",
+            "Pool": self.pools[name],
+            "State": "moving" if is_moving else state,
             "Zone": "zone-a",
             "Labels": ["a", "r1-0"],
             "Capacity": {"Cpu": worker.cpu, "MemMb": worker.memory_mb},
-            "Id": worker.worker_id,
+            "Id": "" if is_off else worker.worker_id,
         }
 
 
--- /dev/null
+++ b/tests/steps/jobs_pool_sizes.py
@@ -0,0 +1,104 @@
+"""Steps of tests/jobs/pool_sizes.feature."""
+
+import behave
+
+from chervillead.jobs import model
+from chervillead.jobs import pool_sizes
+
+PERIOD_S = 0.1
+
+
+def load(context, *, hosts=4, used=0, waiting=0, **fields):
+    return pool_sizes.PoolLoad(
+        hosts,
+        model.Resources(1000 * context.cores, 65536),
+        model.Resources(1000 * used),
+        model.Resources(1000 * waiting),
+        **fields,
+    )
+
+
+def ask(context, cores, seconds):
+    for _ in range(round(seconds / PERIOD_S)):
+        context.now_s += PERIOD_S
+        context.size.note(load(context, used=cores), context.now_s)
+
+
+@behave.given("hosts of {cores:d} cores")
+def step(context, cores):
+    context.cores = cores
+    context.size = pool_sizes.PoolSize()
+    context.now_s = 100.0
+
+
+@behave.when(
+    "a pool of {hosts:d} hosts has {used:d} cores at work and {waiting:d} "
+    "waiting"
+)
+def step(context, hosts, used, waiting):
+    found = load(context, hosts=hosts, used=used, waiting=waiting)
+    context.needed = pool_sizes.hosts_needed(found, model.Resources())
+
+
+@behave.when(
+    "a pool of {hosts:d} hosts asks {first:d} cores, and {second:d} cores 1 s "
+    "later"
+)
+def step(context, hosts, first, second):
+    for cores, at_s in ((first, 100.0), (second, 101.0)):
+        context.size.note(load(context, hosts=hosts, used=cores), at_s)
+    context.needed = context.size.now()
+
+
+@behave.when(
+    "a pool asks {first:d} cores for {first_s:g} s and {second:d} cores for "
+    "{second_s:g} s"
+)
+def step(context, first, first_s, second, second_s):
+    ask(context, first, first_s)
+    ask(context, second, second_s)
+
+
+@behave.when("a pool asks {cores:d} cores for {seconds:g} s")
+@behave.when("it asks {cores:d} cores for {seconds:g} s more")
+def step(context, cores, seconds):
+    ask(context, cores, seconds)
+
+
+@behave.when(
+    "a pool of {hosts:d} hosts needs {least:d} hosts for a limit and is "
+    "{packed}"
+)
+def step(context, hosts, least, packed):
+    found = load(
+        context,
+        hosts=hosts,
+        least_hosts=least,
+        is_fragmented=packed == "fragmented",
+    )
+    context.needed = pool_sizes.hosts_needed(found, model.Resources())
+
+
+@behave.then("it needs {hosts:d} hosts")
+def step(context, hosts):
+    assert context.needed == hosts, context.needed
+
+
+@behave.then("it doesn't grow beyond {hosts:d} hosts")
+def step(context, hosts):
+    assert context.size.least(context.now_s) == hosts
+
+
+@behave.then("it keeps at least {hosts:d} hosts")
+def step(context, hosts):
+    assert context.size.most(context.now_s) >= hosts
+
+
+@behave.then("it keeps {hosts:d} hosts")
+def step(context, hosts):
+    assert context.size.most(context.now_s) == hosts
+
+
+@behave.then("it may not shrink yet")
+def step(context):
+    assert context.size.most(context.now_s) is None
--- a/tests/steps/platform_fleet.py
+++ b/tests/steps/platform_fleet.py
@@ -7,11 +7,13 @@
 import asyncio
 import collections
 import functools
+import itertools
 
 import behave
 import msgspec
 from returns import pipeline
 
+from chervillead.pools import cells
 from stand_ins import platform_fleet
 from stand_ins import platform_worker
 from stand_ins import virtual_time
@@ -46,7 +48,10 @@
 
 async def run_scenario(context):
     fleet = platform_fleet.PlatformFleet(
-        hosts=context.hosts, workers=context.workers, seed=context.seed
+        hosts=context.hosts,
+        workers=context.workers,
+        seed=context.seed,
+        switched_off=getattr(context, "switched_off", 0),
     )
     for worker in fleet.workers.values():
         worker.work_s = context.work_s
@@ -70,6 +75,16 @@
     context.actions = []
 
 
+@behave.given(
+    "a platform fleet of {hosts:d} hosts and {workers:d} workers of which "
+    "{off:d} are switched off"
+)
+def step(context, hosts, workers, off):
+    context.hosts, context.workers, context.switched_off = hosts, workers, off
+    context.work_s = 0.5
+    context.actions = []
+
+
 @behave.given("the second worker belongs to another pool")
 def step(context):
     context.of_other_pool = {"i-1"}
@@ -125,6 +140,87 @@
     assert machines.most_down() <= cap, machines.upkeeps
 
 
+def pool_hosts(fleet):
+    """Returns how many hosts the pool has."""
+    pools = fleet.machines.pools.values()
+    return sum(pool == platform_fleet.POOL for pool in pools)
+
+
+@behave.when("at least {hosts:d} hosts are in the pool by then")
+def step(context, hosts):
+    async def check(fleet):
+        assert pool_hosts(fleet) >= hosts, fleet.machines.pools
+
+    note(context, check)
+
+
+@behave.when("operators take the zone of all workers out")
+def step(context):
+    async def take_out(fleet):
+        fleet.store.put("keyed.op", "evacuate/zone-a", b"{}")
+
+    note(context, take_out)
+
+
+@behave.when("the owner of all hosts is killed")
+def step(context):
+    async def kill(fleet):
+        owner = next(
+            name
+            for name, host in fleet.hosts.items()
+            if host.owned.owner_of(cells.MACHINES_PARTITION) is not None
+        )
+        await fleet.kill_host(owner)
+
+    note(context, kill)
+
+
+@behave.then("{hosts:d} hosts are in the pool")
+def step(context, hosts):
+    assert pool_hosts(play(context).fleet) == hosts
+
+
+@behave.then("at most {hosts:d} hosts are in the pool")
+def step(context, hosts):
+    assert pool_hosts(play(context).fleet) <= hosts
+
+
+@behave.then("each host is ordered by one holder at a time")
+def step(context):
+    orders = play(context).fleet.machines.orders
+    assert orders
+    for machine in {order.machine for order in orders}:
+        mine = [order for order in orders if order.machine == machine]
+        for earlier, later in itertools.pairwise(mine):
+            changed = earlier.holder != later.holder
+            assert earlier.token <= later.token, mine
+            assert changed == (earlier.token != later.token), mine
+            assert not changed or later.at_s - earlier.at_s >= 3.0, mine
+
+
+@behave.when("the records of upkeep are lost")
+def step(context):
+    async def lose(fleet):
+        for name in fleet.machines.names:
+            fleet.store.put("keyed.upkeep", f"1/{name}", b"")
+
+    note(context, lose)
+
+
+@behave.when("a worker with tasks is cut off from all hosts but the owner")
+def step(context):
+    async def cut(fleet):
+        await asyncio.sleep(0.3)
+        place, worker = next(
+            found for found in fleet.workers.items() if found[1].running()
+        )
+        fleet.unlisted.add(worker.worker_id)
+        others = set(fleet.hosts) - {fleet.owner_host()}
+        fleet.network.cut([place], others)
+
+    note(context, cut)
+
+
 @behave.then("the wave is reported as completed")
 def step(context):
     value = play(context).fleet.store.value("keyed.status", 0, "wave/1")
