--- a/src/chervillead/jobs/pool_sizes.py
+++ b/src/chervillead/jobs/pool_sizes.py
@@ -23,7 +23,7 @@
 TREND_S = 1.0
 LEAD_S = 1.5
 # Less than the pause between two bursts of a queue.
-HOLD_S = 3.0
+HOLD_S = 1.5
 # Tasks that arrive together wait for a moment even in a pool that has room.
 GROWTH_DELAY_S = 0.2
 
