Keep hosts free whose move was ordered and not answered

Cause: found by reading: a pool that grew took back hosts that were being turned off, also those whose order had no answer. The order may be carried out seconds later, and then ends what has been started on the host. So did an order that was refused after an earlier one had no answer.

Ruled out: asking the list of hosts, which shows nothing until the order is carried out.

Before: pool_resizing.feature:54, new, failed: tasks ran twice after their hosts went away.

--- a/src/chervillead/machines/pool_resizing.py
+++ b/src/chervillead/machines/pool_resizing.py
@@ -15,6 +15,7 @@
 from chervillead.jobs import model
 from chervillead.jobs import pool_sizes
 from chervillead.machines import host_calls
+from chervillead.machines import host_orders
 from chervillead.machines import upkeep_task
 from chervillead.pools import partition_owner
 from chervillead.pools import pool_load
@@ -74,6 +75,8 @@
         self._known: set[str] = set()
         self._borrow_from_s: dict[str, float] = {}
         self._offer_from_s: dict[str, float] = {}
+        # Workers whose hosts may still be moved by an order without an answer.
+        self._unanswered_until_s: dict[str, float] = {}
         self._paused_until_s: dict[str, float] = {}
 
     async def run(self) -> None:
@@ -151,7 +154,7 @@
         """Takes hosts back that are being emptied, and borrows the rest."""
         now_s = self._now_s()
         for watch in self._emptied(name)[:missing]:
-            if watch.view.worker_id not in self._paused_until_s:
+            if not self._may_still_move(watch.view.worker_id):
                 self._owner.hosts.give_back(watch.view.worker_id)
                 missing -= 1
         if missing <= 0 or now_s < self._borrow_from_s.get(name, 0.0):
@@ -281,10 +284,18 @@
             refused=failure.refused and failure.refused.value,
             error=failure.detail,
         )
-        if failure.refused is not None:
-            self._paused_until_s[worker_id] = self._now_s() + REFUSED_PAUSE_S
+        now_s = self._now_s()
+        if failure.refused is None:
+            until_s = now_s + host_orders.LATE_ORDER_S
+            self._unanswered_until_s[worker_id] = until_s
+        elif not self._may_still_move(worker_id):
+            self._paused_until_s[worker_id] = now_s + REFUSED_PAUSE_S
             self._owner.hosts.give_back(worker_id)
 
+    def _may_still_move(self, worker_id: str) -> bool:
+        """Returns whether an order without an answer may be carried out."""
+        return self._now_s() < self._unanswered_until_s.get(worker_id, 0.0)
+
 
 def _kind(watch: watch_module.WorkerWatch) -> frozenset[str]:
     registration = watch.view.registration
--- a/tests/machines/pool_resizing.feature
+++ b/tests/machines/pool_resizing.feature
@@ -51,6 +51,17 @@
     And the workers saw no broken promise
     And each host is ordered by one holder at a time
 
+  Scenario: Moves are carried out late and without an answer
+    # Guards against work that starts on a host whose order may still come.
+    Given a platform fleet of 2 hosts and 6 workers
+    And tasks work for 3 s
+    When moves are carried out 2 s late without an answer
+    And a host is about to be turned off
+    And a job of 40 tasks is submitted
+    And 30 s pass
+    Then the job is shown as completed by every host
+    And each task ran once
+
   Scenario: Hosts in a zone that was taken out are turned off
     # Guards against paid hosts that may not start anything.
     Given a platform fleet of 2 hosts and 6 workers
--- a/tests/stand_ins/platform_machines.py
+++ b/tests/stand_ins/platform_machines.py
@@ -43,6 +43,8 @@
         upkeeps: All upkeeps, in the order of their beginning.
         orders: All orders that were carried out; those for upkeep name no pool.
         pools: The pool of each host.
+        late_moves_s: Delay after which moves are carried out without an
+            answer; None if they are answered.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
             self.pools[name] = spare_pool
             self._workers[name].silent = True
         self._moving: set[str] = set()
+        self.late_moves_s: float | None = None
         self._tokens: dict[str, int] = {}
         self._done: set[tuple[str, int]] = set()
 
@@ -101,6 +104,11 @@
         if token < self._tokens.get(name, 0):
             return _json({"Reason": "fence"}, 409)
         self._tokens[name] = token
+        if request.path == "/machine-move" and self.late_moves_s is not None:
+            asyncio.get_running_loop().call_later(
+                self.late_moves_s, self._move, name, fields["Pool"]
+            )
+            return None
         if request.path == "/machine-move":
             reply = self._move(name, fields["Pool"])
         else:
--- a/tests/steps/platform_fleet.py
+++ b/tests/steps/platform_fleet.py
@@ -162,6 +162,24 @@
     note(context, take_out)
 
 
+@behave.when("moves are carried out {seconds:d} s late without an answer")
+def step(context, seconds):
+    async def delay(fleet):
+        fleet.machines.late_moves_s = seconds
+
+    note(context, delay)
+
+
+@behave.when("a host is about to be turned off")
+def step(context):
+    async def wait(fleet):
+        names = ("pool:turn-off-failed",)
+        while not any(line["message_type"] in names for line in fleet.logs):
+            await asyncio.sleep(0.05)
+
+    note(context, wait)
+
+
 @behave.when("the owner of all hosts is killed")
 def step(context):
     async def kill(fleet):
