Test that hosts ordered just before a change of owner are left alone

Cause: the scenario that kills the owner of all hosts had no orders of the former owner, so it passed without the record of orders, too. The new one fails when that record is ignored (run on a copy): two holders order a host within 3 s.

--- a/tests/machines/pool_resizing.feature
+++ b/tests/machines/pool_resizing.feature
@@ -37,6 +37,19 @@
     And the workers saw no broken promise
     And each host is ordered by one holder at a time
 
+  Scenario: The owner of all hosts is killed just after its orders
+    # Guards against a new owner that orders hosts which the former one has just
+    # moved.
+    Given a platform fleet of 3 hosts and 6 workers
+    And tasks work for 6 s
+    When hosts have just been moved
+    And the owner of all hosts is killed
+    And a job of 60 tasks is submitted
+    And 30 s pass
+    Then the job is shown as completed by every host
+    And the workers saw no broken promise
+    And each host is ordered by one holder at a time
+
   Scenario: Owners are killed while pools grow and shrink
     # Guards against tasks that are lost or run twice with the hosts that move.
     Given a platform fleet of 3 hosts and 8 workers of which 5 are switched off
--- a/tests/steps/platform_fleet.py
+++ b/tests/steps/platform_fleet.py
@@ -180,6 +180,15 @@
     note(context, wait)
 
 
+@behave.when("hosts have just been moved")
+def step(context):
+    async def wait(fleet):
+        while not fleet.machines.orders:
+            await asyncio.sleep(0.05)
+
+    note(context, wait)
+
+
 @behave.when("the owner of all hosts is killed")
 def step(context):
     async def kill(fleet):
