Let the random faults meet longer tasks on more workers

Placement packs tasks now, so the eight tasks of a job lay on one worker, and with 1.5 s of work they had often ended before a new owner started them elsewhere.

More lists would take longer without meeting more runs.

--- a/tests/stand_ins/random_faults.py
+++ b/tests/stand_ins/random_faults.py
@@ -16,8 +16,8 @@
 
 HOSTS = 3
 WORKERS = 4
-WORK_S = 1.5
-TASKS = 8
+WORK_S = 3.0
+TASKS = 16
 # Longer than the longest lease on the slowest clock, and the time to notice.
 HEAL_S = 25.0
 
