Log failed loads of a partition and the event loop's lag

Callers of accepted jobs got no answer, and the logs couldn't tell why the new owner of their partition didn't serve it: a failed attempt to load wrote no line, nor did a failed read of the workers' list, and a process that got too little processor time looked like a silent peer.

Adds owner:load-failed (call, error, time since the start), the size and duration to owner:loaded, dependency lines for the list of workers, process:lagging and chervillead_loop_lag_seconds. No decision depends on them.

--- a/src/chervillead/metrics_page.py
+++ b/src/chervillead/metrics_page.py
@@ -20,6 +20,7 @@
 _HISTOGRAMS = {
     "call_seconds": "Time to answer a caller.",
     "job_seconds": "Time from a job's acceptance to its end.",
+    "loop_lag_seconds": "Delay of the event loop behind its timers.",
 }
 
 
--- a/src/chervillead/platform/assembly.py
+++ b/src/chervillead/platform/assembly.py
@@ -7,6 +7,7 @@
 import time
 import typing
 
+from chervillead import event_loop_lag
 from chervillead import http_exchange
 from chervillead import metrics_page
 from chervillead import types
@@ -211,24 +212,41 @@
             self.router.refresh_owners(),
             _serve_entries(self),
             _sync_operator_records(self),
+            event_loop_lag.watch(
+                self.clock.monotonic,
+                lambda lag_s: self.metrics.observe("loop_lag_seconds", lag_s),
+                self.log,
+            ),
         ]
 
 
+class _Dependency:
+    """Logs when a dependency of the host is lost and regained."""
+
+    def __init__(self, name: str, log: abc.Callable[..., None]) -> None:
+        self._name = name
+        self._log = log
+        self._is_lost = False
+
+    def record_success(self) -> None:
+        """Logs that the dependency is back if it was lost."""
+        if self._is_lost:
+            self._log("dependency:regained", name=self._name)
+        self._is_lost = False
+
+    def record_failure(self, failure: store_interface.StoreFailure) -> None:
+        """Logs the first failure of a series."""
+        if not self._is_lost:
+            self._log("dependency:lost", name=self._name, error=failure.detail)
+        self._is_lost = True
+
+
 async def _follow_operator_records(host: EntryHost) -> None:
-    is_store_lost = False
+    dependency = _Dependency("store", host.log)
 
     def confirmed(as_of_s: float) -> None:
-        nonlocal is_store_lost
         host.fleet_view.confirm(as_of_s)
-        if is_store_lost:
-            host.log("dependency:regained", name="store")
-        is_store_lost = False
-
-    def failed(failure: store_interface.StoreFailure) -> None:
-        nonlocal is_store_lost
-        if not is_store_lost:
-            host.log("dependency:lost", name="store", error=failure.detail)
-        is_store_lost = True
+        dependency.record_success()
 
     await keyed_follower.follow(
         host.store,
@@ -237,11 +255,12 @@
         boot_time=host.environment.boot_time,
         apply_changes=host.fleet_view.apply_operator,
         on_current=confirmed,
-        on_failure=failed,
+        on_failure=dependency.record_failure,
     )
 
 
 async def _follow_workers(host: EntryHost) -> None:
+    dependency = _Dependency("list of workers", host.log)
     await keyed_follower.follow(
         host.store,
         registrations.WORKERS_TOPIC,
@@ -249,8 +268,8 @@
         pause_s=WORKERS_READ_INTERVAL_S,
         boot_time=host.environment.boot_time,
         apply_changes=host.fleet_view.apply_workers,
-        on_current=lambda as_of_s: None,
-        on_failure=lambda failure: None,
+        on_current=lambda as_of_s: dependency.record_success(),
+        on_failure=dependency.record_failure,
         apply_history=host.fleet_view.apply_worker_history,
         history_records_per_key=WORKER_HISTORY_RECORDS,
     )
--- a/src/chervillead/pools/takeover.py
+++ b/src/chervillead/pools/takeover.py
@@ -26,10 +26,23 @@
     Returns:
         False if a newer owner has fenced this one.
     """
+    started_s = ports.clock.monotonic()
+
+    def log_failure(call: str, failure: store_interface.StoreFailure) -> None:
+        ports.log(
+            "owner:load-failed",
+            partition=owner.state.partition,
+            token=owner.state.token,
+            call=call,
+            error=failure.detail,
+            after_s=round(ports.clock.monotonic() - started_s, 3),
+        )
+
     while True:
         failure = await writer.open()
         if failure is None:
             break
+        log_failure("fence", failure)
         if writer.is_fenced:
             return False
         await asyncio.sleep(RETRY_DELAY_S)
@@ -39,14 +52,18 @@
         )
         if pipeline.is_successful(outcome):
             break
+        log_failure("read", outcome.failure())
         await asyncio.sleep(RETRY_DELAY_S)
-    jobs = restore(outcome.unwrap().records, ports)
+    records = outcome.unwrap().records
+    jobs = restore(records, ports)
     owner.load(jobs)
     ports.log(
         "owner:loaded",
         partition=owner.state.partition,
         token=owner.state.token,
         jobs=len(jobs),
+        value_bytes=sum(len(record.value) for record in records),
+        after_s=round(ports.clock.monotonic() - started_s, 3),
     )
     return True
 
--- a/src/chervillead/store/keyed_follower.py
+++ b/src/chervillead/store/keyed_follower.py
@@ -81,7 +81,9 @@
                 count = max(
                     MIN_HISTORY_RECORDS, history_records_per_key * len(present)
                 )
-                apply_history(await _read_history(store, topic, offset, count))
+                apply_history(
+                    await _read_history(store, topic, offset, count, on_failure)
+                )
                 apply_history = None
             on_current(started_s)
             continue
@@ -111,12 +113,16 @@
 
 
 async def _read_history(
-    store: interface.Store, topic: str, end: int, count: int
+    store: interface.Store,
+    topic: str,
+    end: int,
+    count: int,
+    on_failure: abc.Callable[[interface.StoreFailure], None],
 ) -> list[Change]:
     """Returns up to `count` changes before an offset, oldest first.
 
     It returns fewer if the older ones are no longer retained, and none if the
-    store doesn't answer.
+    store doesn't answer, which is reported to `on_failure`.
     """
     read = await store.read(topic, 0, max(0, end - count), 0)
     if not pipeline.is_successful(read):
@@ -125,6 +131,7 @@
             return []
         read = await store.read(topic, 0, first, 0)
     if not pipeline.is_successful(read):
+        on_failure(read.failure())
         return []
     return [
         Change(record.key, record.value or None)
