Reproduce a partition that its new owner can't load over a slow link

Callers of accepted jobs got no answer (LOST) after the owner of their partition changed to a host with a link of 5 Mbit/s. The scenario gives the hosts links of 600 KB a second and the partition 1.6 MB of retained jobs, and kills the owner.

The stand-in of the network can limit the rate of a place's link, which its connections share in turns; the store's page keeps the platform's limit of 1 MB.

--- a/tests/pools/takeover.feature
+++ b/tests/pools/takeover.feature
@@ -140,3 +140,18 @@
     And 5 s pass
     Then every host reports the job as completed
     And no invariant was violated on the workers
+
+  Scenario: A slow link carries a large partition to its new owner
+    # Guards against accepted jobs that no host answers for: a page of records
+    # that takes longer to arrive than the store takes to respond must not be
+    # abandoned, since each retry would be abandoned at the same point.
+    Given a platform fleet of 2 hosts and 3 workers
+    And the links of all hosts carry 600 KB a second
+    And tasks run for 2 s
+    When the pool's partition holds 400 finished jobs of 4000 bytes
+    And a job of 3 tasks is submitted
+    And the owner is killed
+    And 14 s pass
+    Then every host reports the job as completed
+    And each task ran once
+    And no invariant was violated on the workers
--- a/tests/stand_ins/memory_network.py
+++ b/tests/stand_ins/memory_network.py
@@ -3,16 +3,22 @@
 Bytes arrive in order, as with TCP, after a delay. A cut link delivers nothing
 until it is healed, as when packets are dropped; a reset ends connections at
 once. A `place` is the node of a socket: an entry host, upstream or platform.
+The link of a place can be given a rate, which its connections share.
 """
 
 import asyncio
+import collections
 from collections import abc
+import functools
 import random
 import typing
 
 from chervillead import http_exchange
 from chervillead import types
 
+# A link of limited rate carries its connections' bytes in turns of this size.
+LINK_TURN_BYTES = 16 * 1024
+
 
 class Listener(typing.NamedTuple):
     """A listening socket."""
@@ -32,6 +38,8 @@
         self._target = target
         self._closed = False
         self.is_silent = False
+        # Set once the receiver has closed the connection.
+        self.is_abandoned = False
         self._arrival_s = 0.0
         self._unread_bytes = 0
         self.peer_reader = asyncio.StreamReader()
@@ -40,7 +48,8 @@
     def write(self, data: bytes) -> None:
         if not self._closed and data:
             self._unread_bytes += len(data)
-            self._deliver(lambda: self._feed(data))
+            for piece in self._network.split(self._target, data):
+                self._deliver(functools.partial(self._feed, piece), len(piece))
 
     async def drain(self) -> None:
         if self._closed:
@@ -76,6 +85,7 @@
     def reset(self) -> None:
         """Ends this direction at once and drops the bytes in transit."""
         self._closed = True
+        self.is_abandoned = True
         self._feed_end()
 
     def _feed(self, data: bytes) -> None:
@@ -88,9 +98,59 @@
             self.peer_reader.feed_eof()
         if self.reverse is not None:
             self.reverse._closed = True
+            self.reverse.is_abandoned = True
+
+    def _deliver(self, action: abc.Callable[[], None], size: int = 0) -> None:
+        self._network.deliver(self, self._source, self._target, action, size)
+
+
+class _Transmission(typing.NamedTuple):
+    """Bytes that wait for a link, and what happens once they have passed."""
+
+    size: int
+    passed: abc.Callable[[], None]
+
+
+class _Link:
+    """Incoming link of a place; its connections share the rate in turns."""
+
+    def __init__(self, bytes_per_s: float) -> None:
+        self._bytes_per_s = bytes_per_s
+        self._waiting: collections.OrderedDict[
+            _MemoryWriter, collections.deque[_Transmission]
+        ] = collections.OrderedDict()
+        self._is_busy = False
+
+    def add(
+        self, writer: _MemoryWriter, size: int, passed: abc.Callable[[], None]
+    ) -> None:
+        """Queues bytes of a connection; `passed` is called once they passed."""
+        queue = self._waiting.setdefault(writer, collections.deque())
+        queue.append(_Transmission(size, passed))
+        if not self._is_busy:
+            self._start_next()
+
+    def _start_next(self) -> None:
+        self._is_busy = bool(self._waiting)
+        if not self._waiting:
+            return
+        writer, queue = self._waiting.popitem(last=False)
+        transmission = queue.popleft()
+        if queue:
+            self._waiting[writer] = queue
+        # A sender stops sending on a connection that its receiver has closed.
+        duration_s = (
+            0.0
+            if writer.is_abandoned
+            else transmission.size / self._bytes_per_s
+        )
+        asyncio.get_running_loop().call_later(
+            duration_s, self._finish, transmission
+        )
 
-    def _deliver(self, action: abc.Callable[[], None]) -> None:
-        self._network.deliver(self, self._source, self._target, action)
+    def _finish(self, transmission: _Transmission) -> None:
+        transmission.passed()
+        self._start_next()
 
 
 class MemoryNetwork:
@@ -107,6 +167,19 @@
         ] = []
         self._writers: list[tuple[str, str, _MemoryWriter]] = []
         self._tasks: set[asyncio.Future[None]] = set()
+        self._links: dict[str, _Link] = {}
+
+    def limit_incoming(self, place: str, bytes_per_s: float) -> None:
+        """Limits the rate at which bytes arrive at a place."""
+        self._links[place] = _Link(bytes_per_s)
+
+    def split(self, target: str, data: bytes) -> abc.Iterator[bytes]:
+        """Yields the parts in which bytes pass the link of their target."""
+        if target not in self._links:
+            yield data
+            return
+        for start in range(0, len(data), LINK_TURN_BYTES):
+            yield data[start : start + LINK_TURN_BYTES]
 
     def dial_from(self, place: str) -> http_exchange.Dial:
         """Returns the function that opens connections from `place`."""
@@ -178,8 +251,34 @@
         source: str,
         target: str,
         action: abc.Callable[[], None],
+        size: int = 0,
+    ) -> None:
+        """Runs `action` after all earlier deliveries, the link and the delay.
+
+        Args:
+            writer: The direction of the connection.
+            source: Place that sends.
+            target: Place that receives.
+            action: What the delivery does at the target.
+            size: Number of bytes, for a link of limited rate.
+        """
+        link = self._links.get(target)
+        if link is not None:
+            link.add(
+                writer,
+                size,
+                lambda: self._delay(writer, source, target, action),
+            )
+        else:
+            self._delay(writer, source, target, action)
+
+    def _delay(
+        self,
+        writer: _MemoryWriter,
+        source: str,
+        target: str,
+        action: abc.Callable[[], None],
     ) -> None:
-        """Runs `action` after the delay and after all earlier deliveries."""
         loop = asyncio.get_running_loop()
         due_s = loop.time() + self._delay_s * self._random.uniform(0.5, 1.5)
         due_s = writer._arrival_s = max(due_s, writer._arrival_s)
--- a/tests/stand_ins/platform_fleet.py
+++ b/tests/stand_ins/platform_fleet.py
@@ -127,6 +127,11 @@
         # Ids of the workers that belong to the other pool.
         self.other_pool_workers: set[str] = set()
 
+    @property
+    def host_names(self) -> tuple[str, ...]:
+        """Names of the entry hosts, running or not."""
+        return tuple(self._host_names)
+
     @property
     def hosts(self) -> dict[str, assembly.EntryHost]:
         """The running entry hosts by name."""
--- a/tests/stand_ins/platform_store.py
+++ b/tests/stand_ins/platform_store.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import itertools
 import struct
 import typing
 
@@ -16,6 +17,9 @@
 PARTITIONS = 24
 APPEND_S = 0.004
 MAX_REMEMBERED = 5
+# Limits of one page of the newest records.
+MAX_PAGE_RECORDS = 500
+MAX_PAGE_BYTES = 1_000_000
 
 _LENGTH = struct.Struct(">I")
 _HEAD = struct.Struct(">QQ")
@@ -82,7 +86,15 @@
 
     def put(self, topic: str, key: str, value: bytes) -> None:
         """Appends a record to a keyed topic, as operators and workers do."""
-        self._store_records(topic, 0, [_keyed(key, value)])
+        self.put_records(topic, 0, {key: value})
+
+    def put_records(
+        self, topic: str, partition: int, records: dict[str, bytes]
+    ) -> None:
+        """Appends records to a partition of a keyed topic."""
+        self._store_records(
+            topic, partition, list(itertools.starmap(_keyed, records.items()))
+        )
 
     def value(self, topic: str, partition: int, key: str) -> bytes | None:
         """Returns the newest value of a key, or None if it has none."""
@@ -230,19 +242,23 @@
         topic, number = query["Topic"], int(query["part"])
         partition = self._partition(topic, number)
         newest = self._newest.get((topic, number), {})
-        items = [
-            {
-                "Key": key,
-                "Value": base64.b64encode(value).decode(),
-                "Offset": offset,
-            }
+        remaining = [
+            (key, offset, value)
             for key, (offset, value) in sorted(newest.items())
             if key > query.get("After", "")
         ]
+        items: list[dict[str, object]] = []
+        size = 0
+        for key, offset, value in remaining[:MAX_PAGE_RECORDS]:
+            size += len(value)
+            if items and size > MAX_PAGE_BYTES:
+                break
+            encoded = base64.b64encode(value).decode()
+            items.append({"Key": key, "Value": encoded, "Offset": offset})
         return _json(
             {
-                "items": items[:500],
-                "HasMore": len(items) > 500,
+                "items": items,
+                "HasMore": len(items) < len(remaining),
                 "End": partition.end,
             }
         )
--- a/tests/steps/platform_fleet.py
+++ b/tests/steps/platform_fleet.py
@@ -13,6 +13,9 @@
 import msgspec
 from returns import pipeline
 
+from chervillead.jobs import job_state
+from chervillead.jobs import model
+from chervillead.jobs import records as job_records
 from chervillead.pools import pool_partitions
 from stand_ins import platform_fleet
 from stand_ins import platform_worker
@@ -56,6 +59,8 @@
     for worker in fleet.workers.values():
         worker.work_s = context.work_s
     fleet.other_pool_workers = getattr(context, "other_pool_workers", set())
+    for host in fleet.host_names if hasattr(context, "link_rate") else ():
+        fleet.network.limit_incoming(host, context.link_rate)
     await fleet.start()
     outcomes = []
     for action in context.actions:
@@ -90,6 +95,42 @@
     context.other_pool_workers = {"i-1"}
 
 
+@behave.given("the links of all hosts carry {kilobytes:d} KB a second")
+def step(context, kilobytes):
+    context.link_rate = 1000 * kilobytes
+
+
+@behave.when(
+    "the pool's partition holds {jobs:d} finished jobs of {size:d} bytes"
+)
+def step(context, jobs, size):
+    async def fill(fleet):
+        records = {}
+        for number in range(1000, 1000 + jobs):
+            spec = model.JobSpec(
+                platform_fleet.job_id(number),
+                "queue-1",
+                platform_fleet.POOL,
+                "account-1",
+                "x" * size,
+                (model.Step(1, model.Resources(1000, 100)),),
+            )
+            job = job_state.JobState(spec, accepted_s=0.0)
+            job.cancel(0.0)
+            records[job_records.spec_key(spec.job_id)] = (
+                job_records.encode_spec(spec)
+            )
+            records[job_records.progress_key(spec.job_id)] = (
+                job_records.encode_progress(job)
+            )
+        partition = fleet.hosts[fleet.owner_host()].partition_of(
+            platform_fleet.POOL
+        )
+        fleet.store.put_records(pool_partitions.JOBS_TOPIC, partition, records)
+
+    add_action(context, fill)
+
+
 @behave.when("operators publish a wave over all hosts with a cap of {cap:d}")
 def step(context, cap):
     async def publish(fleet):
