Name the kind of error in failures of calls without a message

A timeout of a call to the store was logged with an empty error, since an exception is true whatever its text: owner:load-failed showed only the store's address. The failure now names TimeoutError.

--- a/src/chervillead/http_connection.py
+++ b/src/chervillead/http_connection.py
@@ -113,7 +113,7 @@
 
     def _describe(self, error: Exception) -> str:
         host, port = self._address
-        return f"{host}:{port}: {error or type(error).__name__}"
+        return f"{host}:{port}: {str(error) or type(error).__name__}"
 
 
 class HttpConnectionPool:
