Let a large response of the store take as long as its link needs

Cause: a call to the store had 0.7 s in all, whatever the size of its response. A page of records holds up to 1 MB; a link of 5 Mbit/s carries about 440 KB in that time. The new owner of a large partition abandoned its first page, asked again from the start, and never loaded the partition while it renewed its ownership. The class of fault is a time limit on work whose size the limit doesn't know.

Change: for pages of records the 0.7 s bound the time without any byte, and 12 s the whole transfer. A connection that lost a response still fails after 0.7 s.

--- a/src/chervillead/http_connection.py
+++ b/src/chervillead/http_connection.py
@@ -60,12 +60,22 @@
         return self._lock.locked()
 
     async def call(
-        self, request: http_exchange.HttpRequest, timeout_s: float
+        self,
+        request: http_exchange.HttpRequest,
+        timeout_s: float,
+        transfer_timeout_s: float | None = None,
     ) -> CallOutcome:
         """Sends a request once and returns the response or the failure.
 
-        `timeout_s` bounds the time after connecting; connecting is bounded by
-        the lesser of `timeout_s` and `CONNECT_TIMEOUT_S`.
+        Args:
+            request: The request.
+            timeout_s: Longest time from connecting to the complete response.
+                Connecting is bounded by the lesser of it and
+                `CONNECT_TIMEOUT_S`.
+            transfer_timeout_s: For a large response: the longest time to the
+                complete response, while `timeout_s` bounds only the time
+                without any byte. How long a transfer takes depends on the
+                link, so it doesn't show that the server has failed.
         """
         async with self._lock:
             try:
@@ -77,11 +87,16 @@
                 )
             keep_open = False
             try:
-                async with asyncio.timeout(timeout_s):
+                async with asyncio.timeout(transfer_timeout_s or timeout_s):
                     writer.write(
                         http_exchange.encode_request(self._address, request)
                     )
-                    response = await http_exchange.read_response(reader)
+                    response = await http_exchange.read_response(
+                        reader,
+                        stall_timeout_s=timeout_s
+                        if transfer_timeout_s
+                        else None,
+                    )
                 keep_open = response.keep_alive
                 return result.Success(response)
             except (
@@ -130,16 +145,22 @@
         self._idle: list[HttpConnection] = []
 
     async def call(
-        self, request: http_exchange.HttpRequest, timeout_s: float
+        self,
+        request: http_exchange.HttpRequest,
+        timeout_s: float,
+        transfer_timeout_s: float | None = None,
     ) -> CallOutcome:
-        """Sends a request once, on an idle or a new connection."""
+        """Sends a request once, on an idle or a new connection.
+
+        The arguments are those of `HttpConnection.call`.
+        """
         connection = (
             self._idle.pop()
             if self._idle
             else HttpConnection(self._address, dial=self._dial)
         )
         try:
-            return await connection.call(request, timeout_s)
+            return await connection.call(request, timeout_s, transfer_timeout_s)
         finally:
             if connection.is_open:
                 self._idle.append(connection)
--- a/src/chervillead/http_exchange.py
+++ b/src/chervillead/http_exchange.py
@@ -93,11 +93,15 @@
         self.is_complete = True
 
 
-async def read_response(reader: asyncio.StreamReader) -> HttpResponse:
+async def read_response(
+    reader: asyncio.StreamReader, *, stall_timeout_s: float | None = None
+) -> HttpResponse:
     """Reads one response.
 
     Args:
         reader: Stream on which exactly one response is due.
+        stall_timeout_s: Longest time without any byte, in seconds; None for no
+            limit.
 
     Returns:
         The complete response.
@@ -106,12 +110,13 @@
         IncompleteResponseError: The stream ended before the response was
             complete, the response was malformed or too large, or further
             bytes followed it.
+        TimeoutError: No byte arrived for `stall_timeout_s`.
     """
     collector = _ResponseCollector()
     parser = httptools.HttpResponseParser(collector)
     received = 0
     while not collector.is_complete:
-        data = await reader.read(READ_CHUNK_BYTES)
+        data = await _read_chunk(reader, stall_timeout_s)
         if not data:
             raise IncompleteResponseError(
                 f"stream ended after {received} bytes of an incomplete response"
@@ -137,6 +142,15 @@
     )
 
 
+async def _read_chunk(
+    reader: asyncio.StreamReader, timeout_s: float | None
+) -> bytes:
+    if timeout_s is None:
+        return await reader.read(READ_CHUNK_BYTES)
+    async with asyncio.timeout(timeout_s):
+        return await reader.read(READ_CHUNK_BYTES)
+
+
 def _keeps_alive(version: str, headers: dict[str, str]) -> bool:
     """Returns whether the server keeps the connection open.
 
--- a/src/chervillead/platform/store_client.py
+++ b/src/chervillead/platform/store_client.py
@@ -20,6 +20,9 @@
 # The store responds within milliseconds, and a connection that lost a response
 # delivers nothing further, so a longer timeout doesn't help.
 TIMEOUT_S = 0.7
+# A page of records holds up to 1 MB, which a link of 5 Mbit/s carries in about
+# two seconds while nothing else uses it.
+TRANSFER_TIMEOUT_S = 12.0
 MAX_PAGES = 10_000
 
 _REJECTIONS = {
@@ -34,7 +37,7 @@
 
 
 _Call: typing.TypeAlias = abc.Callable[
-    [str, str, dict[str, object], bytes, float],
+    ...,
     abc.Awaitable[result.Result[_Reply, interface.StoreFailure]],
 ]
 
@@ -60,6 +63,7 @@
         query: dict[str, object],
         body: bytes,
         timeout_s: float,
+        transfer_timeout_s: float | None = None,
     ) -> result.Result[_Reply, interface.StoreFailure]:
         target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
         headers = (
@@ -68,7 +72,9 @@
             else ()
         )
         outcome = await connections.call(
-            http_exchange.HttpRequest(method, target, headers, body), timeout_s
+            http_exchange.HttpRequest(method, target, headers, body),
+            timeout_s,
+            transfer_timeout_s,
         )
         if not pipeline.is_successful(outcome):
             failure = outcome.failure()
@@ -176,7 +182,12 @@
         if wait_ms:
             query["WaitMs"] = wait_ms
         reply = await call(
-            "GET", "/log-read", query, b"", TIMEOUT_S + wait_ms / 1000
+            "GET",
+            "/log-read",
+            query,
+            b"",
+            TIMEOUT_S + wait_ms / 1000,
+            TRANSFER_TIMEOUT_S,
         )
         if not pipeline.is_successful(reply):
             return result.Failure(reply.failure())
@@ -199,7 +210,14 @@
         end: int | None = None
         query: dict[str, object] = {"Topic": topic, "part": partition}
         for _ in range(MAX_PAGES):
-            reply = await call("GET", "/log-newest", query, b"", TIMEOUT_S)
+            reply = await call(
+                "GET",
+                "/log-newest",
+                query,
+                b"",
+                TIMEOUT_S,
+                TRANSFER_TIMEOUT_S,
+            )
             if not pipeline.is_successful(reply):
                 failure = reply.failure()
                 if failure.detail.startswith("/log-newest: 404"):
--- a/tests/http_connection.feature
+++ b/tests/http_connection.feature
@@ -13,3 +13,16 @@
       | ends   |
       | closes |
       | resets |
+
+  Scenario Outline: A large response takes longer than the server may be silent
+    # Guards against a transfer that is abandoned although it makes progress,
+    # and against one that is waited for although it has stopped.
+    Given a server that sends a response in <parts> parts and <then>
+    When the response is read with 0.3 s between bytes and 2 s in all
+    Then the call <outcome> after <low> s to <high> s
+
+    Examples:
+      | parts | then            | outcome  | low | high |
+      | 8     | completes it    | succeeds | 0.8 | 0.9  |
+      | 3     | sends no more   | fails    | 0.6 | 0.7  |
+      | 40    | completes it    | fails    | 2.0 | 2.1  |
--- a/tests/steps/http_connection.py
+++ b/tests/steps/http_connection.py
@@ -11,6 +11,8 @@
 from chervillead import http_connection
 from chervillead import http_exchange
 from chervillead import types
+from stand_ins import memory_network
+from stand_ins import virtual_time
 
 # SO_LINGER value with which close() sends a TCP reset.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -60,3 +62,57 @@
 def step(context):
     assert all(map(pipeline.is_successful, context.outcomes)), context.outcomes
     assert context.connections == len(context.outcomes)
+
+
+# A server that sends a part at this interval is never silent for longer.
+PART_INTERVAL_S = 0.1
+ADDRESS = types.Address("10.0.0.1", 80)
+
+
+@behave.given("a server that sends a response in {parts:d} parts and {then}")
+def step(context, parts, then):
+    context.parts, context.completes = parts, then == "completes it"
+
+
+async def read_in_parts(context, timeout_s, transfer_timeout_s):
+    loop = asyncio.get_running_loop()
+    length = context.parts if context.completes else context.parts + 1
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % length)
+        for _ in range(context.parts):
+            await asyncio.sleep(PART_INTERVAL_S)
+            writer.write(b"x")
+        await reader.read()
+        writer.close()
+
+    network = memory_network.MemoryNetwork()
+    listening = asyncio.create_task(network.listen_at("server")(ADDRESS, serve))
+    await asyncio.sleep(0)
+    pool = http_connection.HttpConnectionPool(
+        ADDRESS, dial=network.dial_from("client")
+    )
+    started_s = loop.time()
+    request = http_exchange.HttpRequest("GET", "/")
+    outcome = await pool.call(request, timeout_s, transfer_timeout_s)
+    duration_s = loop.time() - started_s
+    listening.cancel()
+    return outcome, duration_s
+
+
+@behave.when(
+    "the response is read with {silence:g} s between bytes and {total:g} s "
+    "in all"
+)
+def step(context, silence, total):
+    context.outcome, context.duration_s = virtual_time.run_virtual(
+        read_in_parts(context, silence, total), context.seed
+    )
+
+
+@behave.then("the call {outcome} after {low:g} s to {high:g} s")
+def step(context, outcome, low, high):
+    succeeded = pipeline.is_successful(context.outcome)
+    assert succeeded == (outcome == "succeeds"), context.outcome
+    assert low <= context.duration_s <= high, context.duration_s
