Bound appends and page reads by what a slow link carries

Cause: an append of up to 512 KB had 0.7 s in all, and an unanswered one is sent again whole, since it may be stored. At 5 Mbit/s no append above about 430 KB is ever stored, while the owner keeps the partition. A failed page of the newest records threw away the pages before it, and 12 s for a page is too little below 1 Mbit/s.

A page that fails once made all pages be read again; now only that one is.

Change: batches of at most 64 KB; an append's limit grows with its size, at 50 KB/s; a page has 28 s, the time of 1.4 MB at that rate; a continuation page is repeated up to three times before the read fails.

--- a/src/chervillead/platform/store_client.py
+++ b/src/chervillead/platform/store_client.py
@@ -1,5 +1,6 @@
 """Client of the platform's store, as `store.interface.Store`."""
 
+import asyncio
 import base64
 import binascii
 from collections import abc
@@ -20,9 +21,13 @@
 # The store responds within milliseconds, and a connection that lost a response
 # delivers nothing further, so a longer timeout doesn't help.
 TIMEOUT_S = 0.7
-# A page of records holds up to 1 MB, which a link of 5 Mbit/s carries in about
-# two seconds while nothing else uses it.
-TRANSFER_TIMEOUT_S = 12.0
+# Lowest rate that a link is expected to leave for a transfer.
+MIN_LINK_BYTES_PER_S = 50_000
+# A page of records holds up to 1 MB, a third more in its encoding.
+TRANSFER_TIMEOUT_S = 1_400_000 / MIN_LINK_BYTES_PER_S
+# Attempts at one page before the pages read so far are given up.
+PAGE_ATTEMPTS = 4
+PAGE_RETRY_DELAY_S = 0.1
 MAX_PAGES = 10_000
 
 _REJECTIONS = {
@@ -158,12 +163,13 @@
             query["Producer"] = producer.name
             query["epoch"] = producer.epoch
             query["Seq"] = producer.sequence
+        body = store_records.encode_records(records)
         reply = await call(
             "POST",
             "/log-append",
             query,
-            store_records.encode_records(records),
-            TIMEOUT_S,
+            body,
+            TIMEOUT_S + len(body) / MIN_LINK_BYTES_PER_S,
         )
         return reply.map(lambda response: _fields(response.body).get("End", 0))
 
@@ -195,8 +201,9 @@
         if len(body) < store_records.HEAD.size:
             return result.Failure(_malformed("/log-read", EOFError()))
         records = tuple(store_records.decode_page(body, offset))
+        end_offset, _ = store_records.HEAD.unpack_from(body)
         return result.Success(
-            interface.ReadPage(records, offset + len(records))
+            interface.ReadPage(records, offset + len(records), end_offset)
         )
 
     return read
@@ -210,14 +217,7 @@
         end: int | None = None
         query: dict[str, object] = {"Topic": topic, "part": partition}
         for _ in range(MAX_PAGES):
-            reply = await call(
-                "GET",
-                "/log-newest",
-                query,
-                b"",
-                TIMEOUT_S,
-                TRANSFER_TIMEOUT_S,
-            )
+            reply = await _read_page(call, query, "After" in query)
             if not pipeline.is_successful(reply):
                 failure = reply.failure()
                 if failure.detail.startswith("/log-newest: 404"):
@@ -243,6 +243,26 @@
     return newest
 
 
+async def _read_page(
+    call: _Call, query: dict[str, object], is_continuation: bool
+) -> result.Result[_Reply, interface.StoreFailure]:
+    """Reads a page of the newest records.
+
+    A failed continuation is repeated, since the pages before it would have to
+    be transferred again.
+    """
+    for attempt in range(1, PAGE_ATTEMPTS + 1):
+        reply = await call(
+            "GET", "/log-newest", query, b"", TIMEOUT_S, TRANSFER_TIMEOUT_S
+        )
+        if pipeline.is_successful(reply) or not is_continuation:
+            break
+        if reply.failure().rejection is not None or attempt == PAGE_ATTEMPTS:
+            break
+        await asyncio.sleep(PAGE_RETRY_DELAY_S)
+    return reply
+
+
 def _newest_record(item: dict[str, typing.Any]) -> interface.KeyedRecord:
     return interface.KeyedRecord(
         item["Key"], base64.b64decode(item["Value"]), item["Offset"]
--- a/src/chervillead/store/group_commit.py
+++ b/src/chervillead/store/group_commit.py
@@ -17,7 +17,9 @@
 # compared with the response time of the store.
 BATCH_DELAY_S = 0.004
 RETRY_INTERVAL_S = 0.15
-MAX_BATCH_BYTES = 512 * 1024
+# A link of 5 Mbit/s carries it in about a tenth of a second, so that the reply
+# isn't late even while the link has other work.
+MAX_BATCH_BYTES = 64 * 1024
 
 
 class FencedError(Exception):
--- a/src/chervillead/store/interface.py
+++ b/src/chervillead/store/interface.py
@@ -72,10 +72,18 @@
 
 
 class ReadPage(typing.NamedTuple):
-    """Records read from an offset on, and the offset after the last one."""
+    """Records read from an offset on.
+
+    Attributes:
+        records: The records, in order.
+        next_offset: Offset after the last one.
+        end_offset: End of the partition at the time of the read; the page is
+            partial if it is higher than `next_offset`.
+    """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
+    end_offset: int
 
 
 class LatestRecords(typing.NamedTuple):
@@ -96,7 +104,10 @@
 
 
 class Store(typing.NamedTuple):
-    """Operations of the store; none of them retries an unanswered call.
+    """Operations of the store.
+
+    None of them retries an unanswered call, except that `read_latest` repeats
+    the read of a page.
 
     Attributes:
         append: Appends records atomically to (topic, partition) as a producer;
