Read the history until it succeeds, and confirm only complete reads

Callers could have had a task run twice, or a withdrawn key accepted.

And a read that returned a full page was reported as current although later records were waiting; with the longer limits for transfers such a page now arrives over slow links too.

Change: the history is read again until it succeeds, in pages up to the offset of the first read; a state counts as current once a read has reached the partition's end.

--- a/src/chervillead/store/keyed_follower.py
+++ b/src/chervillead/store/keyed_follower.py
@@ -9,6 +9,7 @@
 import typing
 
 from returns import pipeline
+from returns import result
 
 from chervillead.store import interface
 
@@ -56,7 +57,9 @@
             current.
         on_failure: Receives each failed call.
         apply_history: Receives older changes once, after the first read of the
-            latest records; they include keys that were deleted recently.
+            latest records; they include keys that were deleted recently. A
+            failed read is repeated, since the worker of a missed key may still
+            run tasks.
         history_records_per_key: Number of older records to read for each
             present key.
     """
@@ -77,16 +80,18 @@
                 + [Change(key, None) for key in sorted(keys - present)]
             )
             keys, offset = present, page.next_offset
-            if apply_history is not None:
-                count = max(
-                    MIN_HISTORY_RECORDS, history_records_per_key * len(present)
-                )
-                apply_history(
-                    await _read_history(store, topic, offset, count, on_failure)
-                )
-                apply_history = None
             on_current(started_s)
             continue
+        if apply_history is not None:
+            count = max(
+                MIN_HISTORY_RECORDS, history_records_per_key * len(keys)
+            )
+            history = await _read_history(store, topic, offset, count)
+            if pipeline.is_successful(history):
+                apply_history(history.unwrap())
+                apply_history = None
+            else:
+                on_failure(history.failure())
         read = await store.read(topic, 0, offset, wait_ms)
         if not pipeline.is_successful(read):
             on_failure(read.failure())
@@ -107,33 +112,33 @@
         if changes:
             apply_changes(changes)
         offset = read.unwrap().next_offset
+        if offset < read.unwrap().end_offset:
+            continue
         on_current(started_s)
         if pause_s:
             await asyncio.sleep(pause_s)
 
 
 async def _read_history(
-    store: interface.Store,
-    topic: str,
-    end: int,
-    count: int,
-    on_failure: abc.Callable[[interface.StoreFailure], None],
-) -> list[Change]:
+    store: interface.Store, topic: str, end: int, count: int
+) -> interface.StoreResult[list[Change], interface.StoreFailure]:
     """Returns up to `count` changes before an offset, oldest first.
 
-    It returns fewer if the older ones are no longer retained, and none if the
-    store doesn't answer, which is reported to `on_failure`.
+    It returns fewer if the older ones are no longer retained.
     """
-    read = await store.read(topic, 0, max(0, end - count), 0)
-    if not pipeline.is_successful(read):
-        first = read.failure().expected
-        if first is None or first >= end:
-            return []
-        read = await store.read(topic, 0, first, 0)
-    if not pipeline.is_successful(read):
-        on_failure(read.failure())
-        return []
-    return [
-        Change(record.key, record.value or None)
-        for record in read.unwrap().records
-    ]
+    changes: list[Change] = []
+    offset = max(0, end - count)
+    while offset < end:
+        read = await store.read(topic, 0, offset, 0)
+        if not pipeline.is_successful(read):
+            first = read.failure().expected
+            if first is None or first <= offset:
+                return result.Failure(read.failure())
+            offset = first
+            continue
+        page = read.unwrap()
+        changes.extend(Change(r.key, r.value or None) for r in page.records)
+        offset = page.next_offset
+        if not page.records:
+            break
+    return result.Success(changes)
