Keep the stream to a peer after a call that timed out

Callers saw answers 504 with the reason peer-silent in groups, a third of them with ConnectionResetError('stream closed').

Cause: the streams between hosts closed the shared stream when a single call timed out, so all other calls in progress on it failed as may-have-run, and every host dialled an owner again that was short of processor time.

Change: a call that times out ends alone. A stream on which nothing was heard for 1.1 s while calls waited takes no further calls, and is closed after the last call in progress on it, which may still get its reply from a slow peer.

--- a/src/chervillead/entries/job_streams.py
+++ b/src/chervillead/entries/job_streams.py
@@ -20,8 +20,10 @@
 from chervillead.entries import peer_stream
 
 DIAL_TIMEOUT_S = 0.4
-# The stream is closed after a time-out, as the peer may be unreachable.
 CALL_TIMEOUT_S = 1.2
+# A connection can stop delivering without an error. The limit is shorter than
+# a call's timeout, so that a single call that waits in full detects it.
+SILENCE_LIMIT_S = 1.1
 
 Serve = abc.Callable[[job_messages.Call], abc.Awaitable[job_messages.Reply]]
 CallOutcome = result.Result[job_messages.JobReply, verdicts.Refusal]
@@ -64,7 +66,8 @@
         """Sends a call, without a retry, and returns the reply.
 
         A failure has the reason peer-unreachable if the call did not run, and
-        peer-silent if it may have run.
+        peer-silent if it may have run. Other calls on the stream are not
+        affected: one slow reply is no sign of a broken connection.
         """
         try:
             stream = await self._open(address)
@@ -80,7 +83,8 @@
         try:
             reply = await stream.ask(message, timeout_s)
         except (TimeoutError, ConnectionError) as error:
-            self._drop(address, stream)
+            if stream.silence_s >= SILENCE_LIMIT_S:
+                self._forget(address, stream)
             return result.Failure(
                 verdicts.may_have_run(
                     "peer-silent",
@@ -88,6 +92,8 @@
                     f"{address.host}:{address.port}: {error!r}",
                 )
             )
+        finally:
+            self._close_if_replaced(address, stream)
         return result.Success(reply)
 
     def close(self) -> None:
@@ -132,9 +138,26 @@
         self, address: types.Address, stream: peer_stream.PeerStream
     ) -> None:
         stream.close()
+        self._forget(address, stream)
+
+    def _forget(
+        self, address: types.Address, stream: peer_stream.PeerStream
+    ) -> None:
+        """Uses the stream for no further calls."""
         if self._streams.get(address) is stream:
             del self._streams[address]
 
+    def _close_if_replaced(
+        self, address: types.Address, stream: peer_stream.PeerStream
+    ) -> None:
+        """Closes a stream that is no longer used, after its last call.
+
+        Its peer may only be slow, so the calls in progress keep their time.
+        """
+        is_used = self._streams.get(address) is stream
+        if not is_used and not stream.has_pending_replies:
+            stream.close()
+
 
 def serve_calls(serve: Serve, clock: types.Clock) -> http_exchange.ServeStreams:
     """Returns the function that serves an accepted stream with `serve`."""
--- a/src/chervillead/entries/peer_stream.py
+++ b/src/chervillead/entries/peer_stream.py
@@ -28,6 +28,7 @@
         self._outgoing: list[bytes] = []
         self._closed = False
         self._last_heard_s = clock.monotonic()
+        self._unanswered_since_s: float | None = None
 
     @property
     def peer(self) -> str:
@@ -43,6 +44,22 @@
         """Monotonic time at which the peer's last frame arrived."""
         return self._last_heard_s
 
+    @property
+    def silence_s(self) -> float:
+        """Seconds for which calls have waited without any frame of the peer.
+
+        Calls that timed out count until the peer is heard again, since their
+        replies would still arrive on a working connection.
+        """
+        if self._unanswered_since_s is None:
+            return 0.0
+        return self._clock.monotonic() - self._unanswered_since_s
+
+    @property
+    def has_pending_replies(self) -> bool:
+        """Whether a call is waiting for its reply."""
+        return bool(self._pending_replies)
+
     @property
     def is_closed(self) -> bool:
         """Whether this host has closed the stream."""
@@ -85,6 +102,8 @@
         future = asyncio.get_running_loop().create_future()
         number = self.post(message)
         self._pending_replies[number] = future
+        if self._unanswered_since_s is None:
+            self._unanswered_since_s = self._clock.monotonic()
         try:
             async with asyncio.timeout(timeout_s):
                 reply: messages.Message = await future
@@ -99,12 +118,18 @@
         must be released.
         """
         self._last_heard_s = self._clock.monotonic()
+        self._unanswered_since_s = (
+            self._last_heard_s if self._is_waiting_after(frame) else None
+        )
         future = self._pending_replies.get(frame.reply_to)
         if future is None or future.done():
             return False
         future.set_result(frame.message)
         return True
 
+    def _is_waiting_after(self, frame: codec.Frame) -> bool:
+        return any(number != frame.reply_to for number in self._pending_replies)
+
     def close(self) -> None:
         """Closes the stream and fails the pending calls on it.
 
