Refuse jobs as not run when the store has rejected their append

Callers saw answers 502 and 504 (owner-replaced, store-silent), after which they may not treat a job as not run, although its owner knew that it was not stored.

Cause: the writer failed all records with one error, whether they were still queued, rejected by the store as fenced, or in flight without a reply. A record in flight when the owner was replaced was never failed at all, so its caller waited in vain; so did a second caller of a job whose record a first call had taken out of the queue.

Change: the error of an append says whether an attempt may have been executed. It certainly was not if the record was never sent, or if the store rejected the only attempt as fenced; an earlier attempt without a reply, another rejection or an attempt in flight leaves it open, and the answer stays may-have-run.

--- a/src/chervillead/pools/job_operations.py
+++ b/src/chervillead/pools/job_operations.py
@@ -9,6 +9,7 @@
 from chervillead.jobs import model
 from chervillead.jobs import records
 from chervillead.pools import owner_state
+from chervillead.store import group_commit
 
 # New jobs are refused once appends have failed for this long, since the store
 # is unlikely to accept them soon.
@@ -68,24 +69,13 @@
             self._pending_submissions[spec.job_id] = stored
             stored.add_done_callback(lambda f: self._submission_stored(spec, f))
         done, _ = await asyncio.wait([stored], timeout=timeout_s)
-        if not done:
-            if state.writer.discard_unsent(stored):
-                self._pending_submissions.pop(spec.job_id, None)
-                return result.Failure(
-                    _store_unavailable(
-                        "the record was not sent to the store in time"
-                    )
-                )
+        if not done and not state.writer.discard_unsent(stored):
             return result.Failure(_store_timeout())
-        if not is_stored(stored):
-            return result.Failure(
-                verdicts.may_have_run(
-                    "owner-replaced",
-                    502,
-                    "another host became the owner before the job was stored",
-                )
-            )
-        return result.Success(None)
+        if is_stored(stored):
+            return result.Success(None)
+        # Discarding completes the future, but its callback hasn't run yet.
+        self._pending_submissions.pop(spec.job_id, None)
+        return result.Failure(_append_refusal(stored.exception()))
 
     def _submission_stored(
         self, spec: model.JobSpec, stored: asyncio.Future[None]
@@ -155,6 +145,20 @@
     )
 
 
+def _append_refusal(error: BaseException | None) -> verdicts.Refusal:
+    """Returns the refusal of a submission whose append has failed."""
+    if isinstance(error, group_commit.DiscardedError):
+        return _store_unavailable(
+            "the record was not sent to the store in time"
+        )
+    detail = "another host became the owner before the job was stored"
+    if isinstance(error, group_commit.AppendError) and not error.may_be_stored:
+        return verdicts.not_run(
+            "owner-replaced", 503, detail, retry_after_s=RETRY_AFTER_S
+        )
+    return verdicts.may_have_run("owner-replaced", 502, detail)
+
+
 def _store_timeout() -> verdicts.Refusal:
     return verdicts.may_have_run(
         "store-silent", 504, "the store did not confirm the record in time"
--- a/src/chervillead/store/group_commit.py
+++ b/src/chervillead/store/group_commit.py
@@ -22,10 +22,27 @@
 MAX_BATCH_BYTES = 64 * 1024
 
 
-class FencedError(Exception):
+class AppendError(Exception):
+    """A record won't be confirmed by the store.
+
+    Attributes:
+        may_be_stored: Whether the store may have executed an attempt to append
+            the record; False only if it certainly executed none.
+    """
+
+    def __init__(self, *, may_be_stored: bool) -> None:
+        super().__init__()
+        self.may_be_stored = may_be_stored
+
+
+class FencedError(AppendError):
     """A newer owner has taken over the partition, so appends are rejected."""
 
 
+class DiscardedError(AppendError):
+    """The record was removed from the queue before it was sent."""
+
+
 class _PendingRecord(typing.NamedTuple):
     record: interface.KeyedRecord
     stored: asyncio.Future[None]
@@ -43,6 +60,7 @@
         self._epoch = epoch
         self._sequence = 0
         self._pending: list[_PendingRecord] = []
+        self._in_flight: list[_PendingRecord] = []
         self._wake_event = asyncio.Event()
         self._is_fenced = False
         self._failing_since_s: float | None = None
@@ -69,15 +87,15 @@
         Of several records of one key in a batch only the last one is sent.
 
         Returns:
-            A future that completes when the record is stored; it raises
-            FencedError if the owner is fenced first.
+            A future that completes when the record is stored; it raises an
+            AppendError if the owner is fenced first or the record discarded.
         """
         stored = asyncio.get_running_loop().create_future()
         # Retrieves the exception, as nobody may be waiting for the future when
         # the owner is fenced.
         stored.add_done_callback(lambda f: f.cancelled() or f.exception())
         if self._is_fenced:
-            stored.set_exception(FencedError())
+            stored.set_exception(FencedError(may_be_stored=False))
             return stored
         record = interface.KeyedRecord(key, value)
         self._pending.append(_PendingRecord(record, stored))
@@ -87,6 +105,8 @@
     def discard_unsent(self, stored: asyncio.Future[None]) -> bool:
         """Removes a queued record that has not been sent.
 
+        The future raises DiscardedError, as other calls may wait for it.
+
         Args:
             stored: The future that `append` returned for the record.
 
@@ -96,6 +116,7 @@
         for number, entry in enumerate(self._pending):
             if entry.stored is stored:
                 del self._pending[number]
+                _fail([entry], DiscardedError(may_be_stored=False))
                 return True
         return False
 
@@ -142,10 +163,11 @@
                 await self._send(batch)
 
     def close(self) -> None:
-        """Fails the futures of all queued records with FencedError.
+        """Fails the futures of all unconfirmed records with FencedError.
 
-        Records queued until now may or may not have been stored.
+        Those in flight may be stored; those in the queue certainly are not.
         """
+        _fail(self._in_flight, FencedError(may_be_stored=True))
         self._fence()
 
     def _take_batch(self) -> list[_PendingRecord]:
@@ -165,6 +187,7 @@
         A batch that certainly was not executed goes back to the queue.
         """
         may_be_stored = False
+        self._in_flight = batch
         latest = {entry.record.key: entry.record for entry in batch}
         records = tuple(latest.values())
         while True:
@@ -182,7 +205,16 @@
                 self._sequence = failure.expected or 0
                 continue
             if failure.rejection is not None:
-                self._fence(batch)
+                # Fencing an attempt proves nothing about an earlier one that
+                # got no reply.
+                is_fenced = (
+                    failure.rejection is interface.RejectionReason.FENCED
+                )
+                error = FencedError(
+                    may_be_stored=may_be_stored or not is_fenced
+                )
+                _fail(batch, error)
+                self._fence()
                 return
             loop = asyncio.get_running_loop()
             if self._failing_since_s is None:
@@ -193,20 +225,26 @@
                 # The store executed no attempt, so the records go back to the
                 # queue, from which they can still be discarded.
                 self._pending[:0] = batch
+                self._in_flight = []
                 self._wake_event.set()
                 await asyncio.sleep(RETRY_INTERVAL_S)
                 return
             await asyncio.sleep(RETRY_INTERVAL_S)
         self._failing_since_s = None
+        self._in_flight = []
         self._sequence += 1
         for entry in batch:
             if not entry.stored.done():
                 entry.stored.set_result(None)
 
-    def _fence(self, batch: typing.Iterable[_PendingRecord] = ()) -> None:
+    def _fence(self) -> None:
         self._is_fenced = True
         self._wake_event.set()
-        for entry in (*batch, *self._pending):
-            if not entry.stored.done():
-                entry.stored.set_exception(FencedError())
+        _fail(self._pending, FencedError(may_be_stored=False))
         self._pending.clear()
+
+
+def _fail(entries: typing.Iterable[_PendingRecord], error: AppendError) -> None:
+    for entry in entries:
+        if not entry.stored.done():
+            entry.stored.set_exception(error)
--- /dev/null
+++ b/tests/pools/job_operations.feature
@@ -0,0 +1,40 @@
+Feature: Operations of an owner on its jobs
+  A submission that was not stored is refused as not run only with proof.
+
+  Scenario Outline: A submission whose append fails
+    # Guards against callers who may not treat a job as not run although the
+    # owner knows that it was not stored, and against a refusal as not run of a
+    # job that may be stored.
+    Given the store <behaviour>
+    When a job is submitted with 1 s to wait
+    Then the submission is refused as <verdict> with status <status>
+    And the refusal came within <seconds> s
+
+    Examples:
+      | behaviour                                          | verdict      | status | seconds |
+      | rejects appends as fenced                          | not-run      | 503    | 0.1     |
+      | first gives no reply, then rejects them as fenced  | may-have-run | 502    | 0.5     |
+      | first rejects the sequence, then the fenced append | not-run      | 503    | 0.1     |
+      | rejects appends without naming a known reason      | may-have-run | 502    | 0.1     |
+      | accepts nothing for now                            | not-run      | 503    | 1.01    |
+
+  Scenario: The owner is replaced while records are on their way
+    # Guards against callers who wait in vain for the reply to an append that
+    # the replaced owner has abandoned.
+    Given the store takes 5 s for an append
+    When a job is submitted with 1 s to wait
+    And another job is submitted 0.1 s later
+    And the owner is replaced 0.2 s later
+    Then the submission is refused as may-have-run with status 502
+    And the other submission is refused as not-run with status 503
+    And the refusal came within 0.4 s
+
+  Scenario: Two calls submit one job that is not sent in time
+    # Guards against a second caller who waits for a record that the first call
+    # has removed from the queue.
+    Given the store accepts nothing for now
+    When a job is submitted with 1 s to wait
+    And the same job is submitted 0.3 s later
+    Then the submission is refused as not-run with status 503
+    And the other submission is refused as not-run with status 503
+    And the refusal came within 1.01 s
