Let an owner stop waiting for the store before its caller's host does

Callers saw answers 504 (peer-silent) for jobs whose record was never sent.

Cause: a submission told the owner to wait up to 2 s for the store, while the host that passed it on waited 1.2 s for the owner. The owner's proof that the record had not left its queue came too late, always.

Evidence: the new scenario, which got 504 peer-silent before the change.

Change: each attempt carries the time that its host waits, less a margin for the way of the reply.

--- a/src/chervillead/pools/job_router.py
+++ b/src/chervillead/pools/job_router.py
@@ -26,6 +26,10 @@
 REFRESH_INTERVAL_S = 1.0
 MIN_REFRESH_INTERVAL_S = 0.15
 RETRY_DELAY_S = 0.1
+# Time that a reply of an owner may take on a slow link. The owner stops waiting
+# for the store that much before the calling host stops waiting for the owner.
+REPLY_MARGIN_S = 0.2
+MIN_STORE_WAIT_S = 0.05
 
 # Serves calls about hosts if this host owns the hosts partition.
 ServeHostCall = abc.Callable[
@@ -157,7 +161,7 @@
     ) -> ReplyOutcome:
         if self._local_ownership.owner_of(call.partition) is not None:
             reply = await job_service.serve(
-                call, self._local_ownership.owner_of
+                _with_store_wait(call, left_s), self._local_ownership.owner_of
             )
             return result.Success(reply)
         member = self._members.get(call.partition)
@@ -167,7 +171,11 @@
         ):
             return result.Failure(_no_owner(call.partition))
         timeout_s = min(left_s, job_streams.CALL_TIMEOUT_S)
-        return await self._streams.call(member.address, call, timeout_s)
+        return await self._streams.call(
+            member.address,
+            _with_store_wait(call, timeout_s - REPLY_MARGIN_S),
+            timeout_s,
+        )
 
 
 def _no_owner(partition: int) -> verdicts.Refusal:
@@ -179,6 +187,16 @@
     )
 
 
+def _with_store_wait(
+    call: job_messages.JobCall, wait_s: float
+) -> job_messages.JobCall:
+    """Returns a call whose owner waits at most that long for the store."""
+    if isinstance(call, job_messages.SubmitJob | job_messages.CancelJob):
+        wait_ms = int(1000 * max(MIN_STORE_WAIT_S, wait_s))
+        return call._replace(timeout_ms=min(call.timeout_ms, wait_ms))
+    return call
+
+
 def _refusal_of(outcome: ReplyOutcome) -> verdicts.Refusal | None:
     if pipeline.is_successful(outcome):
         return job_service.reply_refusal(outcome.unwrap())
--- a/tests/platform/calls.feature
+++ b/tests/platform/calls.feature
@@ -45,6 +45,14 @@
     Then the call is refused with status 503 as not-run
     And no task of the job ever ran
 
+  Scenario: A job is queued behind an append that gets no reply
+    # Guards against a host that gives up on the owner before the owner gives up
+    # on the store, so that its proof that the job was not stored is lost.
+    Given a platform fleet of 2 hosts and 1 worker
+    When the store leaves appends without a reply
+    And two jobs are submitted 0.1 s apart
+    Then the call is refused with status 503 as not-run
+
   Scenario: The same job submitted twice is one job
     # Guards against running a job twice when a caller retries a submission.
     Given a platform fleet of 2 hosts and 1 worker
--- a/tests/steps/platform_fleet.py
+++ b/tests/steps/platform_fleet.py
@@ -565,6 +565,29 @@
     add_action(context, go_down)
 
 
+@behave.when("the store leaves appends without a reply")
+def step(context):
+    async def hold_appends(fleet):
+        fleet.store.append_s = 3600
+
+    add_action(context, hold_appends)
+
+
+@behave.when("two jobs are submitted {seconds:g} s apart")
+def step(context, seconds):
+    async def submit_two(fleet):
+        steps = [platform_fleet.step(1)]
+        first = asyncio.create_task(
+            fleet.submit(platform_fleet.job_id(2), steps)
+        )
+        await asyncio.sleep(seconds)
+        outcome = await submit(fleet, steps)
+        await first
+        return outcome
+
+    add_action(context, submit_two)
+
+
 @behave.when("the store is down for {seconds:d} s")
 def step(context, seconds):
     async def go_down(fleet):
