Share one dial among the calls that wait for a stream to a peer

Callers' deadlines passed while their host dialled an owner that had been killed or cut off.

Cause: calls to one peer dialled it in turn, each for up to 0.4 s, so a call waited for the timeouts of all calls before it, whatever its own timeout.

Evidence: the new scenario, in which the last of 10 calls waited for 10 dials before the change.

Change: all waiting calls share one dial and its outcome; a caller that leaves doesn't end it.

--- a/src/chervillead/entries/job_streams.py
+++ b/src/chervillead/entries/job_streams.py
@@ -42,7 +42,9 @@
         self._clock = clock
         self._dial = dial
         self._streams: dict[types.Address, peer_stream.PeerStream] = {}
-        self._dialling: dict[types.Address, asyncio.Lock] = {}
+        self._dials: dict[
+            types.Address, asyncio.Task[peer_stream.PeerStream]
+        ] = {}
         self._readers: set[asyncio.Task[None]] = set()
 
     async def call(
@@ -98,27 +100,54 @@
 
     def close(self) -> None:
         """Closes all streams; calls in progress fail as peer-silent."""
+        for dial in self._dials.values():
+            dial.cancel()
         for task in self._readers:
             task.cancel()
         for stream in self._streams.values():
             stream.close()
 
     async def _open(self, address: types.Address) -> peer_stream.PeerStream:
-        lock = self._dialling.setdefault(address, asyncio.Lock())
-        async with lock:
-            stream = self._streams.get(address)
-            if stream is not None and not stream.is_closed:
-                return stream
-            async with asyncio.timeout(DIAL_TIMEOUT_S):
-                reader, writer = await self._dial(address)
-            stream = peer_stream.PeerStream(
-                f"{address.host}:{address.port}", writer, self._clock
-            )
-            self._streams[address] = stream
-            task = asyncio.create_task(self._read(address, stream, reader))
-            self._readers.add(task)
-            task.add_done_callback(self._readers.discard)
+        """Returns an open stream; all calls that wait for one share its dial.
+
+        If each call dialled in turn, calls to an unreachable peer would wait
+        for the timeouts of all calls before them.
+        """
+        stream = self._streams.get(address)
+        if stream is not None and not stream.is_closed:
             return stream
+        dial = self._dials.get(address)
+        if dial is None:
+            dial = asyncio.create_task(self._connect(address))
+            self._dials[address] = dial
+            dial.add_done_callback(lambda task: self._end_dial(address, task))
+        # Unlike awaiting the task, this doesn't cancel it with the caller.
+        await asyncio.wait([dial])
+        if dial.cancelled():
+            raise ConnectionAbortedError("the host is stopping")
+        return dial.result()
+
+    def _end_dial(
+        self,
+        address: types.Address,
+        dial: asyncio.Task[peer_stream.PeerStream],
+    ) -> None:
+        del self._dials[address]
+        if not dial.cancelled():
+            # Retrieved here, as all callers may have been cancelled.
+            dial.exception()
+
+    async def _connect(self, address: types.Address) -> peer_stream.PeerStream:
+        async with asyncio.timeout(DIAL_TIMEOUT_S):
+            reader, writer = await self._dial(address)
+        stream = peer_stream.PeerStream(
+            f"{address.host}:{address.port}", writer, self._clock
+        )
+        self._streams[address] = stream
+        task = asyncio.create_task(self._read(address, stream, reader))
+        self._readers.add(task)
+        task.add_done_callback(self._readers.discard)
+        return stream
 
     async def _read(
         self,
--- a/tests/entries/job_streams.feature
+++ b/tests/entries/job_streams.feature
@@ -32,3 +32,19 @@
     Then the submission fails as peer-silent
     And the status call succeeds
     And the replaced stream is closed
+
+  Scenario: Calls to an unreachable peer share one dial
+    # Guards against calls that wait, beyond their own time, for the dials of
+    # the calls before them.
+    Given a peer that answers status calls
+    When the peer becomes unreachable
+    And 10 status calls are sent at once
+    Then all status calls are refused as not-run within 0.5 s
+
+  Scenario: A caller that leaves during the dial
+    # Guards against a cancelled caller that ends the dial for the others.
+    Given a peer that answers status calls
+    When a status call is sent and cancelled during the dial
+    And a status call that takes 0 s is sent
+    Then the status call succeeds
+    And the peer was dialled 1 time
--- a/tests/steps/entries_job_streams.py
+++ b/tests/steps/entries_job_streams.py
@@ -35,6 +35,7 @@
         self.submissions = []
         self.status_calls = []
         self.dials = 0
+        self.durations_s = []
         self.open_connections = 0
         self.open_streams = 0
 
@@ -162,6 +163,49 @@
     context.actions.append(silence)
 
 
+@behave.when("the peer becomes unreachable")
+def step(context):
+    async def cut(network, streams, calls, found):
+        network.cut(["peer"], ["host"])
+
+    context.actions.append(cut)
+
+
+@behave.when("{count:d} status calls are sent at once")
+def step(context, count):
+    async def send(network, streams, calls, found):
+        now_s = asyncio.get_running_loop().time
+
+        async def call():
+            began_s = now_s()
+            found.status_calls.append(
+                await streams.call(ADDRESS, status_call(0))
+            )
+            found.durations_s.append(now_s() - began_s)
+
+        calls.extend(asyncio.create_task(call()) for _ in range(count))
+
+    context.actions.append(send)
+
+
+@behave.when("a status call is sent and cancelled during the dial")
+def step(context):
+    async def send(network, streams, calls, found):
+        task = asyncio.create_task(streams.call(ADDRESS, status_call(0)))
+        await asyncio.sleep(0.0005)
+        task.cancel()
+
+    context.actions.append(send)
+
+
+@behave.then("all status calls are refused as {verdict} within {seconds:g} s")
+def step(context, verdict, seconds):
+    found = run_once(context)
+    verdicts = {call.failure().verdict.value for call in found.status_calls}
+    assert verdicts == {verdict}, found.status_calls
+    assert max(found.durations_s) <= seconds, found.durations_s
+
+
 @behave.then("the submission fails as peer-silent")
 def step(context):
     (submission,) = run_once(context).submissions
