Tell callers' hosts that an owner has yet to load its partition

Callers were held for 2 s and then refused while a new owner could not load its partition, and their hosts read the list of owners again after each attempt.

Cause: an owner that had gained a partition but not loaded it answered not-owner, which the other hosts took for an outdated list of owners.

Change: such an owner answers owner-loading. The list of owners is not read for it, and a submission is retried for 0.5 s, within which most partitions load, and then refused as not run. Status and cancel calls use their whole time.

--- a/src/chervillead/platform/assembly.py
+++ b/src/chervillead/platform/assembly.py
@@ -282,7 +282,7 @@
             return records._replace(owners=host.router.owners_for_peer())
         if isinstance(call, host_messages.HostCall):
             return await host.serve_host_call(call)
-        return await job_service.serve(call, host.ownership.owner_of)
+        return await job_service.serve(call, host.ownership)
 
     await host.environment.listen(
         host.settings.entries, job_streams.serve_calls(serve, host.clock)
--- a/src/chervillead/pools/job_router.py
+++ b/src/chervillead/pools/job_router.py
@@ -30,6 +30,9 @@
 # for the store that much before the calling host stops waiting for the owner.
 REPLY_MARGIN_S = 0.2
 MIN_STORE_WAIT_S = 0.05
+# Most partitions load within this time; a caller that submits a job to another
+# one is told to come back.
+MAX_LOADING_WAIT_S = 0.5
 
 # Serves calls about hosts if this host owns the hosts partition.
 ServeHostCall = abc.Callable[
@@ -122,7 +125,8 @@
         The verdict covers all attempts: if an earlier attempt may have been
         executed, a later failure does not claim that the call did not run.
         """
-        deadline_s = self._clock.monotonic() + timeout_s
+        began_s = self._clock.monotonic()
+        deadline_s = began_s + timeout_s
         may_have_run = False
         while True:
             left_s = deadline_s - self._clock.monotonic()
@@ -132,10 +136,14 @@
                 return outcome
             if refusal.verdict is not verdicts.Verdict.NOT_RUN:
                 may_have_run = True
-            left_s = deadline_s - self._clock.monotonic()
-            if refusal.reason == "store-away" or left_s <= 2 * RETRY_DELAY_S:
+            now_s = self._clock.monotonic()
+            if (
+                _is_final(call, refusal, now_s - began_s)
+                or deadline_s - now_s <= 2 * RETRY_DELAY_S
+            ):
                 return result.Failure(_with_verdict(refusal, may_have_run))
-            self._refresh_requested.set()
+            if refusal.reason != job_service.OWNER_LOADING:
+                self._refresh_requested.set()
             await asyncio.sleep(RETRY_DELAY_S)
 
     async def call_hosts_owner(
@@ -156,12 +164,19 @@
             lambda reply: typing.cast(host_messages.HostReply, reply)
         )
 
+    def _is_owner(self, partition: int) -> bool:
+        return self._local_ownership.owner_of(
+            partition
+        ) is not None or job_service.is_loading(
+            partition, self._local_ownership
+        )
+
     async def _attempt(
         self, call: job_messages.JobCall, left_s: float
     ) -> ReplyOutcome:
-        if self._local_ownership.owner_of(call.partition) is not None:
+        if self._is_owner(call.partition):
             reply = await job_service.serve(
-                _with_store_wait(call, left_s), self._local_ownership.owner_of
+                _with_store_wait(call, left_s), self._local_ownership
             )
             return result.Success(reply)
         member = self._members.get(call.partition)
@@ -187,6 +202,19 @@
     )
 
 
+def _is_final(
+    call: job_messages.JobCall, refusal: verdicts.Refusal, waited_s: float
+) -> bool:
+    """Returns whether the caller is told at once instead of after retries."""
+    if refusal.reason == "store-away":
+        return True
+    return (
+        refusal.reason == job_service.OWNER_LOADING
+        and isinstance(call, job_messages.SubmitJob)
+        and waited_s >= MAX_LOADING_WAIT_S
+    )
+
+
 def _with_store_wait(
     call: job_messages.JobCall, wait_s: float
 ) -> job_messages.JobCall:
--- a/src/chervillead/pools/job_service.py
+++ b/src/chervillead/pools/job_service.py
@@ -1,34 +1,26 @@
 """Serves calls about jobs for the partitions that this host owns."""
 
-from collections import abc
-
 from returns import pipeline
 from returns import result
 
 from chervillead import verdicts
 from chervillead.entries import job_messages
 from chervillead.pools import job_operations
-from chervillead.pools import partition_owner
+from chervillead.pools import ownership
 
 NOT_OWNER = "not-owner"
-
-FindOwner = abc.Callable[[int], partition_owner.PartitionOwner | None]
+# This host is the owner, but has yet to load the partition's jobs.
+OWNER_LOADING = "owner-loading"
+RETRY_AFTER_S = 1.0
 
 
 async def serve(
-    call: job_messages.JobCall, find_owner: FindOwner
+    call: job_messages.JobCall, local_ownership: ownership.Ownership
 ) -> job_messages.JobReply:
-    """Executes a call, or refuses it if this host is not the owner."""
-    owner = find_owner(call.partition)
+    """Executes a call, or refuses it if this host can't serve it as owner."""
+    owner = local_ownership.owner_of(call.partition)
     if owner is None:
-        return refusal_reply(
-            verdicts.not_run(
-                NOT_OWNER,
-                503,
-                f"partition {call.partition} is not owned by this host",
-                retry_after_s=1.0,
-            )
-        )
+        return refusal_reply(_not_serving(call.partition, local_ownership))
     if isinstance(call, job_messages.SubmitJob):
         outcome = await owner.operations.submit(
             call.spec, call.timeout_ms / 1000
@@ -55,6 +47,35 @@
     )
 
 
+def is_loading(partition: int, local_ownership: ownership.Ownership) -> bool:
+    """Returns whether this host owns a partition that it has yet to load."""
+    owner = local_ownership.owners.get(partition)
+    return (
+        owner is not None
+        and local_ownership.is_confirmed()
+        and not owner.state.is_loaded
+        and not owner.state.writer.is_fenced
+    )
+
+
+def _not_serving(
+    partition: int, local_ownership: ownership.Ownership
+) -> verdicts.Refusal:
+    if is_loading(partition, local_ownership):
+        return verdicts.not_run(
+            OWNER_LOADING,
+            503,
+            f"this host is loading the jobs of partition {partition}",
+            retry_after_s=RETRY_AFTER_S,
+        )
+    return verdicts.not_run(
+        NOT_OWNER,
+        503,
+        f"partition {partition} is not owned by this host",
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
 def _outcome_reply(
     outcome: result.Result[None, verdicts.Refusal],
 ) -> job_messages.JobReply:
--- a/tests/platform/calls.feature
+++ b/tests/platform/calls.feature
@@ -53,6 +53,29 @@
     And two jobs are submitted 0.1 s apart
     Then the call is refused with status 503 as not-run
 
+  Scenario: A job is submitted while its new owner can't load the partition
+    # Guards against callers who are held until their time is used up by an
+    # owner that can't serve yet, and against hosts that meanwhile read the list
+    # of owners again and again, although it is up to date.
+    Given a platform fleet of 2 hosts and 1 worker
+    When the store stops returning the newest records
+    And all partitions are rebalanced
+    And 3 s pass
+    And a job of 1 task is submitted through a host that isn't the owner
+    Then the call is refused with status 503 as not-run
+    And the refusal has the reason owner-loading and came within 0.8 s
+    And the store was asked for the owners at most 3 times meanwhile
+
+  Scenario: A job is submitted while its new owner loads the partition
+    # Guards against refusing jobs during every short change of the owner.
+    Given a platform fleet of 3 hosts and 1 worker
+    When the store takes 300 ms for the newest records
+    And all partitions are rebalanced
+    And a new owner has begun to load the partition
+    And a job of 1 task is submitted through a host that isn't the owner
+    And 5 s pass
+    Then every host reports the job as completed
+
   Scenario: The same job submitted twice is one job
     # Guards against running a job twice when a caller retries a submission.
     Given a platform fleet of 2 hosts and 1 worker
--- a/tests/stand_ins/platform_store.py
+++ b/tests/stand_ins/platform_store.py
@@ -69,6 +69,7 @@
     Attributes:
         is_down: Whether every call is rejected with status 503.
         append_s: Duration of an append.
+        newest_s: Duration of a read of the newest records.
         rejected_hosts: Entry hosts whose calls are rejected with status 503.
         dropping_replies: Whether POST calls are executed but get no reply.
         calls: Paths of the received calls, in order.
@@ -77,6 +78,7 @@
     def __init__(self) -> None:
         self.is_down = False
         self.append_s = APPEND_S
+        self.newest_s = APPEND_S
         self.rejected_hosts: set[str] = set()
         self.dropping_replies = False
         self.calls: list[str] = []
@@ -141,8 +143,11 @@
             request: http_server.ReceivedRequest, writer: asyncio.StreamWriter
         ) -> http_server.Reply | None:
             self.calls.append(request.path)
-            is_append = request.path == "/log-append"
-            await asyncio.sleep(self.append_s if is_append else APPEND_S)
+            durations_s = {
+                "/log-append": self.append_s,
+                "/log-newest": self.newest_s,
+            }
+            await asyncio.sleep(durations_s.get(request.path, APPEND_S))
             if self.is_down or host in self.rejected_hosts:
                 return http_server.Reply(503)
             reply = await self._answer(request)
--- a/tests/steps/platform_fleet.py
+++ b/tests/steps/platform_fleet.py
@@ -573,6 +573,78 @@
     add_action(context, hold_appends)
 
 
+@behave.when("the store stops returning the newest records")
+def step(context):
+    async def hold_records(fleet):
+        fleet.store.newest_s = 3600
+
+    add_action(context, hold_records)
+
+
+@behave.when("the store takes {milliseconds:d} ms for the newest records")
+def step(context, milliseconds):
+    async def slow_down(fleet):
+        fleet.store.newest_s = milliseconds / 1000
+
+    add_action(context, slow_down)
+
+
+@behave.when("a new owner has begun to load the partition")
+def step(context):
+    def is_loading(host):
+        owner = host.ownership.owners.get(
+            host.partition_of(platform_fleet.POOL)
+        )
+        return owner is not None and not owner.state.is_loaded
+
+    async def wait(fleet):
+        while not any(map(is_loading, fleet.hosts.values())):
+            await asyncio.sleep(0.01)
+
+    add_action(context, wait)
+
+
+@behave.when(
+    "a job of {tasks:d} task is submitted through a host that isn't the owner"
+)
+def step(context, tasks):
+    async def submit_elsewhere(fleet):
+        name = next(
+            name
+            for name, host in fleet.hosts.items()
+            if host.partition_of(platform_fleet.POOL)
+            not in host.ownership.owners
+        )
+        now_s = asyncio.get_running_loop().time
+        began_s, calls = now_s(), len(fleet.store.calls)
+        outcome = await fleet.submit(
+            JOB, [platform_fleet.step(tasks)], host=name
+        )
+        context.submission_s = now_s() - began_s
+        context.store_calls = fleet.store.calls[calls:]
+        return outcome
+
+    add_action(context, submit_elsewhere)
+
+
+@behave.then(
+    "the refusal has the reason {reason} and came within {seconds:g} s"
+)
+def step(context, reason, seconds):
+    refusal = run_once(context).outcomes[-1].failure()
+    assert refusal.reason == reason, refusal
+    assert context.submission_s <= seconds, context.submission_s
+
+
+@behave.then(
+    "the store was asked for the owners at most {count:d} times meanwhile"
+)
+def step(context, count):
+    run_once(context)
+    asked = context.store_calls.count("/log-owners")
+    assert asked <= count, context.store_calls
+
+
 @behave.when("two jobs are submitted {seconds:g} s apart")
 def step(context, seconds):
     async def submit_two(fleet):
