Limit the calls of a host to an owner that can't answer them

Callers were held for 2 s each and then answered 504 while an owner was short of processor time or bandwidth, and the retries of all hosts added to its load.

Cause: a host sent every call to the owner that the store listed, at any number in progress, and repeated attempts at a fixed interval.

Change: an owner that left a call without a reply for 1 s, and answered none sent meanwhile, gets one call at a time until it answers; any owner gets 64 at most. Further jobs are refused at once as not run, with a Retry-After between 1 and 3 s. Status calls wait for their turn and cancel calls always pass. Retries back off from 0.1 to 0.3 s with jitter.

--- a/src/chervillead/entries/job_streams.py
+++ b/src/chervillead/entries/job_streams.py
@@ -25,6 +25,9 @@
 # a call's timeout, so that a single call that waits in full detects it.
 SILENCE_LIMIT_S = 1.1
 
+# Reason of a call without a reply, which may have run.
+PEER_SILENT = "peer-silent"
+
 Serve = abc.Callable[[job_messages.Call], abc.Awaitable[job_messages.Reply]]
 CallOutcome = result.Result[job_messages.JobReply, verdicts.Refusal]
 AnyOutcome = result.Result[messages.Message, verdicts.Refusal]
@@ -89,7 +92,7 @@
                 self._forget(address, stream)
             return result.Failure(
                 verdicts.may_have_run(
-                    "peer-silent",
+                    PEER_SILENT,
                     504,
                     f"{address.host}:{address.port}: {error!r}",
                 )
--- a/src/chervillead/pools/job_router.py
+++ b/src/chervillead/pools/job_router.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections import abc
+import random
 import typing
 
 from returns import pipeline
@@ -17,6 +18,7 @@
 from chervillead.entries import job_messages
 from chervillead.entries import job_streams
 from chervillead.pools import job_service
+from chervillead.pools import owner_calls
 from chervillead.pools import ownership
 from chervillead.pools import pool_partitions
 from chervillead.store import interface as store_interface
@@ -25,7 +27,9 @@
 # call, but never more often than at the minimum interval.
 REFRESH_INTERVAL_S = 1.0
 MIN_REFRESH_INTERVAL_S = 0.15
-RETRY_DELAY_S = 0.1
+FIRST_RETRY_DELAY_S = 0.1
+MAX_RETRY_DELAY_S = 0.3
+MIN_ATTEMPT_S = 0.1
 # Time that a reply of an owner may take on a slow link. The owner stops waiting
 # for the store that much before the calling host stops waiting for the owner.
 REPLY_MARGIN_S = 0.2
@@ -33,6 +37,17 @@
 # Most partitions load within this time; a caller that submits a job to another
 # one is told to come back.
 MAX_LOADING_WAIT_S = 0.5
+# Callers refused at one moment return spread over this range.
+MIN_RETRY_AFTER_S = 1.0
+MAX_RETRY_AFTER_S = 3.0
+
+# Reasons of refusals without a call to the owner.
+OWNER_SILENT = "owner-silent"
+OWNER_BUSY = "owner-busy"
+# The list of owners is up to date if calls are refused for these reasons.
+_OWNER_IS_KNOWN = frozenset((job_service.OWNER_LOADING, OWNER_BUSY))
+# Submissions refused for these reasons are not retried here.
+_FINAL_FOR_SUBMISSIONS = frozenset((OWNER_SILENT, OWNER_BUSY))
 
 # Serves calls about hosts if this host owns the hosts partition.
 ServeHostCall = abc.Callable[
@@ -59,6 +74,7 @@
         self._local_ownership = local_ownership
         self._clock = clock
         self._log = log
+        self._call_limits = owner_calls.CallLimits(clock.monotonic)
         self._members: dict[int, ownership.Member] = {}
         self._refresh_requested = asyncio.Event()
         self._owners: dict[int, str] = {}
@@ -128,6 +144,7 @@
         began_s = self._clock.monotonic()
         deadline_s = began_s + timeout_s
         may_have_run = False
+        delays_s = _retry_delays_s()
         while True:
             left_s = deadline_s - self._clock.monotonic()
             outcome = await self._attempt(call, left_s)
@@ -137,14 +154,15 @@
             if refusal.verdict is not verdicts.Verdict.NOT_RUN:
                 may_have_run = True
             now_s = self._clock.monotonic()
+            delay_s = next(delays_s)
             if (
                 _is_final(call, refusal, now_s - began_s)
-                or deadline_s - now_s <= 2 * RETRY_DELAY_S
+                or deadline_s - now_s <= delay_s + MIN_ATTEMPT_S
             ):
                 return result.Failure(_with_verdict(refusal, may_have_run))
-            if refusal.reason != job_service.OWNER_LOADING:
+            if refusal.reason not in _OWNER_IS_KNOWN:
                 self._refresh_requested.set()
-            await asyncio.sleep(RETRY_DELAY_S)
+            await asyncio.sleep(delay_s)
 
     async def call_hosts_owner(
         self, call: host_messages.HostCall
@@ -185,12 +203,62 @@
             or member.address == self._local_ownership.member.address
         ):
             return result.Failure(_no_owner(call.partition))
+        return await self._call_peer(member.address, call, left_s)
+
+    async def _call_peer(
+        self,
+        address: types.Address,
+        call: job_messages.JobCall,
+        left_s: float,
+    ) -> ReplyOutcome:
+        owner = self._call_limits.of(address)
+        # Cancelling takes load off an owner, and each job is cancelled once.
+        is_limited = not isinstance(call, job_messages.CancelJob)
+        if is_limited and not owner.may_call:
+            return result.Failure(_owner_limited(address, owner))
         timeout_s = min(left_s, job_streams.CALL_TIMEOUT_S)
-        return await self._streams.call(
-            member.address,
-            _with_store_wait(call, timeout_s - REPLY_MARGIN_S),
-            timeout_s,
+        sent_s = self._clock.monotonic()
+        with owner.in_progress():
+            outcome = await self._streams.call(
+                address,
+                _with_store_wait(call, timeout_s - REPLY_MARGIN_S),
+                timeout_s,
+            )
+        if pipeline.is_successful(outcome):
+            owner.record_reply()
+        elif outcome.failure().reason == job_streams.PEER_SILENT:
+            owner.record_silence(sent_s)
+        return outcome
+
+
+def _retry_delays_s() -> abc.Iterator[float]:
+    """Yields the delays before the next attempts, in seconds."""
+    delay_s = FIRST_RETRY_DELAY_S
+    while True:
+        yield random.uniform(0.5, 1.5) * delay_s
+        delay_s = min(MAX_RETRY_DELAY_S, 2 * delay_s)
+
+
+def _owner_limited(
+    address: types.Address, owner: owner_calls.OwnerCalls
+) -> verdicts.Refusal:
+    """Returns the refusal of a call that the owner's limit doesn't allow."""
+    place = f"{address.host}:{address.port}"
+    retry_after_s = random.uniform(MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S)
+    if owner.is_silent:
+        return verdicts.not_run(
+            OWNER_SILENT,
+            503,
+            f"{place} has not answered earlier calls in time",
+            retry_after_s=retry_after_s,
         )
+    return verdicts.not_run(
+        OWNER_BUSY,
+        503,
+        f"{place} has yet to answer "
+        f"{owner_calls.MAX_CALLS_IN_PROGRESS} calls of this host",
+        retry_after_s=retry_after_s,
+    )
 
 
 def _no_owner(partition: int) -> verdicts.Refusal:
@@ -208,11 +276,11 @@
     """Returns whether the caller is told at once instead of after retries."""
     if refusal.reason == "store-away":
         return True
-    return (
-        refusal.reason == job_service.OWNER_LOADING
-        and isinstance(call, job_messages.SubmitJob)
-        and waited_s >= MAX_LOADING_WAIT_S
-    )
+    if not isinstance(call, job_messages.SubmitJob):
+        return False
+    if refusal.reason == job_service.OWNER_LOADING:
+        return waited_s >= MAX_LOADING_WAIT_S
+    return refusal.reason in _FINAL_FOR_SUBMISSIONS
 
 
 def _with_store_wait(
