Refuse new jobs at an owner whose event loop runs late

Callers were held until their time was used up by an owner that took jobs which it could not attend to.

Cause: nothing tied what an owner accepts to whether it gets processor time.

Change: an owner whose event loop ran more than 0.3 s late within the last second refuses new jobs as not run, with a Retry-After between 1 and 3 s. Callers wait 3 s, in which a host tries an owner twice for 1.2 s each, and a submission waits four times for the event loop in that time. Jobs that the owner has are confirmed, shown and cancelled as before.

--- a/src/chervillead/event_loop_lag.py
+++ b/src/chervillead/event_loop_lag.py
@@ -5,11 +5,32 @@
 """
 
 import asyncio
+import collections
 from collections import abc
 
 INTERVAL_S = 0.25
 # Lags above this are logged: peers give up on a call after a few of them.
 LOGGED_LAG_S = 0.4
+# Lags within this time count as recent, as a busy process lags in bursts.
+RECENT_S = 1.0
+
+
+class RecentLag:
+    """The lags of the last second."""
+
+    def __init__(self) -> None:
+        self._lags_s = collections.deque[float](
+            maxlen=round(RECENT_S / INTERVAL_S)
+        )
+
+    @property
+    def highest_s(self) -> float:
+        """The highest recent lag, in seconds."""
+        return max(self._lags_s, default=0.0)
+
+    def record(self, lag_s: float) -> None:
+        """Records a lag, in seconds."""
+        self._lags_s.append(lag_s)
 
 
 async def watch(
--- a/src/chervillead/platform/assembly.py
+++ b/src/chervillead/platform/assembly.py
@@ -80,6 +80,7 @@
         self.metrics = metrics_page.MetricsPage()
         self.log = log
         self.stopping = asyncio.Event()
+        self.loop_lag = event_loop_lag.RecentLag()
         self.fleet_view = fleet_view.FleetView(
             environment.boot_time, self.clock.monotonic, self.log
         )
@@ -107,6 +108,7 @@
             and advice_client.connect_advice(
                 settings.advice, dial=environment.dial
             ),
+            loop_lag_s=lambda: self.loop_lag.highest_s,
         )
         self.ownership = ownership.Ownership(
             member, self.owner_ports, environment.boot_time, self.manage_hosts
@@ -141,6 +143,11 @@
         """Answers a peer's call about hosts."""
         return await self.host_manager.serve(call)
 
+    def record_loop_lag(self, lag_s: float) -> None:
+        """Records how late the event loop ran, in seconds."""
+        self.loop_lag.record(lag_s)
+        self.metrics.observe("loop_lag_seconds", lag_s)
+
     def update_workers(self) -> None:
         """Passes each loaded owner the workers of its pools."""
         for partition, owner in self.ownership.owners.items():
@@ -214,7 +221,7 @@
             _sync_operator_records(self),
             event_loop_lag.watch(
                 self.clock.monotonic,
-                lambda lag_s: self.metrics.observe("loop_lag_seconds", lag_s),
+                self.record_loop_lag,
                 self.log,
             ),
         ]
--- a/src/chervillead/pools/job_operations.py
+++ b/src/chervillead/pools/job_operations.py
@@ -1,6 +1,7 @@
 """Job operations that an owner executes: submit, cancel and count."""
 
 import asyncio
+import random
 
 from returns import result
 
@@ -15,6 +16,15 @@
 # is unlikely to accept them soon.
 MAX_STORE_FAILURE_S = 0.4
 RETRY_AFTER_S = 1.0
+# Callers wait 3 s, in which their host tries an owner twice for 1.2 s each. In
+# that time a submission waits four times for the event loop: to be read, to be
+# sent to the store, for the store's reply, and to be answered.
+MAX_LOOP_LAG_S = 0.3
+# Callers refused during one lag return spread over this range.
+MIN_LAG_RETRY_AFTER_S = 1.0
+MAX_LAG_RETRY_AFTER_S = 3.0
+
+OWNER_OVERLOADED = "owner-overloaded"
 
 Outcome = result.Result[None, verdicts.Refusal]
 
@@ -55,6 +65,9 @@
             return result.Success(None)
         stored = self._pending_submissions.get(spec.job_id)
         if stored is None:
+            lag_s = state.ports.loop_lag_s()
+            if lag_s > MAX_LOOP_LAG_S:
+                return result.Failure(_overloaded(lag_s))
             failing_s = state.writer.failure_duration_s()
             if (
                 state.ownership.is_store_unavailable()
@@ -139,6 +152,18 @@
     return verdicts.not_run("unknown-job", 410, f"no job {job_id}")
 
 
+def _overloaded(lag_s: float) -> verdicts.Refusal:
+    return verdicts.not_run(
+        OWNER_OVERLOADED,
+        503,
+        f"the owner runs its tasks {lag_s:.1f} s late, more than "
+        f"{MAX_LOOP_LAG_S} s",
+        retry_after_s=random.uniform(
+            MIN_LAG_RETRY_AFTER_S, MAX_LAG_RETRY_AFTER_S
+        ),
+    )
+
+
 def _store_unavailable(detail: str) -> verdicts.Refusal:
     return verdicts.not_run(
         "store-away", 503, detail, retry_after_s=RETRY_AFTER_S
--- a/src/chervillead/pools/job_router.py
+++ b/src/chervillead/pools/job_router.py
@@ -17,6 +17,7 @@
 from chervillead.entries import host_messages
 from chervillead.entries import job_messages
 from chervillead.entries import job_streams
+from chervillead.pools import job_operations
 from chervillead.pools import job_service
 from chervillead.pools import owner_calls
 from chervillead.pools import ownership
@@ -45,9 +46,17 @@
 OWNER_SILENT = "owner-silent"
 OWNER_BUSY = "owner-busy"
 # The list of owners is up to date if calls are refused for these reasons.
-_OWNER_IS_KNOWN = frozenset((job_service.OWNER_LOADING, OWNER_BUSY))
+_OWNER_IS_KNOWN = frozenset(
+    (
+        job_service.OWNER_LOADING,
+        job_operations.OWNER_OVERLOADED,
+        OWNER_BUSY,
+    )
+)
 # Submissions refused for these reasons are not retried here.
-_FINAL_FOR_SUBMISSIONS = frozenset((OWNER_SILENT, OWNER_BUSY))
+_FINAL_FOR_SUBMISSIONS = frozenset(
+    (OWNER_SILENT, OWNER_BUSY, job_operations.OWNER_OVERLOADED)
+)
 
 # Serves calls about hosts if this host owns the hosts partition.
 ServeHostCall = abc.Callable[
--- a/src/chervillead/pools/ports.py
+++ b/src/chervillead/pools/ports.py
@@ -76,6 +76,8 @@
         observe: Records a duration in seconds, by name.
         ask_advice: Asks the advisory service which workers may run a step; None
             without such a service.
+        loop_lag_s: Returns the highest recent lag of the event loop, in
+            seconds.
     """
 
     store: store_interface.Store
@@ -88,3 +90,4 @@
     increment: abc.Callable[..., None]
     observe: abc.Callable[[str, float], None]
     ask_advice: AskAdvice | None = None
+    loop_lag_s: abc.Callable[[], float] = lambda: 0.0
--- a/tests/pools/job_operations.feature
+++ b/tests/pools/job_operations.feature
@@ -38,3 +38,31 @@
     Then the submission is refused as not-run with status 503
     And the other submission is refused as not-run with status 503
     And the refusal came within 1.01 s
+
+  Scenario Outline: The owner's event loop runs late
+    # Guards against an owner that takes jobs which it can't attend to within
+    # the time that their callers wait.
+    Given an owner whose event loop runs <lag> s late
+    When a job is submitted with 1 s to wait
+    Then the submission is <outcome>
+
+    Examples:
+      | lag  | outcome              |
+      | 0.2  | accepted             |
+      | 0.31 | refused for overload |
+      | 5    | refused for overload |
+
+  Scenario: A late owner goes on serving the jobs that it has
+    # Guards against an owner that, while it runs late, refuses to confirm or to
+    # cancel jobs that it has accepted.
+    Given an owner whose event loop begins to run late after 0.5 s
+    When a job is submitted with 1 s to wait
+    And the same job is submitted 0.6 s later
+    And the job is cancelled 0.7 s after it was submitted
+    Then both submissions and the cancellation succeed
+
+  Scenario: Jobs refused by a late owner return spread over time
+    # Guards against callers that all return at one moment.
+    Given an owner whose event loop runs 1 s late
+    When 20 jobs are submitted to the owner at once
+    Then their callers are told to return between 1 s and 3 s later
--- a/tests/steps/pools_job_operations.py
+++ b/tests/steps/pools_job_operations.py
@@ -30,6 +30,7 @@
 UNKNOWN_REASON = interface.StoreFailure(
     verdicts.Verdict.NOT_RUN, "409", interface.RejectionReason.NOT_A_MEMBER
 )
+SUCCESS = result.Success(None)
 APPEND_S = 0.01
 # Failures of the appends in order; the last one repeats.
 BEHAVIOURS = {
@@ -45,9 +46,12 @@
 
 
 class Submission(typing.NamedTuple):
-    """Outcome of a submission and how long it took."""
+    """Outcome of a submission and how long it took.
 
-    refusal: verdicts.Refusal
+    The refusal is None if the job was accepted.
+    """
+
+    refusal: verdicts.Refusal | None
     duration_s: float
 
 
@@ -62,7 +66,7 @@
     )
 
 
-def build_state(append):
+def build_state(append, loop_lag_s):
     """Returns an owner's state whose writer appends with a function."""
     store = interface.Store(append, None, None, None, None, None)
     owner_ports = ports.OwnerPorts(
@@ -75,6 +79,7 @@
         log=lambda message_type, **fields: None,
         increment=lambda *labels: None,
         observe=lambda name, seconds: None,
+        loop_lag_s=loop_lag_s,
     )
     return owner_state.OwnerState(
         0,
@@ -96,28 +101,39 @@
             failures.pop(0) if len(failures) > 1 else failures[0]
         )
 
-    state = build_state(append)
+    def loop_lag_s():
+        is_late = now_s() >= getattr(context, "late_from_s", 0.0)
+        return getattr(context, "lag_s", 0.0) if is_late else 0.0
+
+    now_s = asyncio.get_running_loop().time
+    state = build_state(append, loop_lag_s)
     operations = job_operations.JobOperations(state)
     writing = asyncio.create_task(state.writer.run())
-    now_s = asyncio.get_running_loop().time
 
     async def submit(number, delay_s):
         await asyncio.sleep(delay_s)
         began_s = now_s()
         outcome = await operations.submit(job(number), 1.0)
-        return Submission(outcome.failure(), now_s() - began_s)
+        refusal = None if outcome == SUCCESS else outcome.failure()
+        return Submission(refusal, now_s() - began_s)
+
+    async def cancel(after_s):
+        await asyncio.sleep(after_s)
+        context.cancellation = await operations.cancel(job(1).job_id, 1.0)
 
     async def replace_owner():
         await asyncio.sleep(context.replaced_after_s)
         writing.cancel()
         state.writer.close()
 
-    replacing = (
-        [replace_owner()] if hasattr(context, "replaced_after_s") else []
-    )
+    others = []
+    if hasattr(context, "replaced_after_s"):
+        others.append(replace_owner())
+    if hasattr(context, "cancelled_s"):
+        others.append(cancel(context.cancelled_s))
     outcomes = await asyncio.gather(
         *(submit(number, delay_s) for number, delay_s in context.jobs),
-        *replacing,
+        *others,
     )
     writing.cancel()
     return outcomes[: len(context.jobs)]
@@ -143,6 +159,31 @@
     context.failures = BEHAVIOURS[behaviour]
 
 
+@behave.given("an owner whose event loop runs {lag:g} s late")
+def step(context, lag):
+    context.append_s = APPEND_S
+    context.lag_s = lag
+
+
+@behave.given(
+    "an owner whose event loop begins to run late after {seconds:g} s"
+)
+def step(context, seconds):
+    context.append_s = APPEND_S
+    context.lag_s = 1.0
+    context.late_from_s = seconds
+
+
+@behave.when("the job is cancelled {seconds:g} s after it was submitted")
+def step(context, seconds):
+    context.cancelled_s = seconds
+
+
+@behave.when("{count:d} jobs are submitted to the owner at once")
+def step(context, count):
+    context.jobs = [(number, 0.0) for number in range(count)]
+
+
 @behave.when("a job is submitted with 1 s to wait")
 def step(context):
     context.jobs = [(1, 0.0)]
@@ -184,3 +225,32 @@
 def step(context, seconds):
     longest_s = max(found.duration_s for found in run_once(context))
     assert longest_s <= seconds, run_once(context)
+
+
+@behave.then("the submission is accepted")
+def step(context):
+    assert run_once(context)[0].refusal is None, run_once(context)
+
+
+@behave.then("the submission is refused for overload")
+def step(context):
+    submission = run_once(context)[0]
+    check_refusal(submission, "not-run", 503)
+    assert submission.refusal.reason == job_operations.OWNER_OVERLOADED
+    assert submission.duration_s < APPEND_S, submission
+
+
+@behave.then("both submissions and the cancellation succeed")
+def step(context):
+    refusals = [submission.refusal for submission in run_once(context)]
+    assert refusals == [None, None], refusals
+    assert context.cancellation == SUCCESS, context.cancellation
+
+
+@behave.then(
+    "their callers are told to return between {least:g} s and {most:g} s later"
+)
+def step(context, least, most):
+    times_s = [found.refusal.retry_after_s for found in run_once(context)]
+    assert least <= min(times_s) < least + 0.5, times_s
+    assert most - 0.5 < max(times_s) <= most, times_s
