Start a task on the worker it failed on if no other one suits it

Callers saw: a task that failed on the only worker with its label stayed pending for good, so its job never ended.

Cause: the workers on which a task has failed were left out while any other worker of the pool existed, also if the others lack the label that the step requires or are too small for the task.

Evidence: the new scenario fails before the change (the job is never completed).

Change: the workers that a task avoids are compared with those that suit it by label and total capacity, not with the whole pool.

--- a/src/chervillead/jobs/placement.py
+++ b/src/chervillead/jobs/placement.py
@@ -40,6 +40,16 @@
     penalty: float = 0.0
 
 
+def is_suitable(worker: WorkerSnapshot, step: model.Step) -> bool:
+    """Returns whether an idle worker could take a task of a step.
+
+    Checks the required label and the total capacity.
+    """
+    if step.required_label and step.required_label not in worker.labels:
+        return False
+    return worker.capacity.covers(step.reserved)
+
+
 def is_feasible(
     worker: WorkerSnapshot, step: model.Step, step_key: tuple[str, int, int]
 ) -> bool:
@@ -47,9 +57,7 @@
 
     Checks the required label, the free capacity and the limit per worker.
     """
-    if step.required_label and step.required_label not in worker.labels:
-        return False
-    if not worker.free.covers(step.reserved):
+    if not is_suitable(worker, step) or not worker.free.covers(step.reserved):
         return False
     on_worker = worker.step_tasks.get(step_key, 0)
     return not step.max_per_worker or on_worker < step.max_per_worker
--- a/src/chervillead/pools/placement_pass.py
+++ b/src/chervillead/pools/placement_pass.py
@@ -141,6 +141,11 @@
     def _candidates(
         self, ready: readiness.ReadyTask
     ) -> list[placement.WorkerSnapshot]:
+        """Returns the workers that could take a task once they have room.
+
+        Workers on which the task has failed are left out while there are
+        others.
+        """
         pool = ready.job.spec.pool
         occupied = {run.worker_id for run in ready.job.runs.get(ready.task, ())}
         tickets = self._tickets(ready.job, ready.task)
@@ -150,6 +155,7 @@
             if self._state.watches[worker_id].view.registration.pool == pool
             and worker_id not in occupied
             and (tickets is None or worker_id in tickets)
+            and placement.is_suitable(snapshot, ready.step)
         ]
         avoided = ready.job.failed_workers.get(ready.task, set())
         others = [
--- a/tests/pools/orders.feature
+++ b/tests/pools/orders.feature
@@ -48,6 +48,15 @@
     Then every host reports the job as completed
     And no task of the job ran more than 3 times
 
+  Scenario: A task failed on the only worker with its label
+    # Guards against a task that stays pending because it avoids the worker on
+    # which it failed, although no other worker can take it.
+    Given a platform fleet of 2 hosts and 3 workers
+    When a job of 1 task that requires label r1-1 and fails at first is submitted
+    And 9 s pass
+    Then every host reports the job as completed
+    And no task of the job ran more than 3 times
+
   Scenario: A cancelled job stops
     # Guards against runs that continue or start after a confirmed cancellation.
     Given a platform fleet of 2 hosts and 2 workers
--- a/tests/steps/platform_fleet.py
+++ b/tests/steps/platform_fleet.py
@@ -395,10 +395,21 @@
 
 @behave.when("a job of {tasks:d} tasks that fail at first is submitted")
 def step(context, tasks):
+    submit_failing_at_first(context, platform_fleet.step(tasks))
+
+
+@behave.when(
+    "a job of 1 task that requires label {label} and fails at first is submitted"
+)
+def step(context, label):
+    submit_failing_at_first(context, platform_fleet.step(1, Requirements=label))
+
+
+def submit_failing_at_first(context, fields):
     async def fail_and_recover(fleet):
         for worker in fleet.workers.values():
             worker.failing.add(JOB)
-        outcome = await submit(fleet, [platform_fleet.step(tasks)])
+        outcome = await submit(fleet, [fields])
         await asyncio.sleep(0.7)
         for worker in fleet.workers.values():
             worker.failing.clear()
