--- a/tests/steps/platform_fleet.py
+++ b/tests/steps/platform_fleet.py
@@ -399,7 +399,8 @@
 
 
 @behave.when(
-    "a job of 1 task that requires label {label} and fails at first is submitted"
+    "a job of 1 task that requires label {label} and fails at first "
+    "is submitted"
 )
 def step(context, label):
     submit_failing_at_first(context, platform_fleet.step(1, Requirements=label))
