Probe a suspect worker also while long-running tasks run on it

Callers saw: tasks stayed pending although their pool had free capacity, with all of the free workers suspect.

Cause: a suspect worker gets one probe task at a time, and any run on it counted as the probe, so one with a long-running task, which doesn't end, got none and stayed suspect for good.

Evidence: the new scenario fails before the change (the job is never completed).

Change: only runs of tasks that end, and runs of unknown jobs, count as the probe.

--- a/src/chervillead/jobs/worker_health.py
+++ b/src/chervillead/jobs/worker_health.py
@@ -75,7 +75,7 @@
 
         Args:
             now_s: Time of the owner's clock.
-            is_busy: Whether the worker has any active run.
+            is_busy: Whether the worker has an active run of a task that ends.
         """
         if not self.is_suspect:
             return True
--- a/src/chervillead/pools/placement_pass.py
+++ b/src/chervillead/pools/placement_pass.py
@@ -39,7 +39,7 @@
         self._snapshots = {
             worker_id: watch.view.as_snapshot(state.step_of)
             for worker_id, watch in state.watches.items()
-            if watch.view.is_schedulable(self._now_s, zones_out)
+            if watch.view.is_schedulable(self._now_s, zones_out, state.step_of)
         }
         self._running = _running_by_account(state)
 
--- a/src/chervillead/workers/view.py
+++ b/src/chervillead/workers/view.py
@@ -1,5 +1,6 @@
 """State of one worker as known to the owner of its partition."""
 
+from collections import abc
 import typing
 
 from chervillead.jobs import model
@@ -110,7 +111,7 @@
         return total
 
     def as_snapshot(
-        self, step_of: "typing.Callable[[task_runs.Run], model.Step | None]"
+        self, step_of: abc.Callable[[task_runs.Run], model.Step | None]
     ) -> placement.WorkerSnapshot:
         """Returns the snapshot of the worker that placement works on."""
         step_tasks: dict[tuple[str, int, int], int] = {}
@@ -147,10 +148,18 @@
             and self.registration.zone not in zones_out
         )
 
-    def is_schedulable(self, now_s: float, zones_out: frozenset[str]) -> bool:
+    def is_schedulable(
+        self,
+        now_s: float,
+        zones_out: frozenset[str],
+        step_of: abc.Callable[[task_runs.Run], model.Step | None],
+    ) -> bool:
         """Returns whether new runs may be placed on the worker."""
-        return (
-            self.may_start(zones_out)
-            and self.avoid_until_s <= now_s
-            and self.health.is_schedulable(now_s, is_busy=bool(self.runs))
+        if not self.may_start(zones_out) or self.avoid_until_s > now_s:
+            return False
+        # Long-running tasks don't end, so they tell nothing about its health.
+        is_busy = self.health.is_suspect and any(
+            (step := step_of(run)) is None or not step.long_running
+            for run in self.runs.values()
         )
+        return self.health.is_schedulable(now_s, is_busy=is_busy)
--- a/tests/pools/orders.feature
+++ b/tests/pools/orders.feature
@@ -48,6 +48,16 @@
     Then every host reports the job as completed
     And no task of the job ran more than 3 times
 
+  Scenario: A suspect worker with a long-running task gets tasks again
+    # Guards against a suspect worker that never gets a probe task, because its
+    # long-running tasks, which do not end, count as making it busy.
+    Given a platform fleet of 2 hosts and 1 worker
+    And a long-running task of another job is running
+    When a job of 2 tasks that fail at first is submitted
+    And 9 s pass
+    Then every host reports the job as completed
+    And no task of the job ran more than 3 times
+
   Scenario: A task failed on the only worker with its label
     # Guards against a task that stays pending because it avoids the worker on
     # which it failed, although no other worker can take it.
--- a/tests/steps/platform_fleet.py
+++ b/tests/steps/platform_fleet.py
@@ -90,6 +90,20 @@
     context.actions = []
 
 
+@behave.given("a long-running task of another job is running")
+def step(context):
+    async def submit_other(fleet):
+        other_job = platform_fleet.job_id(2)
+        for worker in fleet.workers.values():
+            worker.long_running.add(other_job)
+        await fleet.submit(
+            other_job, [platform_fleet.step(1, LongRunning=True)]
+        )
+        await asyncio.sleep(1)
+
+    add_action(context, submit_other)
+
+
 @behave.given("the second worker belongs to another pool")
 def step(context):
     context.other_pool_workers = {"i-1"}
