Take a lease as over only after a later poll has failed

Cause: an owner that couldn't hear a worker until the end of its lease restarted the worker's tasks, although some had completed before, and then learned of their ends and acknowledged them.

A worker that is heard again tells which of its runs are done first.

--- a/src/chervillead/pools/worker_registry.py
+++ b/src/chervillead/pools/worker_registry.py
@@ -173,7 +173,7 @@
         now_s = state.now_s()
         for worker_id, watch in list(state.watches.items()):
             view = watch.view
-            if view.runs and view.has_answered and now_s > view.lease_ends_s():
+            if view.runs and view.has_surely_expired(now_s):
                 for run in list(view.runs.values()):
                     state.end_run(view, run, task_runs.EndKind.LEASE_EXPIRED)
             if view.is_registered or view.runs:
--- a/src/chervillead/workers/view.py
+++ b/src/chervillead/workers/view.py
@@ -43,6 +43,8 @@
         # Reason why its host is being drained; empty if it is not cordoned.
         self.cordoned_for = ""
         self.last_contact_s: float | None = None
+        # Time at which the last poll that failed was sent.
+        self.failed_poll_s = float("-inf")
         self.health = worker_health.WorkerHealth()
         self._clock: ClockReading | None = None
         self._lease_until_clock_ms = 0
@@ -85,6 +87,15 @@
         left_ms = max(0, self._lease_until_clock_ms - self._clock.clock_ms)
         return self._clock.at_s + left_ms / 1000 / MIN_CLOCK_RATE
 
+    def has_surely_expired(self, now_s: float) -> bool:
+        """Returns whether the lease has ended and the worker can't be asked.
+
+        Its runs may have completed before the end of the lease, which only the
+        worker knows, so a poll must have been sent after it and have failed.
+        """
+        ends_s = self.lease_ends_s()
+        return now_s > ends_s and self.failed_poll_s > ends_s
+
     def begin_incarnation(self, incarnation: int) -> list[task_runs.Run]:
         """Resets the state of the worker's process after a restart.
 
--- a/src/chervillead/workers/watch.py
+++ b/src/chervillead/workers/watch.py
@@ -162,6 +162,7 @@
             )
             if not pipeline.is_successful(outcome):
                 failures += 1
+                self._view.failed_poll_s = sent_s
                 self._ports.on_poll_failure(self._view, outcome.failure())
                 await asyncio.sleep(
                     min(
--- a/tests/pools/takeover.feature
+++ b/tests/pools/takeover.feature
@@ -141,6 +141,18 @@
     Then every host reports the job as completed
     And no invariant was violated on the workers
 
+  Scenario: A worker is heard again just after its lease
+    # Guards against a second run of a task that is done: its end waits at a
+    # worker whose last polls failed, and a poll after the lease shows it.
+    Given a platform fleet of 2 hosts and 2 workers
+    And tasks run for 2 s
+    When a job of 2 tasks is submitted
+    And a worker with tasks can't be heard until 0.15 s after its lease
+    And 9 s pass
+    Then every host reports the job as completed
+    And each task ran once
+    And no invariant was violated on the workers
+
   Scenario: A slow link carries a large partition to its new owner
     # Guards against accepted jobs that no host answers for: a page of records
     # that takes longer to arrive than the store takes to respond must not be
--- a/tests/steps/platform_fleet.py
+++ b/tests/steps/platform_fleet.py
@@ -497,6 +497,29 @@
     add_action(context, kill)
 
 
+@behave.when(
+    "a worker with tasks can't be heard until {seconds:g} s after its lease"
+)
+def step(context, seconds):
+    async def silence(fleet):
+        await asyncio.sleep(0.3)
+        worker_id = next(
+            worker.worker_id
+            for worker in fleet.workers.values()
+            if worker.running()
+        )
+        fleet.network.hold_outgoing(worker_id)
+        host = fleet.hosts[fleet.owner_host()]
+        owner = host.ownership.owner_of(host.partition_of(platform_fleet.POOL))
+        view = owner.state.watches[worker_id].view
+        loop = asyncio.get_running_loop()
+        while loop.time() < view.lease_ends_s() + seconds:
+            await asyncio.sleep(0.001)
+        fleet.network.heal()
+
+    add_action(context, silence)
+
+
 @behave.when("all hosts are killed and restarted")
 def step(context):
     async def kill_all(fleet):
