Let the store's stand-in share partitions evenly

Seen: with 20 members of which four own two of the 24 partitions, two that join get none and stay out of the list of owners, in a scenario of 30 hosts. Cause: a member kept up to the rounded-up share, so its second partition was not given to a member without one. The platform's protocol says that partitions are distributed evenly. Now the shares of two members differ by at most one. Calls to chosen paths can also be left without a reply.

--- a/tests/stand_ins/platform_store.py
+++ b/tests/stand_ins/platform_store.py
@@ -72,6 +72,7 @@
         newest_s: Duration of a read of the newest records.
         rejected_hosts: Entry hosts whose calls are rejected with status 503.
         dropping_replies: Whether POST calls are executed but get no reply.
+        paths_without_reply: Calls to these paths are executed but get no reply.
         calls: Paths of the received calls, in order.
     """
 
@@ -81,6 +82,7 @@
         self.newest_s = APPEND_S
         self.rejected_hosts: set[str] = set()
         self.dropping_replies = False
+        self.paths_without_reply: set[str] = set()
         self.calls: list[str] = []
         self._topics: dict[tuple[str, int], _Partition] = {}
         self._newest: dict[tuple[str, int], dict[str, tuple[int, bytes]]] = {}
@@ -151,7 +153,9 @@
             if self.is_down or host in self.rejected_hosts:
                 return http_server.Reply(503)
             reply = await self._answer(request)
-            if self.dropping_replies and request.method == "POST":
+            if request.path in self.paths_without_reply or (
+                self.dropping_replies and request.method == "POST"
+            ):
                 # The connection stays open but delivers nothing further.
                 await asyncio.sleep(3600)
             return reply
@@ -302,19 +306,28 @@
             self._assign(group)
 
     def _assign(self, group: _Group) -> None:
-        """Assigns partitions evenly, moving few from remaining members."""
+        """Assigns partitions evenly, moving few from remaining members.
+
+        The numbers of partitions of any two members differ by at most one.
+        """
         members = sorted(group.last_heartbeat_s)
         group.generation += 1
         if not members:
             group.assignments.clear()
             return
-        quota = -(-PARTITIONS // len(members))
+        quota, larger_shares = divmod(PARTITIONS, len(members))
         held: dict[str, int] = dict.fromkeys(members, 0)
+        unassigned = []
         for partition in range(PARTITIONS):
             owner = group.assignments.get(partition)
             if owner in held and held[owner] < quota:
                 held[owner] += 1
-                continue
+            elif owner in held and held[owner] == quota and larger_shares:
+                held[owner] += 1
+                larger_shares -= 1
+            else:
+                unassigned.append(partition)
+        for partition in unassigned:
             owner = min(members, key=lambda member: (held[member], member))
             held[owner] += 1
             group.assignments[partition] = owner
