Read from the settings how many cores a host has

The processor of a host is described by two fields, a share and a speed; only their product compares hosts. Absent fields count as one core.

--- a/src/chervillead/platform/settings.py
+++ b/src/chervillead/platform/settings.py
@@ -50,6 +50,7 @@
         config_max_age_s: Age of the configuration at which calls that need a
             key are refused.
         stop_grace_s: Time between SIGTERM and SIGKILL.
+        cores: Processor time per second that the host provides, in cores.
     """
 
     host: str
@@ -64,6 +65,7 @@
     limits: ports_module.Limits
     config_max_age_s: float
     stop_grace_s: float
+    cores: float = 1.0
 
 
 class _SettingError(Exception):
@@ -129,9 +131,17 @@
         * _number(document, "Bounds.RevokeMs", 5000)
         / 1000,
         stop_grace_s=_number(document, "Bounds.GraceS", 6),
+        cores=_cores(document),
     )
 
 
+def _cores(document: object) -> float:
+    # Cores is how many times as fast as one core the processor is; CpuShare is
+    # the fraction of that which the host may use.
+    speed = _number(document, "Limits.Cores", 1.0)
+    return speed * _number(document, "Limits.CpuShare", 1.0)
+
+
 def _limits(document: object) -> ports_module.Limits:
     return ports_module.Limits(
         max_lease_ms=int(_number(document, "Bounds.MaxHoldMs", 6000)),
--- a/tests/platform/calls.feature
+++ b/tests/platform/calls.feature
@@ -150,3 +150,17 @@
       | InternalPorts     | [7000]   |
       | platform.parts    | "many"   |
       | Bounds.RevokeMs   | -1       |
+      | Limits.CpuShare   | "half"   |
+
+  Scenario Outline: The settings say how many cores a host has
+    # Guards against large hosts that look small: the share of the processor says
+    # little without its speed.
+    When the platform's settings have <field> set to <value>
+    Then the host has <cores> cores
+
+    Examples:
+      | field           | value                       | cores |
+      | Limits.CpuShare | 0.75                        | 2.25  |
+      | Limits.Cores    | 1                           | 0.5   |
+      | Limits.Cores    | null                        | 0.5   |
+      | Limits.CpuShare | null                        | 3.0   |
--- a/tests/steps/platform_adapter.py
+++ b/tests/steps/platform_adapter.py
@@ -29,6 +29,7 @@
   RecordBytes: 262144
   CallBytes: 2097152
 Cloud: {Address: "10.200.0.82:8344"}
+Limits: {CpuShare: 0.5, Cores: 3}
 Unknown: "is ignored"
 """
 
@@ -112,3 +113,8 @@
 def step(context, field):
     assert not pipeline.is_successful(context.settings)
     assert context.settings.failure().path == field
+
+
+@behave.then("the host has {cores:f} cores")
+def step(context, cores):
+    assert context.settings.unwrap().cores == cores, context.settings
