Leave the ownership of pools to hosts that can carry it

Cause: the store shares the partitions evenly among the members of the group whatever their capacity, so that busy pools are mostly owned by the 34 small hosts, while eight with four times the processor time idle.

Now a host stands by, out of the group, while two listed owners or more have at least twice its cores; the members' texts name them. It goes on routing calls, and joins when fewer are left. Delays against lists that are out of date, and without a recent list the role is kept. Small hosts start standing by, since all hosts may start at once. The number of owners is limited below that of the partitions: a member without a partition isn't listed, so large hosts that return to a full group would never be seen. A host rejoins only after the store has confirmed that it left, since the same generation would give it tokens that it has used. Equal hosts share as before up to 16 of them (20 once they are members).

Price, by the delays and not measured: when all large hosts are killed and stay away, small ones own the partitions 1.5 to 3.5 s later than before.

--- a/src/chervillead/platform/assembly.py
+++ b/src/chervillead/platform/assembly.py
@@ -26,6 +26,8 @@
 from chervillead.platform import worker_client
 from chervillead.pools import job_router
 from chervillead.pools import job_service
+from chervillead.pools import owner_eligibility
+from chervillead.pools import owner_role
 from chervillead.pools import ownership
 from chervillead.pools import partition_owner
 from chervillead.pools import pool_partitions
@@ -42,6 +44,8 @@
 WORKERS_READ_INTERVAL_S = 0.25
 # A worker writes at most this many records within the longest lease.
 WORKER_HISTORY_RECORDS = 12
+# A list of owners older than two intervals of its refresh decides no role.
+OWNERS_MAX_AGE_S = 2.0
 
 
 def boot_time() -> float:
@@ -90,7 +94,11 @@
             dial=environment.dial,
         )
         member = ownership.Member(
-            settings.entries, secrets.token_hex(4), settings.host, settings.zone
+            settings.entries,
+            secrets.token_hex(4),
+            settings.host,
+            settings.zone,
+            settings.cores,
         )
         self.owner_ports = ports_module.OwnerPorts(
             store=self.store,
@@ -111,7 +119,19 @@
             loop_lag_s=lambda: self.loop_lag.highest_s,
         )
         self.ownership = ownership.Ownership(
-            member, self.owner_ports, environment.boot_time, self.manage_hosts
+            member,
+            self.owner_ports,
+            environment.boot_time,
+            self.manage_hosts,
+            owner_role.OwnerRole(
+                member.candidate,
+                owner_role.RolePorts(
+                    self.recent_owners,
+                    settings.store.partitions,
+                    environment.boot_time,
+                    self.log,
+                ),
+            ),
         )
         self.streams = job_streams.JobStreams(self.clock, dial=environment.dial)
         self.router = job_router.JobRouter(
@@ -137,6 +157,12 @@
             pool, self.settings.store.partitions
         )
 
+    def recent_owners(self) -> set[owner_eligibility.Candidate] | None:
+        """Returns the owners, or None if the store's list is out of date."""
+        if self.router.members_age_s() > OWNERS_MAX_AGE_S:
+            return None
+        return {member.candidate for member in self.router.members.values()}
+
     async def serve_host_call(
         self, call: host_messages.HostCall
     ) -> host_messages.HostReply:
--- a/src/chervillead/pools/job_router.py
+++ b/src/chervillead/pools/job_router.py
@@ -94,6 +94,13 @@
         """The owners by partition, as last read."""
         return self._members
 
+    def members_age_s(self) -> float:
+        """Returns the time since the store answered with the list of owners.
+
+        Lists from peers don't count.
+        """
+        return self._clock.monotonic() - self._refreshed_s
+
     async def refresh_owners(self) -> None:
         """Refreshes the list of owners until cancelled."""
         is_lost = False
--- a/src/chervillead/pools/ownership.py
+++ b/src/chervillead/pools/ownership.py
@@ -1,18 +1,21 @@
 """The partitions that this host owns, by its membership in a store group.
 
-A host owns a partition from the join reply that assigned it until its
-membership has not been renewed for the time to live. The generation in the
-reply is the fencing token: it rises with every rebalance, so a later owner
-always has a higher one.
+A host is a member while its role is that of an owner. It owns a partition from
+the join reply that assigned it until its membership has not been renewed for
+the time to live. The generation in the reply is the fencing token: it rises
+with every rebalance, so a later owner always has a higher one.
 """
 
 import asyncio
 from collections import abc
+import math
 import typing
 
 from returns import pipeline
 
 from chervillead import types
+from chervillead.pools import owner_eligibility
+from chervillead.pools import owner_role
 from chervillead.pools import owner_state
 from chervillead.pools import partition_owner
 from chervillead.pools import pool_partitions
@@ -24,9 +27,15 @@
 # A shorter time speeds up failover; a longer one survives pauses of the store.
 MEMBERSHIP_TTL_S = 2.5
 RENEWAL_INTERVAL_S = 0.5
+# Delay before the next attempt after a failed call about the membership.
+MEMBERSHIP_RETRY_S = 0.15
+# How often a host that stands by looks at the list of owners.
+STANDBY_INTERVAL_S = 0.25
 # Delay before another attempt to open a partition.
 OPEN_RETRY_S = 0.2
 
+_NOT_A_MEMBER = store_interface.RejectionReason.NOT_A_MEMBER
+
 
 class Member(typing.NamedTuple):
     """One process of a host as a member of the owners' group.
@@ -36,25 +45,46 @@
         incarnation: Distinguishes processes that use the same address in turn.
         host: Name of the host.
         zone: Availability zone of the host.
+        cores: Its processor time per second, in cores; None if unknown.
     """
 
     address: types.Address
     incarnation: str
     host: str
     zone: str
+    cores: float | None = None
+
+    @property
+    def candidate(self) -> owner_eligibility.Candidate:
+        """The host as a candidate for owning partitions."""
+        return owner_eligibility.Candidate(self.address, self.cores)
 
     def __str__(self) -> str:
         host, port = self.address
-        return f"{host}:{port}/{self.incarnation}/{self.host}/{self.zone}"
+        text = f"{host}:{port}/{self.incarnation}/{self.host}/{self.zone}"
+        return text if self.cores is None else f"{text}/{self.cores:.4g}"
 
 
 def parse_member(text: str) -> Member | None:
-    """Returns the member that a text encodes, or None if it is malformed."""
+    """Returns the member that a text encodes, or None if it is malformed.
+
+    Members that don't say how many cores they have are accepted.
+    """
     fields = text.split("/")
     address = types.parse_address(fields[0])
-    if len(fields) != 4 or not pipeline.is_successful(address):
+    if len(fields) not in (4, 5) or not pipeline.is_successful(address):
         return None
-    return Member(address.unwrap(), *fields[1:])
+    incarnation, host, zone = fields[1:4]
+    cores = _parse_cores(fields[4]) if len(fields) == 5 else None
+    return Member(address.unwrap(), incarnation, host, zone, cores)
+
+
+def _parse_cores(text: str) -> float | None:
+    try:
+        cores = float(text)
+    except ValueError:
+        return None
+    return cores if math.isfinite(cores) and cores > 0 else None
 
 
 # Runs alongside an owner for as long as it owns its partition.
@@ -73,8 +103,10 @@
         ports: ports_module.OwnerPorts,
         boot_time: abc.Callable[[], float],
         run_with_owner: RunWithOwner,
+        role: owner_role.OwnerRole,
     ) -> None:
         self._run_with_owner = run_with_owner
+        self._role = role
         self._member = member
         self._ports = ports
         self._boot_time = boot_time
@@ -82,10 +114,14 @@
         self._confirmed_s = float("-inf")
         self._owners: dict[int, partition_owner.PartitionOwner] = {}
         self._tasks: dict[int, asyncio.Task[None]] = {}
-        # Tokens that a newer owner has fenced; they must not be used again.
-        self._fenced_tokens: dict[int, int] = {}
+        # Tokens that must not be used again: a newer owner has fenced them, or
+        # this host has given them up.
+        self._spent_tokens: dict[int, int] = {}
         self._failed_partitions: set[int] = set()
         self._is_leaving = False
+        # Whether the store may count this process as a member.
+        self._may_be_member = False
+        self._is_group_lost = False
         self._is_store_unavailable = False
         self._on_change: abc.Callable[[], None] = lambda: None
 
@@ -119,49 +155,80 @@
         return owner
 
     async def maintain_membership(self) -> None:
-        """Renews the membership until cancelled or after leaving."""
+        """Joins, renews and leaves by the role; returns after `leave`."""
         await self._remove_previous_processes()
-        is_lost = False
-        while True:
-            sent_s = self._boot_time()
-            outcome = await self._ports.store.join(
-                pool_partitions.OWNERS_GROUP,
-                str(self._member),
-                pool_partitions.JOBS_TOPIC,
-                int(1000 * MEMBERSHIP_TTL_S),
-                self._generation,
-            )
-            if self._is_leaving:
-                # A join that overlapped with leaving may have restored the
-                # membership.
-                await self._ports.store.leave(
-                    pool_partitions.OWNERS_GROUP, str(self._member)
-                )
-                return
-            self._is_store_unavailable = not pipeline.is_successful(outcome)
-            if pipeline.is_successful(outcome):
-                if is_lost:
-                    self._ports.log("dependency:regained", name="store group")
-                is_lost = False
-                self._apply_membership(outcome.unwrap(), sent_s)
+        while not self._is_leaving:
+            # A host rejoins only after it has left: the same generation would
+            # give it the tokens that it had before.
+            if self._role.is_owner or not self._may_be_member:
+                self._role.update()
+            if self._role.is_owner:
+                delay_s = await self._renew()
             else:
-                if not is_lost:
-                    self._ports.log(
-                        "dependency:lost",
-                        name="store group",
-                        error=outcome.failure().detail,
-                    )
-                is_lost = True
-            await asyncio.sleep(RENEWAL_INTERVAL_S if not is_lost else 0.15)
+                delay_s = await self._stand_by()
+            await asyncio.sleep(delay_s)
 
     async def leave(self) -> None:
         """Gives up all partitions and leaves the group."""
         self._is_leaving = True
-        for partition in list(self._owners):
-            self._release(partition, "leaving")
-        await self._ports.store.leave(
+        self._release_all("leaving")
+        if self._may_be_member:
+            await self._leave_group()
+
+    async def _renew(self) -> float:
+        """Joins or renews, and returns the delay before the next renewal."""
+        sent_s = self._boot_time()
+        self._may_be_member = True
+        outcome = await self._ports.store.join(
+            pool_partitions.OWNERS_GROUP,
+            str(self._member),
+            pool_partitions.JOBS_TOPIC,
+            int(1000 * MEMBERSHIP_TTL_S),
+            self._generation,
+        )
+        if self._is_leaving:
+            # A join that overlapped with leaving may have restored the
+            # membership.
+            await self._leave_group()
+            return 0.0
+        failure = None if pipeline.is_successful(outcome) else outcome.failure()
+        self._is_store_unavailable = failure is not None
+        self._log_group(failure)
+        if failure is not None:
+            return MEMBERSHIP_RETRY_S
+        self._apply_membership(outcome.unwrap(), sent_s)
+        return RENEWAL_INTERVAL_S
+
+    async def _stand_by(self) -> float:
+        """Leaves if needed, and returns the delay before the next look."""
+        self._release_all("standing-by")
+        if not self._may_be_member:
+            return STANDBY_INTERVAL_S
+        failure = await self._leave_group()
+        self._log_group(failure)
+        return STANDBY_INTERVAL_S if failure is None else MEMBERSHIP_RETRY_S
+
+    async def _leave_group(self) -> store_interface.StoreFailure | None:
+        """Leaves the group and returns why the store may not have done it."""
+        outcome = await self._ports.store.leave(
             pool_partitions.OWNERS_GROUP, str(self._member)
         )
+        if not pipeline.is_successful(outcome):
+            failure = outcome.failure()
+            if failure.rejection is not _NOT_A_MEMBER:
+                return failure
+        self._may_be_member = False
+        return None
+
+    def _log_group(self, failure: store_interface.StoreFailure | None) -> None:
+        """Logs when the calls about the group start or stop failing."""
+        if failure is not None and not self._is_group_lost:
+            self._ports.log(
+                "dependency:lost", name="store group", error=failure.detail
+            )
+        if failure is None and self._is_group_lost:
+            self._ports.log("dependency:regained", name="store group")
+        self._is_group_lost = failure is not None
 
     async def _remove_previous_processes(self) -> None:
         """Removes earlier processes at this address, which have ended."""
@@ -188,15 +255,15 @@
         for partition in list(self._owners):
             fenced = self._tasks[partition].done()
             if fenced and partition not in self._failed_partitions:
-                self._fenced_tokens[partition] = self._owners[
+                self._spent_tokens[partition] = self._owners[
                     partition
                 ].state.token
             if partition not in membership.partitions or fenced:
                 self._release(partition, "fenced" if fenced else "reassigned")
         self._failed_partitions.clear()
         for partition in sorted(membership.partitions):
-            fenced_token = self._fenced_tokens.get(partition, -1)
-            if partition not in self._owners and generation > fenced_token:
+            spent_token = self._spent_tokens.get(partition, -1)
+            if partition not in self._owners and generation > spent_token:
                 self._acquire(partition, generation)
         self._generation = generation
 
@@ -241,6 +308,11 @@
                 error=owner_state.describe_error(error),
             )
 
+    def _release_all(self, reason: str) -> None:
+        for partition, owner in list(self._owners.items()):
+            self._spent_tokens[partition] = owner.state.token
+            self._release(partition, reason)
+
     def _release(self, partition: int, reason: str) -> None:
         owner = self._owners.pop(partition)
         self._tasks.pop(partition).cancel()
--- /dev/null
+++ b/tests/pools/ownership.feature
@@ -0,0 +1,31 @@
+Feature: Membership of the owners' group
+  A host joins, renews and leaves the group as its role says.
+
+  Scenario: The store doesn't answer a host that leaves
+    # Guards against a host that joins again in the generation that it is still
+    # in: it would get the tokens that it has given up, and append with sequence
+    # numbers that the store has seen.
+    Given a host of half a core that owns a partition
+    When larger owners are listed and the store answers no call about leaving
+    And larger owners are gone again before the store answers
+    Then the host left the group before it joined again
+    And it never owned the partition twice with the same token
+
+  Scenario: A host gives up its partitions as it leaves
+    # Guards against an owner that goes on after it has left.
+    Given a host of half a core that owns a partition
+    When larger owners are listed for 3 s
+    Then the host owns nothing and isn't a member
+
+  Scenario: A join is under way when the host is stopped
+    # Guards against a membership without a host: the join may be executed after
+    # the call that leaves.
+    Given a host of half a core that owns a partition
+    When it is stopped while a join is under way
+    Then the host owns nothing and isn't a member
+
+  Scenario: A host is stopped that never joined
+    # Guards against a stop that waits for a store which can't be reached.
+    Given a host of half a core that stands by
+    When it is stopped
+    Then the store got no call about leaving
--- a/tests/stand_ins/platform_fleet.py
+++ b/tests/stand_ins/platform_fleet.py
@@ -95,6 +95,7 @@
         logs: Fields of the log lines of all hosts.
         unlisted: Ids of workers that are missing from the store's list.
         accepted_jobs: Ids of accepted jobs, if the test records them.
+        host_cores: Cores of the hosts that don't have one, by name.
     """
 
     def __init__(
@@ -124,6 +125,7 @@
         self._sequence = 0
         self.unlisted: set[str] = set()
         self.accepted_jobs: list[str] = []
+        self.host_cores: dict[str, float] = {}
         # Ids of the workers that belong to the other pool.
         self.other_pool_workers: set[str] = set()
 
@@ -190,6 +192,7 @@
                 limits=ports_module.Limits(),
                 config_max_age_s=4.0,
                 stop_grace_s=6.0,
+                cores=self.host_cores.get(name, 1.0),
             ),
             log,
             assembly.HostEnvironment(
@@ -200,7 +203,8 @@
             ),
         )
         tasks = [
-            asyncio.create_task(work) for work in host.background_coroutines()
+            asyncio.create_task(work, name=work.__name__)
+            for work in host.background_coroutines()
         ]
         self._hosts[name] = _RunningHost(host, tasks)
 
@@ -215,6 +219,28 @@
         await asyncio.gather(*running.tasks, return_exceptions=True)
         running.host.streams.close()
 
+    async def stop_host(self, name: str) -> None:
+        """Stops a host as on SIGTERM: it leaves the group and ends.
+
+        Raises:
+            TimeoutError: It goes on following the group.
+        """
+        running = self._hosts[name]
+        await running.host.ownership.leave()
+        following = next(
+            task
+            for task in running.tasks
+            if task.get_name() == "maintain_membership"
+        )
+        async with asyncio.timeout(2.0):
+            await following
+        await self.kill_host(name)
+
+    def owner_names(self) -> set[str]:
+        """Returns the hosts to which the store assigns partitions."""
+        members = self.store.assignments("pool-owners").values()
+        return {member.split("/")[2] for member in members}
+
     async def stop(self) -> None:
         """Stops all hosts and stand-ins."""
         for name in list(self._hosts):
--- a/tests/steps/platform_fleet.py
+++ b/tests/steps/platform_fleet.py
@@ -33,6 +33,7 @@
         self.outcomes = outcomes
         self.runs = fleet.runs(JOB)
         self.violations = list(fleet.violations())
+        self.owners = fleet.owner_names()
 
 
 def add_action(context, action, **arguments):
@@ -61,6 +62,7 @@
     fleet.other_pool_workers = getattr(context, "other_pool_workers", set())
     for host in fleet.host_names if hasattr(context, "link_rate") else ():
         fleet.network.limit_incoming(host, context.link_rate)
+    fleet.host_cores = getattr(context, "host_cores", {})
     await fleet.start()
     outcomes = []
     for action in context.actions:
@@ -903,3 +905,101 @@
     refusal = run_once(context).outcomes[-1].failure()
     found = refusal.status, refusal.verdict.value
     assert found == (status, verdict), refusal
+
+
+@behave.given(
+    "the first {count:d} hosts have 2 cores and the others half a core"
+)
+def step(context, count):
+    context.host_cores = {
+        f"host-{number}": 2.0 if number < count else 0.5
+        for number in range(context.hosts)
+    }
+
+
+@behave.when("the first {count:d} hosts are killed")
+def step(context, count):
+    async def kill(fleet):
+        await asyncio.sleep(0.3)
+        for name in fleet.host_names[:count]:
+            await fleet.kill_host(name)
+
+    add_action(context, kill)
+
+
+def start_hosts(fleet, count):
+    for name in fleet.host_names[:count]:
+        fleet.start_host(name)
+
+
+@behave.when("the first {count:d} hosts are started")
+def step(context, count):
+    async def start(fleet):
+        await asyncio.sleep(0.3)
+        start_hosts(fleet, count)
+
+    add_action(context, start)
+
+
+@behave.when(
+    "the first {count:d} hosts are started while answers to leaving are lost "
+    "for {seconds:d} s"
+)
+def step(context, count, seconds):
+    async def start(fleet):
+        fleet.store.paths_without_reply.add("/log-leave")
+        start_hosts(fleet, count)
+        await asyncio.sleep(seconds)
+        fleet.store.paths_without_reply.clear()
+
+    add_action(context, start)
+
+
+@behave.when("the store rejects the first {count:d} hosts")
+def step(context, count):
+    async def reject(fleet):
+        await asyncio.sleep(0.3)
+        fleet.store.rejected_hosts.update(fleet.host_names[:count])
+
+    add_action(context, reject)
+
+
+@behave.when("the last host is stopped")
+def step(context):
+    async def stop(fleet):
+        await fleet.stop_host(fleet.host_names[-1])
+
+    add_action(context, stop)
+
+
+@behave.then("all {count:d} hosts own partitions")
+def step(context, count):
+    owners = run_once(context).owners
+    assert len(owners) == count, owners
+
+
+@behave.then("only the first {count:d} hosts own partitions")
+def step(context, count):
+    result = run_once(context)
+    assert result.owners == set(result.fleet.host_names[:count]), result.owners
+
+
+@behave.then("only the first {count:d} hosts have owned partitions")
+def step(context, count):
+    fleet = run_once(context).fleet
+    gained = {
+        line["host"]
+        for line in fleet.logs
+        if line["message_type"] == "owner:gained"
+    }
+    assert gained == set(fleet.host_names[:count]), gained
+
+
+@behave.then("no host owned a partition twice with the same token")
+def step(context):
+    gained = [
+        (line["host"], line["partition"], line["token"])
+        for line in run_once(context).fleet.logs
+        if line["message_type"] == "owner:gained"
+    ]
+    assert gained and len(gained) == len(set(gained)), gained
