--- a/src/chervillead/pools/partition_owner.py
+++ b/src/chervillead/pools/partition_owner.py
@@ -101,7 +101,7 @@
                 if state.failure is not None:
                     raise state.failure
                 if not state.is_fenced:
-                    self._run_pass()
+                    self.run_pass()
         finally:
             state.is_loaded = False
             state.writer.close()
@@ -109,7 +109,7 @@
                 task.cancel()
             await self._workers.close_all()
 
-    def _run_pass(self) -> None:
+    def run_pass(self) -> None:
         state = self._state
         self._workers.expire_leases()
         self._workers.finish_recovery()
