Keep loads, room and unfinished jobs by increments

Callers saw answers seconds late or none while the owner of their pool used all of its processor and 42 hosts idled.

WorkerLoad and AccountUsage change with each run. RoomIndex keeps the schedulable workers of a pool by their free share, so the best worker is found from the first with enough room on; only workers that changed are looked at again. JobTable keeps unfinished jobs apart. A pass skips tasks that need as much as one that found no room, since room only shrinks during a pass. Checks of leases, stalled runs and drains run ten times a second, expiry of jobs once. A pass ends after 30 ms and goes on after the calls that wait.

Two decisions can come up to 0.1 s later than before: the checks above, and second runs of stragglers. Others are the same: a property test compares index and counters with scans on random workers, tasks, runs and jobs.

--- a/src/chervillead/jobs/job_state.py
+++ b/src/chervillead/jobs/job_state.py
@@ -77,6 +77,7 @@
             for occurrence in range(spec.occurrences)
             for number, step in enumerate(spec.steps)
         }
+        self._open_steps = list(reversed(self.pending_tasks))
 
     @property
     def spec(self) -> model.JobSpec:
@@ -99,11 +100,15 @@
     @property
     def is_completed(self) -> bool:
         """Whether all tasks of all occurrences have completed."""
-        return all(
-            len(self.done.get((occurrence, number), ())) >= step.tasks
-            for occurrence in range(self._spec.occurrences)
-            for number, step in enumerate(self._spec.steps)
-        )
+        # Steps are never undone, so those that are done need no second look.
+        while self._open_steps and self.step_is_done(*self._open_steps[-1]):
+            self._open_steps.pop()
+        return not self._open_steps
+
+    @property
+    def has_pending(self) -> bool:
+        """Whether any task is neither active nor completed."""
+        return any(self.pending_tasks.values())
 
     @property
     def phase(self) -> Phase:
--- a/src/chervillead/jobs/placement.py
+++ b/src/chervillead/jobs/placement.py
@@ -79,10 +79,58 @@
         preferred_rack: Rack of the other tasks of the step, for steps that are
             slower across racks; empty for no preference.
     """
-    wanted_rack = step.data_rack or preferred_rack
+    rank = _ranking(step, step_key, preferred_rack)
     allowed = (
         worker for worker in workers if is_feasible(worker, step, step_key)
     )
+    return min(
+        allowed,
+        key=lambda worker: (worker.penalty, *rank(worker), free_share(worker)),
+        default=None,
+    )
+
+
+def select_best_ranked(
+    workers: abc.Iterable[WorkerSnapshot],
+    step: model.Step,
+    step_key: tuple[str, int, int],
+    *,
+    preferred_rack: str = "",
+) -> WorkerSnapshot | None:
+    """Returns what `select_worker` does, from workers in a known order.
+
+    The search ends at the first worker that no later one can beat.
+
+    Args:
+        workers: Workers without a penalty, by increasing share of free CPU.
+        step: The step of the task.
+        step_key: Job id, occurrence and step.
+        preferred_rack: As for `select_worker`.
+    """
+    rank = _ranking(step, step_key, preferred_rack)
+    best: WorkerSnapshot | None = None
+    best_rank: tuple[float, ...] = (float("inf"),)
+    for worker in workers:
+        if not is_feasible(worker, step, step_key):
+            continue
+        worker_rank = rank(worker)
+        if not any(worker_rank):
+            return worker
+        if worker_rank < best_rank:
+            best, best_rank = worker, worker_rank
+    return best
+
+
+def free_share(worker: WorkerSnapshot) -> float:
+    """Returns the share of a worker's CPU that is not reserved."""
+    return worker.free.millicores / max(1, worker.capacity.millicores)
+
+
+def _ranking(
+    step: model.Step, step_key: tuple[str, int, int], preferred_rack: str
+) -> abc.Callable[[WorkerSnapshot], tuple[float, ...]]:
+    """Returns the rank of workers for a step before their free share."""
+    wanted_rack = step.data_rack or preferred_rack
 
     def rank(worker: WorkerSnapshot) -> tuple[float, ...]:
         off_rack = bool(wanted_rack) and worker.rack != wanted_rack
@@ -94,16 +142,9 @@
             step.long_running
             and 2 * worker.step_tasks.get(step_key, 0) >= step.tasks
         )
-        free_share = worker.free.millicores / max(1, worker.capacity.millicores)
-        return (
-            worker.penalty,
-            off_rack,
-            slowed_neighbors + slowing_neighbors,
-            crowded,
-            free_share,
-        )
+        return (off_rack, slowed_neighbors + slowing_neighbors, crowded)
 
-    return min(allowed, key=rank, default=None)
+    return rank
 
 
 def select_gang_workers(
--- a/src/chervillead/jobs/readiness.py
+++ b/src/chervillead/jobs/readiness.py
@@ -15,10 +15,34 @@
     step: model.Step
 
 
-def ready_tasks(
+class ReadyStep(typing.NamedTuple):
+    """A step that is due and whose dependencies are met.
+
+    Attributes:
+        job: The job.
+        occurrence: Number of the occurrence, from 0.
+        number: Number of the step, from 0.
+        step: The step.
+        tasks: Numbers of its tasks that may be started, in order.
+    """
+
+    job: job_state.JobState
+    occurrence: int
+    number: int
+    step: model.Step
+    tasks: tuple[int, ...]
+
+    def ready_tasks(self) -> abc.Iterator[ReadyTask]:
+        """Yields the tasks that may be started."""
+        for index in self.tasks:
+            task = model.TaskKey(self.occurrence, self.number, index)
+            yield ReadyTask(self.job, task, self.step)
+
+
+def ready_steps(
     job: job_state.JobState, now_s: float, now_unix_ms: float
-) -> abc.Iterator[ReadyTask]:
-    """Yields the tasks of a job that may be started, in order of the steps.
+) -> abc.Iterator[ReadyStep]:
+    """Yields the steps of a job with tasks that may be started, in order.
 
     Args:
         job: The job.
@@ -33,10 +57,20 @@
         step = job.spec.steps[number]
         if not all(job.step_is_done(occurrence, n) for n in step.depends_on):
             continue
-        for index in sorted(indexes):
-            task = model.TaskKey(occurrence, number, index)
-            if job.retry_at_s.get(task, 0.0) <= now_s:
-                yield ReadyTask(job, task, step)
+        tasks = tuple(
+            index
+            for index in sorted(indexes)
+            if _retry_at_s(job, (occurrence, number, index)) <= now_s
+        )
+        if tasks:
+            yield ReadyStep(job, occurrence, number, step, tasks)
+
+
+def _retry_at_s(job: job_state.JobState, task: tuple[int, int, int]) -> float:
+    """Returns the earliest time of the next run; most tasks never failed."""
+    if not job.retry_at_s:
+        return 0.0
+    return job.retry_at_s.get(model.TaskKey(*task), 0.0)
 
 
 def is_due(spec: model.JobSpec, occurrence: int, now_unix_ms: float) -> bool:
--- a/src/chervillead/pools/advice_cache.py
+++ b/src/chervillead/pools/advice_cache.py
@@ -70,7 +70,7 @@
             for watch in state.watches.values()
             if watch.view.registration.pool == pool
             and watch.view.is_schedulable(
-                state.now_s(), state.ports.zones_out(), state.step_of
+                state.now_s(), state.ports.zones_out()
             )
         ][:MAX_WORKERS_PER_REQUEST]
         requested_s = state.now_s()
--- a/src/chervillead/pools/host_drain.py
+++ b/src/chervillead/pools/host_drain.py
@@ -24,8 +24,8 @@
         """
         return sum(
             len(indexes)
-            for job in self._state.jobs.values()
-            if job.spec.pool == pool and not job.is_finished
+            for job in self._state.jobs.unfinished()
+            if job.spec.pool == pool
             for (occurrence, number), indexes in job.pending_tasks.items()
             if all(
                 job.step_is_done(occurrence, earlier)
@@ -45,6 +45,7 @@
         if watch.view.cordoned_for not in ("", purpose):
             return False
         watch.view.cordoned_for = purpose
+        self._state.changed_workers.add(worker_id)
         return True
 
     def uncordon(self, worker_id: str) -> None:
@@ -52,6 +53,7 @@
         watch = self._state.watches.get(worker_id)
         if watch is not None:
             watch.view.cordoned_for = ""
+            self._state.changed_workers.add(worker_id)
             self._state.wake()
 
     def are_runs_known(self, worker_id: str) -> bool:
--- a/src/chervillead/pools/job_operations.py
+++ b/src/chervillead/pools/job_operations.py
@@ -136,7 +136,7 @@
         """Returns how many jobs of a queue have not started any task."""
         return sum(
             job.spec.queue == queue and job.phase is job_state.Phase.QUEUED
-            for job in self._state.jobs.values()
+            for job in self._state.jobs.unfinished()
         )
 
 
--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -5,9 +5,11 @@
 import traceback
 
 from chervillead.jobs import job_state
+from chervillead.jobs import job_table
 from chervillead.jobs import model
 from chervillead.jobs import records
 from chervillead.jobs import task_runs
+from chervillead.pools import account_usage
 from chervillead.pools import ports as ports_module
 from chervillead.store import group_commit
 from chervillead.workers import view as view_module
@@ -50,6 +52,8 @@
         ended_workers: Ids of workers that certainly run nothing any more.
         taken_down_incarnations: Incarnation, by worker id, of workers whose
             hosts this owner took down. The store lists them for a while longer.
+        changed_workers: Ids of workers whose runs or health changed since the
+            last placement pass.
         is_loaded: Whether all jobs of the partition have been loaded.
         is_fenced: Whether a worker has seen a newer owner.
         failure: Error that ended one of the owner's asyncio tasks.
@@ -70,11 +74,13 @@
         self._ownership = ownership
         self._lease_ms = min(LEASE_MS, ports.limits.max_lease_ms)
         self._wake = asyncio.Event()
-        self.jobs: dict[str, job_state.JobState] = {}
+        self._usage = account_usage.AccountUsage()
+        self.jobs = job_table.JobTable()
         self.watches: dict[str, watch_module.WorkerWatch] = {}
         self.recovering_jobs: set[str] = set()
         self.ended_workers: set[str] = set()
         self.taken_down_incarnations: dict[str, int] = {}
+        self.changed_workers: set[str] = set()
         self.is_loaded = False
         self.is_fenced = False
         self.failure: BaseException | None = None
@@ -99,6 +105,11 @@
         """Dependencies on the rest of the process."""
         return self._ports
 
+    @property
+    def usage_by_account(self) -> abc.Mapping[str, model.Resources]:
+        """Resources that the running tasks of each account requested."""
+        return self._usage.by_account
+
     @property
     def ownership(self) -> OwnershipStatus:
         """Whether the ownership holds and the store is available."""
@@ -185,6 +196,25 @@
             records.encode_progress(job),
         )
 
+    def track_run(
+        self, view: view_module.WorkerView, run: task_runs.Run
+    ) -> None:
+        """Counts a run as being on a worker."""
+        step = self.step_of(run)
+        view.add_run(run, step)
+        if step is not None:
+            account = self.jobs[run.job_id].spec.account
+            self._usage.add(run, account, step)
+        self.changed_workers.add(view.worker_id)
+
+    def forget_run(
+        self, view: view_module.WorkerView, key: task_runs.RunKey
+    ) -> task_runs.Run | None:
+        """Counts a run as gone from a worker; returns it if it was there."""
+        self._usage.remove(view.worker_id, key)
+        self.changed_workers.add(view.worker_id)
+        return view.remove_run(key)
+
     def stop_run(self, run: task_runs.Run, reason: str) -> None:
         """Asks a run's worker to stop it; the reason is for logs."""
         watch = self.watches.get(run.worker_id)
@@ -203,7 +233,7 @@
         kind: task_runs.EndKind,
     ) -> None:
         """Ends a run whose end its worker did not report."""
-        view.runs.pop(run.key, None)
+        self.forget_run(view, run.key)
         job = self.jobs.get(run.job_id)
         if job is not None:
             job.remove_run(run)
--- a/src/chervillead/pools/partition_owner.py
+++ b/src/chervillead/pools/partition_owner.py
@@ -17,14 +17,21 @@
 from chervillead.pools import placement_pass
 from chervillead.pools import ports as ports_module
 from chervillead.pools import run_tracking
+from chervillead.pools import schedulable_workers
 from chervillead.pools import worker_registry
 from chervillead.store import group_commit
 from chervillead.workers import pacing
+from chervillead.workers import watch as watch_module
 
 # Events within this time share one placement pass.
 BATCH_DELAY_S = 0.003
-# Schedules, retries and leases are checked at this interval.
+# Longest time between two placement passes, for schedules and retries.
 PASS_INTERVAL_S = 0.1
+# Leases and stalled runs are checked at this interval, since these checks look
+# at all workers.
+CHECK_INTERVAL_S = 0.1
+# Finished jobs are kept for minutes, and there are many of them.
+EXPIRY_CHECK_INTERVAL_S = 1.0
 # Most runs of one task that an owner may leave unrecorded. A new owner skips
 # this many run numbers for each earlier token, so that it never reuses the
 # number of a run that it has not seen.
@@ -51,6 +58,9 @@
         self._workers = worker_registry.WorkerRegistry(self._state)
         self._drain = host_drain.HostDrain(self._state, self._workers)
         self._advice_cache = advice_cache.AdviceCache(self._state)
+        self._schedulable = schedulable_workers.SchedulableWorkers(self._state)
+        self._checked_s = float("-inf")
+        self._expiry_checked_s = float("-inf")
 
     @property
     def state(self) -> owner_state.OwnerState:
@@ -110,18 +120,44 @@
             await self._workers.close_all()
 
     def run_pass(self) -> None:
+        """Applies what changed since the last pass and starts tasks."""
         state = self._state
-        self._workers.expire_leases()
+        is_check_due = state.now_s() - self._checked_s >= CHECK_INTERVAL_S
+        if is_check_due:
+            self._check_all()
         self._workers.finish_recovery()
+        pacing.pace_workers(self._changed_watches(), state.step_of)
+        if is_check_due:
+            self._schedulable.refresh_all()
+        else:
+            self._schedulable.refresh()
+        configuration = state.ports.configuration()
+        if configuration is None or not state.ownership.is_confirmed():
+            return
+        is_complete = placement_pass.PlacementPass(
+            state, configuration, self._advice_cache.tickets, self._schedulable
+        ).run(copy_stragglers=is_check_due)
+        if not is_complete:
+            state.wake()
+
+    def _check_all(self) -> None:
+        """Checks what depends on the time, on all workers and jobs."""
+        state = self._state
+        self._checked_s = state.now_s()
+        self._workers.expire_leases()
         self._drain.evict_from_draining()
         run_tracking.stop_stalled(state)
-        self._delete_expired_jobs()
-        pacing.pace_workers(state.watches.values(), state.step_of)
-        configuration = state.ports.configuration()
-        if configuration is not None and state.ownership.is_confirmed():
-            placement_pass.PlacementPass(
-                state, configuration, self._advice_cache.tickets
-            ).run()
+        if state.now_s() - self._expiry_checked_s >= EXPIRY_CHECK_INTERVAL_S:
+            self._expiry_checked_s = state.now_s()
+            self._delete_expired_jobs()
+
+    def _changed_watches(self) -> list[watch_module.WorkerWatch]:
+        watches = self._state.watches
+        return [
+            watches[worker_id]
+            for worker_id in sorted(self._state.changed_workers)
+            if worker_id in watches
+        ]
 
     def _delete_expired_jobs(self) -> None:
         """Deletes finished jobs after their retention period."""
--- a/src/chervillead/pools/placement_pass.py
+++ b/src/chervillead/pools/placement_pass.py
@@ -3,9 +3,13 @@
 Built for bursts that exceed the capacity of a pool. Jobs are placed in the
 order of `jobs.ordering`; a long-running task that does not fit preempts batch
 tasks, and speculative copies of stragglers use only idle capacity.
+
+Room only shrinks during a pass. So once a task finds none, the pass skips the
+tasks that need as much or more, instead of trying them on every worker.
 """
 
 from collections import abc
+import enum
 
 from chervillead.jobs import job_state
 from chervillead.jobs import model
@@ -13,72 +17,94 @@
 from chervillead.jobs import placement
 from chervillead.jobs import quotas
 from chervillead.jobs import readiness
+from chervillead.jobs import room_index
 from chervillead.jobs import speculation
 from chervillead.jobs import task_runs
 from chervillead.pools import owner_state
+from chervillead.pools import schedulable_workers
 
 Tickets = abc.Callable[
     [job_state.JobState, model.TaskKey], abc.Mapping[str, str] | None
 ]
 
+# Calls of other hosts wait while a pass runs.
+MAX_PASS_S = 0.03
+
+
+class _Verdict(enum.Enum):
+    """What a pass found for a task or a gang."""
+
+    STARTED = "started"
+    OVER_QUOTA = "over-quota"
+    # No room for any task of the step.
+    NO_ROOM = "no-room"
+    # No room on the workers that this task may use.
+    NO_ROOM_FOR_TASK = "no-room-for-task"
+
 
 class PlacementPass:
-    """One pass: the free capacity and the running tasks of each account."""
+    """One pass over the tasks that are ready."""
 
     def __init__(
         self,
         state: owner_state.OwnerState,
         configuration: model.FleetConfiguration,
         tickets: Tickets,
+        workers: schedulable_workers.SchedulableWorkers,
     ) -> None:
         self._state = state
         self._configuration = configuration
         self._tickets = tickets
+        self._workers = workers
         self._now_s = state.now_s()
-        zones_out = state.ports.zones_out()
-        self._snapshots = {
-            worker_id: watch.view.as_snapshot(state.step_of)
-            for worker_id, watch in state.watches.items()
-            if watch.view.is_schedulable(self._now_s, zones_out, state.step_of)
-        }
-        self._running = _running_by_account(state)
-
-    def run(self) -> None:
-        """Starts all tasks that may start now."""
-        full_pools: set[str] = set()
-        for group in self._ready_groups():
-            if not self._place(group):
-                full_pools.add(group[0].job.spec.pool)
-        for ready in self._stragglers():
-            if ready.job.spec.pool not in full_pools:
-                self._place([ready])
-
-    def _ready_groups(self) -> abc.Iterator[list[readiness.ReadyTask]]:
-        """Yields the tasks to start together: a single task or a whole gang."""
+        self._full_pools: set[str] = set()
+        # Smallest amounts that found no room, by pool and required label.
+        self._unplaceable: dict[tuple[str, str], list[model.Resources]] = {}
+
+    def run(self, *, copy_stragglers: bool) -> bool:
+        """Starts all tasks that may start now.
+
+        Args:
+            copy_stragglers: Whether to start second runs of stragglers too.
+
+        Returns:
+            False if the time of a pass ended before all jobs were considered.
+        """
         now_unix_ms = 1000 * self._state.ports.clock.wall()
         for job in self._ordered_jobs():
-            gangs: dict[tuple[int, int], list[readiness.ReadyTask]] = {}
-            for ready in readiness.ready_tasks(job, self._now_s, now_unix_ms):
-                if not ready.step.gang:
-                    yield [ready]
-                    continue
-                key = ready.task.occurrence, ready.task.step
-                gangs.setdefault(key, []).append(ready)
-            for members in gangs.values():
-                if len(members) == members[0].step.tasks:
-                    yield members
+            if self._state.now_s() - self._now_s > MAX_PASS_S:
+                return False
+            self._place_job(job, now_unix_ms)
+        if copy_stragglers:
+            for ready in self._stragglers():
+                if ready.job.spec.pool not in self._full_pools:
+                    self._place([ready])
+        return True
+
+    def _place_job(self, job: job_state.JobState, now_unix_ms: float) -> None:
+        gangs = []
+        for ready in readiness.ready_steps(job, self._now_s, now_unix_ms):
+            if ready.step.gang:
+                gangs.append(ready)
+            else:
+                self._place_step(ready)
+        for ready in gangs:
+            if len(ready.tasks) == ready.step.tasks:
+                self._place(list(ready.ready_tasks()))
+
+    def _place_step(self, step: readiness.ReadyStep) -> None:
+        """Starts tasks of a step until no further one can start."""
+        for ready in step.ready_tasks():
+            verdict = self._place([ready])
+            if verdict in (_Verdict.OVER_QUOTA, _Verdict.NO_ROOM):
+                return
 
     def _ordered_jobs(self) -> list[job_state.JobState]:
-        pending_jobs = [
-            job
-            for job in self._state.jobs.values()
-            if not job.is_finished and any(job.pending_tasks.values())
-        ]
         usage_by_account = quotas.share_usage_by_account(
-            self._configuration, self._running
+            self._configuration, self._state.usage_by_account
         )
         return sorted(
-            pending_jobs,
+            (job for job in self._state.jobs.unfinished() if job.has_pending),
             key=lambda job: ordering.sort_key(
                 job,
                 self._configuration.queues.get(job.spec.queue),
@@ -88,73 +114,106 @@
         )
 
     def _stragglers(self) -> abc.Iterator[readiness.ReadyTask]:
-        for job in self._state.jobs.values():
-            if not job.is_finished:
-                yield from speculation.stragglers(job, self._now_s)
+        for job in self._state.jobs.unfinished():
+            yield from speculation.stragglers(job, self._now_s)
 
-    def _place(self, group: list[readiness.ReadyTask]) -> bool:
-        """Starts a group if all of its tasks fit.
-
-        Returns:
-            False if the group does not fit. One that exceeds its account's
-            quota returns True, since it doesn't wait for capacity.
-        """
+    def _place(self, group: list[readiness.ReadyTask]) -> _Verdict:
+        """Starts a single task or a gang if all of its tasks fit."""
         first = group[0]
         account = first.job.spec.account
         need = first.step.size.times(len(group))
         if not quotas.is_within_quota(
-            self._configuration, account, self._running, need
+            self._configuration, account, self._state.usage_by_account, need
         ):
-            return True
+            return _Verdict.OVER_QUOTA
         chosen = self._select_workers(group)
-        if chosen is None:
+        if isinstance(chosen, _Verdict):
+            self._full_pools.add(first.job.spec.pool)
             if first.step.long_running:
                 self._preempt(first)
-            return False
+            return chosen
         number = first.job.next_run_number(first.task)
         for ready, worker_id in zip(group, chosen, strict=True):
             task_number = first.job.next_run_number(ready.task)
             self._start(
                 ready, worker_id, number if first.step.gang else task_number
             )
-        self._running[account] = self._running.get(
-            account, model.Resources()
-        ).plus(need)
-        return True
+        return _Verdict.STARTED
 
     def _select_workers(
         self, group: list[readiness.ReadyTask]
-    ) -> list[str] | None:
-        """Returns a worker for each task of a group, or None."""
+    ) -> list[str] | _Verdict:
+        """Returns a worker for each task of a group."""
         first = group[0]
-        candidates = self._candidates(first)
+        index = self._workers.in_pool(first.job.spec.pool)
         if len(group) == 1:
-            rack = _current_rack(self._state, first)
-            snapshot = placement.select_worker(
-                candidates, first.step, _step_key(first), preferred_rack=rack
-            )
-            return None if snapshot is None else [snapshot.worker_id]
-        return placement.select_gang_workers(
+            return self._select_worker(first, index)
+        # Asks for tickets even if there is no room yet.
+        candidates = self._candidates(first, index)
+        if self._is_unplaceable(first):
+            return _Verdict.NO_ROOM
+        chosen = placement.select_gang_workers(
             candidates, first.step, _step_key(first), len(group)
         )
+        return _Verdict.NO_ROOM if chosen is None else chosen
+
+    def _select_worker(
+        self, ready: readiness.ReadyTask, index: room_index.RoomIndex
+    ) -> list[str] | _Verdict:
+        tickets = self._tickets(ready.job, ready.task)
+        if self._is_unplaceable(ready):
+            return _Verdict.NO_ROOM
+        rack = _current_rack(self._state, ready)
+        best = index.select(ready.step, _step_key(ready), preferred_rack=rack)
+        if best is None:
+            self._record_unplaceable(ready)
+            return _Verdict.NO_ROOM
+        excluded = _occupied_workers(ready) | ready.job.failed_workers.get(
+            ready.task, set()
+        )
+        if tickets is not None or best.worker_id in excluded:
+            best = placement.select_worker(
+                self._candidates(ready, index),
+                ready.step,
+                _step_key(ready),
+                preferred_rack=rack,
+            )
+        return _Verdict.NO_ROOM_FOR_TASK if best is None else [best.worker_id]
+
+    def _is_unplaceable(self, ready: readiness.ReadyTask) -> bool:
+        """Returns whether a task that needs no more has found no room."""
+        key = ready.job.spec.pool, ready.step.required_label
+        need = ready.step.reserved
+        return any(need.covers(n) for n in self._unplaceable.get(key, ()))
+
+    def _record_unplaceable(self, ready: readiness.ReadyTask) -> None:
+        """Records that a task found no room on any worker of its pool."""
+        if ready.step.max_per_worker:
+            # Tasks of other steps may still fit.
+            return
+        key = ready.job.spec.pool, ready.step.required_label
+        need = ready.step.reserved
+        known = self._unplaceable.get(key, ())
+        self._unplaceable[key] = [
+            need,
+            *(other for other in known if not other.covers(need)),
+        ]
 
     def _candidates(
-        self, ready: readiness.ReadyTask
+        self, ready: readiness.ReadyTask, index: room_index.RoomIndex
     ) -> list[placement.WorkerSnapshot]:
         """Returns the workers that could take a task once they have room.
 
         Workers on which the task has failed are left out while there are
         others.
         """
-        pool = ready.job.spec.pool
-        occupied = {run.worker_id for run in ready.job.runs.get(ready.task, ())}
+        occupied = _occupied_workers(ready)
         tickets = self._tickets(ready.job, ready.task)
         eligible = [
             snapshot
-            for worker_id, snapshot in self._snapshots.items()
-            if self._state.watches[worker_id].view.registration.pool == pool
-            and worker_id not in occupied
-            and (tickets is None or worker_id in tickets)
+            for snapshot in index.workers
+            if snapshot.worker_id not in occupied
+            and (tickets is None or snapshot.worker_id in tickets)
             and placement.is_suitable(snapshot, ready.step)
         ]
         avoided = ready.job.failed_workers.get(ready.task, set())
@@ -180,8 +239,8 @@
         run.ticket = tickets[worker_id] if tickets is not None else ""
         ready.job.add_run(run)
         watch = self._state.watches[worker_id]
-        watch.view.runs[run.key] = run
-        self._snapshots[worker_id] = watch.view.as_snapshot(self._state.step_of)
+        self._state.track_run(watch.view, run)
+        self._workers.update(watch.view)
         watch.start(run)
 
     def _preempt(self, ready: readiness.ReadyTask) -> None:
@@ -189,7 +248,8 @@
         if not self._state.has_authority():
             return
         options = []
-        for snapshot in self._candidates(ready):
+        index = self._workers.in_pool(ready.job.spec.pool)
+        for snapshot in self._candidates(ready, index):
             watch = self._state.watches[snapshot.worker_id]
             runs = [
                 run
@@ -221,6 +281,11 @@
     return ready.job.spec.job_id, ready.task.occurrence, ready.task.step
 
 
+def _occupied_workers(ready: readiness.ReadyTask) -> set[str]:
+    """Returns the workers on which runs of a task are active."""
+    return {run.worker_id for run in ready.job.runs.get(ready.task, ())}
+
+
 def _current_rack(
     state: owner_state.OwnerState, ready: readiness.ReadyTask
 ) -> str:
@@ -233,19 +298,3 @@
         if is_same_step and watch is not None:
             return watch.view.registration.rack
     return ""
-
-
-def _running_by_account(
-    state: owner_state.OwnerState,
-) -> dict[str, model.Resources]:
-    running: dict[str, model.Resources] = {}
-    for watch in state.watches.values():
-        for run in watch.view.runs.values():
-            step = state.step_of(run)
-            if step is None:
-                continue
-            account = state.jobs[run.job_id].spec.account
-            running[account] = running.get(account, model.Resources()).plus(
-                step.size
-            )
-    return running
--- a/src/chervillead/pools/pool_load.py
+++ b/src/chervillead/pools/pool_load.py
@@ -29,7 +29,7 @@
         _within_quotas(
             configuration,
             _usage_by_account(state, watches),
-            _ready_tasks(state, pool),
+            _ready_steps(state, pool),
         )
     )
     free = [view.registration.capacity.minus(view.reserved()) for view in hosts]
@@ -37,12 +37,14 @@
         hosts=len(hosts),
         host_capacity=mean_capacity,
         used=_sum(watch.view.reserved() for watch in watches),
-        pending=_sum(task.step.reserved for task in demand),
+        pending=_sum(
+            ready.step.reserved.times(len(ready.tasks)) for ready in demand
+        ),
         min_hosts=_min_hosts(demand),
         is_fragmented=any(
             mean_capacity.covers(need)
             and not any(resources.covers(need) for resources in free)
-            for need in {task.step.reserved for task in demand}
+            for need in {ready.step.reserved for ready in demand}
         ),
     )
 
@@ -58,16 +60,13 @@
     ]
 
 
-def _ready_tasks(
+def _ready_steps(
     state: owner_state.OwnerState, pool: str
-) -> abc.Iterator[readiness.ReadyTask]:
+) -> abc.Iterator[readiness.ReadyStep]:
     now_unix_ms = 1000 * state.ports.clock.wall()
-    for job in state.jobs.values():
-        may_be_pending = job.spec.pool == pool and any(
-            job.pending_tasks.values()
-        )
-        if may_be_pending and not job.is_finished:
-            yield from readiness.ready_tasks(job, state.now_s(), now_unix_ms)
+    for job in state.jobs.unfinished():
+        if job.spec.pool == pool and job.has_pending:
+            yield from readiness.ready_steps(job, state.now_s(), now_unix_ms)
 
 
 def _usage_by_account(
@@ -88,27 +87,49 @@
 def _within_quotas(
     configuration: model.FleetConfiguration,
     usage: dict[str, model.Resources],
-    ready: abc.Iterable[readiness.ReadyTask],
-) -> abc.Iterator[readiness.ReadyTask]:
+    ready: abc.Iterable[readiness.ReadyStep],
+) -> abc.Iterator[readiness.ReadyStep]:
     """Yields the tasks that fit into the quotas along with all before them.
 
     More hosts would not help a task that exceeds the quota of its account.
     """
-    for task in ready:
-        account, need = task.job.spec.account, task.step.reserved
-        if quotas.is_within_quota(configuration, account, usage, need):
+    for step in ready:
+        account, need = step.job.spec.account, step.step.reserved
+        count = _count_within_quota(configuration, usage, step)
+        if count:
             used_before = usage.get(account, model.Resources())
-            usage[account] = used_before.plus(need)
-            yield task
+            usage[account] = used_before.plus(need.times(count))
+            yield step._replace(tasks=step.tasks[:count])
+
+
+def _count_within_quota(
+    configuration: model.FleetConfiguration,
+    usage: abc.Mapping[str, model.Resources],
+    ready: readiness.ReadyStep,
+) -> int:
+    """Returns how many tasks of a step fit into the quota of its account."""
+    return next(
+        (
+            count
+            for count in range(len(ready.tasks), 0, -1)
+            if quotas.is_within_quota(
+                configuration,
+                ready.job.spec.account,
+                usage,
+                ready.step.reserved.times(count),
+            )
+        ),
+        0,
+    )
 
 
-def _min_hosts(ready: abc.Iterable[readiness.ReadyTask]) -> int:
+def _min_hosts(demand: abc.Iterable[readiness.ReadyStep]) -> int:
     """Returns the hosts needed by steps with a limit of tasks per worker."""
     return max(
         (
-            -(-task.step.tasks // task.step.max_per_worker)
-            for task in ready
-            if task.step.max_per_worker
+            -(-ready.step.tasks // ready.step.max_per_worker)
+            for ready in demand
+            if ready.step.max_per_worker
         ),
         default=0,
     )
--- a/src/chervillead/pools/run_tracking.py
+++ b/src/chervillead/pools/run_tracking.py
@@ -48,6 +48,7 @@
         if job is not None:
             changed_jobs[job.spec.job_id] = job
     _end_unreported_runs(state, view, reported, status.clock_ms)
+    state.changed_workers.add(view.worker_id)
     state.wake()
     return [state.store_progress(job) for job in changed_jobs.values()]
 
@@ -104,7 +105,7 @@
     if job is not None:
         run.reserved = job.step(key.task).reserved
         job.add_run(run)
-    view.runs[key] = run
+    state.track_run(view, run)
     state.log_run("run:found", run)
     return run
 
@@ -116,7 +117,7 @@
 ) -> job_state.JobState | None:
     """Applies an end; returns the job if its stored progress changed."""
     job = state.jobs.get(end.run.job_id)
-    run = view.runs.pop(end.run, None)
+    run = state.forget_run(view, end.run)
     if job is None or not job.has_task(end.run.task):
         return None
     now_s = state.now_s()
@@ -186,6 +187,7 @@
                 continue
             state.log_run("run:stalled", run, progress=run.progress_percent)
             watch.view.health.record_failure(now_s)
+            state.changed_workers.add(worker_id)
             state.jobs[run.job_id].add_failed_worker(run.task, worker_id)
             watch.stop(run, "the run made no progress")
 
--- a/src/chervillead/pools/worker_registry.py
+++ b/src/chervillead/pools/worker_registry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import itertools
 
 from chervillead.jobs import task_runs
 from chervillead.pools import owner_state
@@ -26,6 +27,7 @@
     def __init__(self, state: owner_state.OwnerState) -> None:
         self._state = state
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._orders = itertools.count()
         self._started_s = state.now_s()
         # Workers on hosts that are up; None until the list of hosts was read.
         self._workers_on_live_hosts: set[str] | None = None
@@ -55,6 +57,7 @@
         for worker_id, watch in state.watches.items():
             if worker_id not in registrations:
                 watch.view.is_registered = False
+        state.changed_workers.update(state.watches)
         state.wake()
 
     def _update_worker(
@@ -82,7 +85,11 @@
         self, registration: worker_interface.Registration
     ) -> None:
         state = self._state
-        view = view_module.WorkerView(registration, discovered_s=state.now_s())
+        view = view_module.WorkerView(
+            registration,
+            discovered_s=state.now_s(),
+            order=next(self._orders),
+        )
         ports = watch_module.WatchPorts(
             clock=state.ports.clock,
             lease_ms=state.lease_ms,
@@ -134,6 +141,7 @@
         watch = state.watches.pop(worker_id)
         self._tasks.pop(worker_id).cancel()
         state.ended_workers.add(worker_id)
+        state.changed_workers.add(worker_id)
         for run in list(watch.view.runs.values()):
             state.end_run(watch.view, run, task_runs.EndKind.VANISHED)
         state.log("worker:dropped", worker=worker_id, reason=reason)
@@ -157,6 +165,7 @@
             rejection=failure.rejection and failure.rejection.value,
             runs=len(view.runs),
         )
+        state.changed_workers.add(view.worker_id)
         view.avoid_until_s = max(
             view.avoid_until_s, state.now_s() + UNREACHABLE_BACKOFF_S
         )
--- a/src/chervillead/workers/view.py
+++ b/src/chervillead/workers/view.py
@@ -8,6 +8,7 @@
 from chervillead.jobs import task_runs
 from chervillead.jobs import worker_health
 from chervillead.workers import interface
+from chervillead.workers import load
 
 # Lowest rate of a worker's clock relative to the owner's. A lease measured on
 # a slow worker's clock lasts longer on the owner's clock.
@@ -27,16 +28,21 @@
     """One worker: its registration, clock, lease and runs."""
 
     def __init__(
-        self, registration: interface.Registration, *, discovered_s: float
+        self,
+        registration: interface.Registration,
+        *,
+        discovered_s: float,
+        order: int = 0,
     ) -> None:
         self.registration = registration
+        # Position among the owner's workers; breaks ties of placement.
+        self.order = order
         self.discovered_s = discovered_s
         self.is_registered = True
         # Set when another process responds at its address: this worker has
         # certainly ended.
         self.is_replaced = False
         self.incarnation: int | None = None
-        self.runs: dict[task_runs.RunKey, task_runs.Run] = {}
         self.applied_end = 0
         self.acknowledged_end = 0
         self.avoid_until_s = 0.0
@@ -48,6 +54,13 @@
         self.health = worker_health.WorkerHealth()
         self._clock: ClockReading | None = None
         self._lease_until_clock_ms = 0
+        self._runs: dict[task_runs.RunKey, task_runs.Run] = {}
+        self._load = load.WorkerLoad()
+
+    @property
+    def runs(self) -> abc.Mapping[task_runs.RunKey, task_runs.Run]:
+        """Runs that may be on the worker."""
+        return self._runs
 
     @property
     def worker_id(self) -> str:
@@ -114,37 +127,32 @@
         self._lease_until_clock_ms = 0
         return lost
 
+    def add_run(self, run: task_runs.Run, step: model.Step | None) -> None:
+        """Adds a run; its step is None if its job is unknown."""
+        self._runs[run.key] = run
+        self._load.add(run, step)
+
+    def remove_run(self, key: task_runs.RunKey) -> task_runs.Run | None:
+        """Removes a run and returns it, or None if it isn't there."""
+        self._load.remove(key)
+        return self._runs.pop(key, None)
+
     def reserved(self) -> model.Resources:
         """Returns the resources that its runs reserve."""
-        total = model.Resources()
-        for run in self.runs.values():
-            total = total.plus(run.reserved)
-        return total
-
-    def as_snapshot(
-        self, step_of: abc.Callable[[task_runs.Run], model.Step | None]
-    ) -> placement.WorkerSnapshot:
+        return self._load.reserved
+
+    def as_snapshot(self) -> placement.WorkerSnapshot:
         """Returns the snapshot of the worker that placement works on."""
-        step_tasks: dict[tuple[str, int, int], int] = {}
-        latency_sensitive = best_effort = 0
-        for run in self.runs.values():
-            key = run.job_id, run.task.occurrence, run.task.step
-            step_tasks[key] = step_tasks.get(key, 0) + 1
-            step = step_of(run)
-            if step is not None and step.latency_target_ms:
-                latency_sensitive += 1
-            if step is not None and step.fills:
-                best_effort += 1
         capacity = self.registration.capacity
         return placement.WorkerSnapshot(
             self.worker_id,
             self.registration.rack,
             self.registration.labels,
-            capacity.minus(self.reserved()),
+            capacity.minus(self._load.reserved),
             capacity,
-            step_tasks,
-            latency_sensitive,
-            best_effort,
+            self._load.step_tasks,
+            self._load.latency_sensitive_tasks,
+            self._load.best_effort_tasks,
             self.health.penalty,
         )
 
@@ -159,18 +167,14 @@
             and self.registration.zone not in zones_out
         )
 
-    def is_schedulable(
-        self,
-        now_s: float,
-        zones_out: frozenset[str],
-        step_of: abc.Callable[[task_runs.Run], model.Step | None],
-    ) -> bool:
+    def is_schedulable(self, now_s: float, zones_out: frozenset[str]) -> bool:
         """Returns whether new runs may be placed on the worker."""
-        if not self.may_start(zones_out) or self.avoid_until_s > now_s:
-            return False
-        # Long-running tasks don't end, so they tell nothing about its health.
-        is_busy = self.health.is_suspect and any(
-            (step := step_of(run)) is None or not step.long_running
-            for run in self.runs.values()
+        return (
+            self.may_start(zones_out)
+            and self.avoid_until_s <= now_s
+            # Long-running tasks don't end, so they tell nothing about its
+            # health.
+            and self.health.is_schedulable(
+                now_s, is_busy=self._load.ending_tasks > 0
+            )
         )
-        return self.health.is_schedulable(now_s, is_busy=is_busy)
--- /dev/null
+++ b/tests/steps/jobs_room_index.py
@@ -0,0 +1,243 @@
+"""Steps of tests/jobs/room_index.feature."""
+
+import behave
+import hypothesis
+from hypothesis import strategies
+
+from chervillead.jobs import job_state
+from chervillead.jobs import job_table
+from chervillead.jobs import model
+from chervillead.jobs import placement
+from chervillead.jobs import room_index
+from chervillead.jobs import task_runs
+from chervillead.pools import account_usage
+from chervillead.workers import load
+
+RACKS = ("r1", "r2", "r3")
+STEP_KEYS = tuple((f"{number:016x}", 0, 0) for number in range(2))
+
+amounts = strategies.builds(
+    model.Resources,
+    strategies.sampled_from((0, 500, 1000, 2000, 4000, 9000)),
+    strategies.sampled_from((0, 100, 1000)),
+    strategies.sampled_from((0, 1)),
+)
+steps = strategies.builds(
+    model.Step,
+    tasks=strategies.integers(1, 4),
+    size=amounts,
+    same_rack=strategies.booleans(),
+    required_label=strategies.sampled_from(("", "", "gpu")),
+    data_rack=strategies.sampled_from(("", *RACKS)),
+    max_per_worker=strategies.integers(0, 2),
+    long_running=strategies.booleans(),
+    latency_target_ms=strategies.sampled_from((0, 100)),
+    fills=strategies.booleans(),
+)
+workers = strategies.builds(
+    placement.WorkerSnapshot,
+    worker_id=strategies.sampled_from([f"i-{n}" for n in range(8)]),
+    rack=strategies.sampled_from(RACKS),
+    labels=strategies.sampled_from((frozenset(), frozenset({"gpu"}))),
+    free=amounts.map(lambda free: free.minus(model.Resources(500))),
+    capacity=strategies.sampled_from(
+        (model.Resources(0), model.Resources(4000), model.Resources(9000))
+    ),
+    step_tasks=strategies.dictionaries(
+        strategies.sampled_from(STEP_KEYS), strategies.integers(1, 3)
+    ),
+    latency_sensitive_tasks=strategies.integers(0, 2),
+    best_effort_tasks=strategies.integers(0, 2),
+    penalty=strategies.sampled_from((0.0, 0.0, 2.0, 100.0)),
+)
+
+
+def check(count, function, *arguments):
+    """Runs a function on random arguments that are the same in each run."""
+    hypothesis.settings(
+        max_examples=count,
+        deadline=None,
+        derandomize=True,
+        database=None,
+        phases=[hypothesis.Phase.generate],
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )(hypothesis.given(*arguments)(function))()
+
+
+@behave.when("{count:d} random tasks are placed by the index and by a scan")
+def step(context, count):
+    context.choices = []
+
+    def place(updates, step, rack):
+        index, known, orders = room_index.RoomIndex(), {}, {}
+        for worker, is_gone in updates:
+            worker_id = worker.worker_id
+            # No worker has more free than its capacity.
+            free = model.Resources(*map(min, worker.free, worker.capacity))
+            worker = worker._replace(free=free)
+            if is_gone:
+                index.discard(worker_id)
+                known.pop(worker_id, None)
+            else:
+                order = orders.setdefault(worker_id, len(orders))
+                index.put(worker, order)
+                known[worker_id] = worker
+            scanned = [known[i] for i in sorted(known, key=orders.get)]
+            assert index.workers == scanned, (index.workers, scanned)
+            arguments = step, STEP_KEYS[0]
+            context.choices.append(
+                (
+                    index.select(*arguments, preferred_rack=rack),
+                    placement.select_worker(
+                        scanned, *arguments, preferred_rack=rack
+                    ),
+                )
+            )
+
+    updates = strategies.tuples(workers, strategies.sampled_from((0, 0, 0, 1)))
+    check(
+        count,
+        place,
+        strategies.lists(updates, min_size=1, max_size=30),
+        steps,
+        strategies.sampled_from(("", *RACKS)),
+    )
+
+
+@behave.then("both choose the same worker each time")
+def step(context):
+    assert any(scanned for _, scanned in context.choices)
+    for indexed, scanned in context.choices:
+        assert indexed == scanned, (indexed, scanned)
+
+
+@behave.when("{count:d} random sequences of runs start and end on a worker")
+def step(context, count):
+    context.loads = []
+
+    def change(changes):
+        worker_load, usage = load.WorkerLoad(), account_usage.AccountUsage()
+        active = {}
+        for number, (step, account, is_known) in changes:
+            run = task_runs.Run(
+                STEP_KEYS[number % 2][0],
+                model.TaskKey(0, 0, number),
+                1,
+                "i-1",
+                reserved=step.reserved if is_known else model.Resources(),
+                started_s=0.0,
+            )
+            if run.key in active:
+                del active[run.key]
+                worker_load.remove(run.key)
+                usage.remove("i-1", run.key)
+            else:
+                active[run.key] = run, step if is_known else None, account
+                worker_load.add(run, step if is_known else None)
+                if is_known:
+                    usage.add(run, account, step)
+            context.loads.append(
+                (kept_values(worker_load, usage), summed_values(active))
+            )
+
+    run_changes = strategies.tuples(
+        strategies.integers(0, 5),
+        strategies.tuples(
+            steps, strategies.sampled_from("ab"), strategies.booleans()
+        ),
+    )
+    check(count, change, strategies.lists(run_changes, max_size=20))
+
+
+def kept_values(worker_load, usage):
+    return (
+        worker_load.reserved,
+        worker_load.step_tasks,
+        worker_load.latency_sensitive_tasks,
+        worker_load.best_effort_tasks,
+        {name: used for name, used in usage.by_account.items() if any(used)},
+    )
+
+
+def summed_values(active):
+    reserved, step_tasks, by_account = model.Resources(), {}, {}
+    latency_sensitive = best_effort = 0
+    for run, step, account in active.values():
+        reserved = reserved.plus(run.reserved)
+        key = run.job_id, run.task.occurrence, run.task.step
+        step_tasks[key] = step_tasks.get(key, 0) + 1
+        if step is None:
+            continue
+        latency_sensitive += step.latency_target_ms > 0
+        best_effort += step.fills
+        used = by_account.get(account, model.Resources()).plus(step.size)
+        by_account[account] = used
+    by_account = {name: used for name, used in by_account.items() if any(used)}
+    return reserved, step_tasks, latency_sensitive, best_effort, by_account
+
+
+@behave.then("its load always equals the sum of its runs")
+def step(context):
+    assert context.loads
+    for kept, summed in context.loads:
+        assert kept == summed, (kept, summed)
+
+
+@behave.when("{count:d} random sequences of ends and cancels reach some jobs")
+def step(context, count):
+    context.unfinished = []
+
+    def change(events):
+        table = job_table.JobTable()
+        for number in range(3):
+            job_id = f"{number:016x}"
+            job_steps = (
+                model.Step(2, model.Resources(1000)),
+                model.Step(number, model.Resources(1000), depends_on=(0,)),
+            )
+            spec = model.JobSpec(job_id, "queue", "pool", "", "", job_steps)
+            table[job_id] = job_state.JobState(spec, accepted_s=0.0)
+        for number, kind, task in events:
+            job = table.get(f"{number:016x}")
+            if job is None or (kind != "forget" and not job.has_task(task)):
+                continue
+            if kind == "forget":
+                del table[job.spec.job_id]
+            elif kind == "cancel":
+                job.cancel(0.0)
+            else:
+                key = task_runs.RunKey(job.spec.job_id, task, 1)
+                end = task_runs.RunEnd(key, task_runs.EndKind.DONE)
+                job.apply_run_end(end, 1, 0.0)
+            context.unfinished.append(
+                (
+                    [job.spec.job_id for job in table.unfinished()],
+                    [i for i, job in table.items() if has_work_left(job)],
+                )
+            )
+
+    tasks = strategies.builds(
+        model.TaskKey,
+        strategies.just(0),
+        strategies.integers(0, 1),
+        strategies.integers(0, 1),
+    )
+    kinds = strategies.sampled_from(("done",) * 8 + ("cancel", "forget"))
+    events = strategies.tuples(strategies.integers(0, 2), kinds, tasks)
+    check(count, change, strategies.lists(events, max_size=20))
+
+
+def has_work_left(job):
+    if job.is_cancelled or job.is_failed:
+        return False
+    return any(
+        len(job.done.get((0, number), ())) < step.tasks
+        for number, step in enumerate(job.spec.steps)
+    )
+
+
+@behave.then("the unfinished jobs are always those with work left")
+def step(context):
+    assert any(expected for _, expected in context.unfinished)
+    for unfinished, expected in context.unfinished:
+        assert unfinished == expected, (unfinished, expected)
