--- a/benchmarks/placement_cost.py
+++ b/benchmarks/placement_cost.py
@@ -11,28 +11,18 @@
 import time
 import typing
 
-from returns import result
-
 from benchmarks import figures
-from chervillead import types
 from chervillead.jobs import job_state
 from chervillead.jobs import model
-from chervillead.jobs import task_runs
-from chervillead.pools import owner_state
-from chervillead.pools import partition_owner
-from chervillead.pools import ports
-from chervillead.pools import run_tracking
-from chervillead.store import group_commit
-from chervillead.store import interface as store_interface
-from chervillead.workers import interface as worker_interface
+from stand_ins import memory_partition
 
-POOL = "pool"
 QUEUE = "queue"
 ACCOUNTS = 20
 TASKS_PER_STEP = 8
 CAPACITY = model.Resources(32_000, 64_000)
 MEAN_TASK_MILLICORES = 6_200
-INCARNATION = 1
+RACKS = 12
+EVENT_INTERVAL_S = 0.001
 WORKERS = 44
 WAITING_TASKS = 1_000
 RETAINED_JOBS = 500
@@ -94,81 +84,47 @@
 
     def __init__(self, size: Size) -> None:
         self._rng = random.Random(SEED)
-        self._now_s = 1_000.0
-        self._clock_ms = 0
-        self._end_numbers: dict[str, int] = {}
-        self._owner = partition_owner.PartitionOwner(
-            0,
-            1,
-            group_commit.PartitionWriter(_unused_store(), "topic", 0, 1),
-            self._make_ports(),
-            owner_state.OwnershipStatus(lambda: True, lambda: False),
-        )
-        self._add_workers(size.workers)
+        self._worker_ids = [f"worker-{n}" for n in range(size.workers)]
+        workers = [
+            memory_partition.make_worker(
+                worker_id,
+                CAPACITY,
+                rack=f"rack-{number % RACKS}",
+                labels=frozenset({f"rack-{number % RACKS}"}),
+            )
+            for number, worker_id in enumerate(self._worker_ids)
+        ]
         # Enough tasks to fill the pool, and those that wait.
         room = size.workers * CAPACITY.millicores // MEAN_TASK_MILLICORES
         tasks = size.waiting_tasks + room + EVENTS
-        self._owner.load(self._make_jobs(size.retained_jobs, tasks))
-        for worker_id in self._owner.state.watches:
-            self._report(worker_id, None)
-        self._owner.workers.apply_host_list(set(self._owner.state.watches))
+        self._partition = memory_partition.MemoryPartition(
+            _make_configuration(),
+            workers,
+            self._make_jobs(size.retained_jobs, tasks),
+        )
         # Recovery ends in the first pass, and the second one fills the pool.
         for _ in range(2):
-            self._owner.run_pass()
+            self._partition.run_pass()
 
     def end_a_run(self) -> None:
         """Ends one run and lets the owner place tasks."""
-        self._now_s += 0.001
-        watches = self._owner.state.watches
+        partition = self._partition
+        partition.now_s += EVENT_INTERVAL_S
         worker_id = self._rng.choice(self._worker_ids)
-        runs = list(watches[worker_id].view.runs)
-        self._report(worker_id, self._rng.choice(runs) if runs else None)
-        self._owner.run_pass()
+        runs = partition.runs_on(worker_id)
+        partition.report(worker_id, self._rng.choice(runs) if runs else None)
+        partition.run_pass()
 
     async def close(self) -> None:
         """Ends the asyncio tasks of the workers."""
-        await self._owner.workers.close_all()
-
-    def _make_ports(self) -> ports.OwnerPorts:
-        configuration = _make_configuration()
-        return ports.OwnerPorts(
-            store=_unused_store(),
-            open_worker=lambda registration, token: _silent_client(),
-            clock=types.Clock(lambda: self._now_s, lambda: self._now_s),
-            limits=ports.Limits(),
-            configuration=lambda: configuration,
-            zones_out=frozenset,
-            log=lambda message_type, **fields: None,
-            increment=lambda name, label: None,
-            observe=lambda name, seconds: None,
-        )
-
-    def _add_workers(self, count: int) -> None:
-        self._worker_ids = [f"worker-{number}" for number in range(count)]
-        self._owner.state.is_loaded = True
-        self._owner.workers.update(
-            {
-                worker_id: worker_interface.Registration(
-                    worker_id,
-                    POOL,
-                    types.Address("10.0.0.1", 8_000),
-                    "zone-a",
-                    f"rack-{number % 12}",
-                    frozenset({f"rack-{number % 12}"}),
-                    CAPACITY,
-                    False,
-                    INCARNATION,
-                )
-                for number, worker_id in enumerate(self._worker_ids)
-            }
-        )
+        await self._partition.close()
 
     def _make_jobs(
         self, finished: int, waiting_tasks: int
     ) -> abc.Iterator[job_state.JobState]:
         for number in range(finished):
             job = self._make_job(number)
-            job.cancel(self._now_s)
+            job.cancel(memory_partition.START_S)
             yield job
         for number in range(waiting_tasks // TASKS_PER_STEP):
             yield self._make_job(finished + number)
@@ -183,45 +139,22 @@
         spec = model.JobSpec(
             f"{number:016x}",
             QUEUE,
-            POOL,
+            memory_partition.POOL,
             f"account-{number % ACCOUNTS}",
             "",
             (first, first._replace(depends_on=(0,))),
         )
-        accepted_s = self._now_s - self._rng.uniform(0.0, 5.0)
+        accepted_s = memory_partition.START_S - self._rng.uniform(0.0, 5.0)
         return job_state.JobState(spec, accepted_s=accepted_s)
 
-    def _report(self, worker_id: str, ended: task_runs.RunKey | None) -> None:
-        """Applies a status of a worker, in which one run may have ended."""
-        state = self._owner.state
-        view = state.watches[worker_id].view
-        self._clock_ms += 1
-        ends: tuple[worker_interface.EndedRun, ...] = ()
-        if ended is not None:
-            number = self._end_numbers.get(worker_id, 0) + 1
-            self._end_numbers[worker_id] = number
-            end = task_runs.RunEnd(ended, task_runs.EndKind.DONE)
-            ends = (worker_interface.EndedRun(number, end),)
-        running = tuple(
-            worker_interface.RunStatus(key, "", 50, 0)
-            for key in view.runs
-            if key != ended
-        )
-        run_tracking.apply_status(
-            state,
-            view,
-            worker_interface.WorkerStatus(
-                self._clock_ms, INCARNATION, running, ends
-            ),
-        )
-
 
 def _make_configuration() -> model.FleetConfiguration:
-    queue = model.Queue(QUEUE, "", "", POOL, stretch=1.5, target_ms=600)
+    pool = memory_partition.POOL
+    queue = model.Queue(QUEUE, "", "", pool, stretch=1.5, target_ms=600)
     return model.FleetConfiguration(
         version=1,
         queues={QUEUE: queue},
-        pools={POOL: model.Pool(POOL)},
+        pools={pool: model.Pool(pool)},
         accounts={
             f"account-{number}": model.Account(
                 f"account-{number}", 1.0, model.Resources()
@@ -231,26 +164,3 @@
         account_of_key={},
         max_body_bytes=0,
     )
-
-
-def _unused_store() -> store_interface.Store:
-    """Returns a store that is never called."""
-    return typing.cast(store_interface.Store, None)
-
-
-def _silent_client() -> worker_interface.WorkerClient:
-    """Returns a client of a worker that never answers."""
-
-    async def poll(
-        request: worker_interface.PollRequest,
-    ) -> result.Result[
-        worker_interface.WorkerStatus, worker_interface.WorkerCallFailure
-    ]:
-        return await asyncio.get_running_loop().create_future()
-
-    async def command(*arguments: object) -> worker_interface.CommandOutcome:
-        return await asyncio.get_running_loop().create_future()
-
-    return worker_interface.WorkerClient(
-        poll, command, command, command, lambda: None
-    )
--- a/tests/steps/jobs_room_index.py
+++ b/tests/steps/jobs_room_index.py
@@ -26,7 +26,8 @@
     strategies.sampled_from((0, 1)),
 )
 steps = strategies.builds(
-    model.Step,
+    # Fields that aren't given keep their defaults.
+    lambda **fields: model.Step(**fields),
     tasks=strategies.integers(1, 4),
     size=amounts,
     same_rack=strategies.booleans(),
