--- a/tests/stand_ins/scripted_group.py
+++ b/tests/stand_ins/scripted_group.py
@@ -100,7 +100,7 @@
         return ports_module.OwnerPorts(
             store=store_interface.Store(
                 append=_answer_with(0),
-                read=_answer_with(store_interface.ReadPage((), 0)),
+                read=_answer_with(store_interface.ReadPage((), 0, 0)),
                 read_latest=_answer_with(store_interface.LatestRecords((), 0)),
                 join=self._join,
                 leave=self._leave,
