Measure a stall by what the worker reported, not from the placement

Callers saw: tasks that ran were stopped and started again, and others waited although most of their pool had free capacity.

Cause: a run counted as stalled when its progress had not changed for 2.2 s by the owner's clock, counted from its placement. With many starts queued, or an owner that lags, a run was stopped as soon as its worker had accepted it; each such stop also counted as a failure of the worker, and two of them made a healthy worker suspect, which gets no tasks but a probe.

Change: the time without progress is taken from the worker's clock, between its start of the run (or its report of the last change) and its latest report.

--- a/src/chervillead/jobs/task_runs.py
+++ b/src/chervillead/jobs/task_runs.py
@@ -54,7 +54,9 @@
         usage: Usage as the worker last reported it: tail latency in
             milliseconds for a latency-sensitive task, millicores otherwise.
         progress_percent: Progress as the worker last reported it.
-        progress_since_s: Time of its last change, by the owner's clock.
+        progress_since_ms: Worker's clock at the start or in the first report
+            with that progress; None before the first report of the run.
+        reported_ms: Worker's clock in the latest report.
         pace_percent: CPU share that the run may use; 100 if it isn't paced.
         checkpoint: Checkpoint of the run; empty for none.
     """
@@ -85,7 +87,8 @@
         self.stop_reason = ""
         self.usage = 0
         self.progress_percent = 0
-        self.progress_since_s = started_s
+        self.progress_since_ms: int | None = None
+        self.reported_ms = 0
         self.pace_percent = 100
         self.checkpoint = ""
 
--- a/src/chervillead/jobs/worker_health.py
+++ b/src/chervillead/jobs/worker_health.py
@@ -82,11 +82,14 @@
         return not is_busy and now_s - self._last_failure_s >= PROBE_DELAY_S
 
 
-def is_stalled(progress_since_s: float, now_s: float) -> bool:
+def is_stalled(progress_since_ms: int | None, reported_ms: int) -> bool:
     """Returns whether a run has stopped making progress.
 
     Args:
-        progress_since_s: Time of the last change of its progress.
-        now_s: Time of the same clock.
+        progress_since_ms: Worker's clock when the run began or its progress
+            last changed; None before its first report of the run.
+        reported_ms: Worker's clock in its latest report of the run.
     """
-    return now_s - progress_since_s > STALL_TIMEOUT_S
+    if progress_since_ms is None:
+        return False
+    return reported_ms - progress_since_ms > 1000 * STALL_TIMEOUT_S
--- a/src/chervillead/pools/run_tracking.py
+++ b/src/chervillead/pools/run_tracking.py
@@ -71,9 +71,12 @@
     if run.started_clock_ms is None:
         run.started_clock_ms = clock_ms
     run.usage = running.usage
+    if run.progress_since_ms is None:
+        run.progress_since_ms = run.started_clock_ms
     if run.progress_percent != running.progress_percent:
         run.progress_percent = running.progress_percent
-        run.progress_since_s = state.now_s()
+        run.progress_since_ms = clock_ms
+    run.reported_ms = clock_ms
     if job is None:
         state.stop_run(run, "its job is unknown")
         return
@@ -183,7 +186,9 @@
                 or step.fills
                 or run.stop_requested
                 or run.phase is not task_runs.RunPhase.RUNNING
-                or not worker_health.is_stalled(run.progress_since_s, now_s)
+                or not worker_health.is_stalled(
+                    run.progress_since_ms, run.reported_ms
+                )
             ):
                 continue
             state.log_run("run:stalled", run, progress=run.progress_percent)
--- a/tests/pools/orders.feature
+++ b/tests/pools/orders.feature
@@ -39,6 +39,16 @@
     Then every host reports the job as failed
     And no task of the job ran more than 3 times
 
+  Scenario: Starts wait behind others for longer than a run may stall
+    # Guards against runs that are stopped as stalled as soon as they start, and
+    # workers that are held to be faulty, since the time before the start counts.
+    Given a platform fleet of 2 hosts and 1 worker
+    When workers take 300 ms for a start
+    And a job of 30 small tasks is submitted
+    And 12 s pass
+    Then every host reports the job as completed
+    And each task ran once
+
   Scenario: A suspect worker gets tasks again
     # Guards against starts on a suspect worker that are dropped again and again,
     # because the run to be started counts as making the worker busy.
--- a/tests/stand_ins/platform_worker.py
+++ b/tests/stand_ins/platform_worker.py
@@ -51,6 +51,7 @@
         starts_to_drop: Number of the next starts that get no response.
         delayed_starts_s: Delay after which such starts are carried out; None if
             they are dropped.
+        start_delay_s: Time that the worker takes to carry out a start.
         silent: Whether the worker neither carries out nor responds to calls.
         records: All runs, ended or not.
     """
@@ -72,6 +73,7 @@
         self.long_running: set[str] = set()
         self.starts_to_drop = 0
         self.delayed_starts_s: float | None = None
+        self.start_delay_s = 0.0
         self.silent = False
         self.records: list[RunRecord] = []
         self.acknowledged: list[tuple[str, int, str]] = []
@@ -128,6 +130,7 @@
             return self._reply(409, Reason="fence")
         self._token = int(fields["FencingToken"])
         if request.path == "/run-start":
+            await asyncio.sleep(self.start_delay_s)
             return self._start(fields)
         if request.path == "/run-stop":
             return self._stop(fields)
--- a/tests/steps/jobs_worker_health.py
+++ b/tests/steps/jobs_worker_health.py
@@ -66,7 +66,7 @@
 
 @behave.when("the progress of a run last changed {seconds:g} s ago")
 def step(context, seconds):
-    context.stalled = worker_health.is_stalled(0.0, seconds)
+    context.stalled = worker_health.is_stalled(0, int(1000 * seconds))
 
 
 @behave.then("the run is considered {state}")
--- a/tests/steps/platform_fleet.py
+++ b/tests/steps/platform_fleet.py
@@ -384,6 +384,20 @@
     add_action(context, submit_both)
 
 
+@behave.when("workers take {milliseconds:d} ms for a start")
+def step(context, milliseconds):
+    async def slow_down(fleet):
+        for worker in fleet.workers.values():
+            worker.start_delay_s = milliseconds / 1000
+
+    add_action(context, slow_down)
+
+
+@behave.when("a job of {tasks:d} small tasks is submitted")
+def step(context, tasks):
+    add_action(context, submit, steps=[platform_fleet.step(tasks, Cpu=100)])
+
+
 @behave.when("the store takes {milliseconds:d} ms for an append")
 def step(context, milliseconds):
     async def slow_down(fleet):
