Ask for hosts for a pool that has lost all of its hosts

Jobs of a pool whose hosts all crashed, drain or lie in zones taken out would wait until one of them came back, with hosts in the spare pool.

Cause: without a host the capacity of a host is unknown, so the load of the pool counted as not measurable and the pool asked for no host.

Evidence: the new scenario fails before the change (the job is not completed 20 s after the crash).

Change: a pool without hosts whose tasks have waited for 2 s asks for the minimum; the load of the arriving hosts then tells how many it needs.

--- a/src/chervillead/jobs/autoscaling.py
+++ b/src/chervillead/jobs/autoscaling.py
@@ -32,7 +32,7 @@
 
     Attributes:
         hosts: Number of hosts on which tasks may be started.
-        host_capacity: Mean capacity of a host of the pool.
+        host_capacity: Mean capacity of a host of the pool; none without hosts.
         used: Resources that running tasks reserve.
         pending: Resources of the tasks that wait only for room.
         min_hosts: Hosts needed by steps that limit their tasks per worker.
--- a/src/chervillead/machines/pool_resizing.py
+++ b/src/chervillead/machines/pool_resizing.py
@@ -37,6 +37,9 @@
 # A new worker is not turned off before this age: the commands that move its
 # host in and out must not follow each other closely.
 MIN_WORKER_AGE_S = 4.0
+# A new owner reaches the workers of its pools within this time; a pool without
+# hosts for longer has none.
+EMPTY_POOL_DELAY_S = 2.0
 # Workers that a pool keeps per set of labels, for steps that require a label.
 MIN_WORKERS_PER_LABEL_SET = 2
 
@@ -79,6 +82,8 @@
         # Workers whose hosts an unanswered command may still move.
         self._unanswered_until_s: dict[str, float] = {}
         self._paused_until_s: dict[str, float] = {}
+        # Since when tasks wait in each pool that has no host.
+        self._empty_from_s: dict[str, float] = {}
 
     async def run(self) -> None:
         """Resizes pools until cancelled."""
@@ -109,7 +114,7 @@
         self._drain_zones_out(name)
         await self._turn_off_drained(name)
         load = pool_load.measure(self._owner.state, name)
-        if load is None:
+        if load is None or not self._is_conclusive(name, load, now_s):
             return
         pool.autoscaler.record(load, now_s)
         hosts = (
@@ -128,6 +133,19 @@
             name, load.hosts - pool.autoscaler.current_size(), load
         )
 
+    def _is_conclusive(
+        self, name: str, load: autoscaling.PoolLoad, now_s: float
+    ) -> bool:
+        """Returns whether the load tells how many hosts the pool needs.
+
+        A pool without hosts needs some once tasks have waited for a while.
+        """
+        if load.hosts or not any(load.pending):
+            self._empty_from_s.pop(name, None)
+            return load.hosts > 0
+        empty_from_s = self._empty_from_s.setdefault(name, now_s)
+        return now_s - empty_from_s >= EMPTY_POOL_DELAY_S
+
     def _now_s(self) -> float:
         return self._ports.clock.monotonic()
 
--- a/src/chervillead/pools/pool_load.py
+++ b/src/chervillead/pools/pool_load.py
@@ -13,18 +13,21 @@
 def measure(
     state: owner_state.OwnerState, pool: str
 ) -> autoscaling.PoolLoad | None:
-    """Returns the load of a pool, or None if it can't be measured.
+    """Returns the load of a pool, or None before the first configuration.
 
-    Without a host that takes tasks, the capacity of a host is unknown.
+    Without a host that takes tasks, the capacity of a host is unknown and
+    given as none.
     """
     watches = watches_of(state, pool)
     zones_out = state.ports.zones_out()
     hosts = [w.view for w in watches if w.view.may_start(zones_out)]
     configuration = state.ports.configuration()
-    if not hosts or configuration is None:
+    if configuration is None:
         return None
     total = _sum(view.registration.capacity for view in hosts)
-    mean_capacity = model.Resources(*(amount // len(hosts) for amount in total))
+    mean_capacity = model.Resources(
+        *(amount // max(1, len(hosts)) for amount in total)
+    )
     demand = list(
         _within_quotas(
             configuration,
--- a/tests/machines/pool_resizing.feature
+++ b/tests/machines/pool_resizing.feature
@@ -15,6 +15,27 @@
     And 3 hosts are in the pool
     And each host gets commands from one owner at a time
 
+  Scenario: A pool loses all of its hosts
+    # Guards against a pool that asks for no host while it has none, so that its
+    # tasks wait although the spare pool has hosts.
+    Given a platform fleet of 2 hosts and 6 workers of which 3 are turned off
+    And tasks run for 2 s
+    When a job of 6 tasks is submitted
+    And all workers that are on crash and do not restart
+    And 20 s pass
+    Then every host reports the job as completed
+    And no invariant was violated on the workers
+
+  Scenario: A pool whose hosts are unknown at first asks for none
+    # Guards against hosts borrowed by each new owner before it has read the list
+    # of workers.
+    Given a platform fleet of 3 hosts and 6 workers of which 3 are turned off
+    When the owner is killed
+    And 8 s pass
+    And all hosts are killed and restarted
+    And 8 s pass
+    Then 3 hosts are in the pool
+
   Scenario: Hosts with long-running tasks are kept
     # Guards against stopping a task because its host seems idle.
     Given a platform fleet of 2 hosts and 6 workers
--- a/tests/steps/platform_fleet.py
+++ b/tests/steps/platform_fleet.py
@@ -802,6 +802,18 @@
     add_action(context, crash)
 
 
+@behave.when("all workers that are on crash and do not restart")
+def step(context):
+    async def crash(fleet):
+        await asyncio.sleep(0.3)
+        for worker in fleet.workers.values():
+            if not worker.silent:
+                worker.silent = True
+                worker._end_all("gone", list_ends=False)
+
+    add_action(context, crash)
+
+
 @behave.when("every worker restarts")
 def step(context):
     async def restart(fleet):
