Recover the jobs of a pool that has no worker left

Cause: an owner finished the recovery of jobs only while it watched a worker. If all workers of a partition were gone when its owner changed, its jobs stayed recovering, so they counted as no load, and the pool asked for no host.

Evidence: the new scenario fails before the change (the job is not completed 30 s after the owner was killed).

Change: without a worker, recovery ends once the list of hosts was read and names none that runs one of the pools' workers.

--- a/src/chervillead/pools/worker_registry.py
+++ b/src/chervillead/pools/worker_registry.py
@@ -203,7 +203,10 @@
     def finish_recovery(self) -> None:
         """Allows placement of recovering jobs once all workers are known."""
         state = self._state
-        if not state.recovering_jobs or not state.watches:
+        if not state.recovering_jobs:
+            return
+        # Without a worker, only the list of hosts tells that there is none.
+        if not state.watches and self._workers_on_live_hosts is None:
             return
         now_s = state.now_s()
         if self._has_unlisted_workers(now_s):
--- a/tests/machines/pool_resizing.feature
+++ b/tests/machines/pool_resizing.feature
@@ -26,6 +26,18 @@
     Then every host reports the job as completed
     And no invariant was violated on the workers
 
+  Scenario: A pool loses all of its hosts and its owner
+    # Guards against jobs that are recovered only once the pool has a worker, and
+    # a pool that asks for no host while its jobs are being recovered.
+    Given a platform fleet of 2 hosts and 6 workers of which 3 are turned off
+    And tasks run for 2 s
+    When a job of 6 tasks is submitted
+    And all workers that are on crash and do not restart
+    And the owner is killed
+    And 30 s pass
+    Then every host reports the job as completed
+    And no invariant was violated on the workers
+
   Scenario: A pool whose hosts are unknown at first asks for none
     # Guards against hosts borrowed by each new owner before it has read the list
     # of workers.
