--- a/src/chervillead/pools/job_operations.py
+++ b/src/chervillead/pools/job_operations.py
@@ -1,7 +1,6 @@
 """Job operations that an owner executes: submit, cancel and count."""
 
 import asyncio
-import random
 
 from returns import result
 
@@ -10,6 +9,7 @@
 from chervillead.jobs import model
 from chervillead.jobs import records
 from chervillead.pools import owner_state
+from chervillead.pools import retry_after
 from chervillead.store import group_commit
 
 # New jobs are refused once appends have failed for this long, since the store
@@ -20,9 +20,6 @@
 # that time a submission waits four times for the event loop: to be read, to be
 # sent to the store, for the store's reply, and to be answered.
 MAX_LOOP_LAG_S = 0.3
-# Callers refused during one lag return spread over this range.
-MIN_LAG_RETRY_AFTER_S = 1.0
-MAX_LAG_RETRY_AFTER_S = 3.0
 
 OWNER_OVERLOADED = "owner-overloaded"
 
@@ -158,9 +155,7 @@
         503,
         f"the owner runs its tasks {lag_s:.1f} s late, more than "
         f"{MAX_LOOP_LAG_S} s",
-        retry_after_s=random.uniform(
-            MIN_LAG_RETRY_AFTER_S, MAX_LAG_RETRY_AFTER_S
-        ),
+        retry_after_s=retry_after.draw_s(),
     )
 
 
--- a/src/chervillead/pools/job_router.py
+++ b/src/chervillead/pools/job_router.py
@@ -22,6 +22,7 @@
 from chervillead.pools import owner_calls
 from chervillead.pools import ownership
 from chervillead.pools import pool_partitions
+from chervillead.pools import retry_after
 from chervillead.store import interface as store_interface
 
 # The list of owners is refreshed at this interval, and earlier after a failed
@@ -38,9 +39,6 @@
 # Most partitions load within this time; a caller that submits a job to another
 # one is told to come back.
 MAX_LOADING_WAIT_S = 0.5
-# Callers refused at one moment return spread over this range.
-MIN_RETRY_AFTER_S = 1.0
-MAX_RETRY_AFTER_S = 3.0
 
 # Reasons of refusals without a call to the owner.
 OWNER_SILENT = "owner-silent"
@@ -199,10 +197,9 @@
         )
 
     def _is_owner(self, partition: int) -> bool:
-        return self._local_ownership.owner_of(
-            partition
-        ) is not None or job_service.is_loading(
-            partition, self._local_ownership
+        local = self._local_ownership
+        return local.owner_of(partition) is not None or job_service.is_loading(
+            partition, local
         )
 
     async def _attempt(
@@ -259,21 +256,19 @@
     address: types.Address, owner: owner_calls.OwnerCalls
 ) -> verdicts.Refusal:
     """Returns the refusal of a call that the owner's limit doesn't allow."""
-    place = f"{address.host}:{address.port}"
-    retry_after_s = random.uniform(MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S)
-    if owner.is_silent:
-        return verdicts.not_run(
-            OWNER_SILENT,
-            503,
-            f"{place} has not answered earlier calls in time",
-            retry_after_s=retry_after_s,
+    reason, problem = (
+        (OWNER_SILENT, "has not answered earlier calls in time")
+        if owner.is_silent
+        else (
+            OWNER_BUSY,
+            f"has yet to answer {owner_calls.MAX_CALLS_IN_PROGRESS} calls",
         )
+    )
     return verdicts.not_run(
-        OWNER_BUSY,
+        reason,
         503,
-        f"{place} has yet to answer "
-        f"{owner_calls.MAX_CALLS_IN_PROGRESS} calls of this host",
-        retry_after_s=retry_after_s,
+        f"{address.host}:{address.port} {problem}",
+        retry_after_s=retry_after.draw_s(),
     )
 
 
