Check that a stream with a timed-out call is used for later calls

The scenario sent no call after the one that timed out, so it would have passed with a stream that is replaced at each timeout. It now hears the peer during the wait and sends another call afterwards; it fails if each timeout replaces the stream.

--- a/tests/entries/job_streams.feature
+++ b/tests/entries/job_streams.feature
@@ -6,9 +6,11 @@
     # and makes every host dial it again.
     Given a peer that leaves submissions unanswered
     When a submission is sent
-    And a status call that takes 0.4 s is sent 1 s later
+    And a status call that takes 0 s is sent 0.5 s later
+    And a status call that takes 0.4 s is sent 0.5 s later
+    And a status call that takes 0 s is sent 1 s later
     Then the submission fails as peer-silent
-    And the status call succeeds
+    And all status calls succeed
     And the peer was dialled 1 time
 
   Scenario: A connection that has gone silent is replaced
--- a/tests/steps/entries_job_streams.py
+++ b/tests/steps/entries_job_streams.py
@@ -218,6 +218,12 @@
     assert pipeline.is_successful(call), call
 
 
+@behave.then("all status calls succeed")
+def step(context):
+    calls = run_once(context).status_calls
+    assert all(map(pipeline.is_successful, calls)), calls
+
+
 @behave.then("only the first and the last status call succeed")
 def step(context):
     calls = run_once(context).status_calls
