Preempt only on workers that a long-running task may use

Callers may have seen long-running tasks wait while batch runs were stopped in vain.

Cause: the choice of the runs to stop checked the room of a worker, but neither the step's limit per worker nor its label. A worker at the limit needed no victim, so it was chosen again at every pass and no other worker made room.

The new scenarios failed before the change: their step may not use the worker, and runs were chosen there.

Change: only workers with the label and below the limit are considered, and a pass that has to stop nothing writes no line.

--- a/src/chervillead/jobs/placement.py
+++ b/src/chervillead/jobs/placement.py
@@ -59,6 +59,13 @@
     """
     if not is_suitable(worker, step) or not worker.free.covers(step.reserved):
         return False
+    return is_below_limit(worker, step, step_key)
+
+
+def is_below_limit(
+    worker: WorkerSnapshot, step: model.Step, step_key: tuple[str, int, int]
+) -> bool:
+    """Returns whether the step's limit per worker allows a further task."""
     on_worker = worker.step_tasks.get(step_key, 0)
     return not step.max_per_worker or on_worker < step.max_per_worker
 
@@ -196,6 +203,7 @@
 def select_preemption_victims(
     worker: WorkerSnapshot,
     step: model.Step,
+    step_key: tuple[str, int, int],
     runs: abc.Collection[task_runs.Run],
     now_s: float,
 ) -> list[task_runs.Run] | None:
@@ -208,7 +216,9 @@
     Returns:
         The runs, or None if the task wouldn't fit even without them.
     """
-    if not worker.capacity.covers(step.reserved):
+    if not is_suitable(worker, step):
+        return None
+    if not is_below_limit(worker, step, step_key):
         return None
     free = worker.free
     stopping = [run for run in runs if run.stop_requested]
--- a/src/chervillead/pools/placement_pass.py
+++ b/src/chervillead/pools/placement_pass.py
@@ -281,12 +281,15 @@
                 if not self._is_long_running(run)
             ]
             victims = placement.select_preemption_victims(
-                snapshot, ready.step, runs, self._now_s
+                snapshot, ready.step, _step_key(ready), runs, self._now_s
             )
             if victims is not None:
                 options.append((len(victims), snapshot.worker_id, victims))
-        if options:
-            _, worker_id, victims = min(options, key=lambda o: o[:2])
+        if not options:
+            return
+        _, worker_id, victims = min(options, key=lambda o: o[:2])
+        # Without victims, runs that are being stopped already make room.
+        if victims:
             self._state.log(
                 "run:preempting",
                 job=ready.job.spec.job_id,
--- a/tests/jobs/placement.feature
+++ b/tests/jobs/placement.feature
@@ -50,6 +50,18 @@
     When a long-running task of 3 cores needs room there
     Then the runs started 1 s and 3 s ago are stopped
 
+  Scenario Outline: A long-running task doesn't preempt where it may not run
+    # Guards against batch runs that are stopped in vain, and against a
+    # long-running task that waits for room on a worker that it can't use.
+    Given a full worker with batch runs of 2 cores started 5 s, 3 s and 1 s ago
+    When a long-running task of 3 cores may only use <rule> there
+    Then no run is stopped there
+
+    Examples:
+      | rule                       |
+      | workers with another label |
+      | workers without its step   |
+
   Scenario Outline: Best-effort tasks yield to latency-sensitive ones
     # Guards against a latency-sensitive task that misses its target because of
     # best-effort tasks on the same worker.
--- a/tests/steps/jobs_placement.py
+++ b/tests/steps/jobs_placement.py
@@ -121,10 +121,29 @@
 @behave.when("a long-running task of 3 cores needs room there")
 def step(context):
     context.victims = placement.select_preemption_victims(
-        context.workers[0], step_of_cores(3), context.runs, 0.0
+        context.workers[0], step_of_cores(3), KEY, context.runs, 0.0
     )
 
 
+@behave.when("a long-running task of 3 cores may only use {rule} there")
+def step(context, rule):
+    step = step_of_cores(3)
+    worker = context.workers[0]
+    if rule == "workers with another label":
+        step = step._replace(required_label="other")
+    else:
+        step = step._replace(max_per_worker=1)
+        worker = worker._replace(step_tasks={KEY: 1})
+    context.victims = placement.select_preemption_victims(
+        worker, step, KEY, context.runs, 0.0
+    )
+
+
+@behave.then("no run is stopped there")
+def step(context):
+    assert context.victims is None, context.victims
+
+
 @behave.then("the runs started 1 s and 3 s ago are stopped")
 def step(context):
     assert [run.started_s for run in context.victims] == [-1, -3]
