--- a/src/chervillead/platform/fleet_view.py
+++ b/src/chervillead/platform/fleet_view.py
@@ -232,6 +232,7 @@
     def apply_workers(self, changes: list[keyed_follower.Change]) -> None:
         """Applies changes of worker registrations."""
         changed = False
+        unlisted: list[str] = []
         for change in changes:
             registration = change.value and registrations.decode_registration(
                 change.key, change.value
@@ -249,6 +250,10 @@
                     previous, self._boot_time()
                 )
             if previous is not None:
-                self._log("worker:unlisted", worker=change.key)
+                unlisted.append(change.key)
+        if unlisted:
+            # Workers leave the list together, and a line for each on every
+            # host would crowd out other lines.
+            self._log("worker:unlisted", workers=unlisted)
         if changed:
             self._on_change()
