--- a/tests/steps/pools_job_router.py
+++ b/tests/steps/pools_job_router.py
@@ -89,7 +89,7 @@
         return result.Success({PARTITION: str(member)})
 
     async def serve_host_call(call):
-        raise NotImplementedError
+        raise AssertionError(f"unexpected call about hosts: {call}")
 
     nothing_owned = std_types.SimpleNamespace(
         owner_of=lambda partition: None,
