--- a/src/chervillead/platform/assembly.py
+++ b/src/chervillead/platform/assembly.py
@@ -24,6 +24,7 @@
 from chervillead.platform import settings as settings_module
 from chervillead.platform import store_client
 from chervillead.platform import worker_client
+from chervillead.pools import group_members
 from chervillead.pools import job_router
 from chervillead.pools import job_service
 from chervillead.pools import owner_eligibility
@@ -93,7 +94,7 @@
             self.metrics.increment,
             dial=environment.dial,
         )
-        member = ownership.Member(
+        member = group_members.Member(
             settings.entries,
             secrets.token_hex(4),
             settings.host,
--- a/src/chervillead/pools/job_router.py
+++ b/src/chervillead/pools/job_router.py
@@ -17,6 +17,7 @@
 from chervillead.entries import host_messages
 from chervillead.entries import job_messages
 from chervillead.entries import job_streams
+from chervillead.pools import group_members
 from chervillead.pools import job_operations
 from chervillead.pools import job_service
 from chervillead.pools import owner_calls
@@ -82,13 +83,13 @@
         self._clock = clock
         self._log = log
         self._call_limits = owner_calls.CallLimits(clock.monotonic)
-        self._members: dict[int, ownership.Member] = {}
+        self._members: dict[int, group_members.Member] = {}
         self._refresh_requested = asyncio.Event()
         self._owners: dict[int, str] = {}
         self._refreshed_s = float("-inf")
 
     @property
-    def members(self) -> abc.Mapping[int, ownership.Member]:
+    def members(self) -> abc.Mapping[int, group_members.Member]:
         """The owners by partition, as last read."""
         return self._members
 
@@ -138,7 +139,7 @@
     def _apply_owners(self, owners: dict[int, str]) -> None:
         self._owners = owners
         parsed = {
-            partition: ownership.parse_member(text)
+            partition: group_members.parse_member(text)
             for partition, text in owners.items()
         }
         self._members = {
--- a/src/chervillead/pools/ownership.py
+++ b/src/chervillead/pools/ownership.py
@@ -8,13 +8,11 @@
 
 import asyncio
 from collections import abc
-import math
 import typing
 
 from returns import pipeline
 
-from chervillead import types
-from chervillead.pools import owner_eligibility
+from chervillead.pools import group_members
 from chervillead.pools import owner_role
 from chervillead.pools import owner_state
 from chervillead.pools import partition_owner
@@ -37,56 +35,6 @@
 _NOT_A_MEMBER = store_interface.RejectionReason.NOT_A_MEMBER
 
 
-class Member(typing.NamedTuple):
-    """One process of a host as a member of the owners' group.
-
-    Attributes:
-        address: Where it serves calls of other hosts.
-        incarnation: Distinguishes processes that use the same address in turn.
-        host: Name of the host.
-        zone: Availability zone of the host.
-        cores: Its processor time per second, in cores; None if unknown.
-    """
-
-    address: types.Address
-    incarnation: str
-    host: str
-    zone: str
-    cores: float | None = None
-
-    @property
-    def candidate(self) -> owner_eligibility.Candidate:
-        """The host as a candidate for owning partitions."""
-        return owner_eligibility.Candidate(self.address, self.cores)
-
-    def __str__(self) -> str:
-        host, port = self.address
-        text = f"{host}:{port}/{self.incarnation}/{self.host}/{self.zone}"
-        return text if self.cores is None else f"{text}/{self.cores:.4g}"
-
-
-def parse_member(text: str) -> Member | None:
-    """Returns the member that a text encodes, or None if it is malformed.
-
-    Members that don't say how many cores they have are accepted.
-    """
-    fields = text.split("/")
-    address = types.parse_address(fields[0])
-    if len(fields) not in (4, 5) or not pipeline.is_successful(address):
-        return None
-    incarnation, host, zone = fields[1:4]
-    cores = _parse_cores(fields[4]) if len(fields) == 5 else None
-    return Member(address.unwrap(), incarnation, host, zone, cores)
-
-
-def _parse_cores(text: str) -> float | None:
-    try:
-        cores = float(text)
-    except ValueError:
-        return None
-    return cores if math.isfinite(cores) and cores > 0 else None
-
-
 # Runs alongside an owner for as long as it owns its partition.
 RunWithOwner = abc.Callable[
     [partition_owner.PartitionOwner],
@@ -99,7 +47,7 @@
 
     def __init__(
         self,
-        member: Member,
+        member: group_members.Member,
         ports: ports_module.OwnerPorts,
         boot_time: abc.Callable[[], float],
         run_with_owner: RunWithOwner,
@@ -126,7 +74,7 @@
         self._on_change: abc.Callable[[], None] = lambda: None
 
     @property
-    def member(self) -> Member:
+    def member(self) -> group_members.Member:
         """This process as a member of the owners' group."""
         return self._member
 
@@ -235,9 +183,8 @@
         outcome = await self._ports.store.owners(pool_partitions.OWNERS_GROUP)
         if not pipeline.is_successful(outcome):
             return
-        members = set(outcome.unwrap().values())
-        for text in sorted(members):
-            previous = parse_member(text)
+        for text in sorted(set(outcome.unwrap().values())):
+            previous = group_members.parse_member(text)
             if (
                 previous is not None
                 and previous.address == self._member.address
--- a/tests/stand_ins/scripted_group.py
+++ b/tests/stand_ins/scripted_group.py
@@ -8,6 +8,7 @@
 
 from chervillead import types
 from chervillead import verdicts
+from chervillead.pools import group_members
 from chervillead.pools import owner_eligibility
 from chervillead.pools import owner_role
 from chervillead.pools import ownership
@@ -43,7 +44,7 @@
         self._generation = 0
         self._is_member = False
         self._boot_time = asyncio.get_running_loop().time
-        member = ownership.Member(OWN_ADDRESS, "a", "host", "zone", cores)
+        member = group_members.Member(OWN_ADDRESS, "a", "host", "zone", cores)
         self.ownership = ownership.Ownership(
             member,
             self._owner_ports(),
--- a/tests/steps/pools_job_router.py
+++ b/tests/steps/pools_job_router.py
@@ -13,9 +13,9 @@
 from chervillead.entries import job_messages
 from chervillead.entries import job_streams
 from chervillead.jobs import model
+from chervillead.pools import group_members
 from chervillead.pools import job_router
 from chervillead.pools import job_service
-from chervillead.pools import ownership
 from chervillead.store import interface
 from stand_ins import memory_network
 from stand_ins import platform_fleet
@@ -85,7 +85,7 @@
     """Returns the router of a host that owns nothing."""
 
     async def owners(group):
-        member = ownership.Member(OWNER, "1", "owner", "zone-a")
+        member = group_members.Member(OWNER, "1", "owner", "zone-a")
         return result.Success({PARTITION: str(member)})
 
     async def serve_host_call(call):
@@ -94,7 +94,7 @@
     nothing_owned = std_types.SimpleNamespace(
         owner_of=lambda partition: None,
         owners={},
-        member=ownership.Member(HOST, "1", "host", "zone-a"),
+        member=group_members.Member(HOST, "1", "host", "zone-a"),
         is_confirmed=lambda: True,
     )
     clock = virtual_time.clock()
--- a/tests/steps/pools_owner_eligibility.py
+++ b/tests/steps/pools_owner_eligibility.py
@@ -3,8 +3,8 @@
 import behave
 
 from chervillead import types
+from chervillead.pools import group_members
 from chervillead.pools import owner_eligibility
-from chervillead.pools import ownership
 
 PARTITIONS = 24
 OWN_ADDRESS = types.Address("10.9.0.1", 7000)
@@ -69,7 +69,7 @@
 
 @behave.when("the store lists the member {text}")
 def step(context, text):
-    context.member = ownership.parse_member(text)
+    context.member = group_members.parse_member(text)
 
 
 @behave.then("the host should be {role}")
