--- a/src/chervillead/pools/ownership.py
+++ b/src/chervillead/pools/ownership.py
@@ -29,8 +29,6 @@
 MEMBERSHIP_RETRY_S = 0.15
 # How often a host that stands by looks at the list of owners.
 STANDBY_INTERVAL_S = 0.25
-# Delay before another attempt to open a partition.
-OPEN_RETRY_S = 0.2
 
 _NOT_A_MEMBER = store_interface.RejectionReason.NOT_A_MEMBER
 
