Log the version and age behind a refusal, and fetches of records from peers

call:refused has version and version_age_s. Each fetch from a peer writes operator-records:synced or operator-records:sync-failed with its duration and the ages before and after, and counts as chervillead_operator_syncs.

--- a/src/chervillead/jobs/job_api.py
+++ b/src/chervillead/jobs/job_api.py
@@ -34,6 +34,8 @@
             been received yet.
         is_current: Whether the configuration was confirmed recently enough to
             list all withdrawn keys.
+        configuration_age_s: Returns the time since the configuration was last
+            known to be the newest, in seconds; infinite if it never was.
         partition_of: Returns the partition of a pool.
         call_owner: Calls the owner of the message's partition; the second
             argument is the timeout in seconds.
@@ -43,6 +45,7 @@
 
     configuration: abc.Callable[[], model.FleetConfiguration | None]
     is_current: abc.Callable[[], bool]
+    configuration_age_s: abc.Callable[[], float]
     partition_of: abc.Callable[[str], int]
     call_owner: CallOwner
     previous_pools: abc.Callable[[str], abc.Collection[str]]
--- a/src/chervillead/platform/assembly.py
+++ b/src/chervillead/platform/assembly.py
@@ -7,6 +7,8 @@
 import time
 import typing
 
+from returns import pipeline
+
 from chervillead import event_loop_lag
 from chervillead import http_exchange
 from chervillead import metrics_page
@@ -229,6 +231,7 @@
         return job_api.JobPorts(
             configuration=lambda: self.fleet_view.configuration,
             is_current=self.is_current,
+            configuration_age_s=self.fleet_view.age_s,
             partition_of=self.partition_of,
             call_owner=self.router.call,
             previous_pools=self.fleet_view.previous_pools,
@@ -334,8 +337,10 @@
         if host.fleet_view.age_s() < PEER_SYNC_AGE_S or not addresses:
             continue
         requested_s = host.environment.boot_time()
+        age_s = host.fleet_view.age_s()
+        peer = random.choice(addresses)
         outcome = await host.streams.ask(
-            random.choice(addresses),
+            peer,
             job_messages.AskOperatorRecords(host.fleet_view.digest()),
             PEER_SYNC_INTERVAL_S,
         )
@@ -343,3 +348,42 @@
         if isinstance(reply, job_messages.OperatorRecords):
             host.fleet_view.apply_peer_records(reply, requested_s)
             host.router.apply_peer_owners(reply.owners)
+        _record_sync(host, peer, age_s, requested_s, outcome)
+
+
+def _record_sync(
+    host: EntryHost,
+    peer: types.Address,
+    age_s: float,
+    requested_s: float,
+    outcome: job_streams.AnyOutcome,
+) -> None:
+    """Counts and logs a fetch of the operator records from a peer.
+
+    Args:
+        host: This host.
+        peer: Address of the peer.
+        age_s: Age of the records before the fetch; infinite if there were none.
+        requested_s: Boot time at which the request was sent.
+        outcome: The peer's reply, or why there is none.
+    """
+    is_answered = pipeline.is_successful(outcome)
+    host.metrics.increment(
+        "chervillead_operator_syncs",
+        "answered" if is_answered else outcome.failure().reason,
+    )
+    host.log(
+        "operator-records:synced"
+        if is_answered
+        else "operator-records:sync-failed",
+        peer=f"{peer.host}:{peer.port}",
+        age_before_s=_rounded(age_s),
+        age_s=_rounded(host.fleet_view.age_s()),
+        took_s=_rounded(host.environment.boot_time() - requested_s),
+        error=None if is_answered else outcome.failure().detail,
+    )
+
+
+def _rounded(seconds: float) -> float | None:
+    """Returns a duration for a log line, where infinity can't be encoded."""
+    return round(seconds, 3) if seconds < float("inf") else None
--- a/src/chervillead/platform/caller_routes.py
+++ b/src/chervillead/platform/caller_routes.py
@@ -178,6 +178,8 @@
 def _refusal_response(
     refusal: verdicts.Refusal, path: str, ports: RoutePorts
 ) -> blacksheep.Response:
+    configuration = ports.jobs.configuration()
+    age_s = ports.jobs.configuration_age_s()
     ports.jobs.log(
         "call:refused",
         path=path,
@@ -185,6 +187,8 @@
         status=refusal.status,
         verdict=refusal.verdict.value,
         detail=refusal.detail,
+        version=configuration and configuration.version,
+        version_age_s=round(age_s, 3) if age_s < float("inf") else None,
     )
     response = _json_response(
         refusal.status,
