--- /dev/null
+++ b/tests/stand_ins/platform_scenarios.py
@@ -0,0 +1,90 @@
+"""Scenarios that run entry hosts on the platform's stand-ins.
+
+Given and when steps only record the actions of the scenario. The first then
+step runs all of them on a virtual clock and keeps the result for the checks.
+"""
+
+from collections import abc
+import functools
+import typing
+
+from behave import runner
+from returns import result
+
+from chervillead import verdicts
+from stand_ins import platform_fleet
+from stand_ins import virtual_time
+
+JOB = platform_fleet.job_id(1)
+
+
+Action = abc.Callable[..., abc.Awaitable[typing.Any]]
+
+
+class ScenarioResult:
+    """Result of a scenario: the fleet, phases, outcomes and violations."""
+
+    def __init__(
+        self,
+        fleet: platform_fleet.PlatformFleet,
+        phases: dict[str, str],
+        outcomes: list[typing.Any],
+    ) -> None:
+        self.fleet = fleet
+        self.phases = phases
+        self.outcomes = outcomes
+        self.runs = fleet.runs(JOB)
+        self.violations = list(fleet.violations())
+        self.owners = fleet.owner_names()
+
+
+def add_action(
+    context: runner.Context, action: Action, **arguments: typing.Any
+) -> None:
+    """Adds an action to the scenario."""
+    context.actions.append(functools.partial(action, **arguments))
+
+
+def run_once(context: runner.Context) -> ScenarioResult:
+    """Runs the scenario on the first call and returns its result."""
+    if not hasattr(context, "scenario_result"):
+        context.scenario_result = virtual_time.run_virtual(
+            run_scenario(context), context.seed
+        )
+    return typing.cast(ScenarioResult, context.scenario_result)
+
+
+async def run_scenario(context: runner.Context) -> ScenarioResult:
+    """Runs the actions of a scenario on a new fleet."""
+    fleet = platform_fleet.PlatformFleet(
+        hosts=context.hosts,
+        workers=context.workers,
+        seed=context.seed,
+        turned_off=getattr(context, "turned_off", 0),
+    )
+    for worker in fleet.workers.values():
+        worker.work_s = context.work_s
+    fleet.other_pool_workers = getattr(context, "other_pool_workers", set())
+    for host in fleet.host_names if hasattr(context, "link_rate") else ():
+        fleet.network.limit_incoming(host, context.link_rate)
+    fleet.host_cores = getattr(context, "host_cores", {})
+    await fleet.start()
+    outcomes = []
+    for action in context.actions:
+        outcome = await action(fleet)
+        if outcome is not None:
+            outcomes.append(outcome)
+    phases = {host: await fleet.phase(JOB, host=host) for host in fleet.hosts}
+    await fleet.stop()
+    return ScenarioResult(fleet, phases, outcomes)
+
+
+async def submit(
+    fleet: platform_fleet.PlatformFleet,
+    steps: list[dict[str, typing.Any]],
+    host: abc.Callable[[platform_fleet.PlatformFleet], str] | None = None,
+    **arguments: typing.Any,
+) -> result.Result[None, verdicts.Refusal]:
+    """Submits the scenario's job; `host` selects one of the fleet."""
+    name = host(fleet) if host is not None else None
+    return await fleet.submit(JOB, steps, host=name, **arguments)
--- a/tests/steps/platform_fleet.py
+++ b/tests/steps/platform_fleet.py
@@ -1,12 +1,10 @@
 """Steps of the features that run entry hosts on the platform's stand-ins.
 
-Given and when steps only record the actions of the scenario. The first then
-step runs all of them on a virtual clock and keeps the result for the checks.
+The steps record and run the actions as stand_ins.platform_scenarios tells.
 """
 
 import asyncio
 import collections
-import functools
 import itertools
 
 import behave
@@ -18,60 +16,8 @@
 from chervillead.jobs import records as job_records
 from chervillead.pools import pool_partitions
 from stand_ins import platform_fleet
+from stand_ins import platform_scenarios
 from stand_ins import platform_worker
-from stand_ins import virtual_time
-
-JOB = platform_fleet.job_id(1)
-
-
-class ScenarioResult:
-    """Result of a scenario: the fleet, phases, outcomes and violations."""
-
-    def __init__(self, fleet, phases, outcomes):
-        self.fleet = fleet
-        self.phases = phases
-        self.outcomes = outcomes
-        self.runs = fleet.runs(JOB)
-        self.violations = list(fleet.violations())
-        self.owners = fleet.owner_names()
-
-
-def add_action(context, action, **arguments):
-    """Adds an action to the scenario."""
-    context.actions.append(functools.partial(action, **arguments))
-
-
-def run_once(context):
-    """Runs the scenario on the first call and returns its result."""
-    if not hasattr(context, "scenario_result"):
-        context.scenario_result = virtual_time.run_virtual(
-            run_scenario(context), context.seed
-        )
-    return context.scenario_result
-
-
-async def run_scenario(context):
-    fleet = platform_fleet.PlatformFleet(
-        hosts=context.hosts,
-        workers=context.workers,
-        seed=context.seed,
-        turned_off=getattr(context, "turned_off", 0),
-    )
-    for worker in fleet.workers.values():
-        worker.work_s = context.work_s
-    fleet.other_pool_workers = getattr(context, "other_pool_workers", set())
-    for host in fleet.host_names if hasattr(context, "link_rate") else ():
-        fleet.network.limit_incoming(host, context.link_rate)
-    fleet.host_cores = getattr(context, "host_cores", {})
-    await fleet.start()
-    outcomes = []
-    for action in context.actions:
-        outcome = await action(fleet)
-        if outcome is not None:
-            outcomes.append(outcome)
-    phases = {host: await fleet.phase(JOB, host=host) for host in fleet.hosts}
-    await fleet.stop()
-    return ScenarioResult(fleet, phases, outcomes)
 
 
 @behave.given("a platform fleet of {hosts:d} hosts and {workers:d} worker")
@@ -103,7 +49,7 @@
         )
         await asyncio.sleep(1)
 
-    add_action(context, submit_other)
+    platform_scenarios.add_action(context, submit_other)
 
 
 @behave.given("the second worker belongs to another pool")
@@ -144,7 +90,7 @@
         )
         fleet.store.put_records(pool_partitions.JOBS_TOPIC, partition, records)
 
-    add_action(context, fill)
+    platform_scenarios.add_action(context, fill)
 
 
 @behave.when("operators publish a wave over all hosts with a cap of {cap:d}")
@@ -158,7 +104,7 @@
         }
         fleet.store.put("keyed.op", "wave/1", msgspec.json.encode(wave))
 
-    add_action(context, publish)
+    platform_scenarios.add_action(context, publish)
 
 
 @behave.when("the owner takes a host down and is killed")
@@ -174,7 +120,7 @@
         for member in members - live_members:
             fleet.store.remove_member("pool-owners", member)
 
-    add_action(context, kill)
+    platform_scenarios.add_action(context, kill)
 
 
 @behave.when(
@@ -184,18 +130,18 @@
 def step(context, tasks, unavailable):
     async def submit_long_running(fleet):
         for worker in fleet.workers.values():
-            worker.long_running.add(JOB)
+            worker.long_running.add(platform_scenarios.JOB)
         steps = [
             platform_fleet.step(tasks, LongRunning=True, MayMiss=unavailable)
         ]
-        return await submit(fleet, steps)
+        return await platform_scenarios.submit(fleet, steps)
 
-    add_action(context, submit_long_running)
+    platform_scenarios.add_action(context, submit_long_running)
 
 
 @behave.then("every host was maintained once, at most {cap:d} at a time")
 def step(context, cap):
-    hosts_service = run_once(context).fleet.hosts_service
+    hosts_service = platform_scenarios.run_once(context).fleet.hosts_service
     done = [record.host for record in hosts_service.maintenance_records]
     assert sorted(done) == sorted(hosts_service.names), (
         hosts_service.maintenance_records
@@ -216,7 +162,7 @@
     async def check(fleet):
         assert pool_hosts(fleet) >= hosts, fleet.hosts_service.pools
 
-    add_action(context, check)
+    platform_scenarios.add_action(context, check)
 
 
 @behave.when("operators take the zone of all workers out of service")
@@ -224,7 +170,7 @@
     async def take_zone_out(fleet):
         fleet.store.put("keyed.op", "evacuate/zone-a", b"{}")
 
-    add_action(context, take_zone_out)
+    platform_scenarios.add_action(context, take_zone_out)
 
 
 @behave.when("moves are executed {seconds:d} s late and get no reply")
@@ -232,7 +178,7 @@
     async def delay(fleet):
         fleet.hosts_service.delayed_moves_s = seconds
 
-    add_action(context, delay)
+    platform_scenarios.add_action(context, delay)
 
 
 @behave.when("turning off a host has failed")
@@ -242,7 +188,7 @@
         while not any(line["message_type"] in names for line in fleet.logs):
             await asyncio.sleep(0.05)
 
-    add_action(context, wait)
+    platform_scenarios.add_action(context, wait)
 
 
 @behave.when("hosts have just been moved")
@@ -251,7 +197,7 @@
         while not fleet.hosts_service.commands:
             await asyncio.sleep(0.05)
 
-    add_action(context, wait)
+    platform_scenarios.add_action(context, wait)
 
 
 @behave.when("the owner of the hosts partition is killed")
@@ -265,22 +211,22 @@
         )
         await fleet.kill_host(owner)
 
-    add_action(context, kill)
+    platform_scenarios.add_action(context, kill)
 
 
 @behave.then("{hosts:d} hosts are in the pool")
 def step(context, hosts):
-    assert pool_hosts(run_once(context).fleet) == hosts
+    assert pool_hosts(platform_scenarios.run_once(context).fleet) == hosts
 
 
 @behave.then("at most {hosts:d} hosts are in the pool")
 def step(context, hosts):
-    assert pool_hosts(run_once(context).fleet) <= hosts
+    assert pool_hosts(platform_scenarios.run_once(context).fleet) <= hosts
 
 
 @behave.then("each host gets commands from one owner at a time")
 def step(context):
-    commands = run_once(context).fleet.hosts_service.commands
+    commands = platform_scenarios.run_once(context).fleet.hosts_service.commands
     assert commands
     for host in {command.host for command in commands}:
         host_commands = [
@@ -301,7 +247,7 @@
         for name in fleet.hosts_service.names:
             fleet.store.put("keyed.upkeep", f"1/{name}", b"")
 
-    add_action(context, delete_records)
+    platform_scenarios.add_action(context, delete_records)
 
 
 @behave.when("a worker with tasks is cut off from all hosts but the owner")
@@ -315,12 +261,14 @@
         others = set(fleet.hosts) - {fleet.owner_host()}
         fleet.network.cut([node], others)
 
-    add_action(context, cut)
+    platform_scenarios.add_action(context, cut)
 
 
 @behave.then("the wave is reported as completed")
 def step(context):
-    value = run_once(context).fleet.store.value("keyed.status", 0, "wave/1")
+    value = platform_scenarios.run_once(context).fleet.store.value(
+        "keyed.status", 0, "wave/1"
+    )
     assert value and msgspec.json.decode(value) == {"State": "completed"}
 
 
@@ -328,7 +276,7 @@
     "at most {unavailable:d} task of the job was unavailable at a time"
 )
 def step(context, unavailable):
-    runs = run_once(context).runs
+    runs = platform_scenarios.run_once(context).runs
     tasks = {run.task for run in runs}
     for run in runs:
         if run.how != "stopped":
@@ -349,16 +297,13 @@
     context.work_s = seconds
 
 
-async def submit(fleet, steps, host=None, **arguments):
-    name = host(fleet) if host is not None else None
-    return await fleet.submit(JOB, steps, host=name, **arguments)
-
-
 @behave.when("a job of {tasks:d} task is submitted")
 @behave.when("a job of {tasks:d} tasks is submitted")
 def step(context, tasks):
     context.tasks = tasks
-    add_action(context, submit, steps=[platform_fleet.step(tasks)])
+    platform_scenarios.add_action(
+        context, platform_scenarios.submit, steps=[platform_fleet.step(tasks)]
+    )
 
 
 @behave.when("a job of {first:d} tasks and then {second:d} tasks is submitted")
@@ -367,7 +312,9 @@
         platform_fleet.step(first),
         platform_fleet.step(second, After=[0]),
     ]
-    add_action(context, submit, steps=steps)
+    platform_scenarios.add_action(
+        context, platform_scenarios.submit, steps=steps
+    )
 
 
 @behave.when(
@@ -379,9 +326,9 @@
         for worker in fleet.workers.values():
             worker.work_s_by_step["1"] = seconds
         steps = [platform_fleet.step(first), platform_fleet.step(second)]
-        return await submit(fleet, steps)
+        return await platform_scenarios.submit(fleet, steps)
 
-    add_action(context, submit_both)
+    platform_scenarios.add_action(context, submit_both)
 
 
 @behave.when("workers take {milliseconds:d} ms for a start")
@@ -390,12 +337,16 @@
         for worker in fleet.workers.values():
             worker.start_delay_s = milliseconds / 1000
 
-    add_action(context, slow_down)
+    platform_scenarios.add_action(context, slow_down)
 
 
 @behave.when("a job of {tasks:d} small tasks is submitted")
 def step(context, tasks):
-    add_action(context, submit, steps=[platform_fleet.step(tasks, Cpu=100)])
+    platform_scenarios.add_action(
+        context,
+        platform_scenarios.submit,
+        steps=[platform_fleet.step(tasks, Cpu=100)],
+    )
 
 
 @behave.when("the store takes {milliseconds:d} ms for an append")
@@ -403,13 +354,15 @@
     async def slow_down(fleet):
         fleet.store.append_s = milliseconds / 1000
 
-    add_action(context, slow_down)
+    platform_scenarios.add_action(context, slow_down)
 
 
 @behave.when("a job of {tasks:d} tasks with at most 1 per worker is submitted")
 def step(context, tasks):
-    add_action(
-        context, submit, steps=[platform_fleet.step(tasks, AntiAffinity=1)]
+    platform_scenarios.add_action(
+        context,
+        platform_scenarios.submit,
+        steps=[platform_fleet.step(tasks, AntiAffinity=1)],
     )
 
 
@@ -417,10 +370,12 @@
 def step(context, tasks):
     async def fail_and_submit(fleet):
         for worker in fleet.workers.values():
-            worker.failing.add(JOB)
-        return await submit(fleet, [platform_fleet.step(tasks)])
+            worker.failing.add(platform_scenarios.JOB)
+        return await platform_scenarios.submit(
+            fleet, [platform_fleet.step(tasks)]
+        )
 
-    add_action(context, fail_and_submit)
+    platform_scenarios.add_action(context, fail_and_submit)
 
 
 @behave.when("a job of {tasks:d} tasks that fail at first is submitted")
@@ -439,39 +394,42 @@
 def submit_failing_at_first(context, fields):
     async def fail_and_recover(fleet):
         for worker in fleet.workers.values():
-            worker.failing.add(JOB)
-        outcome = await submit(fleet, [fields])
+            worker.failing.add(platform_scenarios.JOB)
+        outcome = await platform_scenarios.submit(fleet, [fields])
         await asyncio.sleep(0.7)
         for worker in fleet.workers.values():
             worker.failing.clear()
         return outcome
 
-    add_action(context, fail_and_recover)
+    platform_scenarios.add_action(context, fail_and_recover)
 
 
 @behave.when("a job of {tasks:d} long-running tasks is submitted")
 def step(context, tasks):
     async def submit_long_running(fleet):
         for worker in fleet.workers.values():
-            worker.long_running.add(JOB)
+            worker.long_running.add(platform_scenarios.JOB)
         steps = [platform_fleet.step(tasks, LongRunning=True)]
-        return await submit(fleet, steps)
+        return await platform_scenarios.submit(fleet, steps)
 
-    add_action(context, submit_long_running)
+    platform_scenarios.add_action(context, submit_long_running)
 
 
 @behave.when("a job of {tasks:d} task is submitted with an unknown key")
 def step(context, tasks):
-    add_action(
-        context, submit, steps=[platform_fleet.step(tasks)], key="no-such-key"
+    platform_scenarios.add_action(
+        context,
+        platform_scenarios.submit,
+        steps=[platform_fleet.step(tasks)],
+        key="no-such-key",
     )
 
 
 @behave.when("a job of {tasks:d} task is submitted through that host")
 def step(context, tasks):
-    add_action(
+    platform_scenarios.add_action(
         context,
-        submit,
+        platform_scenarios.submit,
         steps=[platform_fleet.step(tasks)],
         host=lambda fleet: context.rejected_host,
     )
@@ -482,18 +440,18 @@
     async def submit_everywhere(fleet):
         steps = [platform_fleet.step(context.tasks)]
         for host in list(fleet.hosts):
-            await fleet.submit(JOB, steps, host=host)
+            await fleet.submit(platform_scenarios.JOB, steps, host=host)
 
-    add_action(context, submit_everywhere)
+    platform_scenarios.add_action(context, submit_everywhere)
 
 
 @behave.when("the job is cancelled")
 def step(context):
     async def cancel(fleet):
         await asyncio.sleep(0.5)
-        return await fleet.cancel(JOB)
+        return await fleet.cancel(platform_scenarios.JOB)
 
-    add_action(context, cancel)
+    platform_scenarios.add_action(context, cancel)
 
 
 @behave.when("{seconds:d} s pass")
@@ -501,7 +459,7 @@
     async def wait(fleet):
         await asyncio.sleep(seconds)
 
-    add_action(context, wait)
+    platform_scenarios.add_action(context, wait)
 
 
 @behave.when("the owner is killed")
@@ -510,7 +468,7 @@
         await asyncio.sleep(0.3)
         await fleet.kill_host(fleet.owner_host())
 
-    add_action(context, kill)
+    platform_scenarios.add_action(context, kill)
 
 
 @behave.when(
@@ -533,7 +491,7 @@
             await asyncio.sleep(0.001)
         fleet.network.heal()
 
-    add_action(context, silence)
+    platform_scenarios.add_action(context, silence)
 
 
 @behave.when("all hosts are killed and restarted")
@@ -546,7 +504,7 @@
         for name in names:
             fleet.start_host(name)
 
-    add_action(context, kill_all)
+    platform_scenarios.add_action(context, kill_all)
 
 
 @behave.when("all hosts are killed and restarted with an empty list of workers")
@@ -563,7 +521,7 @@
         await asyncio.sleep(0.2)
         fleet.unlisted.intersection_update(cut_off)
 
-    add_action(context, kill_all)
+    platform_scenarios.add_action(context, kill_all)
 
 
 @behave.when(
@@ -584,7 +542,7 @@
             fleet.unlisted.discard(worker_id)
             await asyncio.sleep(1.0)
 
-    add_action(context, kill_all)
+    platform_scenarios.add_action(context, kill_all)
 
 
 @behave.when("the store rejects the owner")
@@ -593,7 +551,7 @@
         await asyncio.sleep(0.3)
         fleet.store.rejected_hosts.add(fleet.owner_host())
 
-    add_action(context, reject)
+    platform_scenarios.add_action(context, reject)
 
 
 @behave.when("the store rejects a host")
@@ -602,7 +560,7 @@
         context.rejected_host = fleet.other_host()
         fleet.store.rejected_hosts.add(context.rejected_host)
 
-    add_action(context, reject)
+    platform_scenarios.add_action(context, reject)
 
 
 @behave.when("the store rejects every host")
@@ -611,7 +569,7 @@
         context.rejected_host = fleet.other_host()
         fleet.store.rejected_hosts.update(fleet.hosts)
 
-    add_action(context, reject)
+    platform_scenarios.add_action(context, reject)
 
 
 @behave.when("the store accepts every host again")
@@ -619,7 +577,7 @@
     async def accept_all(fleet):
         fleet.store.rejected_hosts.clear()
 
-    add_action(context, accept_all)
+    platform_scenarios.add_action(context, accept_all)
 
 
 @behave.when("the store goes down")
@@ -627,7 +585,7 @@
     async def go_down(fleet):
         fleet.store.is_down = True
 
-    add_action(context, go_down)
+    platform_scenarios.add_action(context, go_down)
 
 
 @behave.when("the store leaves appends without a reply")
@@ -635,7 +593,7 @@
     async def hold_appends(fleet):
         fleet.store.append_s = 3600
 
-    add_action(context, hold_appends)
+    platform_scenarios.add_action(context, hold_appends)
 
 
 @behave.when("the store stops returning the newest records")
@@ -643,7 +601,7 @@
     async def hold_records(fleet):
         fleet.store.newest_s = 3600
 
-    add_action(context, hold_records)
+    platform_scenarios.add_action(context, hold_records)
 
 
 @behave.when("the store takes {milliseconds:d} ms for the newest records")
@@ -651,7 +609,7 @@
     async def slow_down(fleet):
         fleet.store.newest_s = milliseconds / 1000
 
-    add_action(context, slow_down)
+    platform_scenarios.add_action(context, slow_down)
 
 
 @behave.when("a new owner has begun to load the partition")
@@ -666,7 +624,7 @@
         while not any(map(is_loading, fleet.hosts.values())):
             await asyncio.sleep(0.01)
 
-    add_action(context, wait)
+    platform_scenarios.add_action(context, wait)
 
 
 @behave.when(
@@ -683,20 +641,20 @@
         now_s = asyncio.get_running_loop().time
         began_s, calls = now_s(), len(fleet.store.calls)
         outcome = await fleet.submit(
-            JOB, [platform_fleet.step(tasks)], host=name
+            platform_scenarios.JOB, [platform_fleet.step(tasks)], host=name
         )
         context.submission_s = now_s() - began_s
         context.store_calls = fleet.store.calls[calls:]
         return outcome
 
-    add_action(context, submit_elsewhere)
+    platform_scenarios.add_action(context, submit_elsewhere)
 
 
 @behave.then(
     "the refusal has the reason {reason} and came within {seconds:g} s"
 )
 def step(context, reason, seconds):
-    refusal = run_once(context).outcomes[-1].failure()
+    refusal = platform_scenarios.run_once(context).outcomes[-1].failure()
     assert refusal.reason == reason, refusal
     assert context.submission_s <= seconds, context.submission_s
 
@@ -705,7 +663,7 @@
     "the store was asked for the owners at most {count:d} times meanwhile"
 )
 def step(context, count):
-    run_once(context)
+    platform_scenarios.run_once(context)
     asked = context.store_calls.count("/log-owners")
     assert asked <= count, context.store_calls
 
@@ -718,11 +676,11 @@
             fleet.submit(platform_fleet.job_id(2), steps)
         )
         await asyncio.sleep(seconds)
-        outcome = await submit(fleet, steps)
+        outcome = await platform_scenarios.submit(fleet, steps)
         await first
         return outcome
 
-    add_action(context, submit_two)
+    platform_scenarios.add_action(context, submit_two)
 
 
 @behave.when("the store is down for {seconds:d} s")
@@ -733,7 +691,7 @@
         await asyncio.sleep(seconds)
         fleet.store.is_down = False
 
-    add_action(context, go_down)
+    platform_scenarios.add_action(context, go_down)
 
 
 @behave.when("the store drops its history")
@@ -742,7 +700,7 @@
         fleet.store.truncate("keyed.servers")
         fleet.store.truncate("keyed.op")
 
-    add_action(context, drop_history)
+    platform_scenarios.add_action(context, drop_history)
 
 
 @behave.when("all partitions are rebalanced")
@@ -751,7 +709,7 @@
         await asyncio.sleep(0.5)
         fleet.store.rebalance("pool-owners")
 
-    add_action(context, rebalance)
+    platform_scenarios.add_action(context, rebalance)
 
 
 @behave.when("operators assign the queue to the other pool")
@@ -763,7 +721,7 @@
         )
         await asyncio.sleep(0.5)
 
-    add_action(context, assign)
+    platform_scenarios.add_action(context, assign)
 
 
 @behave.when("operators withdraw the key")
@@ -773,7 +731,7 @@
             "keyed.op", "config", platform_fleet.configuration(2, Tenants=[])
         )
 
-    add_action(context, withdraw)
+    platform_scenarios.add_action(context, withdraw)
 
 
 def first_busy_worker(fleet):
@@ -788,7 +746,7 @@
         fleet.unlisted.add(worker.worker_id)
         fleet.network.cut([worker.worker_id], fleet.hosts)
 
-    add_action(context, cut)
+    platform_scenarios.add_action(context, cut)
 
 
 @behave.when("a worker with tasks crashes and does not restart")
@@ -799,7 +757,7 @@
         worker.silent = True
         worker._end_all("gone", list_ends=False)
 
-    add_action(context, crash)
+    platform_scenarios.add_action(context, crash)
 
 
 @behave.when("all workers that are on crash and do not restart")
@@ -811,7 +769,7 @@
                 worker.silent = True
                 worker._end_all("gone", list_ends=False)
 
-    add_action(context, crash)
+    platform_scenarios.add_action(context, crash)
 
 
 @behave.when("every worker restarts")
@@ -822,7 +780,7 @@
             worker.restart()
             fleet.network.reset_place(worker.worker_id)
 
-    add_action(context, restart)
+    platform_scenarios.add_action(context, restart)
 
 
 def drop_starts(context, count, late_s):
@@ -831,7 +789,7 @@
             worker.starts_to_drop = count
             worker.delayed_starts_s = late_s
 
-    add_action(context, set_faults)
+    platform_scenarios.add_action(context, set_faults)
 
 
 @behave.when(
@@ -851,47 +809,60 @@
 
 @behave.then("every host reports the job as {phase}")
 def step(context, phase):
-    phases = run_once(context).phases
-    assert set(phases.values()) == {phase}, (phases, run_once(context).runs)
+    phases = platform_scenarios.run_once(context).phases
+    assert set(phases.values()) == {phase}, (
+        phases,
+        platform_scenarios.run_once(context).runs,
+    )
 
 
 @behave.then("no invariant was violated on the workers")
 def step(context):
-    assert not run_once(context).violations, run_once(context).violations
+    assert not platform_scenarios.run_once(context).violations, (
+        platform_scenarios.run_once(context).violations
+    )
 
 
 @behave.then("each task ran once")
 def step(context):
-    counts = collections.Counter(run.task for run in run_once(context).runs)
-    assert counts and set(counts.values()) == {1}, run_once(context).runs
+    counts = collections.Counter(
+        run.task for run in platform_scenarios.run_once(context).runs
+    )
+    assert counts and set(counts.values()) == {1}, platform_scenarios.run_once(
+        context
+    ).runs
 
 
 @behave.then("no task of the job ran more than {count:d} times")
 def step(context, count):
-    counts = collections.Counter(run.task for run in run_once(context).runs)
+    counts = collections.Counter(
+        run.task for run in platform_scenarios.run_once(context).runs
+    )
     assert counts and max(counts.values()) <= count, counts
 
 
 @behave.then("no task of the job ever ran")
 def step(context):
-    assert not run_once(context).runs
+    assert not platform_scenarios.run_once(context).runs
 
 
 @behave.then("no task of the job is running")
 def step(context):
-    runs = run_once(context).runs
+    runs = platform_scenarios.run_once(context).runs
     assert runs and all(run.how for run in runs), runs
 
 
 @behave.then("{count:d} tasks of the job are running")
 def step(context, count):
-    running = [run for run in run_once(context).runs if not run.how]
-    assert len(running) == count, run_once(context).runs
+    running = [
+        run for run in platform_scenarios.run_once(context).runs if not run.how
+    ]
+    assert len(running) == count, platform_scenarios.run_once(context).runs
 
 
 @behave.then("no step started before the steps that it depends on were done")
 def step(context):
-    runs = run_once(context).runs
+    runs = platform_scenarios.run_once(context).runs
     first_ends = [r.ended_s for r in runs if r.task.split(".")[2] == "0"]
     second_starts = [r.began_s for r in runs if r.task.split(".")[2] == "1"]
     assert second_starts and min(second_starts) >= max(first_ends), runs
@@ -899,7 +870,9 @@
 
 @behave.then("no worker ran {count:d} tasks of the job at once")
 def step(context, count):
-    assert max_concurrent_runs(context) < count, run_once(context).runs
+    assert max_concurrent_runs(context) < count, platform_scenarios.run_once(
+        context
+    ).runs
 
 
 @behave.then("no worker ever ran more than {count:d} tasks at once")
@@ -910,7 +883,7 @@
 def max_concurrent_runs(context):
     """Returns the highest number of concurrent runs on any worker."""
     highest = 0
-    for worker in run_once(context).fleet.workers.values():
+    for worker in platform_scenarios.run_once(context).fleet.workers.values():
         for run in worker.records:
             concurrent = sum(
                 other.began_s <= run.began_s < other.ended_s
@@ -922,13 +895,13 @@
 
 @behave.then("the first call is accepted")
 def step(context):
-    first = run_once(context).outcomes[0]
+    first = platform_scenarios.run_once(context).outcomes[0]
     assert pipeline.is_successful(first), first
 
 
 @behave.then("the call is refused with status {status:d} as {verdict}")
 def step(context, status, verdict):
-    refusal = run_once(context).outcomes[-1].failure()
+    refusal = platform_scenarios.run_once(context).outcomes[-1].failure()
     found = refusal.status, refusal.verdict.value
     assert found == (status, verdict), refusal
 
@@ -950,7 +923,7 @@
         for name in fleet.host_names[:count]:
             await fleet.kill_host(name)
 
-    add_action(context, kill)
+    platform_scenarios.add_action(context, kill)
 
 
 def start_hosts(fleet, count):
@@ -964,7 +937,7 @@
         await asyncio.sleep(0.3)
         start_hosts(fleet, count)
 
-    add_action(context, start)
+    platform_scenarios.add_action(context, start)
 
 
 @behave.when(
@@ -978,7 +951,7 @@
         await asyncio.sleep(seconds)
         fleet.store.paths_without_reply.clear()
 
-    add_action(context, start)
+    platform_scenarios.add_action(context, start)
 
 
 @behave.when("the store rejects the first {count:d} hosts")
@@ -987,7 +960,7 @@
         await asyncio.sleep(0.3)
         fleet.store.rejected_hosts.update(fleet.host_names[:count])
 
-    add_action(context, reject)
+    platform_scenarios.add_action(context, reject)
 
 
 @behave.when("the last host is stopped")
@@ -995,24 +968,24 @@
     async def stop(fleet):
         await fleet.stop_host(fleet.host_names[-1])
 
-    add_action(context, stop)
+    platform_scenarios.add_action(context, stop)
 
 
 @behave.then("all {count:d} hosts own partitions")
 def step(context, count):
-    owners = run_once(context).owners
+    owners = platform_scenarios.run_once(context).owners
     assert len(owners) == count, owners
 
 
 @behave.then("only the first {count:d} hosts own partitions")
 def step(context, count):
-    result = run_once(context)
+    result = platform_scenarios.run_once(context)
     assert result.owners == set(result.fleet.host_names[:count]), result.owners
 
 
 @behave.then("only the first {count:d} hosts have owned partitions")
 def step(context, count):
-    fleet = run_once(context).fleet
+    fleet = platform_scenarios.run_once(context).fleet
     gained = {
         line["host"]
         for line in fleet.logs
@@ -1025,7 +998,7 @@
 def step(context):
     gained = [
         (line["host"], line["partition"], line["token"])
-        for line in run_once(context).fleet.logs
+        for line in platform_scenarios.run_once(context).fleet.logs
         if line["message_type"] == "owner:gained"
     ]
     assert gained and len(gained) == len(set(gained)), gained
