Refuse calls as not run before looking up queues in an outdated configuration

Callers were refused with 404 for queues that had been in force for seconds (CONFIG): admit looked the queue up first and asked for the age of the configuration only before the key, so a host that had fallen behind said 404 for each queue that it had yet to learn of, and served public queues.

The age decides first, for every queue.

--- a/src/chervillead/jobs/job_api.py
+++ b/src/chervillead/jobs/job_api.py
@@ -33,7 +33,7 @@
         configuration: Returns the newest configuration, or None if none has
             been received yet.
         is_current: Whether the configuration was confirmed recently enough to
-            list all withdrawn keys.
+            decide about calls.
         configuration_age_s: Returns the time since the configuration was last
             known to be the newest, in seconds; infinite if it never was.
         partition_of: Returns the partition of a pool.
@@ -79,6 +79,10 @@
     configuration = ports.configuration()
     if configuration is None:
         return result.Failure(_not_ready("no configuration received yet"))
+    # Callers take 404 and 401 as final, so a version that may have been
+    # replaced decides nothing, not even that a queue is unknown or public.
+    if not ports.is_current():
+        return result.Failure(_not_ready("configuration is stale"))
     queue = configuration.match_queue(host, path)
     if queue is None:
         return result.Failure(
@@ -88,8 +92,6 @@
         )
     if queue.is_public:
         return result.Success(Admission(queue, ""))
-    if not ports.is_current():
-        return result.Failure(_not_ready("configuration is stale"))
     account = configuration.account_of_key.get(key or "")
     if account is None:
         return result.Failure(
--- a/src/chervillead/platform/assembly.py
+++ b/src/chervillead/platform/assembly.py
@@ -220,9 +220,10 @@
         )
 
     def is_current(self) -> bool:
-        """Returns whether the configuration is recent enough to trust keys.
+        """Returns whether the configuration may decide about calls.
 
-        Beyond `config_max_age_s` a key may have been withdrawn unnoticed.
+        Beyond `config_max_age_s` a key may have been withdrawn, or a queue
+        added, without this host having noticed.
         """
         return self.fleet_view.age_s() < self.settings.config_max_age_s
 
