Bound the age of the configuration by the platform's limit on changes too

A host answered from a configuration of up to 4 s of age, since the maximum age followed the limit on withdrawn keys (5 s) only.

Change: the maximum age is the lesser of 0.8 of the limit on keys and 0.95 of the limit on changes. A version that was the newest that long ago was in force at the limit before the call was sent, as the call is sent before it is decided. Hosts fetch records from a peer at 0.62 of it, before 1.8 s.

Two rows of 'The oldest configuration that may decide follows both limits' failed on (4 s where 2 and 3 are allowed) and pass now.

--- a/src/chervillead/platform/assembly.py
+++ b/src/chervillead/platform/assembly.py
@@ -39,9 +39,10 @@
 from chervillead.store import keyed_follower
 
 OPERATOR_POLL_WAIT_MS = 1000
-# A host that last confirmed the operator records longer ago than this fetches
-# them from a random peer, once per interval.
-PEER_SYNC_AGE_S = 1.8
+# A host that last confirmed the operator records longer ago than this fraction
+# of their maximum age fetches them from a random peer, once per interval. A
+# poll of the store confirms them once a second.
+PEER_SYNC_AGE_FRACTION = 0.62
 PEER_SYNC_INTERVAL_S = 0.4
 # Workers write often, so reads are spaced to batch their changes.
 WORKERS_READ_INTERVAL_S = 0.25
@@ -335,7 +336,8 @@
         addresses = sorted(
             {m.address for m in host.router.members.values()} - {own}
         )
-        if host.fleet_view.age_s() < PEER_SYNC_AGE_S or not addresses:
+        sync_age_s = PEER_SYNC_AGE_FRACTION * host.settings.config_max_age_s
+        if host.fleet_view.age_s() < sync_age_s or not addresses:
             continue
         requested_s = host.environment.boot_time()
         age_s = host.fleet_view.age_s()
--- a/src/chervillead/platform/settings.py
+++ b/src/chervillead/platform/settings.py
@@ -47,8 +47,8 @@
             None if there is none.
         advice: Address of the advisory service; None if there is none.
         limits: Time limits that the platform sets.
-        config_max_age_s: Age of the configuration at which calls that need a
-            key are refused.
+        config_max_age_s: Age of the configuration at which calls are refused,
+            since a key may have been withdrawn or a queue changed by then.
         stop_grace_s: Time between SIGTERM and SIGKILL.
         cores: Processor time per second that the host provides, in cores.
     """
@@ -74,7 +74,11 @@
 
 # A withdrawn key must stop working within the platform's limit; the rest
 # of that time is left for calls in progress.
-CONFIG_MAX_AGE_FRACTION = 0.8
+KEYS_MAX_AGE_FRACTION = 0.8
+# A version of the configuration may decide about calls that are sent within
+# the platform's limit after its successor was stored. The rest of that time
+# allows for clocks that differ in rate.
+CHANGES_MAX_AGE_FRACTION = 0.95
 
 
 def load_settings(
@@ -127,14 +131,20 @@
         hosts_service=_optional_address(document, "Cloud.Address"),
         advice=_optional_address(document, "Advice"),
         limits=_limits(document),
-        config_max_age_s=CONFIG_MAX_AGE_FRACTION
-        * _number(document, "Bounds.RevokeMs", 5000)
-        / 1000,
+        config_max_age_s=_config_max_age_s(document),
         stop_grace_s=_number(document, "Bounds.GraceS", 6),
         cores=_cores(document),
     )
 
 
+def _config_max_age_s(document: object) -> float:
+    keys_s = _number(document, "Bounds.RevokeMs", 5000) / 1000
+    changes_s = _number(document, "Bounds.ConfigMs", float("inf")) / 1000
+    return min(
+        KEYS_MAX_AGE_FRACTION * keys_s, CHANGES_MAX_AGE_FRACTION * changes_s
+    )
+
+
 def _cores(document: object) -> float:
     # Cores is how many times as fast as one core the processor is; CpuShare is
     # the fraction of that which the host may use.
--- a/tests/stand_ins/platform_fleet.py
+++ b/tests/stand_ins/platform_fleet.py
@@ -198,7 +198,7 @@
                 hosts_service=HOSTS_SERVICE_ADDRESS,
                 advice=None,
                 limits=ports_module.Limits(),
-                config_max_age_s=4.0,
+                config_max_age_s=2.85,
                 stop_grace_s=6.0,
                 cores=self.host_cores.get(name, 1.0),
             ),
