Keep the newest record of operators, whichever source brings it last

A reply of a peer replaced all records of operators if the peer's were confirmed later, and a long read of the store replaced what a peer had sent meanwhile, though the offsets tell which is newer. The host then handed the older records to others as current: hosts that can't reach the store, or have just started, would refuse or serve callers by a replaced version (CONFIG), and keep a zone out of service or in it.

Change: KeyedState keeps the newest record of each key by its offset and the position up to which it is complete. The follower and the peers' replies merge into it. Peers name their position and get only what they lack, in place of all records whenever the digests differ.

--- a/src/chervillead/entries/job_messages.py
+++ b/src/chervillead/entries/job_messages.py
@@ -7,6 +7,7 @@
 
 from chervillead.entries import host_messages
 from chervillead.jobs import model
+from chervillead.store import interface as store_interface
 
 
 class SubmitJob(typing.NamedTuple):
@@ -69,25 +70,27 @@
     """Asks another host for the records that operators published.
 
     Attributes:
-        digest: Digest of the records that the sender has.
+        position: Offset before which the sender has all records.
     """
 
-    digest: int
+    position: int
 
 
 class OperatorRecords(typing.NamedTuple):
     """Records that operators published, as a host has them.
 
     Attributes:
-        digest: Digest of the records.
+        position: Offset before which the host has all records.
         age_ms: Time since the store confirmed the records; -1 if it never did.
-        records: Keys and values; empty if the digests are equal.
+        keys: Keys of all records that the host has.
+        records: Those from the offset on that the call asked for.
         owners: Member of the owners' group that owns each partition.
     """
 
-    digest: int
+    position: int
     age_ms: int
-    records: tuple[tuple[str, bytes], ...]
+    keys: tuple[str, ...]
+    records: tuple[store_interface.KeyedRecord, ...]
     owners: dict[int, str] = {}
 
 
--- a/src/chervillead/platform/assembly.py
+++ b/src/chervillead/platform/assembly.py
@@ -37,6 +37,7 @@
 from chervillead.pools import ports as ports_module
 from chervillead.store import interface as store_interface
 from chervillead.store import keyed_follower
+from chervillead.store import keyed_state
 
 OPERATOR_POLL_WAIT_MS = 1000
 # A host that last confirmed the operator records longer ago than this fraction
@@ -290,6 +291,7 @@
     await keyed_follower.follow(
         host.store,
         fleet_configuration.OPERATOR_TOPIC,
+        host.fleet_view.operator_state,
         wait_ms=OPERATOR_POLL_WAIT_MS,
         boot_time=host.environment.boot_time,
         apply_changes=host.fleet_view.apply_operator,
@@ -303,6 +305,7 @@
     await keyed_follower.follow(
         host.store,
         registrations.WORKERS_TOPIC,
+        keyed_state.KeyedState(),
         wait_ms=0,
         pause_s=WORKERS_READ_INTERVAL_S,
         boot_time=host.environment.boot_time,
@@ -344,7 +347,9 @@
         peer = random.choice(addresses)
         outcome = await host.streams.ask(
             peer,
-            job_messages.AskOperatorRecords(host.fleet_view.digest()),
+            job_messages.AskOperatorRecords(
+                host.fleet_view.operator_state.position
+            ),
             PEER_SYNC_INTERVAL_S,
         )
         reply = outcome.value_or(None)
--- a/src/chervillead/platform/fleet_view.py
+++ b/src/chervillead/platform/fleet_view.py
@@ -4,14 +4,13 @@
 import typing
 
 import msgspec
-import xxhash
 
 from chervillead.entries import job_messages
 from chervillead.jobs import model
 from chervillead.machines import interface
 from chervillead.platform import fleet_configuration
 from chervillead.platform import registrations
-from chervillead.store import keyed_follower
+from chervillead.store import keyed_state
 from chervillead.workers import interface as worker_interface
 
 # The longest lease on the slowest clock, plus the time in which a replaced
@@ -40,7 +39,7 @@
         self._log = log
         self._configuration: model.FleetConfiguration | None = None
         self._zones_out: frozenset[str] = frozenset()
-        self._records: dict[str, bytes] = {}
+        self._operator_state = keyed_state.KeyedState()
         self._waves: dict[int, interface.Wave] = {}
         self._workers: dict[str, worker_interface.Registration] = {}
         self._removed: dict[str, _RemovedWorker] = {}
@@ -69,6 +68,11 @@
         """Registered workers by id."""
         return self._workers
 
+    @property
+    def operator_state(self) -> keyed_state.KeyedState:
+        """Records of operators, from the store and from peers."""
+        return self._operator_state
+
     def recently_removed(self) -> list[worker_interface.Registration]:
         """Returns workers removed a short time ago that were not draining.
 
@@ -109,61 +113,47 @@
         """Returns the time since the store last confirmed the records."""
         return self._boot_time() - self._confirmed_s
 
-    def digest(self) -> int:
-        """Returns a 63-bit digest of the operator records."""
-        hasher = xxhash.xxh64()
-        for key, value in sorted(self._records.items()):
-            hasher.update(f"{key}/{len(value)}/".encode())
-            hasher.update(value)
-        return hasher.intdigest() >> 1
-
     def records_for_peer(
         self, request: job_messages.AskOperatorRecords
     ) -> job_messages.OperatorRecords:
-        """Returns the operator records for a peer that can't reach the store.
+        """Returns the operator records that a peer lacks.
 
-        The records are left out if the peer has the same digest.
+        Records before the position that the peer names are left out.
         """
-        digest = self.digest()
         age_s = self.age_s()
         return job_messages.OperatorRecords(
-            digest,
+            self._operator_state.position,
             int(1000 * age_s) if age_s < float("inf") else -1,
-            () if request.digest == digest else tuple(self._records.items()),
+            tuple(sorted(self._operator_state.keys)),
+            self._operator_state.records_since(request.position),
         )
 
     def apply_peer_records(
         self, reply: job_messages.OperatorRecords, requested_s: float
     ) -> None:
-        """Applies a peer's operator records if they were confirmed later.
+        """Merges a peer's operator records.
 
         Args:
             reply: The peer's reply.
             requested_s: Boot time at which the request was sent. The age in the
                 reply is counted back from it, which never overstates freshness.
         """
-        as_of_s = requested_s - reply.age_ms / 1000
-        if reply.age_ms < 0 or as_of_s <= self._confirmed_s:
+        if reply.age_ms < 0:
             return
-        if reply.records:
-            removed = self._records.keys() - {key for key, _ in reply.records}
-            self.apply_operator(
-                [keyed_follower.Change(*record) for record in reply.records]
-                + [keyed_follower.Change(key, None) for key in sorted(removed)]
-            )
-        self.confirm(as_of_s)
+        changes = self._operator_state.merge_snapshot(
+            reply.records, reply.keys, reply.position
+        )
+        if changes:
+            self.apply_operator(changes)
+        self.confirm(requested_s - reply.age_ms / 1000)
 
     def confirm(self, as_of_s: float) -> None:
         """Records that the operator records were current at `as_of_s`."""
         self._confirmed_s = max(self._confirmed_s, as_of_s)
 
-    def apply_operator(self, changes: list[keyed_follower.Change]) -> None:
+    def apply_operator(self, changes: list[keyed_state.Change]) -> None:
         """Applies changes of operator records; logs those it can't decode."""
         for change in changes:
-            if change.value is None:
-                self._records.pop(change.key, None)
-            else:
-                self._records[change.key] = change.value
             try:
                 self._apply_operator_change(change)
             except (msgspec.DecodeError, KeyError, TypeError) as error:
@@ -172,7 +162,7 @@
                 )
         self._on_change()
 
-    def _apply_operator_change(self, change: keyed_follower.Change) -> None:
+    def _apply_operator_change(self, change: keyed_state.Change) -> None:
         key, value = change
         if key == fleet_configuration.CONFIGURATION_KEY and value:
             self._apply_configuration(
@@ -211,9 +201,7 @@
             keys=len(successor.account_of_key),
         )
 
-    def apply_worker_history(
-        self, changes: list[keyed_follower.Change]
-    ) -> None:
+    def apply_worker_history(self, changes: list[keyed_state.Change]) -> None:
         """Finds workers that were removed before this process started."""
         for key, value in changes:
             registration = value and registrations.decode_registration(
@@ -229,7 +217,7 @@
                 )
         self._on_change()
 
-    def apply_workers(self, changes: list[keyed_follower.Change]) -> None:
+    def apply_workers(self, changes: list[keyed_state.Change]) -> None:
         """Applies changes of worker registrations."""
         changed = False
         unlisted: list[str] = []
--- a/src/chervillead/store/keyed_follower.py
+++ b/src/chervillead/store/keyed_follower.py
@@ -6,12 +6,12 @@
 
 import asyncio
 from collections import abc
-import typing
 
 from returns import pipeline
 from returns import result
 
 from chervillead.store import interface
+from chervillead.store import keyed_state
 
 RETRY_INTERVAL_S = 0.2
 # After an outage few keys may be left of many, so a history that is sized by
@@ -19,29 +19,18 @@
 MIN_HISTORY_RECORDS = 1200
 
 
-class Change(typing.NamedTuple):
-    """A change of a keyed topic.
-
-    Attributes:
-        key: The changed key.
-        value: Its new value, or None if the key was deleted.
-    """
-
-    key: str
-    value: bytes | None
-
-
 async def follow(
     store: interface.Store,
     topic: str,
+    state: keyed_state.KeyedState,
     *,
     wait_ms: int,
     pause_s: float = 0.0,
     boot_time: abc.Callable[[], float],
-    apply_changes: abc.Callable[[list[Change]], None],
+    apply_changes: abc.Callable[[list[keyed_state.Change]], None],
     on_current: abc.Callable[[float], None],
     on_failure: abc.Callable[[interface.StoreFailure], None],
-    apply_history: abc.Callable[[list[Change]], None] | None = None,
+    apply_history: abc.Callable[[list[keyed_state.Change]], None] | None = None,
     history_records_per_key: int = 0,
 ) -> None:
     """Follows partition 0 of a topic until cancelled.
@@ -49,6 +38,8 @@
     Args:
         store: The store to read from.
         topic: Name of the keyed topic.
+        state: What is known of the partition; records are read from its
+            position on, which other sources may advance as well.
         wait_ms: Longest time for which a read waits for a record.
         pause_s: Pause between two reads, so that one read returns many changes.
         boot_time: Clock in seconds that also runs while the host is suspended.
@@ -63,56 +54,47 @@
         history_records_per_key: Number of older records to read for each
             present key.
     """
-    offset: int | None = None
-    keys: set[str] = set()
+    must_read_all = True
     while True:
         started_s = boot_time()
-        if offset is None:
+        if must_read_all:
             latest = await store.read_latest(topic, 0)
             if not pipeline.is_successful(latest):
                 on_failure(latest.failure())
                 await asyncio.sleep(RETRY_INTERVAL_S)
                 continue
-            page = latest.unwrap()
-            present = {record.key for record in page.records}
-            apply_changes(
-                [Change(r.key, r.value) for r in page.records]
-                + [Change(key, None) for key in sorted(keys - present)]
-            )
-            keys, offset = present, page.next_offset
+            records, next_offset = latest.unwrap()
+            keys = {record.key for record in records}
+            apply_changes(state.merge_snapshot(records, keys, next_offset))
+            must_read_all = False
             on_current(started_s)
             continue
         if apply_history is not None:
             count = max(
-                MIN_HISTORY_RECORDS, history_records_per_key * len(keys)
+                MIN_HISTORY_RECORDS, history_records_per_key * len(state.keys)
             )
-            history = await _read_history(store, topic, offset, count)
+            history = await _read_history(store, topic, state.position, count)
             if pipeline.is_successful(history):
                 apply_history(history.unwrap())
                 apply_history = None
             else:
                 on_failure(history.failure())
-        read = await store.read(topic, 0, offset, wait_ms)
+        read = await store.read(topic, 0, state.position, wait_ms)
         if not pipeline.is_successful(read):
             on_failure(read.failure())
             if (
                 read.failure().rejection
                 is interface.RejectionReason.OFFSET_EXPIRED
             ):
-                offset = None
+                must_read_all = True
             else:
                 await asyncio.sleep(RETRY_INTERVAL_S)
             continue
-        changes = [
-            Change(record.key, record.value or None)
-            for record in read.unwrap().records
-        ]
-        for change in changes:
-            (keys.discard if change.value is None else keys.add)(change.key)
+        page = read.unwrap()
+        changes = state.merge_log(page.records, page.next_offset)
         if changes:
             apply_changes(changes)
-        offset = read.unwrap().next_offset
-        if offset < read.unwrap().end_offset:
+        if state.position < page.end_offset:
             continue
         on_current(started_s)
         if pause_s:
@@ -121,12 +103,12 @@
 
 async def _read_history(
     store: interface.Store, topic: str, end: int, count: int
-) -> interface.StoreResult[list[Change], interface.StoreFailure]:
+) -> interface.StoreResult[list[keyed_state.Change], interface.StoreFailure]:
     """Returns up to `count` changes before an offset, oldest first.
 
     It returns fewer if the older ones are no longer retained.
     """
-    changes: list[Change] = []
+    changes: list[keyed_state.Change] = []
     offset = max(0, end - count)
     while offset < end:
         read = await store.read(topic, 0, offset, 0)
@@ -137,7 +119,9 @@
             offset = first
             continue
         page = read.unwrap()
-        changes.extend(Change(r.key, r.value or None) for r in page.records)
+        changes.extend(
+            keyed_state.Change(r.key, r.value or None) for r in page.records
+        )
         offset = page.next_offset
         if not page.records:
             break
--- a/tests/platform/configuration.feature
+++ b/tests/platform/configuration.feature
@@ -63,3 +63,10 @@
     Then each host had both versions within 3 s
     And no host was out of date for 3 s
     And no host received more than twice the size of both versions
+
+  Scenario: Peers ask a host for the records of operators
+    # Guards against a host that hands out a replaced version to hosts that
+    # can't reach the store, and so brings it back into force there.
+    Given a host that has version 2 of the configuration from the store
+    When a peer's reply with version 1, confirmed later, arrives
+    Then the host decides by version 2 and hands out version 2
--- a/tests/steps/platform_configuration.py
+++ b/tests/steps/platform_configuration.py
@@ -4,7 +4,10 @@
 
 import behave
 
+from chervillead.entries import job_messages
 from chervillead.jobs import job_api
+from chervillead.platform import fleet_view
+from chervillead.store import interface
 from stand_ins import platform_fleet
 from stand_ins import platform_scenarios
 
@@ -148,3 +151,48 @@
 def step(context, seconds):
     max_age_s = context.settings.unwrap().config_max_age_s
     assert 0.5 * seconds < max_age_s <= seconds, max_age_s
+
+
+def operator_records(version, position):
+    """Returns a peer's reply with a version that is confirmed just now."""
+    record = interface.KeyedRecord(
+        "config", platform_fleet.configuration(version), position - 1
+    )
+    return job_messages.OperatorRecords(position, 0, ("config",), (record,))
+
+
+@behave.given(
+    "a host that has version {version:d} of the configuration from the store"
+)
+def step(context, version):
+    context.now_s = 0.0
+    context.view = fleet_view.FleetView(
+        lambda: context.now_s, lambda: context.now_s, lambda *_, **__: None
+    )
+    record = interface.KeyedRecord(
+        "config", platform_fleet.configuration(version), version
+    )
+    context.view.apply_operator(
+        context.view.operator_state.merge_log([record], version + 1)
+    )
+    context.view.confirm(0.0)
+
+
+@behave.when(
+    "a peer's reply with version {version:d}, confirmed later, arrives"
+)
+def step(context, version):
+    context.now_s = 1.0
+    context.view.apply_peer_records(
+        operator_records(version, version + 1), context.now_s
+    )
+
+
+@behave.then(
+    "the host decides by version {version:d} and hands out version {handed:d}"
+)
+def step(context, version, handed):
+    assert context.view.configuration.version == version
+    reply = context.view.records_for_peer(job_messages.AskOperatorRecords(0))
+    (record,) = reply.records
+    assert record.value == platform_fleet.configuration(handed)
--- a/tests/steps/store_keyed_follower.py
+++ b/tests/steps/store_keyed_follower.py
@@ -8,6 +8,7 @@
 from chervillead import verdicts
 from chervillead.store import interface
 from chervillead.store import keyed_follower
+from chervillead.store import keyed_state
 from stand_ins import virtual_time
 
 END = 4
@@ -90,6 +91,7 @@
         keyed_follower.follow(
             store.as_store(),
             "keyed.topic",
+            keyed_state.KeyedState(),
             wait_ms=100,
             boot_time=asyncio.get_running_loop().time,
             apply_changes=store.apply_changes,
