Fetch records from peers one at a time, compressed, in the time they need

Change: a host learns first how long the missing records are, then gives the reply the time that its link needs, one peer at a time. The loop moves from assembly to platform/operator_sync.py.

--- a/src/chervillead/entries/job_messages.py
+++ b/src/chervillead/entries/job_messages.py
@@ -7,7 +7,6 @@
 
 from chervillead.entries import host_messages
 from chervillead.jobs import model
-from chervillead.store import interface as store_interface
 
 
 class SubmitJob(typing.NamedTuple):
@@ -71,9 +70,11 @@
 
     Attributes:
         position: Offset before which the sender has all records.
+        max_bytes: Longest packed records that the reply may carry.
     """
 
     position: int
+    max_bytes: int
 
 
 class OperatorRecords(typing.NamedTuple):
@@ -83,14 +84,17 @@
         position: Offset before which the host has all records.
         age_ms: Time since the store confirmed the records; -1 if it never did.
         keys: Keys of all records that the host has.
-        records: Those from the offset on that the call asked for.
+        packed: Packed records from the offset on that the call asked for; None
+            if they are longer than the call allows.
+        packed_bytes: Length of the packed records.
         owners: Member of the owners' group that owns each partition.
     """
 
     position: int
     age_ms: int
     keys: tuple[str, ...]
-    records: tuple[store_interface.KeyedRecord, ...]
+    packed: bytes | None
+    packed_bytes: int
     owners: dict[int, str] = {}
 
 
--- a/src/chervillead/platform/assembly.py
+++ b/src/chervillead/platform/assembly.py
@@ -2,13 +2,10 @@
 
 import asyncio
 from collections import abc
-import random
 import secrets
 import time
 import typing
 
-from returns import pipeline
-
 from chervillead import event_loop_lag
 from chervillead import http_exchange
 from chervillead import metrics_page
@@ -22,6 +19,7 @@
 from chervillead.platform import fleet_view
 from chervillead.platform import host_client
 from chervillead.platform import host_management
+from chervillead.platform import operator_sync
 from chervillead.platform import registrations
 from chervillead.platform import settings as settings_module
 from chervillead.platform import store_client
@@ -40,11 +38,6 @@
 from chervillead.store import keyed_state
 
 OPERATOR_POLL_WAIT_MS = 1000
-# A host that last confirmed the operator records longer ago than this fraction
-# of their maximum age fetches them from a random peer, once per interval. A
-# poll of the store confirms them once a second.
-PEER_SYNC_AGE_FRACTION = 0.62
-PEER_SYNC_INTERVAL_S = 0.4
 # Workers write often, so reads are spaced to batch their changes.
 WORKERS_READ_INTERVAL_S = 0.25
 # A worker writes at most this many records within the longest lease.
@@ -241,6 +234,19 @@
             log=self.log,
         )
 
+    def sync_ports(self) -> operator_sync.SyncPorts:
+        """Returns the dependencies of fetches of records from peers."""
+        return operator_sync.SyncPorts(
+            view=self.fleet_view,
+            peers=self.router.peer_addresses,
+            ask=self.streams.ask,
+            max_age_s=lambda: self.settings.config_max_age_s,
+            boot_time=self.environment.boot_time,
+            apply_owners=self.router.apply_peer_owners,
+            increment=self.metrics.increment,
+            log=self.log,
+        )
+
     def background_coroutines(
         self,
     ) -> list[abc.Coroutine[typing.Any, typing.Any, None]]:
@@ -251,7 +257,7 @@
             self.ownership.maintain_membership(),
             self.router.refresh_owners(),
             _serve_entries(self),
-            _sync_operator_records(self),
+            operator_sync.sync(self.sync_ports()),
             event_loop_lag.watch(
                 self.clock.monotonic,
                 self.record_loop_lag,
@@ -329,69 +335,3 @@
     await host.environment.listen(
         host.settings.entries, job_streams.serve_calls(serve, host.clock)
     )
-
-
-async def _sync_operator_records(host: EntryHost) -> None:
-    """Fetches operator records from peers while the store is unavailable."""
-    while True:
-        await asyncio.sleep(PEER_SYNC_INTERVAL_S)
-        own = host.ownership.member.address
-        addresses = sorted(
-            {m.address for m in host.router.members.values()} - {own}
-        )
-        sync_age_s = PEER_SYNC_AGE_FRACTION * host.settings.config_max_age_s
-        if host.fleet_view.age_s() < sync_age_s or not addresses:
-            continue
-        requested_s = host.environment.boot_time()
-        age_s = host.fleet_view.age_s()
-        peer = random.choice(addresses)
-        outcome = await host.streams.ask(
-            peer,
-            job_messages.AskOperatorRecords(
-                host.fleet_view.operator_state.position
-            ),
-            PEER_SYNC_INTERVAL_S,
-        )
-        reply = outcome.value_or(None)
-        if isinstance(reply, job_messages.OperatorRecords):
-            host.fleet_view.apply_peer_records(reply, requested_s)
-            host.router.apply_peer_owners(reply.owners)
-        _record_sync(host, peer, age_s, requested_s, outcome)
-
-
-def _record_sync(
-    host: EntryHost,
-    peer: types.Address,
-    age_s: float,
-    requested_s: float,
-    outcome: job_streams.AnyOutcome,
-) -> None:
-    """Counts and logs a fetch of the operator records from a peer.
-
-    Args:
-        host: This host.
-        peer: Address of the peer.
-        age_s: Age of the records before the fetch; infinite if there were none.
-        requested_s: Boot time at which the request was sent.
-        outcome: The peer's reply, or why there is none.
-    """
-    is_answered = pipeline.is_successful(outcome)
-    host.metrics.increment(
-        "chervillead_operator_syncs",
-        "answered" if is_answered else outcome.failure().reason,
-    )
-    host.log(
-        "operator-records:synced"
-        if is_answered
-        else "operator-records:sync-failed",
-        peer=f"{peer.host}:{peer.port}",
-        age_before_s=_rounded(age_s),
-        age_s=_rounded(host.fleet_view.age_s()),
-        took_s=_rounded(host.environment.boot_time() - requested_s),
-        error=None if is_answered else outcome.failure().detail,
-    )
-
-
-def _rounded(seconds: float) -> float | None:
-    """Returns a duration for a log line, where infinity can't be encoded."""
-    return round(seconds, 3) if seconds < float("inf") else None
--- a/src/chervillead/platform/fleet_view.py
+++ b/src/chervillead/platform/fleet_view.py
@@ -6,10 +6,12 @@
 import msgspec
 
 from chervillead.entries import job_messages
+from chervillead.entries import packed_records
 from chervillead.jobs import model
-from chervillead.machines import interface
+from chervillead.machines import interface as machines_interface
 from chervillead.platform import fleet_configuration
 from chervillead.platform import registrations
+from chervillead.store import interface
 from chervillead.store import keyed_state
 from chervillead.workers import interface as worker_interface
 
@@ -40,7 +42,9 @@
         self._configuration: model.FleetConfiguration | None = None
         self._zones_out: frozenset[str] = frozenset()
         self._operator_state = keyed_state.KeyedState()
-        self._waves: dict[int, interface.Wave] = {}
+        self._packed = packed_records.pack(())
+        self._packed_offsets: tuple[int, ...] = ()
+        self._waves: dict[int, machines_interface.Wave] = {}
         self._workers: dict[str, worker_interface.Registration] = {}
         self._removed: dict[str, _RemovedWorker] = {}
         # By queue: its previous pools and when each stopped serving it.
@@ -59,7 +63,7 @@
         return self._zones_out
 
     @property
-    def waves(self) -> abc.Mapping[int, interface.Wave]:
+    def waves(self) -> abc.Mapping[int, machines_interface.Wave]:
         """Maintenance waves by number."""
         return self._waves
 
@@ -118,30 +122,47 @@
     ) -> job_messages.OperatorRecords:
         """Returns the operator records that a peer lacks.
 
-        Records before the position that the peer names are left out.
+        Records before the position that the peer names are left out, and all of
+        them if they are longer than the peer allows.
         """
         age_s = self.age_s()
+        packed = self._pack(
+            self._operator_state.records_since(request.position)
+        )
         return job_messages.OperatorRecords(
             self._operator_state.position,
             int(1000 * age_s) if age_s < float("inf") else -1,
             tuple(sorted(self._operator_state.keys)),
-            self._operator_state.records_since(request.position),
+            packed if len(packed) <= request.max_bytes else None,
+            len(packed),
         )
 
+    def _pack(self, records: tuple[interface.KeyedRecord, ...]) -> bytes:
+        """Packs records once for all peers that lack the same ones."""
+        offsets = tuple(record.offset for record in records)
+        if offsets != self._packed_offsets:
+            self._packed = packed_records.pack(records)
+            self._packed_offsets = offsets
+        return self._packed
+
     def apply_peer_records(
-        self, reply: job_messages.OperatorRecords, requested_s: float
+        self,
+        reply: job_messages.OperatorRecords,
+        records: abc.Iterable[interface.KeyedRecord],
+        requested_s: float,
     ) -> None:
         """Merges a peer's operator records.
 
         Args:
             reply: The peer's reply.
+            records: The records that were packed in it.
             requested_s: Boot time at which the request was sent. The age in the
                 reply is counted back from it, which never overstates freshness.
         """
         if reply.age_ms < 0:
             return
         changes = self._operator_state.merge_snapshot(
-            reply.records, reply.keys, reply.position
+            records, reply.keys, reply.position
         )
         if changes:
             self.apply_operator(changes)
--- a/src/chervillead/pools/job_router.py
+++ b/src/chervillead/pools/job_router.py
@@ -93,6 +93,11 @@
         """The owners by partition, as last read."""
         return self._members
 
+    def peer_addresses(self) -> list[types.Address]:
+        """Returns the addresses of the other hosts that own partitions."""
+        addresses = {member.address for member in self._members.values()}
+        return sorted(addresses - {self._local_ownership.member.address})
+
     def members_age_s(self) -> float:
         """Returns the time since the store answered with the list of owners.
 
--- a/tests/steps/platform_configuration.py
+++ b/tests/steps/platform_configuration.py
@@ -5,6 +5,7 @@
 import behave
 
 from chervillead.entries import job_messages
+from chervillead.entries import packed_records
 from chervillead.jobs import job_api
 from chervillead.platform import fleet_view
 from chervillead.store import interface
@@ -153,12 +154,11 @@
     assert 0.5 * seconds < max_age_s <= seconds, max_age_s
 
 
-def operator_records(version, position):
-    """Returns a peer's reply with a version that is confirmed just now."""
-    record = interface.KeyedRecord(
-        "config", platform_fleet.configuration(version), position - 1
+def configuration_record(version):
+    """Returns the record of a version, whose offset is its number."""
+    return interface.KeyedRecord(
+        "config", platform_fleet.configuration(version), version
     )
-    return job_messages.OperatorRecords(position, 0, ("config",), (record,))
 
 
 @behave.given(
@@ -169,11 +169,10 @@
     context.view = fleet_view.FleetView(
         lambda: context.now_s, lambda: context.now_s, lambda *_, **__: None
     )
-    record = interface.KeyedRecord(
-        "config", platform_fleet.configuration(version), version
-    )
     context.view.apply_operator(
-        context.view.operator_state.merge_log([record], version + 1)
+        context.view.operator_state.merge_log(
+            [configuration_record(version)], version + 1
+        )
     )
     context.view.confirm(0.0)
 
@@ -183,8 +182,9 @@
 )
 def step(context, version):
     context.now_s = 1.0
+    reply = job_messages.OperatorRecords(version + 1, 0, ("config",), None, 0)
     context.view.apply_peer_records(
-        operator_records(version, version + 1), context.now_s
+        reply, [configuration_record(version)], context.now_s
     )
 
 
@@ -193,6 +193,7 @@
 )
 def step(context, version, handed):
     assert context.view.configuration.version == version
-    reply = context.view.records_for_peer(job_messages.AskOperatorRecords(0))
-    (record,) = reply.records
+    request = job_messages.AskOperatorRecords(0, 10_000)
+    reply = context.view.records_for_peer(request)
+    (record,) = packed_records.unpack(reply.packed)
     assert record.value == platform_fleet.configuration(handed)
