Confirm the records of operators right after a change

A host refused calls as not ready although it had just read the newest version: a read confirms the records as of its start, so a version that took 1.5 s over a slow link left them that old, and the next read waited another second for news before it confirmed them.

The scenario 'A record takes long to arrive' failed (confirmed again 1.01 s after the record) and passes: a read that brought records is followed by one that doesn't wait. It costs one read of the store for each change.

--- a/src/chervillead/store/keyed_follower.py
+++ b/src/chervillead/store/keyed_follower.py
@@ -55,6 +55,7 @@
             present key.
     """
     must_read_all = True
+    next_wait_ms = wait_ms
     while True:
         started_s = boot_time()
         if must_read_all:
@@ -79,7 +80,7 @@
                 apply_history = None
             else:
                 on_failure(history.failure())
-        read = await store.read(topic, 0, state.position, wait_ms)
+        read = await store.read(topic, 0, state.position, next_wait_ms)
         if not pipeline.is_successful(read):
             on_failure(read.failure())
             if (
@@ -91,6 +92,9 @@
                 await asyncio.sleep(RETRY_INTERVAL_S)
             continue
         page = read.unwrap()
+        # A large record takes long to arrive, and the state is confirmed only
+        # as of the start of the read, so the next one doesn't wait.
+        next_wait_ms = 0 if page.records else wait_ms
         changes = state.merge_log(page.records, page.next_offset)
         if changes:
             apply_changes(changes)
--- a/tests/steps/store_keyed_follower.py
+++ b/tests/steps/store_keyed_follower.py
@@ -18,9 +18,13 @@
 class FollowedStore:
     """A store of one partition: its reads, and what the follower reported."""
 
-    def __init__(self, history_failures=0, page_records=END):
+    def __init__(self, history_failures=0, page_records=END, record_s=0.0):
         self.history_failures = history_failures
         self.page_records = page_records
+        self.record_s = record_s
+        self.wait_s = 0.1
+        self.read_s = []
+        self.confirmed = []
         self.end = END
         self.applied = 0
         self.histories = []
@@ -52,6 +56,7 @@
         if offset >= self.end:
             await asyncio.sleep(wait_ms / 1000)
         end = min(offset + self.page_records, self.end)
+        await asyncio.sleep(self.record_s * max(0, end - max(END, offset)))
         records = tuple(
             interface.KeyedRecord(f"key-{number}", b"1", number)
             for number in range(offset, end)
@@ -61,10 +66,12 @@
     def apply_changes(self, changes):
         """Counts the records that were applied."""
         self.applied += sum(c.key.startswith("key-") for c in changes)
+        self.read_s.append(asyncio.get_running_loop().time())
 
     def on_current(self, as_of_s):
-        """Notes how many records were applied by then."""
+        """Notes how many records were applied by then, and when."""
         self.applied_when_current.append(self.applied)
+        self.confirmed.append((asyncio.get_running_loop().time(), as_of_s))
 
 
 @behave.given("a store whose reads of the history fail twice")
@@ -80,6 +87,15 @@
     context.waiting = waiting
 
 
+@behave.given(
+    "a store whose reads wait {wait:g} s, and take {record:g} s for each record"
+)
+def step(context, wait, record):
+    context.store = FollowedStore(record_s=record)
+    context.store.wait_s = wait
+    context.waiting = 1
+
+
 async def follow_store(store, waiting, duration_s):
     async def publish():
         await asyncio.sleep(1)
@@ -92,7 +108,7 @@
             store.as_store(),
             "keyed.topic",
             keyed_state.KeyedState(),
-            wait_ms=100,
+            wait_ms=int(1000 * store.wait_s),
             boot_time=asyncio.get_running_loop().time,
             apply_changes=store.apply_changes,
             on_current=store.on_current,
@@ -128,3 +144,12 @@
     # The read that was under way when the records came may still be reported.
     reported = sorted(set(context.store.applied_when_current))
     assert reported in ([0, context.waiting], [context.waiting]), reported
+
+
+@behave.then("the state was confirmed again within {seconds:g} s of the record")
+def step(context, seconds):
+    read_s = context.store.read_s[-1]
+    confirmed = [
+        at_s for at_s, as_of_s in context.store.confirmed if as_of_s >= read_s
+    ]
+    assert confirmed[0] - read_s <= seconds, (read_s, confirmed)
--- a/tests/store/keyed_follower.feature
+++ b/tests/store/keyed_follower.feature
@@ -16,3 +16,10 @@
     Given a store whose reads return 1 record of 3 that are waiting
     When a follower runs for 5 s
     Then the state is first reported as current after the last record
+
+  Scenario: A record takes long to arrive
+    # Guards against a host that refuses calls although it has just read the
+    # newest configuration: it is confirmed only as of the start of that read.
+    Given a store whose reads wait 1 s, and take 1.5 s for each record
+    When a follower runs for 5 s
+    Then the state was confirmed again within 0.1 s of the record
