Start no tasks by records of operators that are out of date

A zone that operators have taken out must get no task after 5 s.

Now the owner starts nothing while its records are older than the maximum age, and goes on when they are confirmed again (second scenario).

--- a/src/chervillead/platform/assembly.py
+++ b/src/chervillead/platform/assembly.py
@@ -107,6 +107,7 @@
             limits=settings.limits,
             configuration=lambda: self.fleet_view.configuration,
             zones_out=lambda: self.fleet_view.zones_out,
+            is_current=self.is_current,
             log=self.log,
             increment=self.metrics.increment,
             observe=self.metrics.observe,
--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -163,6 +163,14 @@
             pass
         self._wake.clear()
 
+    def may_start(self) -> bool:
+        """Returns whether runs may be started now.
+
+        Operators may have taken a zone out, or lowered a quota, since a
+        configuration that is out of date.
+        """
+        return self._ownership.is_confirmed() and self._ports.is_current()
+
     def has_authority(self) -> bool:
         """Returns whether commands that end running work may be sent now."""
         return (
--- a/src/chervillead/pools/partition_owner.py
+++ b/src/chervillead/pools/partition_owner.py
@@ -136,7 +136,7 @@
         pacing.pace_workers(self._changed_watches(), state.step_of)
         self._placement.refresh_workers(look_at_all=is_check_due)
         configuration = state.ports.configuration()
-        if configuration is not None and state.ownership.is_confirmed():
+        if configuration is not None and state.may_start():
             self._placement.run_pass(configuration)
 
     def _check_all(self) -> None:
--- a/src/chervillead/pools/ports.py
+++ b/src/chervillead/pools/ports.py
@@ -71,6 +71,8 @@
         configuration: Returns the latest configuration, or None before it is
             known.
         zones_out: Returns the availability zones that operators took out.
+        is_current: Whether the configuration and the zones taken out were
+            confirmed recently enough to start tasks by them.
         log: Writes a log line.
         increment: Adds to a counter, by name and label.
         observe: Records a duration in seconds, by name.
@@ -86,6 +88,7 @@
     limits: Limits
     configuration: abc.Callable[[], model.FleetConfiguration | None]
     zones_out: abc.Callable[[], frozenset[str]]
+    is_current: abc.Callable[[], bool]
     log: abc.Callable[..., None]
     increment: abc.Callable[..., None]
     observe: abc.Callable[[str, float], None]
--- a/src/chervillead/pools/start_tracking.py
+++ b/src/chervillead/pools/start_tracking.py
@@ -32,7 +32,7 @@
         or job.is_done(run.task)
         or run.stop_requested
         or clock_ms is None
-        or not state.ownership.is_confirmed()
+        or not state.may_start()
         or not view.may_start(state.ports.zones_out())
     ):
         state.end_run(view, run, task_runs.EndKind.VANISHED)
--- a/tests/platform/configuration.feature
+++ b/tests/platform/configuration.feature
@@ -70,3 +70,26 @@
     Given a host that has version 2 of the configuration from the store
     When a peer's reply with version 1, confirmed later, arrives
     Then the host decides by version 2 and hands out version 2
+
+  Scenario: A zone is taken out while the owner can't read the operators' records
+    # Guards against tasks that start in a zone that operators have taken out, as
+    # the owner of the pool doesn't notice that it is out of date.
+    Given a platform fleet of 2 hosts and 1 worker
+    And tasks run for 6 s
+    When a job of 1 tasks and then 1 tasks is submitted
+    And the store leaves reads of the log without a reply
+    And operators take the zone of all workers out of service
+    And 9 s pass
+    Then 1 run of the job was started
+
+  Scenario: The owner reads the operators' records again
+    # Guards against an owner that starts nothing any more after an outage.
+    Given a platform fleet of 2 hosts and 1 worker
+    And tasks run for 6 s
+    When a job of 1 tasks and then 1 tasks is submitted
+    And the store leaves reads of the log without a reply
+    And 9 s pass
+    And the store replies again
+    And 9 s pass
+    Then 2 runs of the job were started
+    And every host reports the job as completed
--- a/tests/stand_ins/memory_partition.py
+++ b/tests/stand_ins/memory_partition.py
@@ -108,6 +108,7 @@
             limits=ports.Limits(),
             configuration=lambda: configuration,
             zones_out=frozenset,
+            is_current=lambda: True,
             log=lambda message_type, **fields: None,
             increment=lambda name, label: None,
             observe=lambda name, seconds: None,
--- a/tests/stand_ins/scripted_group.py
+++ b/tests/stand_ins/scripted_group.py
@@ -112,6 +112,7 @@
             limits=ports_module.Limits(),
             configuration=lambda: None,
             zones_out=frozenset,
+            is_current=lambda: True,
             log=self._log,
             increment=_ignore,
             observe=_ignore,
--- a/tests/steps/platform_configuration.py
+++ b/tests/steps/platform_configuration.py
@@ -197,3 +197,26 @@
     reply = context.view.records_for_peer(request)
     (record,) = packed_records.unpack(reply.packed)
     assert record.value == platform_fleet.configuration(handed)
+
+
+@behave.when("the store leaves reads of the log without a reply")
+def step(context):
+    async def hold_reads(fleet):
+        fleet.store.paths_without_reply.add("/log-read")
+
+    platform_scenarios.add_action(context, hold_reads)
+
+
+@behave.when("the store replies again")
+def step(context):
+    async def reply(fleet):
+        fleet.store.paths_without_reply.clear()
+
+    platform_scenarios.add_action(context, reply)
+
+
+@behave.then("{count:d} run of the job was started")
+@behave.then("{count:d} runs of the job were started")
+def step(context, count):
+    runs = platform_scenarios.run_once(context).runs
+    assert len(runs) == count, runs
--- a/tests/steps/pools_job_operations.py
+++ b/tests/steps/pools_job_operations.py
@@ -76,6 +76,7 @@
         limits=ports.Limits(),
         configuration=lambda: None,
         zones_out=frozenset,
+        is_current=lambda: True,
         log=lambda message_type, **fields: None,
         increment=lambda *labels: None,
         observe=lambda name, seconds: None,
