Decode whatever comes from outside into typed values, or reject it

Reported by another operator: one odd entry among those of the workers (deeply nested, with a number too large or a port out of range) ended hosts again and again, or they stopped following the list. It happens here: on a registration with deep nesting raised RecursionError and one whose capacity is a list AttributeError, which the follower's task doesn't expect, so the process ended; negative capacities, a text for labels and an empty service were accepted. Deep nesting ended a process through the operators' records too, and numbers beyond 64 bits in a submitted job failed only when it was stored.

Change: one boundary, platform/wire.py, decodes the platform's bodies into typed dictionaries with limits; decoders return a value or why there is none. The same holds for frames and packed records between hosts and for stored jobs. A record that is cut off no longer counts as read.

--- a/src/chervillead/entries/codec.py
+++ b/src/chervillead/entries/codec.py
@@ -98,7 +98,8 @@
     try:
         raw = _frame_decoder.decode(payload)
         message = _DECODERS[raw.kind].decode(raw.fields)
-    except (msgspec.DecodeError, KeyError) as error:
+    # Deeply nested values exceed the recursion limit.
+    except (msgspec.DecodeError, KeyError, RecursionError) as error:
         raise MalformedFrameError(f"malformed frame: {error}") from error
     return Frame(raw.number, raw.reply_to, message)
 
--- a/src/chervillead/entries/packed_records.py
+++ b/src/chervillead/entries/packed_records.py
@@ -46,5 +46,5 @@
                 f"truncated, or over {MAX_UNPACKED_BYTES} bytes"
             )
         return _decoder.decode(data)
-    except (zlib.error, msgspec.DecodeError) as error:
+    except (zlib.error, msgspec.DecodeError, RecursionError) as error:
         raise MalformedRecordsError(repr(error)) from error
--- a/src/chervillead/jobs/records.py
+++ b/src/chervillead/jobs/records.py
@@ -10,11 +10,15 @@
 
 from chervillead.jobs import job_state
 from chervillead.jobs import model
+from chervillead.jobs import validation
 
 SPEC_PREFIX = "j"
 PROGRESS_PREFIX = "p"
 
 
+_Value = typing.TypeVar("_Value")
+
+
 class TaskProgress(typing.NamedTuple):
     """Stored progress of one task that hasn't completed.
 
@@ -61,6 +65,10 @@
     is_failed: bool
 
 
+class MalformedRecordError(Exception):
+    """A stored value that describes no job, or no progress of its job."""
+
+
 _spec_decoder = msgspec.msgpack.Decoder(model.JobSpec)
 _progress_decoder = msgspec.msgpack.Decoder(Progress)
 _encoder = msgspec.msgpack.Encoder()
@@ -85,9 +93,21 @@
     """Returns the spec in the value of a record.
 
     Raises:
-        msgspec.DecodeError: The value isn't an encoded spec.
+        MalformedRecordError: The value isn't an encoded, valid spec.
     """
-    return _spec_decoder.decode(value)
+    spec = _decode(_spec_decoder, value)
+    problem = next(validation.find_errors(spec), None)
+    if problem is not None:
+        raise MalformedRecordError(problem)
+    return spec
+
+
+def _decode(decoder: msgspec.msgpack.Decoder[_Value], value: bytes) -> _Value:
+    try:
+        return decoder.decode(value)
+    # Deeply nested values exceed the recursion limit.
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise MalformedRecordError(str(error)) from error
 
 
 def encode_progress(job: job_state.JobState) -> bytes:
@@ -122,9 +142,15 @@
             job finished, since that isn't stored.
 
     Raises:
-        msgspec.DecodeError: The value isn't encoded progress.
+        MalformedRecordError: The value isn't encoded progress of this job.
     """
-    progress = _progress_decoder.decode(value)
+    progress = _decode(_progress_decoder, value)
+    for step in progress.steps:
+        if (step.occurrence, step.step) not in job.pending_tasks:
+            raise MalformedRecordError(f"the job has no {step}")
+    for task in progress.tasks:
+        if not job.has_task(task.task):
+            raise MalformedRecordError(f"the job has no {task}")
     for step in progress.steps:
         key = step.occurrence, step.step
         job.done[key] = _from_bitmap(step.done)
--- a/src/chervillead/platform/advice_client.py
+++ b/src/chervillead/platform/advice_client.py
@@ -1,6 +1,7 @@
 """Client of the platform's advisory service."""
 
 from collections import abc
+import typing
 
 import msgspec
 from returns import pipeline
@@ -9,6 +10,7 @@
 from chervillead import http_connection
 from chervillead import http_exchange
 from chervillead import types
+from chervillead.platform import wire
 from chervillead.pools import ports
 
 TIMEOUT_S = 3.0
@@ -42,17 +44,30 @@
             return result.Failure(
                 ports.AdviceFailure(f"/advise: status {response.status}")
             )
-        try:
-            reply = msgspec.json.decode(response.body)
-            return result.Success(
-                ports.Advice(
-                    {row[0]: row[1] for row in reply["Good"]},
-                    reply["ValidMs"] / 1000,
-                )
-            )
-        except (msgspec.DecodeError, KeyError, TypeError, IndexError) as error:
-            return result.Failure(
-                ports.AdviceFailure(f"/advise: malformed: {error!r}")
+        return decode_advice(response.body).alt(
+            lambda malformed: ports.AdviceFailure(
+                f"/advise: malformed: {malformed.detail}"
             )
+        )
 
     return ask
+
+
+class _AdviceFields(typing.TypedDict):
+    # Rows of worker id and ticket.
+    Good: list[tuple[str, str]]
+    ValidMs: wire.Count
+
+
+_decoder = msgspec.json.Decoder(_AdviceFields)
+
+
+def decode_advice(
+    body: bytes,
+) -> result.Result[ports.Advice, wire.Malformed]:
+    """Returns the advice in a response, or why there is none."""
+    return wire.decode(_decoder, body).map(
+        lambda fields: ports.Advice(
+            dict(fields["Good"]), fields["ValidMs"] / 1000
+        )
+    )
--- a/src/chervillead/platform/fleet_configuration.py
+++ b/src/chervillead/platform/fleet_configuration.py
@@ -3,32 +3,91 @@
 import typing
 
 import msgspec
+from returns import result
 
 from chervillead.jobs import model
 from chervillead.machines import interface
 from chervillead.platform import registrations
+from chervillead.platform import wire
 
 OPERATOR_TOPIC = "keyed.op"
 STATUS_TOPIC = "keyed.status"
 CONFIGURATION_KEY = "config"
 EVACUATE_PREFIX = "evacuate/"
 WAVE_PREFIX = "wave/"
+DEFAULT_MAX_BODY_BYTES = 262144
 
+_Factor = typing.Annotated[float, msgspec.Meta(ge=0)]
 
-def decode_configuration(value: bytes) -> model.FleetConfiguration:
-    """Returns the configuration in the value of a record.
 
-    Raises:
-        msgspec.DecodeError: The record isn't JSON.
-        KeyError: A field is missing.
-    """
-    fields = msgspec.json.decode(value)
+class _AdviceFields(typing.TypedDict):
+    DecideMs: wire.Count
+    PerWorkerMs: wire.Count
+    ValidMs: wire.Count
+
+
+class _RouteFields(typing.TypedDict):
+    Name: wire.Name
+    Host: str
+    PathPrefix: str
+    Service: wire.Name
+    Priority: typing.NotRequired[int]
+    MaxAttempts: typing.NotRequired[wire.Count | None]
+    Stretch: typing.NotRequired[_Factor | None]
+    TargetLatencyMs: typing.NotRequired[wire.Count]
+    Public: typing.NotRequired[bool]
+    Advice: typing.NotRequired[_AdviceFields | None]
+
+
+class _ServiceFields(typing.TypedDict):
+    Name: wire.Name
+    EnforcesCapacity: typing.NotRequired[bool]
+    Spare: typing.NotRequired[bool]
+
+
+class _TenantFields(typing.TypedDict):
+    Name: wire.Name
+    ApiKeys: typing.NotRequired[list[str] | None]
+    Weight: typing.NotRequired[_Factor]
+    Cap: typing.NotRequired[wire.ResourceFields | None]
+
+
+class _LimitFields(typing.TypedDict):
+    MaxBodyBytes: typing.NotRequired[wire.Count]
+
+
+class _ConfigurationFields(typing.TypedDict):
+    Version: wire.Count
+    Routes: list[_RouteFields]
+    Services: list[_ServiceFields]
+    Tenants: typing.NotRequired[list[_TenantFields] | None]
+    Limits: typing.NotRequired[_LimitFields | None]
+
+
+class _WaveFields(typing.TypedDict):
+    Wave: wire.Count
+    Machines: list[str]
+    DurationS: _Factor
+    Cap: wire.Count
+
+
+_configuration_decoder = msgspec.json.Decoder(_ConfigurationFields)
+_wave_decoder = msgspec.json.Decoder(_WaveFields)
+
+
+def decode_configuration(
+    value: bytes,
+) -> result.Result[model.FleetConfiguration, wire.Malformed]:
+    """Returns the configuration in the value of a record, or why not."""
+    return wire.decode(_configuration_decoder, value).map(_configuration)
+
+
+def _configuration(fields: _ConfigurationFields) -> model.FleetConfiguration:
     tenants = fields.get("Tenants") or ()
+    limits = fields.get("Limits") or {}
     return model.FleetConfiguration(
         version=fields["Version"],
-        queues={
-            route["Name"]: _decode_queue(route) for route in fields["Routes"]
-        },
+        queues={route["Name"]: _queue(route) for route in fields["Routes"]},
         pools={
             service["Name"]: model.Pool(
                 service["Name"],
@@ -41,7 +100,7 @@
             tenant["Name"]: model.Account(
                 tenant["Name"],
                 tenant.get("Weight", 1),
-                registrations.decode_resources(tenant.get("Cap") or {}),
+                registrations.resources(tenant.get("Cap") or {}),
             )
             for tenant in tenants
         },
@@ -50,11 +109,11 @@
             for tenant in tenants
             for key in tenant.get("ApiKeys") or ()
         },
-        max_body_bytes=(fields.get("Limits") or {}).get("MaxBodyBytes", 262144),
+        max_body_bytes=limits.get("MaxBodyBytes", DEFAULT_MAX_BODY_BYTES),
     )
 
 
-def _decode_queue(route: dict[str, typing.Any]) -> model.Queue:
+def _queue(route: _RouteFields) -> model.Queue:
     advice = route.get("Advice")
     return model.Queue(
         name=route["Name"],
@@ -73,24 +132,23 @@
     )
 
 
-def decode_wave(value: bytes, first_seen_s: float) -> interface.Wave:
-    """Returns the maintenance wave in the value of a record.
+def decode_wave(
+    value: bytes, first_seen_s: float
+) -> result.Result[interface.Wave, wire.Malformed]:
+    """Returns the maintenance wave in the value of a record, or why not.
 
     Args:
         value: Value of the record.
         first_seen_s: Monotonic time at which this host first read the record.
-
-    Raises:
-        msgspec.DecodeError: The record isn't JSON.
-        KeyError: A field is missing.
     """
-    fields = msgspec.json.decode(value)
-    return interface.Wave(
-        fields["Wave"],
-        tuple(fields["Machines"]),
-        fields["DurationS"],
-        fields["Cap"],
-        first_seen_s,
+    return wire.decode(_wave_decoder, value).map(
+        lambda fields: interface.Wave(
+            fields["Wave"],
+            tuple(fields["Machines"]),
+            fields["DurationS"],
+            fields["Cap"],
+            first_seen_s,
+        )
     )
 
 
--- a/src/chervillead/platform/fleet_view.py
+++ b/src/chervillead/platform/fleet_view.py
@@ -3,7 +3,8 @@
 from collections import abc
 import typing
 
-import msgspec
+from returns import pipeline
+from returns import result
 
 from chervillead.entries import job_messages
 from chervillead.entries import packed_records
@@ -11,6 +12,7 @@
 from chervillead.machines import interface as machines_interface
 from chervillead.platform import fleet_configuration
 from chervillead.platform import registrations
+from chervillead.platform import wire
 from chervillead.store import interface
 from chervillead.store import keyed_state
 from chervillead.workers import interface as worker_interface
@@ -22,6 +24,9 @@
 PREVIOUS_POOL_RETENTION_S = 30.0
 
 
+_Value = typing.TypeVar("_Value")
+
+
 class _RemovedWorker(typing.NamedTuple):
     registration: worker_interface.Registration
     removed_s: float
@@ -175,19 +180,16 @@
     def apply_operator(self, changes: list[keyed_state.Change]) -> None:
         """Applies changes of operator records; logs those it can't decode."""
         for change in changes:
-            try:
-                self._apply_operator_change(change)
-            except (msgspec.DecodeError, KeyError, TypeError) as error:
-                self._log(
-                    "record:unreadable", key=change.key, error=repr(error)
-                )
+            self._apply_operator_change(change)
         self._on_change()
 
     def _apply_operator_change(self, change: keyed_state.Change) -> None:
         key, value = change
         if key == fleet_configuration.CONFIGURATION_KEY and value:
-            self._apply_configuration(
-                fleet_configuration.decode_configuration(value)
+            self._apply_or_log(
+                key,
+                fleet_configuration.decode_configuration(value),
+                self._apply_configuration,
             )
         elif key.startswith(fleet_configuration.EVACUATE_PREFIX):
             zone = key.removeprefix(fleet_configuration.EVACUATE_PREFIX)
@@ -195,18 +197,38 @@
             self._zones_out = others if value is None else others | {zone}
             self._log("zone:out" if value else "zone:back", zone=zone)
         elif key.startswith(fleet_configuration.WAVE_PREFIX) and value:
-            wave = fleet_configuration.decode_wave(value, self._monotonic())
-            if wave.number in self._waves:
-                return
-            self._waves[wave.number] = wave
+            self._apply_or_log(
+                key,
+                fleet_configuration.decode_wave(value, self._monotonic()),
+                self._apply_wave,
+            )
+
+    def _apply_or_log(
+        self,
+        key: str,
+        decoded: result.Result[_Value, wire.Malformed],
+        apply: abc.Callable[[_Value], None],
+    ) -> None:
+        """Applies a decoded record; one that can't be decoded is logged."""
+        if pipeline.is_successful(decoded):
+            apply(decoded.unwrap())
+        else:
             self._log(
-                "wave:published",
-                wave=wave.number,
-                machines=len(wave.hosts),
-                duration_s=wave.duration_s,
-                cap=wave.cap,
+                "record:unreadable", key=key, error=decoded.failure().detail
             )
 
+    def _apply_wave(self, wave: machines_interface.Wave) -> None:
+        if wave.number in self._waves:
+            return
+        self._waves[wave.number] = wave
+        self._log(
+            "wave:published",
+            wave=wave.number,
+            machines=len(wave.hosts),
+            duration_s=wave.duration_s,
+            cap=wave.cap,
+        )
+
     def _apply_configuration(self, successor: model.FleetConfiguration) -> None:
         current = self._configuration
         if current is not None and successor.version <= current.version:
@@ -224,11 +246,10 @@
 
     def apply_worker_history(self, changes: list[keyed_state.Change]) -> None:
         """Finds workers that were removed before this process started."""
-        for key, value in changes:
-            registration = value and registrations.decode_registration(
-                key, value
-            )
-            if not registration or key in self._workers:
+        for change in changes:
+            key = change.key
+            registration = _registration_of(change).value_or(None)
+            if registration is None or key in self._workers:
                 continue
             if registration.is_draining:
                 self._removed.pop(key, None)
@@ -243,9 +264,14 @@
         changed = False
         unlisted: list[str] = []
         for change in changes:
-            registration = change.value and registrations.decode_registration(
-                change.key, change.value
-            )
+            decoded = _registration_of(change)
+            if change.value is not None and not pipeline.is_successful(decoded):
+                self._log(
+                    "record:unreadable",
+                    key=change.key,
+                    error=decoded.failure().detail,
+                )
+            registration = decoded.value_or(None)
             if registration == self._workers.get(change.key):
                 continue
             changed = True
@@ -266,3 +292,12 @@
             self._log("worker:unlisted", workers=unlisted)
         if changed:
             self._on_change()
+
+
+def _registration_of(
+    change: keyed_state.Change,
+) -> result.Result[worker_interface.Registration, wire.Malformed]:
+    """Returns the registration in a change, or why there is none."""
+    if change.value is None:
+        return result.Failure(wire.Malformed("the record was deleted"))
+    return registrations.decode_registration(change.key, change.value)
--- a/src/chervillead/platform/host_client.py
+++ b/src/chervillead/platform/host_client.py
@@ -14,6 +14,7 @@
 from chervillead import verdicts
 from chervillead.machines import interface
 from chervillead.platform import registrations
+from chervillead.platform import wire
 
 TIMEOUT_S = 1.0
 MAX_PAGES = 1000
@@ -36,6 +37,29 @@
 }
 
 
+class _HostFields(typing.TypedDict):
+    Machine: wire.Name
+    Pool: str
+    State: str
+    Zone: str
+    Labels: typing.NotRequired[list[str] | None]
+    Capacity: typing.NotRequired[wire.ResourceFields | None]
+    Id: typing.NotRequired[str | None]
+
+
+class _PageFields(typing.TypedDict):
+    Machines: list[_HostFields]
+    NextPageToken: typing.NotRequired[str | None]
+
+
+class _RejectionFields(typing.TypedDict):
+    Reason: typing.NotRequired[str]
+
+
+_page_decoder = msgspec.json.Decoder(_PageFields)
+_rejection_decoder = msgspec.json.Decoder(_RejectionFields)
+
+
 def connect_hosts_service(
     address: types.Address,
     holder: str,
@@ -81,16 +105,16 @@
             outcome = await call(http_exchange.HttpRequest("GET", path))
             if not pipeline.is_successful(outcome):
                 return result.Failure(outcome.failure())
-            try:
-                fields = msgspec.json.decode(outcome.unwrap().body)
-                hosts.extend(map(_decode_host, fields["Machines"]))
-            except (msgspec.DecodeError, KeyError, TypeError) as error:
+            page = decode_page(outcome.unwrap().body)
+            if not pipeline.is_successful(page):
+                detail = page.failure().detail
                 return result.Failure(
                     interface.HostCallFailure(
-                        verdicts.Verdict.RAN, f"{path}: malformed: {error!r}"
+                        verdicts.Verdict.RAN, f"{path}: malformed: {detail}"
                     )
                 )
-            token = fields.get("NextPageToken")
+            hosts.extend(page.unwrap().hosts)
+            token = page.unwrap().next_token
             if not token:
                 break
         return result.Success(tuple(hosts))
@@ -132,10 +156,10 @@
 def _rejection(
     path: str, response: http_exchange.HttpResponse
 ) -> interface.HostCallFailure:
-    try:
-        fields = msgspec.json.decode(response.body) if response.body else {}
-    except msgspec.DecodeError:
-        fields = {}
+    # The status alone tells what an unreadable rejection means.
+    fields = wire.decode(_rejection_decoder, response.body or b"{}").value_or(
+        _RejectionFields()
+    )
     reason = fields.get("Reason")
     rejection = (
         _REJECTIONS.get(str(reason))
@@ -151,14 +175,30 @@
     )
 
 
-def _decode_host(fields: dict[str, typing.Any]) -> interface.Host:
+class HostPage(typing.NamedTuple):
+    """Some of all hosts, and the token of the next page if there is one."""
+
+    hosts: tuple[interface.Host, ...]
+    next_token: str | None
+
+
+def decode_page(body: bytes) -> result.Result[HostPage, wire.Malformed]:
+    """Returns the hosts in a response, or why there are none."""
+    return wire.decode(_page_decoder, body).map(
+        lambda fields: HostPage(
+            tuple(map(_host, fields["Machines"])), fields.get("NextPageToken")
+        )
+    )
+
+
+def _host(fields: _HostFields) -> interface.Host:
     return interface.Host(
         name=fields["Machine"],
         pool=fields["Pool"],
         state=_STATES.get(fields["State"], interface.HostState.DOWN),
         zone=fields["Zone"],
         labels=frozenset(fields.get("Labels") or ()),
-        capacity=registrations.decode_resources(fields.get("Capacity") or {}),
+        capacity=registrations.resources(fields.get("Capacity") or {}),
         # Hosts of the spare pool are switched off and have no worker.
         worker_id=fields.get("Id") or "",
     )
--- a/src/chervillead/platform/job_bodies.py
+++ b/src/chervillead/platform/job_bodies.py
@@ -7,7 +7,9 @@
 
 from chervillead.jobs import model
 from chervillead.jobs import validation
-from chervillead.platform import registrations
+
+# Larger numbers can't be stored, and no field means that many of anything.
+MAX_INTEGER = 2**53
 
 
 class InvalidJob(typing.NamedTuple):
@@ -46,7 +48,12 @@
         )
     except KeyError as error:
         return result.Failure(InvalidJob(f"field {error.args[0]} is missing"))
-    except (msgspec.DecodeError, AttributeError, TypeError) as error:
+    except (
+        msgspec.DecodeError,
+        AttributeError,
+        TypeError,
+        RecursionError,
+    ) as error:
         return result.Failure(InvalidJob(str(error)))
     problem = next(validation.find_errors(spec), None)
     return (
@@ -59,7 +66,11 @@
         raise TypeError(f"step {number} is {fields!r}, not an object")
     return model.Step(
         tasks=_integer(fields, "Count"),
-        size=registrations.decode_resources(fields),
+        size=model.Resources(
+            _integer(fields, "Cpu"),
+            _integer(fields, "MemMb"),
+            _integer(fields, "Gpu"),
+        ),
         estimate_ms=_integer(fields, "EstimateMs"),
         depends_on=tuple(
             _typed(earlier, int, "After") for earlier in fields.get("After", ())
@@ -94,6 +105,8 @@
     value = fields.get(name, 0)
     if isinstance(value, bool) or not isinstance(value, int):
         raise TypeError(f"{name} is {value!r}, not an integer")
+    if abs(value) > MAX_INTEGER:
+        raise TypeError(f"{name} is {value}, more than {MAX_INTEGER}")
     return value
 
 
--- a/src/chervillead/platform/store_client.py
+++ b/src/chervillead/platform/store_client.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import base64
-import binascii
 from collections import abc
 import typing
 import urllib.parse
@@ -16,6 +15,7 @@
 from chervillead import types
 from chervillead import verdicts
 from chervillead.platform import store_records
+from chervillead.platform import wire
 from chervillead.store import interface
 
 # The store responds within milliseconds, and a connection that lost a response
@@ -36,6 +36,53 @@
 }
 
 
+_Value = typing.TypeVar("_Value")
+# Topic, partition and committed offset.
+_PartitionRow = tuple[str, wire.Count, int | None]
+# Topic, partition, member and committed offset.
+_OwnerRow = tuple[str, wire.Count, str | None, int | None]
+
+
+class _FailureFields(typing.TypedDict):
+    Reason: typing.NotRequired[str]
+    Seq: typing.NotRequired[wire.Count]
+    First: typing.NotRequired[wire.Count]
+
+
+class _AppendFields(typing.TypedDict):
+    End: typing.NotRequired[wire.Count]
+
+
+class _NewestItem(typing.TypedDict):
+    Key: str
+    # In base64.
+    Value: str
+    Offset: wire.Count
+
+
+class _NewestFields(typing.TypedDict):
+    items: list[_NewestItem]
+    HasMore: bool
+    End: wire.Count
+
+
+class _JoinFields(typing.TypedDict):
+    Generation: wire.Count
+    parts: list[_PartitionRow]
+
+
+class _OwnersFields(typing.TypedDict):
+    parts: typing.NotRequired[list[_OwnerRow] | None]
+    items: typing.NotRequired[list[_OwnerRow] | None]
+
+
+_failure_decoder = msgspec.json.Decoder(_FailureFields)
+_append_decoder = msgspec.json.Decoder(_AppendFields)
+_newest_decoder = msgspec.json.Decoder(_NewestFields)
+_join_decoder = msgspec.json.Decoder(_JoinFields)
+_owners_decoder = msgspec.json.Decoder(list[_OwnerRow] | _OwnersFields)
+
+
 class _Reply(typing.NamedTuple):
     status: int
     body: bytes
@@ -107,27 +154,27 @@
     path: str, response: http_exchange.HttpResponse
 ) -> interface.StoreFailure:
     """Maps a response with a status other than 200 to a failure."""
-    fields = _fields(response.body)
+    # The status alone tells what an unreadable failure means.
+    fields = wire.decode(_failure_decoder, response.body or b"{}").value_or(
+        _FailureFields()
+    )
     detail = f"{path}: {response.status} {fields}"
     if response.status == 409:
-        reason = _REJECTIONS.get(
-            str(fields.get("Reason")), interface.RejectionReason.NOT_A_MEMBER
-        )
-        # The response's Seq is the sequence number that the store expects.
-        expected = fields.get("Seq")
         return interface.StoreFailure(
             verdicts.Verdict.NOT_RUN,
             detail,
-            reason,
-            expected if isinstance(expected, int) else None,
+            _REJECTIONS.get(
+                fields.get("Reason", ""), interface.RejectionReason.NOT_A_MEMBER
+            ),
+            # The response's Seq is the sequence number that the store expects.
+            fields.get("Seq"),
         )
     if response.status == 410:
-        first = fields.get("First")
         return interface.StoreFailure(
             verdicts.Verdict.NOT_RUN,
             detail,
             interface.RejectionReason.OFFSET_EXPIRED,
-            first if isinstance(first, int) else None,
+            fields.get("First"),
         )
     verdict = (
         verdicts.Verdict.NOT_RUN
@@ -137,20 +184,19 @@
     return interface.StoreFailure(verdict, detail)
 
 
-def _fields(body: bytes) -> dict[str, typing.Any]:
-    try:
-        decoded = msgspec.json.decode(body) if body else {}
-    except msgspec.DecodeError:
-        return {}
-    return decoded if isinstance(decoded, dict) else {}
-
-
-def _malformed(path: str, error: Exception) -> interface.StoreFailure:
+def _malformed(path: str, detail: str) -> interface.StoreFailure:
     return interface.StoreFailure(
-        verdicts.Verdict.MAY_HAVE_RUN, f"{path}: malformed response: {error!r}"
+        verdicts.Verdict.MAY_HAVE_RUN, f"{path}: malformed response: {detail}"
     )
 
 
+def _accept(
+    path: str, decoded: result.Result[_Value, wire.Malformed]
+) -> result.Result[_Value, interface.StoreFailure]:
+    """Returns a decoded response, or the failure that it amounts to."""
+    return decoded.alt(lambda malformed: _malformed(path, malformed.detail))
+
+
 def _append(call: _Call) -> typing.Any:
     async def append(
         topic: str,
@@ -171,7 +217,11 @@
             body,
             TIMEOUT_S + len(body) / MIN_LINK_BYTES_PER_S,
         )
-        return reply.map(lambda response: _fields(response.body).get("End", 0))
+        return reply.bind(
+            lambda response: _accept(
+                "/log-append", wire.decode(_append_decoder, response.body)
+            )
+        ).map(lambda fields: fields.get("End", 0))
 
     return append
 
@@ -197,14 +247,7 @@
         )
         if not pipeline.is_successful(reply):
             return result.Failure(reply.failure())
-        body = reply.unwrap().body
-        if len(body) < store_records.HEAD.size:
-            return result.Failure(_malformed("/log-read", EOFError()))
-        records = tuple(store_records.decode_page(body, offset))
-        end_offset, _ = store_records.HEAD.unpack_from(body)
-        return result.Success(
-            interface.ReadPage(records, offset + len(records), end_offset)
-        )
+        return _accept("/log-read", decode_read(reply.unwrap().body, offset))
 
     return read
 
@@ -223,19 +266,17 @@
                 if failure.detail.startswith("/log-newest: 404"):
                     return result.Success(interface.LatestRecords((), 0))
                 return result.Failure(failure)
-            fields = _fields(reply.unwrap().body)
-            try:
-                page = [_newest_record(item) for item in fields["items"]]
-                # Pages are not a consistent snapshot, so the caller reads on
-                # from the end offset of the first page.
-                end = fields["End"] if end is None else end
-                has_more = fields["HasMore"]
-            except (KeyError, TypeError, binascii.Error) as error:
-                return result.Failure(_malformed("/log-newest", error))
-            records.extend(page)
-            if not has_more or not page:
+            page = _accept("/log-newest", decode_latest(reply.unwrap().body))
+            if not pipeline.is_successful(page):
+                return result.Failure(page.failure())
+            found, has_more, page_end = page.unwrap()
+            # Pages are not a consistent snapshot, so the caller reads on from
+            # the end offset of the first page.
+            end = page_end if end is None else end
+            records.extend(found)
+            if not has_more or not found:
                 break
-            query["After"] = page[-1].key
+            query["After"] = records[-1].key
         return result.Success(
             interface.LatestRecords(tuple(records), typing.cast(int, end))
         )
@@ -263,9 +304,58 @@
     return reply
 
 
-def _newest_record(item: dict[str, typing.Any]) -> interface.KeyedRecord:
-    return interface.KeyedRecord(
-        item["Key"], base64.b64decode(item["Value"]), item["Offset"]
+class LatestPage(typing.NamedTuple):
+    """Some of the latest records.
+
+    Attributes:
+        records: The records, by key.
+        has_more: Whether records of later keys follow.
+        end: End of the partition at the time of the read.
+    """
+
+    records: tuple[interface.KeyedRecord, ...]
+    has_more: bool
+    end: int
+
+
+def decode_latest(body: bytes) -> result.Result[LatestPage, wire.Malformed]:
+    """Returns the latest records in a response, or why there are none."""
+    return wire.decode(_newest_decoder, body).bind(_latest_page)
+
+
+def _latest_page(
+    fields: _NewestFields,
+) -> result.Result[LatestPage, wire.Malformed]:
+    try:
+        records = tuple(
+            interface.KeyedRecord(
+                item["Key"],
+                base64.b64decode(item["Value"], validate=True),
+                item["Offset"],
+            )
+            for item in fields["items"]
+        )
+    except ValueError as error:
+        return result.Failure(wire.Malformed(repr(error)))
+    return result.Success(LatestPage(records, fields["HasMore"], fields["End"]))
+
+
+def decode_read(
+    body: bytes, offset: int
+) -> result.Result[interface.ReadPage, wire.Malformed]:
+    """Returns the page in the response to a read, or why there is none.
+
+    Args:
+        body: Body of the response.
+        offset: Offset from which it was read.
+    """
+    try:
+        records = tuple(store_records.decode_page(body, offset))
+    except ValueError as error:
+        return result.Failure(wire.Malformed(str(error)))
+    end_offset, _ = store_records.HEAD.unpack_from(body)
+    return result.Success(
+        interface.ReadPage(records, offset + len(records), end_offset)
     )
 
 
@@ -290,20 +380,25 @@
         )
         if not pipeline.is_successful(reply):
             return result.Failure(reply.failure())
-        fields = _fields(reply.unwrap().body)
-        try:
-            return result.Success(
-                interface.Membership(
-                    fields["Generation"],
-                    frozenset(row[1] for row in fields["parts"]),
-                )
-            )
-        except (KeyError, TypeError, IndexError) as error:
-            return result.Failure(_malformed("/log-join", error))
+        return _accept("/log-join", decode_membership(reply.unwrap().body))
 
     return join
 
 
+def decode_membership(
+    body: bytes,
+) -> result.Result[interface.Membership, wire.Malformed]:
+    """Returns the membership in a response, or why there is none."""
+    return wire.decode(_join_decoder, body).map(_membership)
+
+
+def _membership(fields: _JoinFields) -> interface.Membership:
+    return interface.Membership(
+        fields["Generation"],
+        frozenset(partition for _, partition, _ in fields["parts"]),
+    )
+
+
 def _leave(call: _Call) -> typing.Any:
     async def leave(
         group: str, member: str
@@ -325,14 +420,28 @@
         reply = await call(
             "GET", "/log-owners", {"group": group}, b"", TIMEOUT_S
         )
-        if not pipeline.is_successful(reply):
-            return result.Failure(reply.failure())
-        try:
-            rows = msgspec.json.decode(reply.unwrap().body)
-            if isinstance(rows, dict):
-                rows = rows.get("parts") or rows.get("items") or []
-            return result.Success({row[1]: row[2] for row in rows if row[2]})
-        except (msgspec.DecodeError, TypeError, IndexError) as error:
-            return result.Failure(_malformed("/log-owners", error))
+        return reply.bind(
+            lambda response: _accept(
+                "/log-owners", decode_owners(response.body)
+            )
+        )
 
     return owners
+
+
+def decode_owners(
+    body: bytes,
+) -> result.Result[dict[int, str], wire.Malformed]:
+    """Returns the member of each partition in a response, or why not."""
+    return wire.decode(_owners_decoder, body).map(_owner_of_partition)
+
+
+def _owner_of_partition(
+    fields: list[_OwnerRow] | _OwnersFields,
+) -> dict[int, str]:
+    rows = fields if isinstance(fields, list) else _rows(fields)
+    return {partition: member for _, partition, member, _ in rows if member}
+
+
+def _rows(fields: _OwnersFields) -> list[_OwnerRow]:
+    return fields.get("parts") or fields.get("items") or []
--- a/src/chervillead/platform/store_records.py
+++ b/src/chervillead/platform/store_records.py
@@ -30,14 +30,23 @@
     Args:
         data: Body of the response.
         first_offset: Offset of the first record in it.
+
+    Raises:
+        ValueError: The body ends within its head or within a record.
     """
+    if len(data) < HEAD.size:
+        raise ValueError(f"{len(data)} bytes, fewer than the head has")
     position = HEAD.size
     offset = first_offset
-    while position + _LENGTH.size <= len(data):
+    while position < len(data):
+        record_begin = position + _LENGTH.size
+        if record_begin > len(data):
+            raise ValueError(f"the length of record {offset} is cut off")
         (length,) = _LENGTH.unpack_from(data, position)
-        position += _LENGTH.size
-        record = data[position : position + length]
-        position += length
+        position = record_begin + length
+        if position > len(data):
+            raise ValueError(f"record {offset} is cut off")
+        record = data[record_begin:position]
         yield _decode_record(record, offset)
         offset += 1
 
--- a/src/chervillead/platform/worker_client.py
+++ b/src/chervillead/platform/worker_client.py
@@ -12,6 +12,7 @@
 from chervillead import verdicts
 from chervillead.jobs import model
 from chervillead.jobs import task_runs
+from chervillead.platform import wire
 from chervillead.workers import interface
 
 # A worker responds to a command within milliseconds, and a connection that lost
@@ -48,15 +49,17 @@
     return f"{run.job_id}.{task.occurrence}.{task.step}.{task.number}"
 
 
-def parse_task_name(name: str, run: int) -> task_runs.RunKey:
+def parse_task_name(name: object, run: object) -> task_runs.RunKey:
     """Returns the run with a task's wire name and a run number.
 
     Raises:
+        TypeError: The name is no text, or the run no integer.
         ValueError: The name does not have the form of `task_name`.
     """
-    job_id, occurrence, step, number = name.split(".")
-    task = model.TaskKey(int(occurrence), int(step), int(number))
-    return task_runs.RunKey(job_id, task, run)
+    job_id, *numbers = _text(name).split(".")
+    occurrence, step, number = map(int, numbers)
+    task = model.TaskKey(occurrence, step, number)
+    return task_runs.RunKey(job_id, task, _integer(run))
 
 
 def connect_workers(
@@ -123,11 +126,11 @@
         reply = _checked(outcome, "/hold", increment)
         if not pipeline.is_successful(reply):
             return result.Failure(reply.failure())
-        try:
-            return result.Success(_decode_status(reply.unwrap()))
-        except (KeyError, TypeError, ValueError, IndexError) as error:
+        status = decode_status(reply.unwrap())
+        if not pipeline.is_successful(status):
             poll_connection.close()
-            return result.Failure(_malformed("/hold", error))
+            return result.Failure(_malformed("/hold", status.failure()))
+        return result.Success(status.unwrap())
 
     async def send_command(
         path: str, **fields: object
@@ -135,8 +138,8 @@
         outcome = await command_connections.call(
             encode(path, **fields), COMMAND_TIMEOUT_S
         )
-        return _checked(outcome, path, increment).map(
-            lambda reply: int(reply.get("ClockMs", 0))
+        return _checked(outcome, path, increment).bind(
+            lambda body: _clock_ms(path, body)
         )
 
     async def start(
@@ -172,12 +175,32 @@
     return interface.WorkerClient(poll, start, stop, pace, close)
 
 
+class _ReplyFields(typing.TypedDict):
+    ClockMs: typing.NotRequired[wire.Count]
+    Reason: typing.NotRequired[str]
+
+
+_Row = list[str | int | float | None]
+
+
+class _StatusFields(typing.TypedDict):
+    ClockMs: wire.Count
+    # Start time of the process; it differs after a restart.
+    born: typing.NotRequired[wire.Count]
+    Running: typing.NotRequired[list[_Row] | None]
+    Ended: typing.NotRequired[list[_Row] | None]
+
+
+_reply_decoder = msgspec.json.Decoder(_ReplyFields)
+_status_decoder = msgspec.json.Decoder(_StatusFields)
+
+
 def _checked(
     outcome: http_connection.CallOutcome,
     path: str,
     increment: abc.Callable[..., None],
-) -> result.Result[dict[str, typing.Any], interface.WorkerCallFailure]:
-    """Returns the fields of a response with status 200, or the failure."""
+) -> result.Result[bytes, interface.WorkerCallFailure]:
+    """Returns the body of a response with status 200, or the failure."""
     if not pipeline.is_successful(outcome):
         failure = outcome.failure()
         increment("chervillead_worker_calls", path, "unanswered")
@@ -186,64 +209,111 @@
         )
     response = outcome.unwrap()
     increment("chervillead_worker_calls", path, str(response.status))
-    try:
-        fields = msgspec.json.decode(response.body) if response.body else {}
-    except msgspec.DecodeError as error:
-        return result.Failure(_malformed(path, error))
     if response.status == 200:
-        return result.Success(fields)
-    return result.Failure(_rejection(path, response.status, fields))
+        return result.Success(response.body)
+    return result.Failure(_rejection(path, response.status, response.body))
+
+
+def _clock_ms(path: str, body: bytes) -> interface.CommandOutcome:
+    """Returns the worker's clock in the response to a command."""
+    decoded = _decode_reply(body)
+    if not pipeline.is_successful(decoded):
+        return result.Failure(_malformed(path, decoded.failure()))
+    return result.Success(decoded.unwrap().get("ClockMs", 0))
 
 
 def _rejection(
-    path: str, status: int, fields: dict[str, typing.Any]
+    path: str, status: int, body: bytes
 ) -> interface.WorkerCallFailure:
+    decoded = _decode_reply(body)
+    # The status alone tells what an unreadable rejection means.
+    fields = decoded.value_or(_ReplyFields())
     reason = fields.get("Reason")
     rejection = (
         _REJECTIONS.get(str(reason), interface.RejectionReason.INVALID)
         if status == 409
         else _STATUS_REJECTIONS.get(status)
     )
-    clock_ms = fields.get("ClockMs")
     return interface.WorkerCallFailure(
         verdicts.Verdict.MAY_HAVE_RUN
         if rejection is None
         else verdicts.Verdict.NOT_RUN,
         f"{path}: {status} {reason}",
         rejection,
-        clock_ms if isinstance(clock_ms, int) else None,
+        fields.get("ClockMs"),
     )
 
 
-def _malformed(path: str, error: Exception) -> interface.WorkerCallFailure:
+def _decode_reply(body: bytes) -> result.Result[_ReplyFields, wire.Malformed]:
+    return wire.decode(_reply_decoder, body or b"{}")
+
+
+def _malformed(
+    path: str, malformed: wire.Malformed
+) -> interface.WorkerCallFailure:
     return interface.WorkerCallFailure(
-        verdicts.Verdict.MAY_HAVE_RUN, f"{path}: malformed response: {error!r}"
+        verdicts.Verdict.MAY_HAVE_RUN,
+        f"{path}: malformed response: {malformed.detail}",
     )
 
 
-def _decode_status(fields: dict[str, typing.Any]) -> interface.WorkerStatus:
+def decode_status(
+    body: bytes,
+) -> result.Result[interface.WorkerStatus, wire.Malformed]:
+    """Returns the status in the response to a poll, or why there is none."""
+    decoded = wire.decode(_status_decoder, body)
+    if not pipeline.is_successful(decoded):
+        return result.Failure(decoded.failure())
+    try:
+        return result.Success(_status(decoded.unwrap()))
+    except (TypeError, ValueError, IndexError) as error:
+        return result.Failure(wire.Malformed(repr(error)))
+
+
+def _status(fields: _StatusFields) -> interface.WorkerStatus:
     return interface.WorkerStatus(
-        clock_ms=int(fields["ClockMs"]),
-        # Start time of the process; it differs after a restart.
-        incarnation=int(fields.get("born", 0)),
-        running=tuple(
-            interface.RunStatus(
-                parse_task_name(row[0], row[1]),
-                row[2] or "",
-                int(row[3]),
-                int(row[4]) if len(row) > 4 else 0,
-            )
-            for row in fields.get("Running") or ()
-        ),
-        ended=tuple(
-            interface.EndedRun(
-                row[0],
-                task_runs.RunEnd(
-                    parse_task_name(row[1], row[2]),
-                    _END_KINDS[row[3]],
-                    row[4] or "",
-                ),
-            )
-            for row in fields.get("Ended") or ()
+        clock_ms=fields["ClockMs"],
+        incarnation=fields.get("born", 0),
+        running=tuple(map(_running, fields.get("Running") or ())),
+        ended=tuple(map(_ended, fields.get("Ended") or ())),
+    )
+
+
+def _running(row: _Row) -> interface.RunStatus:
+    return interface.RunStatus(
+        parse_task_name(row[0], row[1]),
+        _text(row[2] or ""),
+        _whole(row[3]),
+        _whole(row[4]) if len(row) > 4 else 0,
+    )
+
+
+def _ended(row: _Row) -> interface.EndedRun:
+    kind = _END_KINDS.get(_text(row[3]))
+    if kind is None:
+        raise ValueError(f"unknown end {row[3]!r}")
+    return interface.EndedRun(
+        _integer(row[0]),
+        task_runs.RunEnd(
+            parse_task_name(row[1], row[2]), kind, _text(row[4] or "")
         ),
     )
+
+
+def _text(value: object) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"{value!r} is not a text")
+    return value
+
+
+def _integer(value: object) -> int:
+    if not isinstance(value, int):
+        raise TypeError(f"{value!r} is not an integer")
+    return value
+
+
+def _whole(value: object) -> int:
+    """Returns a number without its fraction."""
+    if not isinstance(value, int | float):
+        raise TypeError(f"{value!r} is not a number")
+    return int(value)
--- a/src/chervillead/pools/takeover.py
+++ b/src/chervillead/pools/takeover.py
@@ -1,8 +1,8 @@
 """Restores the jobs of a partition from the store for a new owner."""
 
 import asyncio
+from collections import abc
 
-import msgspec
 from returns import pipeline
 
 from chervillead.jobs import job_state
@@ -54,37 +54,45 @@
             break
         log_failure("read", outcome.failure())
         await asyncio.sleep(RETRY_DELAY_S)
-    records = outcome.unwrap().records
-    jobs = restore(records, ports)
+    stored = outcome.unwrap().records
+    jobs = restore_jobs(
+        stored, ports.clock.monotonic(), 1000 * ports.clock.wall(), ports.log
+    )
     owner.load(jobs)
     ports.log(
         "owner:loaded",
         partition=owner.state.partition,
         token=owner.state.token,
         jobs=len(jobs),
-        value_bytes=sum(len(record.value) for record in records),
+        value_bytes=sum(len(record.value) for record in stored),
         after_s=round(ports.clock.monotonic() - started_s, 3),
     )
     return True
 
 
-def restore(
+def restore_jobs(
     stored: tuple[store_interface.KeyedRecord, ...],
-    ports: ports_module.OwnerPorts,
+    now_s: float,
+    now_unix_ms: float,
+    log: abc.Callable[..., None],
 ) -> list[job_state.JobState]:
     """Returns the jobs that the records of a partition describe.
 
     Unreadable records are logged and skipped.
+
+    Args:
+        stored: The records.
+        now_s: Time of the owner's clock.
+        now_unix_ms: Wall-clock time.
+        log: Writes a log line.
     """
-    now_s = ports.clock.monotonic()
-    now_unix_ms = 1000 * ports.clock.wall()
     jobs: dict[str, job_state.JobState] = {}
     for record in stored:
         if record.key.startswith(records.SPEC_PREFIX):
             try:
                 spec = records.decode_spec(record.value)
-            except msgspec.DecodeError as error:
-                ports.log("record:unreadable", key=record.key, error=str(error))
+            except records.MalformedRecordError as error:
+                log("record:unreadable", key=record.key, error=str(error))
                 continue
             age_s = max(0.0, now_unix_ms - spec.accepted_unix_ms) / 1000
             jobs[spec.job_id] = job_state.JobState(
@@ -96,6 +104,6 @@
             continue
         try:
             records.apply_progress(job, record.value, now_s)
-        except msgspec.DecodeError as error:
-            ports.log("record:unreadable", key=record.key, error=str(error))
+        except records.MalformedRecordError as error:
+            log("record:unreadable", key=record.key, error=str(error))
     return list(jobs.values())
--- a/tests/stand_ins/platform_fleet.py
+++ b/tests/stand_ins/platform_fleet.py
@@ -103,6 +103,7 @@
         logs: Fields of the log lines of all hosts.
         unlisted: Ids of workers that are missing from the store's list.
         accepted_jobs: Ids of accepted jobs, if the test records them.
+        ended_tasks: Tasks of hosts that ended by themselves, with the error.
         host_cores: Cores of the hosts that don't have one, by name.
     """
 
@@ -133,6 +134,7 @@
         self._sequence = 0
         self.unlisted: set[str] = set()
         self.accepted_jobs: list[str] = []
+        self.ended_tasks: list[tuple[str, str]] = []
         self.host_cores: dict[str, float] = {}
         # Ids of the workers that belong to the other pool.
         self.other_pool_workers: set[str] = set()
@@ -214,8 +216,15 @@
             asyncio.create_task(work, name=work.__name__)
             for work in host.background_coroutines()
         ]
+        for task in tasks:
+            task.add_done_callback(self._record_end)
         self._hosts[name] = _RunningHost(host, tasks)
 
+    def _record_end(self, task: asyncio.Task[None]) -> None:
+        """Records a background task that failed; it would end its process."""
+        if not task.cancelled() and task.exception() is not None:
+            self.ended_tasks.append((task.get_name(), repr(task.exception())))
+
     async def kill_host(self, name: str) -> None:
         """Kills the process of a host without a shutdown."""
         running = self._hosts.pop(name)
--- a/tests/steps/platform_adapter.py
+++ b/tests/steps/platform_adapter.py
@@ -60,7 +60,7 @@
 
 @behave.then("the record yields no worker")
 def step(context):
-    assert context.registration is None
+    assert not pipeline.is_successful(context.registration)
 
 
 @behave.when("the settings file changes to {content} and is reloaded")
