Show tasks that crash their workers in tests that fail

Of the eight scenarios five fail on this code: the task is never given up, whether batch or long-running, with or without a change of the owner. The other three, of tasks that are only unlucky and of maintenance, pass and must go on passing.

--- /dev/null
+++ b/tests/pools/crashing_tasks.feature
@@ -0,0 +1,85 @@
+Feature: Tasks that crash the workers that start them
+  A task may crash each worker that starts it, and with it all that runs there.
+  The owner finds out which task does that with few crashes, gives it up, and
+  restarts the others.
+
+  Scenario Outline: A task crashes each worker that starts it
+    # Guards against one task that takes worker after worker, and with them what
+    # runs beside it.
+    Given a platform fleet of 3 hosts and 8 workers
+    And tasks run for 2 s
+    When 6 other jobs of 4 tasks are submitted
+    And a job of 3 tasks is submitted whose first task crashes workers after <delay> s
+    And 30 s pass
+    Then at most <crashes> workers crashed
+    And every host reports the job as failed
+    And the other jobs are completed
+
+    Examples:
+      | delay | crashes |
+      | 0.01  | 2       |
+      | 0.5   | 2       |
+      | 1.8   | 4       |
+
+  Scenario: The owner is killed between two crashes
+    # Guards against a new owner that starts counting anew.
+    Given a platform fleet of 3 hosts and 8 workers
+    And tasks run for 2 s
+    When a job of 3 tasks is submitted whose first task crashes workers after 0.01 s
+    And 5 s pass
+    And the owner is killed
+    And 30 s pass
+    Then at most 4 workers crashed
+    And every host reports the job as failed
+
+  Scenario: A long-running task crashes each worker that starts it
+    # Guards against the loss of worker after worker to a task that is restarted
+    # however it ends.
+    Given a platform fleet of 3 hosts and 8 workers
+    And tasks run for 2 s
+    When 2 other jobs of 4 tasks are submitted
+    And a long-running job of 2 tasks is submitted whose first task crashes workers
+    And 30 s pass
+    Then at most 2 workers crashed
+    And every host reports the job as failed
+    And the other jobs are completed
+
+  Scenario: Workers crash under a task that is only unlucky
+    # Guards against a job that is given up although none of its tasks is at
+    # fault.
+    Given a platform fleet of 3 hosts and 4 workers
+    And tasks run for 3 s
+    When a job of 2 tasks is submitted
+    And 2 s pass
+    And the workers with tasks crash
+    And 6 s pass
+    And the workers with tasks crash
+    And 12 s pass
+    Then every host reports the job as completed
+
+  Scenario: A long-running task outlives the crashes of its workers
+    # Guards against long-running jobs that are given up, as workers crash under
+    # them now and then.
+    Given a platform fleet of 3 hosts and 4 workers
+    When a job of 2 long-running tasks is submitted
+    And 15 s pass
+    And the workers with tasks crash
+    And 15 s pass
+    And the workers with tasks crash
+    And 15 s pass
+    And the workers with tasks crash
+    And 15 s pass
+    And the workers with tasks crash
+    And 15 s pass
+    Then 2 tasks of the job are running
+
+  Scenario: Hosts are taken down for maintenance under the tasks of a job
+    # Guards against tasks that are blamed for the end of workers that the owner
+    # itself has ended.
+    Given a platform fleet of 3 hosts and 4 workers
+    When a job of 2 long-running tasks of which 1 may be unavailable is submitted
+    And operators publish a wave over all hosts with a cap of 1
+    And 40 s pass
+    Then every host was maintained once, at most 1 at a time
+    And no run is reported as ended by a crash
+    And 2 tasks of the job are running
--- a/tests/stand_ins/platform_scenarios.py
+++ b/tests/stand_ins/platform_scenarios.py
@@ -72,7 +72,8 @@
     fleet.host_cores = getattr(context, "host_cores", {})
     await fleet.start()
     outcomes = []
-    for action in context.actions:
+    last_action = getattr(context, "last_action", None)
+    for action in (*context.actions, *([last_action] if last_action else [])):
         outcome = await action(fleet)
         if outcome is not None:
             outcomes.append(outcome)
--- a/tests/stand_ins/platform_worker.py
+++ b/tests/stand_ins/platform_worker.py
@@ -40,10 +40,22 @@
     how: str = ""
 
 
+class CrashRecord(typing.NamedTuple):
+    """A crash of a worker, with the tasks that ran on it."""
+
+    worker_id: str
+    at_s: float
+    tasks: tuple[str, ...]
+
+
 class WorkerStandIn:
     """A simulated worker: its runs and its active faults.
 
     Attributes:
+        deadly: Names of tasks that crash the worker soon after their start.
+        crash_delay_s: Time from the start of such a task to the crash.
+        down_s: Time after which a crashed worker returns, under another id.
+        crashes: All crashes of the worker.
         work_s: Duration of a task.
         work_s_by_step: Duration of a task by step, where it differs.
         failing: Ids of jobs whose tasks fail.
@@ -70,6 +82,10 @@
         self.memory_mb = memory_mb
         self.work_s_by_step: dict[str, float] = {}
         self.failing: set[str] = set()
+        self.deadly: set[str] = set()
+        self.crash_delay_s = 0.01
+        self.down_s = 2.0
+        self.crashes: list[CrashRecord] = []
         self.long_running: set[str] = set()
         self.starts_to_drop = 0
         self.delayed_starts_s: float | None = None
@@ -88,6 +104,22 @@
         self._status_changed = asyncio.Event()
         self._timers: list[asyncio.TimerHandle] = []
 
+    def crash(self) -> None:
+        """Ends all runs and answers nothing until it returns."""
+        now_s = asyncio.get_running_loop().time()
+        tasks = tuple(task for task, _ in self._running)
+        self.crashes.append(CrashRecord(self.worker_id, now_s, tasks))
+        self.silent = True
+        self._end_all("gone", list_ends=False)
+        self._schedule(self.down_s, self._return)
+
+    def _return(self) -> None:
+        self.restart()
+        self.worker_id = (
+            f"{self.worker_id.partition('/')[0]}/{self.incarnation}"
+        )
+        self.silent = False
+
     def restart(self) -> None:
         """Starts another incarnation under the same id; all runs are gone."""
         self._end_all("gone", list_ends=False)
@@ -155,6 +187,8 @@
         self.records.append(
             RunRecord(*key, self.worker_id, int(fields["FencingToken"]), now_s)
         )
+        if key[0] in self.deadly:
+            self._schedule(self.crash_delay_s, self.crash)
         job_id = key[0].partition(".")[0]
         if job_id not in self.long_running:
             how = "failed" if job_id in self.failing else "done"
@@ -184,6 +218,8 @@
                     await self._status_changed.wait()
             except TimeoutError:
                 pass
+        if self.silent:
+            await asyncio.sleep(3600)
         self._expire()
         running = [
             [task, run, "", self._progress(index), 0]
--- /dev/null
+++ b/tests/steps/pools_crashing_tasks.py
@@ -0,0 +1,100 @@
+"""Steps of tests/pools/crashing_tasks.feature."""
+
+import asyncio
+
+import behave
+
+from stand_ins import platform_fleet
+from stand_ins import platform_scenarios
+
+FIRST_OTHER_JOB = 100
+
+
+def other_jobs(context):
+    """Returns the ids of the jobs that run beside the scenario's job."""
+    return [
+        platform_fleet.job_id(FIRST_OTHER_JOB + number)
+        for number in range(context.other_jobs)
+    ]
+
+
+def add_crashing_job(context, fields, crash_delay_s):
+    async def submit(fleet):
+        for worker in fleet.workers.values():
+            worker.deadly.add(f"{platform_scenarios.JOB}.0.0.0")
+            worker.crash_delay_s = crash_delay_s
+            if fields.get("LongRunning"):
+                worker.long_running.add(platform_scenarios.JOB)
+        return await platform_scenarios.submit(fleet, [fields])
+
+    platform_scenarios.add_action(context, submit)
+
+
+@behave.when("{count:d} other jobs of {tasks:d} tasks are submitted")
+def step(context, count, tasks):
+    context.other_jobs = count
+
+    async def submit(fleet):
+        for job_id in other_jobs(context):
+            await fleet.submit(job_id, [platform_fleet.step(tasks)])
+
+    async def read_phases(fleet):
+        context.other_phases = [
+            await fleet.phase(job_id) for job_id in other_jobs(context)
+        ]
+
+    platform_scenarios.add_action(context, submit)
+    context.last_action = read_phases
+
+
+@behave.when(
+    "a job of {tasks:d} tasks is submitted whose first task crashes workers "
+    "after {seconds:g} s"
+)
+def step(context, tasks, seconds):
+    add_crashing_job(context, platform_fleet.step(tasks), seconds)
+
+
+@behave.when(
+    "a long-running job of {tasks:d} tasks is submitted whose first task "
+    "crashes workers"
+)
+def step(context, tasks):
+    fields = platform_fleet.step(tasks, LongRunning=True)
+    add_crashing_job(context, fields, 0.01)
+
+
+@behave.when("the workers with tasks crash")
+def step(context):
+    async def crash(fleet):
+        for worker in fleet.workers.values():
+            if worker.running():
+                worker.crash()
+        await asyncio.sleep(0)
+
+    platform_scenarios.add_action(context, crash)
+
+
+@behave.then("at most {count:d} workers crashed")
+def step(context, count):
+    fleet = platform_scenarios.run_once(context).fleet
+    crashes = [
+        crash for worker in fleet.workers.values() for crash in worker.crashes
+    ]
+    assert 0 < len(crashes) <= count, sorted(crashes, key=lambda c: c.at_s)
+
+
+@behave.then("the other jobs are completed")
+def step(context):
+    platform_scenarios.run_once(context)
+    assert set(context.other_phases) == {"completed"}, context.other_phases
+
+
+@behave.then("no run is reported as ended by a crash")
+def step(context):
+    ends = [
+        line["how"]
+        for line in platform_scenarios.run_once(context).fleet.logs
+        if line["message_type"] == "run:ended"
+    ]
+    assert ends and "worker-crashed" not in ends, ends
