Find the tasks that crash their workers, and give them up

The owner ended such runs as vanished, like starts that were rejected, counted only ends that failed, and started the task again on the fullest worker.

Change: the crash of a worker accuses each task that ran there. One that had started within 1.5 s before the worker's last answer, or has lost two workers, is started next on a worker without tasks (after 1 s on the emptiest one) and keeps it for 1.5 s, or to its end after two crashes. If that worker crashes too its job fails; at the latest after four crashes, three for a gang. The numbers of the accused runs are part of the stored progress, so a new owner goes on counting. Workers that were draining, cordoned or taken down accuse nobody, and a long-running task is cleared after 8 s of harmless work.

Runs that were started after a worker's new process stay with it: an idle worker that had restarted unnoticed accused the first task on it, which 'A long-running task restarts however it ends' found.

--- /dev/null
+++ b/src/chervillead/jobs/crash_evidence.py
@@ -0,0 +1,112 @@
+"""Tells tasks that crash their workers from tasks that ran beside them.
+
+A crash accuses each task that ran on the worker. Which one is at fault shows
+when it is started again by itself: a task that is suspected gets a worker of
+its own until it has run for a while. One that crashes that worker too is given
+up; one that doesn't goes on like any other.
+"""
+
+from chervillead.jobs import job_state
+from chervillead.jobs import model
+from chervillead.jobs import task_runs
+
+# A task beside which a worker still answered after this time is unlikely to be
+# what crashed it.
+PROBATION_S = 1.5
+# A task that crashed a worker of its own is given up after this many crashes.
+MIN_CRASHES = 2
+# Crashes after which a task is given up whatever ran beside it.
+MAX_CRASHES = 4
+# All members of a gang start together, so none of them can be tried alone.
+MAX_GANG_CRASHES = 3
+# A long-running task that has run for this long has not crashed its worker;
+# over days, many of its workers may crash.
+LONG_RUN_ACQUITTAL_S = 8.0
+# Longest wait for a worker without tasks; then the emptiest one has to do.
+MAX_ISOLATION_WAIT_S = 1.0
+
+
+def accused(job: job_state.JobState, task: model.TaskKey) -> model.TaskKey:
+    """Returns the task that crashes under a run of a task count for.
+
+    A crash under any member of a gang counts for its first one.
+    """
+    return task._replace(number=0) if job.step(task).gang else task
+
+
+def apply_crash(
+    job: job_state.JobState,
+    run: task_runs.Run,
+    answered_s: float,
+    now_s: float,
+) -> bool:
+    """Applies the crash of a worker to a task that ran on it.
+
+    Args:
+        job: The job of the task, which may be given up.
+        run: The run of the task on that worker.
+        answered_s: Time of the worker's last answer, by the owner's clock.
+        now_s: Time of the owner's clock.
+
+    Returns:
+        Whether the stored progress of the job has changed.
+    """
+    task = accused(job, run.task)
+    crashed = job.crashed_runs.setdefault(task, set())
+    if run.number in crashed or job.is_finished or job.is_done(run.task):
+        return False
+    crashed.add(run.number)
+    if answered_s - run.started_s < PROBATION_S or len(crashed) >= MIN_CRASHES:
+        job.suspected_s[task] = now_s
+    if _is_guilty(job, run, len(crashed), answered_s):
+        job.give_up(now_s)
+    return True
+
+
+def _is_guilty(
+    job: job_state.JobState, run: task_runs.Run, crashes: int, answered_s: float
+) -> bool:
+    if job.step(run.task).gang:
+        return crashes >= MAX_GANG_CRASHES
+    if run.is_alone and answered_s <= run.isolated_until_s:
+        return crashes >= MIN_CRASHES
+    return crashes >= MAX_CRASHES
+
+
+def needs_isolation(job: job_state.JobState, task: model.TaskKey) -> bool:
+    """Returns whether the next run of a task needs a worker of its own."""
+    return task in job.suspected_s and not job.step(task).gang
+
+
+def may_wait_for_idle_worker(
+    job: job_state.JobState, task: model.TaskKey, now_s: float
+) -> bool:
+    """Returns whether a suspected task waits for a worker without tasks."""
+    return now_s - job.suspected_s[task] < MAX_ISOLATION_WAIT_S
+
+
+def isolation_ends_s(
+    job: job_state.JobState, task: model.TaskKey, started_s: float
+) -> float:
+    """Returns until when a suspected task keeps its worker for itself.
+
+    A batch task under which several workers crashed may crash them late, so it
+    keeps the worker to its end.
+    """
+    crashes = len(job.crashed_runs.get(task, ()))
+    if crashes >= MIN_CRASHES and not job.step(task).long_running:
+        return float("inf")
+    return started_s + PROBATION_S
+
+
+def acquit_long_run(
+    job: job_state.JobState, run: task_runs.Run, now_s: float
+) -> None:
+    """Clears a long-running task that has run without harm for a while."""
+    if (
+        run.task in job.crashed_runs
+        and job.step(run.task).long_running
+        and now_s - run.started_s > LONG_RUN_ACQUITTAL_S
+    ):
+        del job.crashed_runs[run.task]
+        job.suspected_s.pop(run.task, None)
--- a/src/chervillead/jobs/job_state.py
+++ b/src/chervillead/jobs/job_state.py
@@ -34,6 +34,9 @@
     Attributes:
         done: Numbers of the completed tasks of each step.
         failed_runs: Numbers of the failed runs of each task.
+        crashed_runs: Numbers of the runs of each task whose worker crashed.
+        suspected_s: When each task that may have crashed its worker was
+            suspected, by the owner's clock.
         highest_run: Highest known run number of each task.
         max_unrecorded_run: Highest run number that previous owners may have
             used without recording it.
@@ -47,7 +50,7 @@
             while it hasn't.
         has_started: Whether any task of the job is known to have started.
         is_cancelled: Whether the job was cancelled before it finished.
-        is_failed: Whether a task has failed too often.
+        is_failed: Whether a task has failed, or crashed workers, too often.
         recovering_until_s: Time until which no task is started, by the owner's
             clock. A previous owner may have started some, so a new owner polls
             all workers first.
@@ -60,6 +63,8 @@
         self._accepted_s = accepted_s
         self.done: dict[tuple[int, int], set[int]] = {}
         self.failed_runs: dict[model.TaskKey, set[int]] = {}
+        self.crashed_runs: dict[model.TaskKey, set[int]] = {}
+        self.suspected_s: dict[model.TaskKey, float] = {}
         self.highest_run: dict[model.TaskKey, int] = {}
         self.max_unrecorded_run = 0
         self.checkpoints: dict[model.TaskKey, str] = {}
@@ -288,11 +293,16 @@
             return False
         failed.add(end.run.number)
         self.has_started = True
-        if len(failed) >= max_attempts and not self.is_finished:
+        if len(failed) >= max_attempts:
+            self.give_up(now_s)
+        return True
+
+    def give_up(self, now_s: float) -> None:
+        """Fails the job unless it has finished."""
+        if not self.is_finished:
             self.is_failed = True
             self.finished_s = now_s
             self._clear_pending_tasks()
-        return True
 
     def cancel(self, now_s: float) -> None:
         """Cancels the job unless it has finished."""
--- a/src/chervillead/jobs/records.py
+++ b/src/chervillead/jobs/records.py
@@ -27,12 +27,14 @@
         failed_runs: Numbers of its failed runs.
         highest_run: Highest number of any known run.
         checkpoint: Newest known checkpoint; empty for none.
+        crashed_runs: Numbers of its runs whose worker crashed.
     """
 
     task: model.TaskKey
     failed_runs: tuple[int, ...]
     highest_run: int
     checkpoint: str
+    crashed_runs: tuple[int, ...] = ()
 
 
 class StepProgress(typing.NamedTuple):
@@ -123,6 +125,7 @@
             tuple(sorted(job.failed_runs.get(task, ()))),
             highest,
             job.checkpoints.get(task, ""),
+            tuple(sorted(job.crashed_runs.get(task, ()))),
         )
         for task, highest in sorted(job.highest_run.items())
         if not job.is_done(task) and not job.is_finished
@@ -160,6 +163,9 @@
         job.highest_run[task.task] = task.highest_run
         if task.failed_runs:
             job.failed_runs[task.task] = set(task.failed_runs)
+        if task.crashed_runs:
+            job.crashed_runs[task.task] = set(task.crashed_runs)
+            job.suspected_s[task.task] = now_s
         if task.checkpoint:
             job.checkpoints[task.task] = task.checkpoint
         job.has_started = True
--- /dev/null
+++ b/src/chervillead/pools/crash_tracking.py
@@ -0,0 +1,89 @@
+"""Applies crashes of workers to the tasks that ran on them."""
+
+import asyncio
+
+from chervillead.jobs import crash_evidence
+from chervillead.jobs import task_runs
+from chervillead.pools import job_endings
+from chervillead.pools import owner_state
+from chervillead.workers import view as view_module
+
+
+def end_runs(
+    state: owner_state.OwnerState,
+    view: view_module.WorkerView,
+    replaced_s: float,
+) -> list[asyncio.Future[None]]:
+    """Ends the runs of a worker whose process has been replaced by another.
+
+    Runs whose start has not been answered may still reach the new process, and
+    those that were started after it may be running there.
+
+    Args:
+        state: State of the owner.
+        view: The worker.
+        replaced_s: Earliest time at which the new process can have started, by
+            the owner's clock.
+
+    Returns:
+        Appends of what the crash says about the tasks. The end of a worker that
+        was to end accuses none.
+    """
+    runs = [
+        run
+        for run in view.runs.values()
+        if run.phase is not task_runs.RunPhase.STARTING
+        and run.started_s < replaced_s
+    ]
+    is_crash = not _was_to_end(state, view)
+    kind = (
+        task_runs.EndKind.WORKER_CRASHED
+        if is_crash
+        else task_runs.EndKind.VANISHED
+    )
+    for run in runs:
+        state.end_run(view, run, kind)
+    return _accuse(state, view, runs) if is_crash else []
+
+
+def _was_to_end(
+    state: owner_state.OwnerState, view: view_module.WorkerView
+) -> bool:
+    """Returns whether the worker had announced its end, or was taken down."""
+    taken_down = state.taken_down_incarnations.get(view.worker_id)
+    return (
+        view.registration.is_draining
+        or bool(view.cordoned_for)
+        or (taken_down is not None and taken_down == view.incarnation)
+    )
+
+
+def _accuse(
+    state: owner_state.OwnerState,
+    view: view_module.WorkerView,
+    runs: list[task_runs.Run],
+) -> list[asyncio.Future[None]]:
+    now_s = state.now_s()
+    answered_s = view.last_contact_s or view.discovered_s
+    appends = []
+    for run in runs:
+        job = state.jobs.get(run.job_id)
+        if job is None or not job.has_task(run.task):
+            continue
+        if not crash_evidence.apply_crash(job, run, answered_s, now_s):
+            continue
+        state.jobs.mark_changed(run.job_id)
+        task = crash_evidence.accused(job, run.task)
+        state.log_run(
+            "run:accused",
+            run,
+            crashes=len(job.crashed_runs[task]),
+            ran_s=round(answered_s - run.started_s, 3),
+            beside=len(runs) - 1,
+            is_suspected=task in job.suspected_s,
+            is_given_up=job.is_failed,
+        )
+        if job.is_finished:
+            job_endings.handle_end(state, job)
+        appends.append(state.store_progress(job))
+    return appends
--- a/src/chervillead/pools/placement_pass.py
+++ b/src/chervillead/pools/placement_pass.py
@@ -12,6 +12,7 @@
 import enum
 import itertools
 
+from chervillead.jobs import crash_evidence
 from chervillead.jobs import job_state
 from chervillead.jobs import model
 from chervillead.jobs import placement
@@ -41,6 +42,8 @@
     NO_ROOM = "no-room"
     # No room on the workers that this task may use.
     NO_ROOM_FOR_TASK = "no-room-for-task"
+    # No worker without tasks yet, for a task that may crash its worker.
+    NO_IDLE_WORKER = "no-idle-worker"
 
 
 class PlacementPass:
@@ -150,6 +153,8 @@
         ):
             return _Verdict.OVER_QUOTA
         chosen = self._select_workers(group)
+        if chosen is _Verdict.NO_IDLE_WORKER:
+            return chosen
         if isinstance(chosen, _Verdict):
             self._full_pools.add(first.job.spec.pool)
             if first.step.long_running:
@@ -169,6 +174,8 @@
         """Returns a worker for each task of a group."""
         first = group[0]
         index = self._workers.in_pool(first.job.spec.pool)
+        if crash_evidence.needs_isolation(first.job, first.task):
+            return self._select_isolated(first, index)
         if len(group) == 1:
             return self._select_worker(first, index)
         # Asks for tickets even if there is no room yet.
@@ -203,6 +210,27 @@
             )
         return _Verdict.NO_ROOM_FOR_TASK if best is None else [best.worker_id]
 
+    def _select_isolated(
+        self, ready: readiness.ReadyTask, index: room_index.RoomIndex
+    ) -> list[str] | _Verdict:
+        """Returns a worker without tasks, or the emptiest one after a while."""
+        feasible = [
+            snapshot
+            for snapshot in self._candidates(ready, index)
+            if placement.is_feasible(snapshot, ready.step, _step_key(ready))
+        ]
+        idle = [snapshot for snapshot in feasible if not snapshot.step_tasks]
+        if idle:
+            best = placement.select_worker(idle, ready.step, _step_key(ready))
+            return [best.worker_id] if best else _Verdict.NO_ROOM_FOR_TASK
+        if crash_evidence.may_wait_for_idle_worker(
+            ready.job, ready.task, self._now_s
+        ):
+            return _Verdict.NO_IDLE_WORKER
+        if not feasible:
+            return _Verdict.NO_ROOM_FOR_TASK
+        return [max(feasible, key=placement.free_share).worker_id]
+
     def _is_unplaceable(self, ready: readiness.ReadyTask) -> bool:
         """Returns whether a task that needs no more has found no room."""
         key = ready.job.spec.pool, ready.step.required_label
@@ -260,9 +288,14 @@
         )
         tickets = self._tickets(ready.job, ready.task)
         run.ticket = tickets[worker_id] if tickets is not None else ""
+        watch = self._state.watches[worker_id]
+        if crash_evidence.needs_isolation(ready.job, ready.task):
+            run.is_alone = not watch.view.runs
+            run.isolated_until_s = crash_evidence.isolation_ends_s(
+                ready.job, ready.task, self._now_s
+            )
         ready.job.add_run(run)
         self._state.jobs.mark_changed(ready.job.spec.job_id)
-        watch = self._state.watches[worker_id]
         self._state.track_run(watch.view, run)
         self._workers.update(watch.view)
         watch.start(run)
--- a/src/chervillead/pools/run_tracking.py
+++ b/src/chervillead/pools/run_tracking.py
@@ -2,10 +2,13 @@
 
 import asyncio
 
+from chervillead.jobs import crash_evidence
 from chervillead.jobs import job_state
 from chervillead.jobs import model
 from chervillead.jobs import task_runs
 from chervillead.jobs import worker_health
+from chervillead.pools import crash_tracking
+from chervillead.pools import job_endings
 from chervillead.pools import owner_state
 from chervillead.workers import interface as worker_interface
 from chervillead.workers import view as view_module
@@ -28,9 +31,13 @@
         Appends that must complete before the ends are acknowledged.
     """
     now_s = state.now_s()
+    appends: list[asyncio.Future[None]] = []
     if view.incarnation != status.incarnation:
-        for run in view.begin_incarnation(status.incarnation):
-            state.end_run(view, run, task_runs.EndKind.VANISHED)
+        if view.incarnation is not None:
+            # Its clock counts from its start, and may be slow.
+            age_s = status.clock_ms / 1000 / view_module.MIN_CLOCK_RATE
+            appends = crash_tracking.end_runs(state, view, now_s - age_s)
+        view.begin_incarnation(status.incarnation)
         # A previous owner may just have extended the lease to its maximum.
         view.extend_lease(status.clock_ms + state.lease_ms)
     view.record_clock(status.clock_ms, now_s)
@@ -50,7 +57,8 @@
     _end_unreported_runs(state, view, reported, status.clock_ms)
     state.changed_workers.add(view.worker_id)
     state.wake()
-    return [state.store_progress(job) for job in changed_jobs.values()]
+    appends += [state.store_progress(job) for job in changed_jobs.values()]
+    return appends
 
 
 def _apply_running(
@@ -81,6 +89,7 @@
         state.stop_run(run, "its job is unknown")
         return
     job.has_started = True
+    crash_evidence.acquit_long_run(job, run, state.now_s())
     if running.checkpoint:
         job.checkpoints[run.task] = running.checkpoint
     if job.is_finished:
@@ -147,7 +156,7 @@
             job.runs.get(end.run.task, ()), "another run of the task is done"
         )
     if changed and job.is_finished:
-        _handle_job_end(state, job)
+        job_endings.handle_end(state, job)
     return job if changed else None
 
 
@@ -198,15 +207,6 @@
             watch.stop(run, "the run made no progress")
 
 
-def _handle_job_end(
-    state: owner_state.OwnerState, job: job_state.JobState
-) -> None:
-    state.log("job:ended", job=job.spec.job_id, phase=job.phase.value)
-    state.ports.increment("chervillead_jobs_ended", job.phase.value)
-    state.ports.observe("job_seconds", state.now_s() - job.accepted_s)
-    state.stop_runs(job.active_runs(), job.phase.value)
-
-
 def _schedule_retry(
     job: job_state.JobState, run: task_runs.Run, now_s: float
 ) -> None:
--- a/src/chervillead/pools/schedulable_workers.py
+++ b/src/chervillead/pools/schedulable_workers.py
@@ -44,6 +44,10 @@
 
     def update(self, view: view_module.WorkerView) -> None:
         """Updates the room of a schedulable worker after a start."""
+        if view.is_isolated(self._state.now_s()):
+            self._discard(view.worker_id)
+            self._waiting.add(view.worker_id)
+            return
         pool = view.registration.pool
         self._pools[view.worker_id] = pool
         self.in_pool(pool).put(view.as_snapshot(), view.order)
--- a/src/chervillead/pools/worker_registry.py
+++ b/src/chervillead/pools/worker_registry.py
@@ -5,6 +5,7 @@
 import itertools
 
 from chervillead.jobs import task_runs
+from chervillead.pools import crash_tracking
 from chervillead.pools import owner_state
 from chervillead.pools import run_tracking
 from chervillead.pools import start_tracking
@@ -173,6 +174,8 @@
             state.mark_fenced()
         if failure.rejection is worker_interface.RejectionReason.OTHER_INSTANCE:
             view.is_replaced = True
+            # No start reaches the new process, which has another id.
+            crash_tracking.end_runs(state, view, state.now_s())
             for run in list(view.runs.values()):
                 state.end_run(view, run, task_runs.EndKind.VANISHED)
 
--- a/src/chervillead/workers/view.py
+++ b/src/chervillead/workers/view.py
@@ -55,6 +55,8 @@
         self._clock: ClockReading | None = None
         self._lease_until_clock_ms = 0
         self._runs: dict[task_runs.RunKey, task_runs.Run] = {}
+        # End of the isolation of its runs that don't share it with others.
+        self._isolated: dict[task_runs.RunKey, float] = {}
         self._load = load.WorkerLoad()
 
     @property
@@ -109,34 +111,31 @@
         ends_s = self.lease_ends_s()
         return now_s > ends_s and self.failed_poll_s > ends_s
 
-    def begin_incarnation(self, incarnation: int) -> list[task_runs.Run]:
-        """Resets the state of the worker's process after a restart.
-
-        Returns:
-            The runs that ended with the previous incarnation.
-        """
-        lost = [
-            run
-            for run in self.runs.values()
-            if run.phase is not task_runs.RunPhase.STARTING
-        ]
+    def begin_incarnation(self, incarnation: int) -> None:
+        """Resets the state of the worker's process after a restart."""
         self.incarnation = incarnation
         self.applied_end = 0
         self.acknowledged_end = 0
         self._clock = None
         self._lease_until_clock_ms = 0
-        return lost
 
     def add_run(self, run: task_runs.Run, step: model.Step | None) -> None:
         """Adds a run; its step is None if its job is unknown."""
         self._runs[run.key] = run
         self._load.add(run, step)
+        if run.isolated_until_s > float("-inf"):
+            self._isolated[run.key] = run.isolated_until_s
 
     def remove_run(self, key: task_runs.RunKey) -> task_runs.Run | None:
         """Removes a run and returns it, or None if it isn't there."""
         self._load.remove(key)
+        self._isolated.pop(key, None)
         return self._runs.pop(key, None)
 
+    def is_isolated(self, now_s: float) -> bool:
+        """Returns whether one of its runs keeps the worker for itself."""
+        return any(now_s < until_s for until_s in self._isolated.values())
+
     def reserved(self) -> model.Resources:
         """Returns the resources that its runs reserve."""
         return self._load.reserved
@@ -172,6 +171,7 @@
         return (
             self.may_start(zones_out)
             and self.avoid_until_s <= now_s
+            and not self.is_isolated(now_s)
             # Long-running tasks don't end, so they tell nothing about its
             # health.
             and self.health.is_schedulable(
