--- a/tests/pools/orders.feature
+++ b/tests/pools/orders.feature
@@ -112,3 +112,27 @@
     And 8 s pass
     Then every host reports the job as completed
     And no worker ever ran more than 8 tasks at once
+
+  Scenario: The capacity of a worker shrinks and grows again while it runs
+    # Guards against starts that exceed what a worker says of itself now, on a
+    # worker that doesn't refuse them.
+    Given a platform fleet of 2 hosts and 1 worker
+    And tasks run for 1 s
+    When the workers report a capacity of 3000 millicores
+    And 1 s pass
+    And a job of 6 tasks is submitted
+    And 4 s pass
+    Then every host reports the job as completed
+    And no worker ever ran more than 3 tasks at once
+
+  Scenario: The capacity of a worker has grown again
+    # Guards against workers that stay small for good.
+    Given a platform fleet of 2 hosts and 1 worker
+    And tasks run for 1 s
+    When the workers report a capacity of 3000 millicores
+    And 1 s pass
+    And the workers report a capacity of 8000 millicores
+    And 1 s pass
+    And a job of 6 tasks is submitted
+    And 2 s pass
+    Then every host reports the job as completed
--- a/tests/steps/platform_fleet.py
+++ b/tests/steps/platform_fleet.py
@@ -772,6 +772,15 @@
     platform_scenarios.add_action(context, crash)
 
 
+@behave.when("the workers report a capacity of {millicores:d} millicores")
+def step(context, millicores):
+    async def change_capacity(fleet):
+        for worker in fleet.workers.values():
+            worker.cpu = millicores
+
+    platform_scenarios.add_action(context, change_capacity)
+
+
 @behave.when("every worker restarts")
 def step(context):
     async def restart(fleet):
