Give a task up only for crashes that it must have caused

On small pools no worker is without tasks, so a suspected task shares the emptiest one, and could be given up only after four crashes; and a start without a reply counted as a crash, though the worker may never have carried it out.

A crash convicts the task that was tried by itself if all runs beside it had run without harm for 1.5 s. An unconfirmed start counts only if it is convicted. The decision takes the crash as a whole and is tested without a fleet in tests/jobs/crash_evidence.feature, case by case.

--- a/src/chervillead/jobs/crash_evidence.py
+++ b/src/chervillead/jobs/crash_evidence.py
@@ -6,6 +6,9 @@
 up; one that doesn't goes on like any other.
 """
 
+from collections import abc
+import typing
+
 from chervillead.jobs import job_state
 from chervillead.jobs import model
 from chervillead.jobs import task_runs
@@ -13,7 +16,7 @@
 # A task beside which a worker still answered after this time is unlikely to be
 # what crashed it.
 PROBATION_S = 1.5
-# A task that crashed a worker of its own is given up after this many crashes.
+# A task that must have crashed its worker is given up after this many crashes.
 MIN_CRASHES = 2
 # Crashes after which a task is given up whatever ran beside it.
 MAX_CRASHES = 4
@@ -34,45 +37,72 @@
     return task._replace(number=0) if job.step(task).gang else task
 
 
+class Crash(typing.NamedTuple):
+    """The crash of a worker.
+
+    Attributes:
+        runs: Runs that were on the worker.
+        answered_s: Time of its last answer, by the owner's clock.
+    """
+
+    runs: abc.Sequence[task_runs.Run]
+    answered_s: float
+
+    def is_recent(self, run: task_runs.Run) -> bool:
+        """Returns whether a run had begun only shortly before the crash."""
+        return self.answered_s - run.started_s < PROBATION_S
+
+    def convicts(self, run: task_runs.Run) -> bool:
+        """Returns whether no other run can have caused the crash.
+
+        The task was tried by itself, and all runs beside it had run without
+        harm for a while.
+        """
+        if self.answered_s > run.isolated_until_s:
+            return False
+        beside = [other for other in self.runs if other is not run]
+        if self.is_recent(run):
+            return not any(map(self.is_recent, beside))
+        return not beside
+
+
 def apply_crash(
-    job: job_state.JobState,
-    run: task_runs.Run,
-    answered_s: float,
-    now_s: float,
+    job: job_state.JobState, run: task_runs.Run, crash: Crash, now_s: float
 ) -> bool:
     """Applies the crash of a worker to a task that ran on it.
 
     Args:
         job: The job of the task, which may be given up.
         run: The run of the task on that worker.
-        answered_s: Time of the worker's last answer, by the owner's clock.
+        crash: The crash.
         now_s: Time of the owner's clock.
 
     Returns:
         Whether the stored progress of the job has changed.
     """
-    task = accused(job, run.task)
-    crashed = job.crashed_runs.setdefault(task, set())
-    if run.number in crashed or job.is_finished or job.is_done(run.task):
+    if job.is_finished or job.is_done(run.task):
         return False
-    crashed.add(run.number)
-    if answered_s - run.started_s < PROBATION_S or len(crashed) >= MIN_CRASHES:
+    task = accused(job, run.task)
+    crashed = job.crashed_runs.get(task, set())
+    if crash.is_recent(run) or crashed:
         job.suspected_s[task] = now_s
-    if _is_guilty(job, run, len(crashed), answered_s):
+    is_conviction = crash.convicts(run)
+    # A start without a reply may not have been carried out, unless it was the
+    # only one that can have crashed the worker.
+    is_certain = run.phase is not task_runs.RunPhase.UNCERTAIN or is_conviction
+    if run.number in crashed or not is_certain:
+        return False
+    crashed = crashed | {run.number}
+    job.crashed_runs[task] = crashed
+    if job.step(run.task).gang:
+        limit = MAX_GANG_CRASHES
+    else:
+        limit = MIN_CRASHES if is_conviction else MAX_CRASHES
+    if len(crashed) >= limit:
         job.give_up(now_s)
     return True
 
 
-def _is_guilty(
-    job: job_state.JobState, run: task_runs.Run, crashes: int, answered_s: float
-) -> bool:
-    if job.step(run.task).gang:
-        return crashes >= MAX_GANG_CRASHES
-    if run.is_alone and answered_s <= run.isolated_until_s:
-        return crashes >= MIN_CRASHES
-    return crashes >= MAX_CRASHES
-
-
 def needs_isolation(job: job_state.JobState, task: model.TaskKey) -> bool:
     """Returns whether the next run of a task needs a worker of its own."""
     return task in job.suspected_s and not job.step(task).gang
--- a/src/chervillead/jobs/task_runs.py
+++ b/src/chervillead/jobs/task_runs.py
@@ -60,10 +60,8 @@
         reported_ms: Worker's clock in the latest report.
         pace_percent: CPU share that the run may use; 100 if it isn't paced.
         checkpoint: Checkpoint of the run; empty for none.
-        is_alone: Whether it was started on a worker without other runs, as its
-            task may have crashed another worker.
         isolated_until_s: Time until which no other run is started beside it, by
-            the owner's clock.
+            the owner's clock, as its task may have crashed another worker.
     """
 
     def __init__(
@@ -96,7 +94,6 @@
         self.reported_ms = 0
         self.pace_percent = 100
         self.checkpoint = ""
-        self.is_alone = False
         self.isolated_until_s = float("-inf")
 
     @property
--- a/src/chervillead/pools/crash_tracking.py
+++ b/src/chervillead/pools/crash_tracking.py
@@ -65,12 +65,13 @@
 ) -> list[asyncio.Future[None]]:
     now_s = state.now_s()
     answered_s = view.last_contact_s or view.discovered_s
+    crash = crash_evidence.Crash(runs, answered_s)
     appends = []
     for run in runs:
         job = state.jobs.get(run.job_id)
         if job is None or not job.has_task(run.task):
             continue
-        if not crash_evidence.apply_crash(job, run, answered_s, now_s):
+        if not crash_evidence.apply_crash(job, run, crash, now_s):
             continue
         state.jobs.mark_changed(run.job_id)
         task = crash_evidence.accused(job, run.task)
--- a/src/chervillead/pools/placement_pass.py
+++ b/src/chervillead/pools/placement_pass.py
@@ -290,7 +290,6 @@
         run.ticket = tickets[worker_id] if tickets is not None else ""
         watch = self._state.watches[worker_id]
         if crash_evidence.needs_isolation(ready.job, ready.task):
-            run.is_alone = not watch.view.runs
             run.isolated_until_s = crash_evidence.isolation_ends_s(
                 ready.job, ready.task, self._now_s
             )
--- /dev/null
+++ b/tests/jobs/crash_evidence.feature
@@ -0,0 +1,62 @@
+Feature: Which task crashed a worker
+  A crash accuses all tasks on the worker. A task is given up only if it must have
+  crashed two workers, or has lost four.
+
+  Scenario Outline: A worker crashes under a batch task
+    # Guards against innocent tasks that are given up, and against guilty ones
+    # that go on crashing workers.
+    Given a task that has lost <before> workers
+    And a run of it that is <start>, <ran> s old at the worker's last answer
+    And other runs there that are <beside> s old
+    When the worker crashes
+    Then the task has lost <after> workers and is <verdict>
+
+    Examples: its first crash
+      | before | start       | ran | beside | after | verdict   |
+      | 0      | placed      | 0.1 | 0.1 5  | 1     | suspected |
+      | 0      | placed      | 0.1 | none   | 1     | suspected |
+      | 0      | placed      | 3.0 | 0.1    | 1     | trusted   |
+      | 0      | unconfirmed | 0.1 | 0.2    | 0     | suspected |
+
+    Examples: tried by itself
+      | before | start       | ran | beside | after | verdict   |
+      | 1      | isolated    | 0.1 | none   | 2     | given up  |
+      | 1      | isolated    | 0.1 | 3 5    | 2     | given up  |
+      | 1      | isolated    | 0.1 | 0.5 5  | 2     | suspected |
+      | 1      | isolated    | 1.6 | 0.1    | 2     | suspected |
+      | 1      | unconfirmed | 0.1 | none   | 1     | suspected |
+      | 2      | isolated    | 9.0 | none   | 3     | given up  |
+
+    Examples: lost beside others again and again
+      | before | start       | ran | beside | after | verdict   |
+      | 1      | placed      | 3.0 | 0.1    | 2     | suspected |
+      | 2      | placed      | 3.0 | 0.1    | 3     | suspected |
+      | 3      | placed      | 3.0 | 0.1    | 4     | given up  |
+
+  Scenario: A gang loses workers
+    # Guards against gangs that are started without end, as their members can't be
+    # tried alone, and against counting a crash once for each member.
+    Given a gang of 2 tasks
+    When workers crash under both members of 2 runs
+    Then the gang has lost 2 workers and gets another run
+    When workers crash under both members of 1 run
+    Then the gang is given up
+
+  Scenario: A new owner restores a job
+    # Guards against crashes that a previous owner saw and the next one doesn't
+    # know of.
+    Given a task that has lost 3 workers
+    When its progress is stored and restored
+    Then the task has lost 3 workers and is suspected
+
+  Scenario Outline: A long-running task goes on without harm
+    # Guards against long-running tasks that are given up after months, since some
+    # of their workers have crashed.
+    Given a long-running task that has lost 2 workers
+    When its next run has lasted <lasted> s
+    Then the task has lost <after> workers and is <verdict>
+
+    Examples:
+      | lasted | after | verdict   |
+      | 5      | 2     | suspected |
+      | 9      | 0     | trusted   |
--- /dev/null
+++ b/tests/steps/jobs_crash_evidence.py
@@ -0,0 +1,137 @@
+"""Steps of tests/jobs/crash_evidence.feature."""
+
+import behave
+
+from chervillead.jobs import crash_evidence
+from chervillead.jobs import job_state
+from chervillead.jobs import model
+from chervillead.jobs import records
+from chervillead.jobs import task_runs
+
+JOB_ID = "0" * 16
+TASK = model.TaskKey(0, 0, 0)
+NOW_S = 100.0
+
+
+def new_job(tasks=1, **fields):
+    step = model.Step(tasks, model.Resources(), **fields)
+    spec = model.JobSpec(JOB_ID, "queue-1", "billing", "", "x", (step,))
+    return job_state.JobState(spec, accepted_s=0.0)
+
+
+def new_run(number, age_s=0.1, task=TASK):
+    return task_runs.Run(
+        JOB_ID,
+        task,
+        number,
+        "i-0",
+        reserved=model.Resources(),
+        started_s=NOW_S - age_s,
+        phase=task_runs.RunPhase.RUNNING,
+    )
+
+
+def lose_workers(job, count):
+    """Records crashes that don't show which task was at fault."""
+    job.highest_run[TASK] = count
+    for number in range(1, 1 + count):
+        run, other = new_run(number), new_run(number)
+        crash = crash_evidence.Crash([run, other], NOW_S)
+        crash_evidence.apply_crash(job, run, crash, NOW_S)
+
+
+def verdict_of(job):
+    if job.is_failed:
+        return "given up"
+    is_suspected = crash_evidence.needs_isolation(job, TASK)
+    return "suspected" if is_suspected else "trusted"
+
+
+@behave.given("a task that has lost {count:d} workers")
+def step(context, count):
+    context.job = new_job()
+    lose_workers(context.job, count)
+
+
+@behave.given("a long-running task that has lost {count:d} workers")
+def step(context, count):
+    context.job = new_job(long_running=True)
+    lose_workers(context.job, count)
+
+
+@behave.given(
+    "a run of it that is {start}, {age:g} s old at the worker's last answer"
+)
+def step(context, start, age):
+    context.run = new_run(10, age)
+    if start == "unconfirmed":
+        context.run.phase = task_runs.RunPhase.UNCERTAIN
+    if start == "isolated":
+        context.run.isolated_until_s = crash_evidence.isolation_ends_s(
+            context.job, TASK, context.run.started_s
+        )
+
+
+@behave.given("other runs there that are {ages} s old")
+def step(context, ages):
+    context.beside = [
+        new_run(1, float(age)) for age in ages.replace("none", "").split()
+    ]
+
+
+@behave.when("the worker crashes")
+def step(context):
+    crash = crash_evidence.Crash([context.run, *context.beside], NOW_S)
+    crash_evidence.apply_crash(context.job, context.run, crash, NOW_S)
+
+
+@behave.then("the task has lost {count:d} workers and is {verdict}")
+def step(context, count, verdict):
+    lost = len(context.job.crashed_runs.get(TASK, ()))
+    assert (lost, verdict_of(context.job)) == (count, verdict)
+
+
+@behave.given("a gang of {count:d} tasks")
+def step(context, count):
+    context.job = new_job(count, gang=True)
+    context.next_run = 1
+
+
+@behave.when("workers crash under both members of {count:d} run")
+@behave.when("workers crash under both members of {count:d} runs")
+def step(context, count):
+    for _ in range(count):
+        members = [
+            new_run(context.next_run, task=TASK._replace(number=member))
+            for member in range(2)
+        ]
+        for run in members:
+            crash = crash_evidence.Crash([run], NOW_S)
+            crash_evidence.apply_crash(context.job, run, crash, NOW_S)
+        context.next_run += 1
+
+
+@behave.then(
+    "the gang has lost {count:d} workers and gets another run"
+)
+def step(context, count):
+    assert len(context.job.crashed_runs[TASK]) == count
+    assert not context.job.is_failed
+
+
+@behave.then("the gang is given up")
+def step(context):
+    assert context.job.is_failed
+
+
+@behave.when("its progress is stored and restored")
+def step(context):
+    value = records.encode_progress(context.job)
+    context.job = new_job()
+    records.apply_progress(context.job, value, NOW_S)
+
+
+@behave.when("its next run has lasted {seconds:g} s")
+def step(context, seconds):
+    run = new_run(10, seconds)
+    crash_evidence.acquit_long_run(context.job, run, NOW_S)
