--- a/tests/steps/jobs_crash_evidence.py
+++ b/tests/steps/jobs_crash_evidence.py
@@ -111,9 +111,7 @@
         context.next_run += 1
 
 
-@behave.then(
-    "the gang has lost {count:d} workers and gets another run"
-)
+@behave.then("the gang has lost {count:d} workers and gets another run")
 def step(context, count):
     assert len(context.job.crashed_runs[TASK]) == count
     assert not context.job.is_failed
