Move the decoding of responses out of the clients of store and workers

store_client.py had grown to 447 lines and worker_client.py to 319, with the fields of bodies beside connections and retries. The decoders are in store_responses.py and worker_responses.py, and the choice of a worker for a suspected task is a function of jobs/placement.py. No behaviour changes; the tests that name the decoders follow.

--- a/src/chervillead/jobs/placement.py
+++ b/src/chervillead/jobs/placement.py
@@ -97,6 +97,30 @@
     )
 
 
+def select_isolated_worker(
+    workers: abc.Iterable[WorkerSnapshot],
+    step: model.Step,
+    step_key: tuple[str, int, int],
+    *,
+    accept_busy: bool,
+) -> WorkerSnapshot | None:
+    """Returns the worker on which a task that may crash it does least harm.
+
+    Args:
+        workers: The schedulable workers of the pool.
+        step: The step of the task.
+        step_key: Job id, occurrence and step.
+        accept_busy: Whether the emptiest worker will do if none is idle.
+    """
+    feasible = [
+        worker for worker in workers if is_feasible(worker, step, step_key)
+    ]
+    idle = [worker for worker in feasible if not worker.step_tasks]
+    if idle or not accept_busy:
+        return select_worker(idle, step, step_key)
+    return max(feasible, key=free_share, default=None)
+
+
 def select_best_ranked(
     workers: abc.Iterable[WorkerSnapshot],
     step: model.Step,
--- a/src/chervillead/platform/store_client.py
+++ b/src/chervillead/platform/store_client.py
@@ -1,7 +1,6 @@
 """Client of the platform's store, as `store.interface.Store`."""
 
 import asyncio
-import base64
 from collections import abc
 import typing
 import urllib.parse
@@ -15,6 +14,7 @@
 from chervillead import types
 from chervillead import verdicts
 from chervillead.platform import store_records
+from chervillead.platform import store_responses
 from chervillead.platform import wire
 from chervillead.store import interface
 
@@ -30,57 +30,8 @@
 PAGE_RETRY_DELAY_S = 0.1
 MAX_PAGES = 10_000
 
-_REJECTIONS = {
-    "fenced": interface.RejectionReason.FENCED,
-    "seq": interface.RejectionReason.OUT_OF_SEQUENCE,
-}
-
 
 _Value = typing.TypeVar("_Value")
-# Topic, partition and committed offset.
-_PartitionRow = tuple[str, wire.Count, int | None]
-# Topic, partition, member and committed offset.
-_OwnerRow = tuple[str, wire.Count, str | None, int | None]
-
-
-class _FailureFields(typing.TypedDict):
-    Reason: typing.NotRequired[str]
-    Seq: typing.NotRequired[wire.Count]
-    First: typing.NotRequired[wire.Count]
-
-
-class _AppendFields(typing.TypedDict):
-    End: typing.NotRequired[wire.Count]
-
-
-class _NewestItem(typing.TypedDict):
-    Key: str
-    # In base64.
-    Value: str
-    Offset: wire.Count
-
-
-class _NewestFields(typing.TypedDict):
-    items: list[_NewestItem]
-    HasMore: bool
-    End: wire.Count
-
-
-class _JoinFields(typing.TypedDict):
-    Generation: wire.Count
-    parts: list[_PartitionRow]
-
-
-class _OwnersFields(typing.TypedDict):
-    parts: typing.NotRequired[list[_OwnerRow] | None]
-    items: typing.NotRequired[list[_OwnerRow] | None]
-
-
-_failure_decoder = msgspec.json.Decoder(_FailureFields)
-_append_decoder = msgspec.json.Decoder(_AppendFields)
-_newest_decoder = msgspec.json.Decoder(_NewestFields)
-_join_decoder = msgspec.json.Decoder(_JoinFields)
-_owners_decoder = msgspec.json.Decoder(list[_OwnerRow] | _OwnersFields)
 
 
 class _Reply(typing.NamedTuple):
@@ -138,7 +89,7 @@
         increment("chervillead_store_calls", path, str(response.status))
         if response.status == 200:
             return result.Success(_Reply(200, response.body))
-        return result.Failure(_failure(path, response))
+        return result.Failure(store_responses.decode_failure(path, response))
 
     return interface.Store(
         append=_append(call),
@@ -150,40 +101,6 @@
     )
 
 
-def _failure(
-    path: str, response: http_exchange.HttpResponse
-) -> interface.StoreFailure:
-    """Maps a response with a status other than 200 to a failure."""
-    # The status alone tells what an unreadable failure means.
-    fields = wire.decode(_failure_decoder, response.body or b"{}").value_or(
-        _FailureFields()
-    )
-    detail = f"{path}: {response.status} {fields}"
-    if response.status == 409:
-        return interface.StoreFailure(
-            verdicts.Verdict.NOT_RUN,
-            detail,
-            _REJECTIONS.get(
-                fields.get("Reason", ""), interface.RejectionReason.NOT_A_MEMBER
-            ),
-            # The response's Seq is the sequence number that the store expects.
-            fields.get("Seq"),
-        )
-    if response.status == 410:
-        return interface.StoreFailure(
-            verdicts.Verdict.NOT_RUN,
-            detail,
-            interface.RejectionReason.OFFSET_EXPIRED,
-            fields.get("First"),
-        )
-    verdict = (
-        verdicts.Verdict.NOT_RUN
-        if response.status in (400, 403, 404, 429, 503, 507)
-        else verdicts.Verdict.MAY_HAVE_RUN
-    )
-    return interface.StoreFailure(verdict, detail)
-
-
 def _malformed(path: str, detail: str) -> interface.StoreFailure:
     return interface.StoreFailure(
         verdicts.Verdict.MAY_HAVE_RUN, f"{path}: malformed response: {detail}"
@@ -219,9 +136,9 @@
         )
         return reply.bind(
             lambda response: _accept(
-                "/log-append", wire.decode(_append_decoder, response.body)
+                "/log-append", store_responses.decode_append(response.body)
             )
-        ).map(lambda fields: fields.get("End", 0))
+        )
 
     return append
 
@@ -247,7 +164,10 @@
         )
         if not pipeline.is_successful(reply):
             return result.Failure(reply.failure())
-        return _accept("/log-read", decode_read(reply.unwrap().body, offset))
+        return _accept(
+            "/log-read",
+            store_responses.decode_read(reply.unwrap().body, offset),
+        )
 
     return read
 
@@ -266,7 +186,10 @@
                 if failure.detail.startswith("/log-newest: 404"):
                     return result.Success(interface.LatestRecords((), 0))
                 return result.Failure(failure)
-            page = _accept("/log-newest", decode_latest(reply.unwrap().body))
+            page = _accept(
+                "/log-newest",
+                store_responses.decode_latest(reply.unwrap().body),
+            )
             if not pipeline.is_successful(page):
                 return result.Failure(page.failure())
             found, has_more, page_end = page.unwrap()
@@ -304,61 +227,6 @@
     return reply
 
 
-class LatestPage(typing.NamedTuple):
-    """Some of the latest records.
-
-    Attributes:
-        records: The records, by key.
-        has_more: Whether records of later keys follow.
-        end: End of the partition at the time of the read.
-    """
-
-    records: tuple[interface.KeyedRecord, ...]
-    has_more: bool
-    end: int
-
-
-def decode_latest(body: bytes) -> result.Result[LatestPage, wire.Malformed]:
-    """Returns the latest records in a response, or why there are none."""
-    return wire.decode(_newest_decoder, body).bind(_latest_page)
-
-
-def _latest_page(
-    fields: _NewestFields,
-) -> result.Result[LatestPage, wire.Malformed]:
-    try:
-        records = tuple(
-            interface.KeyedRecord(
-                item["Key"],
-                base64.b64decode(item["Value"], validate=True),
-                item["Offset"],
-            )
-            for item in fields["items"]
-        )
-    except ValueError as error:
-        return result.Failure(wire.Malformed(repr(error)))
-    return result.Success(LatestPage(records, fields["HasMore"], fields["End"]))
-
-
-def decode_read(
-    body: bytes, offset: int
-) -> result.Result[interface.ReadPage, wire.Malformed]:
-    """Returns the page in the response to a read, or why there is none.
-
-    Args:
-        body: Body of the response.
-        offset: Offset from which it was read.
-    """
-    try:
-        records = tuple(store_records.decode_page(body, offset))
-    except ValueError as error:
-        return result.Failure(wire.Malformed(str(error)))
-    end_offset, _ = store_records.HEAD.unpack_from(body)
-    return result.Success(
-        interface.ReadPage(records, offset + len(records), end_offset)
-    )
-
-
 def _post(path: str, call: _Call, fields: dict[str, object]) -> typing.Any:
     return call("POST", path, {}, msgspec.json.encode(fields), TIMEOUT_S)
 
@@ -380,25 +248,13 @@
         )
         if not pipeline.is_successful(reply):
             return result.Failure(reply.failure())
-        return _accept("/log-join", decode_membership(reply.unwrap().body))
+        return _accept(
+            "/log-join", store_responses.decode_membership(reply.unwrap().body)
+        )
 
     return join
 
 
-def decode_membership(
-    body: bytes,
-) -> result.Result[interface.Membership, wire.Malformed]:
-    """Returns the membership in a response, or why there is none."""
-    return wire.decode(_join_decoder, body).map(_membership)
-
-
-def _membership(fields: _JoinFields) -> interface.Membership:
-    return interface.Membership(
-        fields["Generation"],
-        frozenset(partition for _, partition, _ in fields["parts"]),
-    )
-
-
 def _leave(call: _Call) -> typing.Any:
     async def leave(
         group: str, member: str
@@ -422,26 +278,8 @@
         )
         return reply.bind(
             lambda response: _accept(
-                "/log-owners", decode_owners(response.body)
+                "/log-owners", store_responses.decode_owners(response.body)
             )
         )
 
     return owners
-
-
-def decode_owners(
-    body: bytes,
-) -> result.Result[dict[int, str], wire.Malformed]:
-    """Returns the member of each partition in a response, or why not."""
-    return wire.decode(_owners_decoder, body).map(_owner_of_partition)
-
-
-def _owner_of_partition(
-    fields: list[_OwnerRow] | _OwnersFields,
-) -> dict[int, str]:
-    rows = fields if isinstance(fields, list) else _rows(fields)
-    return {partition: member for _, partition, member, _ in rows if member}
-
-
-def _rows(fields: _OwnersFields) -> list[_OwnerRow]:
-    return fields.get("parts") or fields.get("items") or []
--- a/src/chervillead/platform/worker_client.py
+++ b/src/chervillead/platform/worker_client.py
@@ -1,7 +1,6 @@
 """Client of the platform's runners, which this project calls workers."""
 
 from collections import abc
-import typing
 
 import msgspec
 from returns import pipeline
@@ -10,9 +9,9 @@
 from chervillead import http_connection
 from chervillead import http_exchange
 from chervillead import verdicts
-from chervillead.jobs import model
 from chervillead.jobs import task_runs
 from chervillead.platform import wire
+from chervillead.platform import worker_responses
 from chervillead.workers import interface
 
 # A worker responds to a command within milliseconds, and a connection that lost
@@ -20,14 +19,6 @@
 COMMAND_TIMEOUT_S = 0.4
 POLL_TIMEOUT_S = 0.5
 
-_END_KINDS = {
-    "done": task_runs.EndKind.DONE,
-    "failed": task_runs.EndKind.FAILED,
-    "stopped": task_runs.EndKind.STOPPED,
-    "lapsed": task_runs.EndKind.LEASE_EXPIRED,
-    "broken": task_runs.EndKind.GANG_BROKEN,
-    "alone": task_runs.EndKind.GANG_INCOMPLETE,
-}
 _REJECTIONS = {
     "fence": interface.RejectionReason.FENCED,
     "old": interface.RejectionReason.OUTDATED_RUN,
@@ -43,25 +34,6 @@
 }
 
 
-def task_name(run: task_runs.RunKey) -> str:
-    """Returns the wire name of a run's task: job.occurrence.step.number."""
-    task = run.task
-    return f"{run.job_id}.{task.occurrence}.{task.step}.{task.number}"
-
-
-def parse_task_name(name: object, run: object) -> task_runs.RunKey:
-    """Returns the run with a task's wire name and a run number.
-
-    Raises:
-        TypeError: The name is no text, or the run no integer.
-        ValueError: The name does not have the form of `task_name`.
-    """
-    job_id, *numbers = _text(name).split(".")
-    occurrence, step, number = map(int, numbers)
-    task = model.TaskKey(occurrence, step, number)
-    return task_runs.RunKey(job_id, task, _integer(run))
-
-
 def connect_workers(
     increment: abc.Callable[..., None],
     *,
@@ -126,7 +98,7 @@
         reply = _checked(outcome, "/hold", increment)
         if not pipeline.is_successful(reply):
             return result.Failure(reply.failure())
-        status = decode_status(reply.unwrap())
+        status = worker_responses.decode_status(reply.unwrap())
         if not pipeline.is_successful(status):
             poll_connection.close()
             return result.Failure(_malformed("/hold", status.failure()))
@@ -146,7 +118,7 @@
         command: interface.StartCommand,
     ) -> interface.CommandOutcome:
         fields: dict[str, object] = {
-            "Task": task_name(command.run),
+            "Task": worker_responses.task_name(command.run),
             "Run": command.run.number,
             "Spec": command.payload,
             "DeadlineMs": command.start_by_clock_ms,
@@ -159,14 +131,17 @@
 
     async def stop(run: task_runs.RunKey) -> interface.CommandOutcome:
         return await send_command(
-            "/run-stop", Task=task_name(run), Run=run.number
+            "/run-stop", Task=worker_responses.task_name(run), Run=run.number
         )
 
     async def pace(
         run: task_runs.RunKey, percent: int
     ) -> interface.CommandOutcome:
         return await send_command(
-            "/pace", Task=task_name(run), Run=run.number, Percent=percent
+            "/pace",
+            Task=worker_responses.task_name(run),
+            Run=run.number,
+            Percent=percent,
         )
 
     def close() -> None:
@@ -175,26 +150,6 @@
     return interface.WorkerClient(poll, start, stop, pace, close)
 
 
-class _ReplyFields(typing.TypedDict):
-    ClockMs: typing.NotRequired[wire.Count]
-    Reason: typing.NotRequired[str]
-
-
-_Row = list[str | int | float | None]
-
-
-class _StatusFields(typing.TypedDict):
-    ClockMs: wire.Count
-    # Start time of the process; it differs after a restart.
-    born: typing.NotRequired[wire.Count]
-    Running: typing.NotRequired[list[_Row] | None]
-    Ended: typing.NotRequired[list[_Row] | None]
-
-
-_reply_decoder = msgspec.json.Decoder(_ReplyFields)
-_status_decoder = msgspec.json.Decoder(_StatusFields)
-
-
 def _checked(
     outcome: http_connection.CallOutcome,
     path: str,
@@ -216,7 +171,7 @@
 
 def _clock_ms(path: str, body: bytes) -> interface.CommandOutcome:
     """Returns the worker's clock in the response to a command."""
-    decoded = _decode_reply(body)
+    decoded = worker_responses.decode_reply(body)
     if not pipeline.is_successful(decoded):
         return result.Failure(_malformed(path, decoded.failure()))
     return result.Success(decoded.unwrap().get("ClockMs", 0))
@@ -225,9 +180,9 @@
 def _rejection(
     path: str, status: int, body: bytes
 ) -> interface.WorkerCallFailure:
-    decoded = _decode_reply(body)
+    decoded = worker_responses.decode_reply(body)
     # The status alone tells what an unreadable rejection means.
-    fields = decoded.value_or(_ReplyFields())
+    fields = decoded.value_or(worker_responses.ReplyFields())
     reason = fields.get("Reason")
     rejection = (
         _REJECTIONS.get(str(reason), interface.RejectionReason.INVALID)
@@ -244,10 +199,6 @@
     )
 
 
-def _decode_reply(body: bytes) -> result.Result[_ReplyFields, wire.Malformed]:
-    return wire.decode(_reply_decoder, body or b"{}")
-
-
 def _malformed(
     path: str, malformed: wire.Malformed
 ) -> interface.WorkerCallFailure:
@@ -255,65 +206,3 @@
         verdicts.Verdict.MAY_HAVE_RUN,
         f"{path}: malformed response: {malformed.detail}",
     )
-
-
-def decode_status(
-    body: bytes,
-) -> result.Result[interface.WorkerStatus, wire.Malformed]:
-    """Returns the status in the response to a poll, or why there is none."""
-    decoded = wire.decode(_status_decoder, body)
-    if not pipeline.is_successful(decoded):
-        return result.Failure(decoded.failure())
-    try:
-        return result.Success(_status(decoded.unwrap()))
-    except (TypeError, ValueError, IndexError) as error:
-        return result.Failure(wire.Malformed(repr(error)))
-
-
-def _status(fields: _StatusFields) -> interface.WorkerStatus:
-    return interface.WorkerStatus(
-        clock_ms=fields["ClockMs"],
-        incarnation=fields.get("born", 0),
-        running=tuple(map(_running, fields.get("Running") or ())),
-        ended=tuple(map(_ended, fields.get("Ended") or ())),
-    )
-
-
-def _running(row: _Row) -> interface.RunStatus:
-    return interface.RunStatus(
-        parse_task_name(row[0], row[1]),
-        _text(row[2] or ""),
-        _whole(row[3]),
-        _whole(row[4]) if len(row) > 4 else 0,
-    )
-
-
-def _ended(row: _Row) -> interface.EndedRun:
-    kind = _END_KINDS.get(_text(row[3]))
-    if kind is None:
-        raise ValueError(f"unknown end {row[3]!r}")
-    return interface.EndedRun(
-        _integer(row[0]),
-        task_runs.RunEnd(
-            parse_task_name(row[1], row[2]), kind, _text(row[4] or "")
-        ),
-    )
-
-
-def _text(value: object) -> str:
-    if not isinstance(value, str):
-        raise TypeError(f"{value!r} is not a text")
-    return value
-
-
-def _integer(value: object) -> int:
-    if not isinstance(value, int):
-        raise TypeError(f"{value!r} is not an integer")
-    return value
-
-
-def _whole(value: object) -> int:
-    """Returns a number without its fraction."""
-    if not isinstance(value, int | float):
-        raise TypeError(f"{value!r} is not a number")
-    return int(value)
--- a/src/chervillead/pools/placement_pass.py
+++ b/src/chervillead/pools/placement_pass.py
@@ -213,23 +213,21 @@
     def _select_isolated(
         self, ready: readiness.ReadyTask, index: room_index.RoomIndex
     ) -> list[str] | _Verdict:
-        """Returns a worker without tasks, or the emptiest one after a while."""
-        feasible = [
-            snapshot
-            for snapshot in self._candidates(ready, index)
-            if placement.is_feasible(snapshot, ready.step, _step_key(ready))
-        ]
-        idle = [snapshot for snapshot in feasible if not snapshot.step_tasks]
-        if idle:
-            best = placement.select_worker(idle, ready.step, _step_key(ready))
-            return [best.worker_id] if best else _Verdict.NO_ROOM_FOR_TASK
-        if crash_evidence.may_wait_for_idle_worker(
+        """Returns a worker for a task that may crash it."""
+        may_wait = crash_evidence.may_wait_for_idle_worker(
             ready.job, ready.task, self._now_s
-        ):
-            return _Verdict.NO_IDLE_WORKER
-        if not feasible:
-            return _Verdict.NO_ROOM_FOR_TASK
-        return [max(feasible, key=placement.free_share).worker_id]
+        )
+        best = placement.select_isolated_worker(
+            self._candidates(ready, index),
+            ready.step,
+            _step_key(ready),
+            accept_busy=not may_wait,
+        )
+        if best is not None:
+            return [best.worker_id]
+        return (
+            _Verdict.NO_IDLE_WORKER if may_wait else _Verdict.NO_ROOM_FOR_TASK
+        )
 
     def _is_unplaceable(self, ready: readiness.ReadyTask) -> bool:
         """Returns whether a task that needs no more has found no room."""
--- a/tests/steps/platform_odd_records.py
+++ b/tests/steps/platform_odd_records.py
@@ -20,9 +20,9 @@
 from chervillead.platform import host_client
 from chervillead.platform import job_bodies
 from chervillead.platform import registrations
-from chervillead.platform import store_client
 from chervillead.platform import store_records
-from chervillead.platform import worker_client
+from chervillead.platform import store_responses
+from chervillead.platform import worker_responses
 from chervillead.pools import group_members
 from chervillead.pools import takeover
 from chervillead.store import interface
@@ -122,23 +122,23 @@
         lambda data: fleet_configuration.decode_wave(data, 0.0),
         {"Wave": 1, "Machines": ["m-1"], "DurationS": 20, "Cap": 1},
     ),
-    "status of a worker": (worker_client.decode_status, STATUS),
+    "status of a worker": (worker_responses.decode_status, STATUS),
     "list of hosts": (host_client.decode_page, HOSTS),
     "advice": (
         advice_client.decode_advice,
         {"Good": [["i-1", "ticket"]], "ValidMs": 3000},
     ),
     "page of the log": (
-        lambda data: store_client.decode_read(data, 3),
+        lambda data: store_responses.decode_read(data, 3),
         store_records.HEAD.pack(4, 0) + store_records.encode_records(LOG),
     ),
-    "latest records": (store_client.decode_latest, NEWEST),
+    "latest records": (store_responses.decode_latest, NEWEST),
     "group membership": (
-        store_client.decode_membership,
+        store_responses.decode_membership,
         {"Generation": 7, "parts": [["work", 3, 840]]},
     ),
     "list of owners": (
-        store_client.decode_owners,
+        store_responses.decode_owners,
         {"parts": [["work", 3, "member", 840]]},
     ),
     "frame between hosts": (
