Trust no replaced configuration while the newest one can't be decoded

'The newest configuration can't be decoded' failed with 404 and passes: the age counts as infinite, so calls are refused as not run, and peers don't take the records as current.

--- a/src/chervillead/platform/fleet_configuration.py
+++ b/src/chervillead/platform/fleet_configuration.py
@@ -34,7 +34,7 @@
     Priority: typing.NotRequired[int]
     MaxAttempts: typing.NotRequired[wire.Count | None]
     Stretch: typing.NotRequired[_Factor | None]
-    TargetLatencyMs: typing.NotRequired[wire.Count]
+    TargetLatencyMs: typing.NotRequired[_Factor]
     Public: typing.NotRequired[bool]
     Advice: typing.NotRequired[_AdviceFields | None]
 
@@ -123,7 +123,7 @@
         priority=route.get("Priority", 0),
         max_attempts=route.get("MaxAttempts") or 1,
         stretch=route.get("Stretch") or 1.0,
-        target_ms=route.get("TargetLatencyMs", 0),
+        target_ms=int(route.get("TargetLatencyMs", 0)),
         is_public=route.get("Public", False),
         advice=advice
         and model.AdvicePolicy(
--- a/src/chervillead/platform/fleet_view.py
+++ b/src/chervillead/platform/fleet_view.py
@@ -55,6 +55,7 @@
         # By queue: its previous pools and when each stopped serving it.
         self._previous_pools: dict[str, dict[str, float]] = {}
         self._confirmed_s = float("-inf")
+        self._is_configuration_readable = True
         self._on_change: abc.Callable[[], None] = lambda: None
 
     @property
@@ -119,7 +120,12 @@
         self._on_change = callback
 
     def age_s(self) -> float:
-        """Returns the time since the store last confirmed the records."""
+        """Returns the time since the store last confirmed the records.
+
+        Infinite while the newest configuration can't be decoded.
+        """
+        if not self._is_configuration_readable:
+            return float("inf")
         return self._boot_time() - self._confirmed_s
 
     def records_for_peer(
@@ -186,7 +192,8 @@
     def _apply_operator_change(self, change: keyed_state.Change) -> None:
         key, value = change
         if key == fleet_configuration.CONFIGURATION_KEY and value:
-            self._apply_or_log(
+            # The version in force is unknown until a later one can be decoded.
+            self._is_configuration_readable = self._apply_or_log(
                 key,
                 fleet_configuration.decode_configuration(value),
                 self._apply_configuration,
@@ -208,14 +215,13 @@
         key: str,
         decoded: result.Result[_Value, wire.Malformed],
         apply: abc.Callable[[_Value], None],
-    ) -> None:
-        """Applies a decoded record; one that can't be decoded is logged."""
+    ) -> bool:
+        """Applies a decoded record, or logs that it can't be decoded."""
         if pipeline.is_successful(decoded):
             apply(decoded.unwrap())
-        else:
-            self._log(
-                "record:unreadable", key=key, error=decoded.failure().detail
-            )
+            return True
+        self._log("record:unreadable", key=key, error=decoded.failure().detail)
+        return False
 
     def _apply_wave(self, wave: machines_interface.Wave) -> None:
         if wave.number in self._waves:
--- a/tests/platform/configuration.feature
+++ b/tests/platform/configuration.feature
@@ -93,3 +93,23 @@
     And 9 s pass
     Then 2 runs of the job were started
     And every host reports the job as completed
+
+  Scenario: The newest configuration can't be decoded
+    # Guards against a host that decides by a replaced version, since it can't
+    # read the one in force.
+    Given a platform fleet of 2 hosts and 1 worker
+    When operators publish a configuration that can't be decoded
+    And 1 s pass
+    And a caller asks for the pending jobs of /added/
+    Then the call is refused with status 503 as not-run
+
+  Scenario: A configuration that can't be decoded is replaced
+    # Guards against a host that refuses calls after operators have corrected
+    # the configuration.
+    Given a platform fleet of 2 hosts and 1 worker
+    When operators publish a configuration that can't be decoded
+    And 1 s pass
+    And the next configuration has no other queue
+    And 1 s pass
+    And a caller asks for the pending jobs of /added/
+    Then the call is refused with status 404 as not-run
--- a/tests/steps/platform_configuration.py
+++ b/tests/steps/platform_configuration.py
@@ -106,6 +106,15 @@
     publish(context, PUBLISHED_QUEUES[queues])
 
 
+@behave.when("operators publish a configuration that can't be decoded")
+def step(context):
+    async def put(fleet):
+        record = platform_fleet.configuration(2, Routes={})
+        fleet.store.put("keyed.op", "config", record)
+
+    platform_scenarios.add_action(context, put)
+
+
 @behave.when("a caller asks for the pending jobs of {path}")
 def step(context, path):
     async def count(fleet):
