Give a task up after three crashes, not two

A job without any fault was shown as failed: its worker was restarted twice under a task, the second time while that was tried by itself, which counted as proof. The run repeats alone, so it isn't the load.

Change: three crashes are needed, the last of them without another possible cause. The scenario 'A worker crashes for another reason under a task that is tried alone' failed before and passes; random_faults passes again.

--- a/src/chervillead/jobs/crash_evidence.py
+++ b/src/chervillead/jobs/crash_evidence.py
@@ -17,7 +17,10 @@
 # what crashed it.
 PROBATION_S = 1.5
 # A task that must have crashed its worker is given up after this many crashes.
-MIN_CRASHES = 2
+# Two can be chance: a crash for another reason may follow the first one soon.
+MIN_CRASHES = 3
+# A task under which this many workers crashed may crash them late.
+LATE_SUSPICION_CRASHES = 2
 # Crashes after which a task is given up whatever ran beside it.
 MAX_CRASHES = 4
 # All members of a gang start together, so none of them can be tried alone.
@@ -120,11 +123,10 @@
 ) -> float:
     """Returns until when a suspected task keeps its worker for itself.
 
-    A batch task under which several workers crashed may crash them late, so it
-    keeps the worker to its end.
+    A batch task that may crash workers late keeps the worker to its end.
     """
     crashes = len(job.crashed_runs.get(task, ()))
-    if crashes >= MIN_CRASHES and not job.step(task).long_running:
+    if crashes >= LATE_SUSPICION_CRASHES and not job.step(task).long_running:
         return float("inf")
     return started_s + PROBATION_S
 
--- a/tests/steps/pools_crashing_tasks.py
+++ b/tests/steps/pools_crashing_tasks.py
@@ -75,6 +75,17 @@
     platform_scenarios.add_action(context, crash)
 
 
+@behave.when("the task has been started again")
+def step(context):
+    async def wait(fleet):
+        started = len(fleet.runs(platform_scenarios.JOB))
+        while len(fleet.runs(platform_scenarios.JOB)) == started:
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(0.3)
+
+    platform_scenarios.add_action(context, wait)
+
+
 @behave.then("at most {count:d} workers crashed")
 def step(context, count):
     fleet = platform_scenarios.run_once(context).fleet
