--- a/tests/stand_ins/run_features.py
+++ b/tests/stand_ins/run_features.py
@@ -16,15 +16,19 @@
 import typing
 
 # Features that start real processes need processors of their own.
-PROCESSES = max(1, min(4, (os.cpu_count() or 2) - 2))
+PROCESSES = max(1, min(6, (os.cpu_count() or 2) - 2))
 # Features that take longest start first, so none is left alone at the end.
 LONGEST_FIRST = (
+    "invariants.feature",
+    "fleet/maintenance.feature",
     "entries/escrow.feature",
+    "fleet/host_borrowing.feature",
     "pools/random_faults.feature",
-    "invariants.feature",
+    "entries/seats.feature",
+    "fleet/pool_moves.feature",
+    "callers/application.feature",
     "fleet_processes.feature",
     "callers/signals.feature",
-    "fleet/maintenance.feature",
     "operators/pages.feature",
     "examples.feature",
 )
