Poll for operator records often enough for their maximum age

Change: a poll waits for 0.27 of the maximum age, so that the records stay below the age at which a host asks its peers. The scenario 'The store answers and nothing changes' failed with an age of 2.01 s and passes.

--- a/src/chervillead/platform/assembly.py
+++ b/src/chervillead/platform/assembly.py
@@ -37,7 +37,10 @@
 from chervillead.store import keyed_follower
 from chervillead.store import keyed_state
 
-OPERATOR_POLL_WAIT_MS = 1000
+# Longest wait of a poll for operator records, as a fraction of their maximum
+# age. A poll confirms them as of its start, so they are twice as old when the
+# next one ends; that must not make a host ask its peers.
+OPERATOR_POLL_WAIT_FRACTION = 0.27
 # Workers write often, so reads are spaced to batch their changes.
 WORKERS_READ_INTERVAL_S = 0.25
 # A worker writes at most this many records within the longest lease.
@@ -299,7 +302,9 @@
         host.store,
         fleet_configuration.OPERATOR_TOPIC,
         host.fleet_view.operator_state,
-        wait_ms=OPERATOR_POLL_WAIT_MS,
+        wait_ms=int(
+            1000 * OPERATOR_POLL_WAIT_FRACTION * host.settings.config_max_age_s
+        ),
         boot_time=host.environment.boot_time,
         apply_changes=host.fleet_view.apply_operator,
         on_current=confirmed,
--- a/src/chervillead/platform/operator_sync.py
+++ b/src/chervillead/platform/operator_sync.py
@@ -20,8 +20,7 @@
 from chervillead.platform import fleet_view
 from chervillead.platform import store_client
 
-# Fraction of their maximum age at which records are fetched from a peer. A poll
-# of the store confirms them once a second.
+# Fraction of their maximum age at which records are fetched from a peer.
 SYNC_AGE_FRACTION = 0.62
 SYNC_INTERVAL_S = 0.4
 # Time for a reply without records, or with few.
--- a/tests/platform/configuration.feature
+++ b/tests/platform/configuration.feature
@@ -113,3 +113,12 @@
     And 1 s pass
     And a caller asks for the pending jobs of /added/
     Then the call is refused with status 404 as not-run
+
+  Scenario: The store answers and nothing changes
+    # Guards against hosts that refuse calls, or ask peers for records, between
+    # two polls of a store that answers in time.
+    Given a platform fleet of 3 hosts and 1 worker
+    When the next configuration has no other queue
+    And 10 s pass
+    Then no host was out of date for 1.77 s
+    And no host fetched records from a peer
--- a/tests/steps/platform_configuration.py
+++ b/tests/steps/platform_configuration.py
@@ -137,7 +137,7 @@
         assert max(delays_s.values()) <= seconds, (version, delays_s)
 
 
-@behave.then("no host was out of date for {seconds:d} s")
+@behave.then("no host was out of date for {seconds:g} s")
 def step(context, seconds):
     platform_scenarios.run_once(context)
     ages_s = {
@@ -229,3 +229,13 @@
 def step(context, count):
     runs = platform_scenarios.run_once(context).runs
     assert len(runs) == count, runs
+
+
+@behave.then("no host fetched records from a peer")
+def step(context):
+    fetches = [
+        line
+        for line in platform_scenarios.run_once(context).fleet.logs
+        if line["message_type"].startswith("operator-records:")
+    ]
+    assert not fetches, fetches[:3]
