--- a/src/chervillead/platform/operator_sync.py
+++ b/src/chervillead/platform/operator_sync.py
@@ -12,6 +12,7 @@
 import typing
 
 from returns import pipeline
+from returns import result
 
 from chervillead import types
 from chervillead.entries import job_messages
@@ -72,27 +73,30 @@
 async def _fetch(peer: types.Address, ports: SyncPorts) -> None:
     """Fetches from one peer what it knows and this host doesn't."""
     age_s, started_s = ports.view.age_s(), ports.boot_time()
-    problem = await _fetch_parts(peer, ports)
+    outcome = await _fetch_parts(peer, ports)
+    is_answered = pipeline.is_successful(outcome)
     ports.increment(
-        "chervillead_operator_syncs", "failed" if problem else "answered"
+        "chervillead_operator_syncs", "answered" if is_answered else "failed"
     )
     ports.log(
-        "operator-records:sync-failed"
-        if problem
-        else "operator-records:synced",
+        "operator-records:synced"
+        if is_answered
+        else "operator-records:sync-failed",
         peer=f"{peer.host}:{peer.port}",
         age_before_s=_loggable(age_s),
         age_s=_loggable(ports.view.age_s()),
         took_s=_loggable(ports.boot_time() - started_s),
-        error=problem or None,
+        error=None if is_answered else outcome.failure(),
     )
 
 
-async def _fetch_parts(peer: types.Address, ports: SyncPorts) -> str:
+async def _fetch_parts(
+    peer: types.Address, ports: SyncPorts
+) -> result.Result[None, str]:
     """Asks once, and again if the records are too long to come unasked.
 
     Returns:
-        What went wrong, or "".
+        Nothing, or what went wrong.
     """
     max_bytes, timeout_s = MAX_UNASKED_BYTES, REPLY_TIMEOUT_S
     for _ in range(2):
@@ -105,16 +109,18 @@
             timeout_s,
         )
         if not pipeline.is_successful(outcome):
-            return outcome.failure().detail
+            return result.Failure(outcome.failure().detail)
         reply = outcome.unwrap()
         if not isinstance(reply, job_messages.OperatorRecords):
-            return f"unexpected reply {type(reply).__name__}"
+            return result.Failure(f"unexpected reply {type(reply).__name__}")
         ports.apply_owners(reply.owners)
         if reply.packed is not None:
             return _apply(reply, reply.packed, requested_s, ports)
         max_bytes = reply.packed_bytes
         timeout_s = REPLY_TIMEOUT_S + transfer_time_s(reply.packed_bytes)
-    return f"the records grew beyond {max_bytes} bytes meanwhile"
+    return result.Failure(
+        f"the records grew beyond {max_bytes} bytes meanwhile"
+    )
 
 
 def _apply(
@@ -122,13 +128,13 @@
     packed: bytes,
     requested_s: float,
     ports: SyncPorts,
-) -> str:
+) -> result.Result[None, str]:
     try:
         records = packed_records.unpack(packed)
     except packed_records.MalformedRecordsError as error:
-        return f"malformed records: {error}"
+        return result.Failure(f"malformed records: {error}")
     ports.view.apply_peer_records(reply, records, requested_s)
-    return ""
+    return result.Success(None)
 
 
 def transfer_time_s(size: int) -> float:
