Name what is counted after crashes in the terms of the field

Log lines, names and pages spoke of accused, convicted and acquitted tasks; they now say that a crash counts against a task, that a run is the sole cause of it and that a task is suspected or cleared. The log line run:accused is now named run:crash-counted. The head of crash_evidence.py said that a second crash ends a task by itself; since it is the third.

--- a/src/chervillead/jobs/crash_evidence.py
+++ b/src/chervillead/jobs/crash_evidence.py
@@ -1,9 +1,9 @@
 """Tells tasks that crash their workers from tasks that ran beside them.
 
-A crash accuses each task that ran on the worker. Which one is at fault shows
-when it is started again by itself: a task that is suspected gets a worker of
-its own until it has run for a while. One that crashes that worker too is given
-up; one that doesn't goes on like any other.
+A crash counts against each task that ran on the worker. Which one caused it
+shows when a task is started again by itself: a suspected task gets a worker of
+its own until it has run for a while. One under which workers crash there too is
+given up, and any other one is started like other tasks again.
 """
 
 from collections import abc
@@ -15,7 +15,7 @@
 
 # A task beside which a worker still answered after this time is unlikely to be
 # what crashed it.
-PROBATION_S = 1.5
+MAX_CRASH_DELAY_S = 1.5
 # A task that must have crashed its worker is given up after this many crashes.
 # Two can be chance: a crash for another reason may follow the first one soon.
 MIN_CRASHES = 3
@@ -23,19 +23,19 @@
 LATE_SUSPICION_CRASHES = 2
 # Crashes after which a task is given up whatever ran beside it.
 MAX_CRASHES = 4
-# All members of a gang start together, so none of them can be tried alone.
+# All members of a gang start together, so none can be started by itself.
 MAX_GANG_CRASHES = 3
 # A long-running task that has run for this long has not crashed its worker;
 # over days, many of its workers may crash.
-LONG_RUN_ACQUITTAL_S = 8.0
+LONG_RUN_CLEAR_S = 8.0
 # Longest wait for a worker without tasks; then the emptiest one has to do.
 MAX_ISOLATION_WAIT_S = 1.0
 
 
-def accused(job: job_state.JobState, task: model.TaskKey) -> model.TaskKey:
-    """Returns the task that crashes under a run of a task count for.
+def counted_task(job: job_state.JobState, task: model.TaskKey) -> model.TaskKey:
+    """Returns the task that a crash under a run of a task counts against.
 
-    A crash under any member of a gang counts for its first one.
+    A crash under any member of a gang counts against its first one.
     """
     return task._replace(number=0) if job.step(task).gang else task
 
@@ -53,13 +53,13 @@
 
     def is_recent(self, run: task_runs.Run) -> bool:
         """Returns whether a run had begun only shortly before the crash."""
-        return self.answered_s - run.started_s < PROBATION_S
+        return self.answered_s - run.started_s < MAX_CRASH_DELAY_S
 
-    def convicts(self, run: task_runs.Run) -> bool:
-        """Returns whether no other run can have caused the crash.
+    def has_sole_cause(self, run: task_runs.Run) -> bool:
+        """Returns whether only this run can have caused the crash.
 
-        The task was tried by itself, and all runs beside it had run without
-        harm for a while.
+        Its task was started by itself, and all runs beside it had lasted too
+        long to have caused it.
         """
         if self.answered_s > run.isolated_until_s:
             return False
@@ -85,14 +85,14 @@
     """
     if job.is_finished or job.is_done(run.task):
         return False
-    task = accused(job, run.task)
+    task = counted_task(job, run.task)
     crashed = job.crashed_runs.get(task, set())
     if crash.is_recent(run) or crashed:
         job.suspected_s[task] = now_s
-    is_conviction = crash.convicts(run)
+    is_sole_cause = crash.has_sole_cause(run)
     # A start without a reply may not have been carried out, unless it was the
     # only one that can have crashed the worker.
-    is_certain = run.phase is not task_runs.RunPhase.UNCERTAIN or is_conviction
+    is_certain = run.phase is not task_runs.RunPhase.UNCERTAIN or is_sole_cause
     if run.number in crashed or not is_certain:
         return False
     crashed = crashed | {run.number}
@@ -100,7 +100,7 @@
     if job.step(run.task).gang:
         limit = MAX_GANG_CRASHES
     else:
-        limit = MIN_CRASHES if is_conviction else MAX_CRASHES
+        limit = MIN_CRASHES if is_sole_cause else MAX_CRASHES
     if len(crashed) >= limit:
         job.give_up(now_s)
     return True
@@ -128,17 +128,17 @@
     crashes = len(job.crashed_runs.get(task, ()))
     if crashes >= LATE_SUSPICION_CRASHES and not job.step(task).long_running:
         return float("inf")
-    return started_s + PROBATION_S
+    return started_s + MAX_CRASH_DELAY_S
 
 
-def acquit_long_run(
+def clear_long_run(
     job: job_state.JobState, run: task_runs.Run, now_s: float
 ) -> None:
-    """Clears a long-running task that has run without harm for a while."""
+    """Forgets the crashes of a long-running task that has run long since."""
     if (
         run.task in job.crashed_runs
         and job.step(run.task).long_running
-        and now_s - run.started_s > LONG_RUN_ACQUITTAL_S
+        and now_s - run.started_s > LONG_RUN_CLEAR_S
     ):
         del job.crashed_runs[run.task]
         job.suspected_s.pop(run.task, None)
--- a/src/chervillead/jobs/placement.py
+++ b/src/chervillead/jobs/placement.py
@@ -104,7 +104,7 @@
     *,
     accept_busy: bool,
 ) -> WorkerSnapshot | None:
-    """Returns the worker on which a task that may crash it does least harm.
+    """Returns the worker for a task that may crash it and all runs there.
 
     Args:
         workers: The schedulable workers of the pool.
--- a/src/chervillead/pools/crash_tracking.py
+++ b/src/chervillead/pools/crash_tracking.py
@@ -26,8 +26,8 @@
             the owner's clock.
 
     Returns:
-        Appends of what the crash says about the tasks. The end of a worker that
-        was to end accuses none.
+        Appends of the crashes counted against tasks. The end of a worker that
+        was to end counts against none.
     """
     runs = [
         run
@@ -43,7 +43,7 @@
     )
     for run in runs:
         state.end_run(view, run, kind)
-    return _accuse(state, view, runs) if is_crash else []
+    return _count_crash(state, view, runs) if is_crash else []
 
 
 def _was_to_end(
@@ -58,7 +58,7 @@
     )
 
 
-def _accuse(
+def _count_crash(
     state: owner_state.OwnerState,
     view: view_module.WorkerView,
     runs: list[task_runs.Run],
@@ -74,9 +74,9 @@
         if not crash_evidence.apply_crash(job, run, crash, now_s):
             continue
         state.jobs.mark_changed(run.job_id)
-        task = crash_evidence.accused(job, run.task)
+        task = crash_evidence.counted_task(job, run.task)
         state.log_run(
-            "run:accused",
+            "run:crash-counted",
             run,
             crashes=len(job.crashed_runs[task]),
             ran_s=round(answered_s - run.started_s, 3),
--- a/src/chervillead/pools/run_tracking.py
+++ b/src/chervillead/pools/run_tracking.py
@@ -89,7 +89,7 @@
         state.stop_run(run, "its job is unknown")
         return
     job.has_started = True
-    crash_evidence.acquit_long_run(job, run, state.now_s())
+    crash_evidence.clear_long_run(job, run, state.now_s())
     if running.checkpoint:
         job.checkpoints[run.task] = running.checkpoint
     if job.is_finished:
--- a/tests/jobs/crash_evidence.feature
+++ b/tests/jobs/crash_evidence.feature
@@ -1,25 +1,25 @@
 Feature: Which task crashed a worker
-  A crash accuses all tasks on the worker. A task is given up only if it must have
+  A crash counts against all tasks on the worker. A task is given up only if it must have
   crashed its worker and has lost three, or has lost four.
 
   Scenario Outline: A worker crashes under a batch task
-    # Guards against innocent tasks that are given up, and against guilty ones
-    # that go on crashing workers.
+    # Guards against giving up tasks that crash no worker, and against tasks that
+    # go on crashing workers.
     Given a task that has lost <before> workers
     And a run of it that is <start>, <ran> s old at the worker's last answer
     And other runs there that are <beside> s old
     When the worker crashes
-    Then the task has lost <after> workers and is <verdict>
+    Then the task has lost <after> workers and is <state>
 
     Examples: its first crash
-      | before | start       | ran | beside | after | verdict   |
+      | before | start       | ran | beside | after | state     |
       | 0      | placed      | 0.1 | 0.1 5  | 1     | suspected |
       | 0      | placed      | 0.1 | none   | 1     | suspected |
-      | 0      | placed      | 3.0 | 0.1    | 1     | trusted   |
+      | 0      | placed      | 3.0 | 0.1    | 1     | clear     |
       | 0      | unconfirmed | 0.1 | 0.2    | 0     | suspected |
 
-    Examples: tried by itself
-      | before | start       | ran | beside | after | verdict   |
+    Examples: started by itself
+      | before | start       | ran | beside | after | state     |
       | 1      | isolated    | 0.1 | none   | 2     | suspected |
       | 2      | isolated    | 0.1 | none   | 3     | given up  |
       | 2      | isolated    | 0.1 | 3 5    | 3     | given up  |
@@ -29,14 +29,14 @@
       | 2      | isolated    | 9.0 | none   | 3     | given up  |
 
     Examples: lost beside others again and again
-      | before | start       | ran | beside | after | verdict   |
+      | before | start       | ran | beside | after | state     |
       | 1      | placed      | 3.0 | 0.1    | 2     | suspected |
       | 2      | placed      | 3.0 | 0.1    | 3     | suspected |
       | 3      | placed      | 3.0 | 0.1    | 4     | given up  |
 
   Scenario: A gang loses workers
     # Guards against gangs that are started without end, as their members can't be
-    # tried alone, and against counting a crash once for each member.
+    # started alone, and against counting a crash once for each member.
     Given a gang of 2 tasks
     When workers crash under both members of 2 runs
     Then the gang has lost 2 workers and gets another run
@@ -50,14 +50,14 @@
     When its progress is stored and restored
     Then the task has lost 3 workers and is suspected
 
-  Scenario Outline: A long-running task goes on without harm
+  Scenario Outline: A long-running task runs for long after its crashes
     # Guards against long-running tasks that are given up after months, since some
     # of their workers have crashed.
     Given a long-running task that has lost 2 workers
     When its next run has lasted <lasted> s
-    Then the task has lost <after> workers and is <verdict>
+    Then the task has lost <after> workers and is <state>
 
     Examples:
-      | lasted | after | verdict   |
+      | lasted | after | state     |
       | 5      | 2     | suspected |
-      | 9      | 0     | trusted   |
+      | 9      | 0     | clear     |
--- a/tests/pools/crashing_tasks.feature
+++ b/tests/pools/crashing_tasks.feature
@@ -57,7 +57,7 @@
     And 12 s pass
     Then every host reports the job as completed
 
-  Scenario: A worker crashes for another reason under a task that is tried alone
+  Scenario: A worker crashes for another reason under a task that was started by itself
     # Guards against a job that is given up for two crashes in a row that none of
     # its tasks has caused.
     Given a platform fleet of 3 hosts and 4 workers
--- a/tests/steps/jobs_crash_evidence.py
+++ b/tests/steps/jobs_crash_evidence.py
@@ -32,7 +32,7 @@
 
 
 def lose_workers(job, count):
-    """Records crashes that don't show which task was at fault."""
+    """Records crashes that don't show which task caused them."""
     job.highest_run[TASK] = count
     for number in range(1, 1 + count):
         run, other = new_run(number), new_run(number)
@@ -40,11 +40,11 @@
         crash_evidence.apply_crash(job, run, crash, NOW_S)
 
 
-def verdict_of(job):
+def state_of(job):
     if job.is_failed:
         return "given up"
     is_suspected = crash_evidence.needs_isolation(job, TASK)
-    return "suspected" if is_suspected else "trusted"
+    return "suspected" if is_suspected else "clear"
 
 
 @behave.given("a task that has lost {count:d} workers")
@@ -85,10 +85,10 @@
     crash_evidence.apply_crash(context.job, context.run, crash, NOW_S)
 
 
-@behave.then("the task has lost {count:d} workers and is {verdict}")
-def step(context, count, verdict):
+@behave.then("the task has lost {count:d} workers and is {state}")
+def step(context, count, state):
     lost = len(context.job.crashed_runs.get(TASK, ()))
-    assert (lost, verdict_of(context.job)) == (count, verdict)
+    assert (lost, state_of(context.job)) == (count, state)
 
 
 @behave.given("a gang of {count:d} tasks")
@@ -132,4 +132,4 @@
 @behave.when("its next run has lasted {seconds:g} s")
 def step(context, seconds):
     run = new_run(10, seconds)
-    crash_evidence.acquit_long_run(context.job, run, NOW_S)
+    crash_evidence.clear_long_run(context.job, run, NOW_S)
