Try a suspected task on a worker that has not crashed under it

Cause: a suspected task gets an idle worker, and idle is above all the worker that has just crashed and returned. A worker that crashes whatever runs there then gave the second and third crash "without another possible cause".

Change: a suspected task isn't started at an address where a worker crashed under it while another one could take it, and the crash of a worker that had crashed within 10 s has no sole cause. The fourth crash still ends the job in any case, so the platform's limit on starts after three crashes holds as before.

--- a/src/chervillead/jobs/crash_evidence.py
+++ b/src/chervillead/jobs/crash_evidence.py
@@ -9,6 +9,7 @@
 from collections import abc
 import typing
 
+from chervillead import types
 from chervillead.jobs import job_state
 from chervillead.jobs import model
 from chervillead.jobs import task_runs
@@ -30,6 +31,8 @@
 LONG_RUN_CLEAR_S = 8.0
 # Longest wait for a worker without tasks; then the emptiest one has to do.
 MAX_ISOLATION_WAIT_S = 1.0
+# A worker that crashes again within this time may do so whatever runs on it.
+REPEATED_CRASH_S = 10.0
 
 
 def counted_task(job: job_state.JobState, task: model.TaskKey) -> model.TaskKey:
@@ -46,10 +49,20 @@
     Attributes:
         runs: Runs that were on the worker.
         answered_s: Time of its last answer, by the owner's clock.
+        address: Address of the worker, which keeps it when it returns.
+        previous_s: Time of the last answer before the previous crash at that
+            address; -inf if there was none.
     """
 
     runs: abc.Sequence[task_runs.Run]
     answered_s: float
+    address: types.Address
+    previous_s: float = float("-inf")
+
+    @property
+    def is_repeated(self) -> bool:
+        """Whether the worker had crashed shortly before."""
+        return self.answered_s - self.previous_s < REPEATED_CRASH_S
 
     def is_recent(self, run: task_runs.Run) -> bool:
         """Returns whether a run had begun only shortly before the crash."""
@@ -58,10 +71,11 @@
     def has_sole_cause(self, run: task_runs.Run) -> bool:
         """Returns whether only this run can have caused the crash.
 
-        Its task was started by itself, and all runs beside it had lasted too
-        long to have caused it.
+        Its task was started by itself, all runs beside it had lasted too long
+        to have caused it, and the worker isn't one that crashes again and
+        again.
         """
-        if self.answered_s > run.isolated_until_s:
+        if self.is_repeated or self.answered_s > run.isolated_until_s:
             return False
         beside = [other for other in self.runs if other is not run]
         if self.is_recent(run):
@@ -89,6 +103,7 @@
     crashed = job.crashed_runs.get(task, set())
     if crash.is_recent(run) or crashed:
         job.suspected_s[task] = now_s
+        job.crash_addresses.setdefault(task, set()).add(crash.address)
     is_sole_cause = crash.has_sole_cause(run)
     # A start without a reply may not have been carried out, unless it was the
     # only one that can have crashed the worker.
@@ -142,3 +157,4 @@
     ):
         del job.crashed_runs[run.task]
         job.suspected_s.pop(run.task, None)
+        job.crash_addresses.pop(run.task, None)
--- a/src/chervillead/jobs/job_state.py
+++ b/src/chervillead/jobs/job_state.py
@@ -9,6 +9,7 @@
 import enum
 import statistics
 
+from chervillead import types
 from chervillead.jobs import model
 from chervillead.jobs import task_runs
 
@@ -37,6 +38,8 @@
         crashed_runs: Numbers of the runs of each task whose worker crashed.
         suspected_s: When each task that may have crashed its worker was
             suspected, by the owner's clock.
+        crash_addresses: Addresses of the workers that crashed under each
+            suspected task, as far as this owner knows.
         highest_run: Highest known run number of each task.
         max_unrecorded_run: Highest run number that previous owners may have
             used without recording it.
@@ -65,6 +68,7 @@
         self.failed_runs: dict[model.TaskKey, set[int]] = {}
         self.crashed_runs: dict[model.TaskKey, set[int]] = {}
         self.suspected_s: dict[model.TaskKey, float] = {}
+        self.crash_addresses: dict[model.TaskKey, set[types.Address]] = {}
         self.highest_run: dict[model.TaskKey, int] = {}
         self.max_unrecorded_run = 0
         self.checkpoints: dict[model.TaskKey, str] = {}
--- a/src/chervillead/pools/crash_tracking.py
+++ b/src/chervillead/pools/crash_tracking.py
@@ -65,7 +65,16 @@
 ) -> list[asyncio.Future[None]]:
     now_s = state.now_s()
     answered_s = view.last_contact_s or view.discovered_s
-    crash = crash_evidence.Crash(runs, answered_s)
+    address = view.registration.address
+    crash = crash_evidence.Crash(
+        runs,
+        answered_s,
+        address,
+        state.crashed_s.get(address, float("-inf")),
+    )
+    # A worker that never answered may have crashed long before this owner.
+    if view.last_contact_s is not None:
+        state.crashed_s[address] = view.last_contact_s
     appends = []
     for run in runs:
         job = state.jobs.get(run.job_id)
@@ -81,6 +90,7 @@
             crashes=len(job.crashed_runs[task]),
             ran_s=round(answered_s - run.started_s, 3),
             beside=len(runs) - 1,
+            is_repeated=crash.is_repeated,
             is_suspected=task in job.suspected_s,
             is_given_up=job.is_failed,
         )
--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -4,6 +4,7 @@
 from collections import abc
 import traceback
 
+from chervillead import types
 from chervillead.jobs import job_state
 from chervillead.jobs import job_table
 from chervillead.jobs import model
@@ -52,6 +53,8 @@
         ended_workers: Ids of workers that certainly run nothing any more.
         taken_down_incarnations: Incarnation, by worker id, of workers whose
             hosts this owner took down. The store lists them for a while longer.
+        crashed_s: When the last worker that crashed at each address had last
+            answered.
         changed_workers: Ids of workers whose runs or health changed since the
             last placement pass.
         is_loaded: Whether all jobs of the partition have been loaded.
@@ -80,6 +83,7 @@
         self.recovering_jobs: set[str] = set()
         self.ended_workers: set[str] = set()
         self.taken_down_incarnations: dict[str, int] = {}
+        self.crashed_s: dict[types.Address, float] = {}
         self.changed_workers: set[str] = set()
         self.is_loaded = False
         self.is_fenced = False
--- a/src/chervillead/pools/placement_pass.py
+++ b/src/chervillead/pools/placement_pass.py
@@ -12,6 +12,7 @@
 import enum
 import itertools
 
+from chervillead import types
 from chervillead.jobs import crash_evidence
 from chervillead.jobs import job_state
 from chervillead.jobs import model
@@ -213,12 +214,23 @@
     def _select_isolated(
         self, ready: readiness.ReadyTask, index: room_index.RoomIndex
     ) -> list[str] | _Verdict:
-        """Returns a worker for a task that may crash it."""
+        """Returns a worker for a task that may crash it.
+
+        One that crashed under the task before may crash for another reason, so
+        it tells little about the task and is the last choice.
+        """
         may_wait = crash_evidence.may_wait_for_idle_worker(
             ready.job, ready.task, self._now_s
         )
+        candidates = self._candidates(ready, index)
+        crashed = ready.job.crash_addresses.get(ready.task, set())
+        others = [
+            snapshot
+            for snapshot in candidates
+            if self._address_of(snapshot.worker_id) not in crashed
+        ]
         best = placement.select_isolated_worker(
-            self._candidates(ready, index),
+            others if others or may_wait else candidates,
             ready.step,
             _step_key(ready),
             accept_busy=not may_wait,
@@ -229,6 +241,9 @@
             _Verdict.NO_IDLE_WORKER if may_wait else _Verdict.NO_ROOM_FOR_TASK
         )
 
+    def _address_of(self, worker_id: str) -> types.Address:
+        return self._state.watches[worker_id].view.registration.address
+
     def _is_unplaceable(self, ready: readiness.ReadyTask) -> bool:
         """Returns whether a task that needs no more has found no room."""
         key = ready.job.spec.pool, ready.step.required_label
--- a/tests/pools/crashing_tasks.feature
+++ b/tests/pools/crashing_tasks.feature
@@ -70,6 +70,18 @@
     And 12 s pass
     Then every host reports the job as completed
 
+  Scenario: Workers crash and return by turns
+    # Guards against jobs that are given up because their suspected tasks are
+    # started by themselves on workers that crash whatever runs there: these have
+    # just returned, so they are the idle ones.
+    Given a platform fleet of 2 hosts and 4 workers
+    And tasks run for 1 s
+    When a job of 120 tasks is submitted
+    And the first 2 workers crash 5 times, 1.4 s after they returned
+    And 20 s pass
+    Then every host reports the job as completed
+    And no invariant was violated on the workers
+
   Scenario: A long-running task outlives the crashes of its workers
     # Guards against long-running jobs that are given up, as workers crash under
     # them now and then.
--- a/tests/steps/jobs_crash_evidence.py
+++ b/tests/steps/jobs_crash_evidence.py
@@ -2,6 +2,7 @@
 
 import behave
 
+from chervillead import types
 from chervillead.jobs import crash_evidence
 from chervillead.jobs import job_state
 from chervillead.jobs import model
@@ -11,6 +12,7 @@
 JOB_ID = "0" * 16
 TASK = model.TaskKey(0, 0, 0)
 NOW_S = 100.0
+ADDRESS = types.Address("10.1.0.1", 8000)
 
 
 def new_job(tasks=1, **fields):
@@ -36,7 +38,7 @@
     job.highest_run[TASK] = count
     for number in range(1, 1 + count):
         run, other = new_run(number), new_run(number)
-        crash = crash_evidence.Crash([run, other], NOW_S)
+        crash = crash_evidence.Crash([run, other], NOW_S, ADDRESS)
         crash_evidence.apply_crash(job, run, crash, NOW_S)
 
 
@@ -81,7 +83,15 @@
 
 @behave.when("the worker crashes")
 def step(context):
-    crash = crash_evidence.Crash([context.run, *context.beside], NOW_S)
+    crash = crash_evidence.Crash([context.run, *context.beside], NOW_S, ADDRESS)
+    crash_evidence.apply_crash(context.job, context.run, crash, NOW_S)
+
+
+@behave.when("the worker crashes {seconds:g} s after it had crashed")
+def step(context, seconds):
+    crash = crash_evidence.Crash(
+        [context.run, *context.beside], NOW_S, ADDRESS, NOW_S - seconds
+    )
     crash_evidence.apply_crash(context.job, context.run, crash, NOW_S)
 
 
@@ -106,7 +116,7 @@
             for member in range(2)
         ]
         for run in members:
-            crash = crash_evidence.Crash([run], NOW_S)
+            crash = crash_evidence.Crash([run], NOW_S, ADDRESS)
             crash_evidence.apply_crash(context.job, run, crash, NOW_S)
         context.next_run += 1
 
--- a/tests/steps/pools_crashing_tasks.py
+++ b/tests/steps/pools_crashing_tasks.py
@@ -75,6 +75,24 @@
     platform_scenarios.add_action(context, crash)
 
 
+@behave.when(
+    "the first {count:d} workers crash {times:d} times, {up:g} s after they "
+    "returned"
+)
+def step(context, count, times, up):
+    async def crash(worker):
+        for _ in range(times):
+            await asyncio.sleep(up)
+            worker.crash()
+            await asyncio.sleep(worker.down_s)
+
+    async def begin(fleet):
+        workers = list(fleet.workers.values())[:count]
+        context.crashing = [asyncio.create_task(crash(w)) for w in workers]
+
+    platform_scenarios.add_action(context, begin)
+
+
 @behave.when("the task has been started again")
 def step(context):
     async def wait(fleet):
