Count the crash of a worker that stays away for longer than its lease

A task that crashes its workers was started three times more after three crashes (BUDGET).

Cause: a crash was counted once another process answered at the worker's address.

Change: a connection that is refused tells that the process has ended, which a cut doesn't. If the last poll before the end of a lease was refused, the runs end as those of a crash. The stand-in of a crashed worker refuses connections, as the platform's does.

--- a/src/chervillead/http_connection.py
+++ b/src/chervillead/http_connection.py
@@ -22,10 +22,12 @@
     Attributes:
         verdict: Whether the server may have received the request.
         detail: Explanation for logs.
+        is_refused: Whether nothing listened at the address.
     """
 
     verdict: verdicts.Verdict
     detail: str
+    is_refused: bool = False
 
 
 CallOutcome = result.Result[http_exchange.HttpResponse, CallFailure]
@@ -83,7 +85,11 @@
                     reader, writer = await self._open()
             except (OSError, TimeoutError) as error:
                 return result.Failure(
-                    CallFailure(verdicts.Verdict.NOT_RUN, self._describe(error))
+                    CallFailure(
+                        verdicts.Verdict.NOT_RUN,
+                        self._describe(error),
+                        isinstance(error, ConnectionRefusedError),
+                    )
                 )
             keep_open = False
             try:
--- a/src/chervillead/platform/worker_client.py
+++ b/src/chervillead/platform/worker_client.py
@@ -160,7 +160,9 @@
         failure = outcome.failure()
         increment("chervillead_worker_calls", path, "unanswered")
         return result.Failure(
-            interface.WorkerCallFailure(failure.verdict, failure.detail)
+            interface.WorkerCallFailure(
+                failure.verdict, failure.detail, is_refused=failure.is_refused
+            )
         )
     response = outcome.unwrap()
     increment("chervillead_worker_calls", path, str(response.status))
--- a/src/chervillead/pools/crash_tracking.py
+++ b/src/chervillead/pools/crash_tracking.py
@@ -14,7 +14,7 @@
     view: view_module.WorkerView,
     replaced_s: float,
 ) -> list[asyncio.Future[None]]:
-    """Ends the runs of a worker whose process has been replaced by another.
+    """Ends the runs of a worker whose process has ended.
 
     Runs whose start has not been answered may still reach the new process, and
     those that were started after it may be running there.
@@ -22,7 +22,7 @@
     Args:
         state: State of the owner.
         view: The worker.
-        replaced_s: Earliest time at which the new process can have started, by
+        replaced_s: Earliest time at which a new process can have started, by
             the owner's clock.
 
     Returns:
--- a/src/chervillead/pools/run_tracking.py
+++ b/src/chervillead/pools/run_tracking.py
@@ -42,6 +42,7 @@
         view.extend_lease(status.clock_ms + state.lease_ms)
     view.record_clock(status.clock_ms, now_s)
     view.last_contact_s = now_s
+    view.is_refused = False
     reported = {running.run for running in status.running}
     for running in status.running:
         _apply_running(state, view, running, status.clock_ms)
--- a/src/chervillead/pools/worker_registry.py
+++ b/src/chervillead/pools/worker_registry.py
@@ -167,6 +167,7 @@
             runs=len(view.runs),
         )
         state.changed_workers.add(view.worker_id)
+        view.is_refused = failure.is_refused
         view.avoid_until_s = max(
             view.avoid_until_s, state.now_s() + UNREACHABLE_BACKOFF_S
         )
@@ -186,6 +187,8 @@
         for worker_id, watch in list(state.watches.items()):
             view = watch.view
             if view.runs and view.has_surely_expired(now_s):
+                if view.is_refused:
+                    crash_tracking.end_runs(state, view, now_s)
                 for run in list(view.runs.values()):
                     state.end_run(view, run, task_runs.EndKind.LEASE_EXPIRED)
             if view.is_registered or view.runs:
--- a/src/chervillead/workers/interface.py
+++ b/src/chervillead/workers/interface.py
@@ -101,12 +101,15 @@
         detail: Explanation for logs.
         rejection: Why the worker rejected the call; None if it didn't respond.
         clock_ms: Reading of the worker's clock, if it responded.
+        is_refused: Whether nothing listened at the worker's address: its
+            process has ended, unlike that of a worker that is cut off.
     """
 
     verdict: verdicts.Verdict
     detail: str
     rejection: RejectionReason | None = None
     clock_ms: int | None = None
+    is_refused: bool = False
 
 
 class StartCommand(typing.NamedTuple):
--- a/src/chervillead/workers/view.py
+++ b/src/chervillead/workers/view.py
@@ -51,6 +51,8 @@
         self.last_contact_s: float | None = None
         # Time at which the last poll that failed was sent.
         self.failed_poll_s = float("-inf")
+        # Whether nothing listened at its address at the last poll.
+        self.is_refused = False
         self.health = worker_health.WorkerHealth()
         self._clock: ClockReading | None = None
         self._lease_until_clock_ms = 0
--- a/tests/pools/crashing_tasks.feature
+++ b/tests/pools/crashing_tasks.feature
@@ -44,6 +44,19 @@
     And every host reports the job as failed
     And the other jobs are completed
 
+  Scenario: Crashed workers stay away for longer than a lease
+    # Guards against crashes that aren't counted because no other process has
+    # answered at the worker's address when its lease ends.
+    Given a platform fleet of 3 hosts and 8 workers
+    And tasks run for 2 s
+    And crashed workers return after 12 s
+    When 2 other jobs of 4 tasks are submitted
+    And a job of 3 tasks is submitted whose first task crashes workers after 0.01 s
+    And 60 s pass
+    Then at most 3 workers crashed
+    And every host reports the job as failed
+    And the other jobs are completed
+
   Scenario: Workers crash under a task that is only unlucky
     # Guards against a job that is given up although none of its tasks is at
     # fault.
--- a/tests/stand_ins/memory_network.py
+++ b/tests/stand_ins/memory_network.py
@@ -171,6 +171,11 @@
         self._writers: list[tuple[str, str, _MemoryWriter]] = []
         self._tasks: set[asyncio.Future[None]] = set()
         self._links: dict[str, _Link] = {}
+        self._is_down: dict[str, abc.Callable[[], bool]] = {}
+
+    def refuse_while(self, place: str, is_down: abc.Callable[[], bool]) -> None:
+        """Refuses connections to a place while its process is down."""
+        self._is_down[place] = is_down
 
     def limit_incoming(self, place: str, bytes_per_s: float) -> None:
         """Limits the rate at which bytes arrive at a place."""
@@ -201,7 +206,8 @@
             await asyncio.sleep(2 * self._delay_s)
             while listener is not None and self.is_cut(place, target):
                 await asyncio.sleep(0.05)
-            if listener is None or address not in self._listeners:
+            is_down = self._is_down.get(target, bool)
+            if listener is None or address not in self._listeners or is_down():
                 raise ConnectionRefusedError(f"nothing listens at {address}")
             return self._connect(place, listener)
 
--- a/tests/stand_ins/platform_fleet.py
+++ b/tests/stand_ins/platform_fleet.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections import abc
+import functools
 import typing
 
 import msgspec
@@ -152,9 +153,10 @@
     async def start(self) -> None:
         """Starts all processes and waits until the hosts accept jobs."""
         self.store.put("keyed.op", "config", configuration())
-        for index, worker_id in enumerate(self.workers):
-            serve = http_server.serve_connections(
-                self.workers[worker_id].handle
+        for index, (worker_id, worker) in enumerate(self.workers.items()):
+            serve = http_server.serve_connections(worker.handle)
+            self.network.refuse_while(
+                worker_id, functools.partial(getattr, worker, "is_crashed")
             )
             self._listen(
                 worker_id, _address("10.1.0.1", WORKER_PORT + index), serve
--- a/tests/stand_ins/platform_worker.py
+++ b/tests/stand_ins/platform_worker.py
@@ -65,6 +65,7 @@
             they are dropped.
         start_delay_s: Time that the worker takes to carry out a start.
         silent: Whether the worker neither carries out nor responds to calls.
+        is_crashed: Whether its process has crashed and hasn't returned yet.
         records: All runs, ended or not.
     """
 
@@ -91,6 +92,7 @@
         self.delayed_starts_s: float | None = None
         self.start_delay_s = 0.0
         self.silent = False
+        self.is_crashed = False
         self.records: list[RunRecord] = []
         self.acknowledged: list[tuple[str, int, str]] = []
         self.incarnation = 1
@@ -110,6 +112,7 @@
         tasks = tuple(task for task, _ in self._running)
         self.crashes.append(CrashRecord(self.worker_id, now_s, tasks))
         self.silent = True
+        self.is_crashed = True
         self._end_all("gone", list_ends=False)
         self._schedule(self.down_s, self._return)
 
@@ -119,6 +122,7 @@
             f"{self.worker_id.partition('/')[0]}/{self.incarnation}"
         )
         self.silent = False
+        self.is_crashed = False
 
     def restart(self) -> None:
         """Starts another incarnation under the same id; all runs are gone."""
--- a/tests/steps/pools_crashing_tasks.py
+++ b/tests/steps/pools_crashing_tasks.py
@@ -30,6 +30,15 @@
     platform_scenarios.add_action(context, submit)
 
 
+@behave.given("crashed workers return after {seconds:d} s")
+def step(context, seconds):
+    async def set_time(fleet):
+        for worker in fleet.workers.values():
+            worker.down_s = seconds
+
+    platform_scenarios.add_action(context, set_time)
+
+
 @behave.when("{count:d} other jobs of {tasks:d} tasks are submitted")
 def step(context, count, tasks):
     context.other_jobs = count
