Start no copy of a straggler that may crash one more worker

Cause: a crash is counted when another process answers at the worker's address, about 3.4 s later, or when the lease ends. Until then the run counted as one that takes long, so a copy was started as for a slow worker, and crashed the next one. Copies thus ran ahead of the count, and of the isolation that follows from it.

Change: a straggler gets no copy while its task is suspected, or while nothing listens at the address of its worker. Copies of runs on slow, stalled or cut workers are started as before.

--- a/src/chervillead/pools/placement_pass.py
+++ b/src/chervillead/pools/placement_pass.py
@@ -142,7 +142,23 @@
 
     def _stragglers(self) -> abc.Iterator[readiness.ReadyTask]:
         for job in self._state.jobs.unfinished():
-            yield from speculation.stragglers(job, self._now_s)
+            for ready in speculation.stragglers(job, self._now_s):
+                if not self._may_crash_workers(ready):
+                    yield ready
+
+    def _may_crash_workers(self, straggler: readiness.ReadyTask) -> bool:
+        """Returns whether a copy of a straggler may crash one more worker.
+
+        Its task is suspected, or its worker has crashed and the crash has yet
+        to be counted.
+        """
+        job, task = straggler.job, straggler.task
+        if crash_evidence.needs_isolation(job, task):
+            return True
+        watches = (
+            self._state.watches.get(run.worker_id) for run in job.runs[task]
+        )
+        return any(watch and watch.view.is_refused for watch in watches)
 
     def _place(self, group: list[readiness.ReadyTask]) -> _Verdict:
         """Starts a single task or a gang if all of its tasks fit."""
--- a/tests/pools/crashing_tasks.feature
+++ b/tests/pools/crashing_tasks.feature
@@ -44,6 +44,19 @@
     And every host reports the job as failed
     And the other jobs are completed
 
+  Scenario: A task that may run twice at once crashes each worker that starts it
+    # Guards against copies of a straggler whose worker has crashed, each of which
+    # takes one more worker before any crash is counted.
+    Given a platform fleet of 3 hosts and 8 workers
+    And tasks run for 1 s
+    And crashed workers return after 4 s
+    When 6 other jobs of 4 tasks are submitted
+    And a speculative job of 8 tasks is submitted whose first task crashes workers
+    And 40 s pass
+    Then at most 3 workers crashed
+    And every host reports the job as failed
+    And the other jobs are completed
+
   Scenario: Crashed workers stay away for longer than a lease
     # Guards against crashes that aren't counted because no other process has
     # answered at the worker's address when its lease ends.
--- a/tests/steps/pools_crashing_tasks.py
+++ b/tests/steps/pools_crashing_tasks.py
@@ -73,6 +73,16 @@
     add_crashing_job(context, fields, 0.01)
 
 
+@behave.when(
+    "a speculative job of {tasks:d} tasks is submitted whose first task "
+    "crashes workers"
+)
+def step(context, tasks):
+    # Its other tasks run on other workers, and tell how long they take.
+    fields = platform_fleet.step(tasks, Speculative=True, AntiAffinity=1)
+    add_crashing_job(context, fields, 0.01)
+
+
 @behave.when("the workers with tasks crash")
 def step(context):
     async def crash(fleet):
