Count an unconfirmed start that alone can have crashed its worker

A task that crashes its workers within 10 ms of its start cuts off the reply to that start.

Two new rows of crash_evidence.feature failed before the change.

Change: whether a run is the sole cause doesn't depend on earlier crashes of the worker. They only decide whether the third crash is proof enough to end the job.

--- a/src/chervillead/jobs/crash_evidence.py
+++ b/src/chervillead/jobs/crash_evidence.py
@@ -71,11 +71,10 @@
     def has_sole_cause(self, run: task_runs.Run) -> bool:
         """Returns whether only this run can have caused the crash.
 
-        Its task was started by itself, all runs beside it had lasted too long
-        to have caused it, and the worker isn't one that crashes again and
-        again.
+        Its task was started by itself, and all runs beside it had lasted too
+        long to have caused it.
         """
-        if self.is_repeated or self.answered_s > run.isolated_until_s:
+        if self.answered_s > run.isolated_until_s:
             return False
         beside = [other for other in self.runs if other is not run]
         if self.is_recent(run):
@@ -115,7 +114,8 @@
     if job.step(run.task).gang:
         limit = MAX_GANG_CRASHES
     else:
-        limit = MIN_CRASHES if is_sole_cause else MAX_CRASHES
+        is_proof = is_sole_cause and not crash.is_repeated
+        limit = MIN_CRASHES if is_proof else MAX_CRASHES
     if len(crashed) >= limit:
         job.give_up(now_s)
     return True
--- a/tests/jobs/crash_evidence.feature
+++ b/tests/jobs/crash_evidence.feature
@@ -35,18 +35,21 @@
       | 3      | placed      | 3.0 | 0.1    | 4     | given up  |
 
   Scenario Outline: A worker crashes again under a task that was started by itself
-    # Guards against giving up tasks for workers that crash whatever runs there.
+    # Guards against giving up tasks for workers that crash whatever runs there,
+    # and against starts whose reply the crash has cut off and that don't count.
     Given a task that has lost <before> workers
-    And a run of it that is isolated, 0.1 s old at the worker's last answer
+    And a run of it that is <start>, 0.1 s old at the worker's last answer
     And other runs there that are none s old
     When the worker crashes <again> s after it had crashed
     Then the task has lost <after> workers and is <state>
 
     Examples:
-      | before | again | after | state     |
-      | 2      | 3     | 3     | suspected |
-      | 2      | 30    | 3     | given up  |
-      | 3      | 3     | 4     | given up  |
+      | before | start                    | again | after | state     |
+      | 2      | isolated                 | 3     | 3     | suspected |
+      | 2      | isolated                 | 30    | 3     | given up  |
+      | 3      | isolated                 | 3     | 4     | given up  |
+      | 2      | isolated and unconfirmed | 3     | 3     | suspected |
+      | 3      | isolated and unconfirmed | 3     | 4     | given up  |
 
   Scenario: A gang loses workers
     # Guards against gangs that are started without end, as their members can't be
--- a/tests/steps/jobs_crash_evidence.py
+++ b/tests/steps/jobs_crash_evidence.py
@@ -66,9 +66,9 @@
 )
 def step(context, start, age):
     context.run = new_run(10, age)
-    if start == "unconfirmed":
+    if "unconfirmed" in start:
         context.run.phase = task_runs.RunPhase.UNCERTAIN
-    if start == "isolated":
+    if "isolated" in start:
         context.run.isolated_until_s = crash_evidence.isolation_ends_s(
             context.job, TASK, context.run.started_s
         )
