Let the stand-in maintain hosts that are turned off

Cause: the stand-in answered busy for every host without a running worker. The platform has answered upkeep of hosts that are off with success (docs/open-questions.md).

Change: it answers busy for a host that moves or whose worker is down, and maintains one that is off, which stays off.

--- a/tests/stand_ins/platform_machines.py
+++ b/tests/stand_ins/platform_machines.py
@@ -148,7 +148,8 @@
     def _begin_maintenance(self, name: str, wave: int) -> http_server.Reply:
         if (name, wave) in self._completed:
             return _json({})
-        if self._workers[name].silent:
+        is_off = self.pools[name] == self._spare_pool
+        if name in self._moving or (self._workers[name].silent and not is_off):
             return _json({"Reason": "busy"}, 409)
         self._completed.add((name, wave))
         self._go_down(name, wave)
@@ -165,6 +166,8 @@
         worker.silent = True
 
         def return_to_service() -> None:
+            if self.pools[name] == self._spare_pool:
+                return
             worker.restart()
             worker.worker_id += "-new"
             worker.silent = False
