Divide the fleet's hosts among pools in one allocator

Change: owners of pools report what they have and need; the owner of the hosts partition divides all hosts by max-min fairness (jobs/fleet_allocation.py, no I/O) and replies how many to release, and how many of them another pool waits for, so that busy ones are emptied too. Hosts sent to a pool are counted by terms, so a lost reply sends none twice. Turning hosts off runs in the background and blocks no report. A pool without a reply for 2 s keeps its hosts; one without a report for 2 s neither gets nor gives. The ledger of shortages and the offers of idle hosts go; its scenarios are kept for the allocator. Moves and their records have a module of their own. The log line hosts:allocated gives each pool's demand and size once a second while one lacks hosts.

--- a/src/chervillead/entries/codec.py
+++ b/src/chervillead/entries/codec.py
@@ -67,8 +67,7 @@
     "operator-records": job_messages.OperatorRecords,
     "begin-upkeep": host_messages.BeginMaintenance,
     "turn-off-host": host_messages.TurnOffHost,
-    "borrow-hosts": host_messages.BorrowHosts,
-    "offer-hosts": host_messages.OfferHosts,
+    "report-load": host_messages.ReportLoad,
     "host-reply": host_messages.HostReply,
 }
 _KIND_OF_TYPE = {message_type: kind for kind, message_type in _KINDS.items()}
--- a/src/chervillead/entries/host_messages.py
+++ b/src/chervillead/entries/host_messages.py
@@ -15,23 +15,34 @@
 
 
 class TurnOffHost(typing.NamedTuple):
-    """Requests that the host of a drained worker move to the spare pool."""
+    """Requests that the host of a drained worker leave its pool."""
 
     worker_id: str
 
 
-class BorrowHosts(typing.NamedTuple):
-    """Requests a number of hosts from the spare pool for a pool."""
+class ReportLoad(typing.NamedTuple):
+    """Reports the load of a pool.
 
-    pool: str
-    wanted: int
-
-
-class OfferHosts(typing.NamedTuple):
-    """Offers a number of idle hosts of a pool to other pools."""
+    Attributes:
+        pool: Name of the pool.
+        hosts: Hosts that it has or that are moving to it.
+        releasing: Hosts that it empties in order to release them; not part of
+            `hosts`.
+        min_hosts: Hosts that it cannot release.
+        needed: Hosts that its running and waiting tasks need.
+        retained: Hosts that it needed a short time ago.
+        term: Term of the last reply.
+        accounted: Number of hosts sent in that term that `hosts` includes.
+    """
 
     pool: str
-    idle: int
+    hosts: int
+    releasing: int
+    min_hosts: int
+    needed: int
+    retained: int
+    term: int
+    accounted: int
 
 
 class HostReply(typing.NamedTuple):
@@ -42,14 +53,20 @@
         may_have_run: Whether the command of a failed call may have been, or may
             still be, carried out.
         detail: Explanation for logs.
-        hosts: Number of hosts that are moving to the pool, or that other pools
-            need now.
+        term: Fencing token of the owner that counts the sent hosts.
+        hosts: Number of hosts that were sent to the pool in this term.
+        surplus: Number of hosts that the pool should release.
+        wanted: How many of these another pool needs now, so that they should be
+            released even if tasks still run on them.
     """
 
     reason: str = ""
     may_have_run: bool = False
     detail: str = ""
+    term: int = 0
     hosts: int = 0
+    surplus: int = 0
+    wanted: int = 0
 
 
-HostCall = BeginMaintenance | TurnOffHost | BorrowHosts | OfferHosts
+HostCall = BeginMaintenance | TurnOffHost | ReportLoad
--- /dev/null
+++ b/src/chervillead/machines/fleet_allocator.py
@@ -0,0 +1,116 @@
+"""Weighs the loads that pools report and tells where released hosts go.
+
+Intended for the owner of the hosts partition. It keeps one record a pool; a
+pool that reports no longer keeps what it has and gets nothing.
+"""
+
+import typing
+
+from chervillead.entries import host_messages
+from chervillead.jobs import fleet_allocation
+
+# An owner reports its pools several times within this time.
+REPORT_TTL_S = 2.0
+
+
+class _PoolRecord(typing.NamedTuple):
+    """What is known of one pool.
+
+    Attributes:
+        report: Its last report; None before the first one.
+        reported_s: Time of the report.
+        sent: Number of hosts sent to the pool so far.
+    """
+
+    report: host_messages.ReportLoad | None = None
+    reported_s: float = float("-inf")
+    sent: int = 0
+
+
+class FleetAllocator:
+    """Loads of all pools, and the hosts that are on their way to them.
+
+    Attributes:
+        spare_hosts: Number of usable hosts in the spare pool when it was last
+            counted.
+    """
+
+    def __init__(self, term: int) -> None:
+        self._term = term
+        self._records: dict[str, _PoolRecord] = {}
+        self.spare_hosts = 0
+
+    def record(self, report: host_messages.ReportLoad, now_s: float) -> None:
+        """Records the load of a pool."""
+        record = self._records.get(report.pool, _PoolRecord())
+        self._records[report.pool] = record._replace(
+            report=report, reported_s=now_s
+        )
+
+    def record_sent(self, pool: str, hosts: int) -> None:
+        """Counts hosts that were sent to a pool; negative if they were not."""
+        record = self._records.get(pool, _PoolRecord())
+        self._records[pool] = record._replace(sent=record.sent + hosts)
+
+    def allocation(self, now_s: float) -> fleet_allocation.Allocation:
+        """Returns the hosts that each pool should have by its report."""
+        return fleet_allocation.allocate(self._demands(now_s), self.spare_hosts)
+
+    def has_unmet_demand(self, now_s: float) -> bool:
+        """Returns whether a pool needs more hosts than it has."""
+        return any(
+            demand.needed > demand.hosts
+            for demand in self._demands(now_s).values()
+        )
+
+    def destination(self, releasing_pool: str, now_s: float) -> str | None:
+        """Returns the pool that a released host should move to.
+
+        Returns:
+            The pool that lacks the most hosts, or None if the spare pool has
+            enough for all.
+        """
+        deficits = self.allocation(now_s).deficits
+        deficits.pop(releasing_pool, None)
+        if sum(deficits.values()) <= self.spare_hosts:
+            return None
+        return max(deficits, key=lambda pool: (deficits[pool], pool))
+
+    def reply(self, pool: str, now_s: float) -> host_messages.HostReply:
+        """Returns the reply to a report of a pool."""
+        allocation = self.allocation(now_s)
+        surplus = allocation.surpluses.get(pool, 0)
+        lacking = sum(allocation.deficits.values()) - self.spare_hosts
+        return host_messages.HostReply(
+            term=self._term,
+            hosts=self._records[pool].sent,
+            surplus=surplus,
+            wanted=max(0, min(surplus, lacking)),
+        )
+
+    def describe(self, now_s: float) -> dict[str, list[int]]:
+        """Returns the demand and the size of each pool, for logs."""
+        sizes = self.allocation(now_s).sizes
+        return {
+            name: [*demand, sizes[name]]
+            for name, demand in self._demands(now_s).items()
+        }
+
+    def _demands(self, now_s: float) -> dict[str, fleet_allocation.PoolDemand]:
+        """Returns the demand of each pool with a current report."""
+        return {
+            name: self._demand(record.report, record.sent)
+            for name, record in self._records.items()
+            if record.report is not None
+            and now_s - record.reported_s < REPORT_TTL_S
+        }
+
+    def _demand(
+        self, report: host_messages.ReportLoad, sent: int
+    ) -> fleet_allocation.PoolDemand:
+        """Returns a pool's demand, with the hosts it doesn't know of yet."""
+        accounted = report.accounted if report.term == self._term else 0
+        hosts = report.hosts + report.releasing + max(0, sent - accounted)
+        return fleet_allocation.PoolDemand(
+            hosts, report.min_hosts, report.needed, report.retained
+        )
--- a/src/chervillead/machines/host_controller.py
+++ b/src/chervillead/machines/host_controller.py
@@ -1,9 +1,9 @@
 """Sends all commands to hosts, from one owner under one fencing token.
 
-Owners of pools request maintenance, additional hosts and the removal of hosts;
-only the owner of the hosts partition sends the commands. A host therefore never
-receives commands from two holders in turn, even when it changes its pool, and
-the cap of a wave holds across all pools that its hosts belong to.
+Owners of pools report their loads and request maintenance and the removal of
+hosts; only the owner of the hosts partition sends the commands. A host
+therefore never receives commands from two holders in turn, even when it changes
+its pool, and the cap of a wave holds across all pools that its hosts belong to.
 """
 
 import asyncio
@@ -11,33 +11,32 @@
 import typing
 
 from returns import pipeline
-from returns import result
 
 from chervillead.entries import host_messages
+from chervillead.machines import fleet_allocator
+from chervillead.machines import host_moves
 from chervillead.machines import interface
-from chervillead.machines import shortages
 from chervillead.pools import owner_state
 from chervillead.pools import ports as ports_module
-from chervillead.store import interface as store_interface
 
 # Slightly shorter than the timeout of calls between entry hosts.
 CALL_TIMEOUT_S = 0.9
-# The cached list of hosts is reused for this time.
-HOST_LIST_MAX_AGE_S = 0.2
-# Holds the time of the last command to each host, written before it is sent.
-COMMANDS_TOPIC = "keyed.hosts"
 # A host counts as down for this long beyond the duration of its maintenance.
 RECOVERY_MARGIN_S = 0.5
 # A command without a response may still be carried out within this time.
 LATE_COMMAND_S = 3.0
+# Interval at which spare hosts are sent to pools that lack hosts.
+ALLOCATION_INTERVAL_S = 0.1
+# Maximum age of the number of spare hosts.
+SPARE_HOSTS_MAX_AGE_S = 0.5
+# Interval of log lines about the allocation while a pool lacks hosts.
+ALLOCATION_LOG_INTERVAL_S = 1.0
 
 WAVE_FULL = "wave-full"
 STARTING = "starting"
 UNANSWERED = "unanswered"
 UNRECORDED = "unrecorded"
 
-_Outcome = result.Result[None, interface.HostCallFailure]
-
 
 class FleetPorts(typing.NamedTuple):
     """Published fleet state that the controller reads.
@@ -68,21 +67,17 @@
         self._fleet = fleet
         self._clock = ports.clock
         self._limits = ports.limits
-        self._store = ports.store
         # Maintenance that a previous owner started has ended by then.
         self._commands_from_s = self._now_s() + max(
             self._recovery_s, ports.limits.host_lease_s
         )
-        self._hosts: dict[str, interface.Host] = {}
-        self._listed_s = float("-inf")
-        self._listing = asyncio.Lock()
+        self._moves = host_moves.HostMoves(
+            state, client, ports, self._commands_from_s
+        )
+        self._allocator = fleet_allocator.FleetAllocator(state.token)
         self._begun: set[tuple[int, str]] = set()
         self._down_until_s: dict[tuple[int, str], float] = {}
-        self._moved_until_s: dict[str, float] = {}
-        # Hosts that a previous owner has just sent commands to; None until they
-        # have been read.
-        self._previous_commands: set[str] | None = None
-        self._shortages = shortages.Shortages()
+        self._logged_s = float("-inf")
 
     @property
     def token(self) -> int:
@@ -97,6 +92,13 @@
     def _now_s(self) -> float:
         return self._clock.monotonic()
 
+    async def run(self) -> None:
+        """Sends spare hosts to the pools that lack hosts, until cancelled."""
+        while True:
+            if self._state.has_authority():
+                await self._send_spare_hosts()
+            await asyncio.sleep(ALLOCATION_INTERVAL_S)
+
     async def serve(
         self, call: host_messages.HostCall
     ) -> host_messages.HostReply:
@@ -116,73 +118,63 @@
             if self._now_s() < self._commands_from_s:
                 return host_messages.HostReply(STARTING)
             return await self._begin_maintenance(call.host, call.wave)
-        if isinstance(call, host_messages.OfferHosts):
-            wanted = self._shortages.claim(call.pool, call.idle, self._now_s())
-            return host_messages.HostReply(hosts=wanted)
-        if (
-            not await self._read_previous_commands()
-            or not await self._refresh()
+        if isinstance(call, host_messages.ReportLoad):
+            self._allocator.record(call, self._now_s())
+            return self._allocator.reply(call.pool, self._now_s())
+        return await self._turn_off(call.worker_id)
+
+    async def _send_spare_hosts(self) -> None:
+        """Sends spare hosts to the pools that lack hosts."""
+        if not self._allocator.has_unmet_demand(
+            self._now_s()
+        ) or not await self._moves.refresh(SPARE_HOSTS_MAX_AGE_S):
+            return
+        idle = self._idle_spare_hosts()
+        self._allocator.spare_hosts = len(idle)
+        deficits = self._allocator.allocation(self._now_s()).deficits
+        self._log_allocation()
+        destinations = [
+            pool for pool, count in deficits.items() for _ in range(count)
+        ]
+        moves = list(zip(idle, destinations, strict=False))
+        if not moves or not await self._moves.record_commands(
+            host.name for host, _ in moves
         ):
-            return host_messages.HostReply(
-                UNANSWERED,
-                detail="cannot read the list of hosts or the recorded commands",
-            )
-        if isinstance(call, host_messages.TurnOffHost):
-            return await self._turn_off(call.worker_id)
-        return await self._lend(call.pool, call.wanted)
-
-    async def _read_previous_commands(self) -> bool:
-        """Reads which hosts a previous owner has just sent commands to.
-
-        Commands of two owners to one host must be `host_lease_s` apart.
+            return
+        await asyncio.gather(*(self._send(*move) for move in moves))
 
-        Returns:
-            False if the store could not be read.
-        """
-        if self._previous_commands is not None:
-            return True
-        read = await self._store.read_latest(COMMANDS_TOPIC, 0)
-        if not pipeline.is_successful(read):
-            return False
-        recent_unix_ms = 1000 * (self._clock.wall() - self._limits.host_lease_s)
-        self._previous_commands = {
-            record.key
-            for record in read.unwrap().records
-            if int(record.value) > recent_unix_ms
-        }
-        return True
-
-    def _may_command(self, host: interface.Host) -> bool:
-        """Returns whether this owner may send a command to a host now."""
-        now_s = self._now_s()
-        was_commanded = host.name in (self._previous_commands or ())
-        return not (was_commanded and now_s < self._commands_from_s) and (
-            self._moved_until_s.get(host.name, 0.0) <= now_s
+    def _idle_spare_hosts(self) -> list[interface.Host]:
+        spare_pools = self._fleet.spare_pools()
+        zones_out = self._fleet.zones_out()
+        return host_moves.spread_over_zones(
+            host
+            for host in self._moves.hosts
+            if host.pool in spare_pools
+            and host.state is interface.HostState.UP
+            and host.zone not in zones_out
+            and self._moves.may_command(host)
         )
 
-    async def _record_commands(self, host_names: abc.Iterable[str]) -> bool:
-        """Records that commands are about to be sent to hosts."""
-        value = str(int(1000 * self._clock.wall())).encode()
-        records = tuple(
-            store_interface.KeyedRecord(name, value) for name in host_names
-        )
-        if not records:
-            return True
-        stored = await self._store.append(COMMANDS_TOPIC, 0, records, None)
-        return pipeline.is_successful(stored)
+    async def _send(
+        self, host: interface.Host, pool: str
+    ) -> host_moves.Outcome:
+        """Moves a host to a pool and counts it as on its way."""
+        self._allocator.record_sent(pool, 1)
+        outcome = await self._moves.move(host, pool)
+        if host_moves.rejection_of(outcome) is not None:
+            self._allocator.record_sent(pool, -1)
+        return outcome
 
-    async def _refresh(self) -> bool:
-        """Reads the list of hosts unless the cached one is recent."""
-        async with self._listing:
-            if self._now_s() - self._listed_s < HOST_LIST_MAX_AGE_S:
-                return True
-            requested_s = self._now_s()
-            listed = await self._client.list_hosts()
-            if not pipeline.is_successful(listed):
-                return False
-            self._hosts = {host.name: host for host in listed.unwrap()}
-            self._listed_s = requested_s
-            return True
+    def _log_allocation(self) -> None:
+        now_s = self._now_s()
+        if now_s - self._logged_s >= ALLOCATION_LOG_INTERVAL_S:
+            self._logged_s = now_s
+            self._state.log(
+                "hosts:allocated",
+                spare=self._allocator.spare_hosts,
+                columns="hosts,min,needed,retained,size",
+                pools=self._allocator.describe(now_s),
+            )
 
     async def _begin_maintenance(
         self, host_name: str, number: int
@@ -203,7 +195,7 @@
         # Counts against the cap before the response arrives, since a command
         # without a response may still be carried out.
         self._down_until_s[key] = now_s + self._recovery_s + LATE_COMMAND_S
-        if not await self._record_commands([host_name]):
+        if not await self._moves.record_commands([host_name]):
             del self._down_until_s[key]
             return host_messages.HostReply(UNRECORDED)
         outcome = await self._client.begin_maintenance(
@@ -217,10 +209,14 @@
         return _reply(outcome)
 
     async def _turn_off(self, worker_id: str) -> host_messages.HostReply:
-        host = next(
-            (h for h in self._hosts.values() if h.worker_id == worker_id), None
-        )
-        if host is None or host.state is not interface.HostState.UP:
+        """Moves the host of a drained worker to a pool that lacks hosts."""
+        if not await self._moves.refresh():
+            return host_messages.HostReply(
+                UNANSWERED,
+                detail="cannot read the list of hosts or the recorded commands",
+            )
+        host = self._moves.host_of(worker_id)
+        if host is None:
             # The host has already moved, or its worker has ended otherwise.
             return host_messages.HostReply()
         spare = min(self._fleet.spare_pools(), default=None)
@@ -228,77 +224,26 @@
             return host_messages.HostReply(
                 interface.RejectionReason.UNKNOWN.value
             )
-        if not self._may_command(host):
+        if not self._moves.may_command(host):
             return host_messages.HostReply(STARTING)
-        if not await self._record_commands([host.name]):
+        if not await self._moves.record_commands([host.name]):
             return host_messages.HostReply(UNRECORDED)
-        pool = self._shortages.take_destination(self._now_s())
-        if pool is not None and pool != host.pool:
-            outcome = await self._move(host, pool)
-            if _rejection(outcome) is not interface.RejectionReason.UNKNOWN:
+        pool = self._destination(host)
+        if pool is not None:
+            outcome = await self._send(host, pool)
+            rejection = host_moves.rejection_of(outcome)
+            if rejection is not interface.RejectionReason.UNKNOWN:
                 return _reply(outcome)
-        return _reply(await self._move(host, spare))
-
-    async def _lend(self, pool: str, count: int) -> host_messages.HostReply:
-        """Moves hosts from the spare pool, spread over availability zones."""
-        sent = self._shortages.take_sent(pool)
-        count = max(0, count - sent)
-        spare = self._fleet.spare_pools()
-        idle = [
-            host
-            for host in self._hosts.values()
-            if host.pool in spare
-            and host.state is interface.HostState.UP
-            and host.zone not in self._fleet.zones_out()
-            and self._may_command(host)
-        ]
-        chosen = _spread_over_zones(idle)[:count]
-        if not await self._record_commands(host.name for host in chosen):
-            return host_messages.HostReply(UNRECORDED)
-        outcomes = await asyncio.gather(
-            *(self._move(host, pool) for host in chosen)
-        )
-        moved = sum(pipeline.is_successful(outcome) for outcome in outcomes)
-        self._shortages.record(pool, count - moved, self._now_s())
-        return host_messages.HostReply(hosts=sent + moved)
-
-    async def _move(self, host: interface.Host, pool: str) -> _Outcome:
-        now_s = self._now_s()
-        # The list may still show the host in its previous pool.
-        self._moved_until_s[host.name] = now_s + self._limits.move_s
-        outcome = await self._client.move(host.name, pool, self.token)
-        failure = None if pipeline.is_successful(outcome) else outcome.failure()
-        self._state.log(
-            "host:moved" if failure is None else "host:move-failed",
-            worker_host=host.name,
-            worker=host.worker_id,
-            previous_pool=host.pool,
-            pool=pool,
-            token=self.token,
-            error=failure and failure.detail,
-        )
-        return outcome
+        return _reply(await self._moves.move(host, spare))
 
-
-def _spread_over_zones(
-    hosts: abc.Iterable[interface.Host],
-) -> list[interface.Host]:
-    """Returns hosts ordered so that any prefix is balanced over the zones."""
-    seen: dict[str, int] = {}
-    ranked = []
-    for host in sorted(hosts, key=lambda host: host.name):
-        seen[host.zone] = seen.get(host.zone, 0) + 1
-        ranked.append((seen[host.zone], host.zone, host.name, host))
-    return [host for *_, host in sorted(ranked)]
-
-
-def _rejection(outcome: _Outcome) -> interface.RejectionReason | None:
-    if pipeline.is_successful(outcome):
-        return None
-    return outcome.failure().rejection
+    def _destination(self, host: interface.Host) -> str | None:
+        """Returns the pool that a released host serves next, if any."""
+        if host.zone in self._fleet.zones_out():
+            return None
+        return self._allocator.destination(host.pool, self._now_s())
 
 
-def _reply(outcome: _Outcome) -> host_messages.HostReply:
+def _reply(outcome: host_moves.Outcome) -> host_messages.HostReply:
     if pipeline.is_successful(outcome):
         return host_messages.HostReply()
     failure = outcome.failure()
--- a/src/chervillead/machines/hosts_owner_client.py
+++ b/src/chervillead/machines/hosts_owner_client.py
@@ -27,17 +27,18 @@
 
     Attributes:
         begin_maintenance: Starts the maintenance of a host in a wave.
-        turn_off: Moves the host of a drained worker to the spare pool.
-        borrow: Requests hosts for a pool; returns how many are moving to it, or
-            None if the owner is unavailable or could not carry out the call.
-        offer: Offers idle hosts of a pool; returns how many are needed
-            elsewhere now, 0 on failure.
+        turn_off: Moves the host of a drained worker to a pool that lacks
+            hosts, or to the spare pool.
+        report_load: Reports the load of a pool; returns the reply, or None if
+            the owner is unavailable.
     """
 
     begin_maintenance: abc.Callable[[str, int], abc.Awaitable[Outcome]]
     turn_off: abc.Callable[[str], abc.Awaitable[Outcome]]
-    borrow: abc.Callable[[str, int], abc.Awaitable[int | None]]
-    offer: abc.Callable[[str, int], abc.Awaitable[int]]
+    report_load: abc.Callable[
+        [host_messages.ReportLoad],
+        abc.Awaitable[host_messages.HostReply | None],
+    ]
 
 
 def connect_hosts_owner(call_owner: CallHostsOwner) -> HostsOwnerClient:
@@ -81,13 +82,11 @@
     async def turn_off(worker_id: str) -> Outcome:
         return await send_command(host_messages.TurnOffHost(worker_id))
 
-    async def borrow(pool: str, count: int) -> int | None:
-        outcome = await call_owner(host_messages.BorrowHosts(pool, count))
+    async def report_load(
+        report: host_messages.ReportLoad,
+    ) -> host_messages.HostReply | None:
+        outcome = await call_owner(report)
         reply = outcome.value_or(None)
-        return reply.hosts if reply is not None and not reply.reason else None
+        return reply if reply is not None and not reply.reason else None
 
-    async def offer(pool: str, idle: int) -> int:
-        outcome = await call_owner(host_messages.OfferHosts(pool, idle))
-        return outcome.map(lambda reply: reply.hosts).value_or(0)
-
-    return HostsOwnerClient(begin_maintenance, turn_off, borrow, offer)
+    return HostsOwnerClient(begin_maintenance, turn_off, report_load)
--- a/src/chervillead/machines/pool_resizing.py
+++ b/src/chervillead/machines/pool_resizing.py
@@ -1,17 +1,16 @@
-"""Resizes the pools of one owner to match their load.
+"""Reports the loads of one owner's pools and empties hosts for other pools.
 
-Intended for queues whose bursts alternate; `jobs.autoscaling` computes how many
-hosts a pool should have. Hosts come from the spare pool and return to it when
-they are idle, so that hosts which one pool does not need serve another.
+`jobs.autoscaling` computes how many hosts a pool needs; the owner of the hosts
+partition weighs that against the needs of other pools and replies how many the
+pool should release. Without a reply, a pool keeps what it has.
 """
 
 import asyncio
 from collections import abc
-import itertools
-import typing
 
 from returns import pipeline
 
+from chervillead.entries import host_messages
 from chervillead.jobs import autoscaling
 from chervillead.jobs import model
 from chervillead.machines import host_controller
@@ -24,14 +23,14 @@
 
 RESIZE_INTERVAL_S = 0.1
 CORDON_REASON = "turning-off"
+# Intervals of reports while the pool needs more or fewer hosts than it has, and
+# otherwise.
+REPORT_INTERVAL_S = 0.3
+IDLE_REPORT_INTERVAL_S = 1.0
+# Hosts are released by a reply for this long, and kept without a later one.
+REPLY_TTL_S = 2.0
 # A host that was moved to a pool registers within this time, or not at all.
 REGISTRATION_TIMEOUT_S = 4.0
-# Minimum time between two requests of a pool to borrow hosts.
-BORROW_INTERVAL_S = 0.5
-# Retry interval while the hosts partition has no available owner.
-BORROW_RETRY_INTERVAL_S = 0.2
-# Interval at which idle hosts are offered to pools that lack hosts.
-OFFER_INTERVAL_S = 0.3
 # A host whose turn-off was rejected stays in use for at least this time.
 REJECTION_BACKOFF_S = 2.0
 # A new worker is not turned off before this age: the commands that move its
@@ -44,23 +43,53 @@
 MIN_WORKERS_PER_LABEL_SET = 2
 
 
-class _Pool(typing.NamedTuple):
+class _Pool:
     """State of one pool.
 
     Attributes:
-        autoscaler: Computes the size that the pool should have.
+        autoscaler: Computes the size that the pool needs.
         arrival_deadlines_s: Per host that is expected to register, the time by
             which it does so or no longer counts.
         in_maintenance: Workers seen while they were drained for maintenance.
+        known_workers: Workers that were ever seen in the pool.
+        empty_from_s: Since when tasks wait while the pool has no host.
+        report_from_s: Time of the next report.
+        term: Term of the last reply of the owner of the hosts partition.
+        accounted: Number of hosts sent in that term that were expected here.
+        surplus: Number of hosts to release.
+        wanted: How many of these another pool needs now.
+        replied_s: Time of the last reply.
     """
 
-    autoscaler: autoscaling.PoolAutoscaler
-    arrival_deadlines_s: list[float]
-    in_maintenance: set[str]
+    def __init__(self) -> None:
+        self.autoscaler = autoscaling.PoolAutoscaler()
+        self.arrival_deadlines_s: list[float] = []
+        self.in_maintenance: set[str] = set()
+        self.known_workers: set[str] = set()
+        self.empty_from_s: float | None = None
+        self.report_from_s = 0.0
+        self.term = 0
+        self.accounted = 0
+        self.surplus = 0
+        self.wanted = 0
+        self.replied_s = float("-inf")
+
+    def apply(self, reply: host_messages.HostReply, now_s: float) -> int:
+        """Applies a reply; returns how many more hosts are on their way."""
+        if reply.term != self.term:
+            self.term, self.accounted = reply.term, 0
+        arriving = max(0, reply.hosts - self.accounted)
+        self.accounted = max(self.accounted, reply.hosts)
+        self.arrival_deadlines_s.extend(
+            [now_s + REGISTRATION_TIMEOUT_S] * arriving
+        )
+        self.surplus, self.wanted = reply.surplus, reply.wanted
+        self.replied_s = now_s
+        return arriving
 
 
 class PoolResizer:
-    """Grows and shrinks the pools of one owner."""
+    """Reports the loads of one owner's pools and releases their hosts."""
 
     def __init__(
         self,
@@ -76,23 +105,26 @@
         self._client = client
         self._ports = ports
         self._pools: dict[str, _Pool] = {}
-        self._known_workers: set[str] = set()
-        self._borrow_from_s: dict[str, float] = {}
-        self._offer_from_s: dict[str, float] = {}
+        # Workers whose hosts are being turned off.
+        self._turning_off: set[str] = set()
         # Workers whose hosts an unanswered command may still move.
         self._unanswered_until_s: dict[str, float] = {}
         self._paused_until_s: dict[str, float] = {}
-        # Since when tasks wait in each pool that has no host.
-        self._empty_from_s: dict[str, float] = {}
 
     async def run(self) -> None:
         """Resizes pools until cancelled."""
-        while True:
-            configuration = self._ports.configuration()
-            if configuration is not None and self._owner.state.has_authority():
-                for pool in self._resizable_pools(configuration):
-                    await self._resize(pool)
-            await asyncio.sleep(RESIZE_INTERVAL_S)
+        async with asyncio.TaskGroup() as group:
+            while True:
+                configuration = self._ports.configuration()
+                if (
+                    configuration is not None
+                    and self._owner.state.has_authority()
+                ):
+                    pools = self._resizable_pools(configuration)
+                    for name in pools:
+                        self._turn_off_drained(name, group)
+                    await asyncio.gather(*map(self._resize, pools))
+                await asyncio.sleep(RESIZE_INTERVAL_S)
 
     def _resizable_pools(
         self, configuration: model.FleetConfiguration
@@ -107,56 +139,97 @@
 
     async def _resize(self, name: str) -> None:
         now_s = self._now_s()
-        pool = self._pools.setdefault(
-            name, _Pool(autoscaling.PoolAutoscaler(), [], set())
-        )
+        pool = self._pools.setdefault(name, _Pool())
         self._update_arrivals(name, pool, now_s)
         self._drain_zones_out(name)
-        await self._turn_off_drained(name)
+        if now_s - pool.replied_s > REPLY_TTL_S:
+            pool.surplus = pool.wanted = 0
         load = pool_load.measure(self._owner.state, name)
-        if load is None or not self._is_conclusive(name, load, now_s):
+        if load is None or not self._is_conclusive(pool, load, now_s):
             return
         pool.autoscaler.record(load, now_s)
+        self._adjust_draining(name, pool, load)
+        if now_s >= pool.report_from_s:
+            await self._report(name, pool, load)
+
+    async def _report(
+        self, name: str, pool: _Pool, load: autoscaling.PoolLoad
+    ) -> None:
+        """Reports the load of a pool and applies the reply."""
+        now_s = self._now_s()
+        report = self._measure_report(name, pool, load)
+        is_settled = report.needed <= report.hosts <= report.retained
+        pool.report_from_s = now_s + (
+            IDLE_REPORT_INTERVAL_S if is_settled else REPORT_INTERVAL_S
+        )
+        reply = await self._client.report_load(report)
+        if reply is None:
+            return
+        arriving = pool.apply(reply, self._now_s())
+        if arriving:
+            self._owner.state.log(
+                "pool:growing",
+                pool=name,
+                hosts=load.hosts,
+                needed=report.needed,
+                arriving=arriving,
+                used_millicores=load.used.millicores,
+                pending_millicores=load.pending.millicores,
+            )
+
+    def _measure_report(
+        self, name: str, pool: _Pool, load: autoscaling.PoolLoad
+    ) -> host_messages.ReportLoad:
+        now_s = self._now_s()
         hosts = (
             load.hosts
             + len(pool.arrival_deadlines_s)
             + len(pool.in_maintenance)
         )
-        missing = pool.autoscaler.min_size(now_s) - hosts
-        if missing > 0:
-            await self._grow(name, pool, missing, load)
-            return
-        max_size = pool.autoscaler.max_size(now_s)
-        if max_size is not None:
-            self._drain_surplus(name, load.hosts - max_size, load)
-        await self._offer(
-            name, load.hosts - pool.autoscaler.current_size(), load
+        releasing = len(self._draining(name))
+        # Hosts that are down for maintenance or on their way can't be released.
+        min_hosts = max(
+            autoscaling.MIN_HOSTS,
+            load.min_hosts,
+            hosts - self._releasable(name),
+        )
+        needed = max(min_hosts, pool.autoscaler.min_size(now_s))
+        retained = pool.autoscaler.max_size(now_s)
+        return host_messages.ReportLoad(
+            pool=name,
+            hosts=hosts,
+            releasing=releasing,
+            min_hosts=min_hosts,
+            needed=needed,
+            retained=max(
+                needed, hosts + releasing if retained is None else retained
+            ),
+            term=pool.term,
+            accounted=pool.accounted,
         )
 
     def _is_conclusive(
-        self, name: str, load: autoscaling.PoolLoad, now_s: float
+        self, pool: _Pool, load: autoscaling.PoolLoad, now_s: float
     ) -> bool:
         """Returns whether the load tells how many hosts the pool needs.
 
         A pool without hosts needs some once tasks have waited for a while.
         """
         if load.hosts or not any(load.pending):
-            self._empty_from_s.pop(name, None)
+            pool.empty_from_s = None
             return load.hosts > 0
-        empty_from_s = self._empty_from_s.setdefault(name, now_s)
-        return now_s - empty_from_s >= EMPTY_POOL_DELAY_S
+        if pool.empty_from_s is None:
+            pool.empty_from_s = now_s
+        return now_s - pool.empty_from_s >= EMPTY_POOL_DELAY_S
 
     def _now_s(self) -> float:
         return self._ports.clock.monotonic()
 
     def _update_arrivals(self, name: str, pool: _Pool, now_s: float) -> None:
         """Counts new workers against the hosts expected to register."""
-        found = {
-            watch.view.worker_id
-            for watch in pool_load.watches_of(self._owner.state, name)
-        }
-        arrived = len(found - self._known_workers)
-        self._known_workers |= found
+        found = {watch.view.worker_id for watch in self._watches(name)}
+        arrived = len(found - pool.known_workers)
+        pool.known_workers |= found
         # Hosts that went down for maintenance return without a request.
         went_down = pool.in_maintenance - found
         pool.arrival_deadlines_s.extend(
@@ -165,7 +238,7 @@
         pool.in_maintenance.clear()
         pool.in_maintenance.update(
             watch.view.worker_id
-            for watch in pool_load.watches_of(self._owner.state, name)
+            for watch in self._watches(name)
             if watch.view.cordoned_for == wave_controller.CORDON_REASON
         )
         waiting = [
@@ -173,46 +246,17 @@
         ]
         pool.arrival_deadlines_s[:] = waiting[arrived:]
 
-    async def _grow(
-        self,
-        name: str,
-        pool: _Pool,
-        missing: int,
-        load: autoscaling.PoolLoad,
-    ) -> None:
-        """Uncordons hosts that are being drained, and borrows the rest."""
-        now_s = self._now_s()
-        for watch in self._draining(name)[:missing]:
-            if not self._may_still_move(watch.view.worker_id):
-                self._owner.drain.uncordon(watch.view.worker_id)
-                missing -= 1
-        if missing <= 0 or now_s < self._borrow_from_s.get(name, 0.0):
-            return
-        arriving = await self._client.borrow(name, missing)
-        if arriving is None:
-            self._borrow_from_s[name] = self._now_s() + BORROW_RETRY_INTERVAL_S
-            return
-        self._borrow_from_s[name] = self._now_s() + BORROW_INTERVAL_S
-        pool.arrival_deadlines_s.extend(
-            [self._now_s() + REGISTRATION_TIMEOUT_S] * arriving
-        )
-        self._owner.state.log(
-            "pool:growing",
-            pool=name,
-            hosts=load.hosts,
-            missing=missing,
-            arriving=arriving,
-            used_millicores=load.used.millicores,
-            pending_millicores=load.pending.millicores,
-        )
-
     def _drain_zones_out(self, name: str) -> None:
         """Drains idle hosts in zones that are out of service."""
         zones_out = self._ports.zones_out()
-        for watch in list(self._idle_workers(name)):
+        for watch in self._releasable_workers(name):
             zone = watch.view.registration.zone
-            if zone in zones_out and self._owner.drain.cordon(
-                watch.view.worker_id, CORDON_REASON
+            if (
+                zone in zones_out
+                and not watch.view.runs
+                and self._owner.drain.cordon(
+                    watch.view.worker_id, CORDON_REASON
+                )
             ):
                 self._owner.state.log(
                     "pool:shrinking",
@@ -221,27 +265,31 @@
                     zone_out=zone,
                 )
 
-    async def _offer(
-        self, name: str, surplus: int, load: autoscaling.PoolLoad
+    def _adjust_draining(
+        self, name: str, pool: _Pool, load: autoscaling.PoolLoad
     ) -> None:
-        """Offers hosts that became idle to pools that lack hosts."""
-        now_s = self._now_s()
-        surplus -= len(self._draining(name))
-        idle = min(surplus, len(list(self._idle_workers(name))))
-        if idle <= 0 or now_s < self._offer_from_s.get(name, 0.0):
-            return
-        self._offer_from_s[name] = now_s + OFFER_INTERVAL_S
-        wanted = await self._client.offer(name, idle)
-        if wanted:
-            self._drain_surplus(name, wanted + len(self._draining(name)), load)
+        """Cordons as many hosts as the pool should release.
 
-    def _drain_surplus(
-        self, name: str, surplus: int, load: autoscaling.PoolLoad
-    ) -> None:
-        """Cordons idle hosts that the pool does not need."""
-        surplus -= len(self._draining(name))
-        idle = self._idle_workers(name)
-        for watch in itertools.islice(idle, max(0, surplus)):
+        Hosts that are idle go first. Busy ones are emptied only for another
+        pool that waits for hosts.
+        """
+        zones_out = self._ports.zones_out()
+        draining = [
+            watch
+            for watch in self._draining(name)
+            if watch.view.registration.zone not in zones_out
+        ]
+        for watch in self._by_load(draining)[pool.surplus :]:
+            worker_id = watch.view.worker_id
+            if worker_id not in self._turning_off and not self._may_still_move(
+                worker_id
+            ):
+                self._owner.drain.uncordon(worker_id)
+        missing = pool.surplus - len(draining)
+        candidates = self._by_load(self._releasable_workers(name))
+        for number, watch in enumerate(candidates[: max(0, missing)]):
+            if watch.view.runs and len(draining) + number >= pool.wanted:
+                break
             worker_id = watch.view.worker_id
             if not self._owner.drain.cordon(worker_id, CORDON_REASON):
                 continue
@@ -250,30 +298,47 @@
                 pool=name,
                 worker=worker_id,
                 hosts=load.hosts,
-                surplus=surplus,
+                surplus=pool.surplus,
+                wanted=pool.wanted,
+                runs=len(watch.view.runs),
                 used_millicores=load.used.millicores,
             )
 
-    def _idle_workers(
+    def _by_load(
+        self, watches: abc.Iterable[watch_module.WorkerWatch]
+    ) -> list[watch_module.WorkerWatch]:
+        return sorted(
+            watches,
+            key=lambda watch: (
+                watch.view.reserved().millicores,
+                len(watch.view.runs),
+            ),
+        )
+
+    def _releasable(self, name: str) -> int:
+        """Returns how many hosts of a pool could be released."""
+        return sum(1 for _ in self._releasable_workers(name))
+
+    def _releasable_workers(
         self, name: str
     ) -> abc.Iterator[watch_module.WorkerWatch]:
-        """Yields idle workers that the pool can release.
+        """Yields workers that the pool can release, once they are idle.
 
         Hosts with long-running tasks are kept: moving a task would cost more of
         its time than releasing the host saves.
         """
         now_s = self._now_s()
         counts: dict[frozenset[str], int] = {}
-        watches = pool_load.watches_of(self._owner.state, name)
+        watches = self._watches(name)
         for watch in watches:
             if not watch.view.cordoned_for:
                 label_set = _label_set(watch)
                 counts[label_set] = counts.get(label_set, 0) + 1
-        for watch in watches:
+        for watch in self._by_load(watches):
             view = watch.view
             if (
                 view.cordoned_for
-                or view.runs
+                or view.has_long_running
                 or not view.has_answered
                 or view.registration.is_draining
                 or self._is_maintenance_due(view.worker_id)
@@ -285,26 +350,32 @@
             counts[_label_set(watch)] -= 1
             yield watch
 
+    def _watches(self, name: str) -> list[watch_module.WorkerWatch]:
+        return pool_load.watches_of(self._owner.state, name)
+
     def _draining(self, name: str) -> list[watch_module.WorkerWatch]:
         return [
             watch
-            for watch in pool_load.watches_of(self._owner.state, name)
+            for watch in self._watches(name)
             if watch.view.cordoned_for == CORDON_REASON
         ]
 
-    async def _turn_off_drained(self, name: str) -> None:
+    def _turn_off_drained(self, name: str, group: asyncio.TaskGroup) -> None:
         """Turns off drained hosts once the ends of their runs are recorded."""
-        drained = []
         for watch in self._draining(name):
             worker_id = watch.view.worker_id
-            if not watch.view.runs and not (
-                self._owner.drain.has_unrecorded_ends(worker_id)
+            if (
+                worker_id in self._turning_off
+                or watch.view.runs
+                or self._owner.drain.has_unrecorded_ends(worker_id)
             ):
-                drained.append(worker_id)
-        await asyncio.gather(*(self._turn_off(each) for each in drained))
+                continue
+            self._turning_off.add(worker_id)
+            group.create_task(self._turn_off(worker_id))
 
     async def _turn_off(self, worker_id: str) -> None:
         outcome = await self._client.turn_off(worker_id)
+        self._turning_off.discard(worker_id)
         if pipeline.is_successful(outcome):
             self._owner.drain.mark_host_down(
                 worker_id, "its host is turned off"
--- a/src/chervillead/platform/host_management.py
+++ b/src/chervillead/platform/host_management.py
@@ -95,6 +95,8 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(wave_runner.run())
                 group.create_task(resizer.run())
+                if controls_hosts:
+                    group.create_task(controller.run())
         finally:
             if self._host_controller is controller:
                 self._host_controller = None
--- a/src/chervillead/workers/view.py
+++ b/src/chervillead/workers/view.py
@@ -142,6 +142,11 @@
         """Returns the resources that its runs reserve."""
         return self._load.reserved
 
+    @property
+    def has_long_running(self) -> bool:
+        """Whether tasks run on it that don't end by themselves."""
+        return len(self._runs) > self._load.ending_tasks
+
     def as_snapshot(self) -> placement.WorkerSnapshot:
         """Returns the snapshot of the worker that placement works on."""
         capacity = self.registration.capacity
--- /dev/null
+++ b/tests/machines/fleet_allocator.feature
@@ -0,0 +1,53 @@
+Feature: Allocation of hosts by the loads that pools report
+  Hosts that one pool releases move directly to the pool that lacks them.
+
+  Scenario: A released host moves to the pool that lacks one
+    # Guards against a second move by way of the spare pool.
+    Given pool a has 4 hosts and needs 6
+    And pool b has 9 hosts and needs 4
+    Then pool b should release 5 hosts, of which 2 are wanted
+    And the next hosts released by b move to a, a and the spare pool
+    And 2 hosts were sent to pool a
+
+  Scenario: Hosts on their way are not sent a second time
+    # Guards against more hosts than a pool asked for, when the reply that told
+    # of them was lost or its next report was sent before.
+    Given pool a has 4 hosts and needs 6
+    And pool b has 9 hosts and needs 4
+    When a host released by b moves to a
+    And pool a reports once more
+    Then the next hosts released by b move to a and the spare pool
+
+  Scenario: Spare hosts are used before hosts of other pools
+    # Guards against taking hosts from pools while others are turned off.
+    Given pool a has 4 hosts and needs 6
+    And pool b has 9 hosts and needs 4
+    And 3 hosts are spare
+    Then pool b should release 5 hosts, of which 0 are wanted
+    And the next host released by b moves to the spare pool
+
+  Scenario: A pool does not receive its own hosts
+    # Guards against moving a host to the pool that released it.
+    Given pool a has 4 hosts and needs 6
+    Then the next host released by a moves to the spare pool
+
+  Scenario: A load expires unless it is reported again
+    # Guards against sending hosts for a burst that has ended, and against taking
+    # hosts from a pool whose owner is gone.
+    Given pool a has 4 hosts and needs 6
+    And pool b has 9 hosts and needs 4
+    When 2 s pass for the reported loads
+    Then the next host released by b moves to the spare pool
+    When pool a reports once more
+    Then only pool a has a size
+
+  Scenario: A new owner of the hosts partition counts sent hosts anew
+    # Guards against hosts that a pool counts as on their way although the
+    # present owner never sent them, and the other way round.
+    Given pool a has 4 hosts and needs 6
+    And pool b has 9 hosts and needs 4
+    When a host released by b moves to a
+    And another owner takes over the hosts partition
+    And pool a reports once more
+    And pool b reports once more
+    Then the next hosts released by b move to a, a and the spare pool
