Let waves and limits per worker wait for each other no longer

(2) An owner that had just taken over knew no host list yet, took a due host for one that is not due, and released it. (3) A due host was lent out of the spare pool, where maintenance costs nothing.

Change: hosts in maintenance don't count for a limit per worker; a host missing from the list counts as due while a wave is open; spare hosts that may be due are lent last.

--- a/src/chervillead/machines/host_controller.py
+++ b/src/chervillead/machines/host_controller.py
@@ -144,9 +144,13 @@
         await asyncio.gather(*(self._send(*move) for move in moves))
 
     def _idle_spare_hosts(self) -> list[interface.Host]:
+        """Returns the usable spare hosts, those due for maintenance last.
+
+        Maintenance costs nothing while a host is turned off.
+        """
         spare_pools = self._fleet.spare_pools()
         zones_out = self._fleet.zones_out()
-        return host_moves.spread_over_zones(
+        hosts = host_moves.spread_over_zones(
             host
             for host in self._moves.hosts
             if host.pool in spare_pools
@@ -154,6 +158,17 @@
             and host.zone not in zones_out
             and self._moves.may_command(host)
         )
+        return sorted(hosts, key=lambda host: self._may_be_due(host.name))
+
+    def _may_be_due(self, host_name: str) -> bool:
+        """Returns whether a host may have its maintenance before it."""
+        now_s = self._now_s()
+        return any(
+            host_name in wave.hosts
+            and (wave.number, host_name) not in self._begun
+            and now_s < wave.first_seen_s + wave.duration_s
+            for wave in self._fleet.waves().values()
+        )
 
     async def _send(
         self, host: interface.Host, pool: str
--- a/src/chervillead/machines/pool_resizing.py
+++ b/src/chervillead/machines/pool_resizing.py
@@ -194,6 +194,9 @@
             hosts - self._releasable(name),
         )
         needed = max(min_hosts, pool.autoscaler.min_size(now_s))
+        if load.min_hosts:
+            # Tasks with a limit per worker can't use a cordoned host.
+            needed = max(needed, load.min_hosts + len(pool.in_maintenance))
         retained = pool.autoscaler.max_size(now_s)
         return host_messages.ReportLoad(
             pool=name,
--- a/src/chervillead/machines/wave_controller.py
+++ b/src/chervillead/machines/wave_controller.py
@@ -113,17 +113,26 @@
         )
 
     def is_due(self, worker_id: str) -> bool:
-        """Returns whether the host of a worker is due in a current wave."""
+        """Returns whether the host of a worker is due in a current wave.
+
+        A host that isn't in the list yet may be due.
+        """
         now_s = self._clock.monotonic()
+        waves = [
+            wave
+            for wave in self._ports.waves()
+            if now_s < wave.first_seen_s + wave.duration_s
+        ]
         names = [
             host.name
             for host in self._hosts.values()
             if host.worker_id == worker_id
         ]
+        if waves and not names:
+            return True
         return any(
             name in wave.hosts and (wave.number, name) not in self._done
-            for wave in self._ports.waves()
-            if now_s < wave.first_seen_s + wave.duration_s
+            for wave in waves
             for name in names
         )
 
--- a/tests/machines/pool_resizing.feature
+++ b/tests/machines/pool_resizing.feature
@@ -115,3 +115,16 @@
     When operators take the zone of all workers out of service
     And 10 s pass
     Then at most 2 hosts are in the pool
+
+  Scenario: A pool lacks a host for a limit per worker during maintenance
+    # Guards against a task that waits for a host until the end of the wave, and
+    # a wave that waits for the task, when one of just as many hosts as the limit
+    # needs is drained (trouble-1 of a deployment of 40 workers: 36 s).
+    Given a platform fleet of 2 hosts and 6 workers of which 3 are turned off
+    When a job of 6 long-running tasks, at most 2 on a worker, of which 1 may be unavailable is submitted
+    And 6 s pass
+    And operators publish a wave over all hosts with a cap of 2
+    And 22 s pass
+    Then every host was maintained once, at most 2 at a time
+    And the wave is reported as completed
+    And at most 1 task of the job was unavailable at a time
--- a/tests/steps/platform_fleet.py
+++ b/tests/steps/platform_fleet.py
@@ -128,15 +128,27 @@
     "unavailable is submitted"
 )
 def step(context, tasks, unavailable):
-    async def submit_long_running(fleet):
+    _submit_long_running(context, tasks, MayMiss=unavailable)
+
+
+@behave.when(
+    "a job of {tasks:d} long-running tasks, at most {limit:d} on a worker, of "
+    "which {unavailable:d} may be unavailable is submitted"
+)
+def step(context, tasks, limit, unavailable):
+    _submit_long_running(
+        context, tasks, MayMiss=unavailable, AntiAffinity=limit
+    )
+
+
+def _submit_long_running(context, tasks, **fields):
+    async def submit(fleet):
         for worker in fleet.workers.values():
             worker.long_running.add(platform_scenarios.JOB)
-        steps = [
-            platform_fleet.step(tasks, LongRunning=True, MayMiss=unavailable)
-        ]
+        steps = [platform_fleet.step(tasks, LongRunning=True, **fields)]
         return await platform_scenarios.submit(fleet, steps)
 
-    platform_scenarios.add_action(context, submit_long_running)
+    platform_scenarios.add_action(context, submit)
 
 
 @behave.then("every host was maintained once, at most {cap:d} at a time")
