Send no queued command after the ownership has run out

Cause: stops, changes of pace, moves and maintenance checked the ownership when they were queued or before their record was stored, not when they were sent. Worker commands are fenced by token only once the new owner has reached that worker, host commands only once it has commanded that host.

Change: the watch of a worker and the commands of the hosts partition check once more right before sending; a stop is queued again while its run is listed.

--- a/src/chervillead/machines/host_controller.py
+++ b/src/chervillead/machines/host_controller.py
@@ -213,6 +213,10 @@
         if not await self._moves.record_commands([host_name]):
             del self._down_until_s[key]
             return host_messages.HostReply(UNRECORDED)
+        if not self._state.has_authority():
+            # The process was suspended while the command was being recorded.
+            del self._down_until_s[key]
+            return host_messages.HostReply(STARTING)
         outcome = await self._client.begin_maintenance(
             host_name, number, self.token
         )
--- a/src/chervillead/machines/host_moves.py
+++ b/src/chervillead/machines/host_moves.py
@@ -10,6 +10,7 @@
 from returns import pipeline
 from returns import result
 
+from chervillead import verdicts
 from chervillead.machines import interface
 from chervillead.pools import owner_state
 from chervillead.pools import ports as ports_module
@@ -115,7 +116,19 @@
         return pipeline.is_successful(stored)
 
     async def move(self, host: interface.Host, pool: str) -> Outcome:
-        """Moves a host to a pool; its command must have been recorded."""
+        """Moves a host to a pool; its command must have been recorded.
+
+        Not carried out if the ownership ran out meanwhile, for example because
+        the process was suspended while the command was being recorded.
+        """
+        if not self._state.has_authority():
+            return result.Failure(
+                interface.HostCallFailure(
+                    verdicts.Verdict.NOT_RUN,
+                    "the ownership of the hosts is no longer confirmed",
+                    interface.RejectionReason.BUSY,
+                )
+            )
         # The list may still show the host in its previous pool.
         self._moved_until_s[host.name] = self._now_s() + self._limits.move_s
         outcome = await self._client.move(host.name, pool, self._state.token)
--- a/src/chervillead/workers/watch.py
+++ b/src/chervillead/workers/watch.py
@@ -36,7 +36,8 @@
     Attributes:
         clock: Source of time.
         lease_ms: Length of a lease.
-        may_extend_lease: Whether this owner may still extend leases.
+        is_confirmed: Whether the ownership is certain to hold now, so that
+            leases may be extended and commands sent.
         apply_status: Applies a status; returns the records that must be stored
             before its ended runs are acknowledged.
         on_start_result: Handles the outcome of a start.
@@ -48,7 +49,7 @@
 
     clock: types.Clock
     lease_ms: int
-    may_extend_lease: abc.Callable[[], bool]
+    is_confirmed: abc.Callable[[], bool]
     apply_status: abc.Callable[
         [view_module.WorkerView, interface.WorkerStatus],
         list[asyncio.Future[None]],
@@ -215,11 +216,7 @@
         clock_ms = view.clock_at(now_s)
         # After a failed poll no lease is offered; otherwise the runs of an
         # unreachable worker could never be considered ended.
-        if (
-            clock_ms is not None
-            and not failures
-            and self._ports.may_extend_lease()
-        ):
+        if clock_ms is not None and not failures and self._ports.is_confirmed():
             lease_until = clock_ms + self._ports.lease_ms
             view.extend_lease(lease_until)
         may_wait = (
@@ -241,11 +238,25 @@
             command = await self._commands.get()
             if command.kind == "start":
                 await self._send_start(command.run)
+            elif not self._ports.is_confirmed():
+                # The process may have been suspended since the command was
+                # queued. A stop is queued again while its run is listed.
+                self._log_withheld(command)
             elif command.kind == "pace":
                 await self._client.pace(command.run.key, command.percent)
             else:
                 await self._send_stop(command.run)
 
+    def _log_withheld(self, command: Command) -> None:
+        self._ports.log(
+            "worker:command-withheld",
+            kind=command.kind,
+            job=command.run.job_id,
+            task=list(command.run.task),
+            run=command.run.number,
+            worker=self._view.worker_id,
+        )
+
     async def _send_start(self, run: task_runs.Run) -> None:
         ports = self._ports
         command = ports.make_start_command(self._view, run)
--- a/tests/machines/host_controller.feature
+++ b/tests/machines/host_controller.feature
@@ -36,3 +36,23 @@
     And the store rejects all records
     And maintenance of all hosts is requested
     Then 0 hosts begin maintenance
+
+  Scenario: A host is suspended while it records a move
+    # Guards against a move that is sent after another owner has taken over: a
+    # process that was paused for seconds goes on where it stopped.
+    Given a wave over 1 hosts with a cap of 1 and a new host controller
+    When a pool releases a host
+    Then 1 host is moved
+    When 4 s pass for the host controller
+    And the host is suspended while the next record is stored
+    And a pool releases a host
+    Then 1 host is moved
+    And the pool is told that nothing was done
+
+  Scenario: A host is suspended while it records maintenance
+    # Guards against taking a host down after another owner has taken over.
+    Given a wave over 4 hosts with a cap of 2 and a new host controller
+    When 4 s pass for the host controller
+    And the host is suspended while the next record is stored
+    And maintenance of all hosts is requested
+    Then 0 hosts begin maintenance
--- a/tests/steps/jobs_fleet_allocation.py
+++ b/tests/steps/jobs_fleet_allocation.py
@@ -5,7 +5,6 @@
 import behave
 
 from chervillead.jobs import fleet_allocation
-from stand_ins import reproducible_draws
 
 
 @behave.given("these pools and {spare:d} spare hosts")
--- a/tests/steps/machines_host_controller.py
+++ b/tests/steps/machines_host_controller.py
@@ -9,9 +9,11 @@
 from chervillead import types
 from chervillead import verdicts
 from chervillead.entries import host_messages
+from chervillead.jobs import model
 from chervillead.machines import host_controller
 from chervillead.machines import interface
 from chervillead.pools import ports as ports_module
+from chervillead.store import interface as store_interface
 
 WAVE = 1
 
@@ -21,8 +23,28 @@
 
     def __init__(self):
         self.begun = []
+        self.moved = []
         self.unanswered = 0
 
+    async def list_hosts(self):
+        """Returns one host with a worker."""
+        host = interface.Host(
+            "m-0",
+            "billing",
+            interface.HostState.UP,
+            "zone-a",
+            frozenset(),
+            model.Resources(),
+            "i-0",
+        )
+        return result.Success((host,))
+
+    async def move(self, host, pool, token):
+        """Records a move."""
+        del token
+        self.moved.append((host, pool))
+        return result.Success(None)
+
     async def begin_maintenance(self, host, wave, token):
         """Succeeds, or fails as if there was no response."""
         del wave, token
@@ -46,29 +68,43 @@
     context.names = [f"m-{number}" for number in range(hosts)]
     context.service = FakeHostService()
     context.accepts_records = True
+    context.is_suspended_in_append = False
+    context.has_authority = True
     wave = interface.Wave(WAVE, tuple(context.names), 30.0, cap, context.now_s)
 
     async def append(topic, partition, records, producer):
         del topic, partition, records, producer
+        if context.is_suspended_in_append:
+            context.has_authority = False
         return (
             result.Success(0)
             if context.accepts_records
             else result.Failure(None)
         )
 
+    async def read_latest(topic, partition):
+        del topic, partition
+        return result.Success(store_interface.LatestRecords((), 0))
+
     clock = types.Clock(lambda: context.now_s, lambda: context.now_s)
     context.controller = host_controller.HostController(
         standard_types.SimpleNamespace(
             token=7,
-            has_authority=lambda: True,
+            has_authority=lambda: context.has_authority,
             log=lambda *args, **fields: None,
         ),
         interface.HostServiceClient(
-            None, context.service.begin_maintenance, None
+            context.service.list_hosts,
+            context.service.begin_maintenance,
+            context.service.move,
+        ),
+        host_controller.FleetPorts(
+            lambda: {WAVE: wave}, lambda: ("portal",), frozenset
         ),
-        host_controller.FleetPorts(lambda: {WAVE: wave}, tuple, frozenset),
         standard_types.SimpleNamespace(
-            store=standard_types.SimpleNamespace(append=append),
+            store=standard_types.SimpleNamespace(
+                append=append, read_latest=read_latest
+            ),
             clock=clock,
             limits=ports_module.Limits(),
         ),
@@ -85,6 +121,30 @@
     context.service.unanswered = 1
 
 
+@behave.when("the host is suspended while the next record is stored")
+def step(context):
+    context.is_suspended_in_append = True
+
+
+@behave.when("a pool releases a host")
+def step(context):
+    context.reply = asyncio.run(
+        context.controller.serve(host_messages.TurnOffHost("i-0"))
+    )
+
+
+@behave.then("{hosts:d} host is moved")
+def step(context, hosts):
+    assert len(context.service.moved) == hosts, context.service.moved
+
+
+@behave.then("the pool is told that nothing was done")
+def step(context):
+    assert context.reply.reason and not context.reply.may_have_run, (
+        context.reply
+    )
+
+
 @behave.when("the store rejects all records")
 def step(context):
     context.accepts_records = False
--- /dev/null
+++ b/tests/steps/workers_watch.py
@@ -0,0 +1,167 @@
+"""Steps of tests/workers/watch.feature."""
+
+import asyncio
+
+import behave
+from returns import result
+
+from chervillead import types
+from chervillead.jobs import model
+from chervillead.jobs import task_runs
+from chervillead.workers import interface
+from chervillead.workers import view as view_module
+from chervillead.workers import watch as watch_module
+from stand_ins import virtual_time
+
+INCARNATION = 1
+
+
+class FakeWorker:
+    """Answers polls and records the commands and leases that it gets."""
+
+    def __init__(self, run):
+        self.run = run
+        self.commands = []
+        self.leases = []
+
+    async def poll(self, request):
+        """Lists the run until it is stopped."""
+        await asyncio.sleep(0.1)
+        if request.lease_until_clock_ms is not None:
+            self.leases.append(request.lease_until_clock_ms)
+        status = interface.RunStatus(self.run.key, "", 100, 0)
+        clock_ms = int(1000 * asyncio.get_running_loop().time())
+        return result.Success(
+            interface.WorkerStatus(clock_ms, INCARNATION, (status,), ())
+        )
+
+    async def stop(self, key):
+        """Records a stop."""
+        self.commands.append(("stop", key))
+        return result.Success(0)
+
+    async def pace(self, key, percent):
+        """Records a change of pace."""
+        del percent
+        self.commands.append(("pace", key))
+        return result.Success(None)
+
+    def close(self):
+        """Does nothing; there is no connection."""
+
+
+@behave.given("a watched worker with a run")
+def step(context):
+    context.is_confirmed = True
+    context.actions = []
+
+
+@behave.when("the ownership runs out")
+def step(context):
+    def run_out(watch, run):
+        del watch, run
+        context.is_confirmed = False
+
+    context.actions.append(run_out)
+
+
+@behave.when("the ownership is confirmed again")
+def step(context):
+    def confirm(watch, run):
+        del watch, run
+        context.is_confirmed = True
+
+    context.actions.append(confirm)
+
+
+@behave.when("a stop and a change of pace are queued")
+def step(context):
+    def queue(watch, run):
+        watch.pace(run, 50)
+        watch.stop(run, "its job was cancelled")
+
+    context.actions.append(queue)
+
+
+def run_watch(context):
+    """Takes the actions a second apart; returns the worker."""
+    if hasattr(context, "worker"):
+        return context.worker
+
+    async def main():
+        run = task_runs.Run(
+            "0" * 16,
+            model.TaskKey(0, 0, 0),
+            1,
+            "i-0",
+            reserved=model.Resources(),
+            started_s=0.0,
+        )
+        registration = interface.Registration(
+            "i-0",
+            "billing",
+            types.Address("10.1.0.1", 1),
+            "zone-a",
+            "",
+            frozenset(),
+            model.Resources(),
+            is_draining=False,
+            incarnation=INCARNATION,
+        )
+        view = view_module.WorkerView(registration, discovered_s=0.0)
+        view.begin_incarnation(INCARNATION)
+        view.add_run(run, None)
+        worker = FakeWorker(run)
+
+        def apply_status(view, status):
+            now_s = asyncio.get_running_loop().time()
+            view.record_clock(status.clock_ms, now_s)
+            return []
+
+        ports = watch_module.WatchPorts(
+            clock=virtual_time.clock(),
+            lease_ms=6000,
+            is_confirmed=lambda: context.is_confirmed,
+            apply_status=apply_status,
+            on_start_result=lambda *_: None,
+            make_start_command=lambda *_: None,
+            on_poll_failure=lambda *_: None,
+            log=lambda *_, **__: None,
+        )
+        watch = watch_module.WorkerWatch(view, worker, ports)
+        task = asyncio.create_task(watch.run())
+        for action in context.actions:
+            action(watch, run)
+            await asyncio.sleep(1.0)
+        task.cancel()
+        return worker
+
+    context.worker = virtual_time.run_virtual(main(), context.seed)
+    return context.worker
+
+
+@behave.then("the worker gets a stop and a pace")
+def step(context):
+    kinds = {kind for kind, _ in run_watch(context).commands}
+    assert kinds == {"stop", "pace"}, kinds
+
+
+@behave.then("the worker gets a stop")
+def step(context):
+    kinds = {kind for kind, _ in run_watch(context).commands}
+    assert "stop" in kinds, kinds
+
+
+@behave.then("the worker gets no command")
+def step(context):
+    assert not run_watch(context).commands, run_watch(context).commands
+
+
+@behave.then("the polls extend its lease")
+def step(context):
+    assert run_watch(context).leases
+
+
+@behave.then("no poll extends its lease")
+def step(context):
+    assert not run_watch(context).leases, run_watch(context).leases
--- /dev/null
+++ b/tests/workers/watch.feature
@@ -0,0 +1,27 @@
+Feature: Commands to one worker
+  A watch polls a worker and sends the commands that its owner has queued.
+
+  Scenario: Commands are sent while the ownership is confirmed
+    # Guards against a check that holds back every command.
+    Given a watched worker with a run
+    When a stop and a change of pace are queued
+    Then the worker gets a stop and a pace
+    And the polls extend its lease
+
+  Scenario: The ownership runs out before queued commands are sent
+    # Guards against a process that was suspended for seconds and, as it wakes,
+    # sends the stops that were queued before, although another owner counts on
+    # the runs or has stopped others of the same availability budget.
+    Given a watched worker with a run
+    When the ownership runs out
+    And a stop and a change of pace are queued
+    Then the worker gets no command
+    And no poll extends its lease
+
+  Scenario: The ownership is confirmed again
+    # Guards against a stop that is lost with the first attempt to send it.
+    Given a watched worker with a run
+    When the ownership runs out
+    And a stop and a change of pace are queued
+    And the ownership is confirmed again
+    Then the worker gets a stop
