Count only recent moves as hosts on their way to a pool

Cause: the allocator told a pool the number of hosts it had sent in its term.

Change: sent hosts are numbered and forgotten once they must have registered; a reply names only those that the pool's report didn't count.

--- a/src/chervillead/entries/host_messages.py
+++ b/src/chervillead/entries/host_messages.py
@@ -32,7 +32,8 @@
         needed: Hosts that its running and waiting tasks need.
         retained: Hosts that it needed a short time ago.
         term: Term of the last reply.
-        accounted: Number of hosts sent in that term that `hosts` includes.
+        accounted: `last_sent` of the last reply; `hosts` includes the hosts
+            that had been sent by then.
     """
 
     pool: str
@@ -53,8 +54,10 @@
         may_have_run: Whether the command of a failed call may have been, or may
             still be, carried out.
         detail: Explanation for logs.
-        term: Fencing token of the owner that counts the sent hosts.
-        hosts: Number of hosts that were sent to the pool in this term.
+        term: Fencing token of the owner that numbers the hosts it sends.
+        last_sent: Number of the last host that was sent to any pool.
+        arriving: Number of hosts on their way to the pool that its report
+            didn't count.
         surplus: Number of hosts that the pool should release.
         wanted: How many of these another pool needs now, so that they should be
             released even if tasks still run on them.
@@ -64,7 +67,8 @@
     may_have_run: bool = False
     detail: str = ""
     term: int = 0
-    hosts: int = 0
+    last_sent: int = 0
+    arriving: int = 0
     surplus: int = 0
     wanted: int = 0
 
--- a/src/chervillead/machines/fleet_allocator.py
+++ b/src/chervillead/machines/fleet_allocator.py
@@ -4,6 +4,7 @@
 pool that reports no longer keeps what it has and gets nothing.
 """
 
+import itertools
 import typing
 
 from chervillead.entries import host_messages
@@ -11,6 +12,15 @@
 
 # An owner reports its pools several times within this time.
 REPORT_TTL_S = 2.0
+# A host that was moved to a pool registers within this time, or not at all.
+REGISTRATION_TIMEOUT_S = 4.0
+
+
+class _SentHost(typing.NamedTuple):
+    """A host that was sent to a pool, numbered over all pools."""
+
+    number: int
+    at_s: float
 
 
 class _PoolRecord(typing.NamedTuple):
@@ -19,12 +29,12 @@
     Attributes:
         report: Its last report; None before the first one.
         reported_s: Time of the report.
-        sent: Number of hosts sent to the pool so far.
+        sent: Hosts that were sent to the pool and may not have registered yet.
     """
 
     report: host_messages.ReportLoad | None = None
     reported_s: float = float("-inf")
-    sent: int = 0
+    sent: tuple[_SentHost, ...] = ()
 
 
 class FleetAllocator:
@@ -38,6 +48,8 @@
     def __init__(self, term: int) -> None:
         self._term = term
         self._records: dict[str, _PoolRecord] = {}
+        self._numbers = itertools.count(1)
+        self._last_number = 0
         self.spare_hosts = 0
 
     def record(self, report: host_messages.ReportLoad, now_s: float) -> None:
@@ -47,10 +59,26 @@
             report=report, reported_s=now_s
         )
 
-    def record_sent(self, pool: str, hosts: int) -> None:
-        """Counts hosts that were sent to a pool; negative if they were not."""
+    def record_sent(self, pool: str, now_s: float) -> int:
+        """Counts a host as on its way to a pool; returns its number."""
+        self._last_number = next(self._numbers)
         record = self._records.get(pool, _PoolRecord())
-        self._records[pool] = record._replace(sent=record.sent + hosts)
+        recent = (
+            host
+            for host in record.sent
+            if now_s - host.at_s < REGISTRATION_TIMEOUT_S
+        )
+        self._records[pool] = record._replace(
+            sent=(*recent, _SentHost(self._last_number, now_s))
+        )
+        return self._last_number
+
+    def forget_sent(self, pool: str, number: int) -> None:
+        """Counts a host as not sent, as its move was rejected."""
+        record = self._records[pool]
+        self._records[pool] = record._replace(
+            sent=tuple(host for host in record.sent if host.number != number)
+        )
 
     def allocation(self, now_s: float) -> fleet_allocation.Allocation:
         """Returns the hosts that each pool should have by its report."""
@@ -83,7 +111,8 @@
         lacking = sum(allocation.deficits.values()) - self.spare_hosts
         return host_messages.HostReply(
             term=self._term,
-            hosts=self._records[pool].sent,
+            last_sent=self._last_number,
+            arriving=self._arriving(self._records[pool], now_s),
             surplus=surplus,
             wanted=max(0, min(surplus, lacking)),
         )
@@ -99,18 +128,29 @@
     def _demands(self, now_s: float) -> dict[str, fleet_allocation.PoolDemand]:
         """Returns the demand of each pool with a current report."""
         return {
-            name: self._demand(record.report, record.sent)
+            name: fleet_allocation.PoolDemand(
+                record.report.hosts
+                + record.report.releasing
+                + self._arriving(record, now_s),
+                record.report.min_hosts,
+                record.report.needed,
+                record.report.retained,
+            )
             for name, record in self._records.items()
             if record.report is not None
             and now_s - record.reported_s < REPORT_TTL_S
         }
 
-    def _demand(
-        self, report: host_messages.ReportLoad, sent: int
-    ) -> fleet_allocation.PoolDemand:
-        """Returns a pool's demand, with the hosts it doesn't know of yet."""
-        accounted = report.accounted if report.term == self._term else 0
-        hosts = report.hosts + report.releasing + max(0, sent - accounted)
-        return fleet_allocation.PoolDemand(
-            hosts, report.min_hosts, report.needed, report.retained
+    def _arriving(self, record: _PoolRecord, now_s: float) -> int:
+        """Returns the hosts on their way that a pool's report doesn't count.
+
+        A new owner of the pool knows of none of them.
+        """
+        accounted = 0
+        if record.report is not None and record.report.term == self._term:
+            accounted = record.report.accounted
+        return sum(
+            host.number > accounted
+            and now_s - host.at_s < REGISTRATION_TIMEOUT_S
+            for host in record.sent
         )
--- a/src/chervillead/machines/host_controller.py
+++ b/src/chervillead/machines/host_controller.py
@@ -174,10 +174,10 @@
         self, host: interface.Host, pool: str
     ) -> host_moves.Outcome:
         """Moves a host to a pool and counts it as on its way."""
-        self._allocator.record_sent(pool, 1)
+        number = self._allocator.record_sent(pool, self._now_s())
         outcome = await self._moves.move(host, pool)
         if host_moves.rejection_of(outcome) is not None:
-            self._allocator.record_sent(pool, -1)
+            self._allocator.forget_sent(pool, number)
         return outcome
 
     def _log_allocation(self) -> None:
--- a/src/chervillead/machines/pool_resizing.py
+++ b/src/chervillead/machines/pool_resizing.py
@@ -13,6 +13,7 @@
 from chervillead.entries import host_messages
 from chervillead.jobs import autoscaling
 from chervillead.jobs import model
+from chervillead.machines import fleet_allocator
 from chervillead.machines import host_controller
 from chervillead.machines import hosts_owner_client
 from chervillead.machines import wave_controller
@@ -29,8 +30,6 @@
 IDLE_REPORT_INTERVAL_S = 1.0
 # Hosts are released by a reply for this long, and kept without a later one.
 REPLY_TTL_S = 2.0
-# A host that was moved to a pool registers within this time, or not at all.
-REGISTRATION_TIMEOUT_S = 4.0
 # A host whose turn-off was rejected stays in use for at least this time.
 REJECTION_BACKOFF_S = 2.0
 # A new worker is not turned off before this age: the commands that move its
@@ -55,7 +54,7 @@
         empty_from_s: Since when tasks wait while the pool has no host.
         report_from_s: Time of the next report.
         term: Term of the last reply of the owner of the hosts partition.
-        accounted: Number of hosts sent in that term that were expected here.
+        accounted: Number of the last host sent in that term.
         surplus: Number of hosts to release.
         wanted: How many of these another pool needs now.
         replied_s: Time of the last reply.
@@ -74,18 +73,14 @@
         self.wanted = 0
         self.replied_s = float("-inf")
 
-    def apply(self, reply: host_messages.HostReply, now_s: float) -> int:
-        """Applies a reply; returns how many more hosts are on their way."""
-        if reply.term != self.term:
-            self.term, self.accounted = reply.term, 0
-        arriving = max(0, reply.hosts - self.accounted)
-        self.accounted = max(self.accounted, reply.hosts)
+    def apply(self, reply: host_messages.HostReply, now_s: float) -> None:
+        """Applies a reply to a report."""
+        self.term, self.accounted = reply.term, reply.last_sent
         self.arrival_deadlines_s.extend(
-            [now_s + REGISTRATION_TIMEOUT_S] * arriving
+            [now_s + fleet_allocator.REGISTRATION_TIMEOUT_S] * reply.arriving
         )
         self.surplus, self.wanted = reply.surplus, reply.wanted
         self.replied_s = now_s
-        return arriving
 
 
 class PoolResizer:
@@ -165,14 +160,14 @@
         reply = await self._client.report_load(report)
         if reply is None:
             return
-        arriving = pool.apply(reply, self._now_s())
-        if arriving:
+        pool.apply(reply, self._now_s())
+        if reply.arriving:
             self._owner.state.log(
                 "pool:growing",
                 pool=name,
                 hosts=load.hosts,
                 needed=report.needed,
-                arriving=arriving,
+                arriving=reply.arriving,
                 used_millicores=load.used.millicores,
                 pending_millicores=load.pending.millicores,
             )
@@ -236,7 +231,7 @@
         # Hosts that went down for maintenance return without a request.
         went_down = pool.in_maintenance - found
         pool.arrival_deadlines_s.extend(
-            [now_s + REGISTRATION_TIMEOUT_S] * len(went_down)
+            [now_s + fleet_allocator.REGISTRATION_TIMEOUT_S] * len(went_down)
         )
         pool.in_maintenance.clear()
         pool.in_maintenance.update(
--- a/tests/machines/fleet_allocator.feature
+++ b/tests/machines/fleet_allocator.feature
@@ -7,7 +7,7 @@
     And pool b has 9 hosts and needs 4
     Then pool b should release 5 hosts, of which 2 are wanted
     And the next hosts released by b move to a, a and the spare pool
-    And 2 hosts were sent to pool a
+    And 2 hosts are on their way to pool a
 
   Scenario: Hosts on their way are not sent a second time
     # Guards against more hosts than a pool asked for, when the reply that told
@@ -18,6 +18,29 @@
     And pool a reports once more
     Then the next hosts released by b move to a and the spare pool
 
+  Scenario: A host on its way is counted once
+    # Guards against a host that the pool and the allocator both count.
+    Given pool a has 4 hosts and needs 6
+    And pool b has 9 hosts and needs 4
+    When a host released by b moves to a
+    And pool a counts them and reports once more
+    Then 0 hosts are on their way to pool a
+    And the next hosts released by b move to a and the spare pool
+
+  Scenario: The owner of a pool changes after many moves
+    # Guards against a new owner that counts all hosts that were ever sent to its
+    # pool as on their way (32 of 40 on scale-1 of hsab-sched), so that no other pool and
+    # not even its own gets any.
+    Given pool a has 4 hosts and needs 6
+    And pool b has 9 hosts and needs 4
+    When a host released by b moves to a
+    And a host released by b moves to a
+    And 5 s pass for the reported loads
+    And a new owner reports pool a with 4 hosts
+    And pool b reports once more
+    Then 0 hosts are on their way to pool a
+    And the next hosts released by b move to a, a and the spare pool
+
   Scenario: Spare hosts are used before hosts of other pools
     # Guards against taking hosts from pools while others are turned off.
     Given pool a has 4 hosts and needs 6
--- a/tests/steps/machines_fleet_allocator.py
+++ b/tests/steps/machines_fleet_allocator.py
@@ -35,6 +35,23 @@
     context.now_s += seconds
 
 
+@behave.when("pool {pool} counts them and reports once more")
+def step(context, pool):
+    reply = context.allocator.reply(pool, context.now_s)
+    report = context.reports[pool]
+    context.reports[pool] = report._replace(
+        hosts=report.hosts + reply.arriving, accounted=reply.last_sent
+    )
+    context.allocator.record(context.reports[pool], context.now_s)
+
+
+@behave.when("a new owner reports pool {pool} with {hosts:d} hosts")
+def step(context, pool, hosts):
+    report = context.reports[pool]._replace(hosts=hosts, term=0, accounted=0)
+    context.reports[pool] = report
+    context.allocator.record(report, context.now_s)
+
+
 @behave.when("pool {pool} reports once more")
 def step(context, pool):
     context.allocator.record(context.reports[pool], context.now_s)
@@ -48,7 +65,7 @@
 def release(context, pool):
     destination = context.allocator.destination(pool, context.now_s)
     if destination is not None:
-        context.allocator.record_sent(destination, 1)
+        context.allocator.record_sent(destination, context.now_s)
     return destination or SPARE
 
 
@@ -74,10 +91,10 @@
     assert (reply.surplus, reply.wanted) == (surplus, wanted), reply
 
 
-@behave.then("{hosts:d} hosts were sent to pool {pool}")
+@behave.then("{hosts:d} hosts are on their way to pool {pool}")
 def step(context, hosts, pool):
     reply = context.allocator.reply(pool, context.now_s)
-    assert (reply.term, reply.hosts) == (TERM, hosts), reply
+    assert (reply.term, reply.arriving) == (TERM, hosts), reply
 
 
 @behave.then("only pool {pool} has a size")
