Read the list of hosts as soon as an owner takes over in a wave

Cause: a new owner read the list only once commands were allowed (2.5 s after it took over), and until then took all its hosts for due, so it released none.

Change: the list is read at once; commands wait as before. The line hosts:allocated is written whenever the loads changed, so that a surplus shows too.

--- a/src/chervillead/machines/host_controller.py
+++ b/src/chervillead/machines/host_controller.py
@@ -29,7 +29,7 @@
 ALLOCATION_INTERVAL_S = 0.1
 # Maximum age of the number of spare hosts.
 SPARE_HOSTS_MAX_AGE_S = 0.5
-# Interval of log lines about the allocation while a pool lacks hosts.
+# Shortest interval of log lines about the allocation.
 ALLOCATION_LOG_INTERVAL_S = 1.0
 
 WAVE_FULL = "wave-full"
@@ -78,6 +78,7 @@
         self._begun: set[tuple[int, str]] = set()
         self._down_until_s: dict[tuple[int, str], float] = {}
         self._logged_s = float("-inf")
+        self._logged_pools: dict[str, list[int]] = {}
 
     @property
     def token(self) -> int:
@@ -96,6 +97,7 @@
         """Sends spare hosts to the pools that lack hosts, until cancelled."""
         while True:
             if self._state.has_authority():
+                self._log_allocation()
                 await self._send_spare_hosts()
             await asyncio.sleep(ALLOCATION_INTERVAL_S)
 
@@ -132,7 +134,6 @@
         idle = self._idle_spare_hosts()
         self._allocator.spare_hosts = len(idle)
         deficits = self._allocator.allocation(self._now_s()).deficits
-        self._log_allocation()
         destinations = [
             pool for pool, count in deficits.items() for _ in range(count)
         ]
@@ -181,15 +182,20 @@
         return outcome
 
     def _log_allocation(self) -> None:
+        """Logs the demand and size of each pool if they have changed."""
         now_s = self._now_s()
-        if now_s - self._logged_s >= ALLOCATION_LOG_INTERVAL_S:
-            self._logged_s = now_s
-            self._state.log(
-                "hosts:allocated",
-                spare=self._allocator.spare_hosts,
-                columns="hosts,min,needed,retained,size",
-                pools=self._allocator.describe(now_s),
-            )
+        if now_s - self._logged_s < ALLOCATION_LOG_INTERVAL_S:
+            return
+        pools = self._allocator.describe(now_s)
+        if pools == self._logged_pools:
+            return
+        self._logged_s, self._logged_pools = now_s, pools
+        self._state.log(
+            "hosts:allocated",
+            spare=self._allocator.spare_hosts,
+            columns="hosts,min,needed,retained,size",
+            pools=pools,
+        )
 
     async def _begin_maintenance(
         self, host_name: str, number: int
--- a/src/chervillead/machines/wave_controller.py
+++ b/src/chervillead/machines/wave_controller.py
@@ -98,9 +98,11 @@
                 w for w in self._ports.waves() if not self._is_completed(w)
             ]
             is_too_early = self._clock.monotonic() < commands_from_s
-            if waves and not is_too_early and self._is_responsible():
+            if waves and self._is_responsible():
+                # Read before commands are allowed, as it also tells which
+                # hosts the pools may release.
                 await self._refresh()
-                for wave in waves:
+                for wave in () if is_too_early else waves:
                     await self._advance(wave)
             await asyncio.sleep(INTERVAL_S if waves else IDLE_INTERVAL_S)
 
