Go on with a wave at once after a change of owner

(2) A pool without a part of the cap waited until the hosts of other pools were done, however long one of them stayed away. (3) Reports of a pool that suddenly needed hosts waited for up to 1 s.

Change: hosts that the list shows in maintenance, or that the previous owner has just commanded, count against the cap, so nothing has to wait for them; a pool with due hosts may always drain one, as the owner of the hosts partition enforces the cap; reports go out as soon as the need changes; a release counts at once, at the pool and at the allocator.

The scenario "Maintenance waits until hosts of the previous owner are up again" demanded a wait for all hosts, whatever the previous owner had done. It is replaced by three that are as strict about what it guarded: hosts of the previous owner fill the cap, none of them gets a command from two owners, and nothing starts while its commands can't be read.

--- a/src/chervillead/machines/fleet_allocator.py
+++ b/src/chervillead/machines/fleet_allocator.py
@@ -73,6 +73,15 @@
         )
         return self._last_number
 
+    def record_left(self, pool: str) -> None:
+        """Counts a host as gone from a pool that was releasing it."""
+        record = self._records.get(pool)
+        if record is not None and record.report is not None:
+            releasing = max(0, record.report.releasing - 1)
+            self._records[pool] = record._replace(
+                report=record.report._replace(releasing=releasing)
+            )
+
     def forget_sent(self, pool: str, number: int) -> None:
         """Counts a host as not sent, as its move was rejected."""
         record = self._records[pool]
--- a/src/chervillead/machines/host_controller.py
+++ b/src/chervillead/machines/host_controller.py
@@ -29,6 +29,8 @@
 ALLOCATION_INTERVAL_S = 0.1
 # Maximum age of the number of spare hosts.
 SPARE_HOSTS_MAX_AGE_S = 0.5
+# Maximum age of the list that tells which hosts are down for maintenance.
+WAVE_HOSTS_MAX_AGE_S = 0.5
 # Shortest interval of log lines about the allocation.
 ALLOCATION_LOG_INTERVAL_S = 1.0
 
@@ -38,6 +40,11 @@
 UNRECORDED = "unrecorded"
 
 
+_UNREADABLE = host_messages.HostReply(
+    UNANSWERED, detail="cannot read the list of hosts or the recorded commands"
+)
+
+
 class FleetPorts(typing.NamedTuple):
     """Published fleet state that the controller reads.
 
@@ -68,11 +75,11 @@
         self._clock = ports.clock
         self._limits = ports.limits
         # Maintenance that a previous owner started has ended by then.
-        self._commands_from_s = self._now_s() + max(
+        commands_from_s = self._now_s() + max(
             self._recovery_s, ports.limits.host_lease_s
         )
         self._moves = host_moves.HostMoves(
-            state, client, ports, self._commands_from_s
+            state, client, ports, commands_from_s
         )
         self._allocator = fleet_allocator.FleetAllocator(state.token)
         self._begun: set[tuple[int, str]] = set()
@@ -117,8 +124,6 @@
         self, call: host_messages.HostCall
     ) -> host_messages.HostReply:
         if isinstance(call, host_messages.BeginMaintenance):
-            if self._now_s() < self._commands_from_s:
-                return host_messages.HostReply(STARTING)
             return await self._begin_maintenance(call.host, call.wave)
         if isinstance(call, host_messages.ReportLoad):
             self._allocator.record(call, self._now_s())
@@ -204,14 +209,16 @@
         key = number, host_name
         if key in self._begun:
             return host_messages.HostReply()
+        if not await self._moves.refresh(WAVE_HOSTS_MAX_AGE_S):
+            return _UNREADABLE
+        if key in self._begun:
+            return host_messages.HostReply()
+        host = self._moves.host(host_name)
+        if host is not None and not self._moves.may_command(host):
+            return host_messages.HostReply(STARTING)
         wave = self._fleet.waves().get(number)
         now_s = self._now_s()
-        down = sum(
-            until_s > now_s
-            for other, until_s in self._down_until_s.items()
-            if other[0] == number and other != key
-        )
-        if wave is None or down >= wave.cap:
+        if wave is None or self._count_down(wave, host_name) >= wave.cap:
             return host_messages.HostReply(WAVE_FULL)
         # Counts against the cap before the response arrives, since a command
         # without a response may still be carried out.
@@ -233,13 +240,21 @@
             del self._down_until_s[key]
         return _reply(outcome)
 
+    def _count_down(self, wave: interface.Wave, but: str) -> int:
+        """Returns how many hosts of a wave may be down, except for one."""
+        now_s = self._now_s()
+        down = {
+            name
+            for (number, name), until_s in self._down_until_s.items()
+            if number == wave.number and until_s > now_s
+        }
+        down |= self._moves.hosts_down() & set(wave.hosts)
+        return len(down - {but})
+
     async def _turn_off(self, worker_id: str) -> host_messages.HostReply:
         """Moves the host of a drained worker to a pool that lacks hosts."""
         if not await self._moves.refresh():
-            return host_messages.HostReply(
-                UNANSWERED,
-                detail="cannot read the list of hosts or the recorded commands",
-            )
+            return _UNREADABLE
         host = self._moves.host_of(worker_id)
         if host is None:
             # The host has already moved, or its worker has ended otherwise.
@@ -256,10 +271,16 @@
         pool = self._destination(host)
         if pool is not None:
             outcome = await self._send(host, pool)
-            rejection = host_moves.rejection_of(outcome)
-            if rejection is not interface.RejectionReason.UNKNOWN:
-                return _reply(outcome)
-        return _reply(await self._moves.move(host, spare))
+            if (
+                host_moves.rejection_of(outcome)
+                is interface.RejectionReason.UNKNOWN
+            ):
+                pool = None
+        if pool is None:
+            outcome = await self._moves.move(host, spare)
+        if host_moves.rejection_of(outcome) is None:
+            self._allocator.record_left(host.pool)
+        return _reply(outcome)
 
     def _destination(self, host: interface.Host) -> str | None:
         """Returns the pool that a released host serves next, if any."""
--- a/src/chervillead/machines/host_moves.py
+++ b/src/chervillead/machines/host_moves.py
@@ -49,6 +49,8 @@
         self._limits = ports.limits
         self._store = ports.store
         self._commands_from_s = commands_from_s
+        # How long a command of a previous owner matters.
+        self._previous_command_s = commands_from_s - self._now_s()
         self._hosts: dict[str, interface.Host] = {}
         self._listed_s = float("-inf")
         self._listing = asyncio.Lock()
@@ -84,6 +86,10 @@
             self._listed_s = requested_s
             return True
 
+    def host(self, name: str) -> interface.Host | None:
+        """Returns a host by its name, or None if it isn't listed."""
+        return self._hosts.get(name)
+
     def host_of(self, worker_id: str) -> interface.Host | None:
         """Returns the host that is up with a worker, if there is one."""
         return next(
@@ -104,6 +110,20 @@
             self._moved_until_s.get(host.name, 0.0) <= now_s
         )
 
+    def hosts_down(self) -> set[str]:
+        """Returns the hosts that may be down for maintenance.
+
+        Those that a previous owner commanded count until they are surely up.
+        """
+        down = {
+            host.name
+            for host in self._hosts.values()
+            if host.state is interface.HostState.MAINTENANCE
+        }
+        if self._now_s() < self._commands_from_s:
+            down |= self._previous_commands or set()
+        return down
+
     async def record_commands(self, host_names: abc.Iterable[str]) -> bool:
         """Records that commands are about to be sent to hosts."""
         value = str(int(1000 * self._clock.wall())).encode()
@@ -160,7 +180,7 @@
         read = await self._store.read_latest(COMMANDS_TOPIC, 0)
         if not pipeline.is_successful(read):
             return False
-        recent_unix_ms = 1000 * (self._clock.wall() - self._limits.host_lease_s)
+        recent_unix_ms = 1000 * (self._clock.wall() - self._previous_command_s)
         self._previous_commands = {
             record.key
             for record in read.unwrap().records
--- a/src/chervillead/machines/pool_resizing.py
+++ b/src/chervillead/machines/pool_resizing.py
@@ -52,11 +52,12 @@
         in_maintenance: Workers seen while they were drained for maintenance.
         known_workers: Workers that were ever seen in the pool.
         empty_from_s: Since when tasks wait while the pool has no host.
-        report_from_s: Time of the next report.
+        reported_s: Time of the last report.
         term: Term of the last reply of the owner of the hosts partition.
         accounted: Number of the last host sent in that term.
         surplus: Number of hosts to release.
         wanted: How many of these another pool needs now.
+        released: Number of hosts that were released so far.
         replied_s: Time of the last reply.
     """
 
@@ -66,21 +67,40 @@
         self.in_maintenance: set[str] = set()
         self.known_workers: set[str] = set()
         self.empty_from_s: float | None = None
-        self.report_from_s = 0.0
+        self.reported_s = float("-inf")
         self.term = 0
         self.accounted = 0
         self.surplus = 0
         self.wanted = 0
+        self.released = 0
         self.replied_s = float("-inf")
 
-    def apply(self, reply: host_messages.HostReply, now_s: float) -> None:
-        """Applies a reply to a report."""
+    def apply(
+        self, reply: host_messages.HostReply, released: int, now_s: float
+    ) -> None:
+        """Applies a reply to a report.
+
+        Args:
+            reply: The reply.
+            released: Value of `released` when the report was made.
+            now_s: Time of the owner's clock.
+        """
         self.term, self.accounted = reply.term, reply.last_sent
         self.arrival_deadlines_s.extend(
             [now_s + fleet_allocator.REGISTRATION_TIMEOUT_S] * reply.arriving
         )
         self.surplus, self.wanted = reply.surplus, reply.wanted
         self.replied_s = now_s
+        self._count_released(self.released - released)
+
+    def record_released(self) -> None:
+        """Counts a host as released, which reduces the surplus."""
+        self.released += 1
+        self._count_released(1)
+
+    def _count_released(self, hosts: int) -> None:
+        self.surplus = max(0, self.surplus - hosts)
+        self.wanted = max(0, self.wanted - hosts)
 
 
 class PoolResizer:
@@ -116,9 +136,9 @@
                     and self._owner.state.has_authority()
                 ):
                     pools = self._resizable_pools(configuration)
+                    await asyncio.gather(*map(self._resize, pools))
                     for name in pools:
                         self._turn_off_drained(name, group)
-                    await asyncio.gather(*map(self._resize, pools))
                 await asyncio.sleep(RESIZE_INTERVAL_S)
 
     def _resizable_pools(
@@ -144,27 +164,29 @@
             return
         pool.autoscaler.record(load, now_s)
         self._adjust_draining(name, pool, load)
-        if now_s >= pool.report_from_s:
-            await self._report(name, pool, load)
+        report = self._measure_report(name, pool, load)
+        is_settled = report.needed <= report.hosts <= report.retained
+        interval_s = IDLE_REPORT_INTERVAL_S if is_settled else REPORT_INTERVAL_S
+        if now_s - pool.reported_s >= interval_s:
+            pool.reported_s = now_s
+            await self._report(pool, load, report)
 
     async def _report(
-        self, name: str, pool: _Pool, load: autoscaling.PoolLoad
+        self,
+        pool: _Pool,
+        load: autoscaling.PoolLoad,
+        report: host_messages.ReportLoad,
     ) -> None:
         """Reports the load of a pool and applies the reply."""
-        now_s = self._now_s()
-        report = self._measure_report(name, pool, load)
-        is_settled = report.needed <= report.hosts <= report.retained
-        pool.report_from_s = now_s + (
-            IDLE_REPORT_INTERVAL_S if is_settled else REPORT_INTERVAL_S
-        )
+        released = pool.released
         reply = await self._client.report_load(report)
         if reply is None:
             return
-        pool.apply(reply, self._now_s())
+        pool.apply(reply, released, self._now_s())
         if reply.arriving:
             self._owner.state.log(
                 "pool:growing",
-                pool=name,
+                pool=report.pool,
                 hosts=load.hosts,
                 needed=report.needed,
                 arriving=reply.arriving,
@@ -369,12 +391,13 @@
             ):
                 continue
             self._turning_off.add(worker_id)
-            group.create_task(self._turn_off(worker_id))
+            group.create_task(self._turn_off(name, worker_id))
 
-    async def _turn_off(self, worker_id: str) -> None:
+    async def _turn_off(self, name: str, worker_id: str) -> None:
         outcome = await self._client.turn_off(worker_id)
         self._turning_off.discard(worker_id)
         if pipeline.is_successful(outcome):
+            self._pools[name].record_released()
             self._owner.drain.mark_host_down(
                 worker_id, "its host is turned off"
             )
--- a/src/chervillead/machines/wave_controller.py
+++ b/src/chervillead/machines/wave_controller.py
@@ -87,22 +87,18 @@
     async def run(self) -> None:
         """Processes waves until cancelled.
 
-        Sends no command until hosts that a previous owner may just have taken
-        down are up again.
+        The owner of the hosts partition enforces the cap, also for hosts that a
+        previous owner may just have taken down.
         """
-        commands_from_s = self._clock.monotonic() + self._recovery_s
         while True:
             if self._owner.workers.has_uncontacted_workers():
                 await self._apply_host_list()
             waves = [
                 w for w in self._ports.waves() if not self._is_completed(w)
             ]
-            is_too_early = self._clock.monotonic() < commands_from_s
             if waves and self._is_responsible():
-                # Read before commands are allowed, as it also tells which
-                # hosts the pools may release.
                 await self._refresh()
-                for wave in () if is_too_early else waves:
+                for wave in waves:
                     await self._advance(wave)
             await asyncio.sleep(INTERVAL_S if waves else IDLE_INTERVAL_S)
 
@@ -198,7 +194,11 @@
     def _free_slots(
         self, wave: interface.Wave, due: list[interface.Host]
     ) -> dict[str, int]:
-        """Returns how many more hosts of each pool may be drained."""
+        """Returns how many more hosts of each pool may be drained.
+
+        A pool with due hosts may always drain one, so that it doesn't wait for
+        a host of another pool that stays away.
+        """
         now_s = self._clock.monotonic()
         counts = collections.Counter(
             self._hosts[name].pool for name in wave.hosts if name in self._hosts
@@ -212,11 +212,21 @@
             for (number, pool), since_s in self._pool_begun_s.items()
             if number == wave.number and now_s - since_s > self._recovery_s
         }
-        free_slots = host_maintenance.split_cap(wave.cap, counts, finished)
-        for name, until_s in self._down_until_s.items():
-            if now_s < until_s and name in self._hosts:
-                pool = self._hosts[name].pool
-                free_slots[pool] = free_slots.get(pool, 0) - 1
+        parts = host_maintenance.split_cap(wave.cap, counts, finished)
+        free_slots = {pool: max(1, parts.get(pool, 0)) for pool in due_pools}
+        down = {
+            name
+            for name, until_s in self._down_until_s.items()
+            if now_s < until_s
+        } | {
+            name
+            for name in wave.hosts
+            if name in self._hosts
+            and self._hosts[name].state is interface.HostState.MAINTENANCE
+        }
+        for name in down & self._hosts.keys():
+            pool = self._hosts[name].pool
+            free_slots[pool] = free_slots.get(pool, 0) - 1
         for draining in self._draining.values():
             pool = self._hosts[draining.name].pool
             free_slots[pool] = free_slots.get(pool, 0) - 1
--- a/tests/machines/fleet_allocator.feature
+++ b/tests/machines/fleet_allocator.feature
@@ -27,6 +27,15 @@
     Then 0 hosts are on their way to pool a
     And the next hosts released by b move to a and the spare pool
 
+  Scenario: A host that has left its pool is counted where it goes
+    # Guards against a host that two pools count, so that a third one is told to
+    # wait for hosts that don't exist.
+    Given pool a has 4 hosts and needs 6
+    And pool b has 9 hosts and needs 4
+    And pool b is releasing 2 hosts besides
+    When a host released by b moves to a
+    Then the pools have 15 hosts in all
+
   Scenario: The owner of a pool changes after many moves
     # Guards against a new owner that counts all hosts that were ever sent to its
     # pool as on their way (32 of 40 on scale-1 of hsab-sched), so that no other pool and
--- a/tests/machines/host_controller.feature
+++ b/tests/machines/host_controller.feature
@@ -23,9 +23,30 @@
     And maintenance of all other hosts is requested
     Then 0 hosts begin maintenance
 
-  Scenario: Maintenance waits until hosts of the previous owner are up again
-    # Guards against exceeding the cap after a change of owner.
+  Scenario: Hosts that the previous owner took down count against the cap
+    # Guards against exceeding the cap after a change of owner, and against two
+    # owners that send commands to one host in turn.
     Given a wave over 4 hosts with a cap of 2 and a new host controller
+    And the previous owner has just sent commands to 2 hosts
+    When maintenance of all hosts is requested
+    Then 0 hosts begin maintenance
+    When 4 s pass for the host controller
+    And maintenance of all hosts is requested
+    Then 2 hosts begin maintenance
+
+  Scenario: A new owner goes on with a wave at once
+    # Guards against a wave that loses seconds at each change of owner, which it
+    # lacks at its end (trouble-1 and trouble-2 of a deployment of 40 workers).
+    Given a wave over 4 hosts with a cap of 2 and a new host controller
+    And the previous owner has just sent commands to 1 host
+    When maintenance of all hosts is requested
+    Then 1 hosts begin maintenance
+    And none of them got a command from the previous owner
+
+  Scenario: The commands of the previous owner can't be read
+    # Guards against commands of two owners that don't know of each other's.
+    Given a wave over 4 hosts with a cap of 2 and a new host controller
+    And the store can't tell the previous owner's commands
     When maintenance of all hosts is requested
     Then 0 hosts begin maintenance
 
--- a/tests/steps/machines_fleet_allocator.py
+++ b/tests/steps/machines_fleet_allocator.py
@@ -25,6 +25,19 @@
     context.allocator.record(context.reports[pool], context.now_s)
 
 
+@behave.given("pool {pool} is releasing {hosts:d} hosts besides")
+def step(context, pool, hosts):
+    report = context.reports[pool]._replace(releasing=hosts)
+    context.reports[pool] = report
+    context.allocator.record(report, context.now_s)
+
+
+@behave.then("the pools have {hosts:d} hosts in all")
+def step(context, hosts):
+    columns = context.allocator.describe(context.now_s).values()
+    assert sum(column[0] for column in columns) == hosts, columns
+
+
 @behave.given("{hosts:d} hosts are spare")
 def step(context, hosts):
     context.allocator.spare_hosts = hosts
@@ -66,6 +79,7 @@
     destination = context.allocator.destination(pool, context.now_s)
     if destination is not None:
         context.allocator.record_sent(destination, context.now_s)
+    context.allocator.record_left(pool)
     return destination or SPARE
 
 
--- a/tests/steps/machines_host_controller.py
+++ b/tests/steps/machines_host_controller.py
@@ -27,17 +27,21 @@
         self.unanswered = 0
 
     async def list_hosts(self):
-        """Returns one host with a worker."""
-        host = interface.Host(
-            "m-0",
-            "billing",
-            interface.HostState.UP,
-            "zone-a",
-            frozenset(),
-            model.Resources(),
-            "i-0",
+        """Returns four hosts, each with a worker."""
+        return result.Success(
+            tuple(
+                interface.Host(
+                    f"m-{number}",
+                    "billing",
+                    interface.HostState.UP,
+                    "zone-a",
+                    frozenset(),
+                    model.Resources(),
+                    f"i-{number}",
+                )
+                for number in range(4)
+            )
         )
-        return result.Success((host,))
 
     async def move(self, host, pool, token):
         """Records a move."""
@@ -69,6 +73,7 @@
     context.service = FakeHostService()
     context.accepts_records = True
     context.is_suspended_in_append = False
+    context.previous_commands = {}
     context.has_authority = True
     wave = interface.Wave(WAVE, tuple(context.names), 30.0, cap, context.now_s)
 
@@ -84,7 +89,17 @@
 
     async def read_latest(topic, partition):
         del topic, partition
-        return result.Success(store_interface.LatestRecords((), 0))
+        if context.previous_commands is None:
+            return result.Failure(None)
+        return result.Success(
+            store_interface.LatestRecords(
+                tuple(
+                    store_interface.KeyedRecord(name, value)
+                    for name, value in context.previous_commands.items()
+                ),
+                0,
+            )
+        )
 
     clock = types.Clock(lambda: context.now_s, lambda: context.now_s)
     context.controller = host_controller.HostController(
@@ -111,6 +126,23 @@
     )
 
 
+@behave.given("the previous owner has just sent commands to {count:d} hosts")
+@behave.given("the previous owner has just sent commands to {count:d} host")
+def step(context, count):
+    just_now = str(int(1000 * context.now_s) - 100).encode()
+    context.previous_commands = dict.fromkeys(context.names[:count], just_now)
+
+
+@behave.given("the store can't tell the previous owner's commands")
+def step(context):
+    context.previous_commands = None
+
+
+@behave.then("none of them got a command from the previous owner")
+def step(context):
+    assert not set(context.service.begun) & set(context.previous_commands)
+
+
 @behave.when("{seconds:d} s pass for the host controller")
 def step(context, seconds):
     context.now_s += seconds
