Give hosts first to work that may still meet its target

Change: pools report the part of their need that may still meet its completion target (ordering.may_meet_target); the allocator serves it first, then late work, then what pools needed before.

--- a/src/chervillead/entries/host_messages.py
+++ b/src/chervillead/entries/host_messages.py
@@ -29,7 +29,8 @@
         releasing: Hosts that it empties in order to release them; not part of
             `hosts`.
         min_hosts: Hosts that it cannot release.
-        needed: Hosts that its running and waiting tasks need.
+        urgent: Hosts that work needs which may still meet its target.
+        needed: Hosts that all its running and waiting tasks need.
         retained: Hosts that it needed a short time ago.
         term: Term of the last reply.
         accounted: `last_sent` of the last reply; `hosts` includes the hosts
@@ -40,6 +41,7 @@
     hosts: int
     releasing: int
     min_hosts: int
+    urgent: int
     needed: int
     retained: int
     term: int
--- a/src/chervillead/jobs/autoscaling.py
+++ b/src/chervillead/jobs/autoscaling.py
@@ -35,6 +35,8 @@
         host_capacity: Mean capacity of a host of the pool; none without hosts.
         used: Resources that running tasks reserve.
         pending: Resources of the tasks that wait only for room.
+        urgent: Part of both that may still meet the completion target of its
+            job.
         min_hosts: Hosts needed by steps that limit their tasks per worker.
         is_fragmented: Whether a pending task would fit an empty host but fits
             no host with its current tasks.
@@ -44,6 +46,7 @@
     host_capacity: model.Resources
     used: model.Resources
     pending: model.Resources
+    urgent: model.Resources = model.Resources()
     min_hosts: int = 0
     is_fragmented: bool = False
 
@@ -75,10 +78,20 @@
     return needed
 
 
+def hosts_needed_urgently(load: PoolLoad) -> int:
+    """Returns how many hosts serve work that may still meet its target."""
+    needed = max(MIN_HOSTS, load.min_hosts)
+    for amount, capacity in zip(load.urgent, load.host_capacity, strict=True):
+        if capacity > 0:
+            needed = max(needed, math.ceil(amount * HEADROOM_FACTOR / capacity))
+    return needed
+
+
 class _Sample(typing.NamedTuple):
     at_s: float
     demand: model.Resources
     hosts: int
+    urgent_hosts: int
 
 
 class PoolAutoscaler:
@@ -98,7 +111,9 @@
             load.demand,
         )
         needed = hosts_needed(load, load.demand.minus(previous_demand))
-        self._samples.append(_Sample(now_s, load.demand, needed))
+        self._samples.append(
+            _Sample(now_s, load.demand, needed, hosts_needed_urgently(load))
+        )
         while self._samples[0].at_s < now_s - SHRINK_DELAY_S:
             self._samples.popleft()
 
@@ -114,9 +129,14 @@
             if sample.at_s >= now_s - GROWTH_DELAY_S
         )
 
-    def current_size(self) -> int:
-        """Returns the size that the last recorded load needs."""
-        return self._samples[-1].hosts
+    def urgent_size(self, now_s: float) -> int:
+        """Returns the part of `min_size` that serves work still on time."""
+        urgent_hosts = min(
+            sample.urgent_hosts
+            for sample in self._samples
+            if sample.at_s >= now_s - GROWTH_DELAY_S
+        )
+        return min(urgent_hosts, self.min_size(now_s))
 
     def max_size(self, now_s: float) -> int | None:
         """Returns the size above which the pool should shrink.
--- a/src/chervillead/jobs/fleet_allocation.py
+++ b/src/chervillead/jobs/fleet_allocation.py
@@ -3,7 +3,8 @@
 Meant for pools whose bursts overlap: together they then need more hosts than
 there are, and a pool with a long backlog must not take the hosts of one whose
 short work could still meet its target. Pools get equal parts of what is scarce
-(max-min fairness), so a pool that needs less than its part is served in full.
+(max-min fairness), so a pool that needs less than its part is served in full,
+and work that is late anyhow gets what is left.
 """
 
 from collections import abc
@@ -17,13 +18,15 @@
         hosts: Hosts that the pool has or that are moving to it.
         min_hosts: Hosts that it cannot release, for example because
             long-running tasks are on them.
-        needed: Hosts that its running and waiting tasks need.
+        urgent: Hosts that work needs which may still meet its target.
+        needed: Hosts that all its running and waiting tasks need.
         retained: Hosts that it needed a short time ago; the next burst may need
             them again.
     """
 
     hosts: int
     min_hosts: int
+    urgent: int
     needed: int
     retained: int
 
@@ -47,23 +50,25 @@
 ) -> Allocation:
     """Divides the hosts of all pools and the spare ones among the pools.
 
-    Each pool gets the hosts that it can't release. Further hosts go to what the
-    pools need, and only then to what they needed before. The sizes add up to at
-    most all hosts, unless the pools can't release that many.
+    Each pool gets the hosts that it can't release. Further hosts go to work
+    that may still meet its target, then to work that is late anyhow, and only
+    then to what pools needed before. The sizes add up to at most all hosts,
+    unless the pools can't release that many.
 
     Args:
         demands: Demand by pool.
         spare_hosts: Number of hosts that belong to no pool and can be used.
 
     Example:
-        >>> small = PoolDemand(hosts=2, min_hosts=1, needed=3, retained=3)
-        >>> large = PoolDemand(hosts=8, min_hosts=1, needed=50, retained=50)
+        >>> small = PoolDemand(2, min_hosts=1, urgent=3, needed=3, retained=3)
+        >>> large = PoolDemand(8, min_hosts=1, urgent=9, needed=50, retained=50)
         >>> allocate({"a": small, "b": large}, spare_hosts=0).sizes
         {'a': 3, 'b': 7}
     """
     total = spare_hosts + sum(demand.hosts for demand in demands.values())
     sizes = {name: demand.min_hosts for name, demand in demands.items()}
     for limits in (
+        {name: demand.urgent for name, demand in demands.items()},
         {name: demand.needed for name, demand in demands.items()},
         {
             # A pool gets no hosts for what it needed before.
--- a/src/chervillead/jobs/ordering.py
+++ b/src/chervillead/jobs/ordering.py
@@ -58,6 +58,30 @@
     return job.accepted_s + (left_ms - remaining_critical_path_ms(job)) / 1000
 
 
+def may_meet_target(
+    job: job_state.JobState,
+    queue: model.Queue | None,
+    now_s: float,
+    *,
+    is_running: bool,
+) -> bool:
+    """Returns whether a task of a job still serves its completion target.
+
+    Args:
+        job: The job.
+        queue: Its queue, or None if the configuration no longer has it.
+        now_s: Time of the owner's clock.
+        is_running: Whether the task runs. One that waits must start early
+            enough for the critical path.
+    """
+    if is_long_running(job.spec):
+        return True
+    if is_running:
+        target_s = completion_target_ms(job.spec, queue) / 1000
+        return now_s <= job.accepted_s + target_s
+    return now_s <= latest_start_s(job, queue)
+
+
 def over_share(share_usage: float) -> float:
     """Returns by how much an account exceeds its fair share."""
     return max(0.0, share_usage - 1.0)
--- a/src/chervillead/machines/fleet_allocator.py
+++ b/src/chervillead/machines/fleet_allocator.py
@@ -142,6 +142,7 @@
                 + record.report.releasing
                 + self._arriving(record, now_s),
                 record.report.min_hosts,
+                record.report.urgent,
                 record.report.needed,
                 record.report.retained,
             )
--- a/src/chervillead/machines/host_controller.py
+++ b/src/chervillead/machines/host_controller.py
@@ -198,7 +198,7 @@
         self._state.log(
             "hosts:allocated",
             spare=self._allocator.spare_hosts,
-            columns="hosts,min,needed,retained,size",
+            columns="hosts,min,urgent,needed,retained,size",
             pools=pools,
         )
 
--- a/src/chervillead/machines/pool_resizing.py
+++ b/src/chervillead/machines/pool_resizing.py
@@ -220,6 +220,7 @@
             hosts=hosts,
             releasing=releasing,
             min_hosts=min_hosts,
+            urgent=max(min_hosts, pool.autoscaler.urgent_size(now_s)),
             needed=needed,
             retained=max(
                 needed, hosts + releasing if retained is None else retained
--- a/src/chervillead/pools/pool_load.py
+++ b/src/chervillead/pools/pool_load.py
@@ -1,9 +1,12 @@
 """Measures the load of a pool, the input of autoscaling."""
 
 from collections import abc
+import functools
+import itertools
 
 from chervillead.jobs import autoscaling
 from chervillead.jobs import model
+from chervillead.jobs import ordering
 from chervillead.jobs import quotas
 from chervillead.jobs import readiness
 from chervillead.pools import owner_state
@@ -43,6 +46,7 @@
         pending=_sum(
             ready.step.reserved.times(len(ready.tasks)) for ready in demand
         ),
+        urgent=_urgent(state, configuration, watches, demand),
         min_hosts=_min_hosts(demand),
         is_fragmented=any(
             mean_capacity.covers(need)
@@ -87,6 +91,39 @@
     return usage
 
 
+def _urgent(
+    state: owner_state.OwnerState,
+    configuration: model.FleetConfiguration,
+    watches: abc.Iterable[watch_module.WorkerWatch],
+    ready: abc.Iterable[readiness.ReadyStep],
+) -> model.Resources:
+    """Returns the resources of tasks that still serve a completion target."""
+    now_s = state.now_s()
+
+    @functools.cache
+    def is_on_time(job_id: str, is_running: bool) -> bool:
+        job = state.jobs.get(job_id)
+        return job is not None and ordering.may_meet_target(
+            job,
+            configuration.queues.get(job.spec.queue),
+            now_s,
+            is_running=is_running,
+        )
+
+    running = (
+        run.reserved
+        for watch in watches
+        for run in watch.view.runs.values()
+        if is_on_time(run.job_id, True)
+    )
+    waiting = (
+        step.step.reserved.times(len(step.tasks))
+        for step in ready
+        if is_on_time(step.job.spec.job_id, False)
+    )
+    return _sum(itertools.chain(running, waiting))
+
+
 def _within_quotas(
     configuration: model.FleetConfiguration,
     usage: dict[str, model.Resources],
--- a/tests/jobs/autoscaling.feature
+++ b/tests/jobs/autoscaling.feature
@@ -52,3 +52,10 @@
       | min_hosts | packing    | needed |
       | 6         | even       | 6      |
       | 0         | fragmented | 5      |
+
+  Scenario: Late work is told apart from work that can meet its target
+    # Guards against a backlog that has missed its target and takes hosts from
+    # work that has not.
+    Given hosts of 32 cores
+    When a pool has a demand of 400 cores for 1 s, of which 100 cores are on time
+    Then it needs 16 hosts, of which 4 are urgent
