Tell the age of a worker from its start, not from its discovery

Cause: a host may be released 4 s after its worker was found.

Change: the start that a worker reports counts too. The stand-in's workers report the Unix time of their start, as the platform's do, in place of a small number.

A trial with an age of 2 s in place of 4 made hosts leave before the fleet of a scenario was up, and was given up.

--- a/src/chervillead/machines/pool_resizing.py
+++ b/src/chervillead/machines/pool_resizing.py
@@ -20,6 +20,7 @@
 from chervillead.pools import partition_owner
 from chervillead.pools import pool_load
 from chervillead.pools import ports as ports_module
+from chervillead.workers import view as view_module
 from chervillead.workers import watch as watch_module
 
 RESIZE_INTERVAL_S = 0.1
@@ -363,7 +364,7 @@
                 or not view.has_answered
                 or view.registration.is_draining
                 or self._is_maintenance_due(view.worker_id)
-                or now_s - view.discovered_s < MIN_WORKER_AGE_S
+                or self._age_s(view) < MIN_WORKER_AGE_S
                 or self._paused_until_s.get(view.worker_id, 0.0) > now_s
                 or counts[_label_set(watch)] <= MIN_WORKERS_PER_LABEL_SET
             ):
@@ -371,6 +372,17 @@
             counts[_label_set(watch)] -= 1
             yield watch
 
+    def _age_s(self, view: view_module.WorkerView) -> float:
+        """Returns how long a worker has certainly been in its pool.
+
+        Its start tells that even to an owner that has just taken over.
+        """
+        started_s = view.registration.incarnation / 1000
+        return max(
+            self._now_s() - view.discovered_s,
+            self._ports.clock.wall() - started_s,
+        )
+
     def _watches(self, name: str) -> list[watch_module.WorkerWatch]:
         return pool_load.watches_of(self._owner.state, name)
 
--- a/tests/stand_ins/platform_worker.py
+++ b/tests/stand_ins/platform_worker.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from stand_ins import http_server
+from stand_ins import virtual_time
 
 MAX_LEASE_MS = 6000
 STOP_S = 0.2
@@ -95,7 +96,8 @@
         self.is_crashed = False
         self.records: list[RunRecord] = []
         self.acknowledged: list[tuple[str, int, str]] = []
-        self.incarnation = 1
+        # Unix time of its start in milliseconds, as the platform has it.
+        self.incarnation = virtual_time.wall_ms()
         self.lease_until_ms = 0
         self._start_s = asyncio.get_running_loop().time()
         self._token = 0
@@ -127,7 +129,7 @@
     def restart(self) -> None:
         """Starts another incarnation under the same id; all runs are gone."""
         self._end_all("gone", list_ends=False)
-        self.incarnation += 1
+        self.incarnation = max(self.incarnation + 1, virtual_time.wall_ms())
         self._token = 0
         self._ended.clear()
         self._end_count = 0
--- a/tests/stand_ins/virtual_time.py
+++ b/tests/stand_ins/virtual_time.py
@@ -8,6 +8,7 @@
 from collections import abc
 import random
 import selectors
+import time
 import typing
 
 from chervillead import types
@@ -54,6 +55,14 @@
     return types.Clock(loop.time, lambda: WALL_START_S + loop.time())
 
 
+def wall_ms() -> int:
+    """Returns the Unix time of the running loop, virtual or not."""
+    loop = asyncio.get_running_loop()
+    if isinstance(loop, VirtualTimeLoop):
+        return int(1000 * clock().wall())
+    return int(1000 * time.time())
+
+
 def run_virtual(
     main: abc.Coroutine[typing.Any, typing.Any, typing.Any], seed: int
 ) -> typing.Any:
