--- a/src/chervillead/operators/report_commands.py
+++ b/src/chervillead/operators/report_commands.py
@@ -13,6 +13,7 @@
 from chervillead.operators import burn_report
 from chervillead.operators import commands
 from chervillead.operators import history as history_module
+from chervillead.operators import pool_report
 from chervillead.operators import publishing
 from chervillead.operators import tables
 
@@ -66,6 +67,32 @@
     return publishing.EXIT_ACCEPTED
 
 
+@report_app.command(
+    help_epilogue="Example: `chervillead report pools entry-a0.log`"
+)
+def pools(files: list[pathlib.Path], *, output: str = "table") -> int:
+    """Reports how many hosts each pool had and needed over time.
+
+    Args:
+        files: Logs of entry hosts.
+        output: Format: table or json.
+    """
+    if output not in ("table", "json"):
+        return commands.report_usage_error(
+            f"output is {output!r}, expected table or json"
+        )
+    try:
+        lines = [line for file in files for line in file.open(errors="replace")]
+    except OSError as error:
+        return commands.report_usage_error(f"can't read a log: {error}")
+    rows = sorted(pool_report.read_rows(lines))
+    if output == "json":
+        tables.print_json([row._asdict() for row in rows])
+    else:
+        print(*pool_report.render(rows), sep="\n")
+    return publishing.EXIT_ACCEPTED
+
+
 def _parse_pairs(
     texts: list[str] | None,
 ) -> result.Result[abc.Sequence[burn_report.WindowPair], str]:
