--- a/tests/platform/calls.feature
+++ b/tests/platform/calls.feature
@@ -15,6 +15,29 @@
     And a job of 1 task is submitted
     Then the call is refused with status 401 as not-run
 
+  Scenario: All hosts restart right after a key was withdrawn
+    # Guards against a restarted host that takes an older configuration, of its
+    # own or of a peer, for the present one: the withdrawn key would be in use
+    # again.
+    Given a platform fleet of 3 hosts and 1 worker
+    When operators withdraw the key
+    And all hosts are killed and restarted
+    And 4 s pass
+    And a job of 1 task is submitted
+    Then the call is refused with status 401 as not-run
+
+  Scenario: The store rejects a host that restarted after a withdrawal
+    # Guards against a host that is served by its peers only and gets an older
+    # configuration from them.
+    Given a platform fleet of 3 hosts and 1 worker
+    When operators withdraw the key
+    And all hosts are killed and restarted
+    And 4 s pass
+    And the store rejects a host
+    And 5 s pass
+    And a job of 1 task is submitted through that host
+    Then the call is refused with status 401 as not-run
+
   Scenario: Hosts stop accepting keys when none of them can reach the store
     # Guards against accepting a key whose withdrawal no host could have read.
     Given a platform fleet of 2 hosts and 1 worker
--- a/tests/pools/grown_fleet.feature
+++ b/tests/pools/grown_fleet.feature
@@ -61,3 +61,56 @@
     And 25 s pass
     Then every job was completed, or refused as not run
     And no invariant was violated on the workers
+
+  Scenario Outline: Open connections are lost while tasks run
+    # Guards against tasks that run twice, or are given up, because the answers
+    # of their worker, the store or a peer were lost with a connection, and
+    # against callers of a connection that fell silent for good.
+    Given a platform fleet of 3 hosts and 4 workers
+    And tasks run for 1.5 s
+    When a job of 60 tasks is submitted
+    And all open connections <are lost>, 4 times, 1.7 s apart
+    And 25 s pass
+    Then every host reports the job as completed
+    And no invariant was violated on the workers
+    And each host gets commands from one owner at a time
+
+    Examples:
+      | are lost         |
+      | are reset        |
+      | fall silent      |
+
+  Scenario: Two hosts can't reach each other while a third reaches both
+    # Guards against a host that takes an owner for gone because it can't reach
+    # it: one job would be owned, and started, twice.
+    Given a platform fleet of 3 hosts and 4 workers
+    And tasks run for 1.5 s
+    When a job of 40 tasks is submitted
+    And the owner and another host can't reach each other for 6 s
+    And 20 s pass
+    Then every host reports the job as completed
+    And each task ran once
+
+  Scenario: All hosts lose power right after a job was accepted
+    # Guards against an accepted job that only lived in a process, and against
+    # second runs of tasks that go on running meanwhile.
+    Given a platform fleet of 3 hosts and 4 workers
+    And tasks run for 4 s
+    When a job of 8 tasks is submitted
+    And all hosts are killed and restarted
+    And 30 s pass
+    Then every host reports the job as completed
+    And each task ran once
+    And no invariant was violated on the workers
+
+  Scenario: A worker that left isn't used again after all hosts restart
+    # Guards against restarted hosts that take a server from the history of the
+    # list of workers for one that lives.
+    Given a platform fleet of 3 hosts and 3 workers
+    When a worker leaves
+    And all hosts are killed and restarted
+    And 4 s pass
+    And a job of 12 tasks is submitted
+    And 15 s pass
+    Then every host reports the job as completed
+    And the worker that left got no command
--- a/tests/steps/pools_grown_fleet.py
+++ b/tests/steps/pools_grown_fleet.py
@@ -156,3 +156,59 @@
             assert refusal.verdict is verdicts.Verdict.NOT_RUN, refusal
     phases = context.phase_of_job
     assert set(phases.values()) == {"completed"}, phases
+
+
+@behave.when(
+    "all open connections {are_lost}, {times:d} times, {seconds:g} s apart"
+)
+def step(context, are_lost, times, seconds):
+    async def lose_in_turn(fleet):
+        network = fleet.network
+        lose = {
+            "are reset": network.reset_place,
+            "fall silent": network.silence_place,
+        }[are_lost]
+        for _ in range(times):
+            await asyncio.sleep(seconds)
+            for place in fleet.hosts:
+                lose(place)
+
+    async def begin(fleet):
+        context.losses = asyncio.create_task(lose_in_turn(fleet))
+
+    platform_scenarios.add_action(context, begin)
+
+
+@behave.when(
+    "the owner and another host can't reach each other for {seconds:d} s"
+)
+def step(context, seconds):
+    async def cut(fleet):
+        await asyncio.sleep(0.5)
+        fleet.network.cut([fleet.owner_host()], [fleet.other_host()])
+        await asyncio.sleep(seconds)
+        fleet.network.heal()
+
+    platform_scenarios.add_action(context, cut)
+
+
+@behave.when("a worker leaves")
+def step(context):
+    async def leave(fleet):
+        name, worker = next(iter(fleet.workers.items()))
+        fleet.unlisted.add(worker.worker_id)
+        worker.silent = True
+        context.departed = name
+        await asyncio.sleep(6)
+        # Another process may listen at the address from now on.
+        worker.silent = False
+
+    platform_scenarios.add_action(context, leave)
+
+
+@behave.then("the worker that left got no command")
+def step(context):
+    runs = platform_scenarios.run_once(context).runs
+    departed = context.departed
+    assert runs
+    assert not [run for run in runs if run.worker_id.startswith(departed)], runs
