Refuse requests of a pool's previous owner about its hosts

Cause: a request to turn a host off named the worker only. One that was delayed until the pool had changed owners took the host down under tasks that the next owner had started there; a late report replaced a newer one.

Change: reports and requests carry the token of the pool's owner; the owner of the hosts partition refuses those with a lower one than it has seen for the pool.

--- a/src/chervillead/entries/host_messages.py
+++ b/src/chervillead/entries/host_messages.py
@@ -15,9 +15,17 @@
 
 
 class TurnOffHost(typing.NamedTuple):
-    """Requests that the host of a drained worker leave its pool."""
+    """Requests that the host of a drained worker leave its pool.
+
+    Attributes:
+        worker_id: Id of the worker.
+        pool: Name of its pool.
+        token: Fencing token of the pool's owner.
+    """
 
     worker_id: str
+    pool: str
+    token: int
 
 
 class ReportLoad(typing.NamedTuple):
@@ -25,6 +33,7 @@
 
     Attributes:
         pool: Name of the pool.
+        token: Fencing token of the pool's owner.
         hosts: Hosts that it has or that are moving to it.
         releasing: Hosts that it empties in order to release them; not part of
             `hosts`.
@@ -38,6 +47,7 @@
     """
 
     pool: str
+    token: int
     hosts: int
     releasing: int
     min_hosts: int
--- a/src/chervillead/machines/fleet_allocator.py
+++ b/src/chervillead/machines/fleet_allocator.py
@@ -53,12 +53,20 @@
         self.spare_hosts = 0
 
     def record(self, report: host_messages.ReportLoad, now_s: float) -> None:
-        """Records the load of a pool."""
+        """Records the load of a pool; ignores one of a previous owner."""
+        if not self.is_current(report.pool, report.token):
+            return
         record = self._records.get(report.pool, _PoolRecord())
         self._records[report.pool] = record._replace(
             report=report, reported_s=now_s
         )
 
+    def is_current(self, pool: str, token: int) -> bool:
+        """Returns whether no later owner of a pool has reported a load."""
+        record = self._records.get(pool)
+        report = record.report if record is not None else None
+        return report is None or token >= report.token
+
     def record_sent(self, pool: str, now_s: float) -> int:
         """Counts a host as on its way to a pool; returns its number."""
         self._last_number = next(self._numbers)
--- a/src/chervillead/machines/host_controller.py
+++ b/src/chervillead/machines/host_controller.py
@@ -38,6 +38,7 @@
 STARTING = "starting"
 UNANSWERED = "unanswered"
 UNRECORDED = "unrecorded"
+REPLACED = "replaced"
 
 
 _UNREADABLE = host_messages.HostReply(
@@ -125,6 +126,9 @@
     ) -> host_messages.HostReply:
         if isinstance(call, host_messages.BeginMaintenance):
             return await self._begin_maintenance(call.host, call.wave)
+        # The call may have been delayed until after a change of owner.
+        if not self._allocator.is_current(call.pool, call.token):
+            return host_messages.HostReply(REPLACED)
         if isinstance(call, host_messages.ReportLoad):
             self._allocator.record(call, self._now_s())
             return self._allocator.reply(call.pool, self._now_s())
--- a/src/chervillead/machines/hosts_owner_client.py
+++ b/src/chervillead/machines/hosts_owner_client.py
@@ -34,7 +34,7 @@
     """
 
     begin_maintenance: abc.Callable[[str, int], abc.Awaitable[Outcome]]
-    turn_off: abc.Callable[[str], abc.Awaitable[Outcome]]
+    turn_off: abc.Callable[[host_messages.TurnOffHost], abc.Awaitable[Outcome]]
     report_load: abc.Callable[
         [host_messages.ReportLoad],
         abc.Awaitable[host_messages.HostReply | None],
@@ -79,8 +79,8 @@
     async def begin_maintenance(host: str, wave: int) -> Outcome:
         return await send_command(host_messages.BeginMaintenance(host, wave))
 
-    async def turn_off(worker_id: str) -> Outcome:
-        return await send_command(host_messages.TurnOffHost(worker_id))
+    async def turn_off(request: host_messages.TurnOffHost) -> Outcome:
+        return await send_command(request)
 
     async def report_load(
         report: host_messages.ReportLoad,
--- a/src/chervillead/machines/pool_resizing.py
+++ b/src/chervillead/machines/pool_resizing.py
@@ -218,6 +218,7 @@
         retained = pool.autoscaler.max_size(now_s)
         return host_messages.ReportLoad(
             pool=name,
+            token=self._owner.state.token,
             hosts=hosts,
             releasing=releasing,
             min_hosts=min_hosts,
@@ -407,7 +408,9 @@
             group.create_task(self._turn_off(name, worker_id))
 
     async def _turn_off(self, name: str, worker_id: str) -> None:
-        outcome = await self._client.turn_off(worker_id)
+        outcome = await self._client.turn_off(
+            host_messages.TurnOffHost(worker_id, name, self._owner.state.token)
+        )
         self._turning_off.discard(worker_id)
         if pipeline.is_successful(outcome):
             self._pools[name].record_released()
--- a/tests/machines/fleet_allocator.feature
+++ b/tests/machines/fleet_allocator.feature
@@ -83,3 +83,11 @@
     And pool a reports once more
     And pool b reports once more
     Then the next hosts released by b move to a, a and the spare pool
+
+  Scenario: A report of a pool's previous owner arrives late
+    # Guards against a process that was paused and reports a load that is no
+    # longer true.
+    Given pool a has 4 hosts and needs 6
+    When the next owner of pool a reports 9 hosts
+    And pool a reports once more
+    Then pool a has 9 hosts for the allocator
--- a/tests/machines/host_controller.feature
+++ b/tests/machines/host_controller.feature
@@ -77,3 +77,12 @@
     And the host is suspended while the next record is stored
     And maintenance of all hosts is requested
     Then 0 hosts begin maintenance
+
+  Scenario: The previous owner of a pool asks to turn a host off
+    # Guards against a request that was delayed until the next owner has started
+    # tasks on the host.
+    Given a wave over 1 hosts with a cap of 1 and a new host controller
+    When the next owner of the pool has reported its load
+    And a pool releases a host
+    Then 0 host is moved
+    And the pool is told that nothing was done
--- a/tests/steps/machines_fleet_allocator.py
+++ b/tests/steps/machines_fleet_allocator.py
@@ -7,11 +7,21 @@
 
 SPARE = "the spare pool"
 TERM = 7
+OWNER_TOKEN = 5
 
 
 def report_of(pool, hosts, needed):
     return host_messages.ReportLoad(
-        pool, hosts, 0, 3, needed, needed, needed, TERM, accounted=0
+        pool,
+        OWNER_TOKEN,
+        hosts,
+        0,
+        3,
+        needed,
+        needed,
+        needed,
+        TERM,
+        accounted=0,
     )
 
 
@@ -65,6 +75,18 @@
     context.allocator.record(report, context.now_s)
 
 
+@behave.when("the next owner of pool {pool} reports {hosts:d} hosts")
+def step(context, pool, hosts):
+    report = context.reports[pool]._replace(token=OWNER_TOKEN + 1, hosts=hosts)
+    context.allocator.record(report, context.now_s)
+
+
+@behave.then("pool {pool} has {hosts:d} hosts for the allocator")
+def step(context, pool, hosts):
+    found = context.allocator.describe(context.now_s)[pool]
+    assert found[0] == hosts, found
+
+
 @behave.when("pool {pool} reports once more")
 def step(context, pool):
     context.allocator.record(context.reports[pool], context.now_s)
--- a/tests/steps/machines_host_controller.py
+++ b/tests/steps/machines_host_controller.py
@@ -16,6 +16,7 @@
 from chervillead.store import interface as store_interface
 
 WAVE = 1
+OWNER_TOKEN = 5
 
 
 class FakeHostService:
@@ -158,10 +159,21 @@
     context.is_suspended_in_append = True
 
 
+@behave.when("the next owner of the pool has reported its load")
+def step(context):
+    report = host_messages.ReportLoad(
+        "billing", OWNER_TOKEN + 1, 4, 0, 3, 3, 3, 3, term=0, accounted=0
+    )
+    reply = asyncio.run(context.controller.serve(report))
+    assert not reply.reason, reply
+
+
 @behave.when("a pool releases a host")
 def step(context):
     context.reply = asyncio.run(
-        context.controller.serve(host_messages.TurnOffHost("i-0"))
+        context.controller.serve(
+            host_messages.TurnOffHost("i-0", "billing", OWNER_TOKEN)
+        )
     )
 
 
