--- a/src/chervillead/machines/pool_resizing.py
+++ b/src/chervillead/machines/pool_resizing.py
@@ -8,39 +8,27 @@
 import asyncio
 from collections import abc
 
-from returns import pipeline
-
 from chervillead.entries import host_messages
 from chervillead.jobs import autoscaling
 from chervillead.jobs import model
 from chervillead.machines import fleet_allocator
-from chervillead.machines import host_controller
+from chervillead.machines import host_release
 from chervillead.machines import hosts_owner_client
 from chervillead.machines import wave_controller
 from chervillead.pools import partition_owner
 from chervillead.pools import pool_load
 from chervillead.pools import ports as ports_module
-from chervillead.workers import view as view_module
-from chervillead.workers import watch as watch_module
 
 RESIZE_INTERVAL_S = 0.1
-CORDON_REASON = "turning-off"
 # Intervals of reports while the pool needs more or fewer hosts than it has, and
 # otherwise.
 REPORT_INTERVAL_S = 0.3
 IDLE_REPORT_INTERVAL_S = 1.0
 # Hosts are released by a reply for this long, and kept without a later one.
 REPLY_TTL_S = 2.0
-# A host whose turn-off was rejected stays in use for at least this time.
-REJECTION_BACKOFF_S = 2.0
-# A new worker is not turned off before this age: the commands that move its
-# host in and out must not follow each other closely.
-MIN_WORKER_AGE_S = 4.0
 # A new owner reaches the workers of its pools within this time; a pool without
 # hosts for longer has none.
 EMPTY_POOL_DELAY_S = 2.0
-# Workers that a pool keeps per set of labels, for steps that require a label.
-MIN_WORKERS_PER_LABEL_SET = 2
 
 
 class _Pool:
@@ -115,17 +103,18 @@
         ports: ports_module.OwnerPorts,
         is_maintenance_due: abc.Callable[[str], bool],
     ) -> None:
-        self._is_maintenance_due = is_maintenance_due
         self._owner = owner
         self._owns_pool = owns_pool
         self._client = client
         self._ports = ports
         self._pools: dict[str, _Pool] = {}
-        # Workers whose hosts are being turned off.
-        self._turning_off: set[str] = set()
-        # Workers whose hosts an unanswered command may still move.
-        self._unanswered_until_s: dict[str, float] = {}
-        self._paused_until_s: dict[str, float] = {}
+        self._release = host_release.HostRelease(
+            owner,
+            client,
+            ports,
+            is_maintenance_due,
+            lambda pool: self._pools[pool].record_released(),
+        )
 
     async def run(self) -> None:
         """Resizes pools until cancelled."""
@@ -139,7 +128,7 @@
                     pools = self._resizable_pools(configuration)
                     await asyncio.gather(*map(self._resize, pools))
                     for name in pools:
-                        self._turn_off_drained(name, group)
+                        self._release.turn_off_drained(name, group)
                 await asyncio.sleep(RESIZE_INTERVAL_S)
 
     def _resizable_pools(
@@ -157,14 +146,14 @@
         now_s = self._now_s()
         pool = self._pools.setdefault(name, _Pool())
         self._update_arrivals(name, pool, now_s)
-        self._drain_zones_out(name)
+        self._release.drain_zones_out(name)
         if now_s - pool.replied_s > REPLY_TTL_S:
             pool.surplus = pool.wanted = 0
         load = pool_load.measure(self._owner.state, name)
         if load is None or not self._is_conclusive(pool, load, now_s):
             return
         pool.autoscaler.record(load, now_s)
-        self._adjust_draining(name, pool, load)
+        self._release.adjust(name, surplus=pool.surplus, wanted=pool.wanted)
         report = self._measure_report(name, pool, load)
         is_settled = report.needed <= report.hosts <= report.retained
         interval_s = IDLE_REPORT_INTERVAL_S if is_settled else REPORT_INTERVAL_S
@@ -204,12 +193,12 @@
             + len(pool.arrival_deadlines_s)
             + len(pool.in_maintenance)
         )
-        releasing = len(self._draining(name))
+        releasing = self._release.count_draining(name)
         # Hosts that are down for maintenance or on their way can't be released.
         min_hosts = max(
             autoscaling.MIN_HOSTS,
             load.min_hosts,
-            hosts - self._releasable(name),
+            hosts - self._release.count_releasable(name),
         )
         needed = max(min_hosts, pool.autoscaler.min_size(now_s))
         if load.min_hosts:
@@ -250,7 +239,8 @@
 
     def _update_arrivals(self, name: str, pool: _Pool, now_s: float) -> None:
         """Counts new workers against the hosts expected to register."""
-        found = {watch.view.worker_id for watch in self._watches(name)}
+        watches = pool_load.watches_of(self._owner.state, name)
+        found = {watch.view.worker_id for watch in watches}
         arrived = len(found - pool.known_workers)
         pool.known_workers |= found
         # Hosts that went down for maintenance return without a request.
@@ -261,183 +251,10 @@
         pool.in_maintenance.clear()
         pool.in_maintenance.update(
             watch.view.worker_id
-            for watch in self._watches(name)
+            for watch in watches
             if watch.view.cordoned_for == wave_controller.CORDON_REASON
         )
         waiting = [
             until_s for until_s in pool.arrival_deadlines_s if until_s > now_s
         ]
         pool.arrival_deadlines_s[:] = waiting[arrived:]
-
-    def _drain_zones_out(self, name: str) -> None:
-        """Drains idle hosts in zones that are out of service."""
-        zones_out = self._ports.zones_out()
-        for watch in self._releasable_workers(name):
-            zone = watch.view.registration.zone
-            if (
-                zone in zones_out
-                and not watch.view.runs
-                and self._owner.drain.cordon(
-                    watch.view.worker_id, CORDON_REASON
-                )
-            ):
-                self._owner.state.log(
-                    "pool:shrinking",
-                    pool=name,
-                    worker=watch.view.worker_id,
-                    zone_out=zone,
-                )
-
-    def _adjust_draining(
-        self, name: str, pool: _Pool, load: autoscaling.PoolLoad
-    ) -> None:
-        """Cordons as many hosts as the pool should release.
-
-        Hosts that are idle go first. Busy ones are emptied only for another
-        pool that waits for hosts.
-        """
-        zones_out = self._ports.zones_out()
-        draining = [
-            watch
-            for watch in self._draining(name)
-            if watch.view.registration.zone not in zones_out
-        ]
-        for watch in self._by_load(draining)[pool.surplus :]:
-            worker_id = watch.view.worker_id
-            if worker_id not in self._turning_off and not self._may_still_move(
-                worker_id
-            ):
-                self._owner.drain.uncordon(worker_id)
-        missing = pool.surplus - len(draining)
-        candidates = self._by_load(self._releasable_workers(name))
-        for number, watch in enumerate(candidates[: max(0, missing)]):
-            if watch.view.runs and len(draining) + number >= pool.wanted:
-                break
-            worker_id = watch.view.worker_id
-            if not self._owner.drain.cordon(worker_id, CORDON_REASON):
-                continue
-            self._owner.state.log(
-                "pool:shrinking",
-                pool=name,
-                worker=worker_id,
-                hosts=load.hosts,
-                surplus=pool.surplus,
-                wanted=pool.wanted,
-                runs=len(watch.view.runs),
-                used_millicores=load.used.millicores,
-            )
-
-    def _by_load(
-        self, watches: abc.Iterable[watch_module.WorkerWatch]
-    ) -> list[watch_module.WorkerWatch]:
-        return sorted(
-            watches,
-            key=lambda watch: (
-                watch.view.reserved().millicores,
-                len(watch.view.runs),
-            ),
-        )
-
-    def _releasable(self, name: str) -> int:
-        """Returns how many hosts of a pool could be released."""
-        return sum(1 for _ in self._releasable_workers(name))
-
-    def _releasable_workers(
-        self, name: str
-    ) -> abc.Iterator[watch_module.WorkerWatch]:
-        """Yields workers that the pool can release, once they are idle.
-
-        Hosts with long-running tasks are kept: moving a task would cost more of
-        its time than releasing the host saves.
-        """
-        now_s = self._now_s()
-        counts: dict[frozenset[str], int] = {}
-        watches = self._watches(name)
-        for watch in watches:
-            if not watch.view.cordoned_for:
-                label_set = _label_set(watch)
-                counts[label_set] = counts.get(label_set, 0) + 1
-        for watch in self._by_load(watches):
-            view = watch.view
-            if (
-                view.cordoned_for
-                or view.has_long_running
-                or not view.has_answered
-                or view.registration.is_draining
-                or self._is_maintenance_due(view.worker_id)
-                or self._age_s(view) < MIN_WORKER_AGE_S
-                or self._paused_until_s.get(view.worker_id, 0.0) > now_s
-                or counts[_label_set(watch)] <= MIN_WORKERS_PER_LABEL_SET
-            ):
-                continue
-            counts[_label_set(watch)] -= 1
-            yield watch
-
-    def _age_s(self, view: view_module.WorkerView) -> float:
-        """Returns how long a worker has certainly been in its pool.
-
-        Its start tells that even to an owner that has just taken over.
-        """
-        started_s = view.registration.incarnation / 1000
-        return max(
-            self._now_s() - view.discovered_s,
-            self._ports.clock.wall() - started_s,
-        )
-
-    def _watches(self, name: str) -> list[watch_module.WorkerWatch]:
-        return pool_load.watches_of(self._owner.state, name)
-
-    def _draining(self, name: str) -> list[watch_module.WorkerWatch]:
-        return [
-            watch
-            for watch in self._watches(name)
-            if watch.view.cordoned_for == CORDON_REASON
-        ]
-
-    def _turn_off_drained(self, name: str, group: asyncio.TaskGroup) -> None:
-        """Turns off drained hosts once the ends of their runs are recorded."""
-        for watch in self._draining(name):
-            worker_id = watch.view.worker_id
-            if (
-                worker_id in self._turning_off
-                or watch.view.runs
-                or self._owner.drain.has_unrecorded_ends(worker_id)
-            ):
-                continue
-            self._turning_off.add(worker_id)
-            group.create_task(self._turn_off(name, worker_id))
-
-    async def _turn_off(self, name: str, worker_id: str) -> None:
-        outcome = await self._client.turn_off(
-            host_messages.TurnOffHost(worker_id, name, self._owner.state.token)
-        )
-        self._turning_off.discard(worker_id)
-        if pipeline.is_successful(outcome):
-            self._pools[name].record_released()
-            self._owner.drain.mark_host_down(
-                worker_id, "its host is turned off"
-            )
-            return
-        failure = outcome.failure()
-        self._owner.state.log(
-            "pool:turn-off-failed",
-            worker=worker_id,
-            rejection=failure.rejection and failure.rejection.value,
-            error=failure.detail,
-        )
-        now_s = self._now_s()
-        if failure.rejection is None:
-            until_s = now_s + host_controller.LATE_COMMAND_S
-            self._unanswered_until_s[worker_id] = until_s
-        elif not self._may_still_move(worker_id):
-            self._paused_until_s[worker_id] = now_s + REJECTION_BACKOFF_S
-            self._owner.drain.uncordon(worker_id)
-
-    def _may_still_move(self, worker_id: str) -> bool:
-        """Returns whether an unanswered command may still move the host."""
-        return self._now_s() < self._unanswered_until_s.get(worker_id, 0.0)
-
-
-def _label_set(watch: watch_module.WorkerWatch) -> frozenset[str]:
-    registration = watch.view.registration
-    return registration.labels - {registration.rack}
