Fence an owner whose reports a later owner's have replaced

Traced, not rerun: when the answers to an owner's renewals are lost, the store gives its partition to another host and later back; the owner never learned of it and kept its old token. Since reports carry tokens, the owner of the hosts partition refused all its reports, so its pool neither grew nor shrank again. Before, such an owner went on with the old token until a worker or the store fenced it.

Change: a refused report fences the owner, which then takes the partition anew under a later token.

--- a/src/chervillead/entries/host_messages.py
+++ b/src/chervillead/entries/host_messages.py
@@ -6,6 +6,9 @@
 
 import typing
 
+# Reason of a reply to an owner of a pool that a later one has replaced.
+REPLACED = "replaced"
+
 
 class BeginMaintenance(typing.NamedTuple):
     """Requests the maintenance of a host in a wave; the host goes down."""
--- a/src/chervillead/machines/host_controller.py
+++ b/src/chervillead/machines/host_controller.py
@@ -38,7 +38,6 @@
 STARTING = "starting"
 UNANSWERED = "unanswered"
 UNRECORDED = "unrecorded"
-REPLACED = "replaced"
 
 
 _UNREADABLE = host_messages.HostReply(
@@ -128,7 +127,7 @@
             return await self._begin_maintenance(call.host, call.wave)
         # The call may have been delayed until after a change of owner.
         if not self._allocator.is_current(call.pool, call.token):
-            return host_messages.HostReply(REPLACED)
+            return host_messages.HostReply(host_messages.REPLACED)
         if isinstance(call, host_messages.ReportLoad):
             self._allocator.record(call, self._now_s())
             return self._allocator.reply(call.pool, self._now_s())
--- a/src/chervillead/machines/hosts_owner_client.py
+++ b/src/chervillead/machines/hosts_owner_client.py
@@ -29,8 +29,8 @@
         begin_maintenance: Starts the maintenance of a host in a wave.
         turn_off: Moves the host of a drained worker to a pool that lacks
             hosts, or to the spare pool.
-        report_load: Reports the load of a pool; returns the reply, or None if
-            the owner is unavailable.
+        report_load: Reports the load of a pool; returns the reply, which has a
+            reason if it was refused, or None if the owner is unavailable.
     """
 
     begin_maintenance: abc.Callable[[str, int], abc.Awaitable[Outcome]]
@@ -86,7 +86,6 @@
         report: host_messages.ReportLoad,
     ) -> host_messages.HostReply | None:
         outcome = await call_owner(report)
-        reply = outcome.value_or(None)
-        return reply if reply is not None and not reply.reason else None
+        return outcome.value_or(None)
 
     return HostsOwnerClient(begin_maintenance, turn_off, report_load)
--- a/src/chervillead/machines/pool_resizing.py
+++ b/src/chervillead/machines/pool_resizing.py
@@ -170,7 +170,11 @@
         """Reports the load of a pool and applies the reply."""
         released = pool.released
         reply = await self._client.report_load(report)
-        if reply is None:
+        if reply is not None and reply.reason == host_messages.REPLACED:
+            # The store gave the partition to another host and back meanwhile;
+            # that one has used a higher token.
+            self._owner.state.mark_fenced()
+        if reply is None or reply.reason:
             return
         pool.apply(reply, released, self._now_s())
         if reply.arriving:
--- a/tests/pools/grown_fleet.feature
+++ b/tests/pools/grown_fleet.feature
@@ -65,7 +65,9 @@
   Scenario Outline: Open connections are lost while tasks run
     # Guards against tasks that run twice, or are given up, because the answers
     # of their worker, the store or a peer were lost with a connection, and
-    # against callers of a connection that fell silent for good.
+    # against callers of a connection that fell silent for good. Guards also
+    # against an owner that keeps an old token, as it never learned that another
+    # host had its partition meanwhile, and whose reports are refused for ever.
     Given a platform fleet of 3 hosts and 4 workers
     And tasks run for 1.5 s
     When a job of 60 tasks is submitted
