--- /dev/null
+++ b/review/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Processes and stand-ins that the review's scripts share."""
