--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""A runner restarts while idle, gets a lease too long, and is cut off."""
+"""A runner restarts while idle, gets a lease too long; its zone is cut off."""
 
 import asyncio
 import pathlib
@@ -14,8 +14,9 @@
 # How long the runners have been up, and idle, before they restart.
 UPTIME_S = 8.0
 DOWN_S = 2.0
-# The largest length of `node_cut` in the site file is 12.0 s.
-CUT_S = 8.0
+# The length of `zone_cut` with `reset` in the site file.
+CUT_S = 6.3
+CUT_AFTER_S = 0.9
 
 
 async def play(
@@ -24,31 +25,33 @@
     """Returns whether no two runs of the task ran at the same time."""
     for worker in deployment.workers.values():
         worker.long_running.add(JOB)
+    # The only runner of its rack and zone; the hosts are in the other zone.
+    remote = next(iter(deployment.workers.values()))
     await asyncio.sleep(UPTIME_S)
     await _submit(deployment, WARM_UP, RUNNERS, AntiAffinity=1)
     await deployment.wait_for_runs(WARM_UP, RUNNERS)
     await asyncio.sleep(2.0)
     if makes_trouble:
-        for worker in deployment.workers.values():
-            worker.stop_process()
-        deployment.note("the runners of the rack crash; none runs anything")
+        remote.stop_process()
+        deployment.note(f"{remote.worker_id} crashes; it runs nothing")
         await asyncio.sleep(DOWN_S)
-        for worker in deployment.workers.values():
-            await worker.start_process()
-        deployment.note("they are back under their ids")
+        await remote.start_process()
+        deployment.note(f"{remote.worker_id} is back under its id")
     await asyncio.sleep(2.0)
     await _submit(deployment, JOB, 1, LongRunning=True)
     (worker, run), *_ = await deployment.wait_for_runs(JOB, 1)
     deployment.note(f"{run.task} runs on {worker.worker_id}")
-    await asyncio.sleep(0.5)
+    if worker is not remote:
+        raise deployment_module.CouldNotRunError("it runs in the other zone")
+    await asyncio.sleep(CUT_AFTER_S)
     deployment.note(
         f"its lease ends in {worker.lease_until_ms - worker.clock_ms()} ms"
     )
     if makes_trouble:
-        worker.is_cut = True
-        deployment.note(f"{worker.worker_id} is cut off and runs on")
+        remote.begin_resets()
+        deployment.note(f"zone-b, with {remote.worker_id}, is cut off")
     await asyncio.sleep(CUT_S)
-    worker.is_cut = False
+    remote.end_resets()
     deployment.note("the cut is over")
     await asyncio.sleep(4.0)
     deployment.note_logs(f'"{JOB}"', "unreachable")
@@ -84,13 +87,15 @@
     return found
 
 
+def _deployment(folder: pathlib.Path) -> deployment_module.Deployment:
+    deployment = deployment_module.Deployment(
+        folder, hosts=2, pools={"billing": RUNNERS}
+    )
+    remote = next(iter(deployment.workers.values()))
+    remote.zone, remote.rack = "zone-b", "r2-0"
+    return deployment
+
+
 if __name__ == "__main__":
     folder = pathlib.Path(__file__).resolve().parent
-    sys.exit(
-        deployment_module.run_case(
-            lambda: deployment_module.Deployment(
-                folder, hosts=2, pools={"billing": RUNNERS}
-            ),
-            play,
-        )
-    )
+    sys.exit(deployment_module.run_case(lambda: _deployment(folder), play))
--- a/review/lab/deployment.py
+++ b/review/lab/deployment.py
@@ -186,13 +186,7 @@
                     self.store.put(
                         "keyed.servers",
                         worker.worker_id,
-                        platform_fleet.worker_entry(
-                            worker,
-                            f"{LOOPBACK}:{worker.port}",
-                            sequence,
-                            pool=worker.pool,
-                            rack=worker.rack,
-                        ),
+                        _entry(worker, sequence),
                     )
             await asyncio.sleep(PING_INTERVAL_S)
 
@@ -228,7 +222,7 @@
                 "Machine": worker_id.replace("i-", "m-"),
                 "Pool": worker.pool,
                 "State": "up" if worker.is_listening else "down",
-                "Zone": "zone-a",
+                "Zone": worker.zone,
                 "Labels": ["a", worker.rack],
                 "Capacity": {"Cpu": worker.cpu, "MemMb": worker.memory_mb},
                 "Id": worker.worker_id,
@@ -396,6 +390,19 @@
         self._temporary.cleanup()
 
 
+def _entry(worker: workers_module.Worker, sequence: int) -> bytes:
+    """Returns the registration of a worker, as stored."""
+    entry = platform_fleet.worker_entry(
+        worker,
+        f"{LOOPBACK}:{worker.port}",
+        sequence,
+        pool=worker.pool,
+        rack=worker.rack,
+    )
+    fields = msgspec.json.decode(entry) | {"Zone": worker.zone}
+    return msgspec.json.encode(fields)
+
+
 def run_case(
     deployment_of: typing.Callable[[], Deployment],
     case: typing.Callable[
--- a/review/lab/workers.py
+++ b/review/lab/workers.py
@@ -24,6 +24,7 @@
     Attributes:
         pool: Pool that it belongs to.
         rack: Its rack.
+        zone: Its availability zone.
         is_cut: Whether all packets from and to it are lost; it runs on.
         is_listening: Whether its process is up.
     """
@@ -35,9 +36,11 @@
         super().__init__(worker_id, **options)
         self.pool = pool
         self.rack = "r1-0"
+        self.zone = "zone-a"
         self.is_cut = False
         self.is_listening = False
         self.port = 0
+        self._is_reset = False
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._lapses: asyncio.Task[None] | None = None
@@ -50,6 +53,9 @@
         async def connection(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
+            if self._is_reset:
+                writer.transport.abort()
+                return
             self._writers.add(writer)
             try:
                 await serve(reader, writer)
@@ -84,14 +90,26 @@
             fields["Ended"] = fields["Ended"][:MAX_LISTED_ENDS]
         return super()._reply(status, **fields)
 
+    def begin_resets(self) -> None:
+        """Resets all connections, open and new; the process runs on."""
+        self._is_reset = True
+        self._abort_connections()
+
+    def end_resets(self) -> None:
+        """Accepts connections again."""
+        self._is_reset = False
+
+    def _abort_connections(self) -> None:
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     def stop_process(self) -> None:
         """Ends the process at once: its runs are gone and its port closes."""
         self.is_listening = False
         if self._server is not None:
             self._server.close()
             self._server = None
-        for writer in list(self._writers):
-            writer.transport.abort()
+        self._abort_connections()
         self.restart()
 
     async def start_process(self) -> None:
