Tell callers of a job's end only once it is stored

Cause: FindJob answered the state in memory, which an end changes before the append of the job's progress is confirmed. Cancelling answered success for a job that had finished in memory only. Submissions and cancellations of running jobs already waited.

Change: a job knows how it ended as the store has confirmed it. Callers are told an end once it is stored and `running` until then; they wait for it up to 0.4 s, and not at all while the store is known to fail, so a healthy store costs one append and no second question. Cancelling a finished job waits in the same way.

--- a/src/chervillead/jobs/job_state.py
+++ b/src/chervillead/jobs/job_state.py
@@ -18,7 +18,7 @@
 
 
 class Phase(enum.Enum):
-    """State of a job as callers see it."""
+    """State of a job."""
 
     QUEUED = "queued"
     RUNNING = "running"
@@ -59,6 +59,8 @@
             all workers first.
         pending_tasks: Numbers of the tasks of each step that are neither active
             nor completed.
+        stored_end: How the job ended, as the store has confirmed it; None until
+            then. A later owner knows only what is stored.
     """
 
     def __init__(self, spec: model.JobSpec, *, accepted_s: float) -> None:
@@ -77,6 +79,7 @@
         self.failed_workers: dict[model.TaskKey, set[str]] = {}
         self.durations_s: dict[tuple[int, int], list[float]] = {}
         self.finished_s: float | None = None
+        self.stored_end: Phase | None = None
         self.has_started = False
         self.is_cancelled = False
         self.is_failed = False
@@ -121,7 +124,7 @@
 
     @property
     def phase(self) -> Phase:
-        """State of the job as callers see it; completion takes precedence."""
+        """State of the job as its owner knows it; completion comes first."""
         if self.is_completed:
             return Phase.COMPLETED
         if self.is_cancelled:
@@ -130,6 +133,20 @@
             return Phase.FAILED
         return Phase.RUNNING if self.has_started else Phase.QUEUED
 
+    @property
+    def confirmed_phase(self) -> Phase:
+        """State of the job that callers may be told, whoever owns it next."""
+        if not self.is_finished:
+            return self.phase
+        if self.stored_end is not None:
+            return self.stored_end
+        return Phase.RUNNING if self.has_started else Phase.QUEUED
+
+    @property
+    def is_end_stored(self) -> bool:
+        """Whether the job has finished and the store has confirmed how."""
+        return self.is_finished and self.stored_end is self.phase
+
     def step(self, task: model.TaskKey) -> model.Step:
         """Returns the step of a task, which must exist."""
         return self._spec.steps[task.step]
--- a/src/chervillead/jobs/records.py
+++ b/src/chervillead/jobs/records.py
@@ -174,6 +174,7 @@
     job.is_failed = progress.is_failed
     if job.is_finished:
         job.finished_s = now_s
+        job.stored_end = job.phase
         for indexes in job.pending_tasks.values():
             indexes.clear()
 
--- a/src/chervillead/pools/job_operations.py
+++ b/src/chervillead/pools/job_operations.py
@@ -16,6 +16,9 @@
 # is unlikely to accept them soon.
 MAX_STORE_FAILURE_S = 0.4
 RETRY_AFTER_S = 1.0
+# How long a caller who asks for a job waits for the store to confirm its end.
+# It is told of an end at most this much later, and asks again otherwise.
+MAX_END_WAIT_S = 0.4
 # Callers wait 3 s, in which their host tries an owner twice for 1.2 s each. In
 # that time a submission waits four times for the event loop: to be read, to be
 # sent to the store, for the store's reply, and to be answered.
@@ -24,6 +27,7 @@
 OWNER_OVERLOADED = "owner-overloaded"
 
 Outcome = result.Result[None, verdicts.Refusal]
+JobOutcome = result.Result[job_state.JobState, verdicts.Refusal]
 
 _FEATURES = (
     "checkpointing",
@@ -81,7 +85,7 @@
         done, _ = await asyncio.wait([stored], timeout=timeout_s)
         if not done and not state.writer.discard_unsent(stored):
             return result.Failure(_store_timeout())
-        if is_stored(stored):
+        if group_commit.is_stored(stored):
             return result.Success(None)
         # Discarding completes the future, but its callback hasn't run yet.
         self._pending_submissions.pop(spec.job_id, None)
@@ -91,7 +95,7 @@
         self, spec: model.JobSpec, stored: asyncio.Future[None]
     ) -> None:
         self._pending_submissions.pop(spec.job_id, None)
-        if not is_stored(stored):
+        if not group_commit.is_stored(stored):
             return
         state = self._state
         state.jobs.setdefault(
@@ -110,25 +114,46 @@
         state.wake()
 
     async def cancel(self, job_id: str, timeout_s: float) -> Outcome:
-        """Cancels a job; on success the cancellation has been stored.
+        """Cancels a job; on success its end has been stored.
 
-        A job that has already finished stays as it is.
+        A job that has already finished stays as it is. The call still waits for
+        its end to be stored, since otherwise a later owner would run it.
         """
         state = self._state
         job = state.jobs.get(job_id)
         if job is None:
             return result.Failure(unknown_job(job_id))
-        if job.is_finished and not job.is_cancelled:
-            return result.Success(None)
-        job.cancel(state.now_s())
-        state.log("job:cancelled", job=job_id, token=state.token)
-        state.stop_runs(job.active_runs(), "cancelled")
-        stored = state.store_progress(job)
-        await asyncio.wait([stored], timeout=timeout_s)
-        if is_stored(stored):
+        if not job.is_finished:
+            job.cancel(state.now_s())
+            state.log("job:cancelled", job=job_id, token=state.token)
+            state.stop_runs(job.active_runs(), "cancelled")
+            state.store_progress(job)
+        if await state.wait_for_stored_end(job, timeout_s):
             return result.Success(None)
         return result.Failure(_store_timeout())
 
+    async def find(self, job_id: str) -> JobOutcome:
+        """Finds a job whose `confirmed_phase` a caller may be told.
+
+        A job that has ended but whose end isn't stored yet is still reported as
+        running: if this owner is replaced now, it will run again. The end is
+        waited for while the store can be expected to confirm it soon.
+        """
+        state = self._state
+        job = state.jobs.get(job_id)
+        if job is None:
+            return result.Failure(unknown_job(job_id))
+        if job.is_finished and not self._is_store_failing():
+            await state.wait_for_stored_end(job, MAX_END_WAIT_S)
+        return result.Success(job)
+
+    def _is_store_failing(self) -> bool:
+        state = self._state
+        return (
+            state.ownership.is_store_unavailable()
+            or state.writer.failure_duration_s() > 0
+        )
+
     def pending(self, queue: str) -> int:
         """Returns how many jobs of a queue have not started any task."""
         return sum(
@@ -137,13 +162,6 @@
         )
 
 
-def is_stored(stored: asyncio.Future[None]) -> bool:
-    """Returns whether an append has completed without an error."""
-    return (
-        stored.done() and not stored.cancelled() and stored.exception() is None
-    )
-
-
 def unknown_job(job_id: str) -> verdicts.Refusal:
     """Returns the refusal of a call about an unknown job."""
     return verdicts.not_run("unknown-job", 410, f"no job {job_id}")
--- a/src/chervillead/pools/job_service.py
+++ b/src/chervillead/pools/job_service.py
@@ -5,7 +5,6 @@
 
 from chervillead import verdicts
 from chervillead.entries import job_messages
-from chervillead.pools import job_operations
 from chervillead.pools import ownership
 
 NOT_OWNER = "not-owner"
@@ -36,12 +35,13 @@
             verdicts.Verdict.RAN.value,
             pending=owner.operations.pending(call.queue),
         )
-    job = owner.state.jobs.get(call.job_id)
-    if job is None:
-        return refusal_reply(job_operations.unknown_job(call.job_id))
+    found = await owner.operations.find(call.job_id)
+    if not pipeline.is_successful(found):
+        return refusal_reply(found.failure())
+    job = found.unwrap()
     return job_messages.JobReply(
         verdicts.Verdict.RAN.value,
-        phase=job.phase.value,
+        phase=job.confirmed_phase.value,
         account=job.spec.account,
         queue=job.spec.queue,
     )
--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -78,6 +78,8 @@
         self._lease_ms = min(LEASE_MS, ports.limits.max_lease_ms)
         self._wake = asyncio.Event()
         self._usage = account_usage.AccountUsage()
+        # Appends that have yet to confirm the end of a job, by job.
+        self._end_appends: dict[str, asyncio.Future[None]] = {}
         self.jobs = job_table.JobTable()
         self.watches: dict[str, watch_module.WorkerWatch] = {}
         self.recovering_jobs: set[str] = set()
@@ -203,10 +205,43 @@
         Returns:
             A future that completes when the record is stored.
         """
-        return self._writer.append(
+        stored = self._writer.append(
             records.progress_key(job.spec.job_id),
             records.encode_progress(job),
         )
+        if job.is_finished:
+            phase = job.phase
+            self._end_appends[job.spec.job_id] = stored
+            stored.add_done_callback(lambda f: self._end_stored(job, phase, f))
+        return stored
+
+    def _end_stored(
+        self,
+        job: job_state.JobState,
+        phase: job_state.Phase,
+        stored: asyncio.Future[None],
+    ) -> None:
+        if self._end_appends.get(job.spec.job_id) is stored:
+            del self._end_appends[job.spec.job_id]
+        if group_commit.is_stored(stored):
+            job.stored_end = phase
+
+    async def wait_for_stored_end(
+        self, job: job_state.JobState, timeout_s: float
+    ) -> bool:
+        """Waits until the store has confirmed the end of a finished job.
+
+        Args:
+            job: The job.
+            timeout_s: Longest wait, in seconds.
+
+        Returns:
+            Whether the end is stored.
+        """
+        stored = self._end_appends.get(job.spec.job_id)
+        if not job.is_end_stored and stored is not None:
+            await asyncio.wait([stored], timeout=timeout_s)
+        return job.is_end_stored
 
     def track_run(
         self, view: view_module.WorkerView, run: task_runs.Run
--- a/src/chervillead/store/group_commit.py
+++ b/src/chervillead/store/group_commit.py
@@ -43,6 +43,13 @@
     """The record was removed from the queue before it was sent."""
 
 
+def is_stored(stored: asyncio.Future[None]) -> bool:
+    """Returns whether an append has completed without an error."""
+    return (
+        stored.done() and not stored.cancelled() and stored.exception() is None
+    )
+
+
 class _PendingRecord(typing.NamedTuple):
     record: interface.KeyedRecord
     stored: asyncio.Future[None]
--- a/tests/steps/platform_fleet.py
+++ b/tests/steps/platform_fleet.py
@@ -461,7 +461,9 @@
 def step(context):
     async def cancel(fleet):
         await asyncio.sleep(0.5)
-        return await fleet.cancel(platform_scenarios.JOB)
+        outcome = await fleet.cancel(platform_scenarios.JOB)
+        context.cancelled_s = asyncio.get_running_loop().time()
+        return outcome
 
     platform_scenarios.add_action(context, cancel)
 
--- a/tests/steps/pools_job_operations.py
+++ b/tests/steps/pools_job_operations.py
@@ -7,41 +7,27 @@
 from returns import result
 
 from chervillead import verdicts
-from chervillead.jobs import model
 from chervillead.pools import job_operations
-from chervillead.pools import owner_state
-from chervillead.pools import ports
-from chervillead.store import group_commit
-from chervillead.store import interface
-from stand_ins import platform_fleet
+from stand_ins import owner_states
 from stand_ins import virtual_time
 
-NO_REPLY = interface.StoreFailure(verdicts.Verdict.MAY_HAVE_RUN, "no reply")
-NOT_ACCEPTED = interface.StoreFailure(verdicts.Verdict.NOT_RUN, "503")
-FENCED = interface.StoreFailure(
-    verdicts.Verdict.NOT_RUN, "409", interface.RejectionReason.FENCED
-)
-WRONG_SEQUENCE = interface.StoreFailure(
-    verdicts.Verdict.NOT_RUN,
-    "409",
-    interface.RejectionReason.OUT_OF_SEQUENCE,
-    7,
-)
-UNKNOWN_REASON = interface.StoreFailure(
-    verdicts.Verdict.NOT_RUN, "409", interface.RejectionReason.NOT_A_MEMBER
-)
 SUCCESS = result.Success(None)
 APPEND_S = 0.01
 # Failures of the appends in order; the last one repeats.
 BEHAVIOURS = {
-    "rejects appends as fenced": [FENCED],
-    "first gives no reply, then rejects them as fenced": [NO_REPLY, FENCED],
+    "rejects appends as fenced": [owner_states.FENCED],
+    "first gives no reply, then rejects them as fenced": [
+        owner_states.NO_REPLY,
+        owner_states.FENCED,
+    ],
     "first rejects the sequence, then the fenced append": [
-        WRONG_SEQUENCE,
-        FENCED,
+        owner_states.WRONG_SEQUENCE,
+        owner_states.FENCED,
     ],
-    "rejects appends without naming a known reason": [UNKNOWN_REASON],
-    "accepts nothing for now": [NOT_ACCEPTED],
+    "rejects appends without naming a known reason": [
+        owner_states.UNKNOWN_REASON
+    ],
+    "accepts nothing for now": [owner_states.NOT_ACCEPTED],
 }
 
 
@@ -55,42 +41,6 @@
     duration_s: float
 
 
-def job(number):
-    return model.JobSpec(
-        platform_fleet.job_id(number),
-        "queue-1",
-        "pool-1",
-        "account-1",
-        "x",
-        (model.Step(1, model.Resources(1000, 100)),),
-    )
-
-
-def build_state(append, loop_lag_s):
-    """Returns an owner's state whose writer appends with a function."""
-    store = interface.Store(append, None, None, None, None, None)
-    owner_ports = ports.OwnerPorts(
-        store=store,
-        open_worker=None,
-        clock=virtual_time.clock(),
-        limits=ports.Limits(),
-        configuration=lambda: None,
-        zones_out=frozenset,
-        is_current=lambda: True,
-        log=lambda message_type, **fields: None,
-        increment=lambda *labels: None,
-        observe=lambda name, seconds: None,
-        loop_lag_s=loop_lag_s,
-    )
-    return owner_state.OwnerState(
-        0,
-        1,
-        group_commit.PartitionWriter(store, "keyed.jobs", 0, 1),
-        owner_ports,
-        owner_state.OwnershipStatus(lambda: True, lambda: False),
-    )
-
-
 async def run_submissions(context):
     failures = list(getattr(context, "failures", ()))
 
@@ -107,20 +57,22 @@
         return getattr(context, "lag_s", 0.0) if is_late else 0.0
 
     now_s = asyncio.get_running_loop().time
-    state = build_state(append, loop_lag_s)
+    state = owner_states.build_state(append, loop_lag_s)
     operations = job_operations.JobOperations(state)
     writing = asyncio.create_task(state.writer.run())
 
     async def submit(number, delay_s):
         await asyncio.sleep(delay_s)
         began_s = now_s()
-        outcome = await operations.submit(job(number), 1.0)
+        outcome = await operations.submit(owner_states.job(number), 1.0)
         refusal = None if outcome == SUCCESS else outcome.failure()
         return Submission(refusal, now_s() - began_s)
 
     async def cancel(after_s):
         await asyncio.sleep(after_s)
-        context.cancellation = await operations.cancel(job(1).job_id, 1.0)
+        context.cancellation = await operations.cancel(
+            owner_states.job(1).job_id, 1.0
+        )
 
     async def replace_owner():
         await asyncio.sleep(context.replaced_after_s)
