Take partitions anew after an interrupted membership

Cause: a host whose membership had run out went on with its owner of before when its next join listed the partition again, although another host had owned it in between. It kept its old token, jobs and fenced writer until a worker with a newer token fenced it. Joins without an answer hide such a change as well. An owner whose append the store had fenced also went on answering callers.

Change: when the generation has changed and the membership had run out, or a join may have been executed without an answer, all partitions are released and taken anew. An owner that the store has fenced counts as fenced.

--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -58,7 +58,6 @@
         changed_workers: Ids of workers whose runs or health changed since the
             last placement pass.
         is_loaded: Whether all jobs of the partition have been loaded.
-        is_fenced: Whether a worker or a peer has seen a newer owner.
         failure: Error that ended one of the owner's asyncio tasks.
     """
 
@@ -88,7 +87,7 @@
         self.crashed_s: dict[types.Address, float] = {}
         self.changed_workers: set[str] = set()
         self.is_loaded = False
-        self.is_fenced = False
+        self._is_fenced = False
         self.failure: BaseException | None = None
 
     @property
@@ -121,6 +120,11 @@
         """Whether the ownership holds and the store is available."""
         return self._ownership
 
+    @property
+    def is_fenced(self) -> bool:
+        """Whether a worker, a peer or the store has seen a newer owner."""
+        return self._is_fenced or self._writer.is_fenced
+
     @property
     def lease_ms(self) -> int:
         """Length of the leases that workers are given, in milliseconds."""
@@ -169,21 +173,21 @@
             pass
         self._wake.clear()
 
+    def is_owner(self) -> bool:
+        """Returns whether this process certainly owns the partition now."""
+        return self._ownership.is_confirmed() and not self.is_fenced
+
     def may_start(self) -> bool:
         """Returns whether runs may be started now.
 
         Operators may have taken a zone out, or lowered a quota, since a
         configuration that is out of date.
         """
-        return self._ownership.is_confirmed() and self._ports.is_current()
+        return self.is_owner() and self._ports.is_current()
 
     def has_authority(self) -> bool:
         """Returns whether commands that end running work may be sent now."""
-        return (
-            self._ownership.is_confirmed()
-            and not self.is_fenced
-            and not self._writer.failure_duration_s()
-        )
+        return self.is_owner() and not self._writer.failure_duration_s()
 
     def step_of(self, run: task_runs.Run) -> model.Step | None:
         """Returns the step of a run, or None if the run's job is unknown."""
@@ -296,8 +300,8 @@
 
     def mark_fenced(self) -> None:
         """Stops all commands, since a newer owner has been seen."""
-        if not self.is_fenced:
-            self.is_fenced = True
+        if not self._is_fenced:
+            self._is_fenced = True
             self.log(
                 "owner:fenced", partition=self._partition, token=self._token
             )
--- a/src/chervillead/pools/ownership.py
+++ b/src/chervillead/pools/ownership.py
@@ -12,6 +12,7 @@
 
 from returns import pipeline
 
+from chervillead import verdicts
 from chervillead.pools import group_members
 from chervillead.pools import owner_role
 from chervillead.pools import owner_state
@@ -65,6 +66,9 @@
         self._spent_tokens: dict[int, int] = {}
         self._failed_partitions: set[int] = set()
         self._is_leaving = False
+        # Whether a renewal without a reply may have been executed: in that way
+        # a partition may be given to another host and back, unnoticed.
+        self._has_unknown_renewal = False
         # Whether the store may count this process as a member.
         self._may_be_member = False
         self._is_group_lost = False
@@ -95,7 +99,7 @@
         if (
             owner is None
             or not owner.state.is_loaded
-            or not self.is_confirmed()
+            or not owner.state.is_owner()
         ):
             return None
         return owner
@@ -141,6 +145,8 @@
         self._is_store_unavailable = failure is not None
         self._log_group(failure)
         if failure is not None:
+            if failure.verdict is not verdicts.Verdict.NOT_RUN:
+                self._has_unknown_renewal = True
             return MEMBERSHIP_RETRY_S
         self._apply_membership(outcome.unwrap(), sent_s)
         return RENEWAL_INTERVAL_S
@@ -195,16 +201,26 @@
     def _apply_membership(
         self, membership: store_interface.Membership, sent_s: float
     ) -> None:
-        self._confirmed_s = sent_s
         generation = membership.generation
+        # In the same generation no partition has changed hands.
+        is_interrupted = generation != self._generation and (
+            self._has_unknown_renewal or not self.is_confirmed()
+        )
+        self._confirmed_s = sent_s
+        self._has_unknown_renewal = False
         for partition in list(self._owners):
             fenced = self._tasks[partition].done()
             if fenced and partition not in self._failed_partitions:
                 self._spent_tokens[partition] = self._owners[
                     partition
                 ].state.token
-            if partition not in membership.partitions or fenced:
-                self._release(partition, "fenced" if fenced else "reassigned")
+            if fenced:
+                self._release(partition, "fenced")
+            elif partition not in membership.partitions:
+                self._release(partition, "reassigned")
+            elif is_interrupted:
+                # Another host may have owned it since the last confirmation.
+                self._release(partition, "interrupted")
         self._failed_partitions.clear()
         for partition in sorted(membership.partitions):
             spent_token = self._spent_tokens.get(partition, -1)
--- a/src/chervillead/pools/worker_registry.py
+++ b/src/chervillead/pools/worker_registry.py
@@ -94,7 +94,7 @@
         ports = watch_module.WatchPorts(
             clock=state.ports.clock,
             lease_ms=state.lease_ms,
-            is_confirmed=state.ownership.is_confirmed,
+            is_confirmed=state.is_owner,
             apply_status=lambda view, status: run_tracking.apply_status(
                 state, view, status
             ),
--- a/tests/pools/ownership.feature
+++ b/tests/pools/ownership.feature
@@ -29,3 +29,31 @@
     Given a host of half a core that stands by
     When it is stopped
     Then the store got no call about leaving
+
+  Scenario Outline: The group changes while renewals fail
+    # Guards against an owner that goes on with what it knew before another host
+    # may have owned its partition, and against owners that load their partitions
+    # anew at each change of the group.
+    Given a host of half a core that owns a partition
+    When the group changes while renewals <fail> for <time> s
+    Then the host <action>
+
+    Examples:
+      | fail         | time | action                   |
+      | are rejected | 0    | kept the partition       |
+      | are rejected | 1    | kept the partition       |
+      | are rejected | 3    | took the partition anew  |
+      | get no reply | 1    | took the partition anew  |
+      | get no reply | 3    | took the partition anew  |
+
+  Scenario Outline: The group stays as it is while renewals fail
+    # Guards against an outage of the store after which all owners load their
+    # partitions although none has changed hands.
+    Given a host of half a core that owns a partition
+    When the group is unchanged while renewals <fail> for <time> s
+    Then the host kept the partition
+
+    Examples:
+      | fail         | time |
+      | are rejected | 3    |
+      | get no reply | 3    |
--- a/tests/pools/takeover.feature
+++ b/tests/pools/takeover.feature
@@ -167,3 +167,18 @@
     Then every host reports the job as completed
     And each task ran once
     And no invariant was violated on the workers
+
+  Scenario: A host owns a partition again that another one owned meanwhile
+    # Guards against an owner that was cut off, returns, and goes on with what it
+    # knew: it denies the jobs that the other owner has accepted.
+    Given a platform fleet of 2 hosts and 3 workers
+    When the store rejects the owner
+    And 4 s pass
+    And a job of 2 tasks is submitted
+    And 1 s pass
+    And the owner is killed
+    And 4 s pass
+    And the store accepts every host again
+    And 2 s pass
+    Then every host reports the job as completed
+    And the owner has a higher token than any before
--- a/tests/stand_ins/platform_scenarios.py
+++ b/tests/stand_ins/platform_scenarios.py
@@ -22,13 +22,17 @@
 
 
 class ScenarioResult:
-    """Result of a scenario: the fleet, phases, outcomes and violations."""
+    """Result of a scenario: the fleet, phases, outcomes and violations.
+
+    The owner of the pool is None unless exactly one host owns it.
+    """
 
     def __init__(
         self,
         fleet: platform_fleet.PlatformFleet,
         phases: dict[str, str],
         outcomes: list[typing.Any],
+        pool_owner: str | None,
     ) -> None:
         self.fleet = fleet
         self.phases = phases
@@ -36,6 +40,7 @@
         self.runs = fleet.runs(JOB)
         self.violations = list(fleet.violations())
         self.owners = fleet.owner_names()
+        self.pool_owner = pool_owner
 
 
 def add_action(
@@ -78,8 +83,15 @@
         if outcome is not None:
             outcomes.append(outcome)
     phases = {host: await fleet.phase(JOB, host=host) for host in fleet.hosts}
+    owners = [
+        name
+        for name, host in fleet.hosts.items()
+        if host.ownership.owner_of(host.partition_of(platform_fleet.POOL))
+    ]
     await fleet.stop()
-    return ScenarioResult(fleet, phases, outcomes)
+    return ScenarioResult(
+        fleet, phases, outcomes, owners[0] if len(owners) == 1 else None
+    )
 
 
 async def submit(
--- a/tests/stand_ins/scripted_group.py
+++ b/tests/stand_ins/scripted_group.py
@@ -28,6 +28,7 @@
         owners: The listed owners.
         is_leave_failing: Whether calls that leave aren't executed and fail.
         join_s: Duration of a call that joins; it is executed at its end.
+        join_failure: Verdict on calls that join; None if they are answered.
         calls: Calls about the membership that were executed, in order.
         attempted_leaves: Number of calls that leave, executed or not.
         tokens: Tokens of the owners of the partition, in order.
@@ -38,6 +39,7 @@
         self.owners: set[owner_eligibility.Candidate] = set()
         self.is_leave_failing = False
         self.join_s = CALL_S
+        self.join_failure: verdicts.Verdict | None = None
         self.calls: list[str] = []
         self.attempted_leaves = 0
         self.tokens: list[typing.Any] = []
@@ -70,8 +72,16 @@
             for host in ("10.1.0.1", "10.1.0.2")
         }
 
+    def change(self) -> None:
+        """Changes the group, as when another member joins or leaves."""
+        self._generation += 1
+
     async def _join(self, *call: object) -> typing.Any:
         await asyncio.sleep(self.join_s)
+        if self.join_failure is not None:
+            return result.Failure(
+                store_interface.StoreFailure(self.join_failure, "no answer")
+            )
         if not self._is_member:
             self._generation += 1
             self.calls.append("join")
--- a/tests/steps/platform_fleet.py
+++ b/tests/steps/platform_fleet.py
@@ -17,8 +17,13 @@
 from chervillead.pools import pool_partitions
 from stand_ins import platform_fleet
 from stand_ins import platform_scenarios
+from stand_ins import platform_store
 from stand_ins import platform_worker
 
+POOL_PARTITION = pool_partitions.partition_of(
+    platform_fleet.POOL, platform_store.PARTITIONS
+)
+
 
 @behave.given("a platform fleet of {hosts:d} hosts and {workers:d} worker")
 @behave.given("a platform fleet of {hosts:d} hosts and {workers:d} workers")
@@ -1056,3 +1061,23 @@
         if line["message_type"] == "owner:gained"
     ]
     assert gained and len(gained) == len(set(gained)), gained
+
+
+@behave.then("the owner has a higher token than any before")
+def step(context):
+    result = platform_scenarios.run_once(context)
+    gained = [
+        line
+        for line in result.fleet.logs
+        if line["message_type"] == "owner:gained"
+        and line["partition"] == POOL_PARTITION
+    ]
+    last = max(gained, key=lambda line: line["token"])
+    owners = [
+        line["host"]
+        for line in result.fleet.logs
+        if line["message_type"] == "owner:loaded"
+        and line["partition"] == POOL_PARTITION
+        and line["token"] == last["token"]
+    ]
+    assert owners == [result.pool_owner], (owners, result.pool_owner)
--- a/tests/steps/pools_ownership.py
+++ b/tests/steps/pools_ownership.py
@@ -7,6 +7,7 @@
 
 import behave
 
+from chervillead import verdicts
 from stand_ins import scripted_group
 from stand_ins import virtual_time
 
@@ -114,3 +115,36 @@
 @behave.then("the store got no call about leaving")
 def step(context):
     assert not context.group.attempted_leaves
+
+
+FAILURES = {
+    "are rejected": verdicts.Verdict.NOT_RUN,
+    "get no reply": verdicts.Verdict.MAY_HAVE_RUN,
+}
+
+
+@behave.when("the group {change} while renewals {fail} for {seconds:d} s")
+def step(context, change, fail, seconds):
+    async def fail_renewals(group):
+        if seconds:
+            group.join_failure = FAILURES[fail]
+        if change == "changes":
+            group.change()
+        await asyncio.sleep(seconds)
+        group.join_failure = None
+        await asyncio.sleep(ROLE_CHANGE_S)
+        context.is_confirmed = group.ownership.is_confirmed()
+
+    run(context, fail_renewals)
+
+
+@behave.then("the host kept the partition")
+def step(context):
+    assert context.is_confirmed and len(context.owned) == 1
+    assert len(context.group.tokens) == 1, context.group.tokens
+
+
+@behave.then("the host took the partition anew")
+def step(context):
+    first, second = context.group.tokens
+    assert context.is_confirmed and first < second, context.group.tokens
