Reckon leases only by the clock of the process that replied

Cause: the clock of a worker, and what is reckoned from it, was kept by worker id over a restart. The registration named the new process and was not heeded.

Change: a registration of a later process ends the use of the earlier one's clock; an idle worker that has not answered for 1 s is polled before a start, without a lease or an acknowledgement, and a start is withdrawn if it doesn't answer; every reply tells by its clock which lease the call has given; a lease that this owner hasn't seen counts as the longest one, also for workers that don't answer a new owner; runs are kept over a restart only if the new process may have them.

--- a/src/chervillead/jobs/task_runs.py
+++ b/src/chervillead/jobs/task_runs.py
@@ -42,6 +42,8 @@
         reserved: Resources that the run takes of the worker's capacity.
         started_s: Time of the start command, by the owner's clock; for a run
             of a previous owner, the time at which it was discovered.
+        sent_s: Time at which the start command was sent, by the owner's clock;
+            None until then, and for a run of a previous owner.
         phase: State of the run.
         started_clock_ms: Worker's clock in its reply to the start command; None
             until then.
@@ -81,6 +83,7 @@
         self.worker_id = worker_id
         self.reserved = reserved
         self.started_s = started_s
+        self.sent_s: float | None = None
         self.phase = phase
         self.started_clock_ms: int | None = None
         self.stopped_clock_ms: int | None = None
--- a/src/chervillead/pools/crash_tracking.py
+++ b/src/chervillead/pools/crash_tracking.py
@@ -8,22 +8,27 @@
 from chervillead.pools import owner_state
 from chervillead.workers import view as view_module
 
+# Longest time from sending a call until a process accepts its connection.
+MAX_DELIVERY_S = 0.5
+
 
 def end_runs(
     state: owner_state.OwnerState,
     view: view_module.WorkerView,
     replaced_s: float,
+    clock_ms: int | None = None,
 ) -> list[asyncio.Future[None]]:
     """Ends the runs of a worker whose process has ended.
 
-    Runs whose start has not been answered may still reach the new process, and
-    those that were started after it may be running there.
+    Starts that may have reached the new process may be running there, or may
+    still be carried out.
 
     Args:
         state: State of the owner.
         view: The worker.
         replaced_s: Earliest time at which a new process can have started, by
             the owner's clock.
+        clock_ms: Reading of the new process's clock; None if it is unknown.
 
     Returns:
         Appends of the crashes counted against tasks. The end of a worker that
@@ -32,8 +37,7 @@
     runs = [
         run
         for run in view.runs.values()
-        if run.phase is not task_runs.RunPhase.STARTING
-        and run.started_s < replaced_s
+        if not _may_be_in_new_process(run, replaced_s, clock_ms)
     ]
     is_crash = not _was_to_end(state, view)
     kind = (
@@ -46,6 +50,18 @@
     return _count_crash(state, view, runs) if is_crash else []
 
 
+def _may_be_in_new_process(
+    run: task_runs.Run, replaced_s: float, clock_ms: int | None
+) -> bool:
+    if run.phase is task_runs.RunPhase.STARTING:
+        return True
+    # A clock that is ahead of the new one is that of the ended process.
+    if clock_ms is not None and (run.started_clock_ms or 0) > clock_ms:
+        return False
+    sent_s = run.started_s if run.sent_s is None else run.sent_s
+    return sent_s + MAX_DELIVERY_S >= replaced_s
+
+
 def _was_to_end(
     state: owner_state.OwnerState, view: view_module.WorkerView
 ) -> bool:
--- a/src/chervillead/pools/run_tracking.py
+++ b/src/chervillead/pools/run_tracking.py
@@ -36,10 +36,13 @@
         if view.incarnation is not None:
             # Its clock counts from its start, and may be slow.
             age_s = status.clock_ms / 1000 / view_module.MIN_CLOCK_RATE
-            appends = crash_tracking.end_runs(state, view, now_s - age_s)
+            appends = crash_tracking.end_runs(
+                state, view, now_s - age_s, status.clock_ms
+            )
         view.begin_incarnation(status.incarnation)
-        # A previous owner may just have extended the lease to its maximum.
-        view.extend_lease(status.clock_ms + state.lease_ms)
+        # A previous owner may just have extended the lease, and a call with a
+        # deadline by the clock of the process before gives the longest one.
+        view.extend_lease(status.clock_ms + state.ports.limits.max_lease_ms)
     view.record_clock(status.clock_ms, now_s)
     view.last_contact_s = now_s
     view.is_refused = False
--- a/src/chervillead/pools/start_tracking.py
+++ b/src/chervillead/pools/start_tracking.py
@@ -35,8 +35,7 @@
         or not state.may_start()
         or not view.may_start(state.ports.zones_out())
     ):
-        state.end_run(view, run, task_runs.EndKind.VANISHED)
-        stop_gang_members(state, run)
+        withdraw(state, view, run)
         return None
     return worker_interface.StartCommand(
         run.key,
@@ -47,6 +46,16 @@
     )
 
 
+def withdraw(
+    state: owner_state.OwnerState,
+    view: view_module.WorkerView,
+    run: task_runs.Run,
+) -> None:
+    """Ends a run whose start command has not been sent."""
+    state.end_run(view, run, task_runs.EndKind.VANISHED)
+    stop_gang_members(state, run)
+
+
 def apply_start_result(
     state: owner_state.OwnerState,
     view: view_module.WorkerView,
--- a/src/chervillead/pools/worker_registry.py
+++ b/src/chervillead/pools/worker_registry.py
@@ -80,7 +80,16 @@
             self._watch_worker(registration)
             return
         view.is_registered = True
+        was_restarted = view.is_restarted
         view.registration = registration
+        if view.is_restarted and not was_restarted:
+            self._state.log(
+                "worker:restarted",
+                worker=worker_id,
+                incarnation=registration.incarnation,
+                answered=view.incarnation,
+            )
+            watch.wake()
 
     def _watch_worker(
         self, registration: worker_interface.Registration
@@ -94,6 +103,7 @@
         ports = watch_module.WatchPorts(
             clock=state.ports.clock,
             lease_ms=state.lease_ms,
+            max_lease_ms=state.ports.limits.max_lease_ms,
             is_confirmed=state.is_owner,
             apply_status=lambda view, status: run_tracking.apply_status(
                 state, view, status
@@ -104,6 +114,9 @@
             make_start_command=lambda view, run: (
                 start_tracking.make_start_command(state, view, run)
             ),
+            withdraw_start=lambda view, run: start_tracking.withdraw(
+                state, view, run
+            ),
             on_poll_failure=self._handle_poll_failure,
             log=state.log,
         )
@@ -203,8 +216,16 @@
         A previous owner may have extended leases until it learned that it was
         replaced, and on a slow clock a lease lasts longer.
         """
-        lease_s = self._state.lease_ms / 1000 / view_module.MIN_CLOCK_RATE
-        return view.discovered_s + MAX_OWNER_OVERLAP_S + lease_s
+        return view.discovered_s + MAX_OWNER_OVERLAP_S + self._max_lease_s()
+
+    def _max_lease_s(self) -> float:
+        """Returns the longest time that a lease lasts on the owner's clock.
+
+        A worker that restarted between two calls of the previous owner may have
+        been given its longest lease, by the clock of the process before.
+        """
+        lease_ms = self._state.ports.limits.max_lease_ms
+        return lease_ms / 1000 / view_module.MIN_CLOCK_RATE
 
     def finish_recovery(self) -> None:
         """Allows placement of recovering jobs once all workers are known."""
@@ -244,8 +265,8 @@
         """
         if self._workers_on_live_hosts is None:
             return now_s - self._started_s < HOST_LIST_TIMEOUT_S
-        lease_s = self._state.lease_ms / 1000 / view_module.MIN_CLOCK_RATE
-        if now_s > self._started_s + MAX_OWNER_OVERLAP_S + lease_s:
+        latest_s = self._started_s + MAX_OWNER_OVERLAP_S + self._max_lease_s()
+        if now_s > latest_s:
             return False
         return bool(self._missing_workers())
 
--- a/src/chervillead/workers/view.py
+++ b/src/chervillead/workers/view.py
@@ -56,6 +56,8 @@
         self.health = worker_health.WorkerHealth()
         self._clock: ClockReading | None = None
         self._lease_until_clock_ms = 0
+        # End of the longest lease that a reply has shown, by the owner's clock.
+        self._granted_until_s = float("-inf")
         self._runs: dict[task_runs.RunKey, task_runs.Run] = {}
         # End of the isolation of its runs that don't share it with others.
         self._isolated: dict[task_runs.RunKey, float] = {}
@@ -76,14 +78,38 @@
         """Whether the worker has responded to this owner's polls."""
         return self.incarnation is not None
 
+    @property
+    def is_restarted(self) -> bool:
+        """Whether it has registered a later process than the one that answered.
+
+        Clock, lease and numbers of ends are those of the earlier process.
+        """
+        return (
+            self.incarnation is not None
+            and self.registration.incarnation > self.incarnation
+        )
+
+    @property
+    def is_answering(self) -> bool:
+        """Whether the process that answered last still answered last time."""
+        return (
+            self.last_contact_s is not None
+            and self.failed_poll_s <= self.last_contact_s
+        )
+
     def record_clock(self, clock_ms: int, now_s: float) -> None:
         """Records a reading of the worker's clock; ignores an older one."""
         if self._clock is None or clock_ms >= self._clock.clock_ms:
             self._clock = ClockReading(clock_ms, now_s)
 
     def clock_at(self, now_s: float) -> int | None:
-        """Returns the estimated worker's clock, or None before a reading."""
-        if self._clock is None:
+        """Returns the estimated worker's clock.
+
+        Returns:
+            The estimate, or None if there is no reading of the process that
+            runs now.
+        """
+        if self._clock is None or self.is_restarted:
             return None
         return self._clock.clock_ms + int(1000 * (now_s - self._clock.at_s))
 
@@ -93,6 +119,31 @@
             self._lease_until_clock_ms, until_clock_ms
         )
 
+    def record_grant(
+        self,
+        until_clock_ms: int,
+        clock_ms: int,
+        max_lease_ms: int,
+        now_s: float,
+    ) -> None:
+        """Records the lease that a call has given, by the clock in its reply.
+
+        The deadline of the call may have been reckoned by the clock of a
+        process that has ended meanwhile. The next one, whose clock has just
+        begun, shortens such a deadline only to the longest lease that it
+        accepts.
+
+        Args:
+            until_clock_ms: Deadline that the call carried.
+            clock_ms: Clock of the process that replied.
+            max_lease_ms: Longest lease that workers accept.
+            now_s: Time of the owner's clock at which the reply came.
+        """
+        left_ms = max(0, min(until_clock_ms - clock_ms, max_lease_ms))
+        self._granted_until_s = max(
+            self._granted_until_s, now_s + left_ms / 1000 / MIN_CLOCK_RATE
+        )
+
     def lease_ends_s(self) -> float:
         """Returns the owner's time by which its lease has certainly expired.
 
@@ -102,7 +153,8 @@
         if self._clock is None:
             return float("inf")
         left_ms = max(0, self._lease_until_clock_ms - self._clock.clock_ms)
-        return self._clock.at_s + left_ms / 1000 / MIN_CLOCK_RATE
+        ends_s = self._clock.at_s + left_ms / 1000 / MIN_CLOCK_RATE
+        return max(ends_s, self._granted_until_s)
 
     def has_surely_expired(self, now_s: float) -> bool:
         """Returns whether the lease has ended and the worker can't be asked.
@@ -168,6 +220,7 @@
             self.is_registered
             and self.has_answered
             and not self.is_replaced
+            and not self.is_restarted
             and not self.registration.is_draining
             and not self.cordoned_for
             and self.registration.zone not in zones_out
@@ -177,6 +230,7 @@
         """Returns whether new runs may be placed on the worker."""
         return (
             self.may_start(zones_out)
+            and self.is_answering
             and self.avoid_until_s <= now_s
             and not self.is_isolated(now_s)
             # Long-running tasks don't end, so they tell nothing about its
--- a/src/chervillead/workers/watch.py
+++ b/src/chervillead/workers/watch.py
@@ -28,6 +28,9 @@
 STOP_REPEAT_INTERVAL_S = 0.3
 # A worker rejects a start command that arrives later than this.
 START_WINDOW_MS = 1500
+# An idle worker that has not answered for this long may have restarted unseen,
+# so a poll must be answered before the next start.
+MAX_IDLE_CONTACT_AGE_S = 1.0
 
 
 class WatchPorts(typing.NamedTuple):
@@ -36,6 +39,7 @@
     Attributes:
         clock: Source of time.
         lease_ms: Length of a lease.
+        max_lease_ms: Longest lease that workers accept.
         is_confirmed: Whether the ownership is certain to hold now, so that
             leases may be extended and commands sent.
         apply_status: Applies a status; returns the records that must be stored
@@ -43,12 +47,14 @@
         on_start_result: Handles the outcome of a start.
         make_start_command: Returns the command for a run, or None if the run
             is obsolete.
+        withdraw_start: Handles a start that won't be sent.
         on_poll_failure: Handles a failed poll.
         log: Writes a log line.
     """
 
     clock: types.Clock
     lease_ms: int
+    max_lease_ms: int
     is_confirmed: abc.Callable[[], bool]
     apply_status: abc.Callable[
         [view_module.WorkerView, interface.WorkerStatus],
@@ -60,6 +66,7 @@
     make_start_command: abc.Callable[
         [view_module.WorkerView, task_runs.Run], interface.StartCommand | None
     ]
+    withdraw_start: abc.Callable[[view_module.WorkerView, task_runs.Run], None]
     on_poll_failure: abc.Callable[
         [view_module.WorkerView, interface.WorkerCallFailure], None
     ]
@@ -100,6 +107,9 @@
         self._stop_sent_s: dict[task_runs.RunKey, float] = {}
         self._unrecorded: list[_EndBatch] = []
         self._has_new_status = False
+        self._is_waiting_for_work = False
+        # Set unless a start has to wait for the outcome of the next poll.
+        self._has_polled = asyncio.Event()
 
     @property
     def view(self) -> view_module.WorkerView:
@@ -108,6 +118,8 @@
 
     def start(self, run: task_runs.Run) -> None:
         """Queues a start command and resumes polling of an idle worker."""
+        if self._is_waiting_for_work and self._may_have_restarted():
+            self._has_polled.clear()
         self._commands.put_nowait(Command(run, "start"))
         self._has_work.set()
 
@@ -153,17 +165,14 @@
         failures = 0
         while True:
             if self._is_idle():
-                self._has_work.clear()
-                await self._has_work.wait()
-                # Lets the start command that woke this task be sent first.
-                await asyncio.sleep(0)
+                await self._wait_for_work()
             sent_s = self._ports.clock.monotonic()
-            outcome = await self._client.poll(
-                self._next_request(sent_s, failures)
-            )
+            request = self._next_request(sent_s, failures)
+            outcome = await self._client.poll(request)
             if not pipeline.is_successful(outcome):
                 failures += 1
                 self._view.failed_poll_s = sent_s
+                self._has_polled.set()
                 self._ports.on_poll_failure(self._view, outcome.failure())
                 await asyncio.sleep(
                     min(
@@ -173,12 +182,40 @@
                 )
                 continue
             failures = 0
-            await self._apply(outcome.unwrap())
+            status = outcome.unwrap()
+            self._record_grant(request.lease_until_clock_ms, status.clock_ms)
+            await self._apply(status)
+
+    async def _wait_for_work(self) -> None:
+        self._has_work.clear()
+        self._is_waiting_for_work = True
+        await self._has_work.wait()
+        self._is_waiting_for_work = False
+        # Lets the start command that woke this task be sent first.
+        await asyncio.sleep(0)
+
+    def _may_have_restarted(self) -> bool:
+        last_s = self._view.last_contact_s
+        now_s = self._ports.clock.monotonic()
+        return last_s is None or now_s - last_s > MAX_IDLE_CONTACT_AGE_S
+
+    def _record_grant(
+        self, until_clock_ms: int | None, clock_ms: int | None
+    ) -> None:
+        """Records the lease that an answered call has given."""
+        if until_clock_ms is not None and clock_ms is not None:
+            self._view.record_grant(
+                until_clock_ms,
+                clock_ms,
+                self._ports.max_lease_ms,
+                self._ports.clock.monotonic(),
+            )
 
     async def _apply(self, status: interface.WorkerStatus) -> None:
         view = self._view
         records = self._ports.apply_status(view, status)
         self._has_new_status = True
+        self._has_polled.set()
         for run in list(view.runs.values()):
             if run.stop_requested:
                 self.stop(run, run.stop_reason)
@@ -204,6 +241,7 @@
         view = self._view
         return view.is_replaced or (
             view.has_answered
+            and view.is_answering
             and not view.runs
             and view.acknowledged_end >= view.applied_end
         )
@@ -212,6 +250,9 @@
         self, now_s: float, failures: int
     ) -> interface.PollRequest:
         view = self._view
+        if not failures and not self._has_polled.is_set():
+            # Nothing of the process that answered before may reach another one.
+            return interface.PollRequest(0, None, 0)
         lease_until = None
         clock_ms = view.clock_at(now_s)
         # After a failed poll no lease is offered; otherwise the runs of an
@@ -259,12 +300,18 @@
 
     async def _send_start(self, run: task_runs.Run) -> None:
         ports = self._ports
+        await self._has_polled.wait()
+        if not self._view.is_answering:
+            ports.withdraw_start(self._view, run)
+            return
         command = ports.make_start_command(self._view, run)
         if command is None:
             return
         run.start_by_clock_ms = command.start_by_clock_ms
+        run.sent_s = ports.clock.monotonic()
         self._view.extend_lease(command.start_by_clock_ms)
         outcome = await self._client.start(command)
+        self._record_grant(command.start_by_clock_ms, _clock_ms(outcome))
         ports.on_start_result(self._view, run, outcome)
 
     async def _send_stop(self, run: task_runs.Run) -> None:
@@ -283,3 +330,10 @@
                 worker=self._view.worker_id,
                 error=outcome.failure().detail,
             )
+
+
+def _clock_ms(outcome: interface.CommandOutcome) -> int | None:
+    """Returns the worker's clock in the reply to a command, if one came."""
+    if pipeline.is_successful(outcome):
+        return outcome.unwrap()
+    return outcome.failure().clock_ms
--- a/tests/stand_ins/platform_fleet.py
+++ b/tests/stand_ins/platform_fleet.py
@@ -115,6 +115,7 @@
         workers: int = 3,
         seed: int = 0,
         turned_off: int = 0,
+        max_lease_ms: int = platform_worker.MAX_LEASE_MS,
     ) -> None:
         self.store = platform_store.StoreStandIn()
         self.network = memory_network.MemoryNetwork(seed=seed)
@@ -129,6 +130,9 @@
             spare_pool=SPARE_POOL,
             turned_off=turned_off,
         )
+        for worker in self.workers.values():
+            worker.max_lease_ms = max_lease_ms
+        self._limits = ports_module.Limits(max_lease_ms=max_lease_ms)
         self._host_names = [f"host-{number}" for number in range(hosts)]
         self._hosts: dict[str, _RunningHost] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -201,7 +205,7 @@
                 ),
                 hosts_service=HOSTS_SERVICE_ADDRESS,
                 advice=None,
-                limits=ports_module.Limits(),
+                limits=self._limits,
                 config_max_age_s=2.85,
                 stop_grace_s=6.0,
                 cores=self.host_cores.get(name, 1.0),
--- a/tests/stand_ins/platform_scenarios.py
+++ b/tests/stand_ins/platform_scenarios.py
@@ -13,6 +13,7 @@
 
 from chervillead import verdicts
 from stand_ins import platform_fleet
+from stand_ins import platform_worker
 from stand_ins import virtual_time
 
 JOB = platform_fleet.job_id(1)
@@ -66,6 +67,9 @@
         workers=context.workers,
         seed=context.seed,
         turned_off=getattr(context, "turned_off", 0),
+        max_lease_ms=getattr(
+            context, "max_lease_ms", platform_worker.MAX_LEASE_MS
+        ),
     )
     for worker in fleet.workers.values():
         worker.work_s = context.work_s
--- a/tests/stand_ins/platform_worker.py
+++ b/tests/stand_ins/platform_worker.py
@@ -64,7 +64,10 @@
         starts_to_drop: Number of the next starts that get no response.
         delayed_starts_s: Delay after which such starts are carried out; None if
             they are dropped.
+        poll_replies_to_drop: Number of the next polls that are carried out and
+            get no reply.
         start_delay_s: Time that the worker takes to carry out a start.
+        max_lease_ms: Longest lease that it accepts.
         silent: Whether the worker neither carries out nor responds to calls.
         is_crashed: Whether its process has crashed and hasn't returned yet.
         records: All runs, ended or not.
@@ -91,6 +94,7 @@
         self.long_running: set[str] = set()
         self.starts_to_drop = 0
         self.delayed_starts_s: float | None = None
+        self.poll_replies_to_drop = 0
         self.start_delay_s = 0.0
         self.silent = False
         self.is_crashed = False
@@ -99,6 +103,7 @@
         # Unix time of its start in milliseconds, as the platform has it.
         self.incarnation = virtual_time.wall_ms()
         self.lease_until_ms = 0
+        self.max_lease_ms = MAX_LEASE_MS
         self._start_s = asyncio.get_running_loop().time()
         self._token = 0
         self._running: dict[tuple[str, int], int] = {}
@@ -226,6 +231,9 @@
                 pass
         if self.silent:
             await asyncio.sleep(3600)
+        if self.poll_replies_to_drop:
+            self.poll_replies_to_drop -= 1
+            await asyncio.sleep(3600)
         self._expire()
         running = [
             [task, run, "", self._progress(index), 0]
@@ -247,8 +255,12 @@
         return min(99, int(100 * ran_s / work_s))
 
     def _extend(self, until_ms: int) -> None:
-        limit_ms = self.clock_ms() + MAX_LEASE_MS
-        self.lease_until_ms = max(self.lease_until_ms, min(until_ms, limit_ms))
+        now_ms = self.clock_ms()
+        until_ms = min(until_ms, now_ms + self.max_lease_ms)
+        if until_ms > self.lease_until_ms:
+            self.lease_until_ms = until_ms
+            # The lease has ended once the clock is beyond it.
+            self._schedule((until_ms + 1 - now_ms) / 1000, self._expire)
 
     def _expire(self) -> None:
         if self._running and self.clock_ms() > self.lease_until_ms:
--- a/tests/steps/workers_watch.py
+++ b/tests/steps/workers_watch.py
@@ -116,15 +116,18 @@
         def apply_status(view, status):
             now_s = asyncio.get_running_loop().time()
             view.record_clock(status.clock_ms, now_s)
+            view.last_contact_s = now_s
             return []
 
         ports = watch_module.WatchPorts(
             clock=virtual_time.clock(),
             lease_ms=6000,
+            max_lease_ms=6000,
             is_confirmed=lambda: context.is_confirmed,
             apply_status=apply_status,
             on_start_result=lambda *_: None,
             make_start_command=lambda *_: None,
+            withdraw_start=lambda *_: None,
             on_poll_failure=lambda *_: None,
             log=lambda *_, **__: None,
         )
