Draw no conclusion from a list of ended runs that isn't complete

Cause: an answer lists at most 500 ends, and what is missing from it was taken as never started by a new owner and as gone by an owner that stays. A worker on which nothing ran was taken as idle once the first page was recorded.

Change: a status says whether more ends may follow. Until then nothing is ended for being absent, the worker isn't idle, and recovery waits, unless the worker can't be reached and its lease is over. Lists of records and of hosts that break off are failures in place of short lists.

--- a/src/chervillead/platform/host_client.py
+++ b/src/chervillead/platform/host_client.py
@@ -116,8 +116,13 @@
             hosts.extend(page.unwrap().hosts)
             token = page.unwrap().next_token
             if not token:
-                break
-        return result.Success(tuple(hosts))
+                return result.Success(tuple(hosts))
+        # A host that is missing from some of the pages may still exist.
+        return result.Failure(
+            interface.HostCallFailure(
+                verdicts.Verdict.RAN, f"/machines: more than {MAX_PAGES} pages"
+            )
+        )
 
     async def send_command(
         path: str, token: int, fields: dict[str, object]
--- a/src/chervillead/platform/store_client.py
+++ b/src/chervillead/platform/store_client.py
@@ -197,11 +197,16 @@
             # the end offset of the first page.
             end = page_end if end is None else end
             records.extend(found)
-            if not has_more or not found:
+            if not has_more:
+                return result.Success(
+                    interface.LatestRecords(tuple(records), end)
+                )
+            if not found:
                 break
             query["After"] = records[-1].key
-        return result.Success(
-            interface.LatestRecords(tuple(records), typing.cast(int, end))
+        # A key that is missing from some of the pages may still exist.
+        return result.Failure(
+            _malformed("/log-newest", "the last page never came")
         )
 
     return newest
--- a/src/chervillead/platform/worker_responses.py
+++ b/src/chervillead/platform/worker_responses.py
@@ -21,6 +21,10 @@
 }
 
 
+# A response lists at most this many ended runs.
+MAX_LISTED_ENDS = 500
+
+
 class ReplyFields(typing.TypedDict, total=False):
     """Fields of the response to a command."""
 
@@ -81,11 +85,13 @@
 
 
 def _status(fields: _StatusFields) -> interface.WorkerStatus:
+    ended = tuple(map(_ended, fields.get("Ended") or ()))
     return interface.WorkerStatus(
         clock_ms=fields["ClockMs"],
         incarnation=fields.get("born", 0),
         running=tuple(map(_running, fields.get("Running") or ())),
-        ended=tuple(map(_ended, fields.get("Ended") or ())),
+        ended=ended,
+        has_more_ends=len(ended) >= MAX_LISTED_ENDS,
     )
 
 
--- a/src/chervillead/pools/run_tracking.py
+++ b/src/chervillead/pools/run_tracking.py
@@ -45,6 +45,7 @@
         view.extend_lease(status.clock_ms + state.ports.limits.max_lease_ms)
     view.record_clock(status.clock_ms, now_s)
     view.last_contact_s = now_s
+    view.has_more_ends = status.has_more_ends
     view.is_refused = False
     reported = {running.run for running in status.running}
     for running in status.running:
@@ -58,7 +59,12 @@
         job = _apply_end(state, view, ended.end)
         if job is not None:
             changed_jobs[job.spec.job_id] = job
-    _end_unreported_runs(state, view, reported, status.clock_ms)
+    if status.has_more_ends:
+        state.log(
+            "worker:more-ends", worker=view.worker_id, listed=len(status.ended)
+        )
+    else:
+        _end_unreported_runs(state, view, reported, status.clock_ms)
     state.changed_workers.add(view.worker_id)
     state.wake()
     appends += [state.store_progress(job) for job in changed_jobs.values()]
--- a/src/chervillead/pools/worker_registry.py
+++ b/src/chervillead/pools/worker_registry.py
@@ -239,9 +239,7 @@
         if self._has_unlisted_workers(now_s):
             return
         if any(
-            not watch.view.has_answered
-            and not watch.view.is_replaced
-            and now_s <= self._latest_lease_end_s(watch.view)
+            self._may_have_unknown_runs(watch.view, now_s)
             for watch in state.watches.values()
         ):
             return
@@ -257,6 +255,16 @@
         )
         state.recovering_jobs.clear()
 
+    def _may_have_unknown_runs(
+        self, view: view_module.WorkerView, now_s: float
+    ) -> bool:
+        """Returns whether runs of a previous owner may yet be reported."""
+        if view.is_replaced or view.has_reported_all:
+            return False
+        if view.has_answered:
+            return not view.has_surely_expired(now_s)
+        return now_s <= self._latest_lease_end_s(view)
+
     def _has_unlisted_workers(self, now_s: float) -> bool:
         """Returns whether unlisted workers may still run tasks.
 
--- a/src/chervillead/workers/interface.py
+++ b/src/chervillead/workers/interface.py
@@ -71,13 +71,17 @@
         clock_ms: Reading of the worker's clock.
         incarnation: Start of the worker's process.
         running: Runs in progress.
-        ended: Ended runs that the owner has not acknowledged yet.
+        ended: Ended runs that the owner has not acknowledged yet, in order.
+        has_more_ends: Whether further runs may have ended that are listed only
+            once these are acknowledged. Until then a run that is missing may
+            have ended as well as one that was never started.
     """
 
     clock_ms: int
     incarnation: int
     running: tuple[RunStatus, ...]
     ended: tuple[EndedRun, ...]
+    has_more_ends: bool = False
 
 
 class RejectionReason(enum.Enum):
--- a/src/chervillead/workers/view.py
+++ b/src/chervillead/workers/view.py
@@ -45,6 +45,8 @@
         self.incarnation: int | None = None
         self.applied_end = 0
         self.acknowledged_end = 0
+        # Whether its last answer may have left out ended runs.
+        self.has_more_ends = False
         self.avoid_until_s = 0.0
         # Reason why its host is being drained; empty if it is not cordoned.
         self.cordoned_for = ""
@@ -97,6 +99,11 @@
             and self.failed_poll_s <= self.last_contact_s
         )
 
+    @property
+    def has_reported_all(self) -> bool:
+        """Whether it has reported all that runs on it or has ended there."""
+        return self.has_answered and not self.has_more_ends
+
     def record_clock(self, clock_ms: int, now_s: float) -> None:
         """Records a reading of the worker's clock; ignores an older one."""
         if self._clock is None or clock_ms >= self._clock.clock_ms:
@@ -170,6 +177,7 @@
         self.incarnation = incarnation
         self.applied_end = 0
         self.acknowledged_end = 0
+        self.has_more_ends = False
         self._clock = None
         self._lease_until_clock_ms = 0
 
--- a/src/chervillead/workers/watch.py
+++ b/src/chervillead/workers/watch.py
@@ -240,7 +240,7 @@
     def _is_idle(self) -> bool:
         view = self._view
         return view.is_replaced or (
-            view.has_answered
+            view.has_reported_all
             and view.is_answering
             and not view.runs
             and view.acknowledged_end >= view.applied_end
--- a/tests/stand_ins/platform_worker.py
+++ b/tests/stand_ins/platform_worker.py
@@ -15,6 +15,8 @@
 
 MAX_LEASE_MS = 6000
 STOP_S = 0.2
+# A response lists at most this many ended runs.
+MAX_LISTED_ENDS = 500
 # A long-running task is available after this time.
 STARTUP_S = 1.5
 
@@ -239,7 +241,8 @@
             [task, run, "", self._progress(index), 0]
             for (task, run), index in self._running.items()
         ]
-        return self._reply(200, Running=running, Ended=list(self._ended))
+        ended = self._ended[:MAX_LISTED_ENDS]
+        return self._reply(200, Running=running, Ended=ended)
 
     def _progress(self, index: int) -> int:
         """Returns the progress of a run in percent.
