Store the terms under which a job was accepted

Cause: the limit of attempts was looked up in the owner's configuration at each end, and was a million for a queue that isn't there. Priority, target and the need for tickets were looked up in the same way.

Change: a job is stored with its terms, in a record of their own before the spec, and everything that was looked up by the queue uses them. Earlier builds skip that record; they would reject a longer spec. An owner whose configuration lacks the queue refuses a submission as not run. Jobs of earlier builds get the terms of their queue when an owner first sees both, and three attempts if it had gone before.

--- a/src/chervillead/jobs/job_state.py
+++ b/src/chervillead/jobs/job_state.py
@@ -33,6 +33,8 @@
     Steps are keyed by (occurrence, step number).
 
     Attributes:
+        terms: What the job is owed; None if it was stored by an earlier build
+            and its queue hasn't been seen since.
         done: Numbers of the completed tasks of each step.
         failed_runs: Numbers of the failed runs of each task.
         crashed_runs: Numbers of the runs of each task whose worker crashed.
@@ -63,8 +65,15 @@
             then. A later owner knows only what is stored.
     """
 
-    def __init__(self, spec: model.JobSpec, *, accepted_s: float) -> None:
+    def __init__(
+        self,
+        spec: model.JobSpec,
+        *,
+        accepted_s: float,
+        terms: model.JobTerms | None = None,
+    ) -> None:
         self._spec = spec
+        self.terms = terms
         self._accepted_s = accepted_s
         self.done: dict[tuple[int, int], set[int]] = {}
         self.failed_runs: dict[model.TaskKey, set[int]] = {}
--- a/src/chervillead/jobs/model.py
+++ b/src/chervillead/jobs/model.py
@@ -177,6 +177,27 @@
     ticket_ttl_ms: int
 
 
+class JobTerms(typing.NamedTuple):
+    """What a job is owed, as its queue said when the job was accepted.
+
+    It is stored with the job and holds whatever becomes of the queue.
+
+    Attributes:
+        max_attempts: Failed runs of a task after which the job fails.
+        priority: Scheduling priority; 0 is the highest.
+        stretch: Factor by which the completion target exceeds the critical
+            path of the job.
+        target_ms: Constant part of the completion target.
+        advice: Limits for the advisory service; None if there is none.
+    """
+
+    max_attempts: int = 1
+    priority: int = 0
+    stretch: float = 1.0
+    target_ms: int = 0
+    advice: AdvicePolicy | None = None
+
+
 class Queue(typing.NamedTuple):
     """A class of jobs with a common route, pool and completion target.
 
@@ -205,6 +226,17 @@
     is_public: bool = False
     advice: AdvicePolicy | None = None
 
+    @property
+    def terms(self) -> JobTerms:
+        """Terms of the jobs that are accepted now."""
+        return JobTerms(
+            self.max_attempts,
+            self.priority,
+            self.stretch,
+            self.target_ms,
+            self.advice,
+        )
+
 
 class Pool(typing.NamedTuple):
     """A set of workers that run the tasks of the same queues.
--- a/src/chervillead/jobs/ordering.py
+++ b/src/chervillead/jobs/ordering.py
@@ -32,16 +32,9 @@
     return max(ends, default=0)
 
 
-def completion_target_ms(
-    spec: model.JobSpec, queue: model.Queue | None
-) -> float:
-    """Returns the time from acceptance in which a job should complete.
-
-    Without a queue, the target is the critical path.
-    """
-    if queue is None:
-        return float(critical_path_ms(spec))
-    return queue.stretch * critical_path_ms(spec) + queue.target_ms
+def completion_target_ms(spec: model.JobSpec, terms: model.JobTerms) -> float:
+    """Returns the time from acceptance in which a job should complete."""
+    return terms.stretch * critical_path_ms(spec) + terms.target_ms
 
 
 def is_long_running(spec: model.JobSpec) -> bool:
@@ -49,18 +42,18 @@
     return any(step.long_running for step in spec.steps)
 
 
-def latest_start_s(job: job_state.JobState, queue: model.Queue | None) -> float:
+def latest_start_s(job: job_state.JobState, terms: model.JobTerms) -> float:
     """Returns the latest time to go on in order to meet the target.
 
     By the owner's clock. It doesn't change while the job waits.
     """
-    left_ms = completion_target_ms(job.spec, queue)
+    left_ms = completion_target_ms(job.spec, terms)
     return job.accepted_s + (left_ms - remaining_critical_path_ms(job)) / 1000
 
 
 def may_meet_target(
     job: job_state.JobState,
-    queue: model.Queue | None,
+    terms: model.JobTerms,
     now_s: float,
     *,
     is_running: bool,
@@ -69,7 +62,7 @@
 
     Args:
         job: The job.
-        queue: Its queue, or None if the configuration no longer has it.
+        terms: What it is owed.
         now_s: Time of the owner's clock.
         is_running: Whether the task runs. One that waits must start early
             enough for the critical path.
@@ -77,9 +70,9 @@
     if is_long_running(job.spec):
         return True
     if is_running:
-        target_s = completion_target_ms(job.spec, queue) / 1000
+        target_s = completion_target_ms(job.spec, terms) / 1000
         return now_s <= job.accepted_s + target_s
-    return now_s <= latest_start_s(job, queue)
+    return now_s <= latest_start_s(job, terms)
 
 
 def over_share(share_usage: float) -> float:
@@ -89,7 +82,7 @@
 
 def sort_key(
     job: job_state.JobState,
-    queue: model.Queue | None,
+    terms: model.JobTerms,
     *,
     now_s: float,
     share_usage: float,
@@ -98,16 +91,16 @@
 
     Args:
         job: The job.
-        queue: Its queue, or None if the configuration no longer has it.
+        terms: What it is owed.
         now_s: Time of the owner's clock.
         share_usage: Usage of the job's client account divided by its fair
             share.
     """
-    priority = queue.priority if queue is not None else 0
+    priority = terms.priority
     if is_long_running(job.spec):
         # Long-running tasks are few, and their users notice every second of
         # an outage.
         return (-1.0, priority, 0.0, 0.0, job.accepted_s)
-    slack_s = latest_start_s(job, queue) - now_s
+    slack_s = latest_start_s(job, terms) - now_s
     is_late = slack_s < 0
     return (priority, float(is_late), over_share(share_usage), slack_s)
--- a/src/chervillead/jobs/records.py
+++ b/src/chervillead/jobs/records.py
@@ -1,7 +1,8 @@
-"""Stored records of a job: its spec and its progress, as MessagePack.
+"""Stored records of a job: spec, terms and progress, as MessagePack.
 
-The spec is written once. The progress is small and each record replaces the
-previous one. Both are keyed by job, so log compaction keeps the newest of each.
+Spec and terms are written once. The progress is small and each record replaces
+the previous one. All are keyed by job, so log compaction keeps the newest of
+each. Earlier builds skip the terms and reject a spec with further fields.
 """
 
 import typing
@@ -14,6 +15,7 @@
 
 SPEC_PREFIX = "j"
 PROGRESS_PREFIX = "p"
+TERMS_PREFIX = "t"
 
 
 _Value = typing.TypeVar("_Value")
@@ -72,6 +74,7 @@
 
 
 _spec_decoder = msgspec.msgpack.Decoder(model.JobSpec)
+_terms_decoder = msgspec.msgpack.Decoder(model.JobTerms)
 _progress_decoder = msgspec.msgpack.Decoder(Progress)
 _encoder = msgspec.msgpack.Encoder()
 
@@ -86,6 +89,25 @@
     return PROGRESS_PREFIX + job_id
 
 
+def terms_key(job_id: str) -> str:
+    """Returns the key of the record of a job's terms."""
+    return TERMS_PREFIX + job_id
+
+
+def encode_terms(terms: model.JobTerms) -> bytes:
+    """Returns the value of the record of a job's terms."""
+    return _encoder.encode(terms)
+
+
+def decode_terms(value: bytes) -> model.JobTerms:
+    """Returns the terms in the value of a record.
+
+    Raises:
+        MalformedRecordError: The value isn't encoded terms.
+    """
+    return _decode(_terms_decoder, value)
+
+
 def encode_spec(spec: model.JobSpec) -> bytes:
     """Returns the value of the record of a spec."""
     return _encoder.encode(spec)
--- a/src/chervillead/jobs/waiting_jobs.py
+++ b/src/chervillead/jobs/waiting_jobs.py
@@ -60,7 +60,7 @@
     def put(
         self,
         job: job_state.JobState,
-        queue: model.Queue | None,
+        terms: model.JobTerms,
         *,
         order: int,
         now_s: float,
@@ -69,7 +69,7 @@
 
         Args:
             job: The job.
-            queue: Its queue, or None if the configuration no longer has it.
+            terms: What it is owed.
             order: Number of the job in the order in which jobs became known.
             now_s: Time of the owner's clock.
         """
@@ -77,13 +77,13 @@
         steps = list(readiness.unblocked_steps(job))
         if job.is_finished or not steps or job.recovering_until_s > now_s:
             return
-        priority = queue.priority if queue is not None else 0
+        priority = terms.priority
         if ordering.is_long_running(job.spec):
             bucket = _Bucket(True, priority, "")
             entry = _Entry(job.accepted_s, order, job)
         else:
             bucket = _Bucket(False, priority, job.spec.account)
-            start_s = ordering.latest_start_s(job, queue)
+            start_s = ordering.latest_start_s(job, terms)
             entry = _Entry(start_s, order, job)
         bisect.insort(self._buckets.setdefault(bucket, []), entry)
         need = _least_need(steps)
--- a/src/chervillead/pools/advice_cache.py
+++ b/src/chervillead/pools/advice_cache.py
@@ -40,8 +40,7 @@
             None if the queue needs no tickets; an empty mapping while they are
             being fetched.
         """
-        queue = self._state.queue_of(job)
-        if queue is None or queue.advice is None:
+        if self._state.terms_of(job).advice is None:
             return None
         key = job.spec.job_id, task.occurrence, task.step
         cached = self._cache.get(key)
--- a/src/chervillead/pools/job_operations.py
+++ b/src/chervillead/pools/job_operations.py
@@ -77,11 +77,19 @@
                 return result.Failure(
                     _store_unavailable("the store does not accept records")
                 )
+            queue = state.queue(spec.queue)
+            if queue is None:
+                return result.Failure(_unknown_queue(spec.queue))
+            terms = queue.terms
+            # Records are stored in order: no spec is stored without its terms.
+            state.store_terms(spec.job_id, terms)
             stored = state.writer.append(
                 records.spec_key(spec.job_id), records.encode_spec(spec)
             )
             self._pending_submissions[spec.job_id] = stored
-            stored.add_done_callback(lambda f: self._submission_stored(spec, f))
+            stored.add_done_callback(
+                lambda f: self._submission_stored(spec, terms, f)
+            )
         done, _ = await asyncio.wait([stored], timeout=timeout_s)
         if not done and not state.writer.discard_unsent(stored):
             return result.Failure(_store_timeout())
@@ -92,14 +100,18 @@
         return result.Failure(_append_refusal(stored.exception()))
 
     def _submission_stored(
-        self, spec: model.JobSpec, stored: asyncio.Future[None]
+        self,
+        spec: model.JobSpec,
+        terms: model.JobTerms,
+        stored: asyncio.Future[None],
     ) -> None:
         self._pending_submissions.pop(spec.job_id, None)
         if not group_commit.is_stored(stored):
             return
         state = self._state
         state.jobs.setdefault(
-            spec.job_id, job_state.JobState(spec, accepted_s=state.now_s())
+            spec.job_id,
+            job_state.JobState(spec, accepted_s=state.now_s(), terms=terms),
         )
         state.log(
             "job:accepted",
@@ -177,6 +189,15 @@
     )
 
 
+def _unknown_queue(name: str) -> verdicts.Refusal:
+    return verdicts.not_run(
+        "owner-outdated",
+        503,
+        f"the owner's configuration has no queue {name!r}",
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
 def _store_unavailable(detail: str) -> verdicts.Refusal:
     return verdicts.not_run(
         "store-away", 503, detail, retry_after_s=RETRY_AFTER_S
--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -22,6 +22,9 @@
 # Busy workers are polled once a second; one that has not answered for this long
 # may have crashed.
 CONTACT_TIMEOUT_S = 1.5
+# Terms of jobs whose queue was gone before any could be stored. Earlier builds
+# kept no terms.
+UNKNOWN_TERMS = model.JobTerms(max_attempts=3)
 
 
 class OwnershipStatus:
@@ -196,12 +199,32 @@
             return None
         return job.step(run.task)
 
-    def queue_of(self, job: job_state.JobState) -> model.Queue | None:
-        """Returns the queue of a job, or None if it is not configured now."""
+    def queue(self, name: str) -> model.Queue | None:
+        """Returns a queue, or None if this host's configuration lacks it."""
         configuration = self._ports.configuration()
-        if configuration is None:
-            return None
-        return configuration.queues.get(job.spec.queue)
+        return None if configuration is None else configuration.queues.get(name)
+
+    def terms_of(self, job: job_state.JobState) -> model.JobTerms:
+        """Returns what a job is owed.
+
+        A job of an earlier build has no stored terms. It gets those of its
+        queue, which are stored, so that they hold once the queue is gone.
+        """
+        if job.terms is None:
+            queue = self.queue(job.spec.queue)
+            if queue is None:
+                return UNKNOWN_TERMS
+            job.terms = queue.terms
+            self.store_terms(job.spec.job_id, job.terms)
+        return job.terms
+
+    def store_terms(
+        self, job_id: str, terms: model.JobTerms
+    ) -> asyncio.Future[None]:
+        """Queues a job's terms for the store."""
+        return self._writer.append(
+            records.terms_key(job_id), records.encode_terms(terms)
+        )
 
     def store_progress(self, job: job_state.JobState) -> asyncio.Future[None]:
         """Queues a job's progress for the store.
--- a/src/chervillead/pools/partition_owner.py
+++ b/src/chervillead/pools/partition_owner.py
@@ -177,6 +177,7 @@
             del state.jobs[job_id]
             state.recovering_jobs.discard(job_id)
             state.writer.delete(records.spec_key(job_id))
+            state.writer.delete(records.terms_key(job_id))
             state.writer.delete(records.progress_key(job_id))
 
 
--- a/src/chervillead/pools/placement_scheduler.py
+++ b/src/chervillead/pools/placement_scheduler.py
@@ -77,7 +77,7 @@
                 continue
             self._waiting.put(
                 job,
-                configuration.queues.get(job.spec.queue),
+                self._state.terms_of(job),
                 order=jobs.order_of(job_id),
                 now_s=self._state.now_s(),
             )
--- a/src/chervillead/pools/pool_load.py
+++ b/src/chervillead/pools/pool_load.py
@@ -105,7 +105,7 @@
         job = state.jobs.get(job_id)
         return job is not None and ordering.may_meet_target(
             job,
-            configuration.queues.get(job.spec.queue),
+            state.terms_of(job),
             now_s,
             is_running=is_running,
         )
--- a/src/chervillead/pools/run_tracking.py
+++ b/src/chervillead/pools/run_tracking.py
@@ -16,8 +16,6 @@
 # Delay before the retry of a failed task, doubled for each failure.
 RETRY_DELAY_S = 0.05
 MAX_RETRY_DELAY_S = 1.0
-# Maximum attempts of jobs whose queue operators have removed.
-UNLIMITED_ATTEMPTS = 1_000_000
 
 
 def apply_status(
@@ -143,9 +141,8 @@
     if job is None or not job.has_task(end.run.task):
         return None
     now_s = state.now_s()
-    queue = state.queue_of(job)
-    attempts = queue.max_attempts if queue is not None else UNLIMITED_ATTEMPTS
-    changed = job.apply_run_end(end, attempts, now_s)
+    max_attempts = state.terms_of(job).max_attempts
+    changed = job.apply_run_end(end, max_attempts, now_s)
     state.jobs.mark_changed(job.spec.job_id)
     state.log(
         "run:ended",
--- a/src/chervillead/pools/takeover.py
+++ b/src/chervillead/pools/takeover.py
@@ -6,6 +6,7 @@
 from returns import pipeline
 
 from chervillead.jobs import job_state
+from chervillead.jobs import model
 from chervillead.jobs import records
 from chervillead.pools import partition_owner
 from chervillead.pools import pool_partitions
@@ -59,6 +60,8 @@
         stored, ports.clock.monotonic(), 1000 * ports.clock.wall(), ports.log
     )
     owner.load(jobs)
+    for key in _keys_without_job(stored):
+        writer.delete(key)
     ports.log(
         "owner:loaded",
         partition=owner.state.partition,
@@ -87,6 +90,7 @@
         log: Writes a log line.
     """
     jobs: dict[str, job_state.JobState] = {}
+    terms = _restore_terms(stored, log)
     for record in stored:
         if record.key.startswith(records.SPEC_PREFIX):
             try:
@@ -96,7 +100,9 @@
                 continue
             age_s = max(0.0, now_unix_ms - spec.accepted_unix_ms) / 1000
             jobs[spec.job_id] = job_state.JobState(
-                spec, accepted_s=now_s - age_s
+                spec,
+                accepted_s=now_s - age_s,
+                terms=terms.get(spec.job_id),
             )
     for record in stored:
         job = jobs.get(record.key[1:])
@@ -107,3 +113,36 @@
         except records.MalformedRecordError as error:
             log("record:unreadable", key=record.key, error=str(error))
     return list(jobs.values())
+
+
+def _restore_terms(
+    stored: tuple[store_interface.KeyedRecord, ...],
+    log: abc.Callable[..., None],
+) -> dict[str, model.JobTerms]:
+    """Returns the stored terms of jobs, by job."""
+    terms: dict[str, model.JobTerms] = {}
+    for record in stored:
+        if not record.key.startswith(records.TERMS_PREFIX):
+            continue
+        try:
+            terms[record.key[1:]] = records.decode_terms(record.value)
+        except records.MalformedRecordError as error:
+            log("record:unreadable", key=record.key, error=str(error))
+    return terms
+
+
+def _keys_without_job(
+    stored: tuple[store_interface.KeyedRecord, ...],
+) -> abc.Iterator[str]:
+    """Yields the keys of terms without a spec.
+
+    They stay when a submission was given up between the two records, and when
+    an earlier build has deleted a job.
+    """
+    keys = {record.key for record in stored}
+    return (
+        key
+        for key in sorted(keys)
+        if key.startswith(records.TERMS_PREFIX)
+        and records.spec_key(key[1:]) not in keys
+    )
--- a/tests/stand_ins/owner_states.py
+++ b/tests/stand_ins/owner_states.py
@@ -28,6 +28,16 @@
 )
 
 
+CONFIGURATION = model.FleetConfiguration(
+    1,
+    {"queue-1": model.Queue("queue-1", "", "", "pool-1", max_attempts=3)},
+    {"pool-1": model.Pool("pool-1")},
+    {},
+    {},
+    1000,
+)
+
+
 def job(number: int) -> model.JobSpec:
     """Returns the spec of a job of one task."""
     return model.JobSpec(
@@ -41,7 +51,9 @@
 
 
 def build_state(
-    append: typing.Any, loop_lag_s: abc.Callable[[], float]
+    append: typing.Any,
+    loop_lag_s: abc.Callable[[], float],
+    configuration: model.FleetConfiguration = CONFIGURATION,
 ) -> owner_state.OwnerState:
     """Returns an owner's state whose writer appends with a function."""
     store = interface.Store(append, None, None, None, None, None)
@@ -50,7 +62,7 @@
         open_worker=None,
         clock=virtual_time.clock(),
         limits=ports.Limits(),
-        configuration=lambda: None,
+        configuration=lambda: configuration,
         zones_out=frozenset,
         is_current=lambda: True,
         log=lambda message_type, **fields: None,
--- a/tests/steps/jobs_ordering.py
+++ b/tests/steps/jobs_ordering.py
@@ -7,7 +7,7 @@
 from chervillead.jobs import model
 from chervillead.jobs import ordering
 
-QUEUE = types.SimpleNamespace(stretch=1.5, target_ms=1000)
+TERMS = model.JobTerms(stretch=1.5, target_ms=1000)
 SIZE = model.Resources(1000, 100)
 
 
@@ -40,7 +40,7 @@
 def step(context, state, expected):
     found = ordering.may_meet_target(
         context.job,
-        QUEUE,
+        TERMS,
         100.0 + context.age_s,
         is_running=state == "runs",
     )
--- a/tests/steps/jobs_placement.py
+++ b/tests/steps/jobs_placement.py
@@ -210,7 +210,7 @@
     context.order = sorted(
         range(len(jobs)),
         key=lambda index: ordering.sort_key(
-            jobs[index], queue, now_s=0.0, share_usage=0.0
+            jobs[index], queue.terms, now_s=0.0, share_usage=0.0
         ),
     )
 
--- a/tests/steps/jobs_room_index.py
+++ b/tests/steps/jobs_room_index.py
@@ -251,6 +251,14 @@
     "urgent": model.Queue("urgent", "", "", "pool", stretch=2.0),
     "batch": model.Queue("batch", "", "", "pool", priority=1, target_ms=900),
 }
+
+
+def terms_of(spec):
+    """Returns the terms of a job; some jobs are of an unknown queue."""
+    queue = QUEUES.get(spec.queue)
+    return model.JobTerms() if queue is None else queue.terms
+
+
 queued_jobs = strategies.builds(
     lambda queue, account, sizes, estimate_ms, long_running: model.JobSpec(
         "",
@@ -297,7 +305,7 @@
                 waiting,
                 key=lambda job: ordering.sort_key(
                     job,
-                    QUEUES.get(job.spec.queue),
+                    terms_of(job.spec),
                     now_s=now_s,
                     share_usage=usage.get(job.spec.account, 0.0),
                 ),
@@ -327,8 +335,8 @@
 
 
 def put(index, jobs, number, now_s):
-    queue = QUEUES.get(jobs[number].spec.queue)
-    index.put(jobs[number], queue, order=number, now_s=now_s)
+    terms = terms_of(jobs[number].spec)
+    index.put(jobs[number], terms, order=number, now_s=now_s)
 
 
 def needs_of(jobs):
--- a/tests/steps/pools_job_operations.py
+++ b/tests/steps/pools_job_operations.py
@@ -57,7 +57,11 @@
         return getattr(context, "lag_s", 0.0) if is_late else 0.0
 
     now_s = asyncio.get_running_loop().time
-    state = owner_states.build_state(append, loop_lag_s)
+    state = owner_states.build_state(
+        append,
+        loop_lag_s,
+        getattr(context, "configuration", owner_states.CONFIGURATION),
+    )
     operations = job_operations.JobOperations(state)
     writing = asyncio.create_task(state.writer.run())
 
