Store which runs may have crashed a worker before its end is certain

Cause: a crash was counted only when another process answered at the worker's address or its lease had ended, seconds after nothing listened there. An owner that was replaced meanwhile counted nothing, and the next one finds no run.

Change: when nothing listens at a worker, its recent runs, and runs of suspected tasks, are stored as crashes; each start of a suspected task is stored so before it is sent. A worker that reports such a run takes that back. A new owner gives up jobs whose stored crashes reach the limit. The poll after a broken connection follows after 0.02 s in place of 0.15 s.

--- a/src/chervillead/jobs/crash_evidence.py
+++ b/src/chervillead/jobs/crash_evidence.py
@@ -111,6 +111,7 @@
         return False
     crashed = crashed | {run.number}
     job.crashed_runs[task] = crashed
+    job.doubtful_runs.get(task, set()).discard(run.number)
     if job.step(run.task).gang:
         limit = MAX_GANG_CRASHES
     else:
@@ -121,6 +122,77 @@
     return True
 
 
+def add_doubt(job: job_state.JobState, run: task_runs.Run) -> bool:
+    """Notes a run whose worker may crash before that can be recorded.
+
+    Returns:
+        Whether the stored progress of the job has changed.
+    """
+    task = counted_task(job, run.task)
+    known = job.crashed_runs.get(task, set()) | job.doubtful_runs.get(
+        task, set()
+    )
+    if job.is_finished or job.is_done(run.task) or run.number in known:
+        return False
+    job.doubtful_runs.setdefault(task, set()).add(run.number)
+    return True
+
+
+def is_worth_doubt(
+    job: job_state.JobState, run: task_runs.Run, answered_s: float
+) -> bool:
+    """Returns whether a run may be what has ended its worker.
+
+    Args:
+        job: The job of the run.
+        run: The run.
+        answered_s: Time of the worker's last answer, by the owner's clock.
+    """
+    is_recent = answered_s - run.started_s < MAX_CRASH_DELAY_S
+    return is_recent or counted_task(job, run.task) in job.crashed_runs
+
+
+def clear_doubt(
+    job: job_state.JobState, task: model.TaskKey, number: int
+) -> bool:
+    """Forgets that a worker may have crashed under a run that was reported.
+
+    A new owner may have read it as a crash.
+
+    Returns:
+        Whether the stored progress of the job has changed.
+    """
+    if not job.has_task(task):
+        return False
+    counted = counted_task(job, task)
+    changed = False
+    for runs in (job.crashed_runs, job.doubtful_runs):
+        if number in runs.get(counted, ()):
+            changed = True
+            runs[counted].discard(number)
+            if not runs[counted]:
+                del runs[counted]
+    if changed and counted not in job.crashed_runs:
+        job.suspected_s.pop(counted, None)
+    return changed
+
+
+def apply_stored_crashes(job: job_state.JobState, now_s: float) -> bool:
+    """Gives up a job whose stored crashes already reach the limit.
+
+    Returns:
+        Whether the job was given up.
+    """
+    if job.is_finished:
+        return False
+    for task, crashed in job.crashed_runs.items():
+        limit = MAX_GANG_CRASHES if job.step(task).gang else MAX_CRASHES
+        if len(crashed) >= limit:
+            job.give_up(now_s)
+            return True
+    return False
+
+
 def needs_isolation(job: job_state.JobState, task: model.TaskKey) -> bool:
     """Returns whether the next run of a task needs a worker of its own."""
     return task in job.suspected_s and not job.step(task).gang
--- a/src/chervillead/jobs/records.py
+++ b/src/chervillead/jobs/records.py
@@ -29,7 +29,8 @@
         failed_runs: Numbers of its failed runs.
         highest_run: Highest number of any known run.
         checkpoint: Newest known checkpoint; empty for none.
-        crashed_runs: Numbers of its runs whose worker crashed.
+        crashed_runs: Numbers of its runs whose worker crashed, or may crash
+            before the next record.
     """
 
     task: model.TaskKey
@@ -147,7 +148,12 @@
             tuple(sorted(job.failed_runs.get(task, ()))),
             highest,
             job.checkpoints.get(task, ""),
-            tuple(sorted(job.crashed_runs.get(task, ()))),
+            tuple(
+                sorted(
+                    job.crashed_runs.get(task, set())
+                    | job.doubtful_runs.get(task, set())
+                )
+            ),
         )
         for task, highest in sorted(job.highest_run.items())
         if not job.is_done(task) and not job.is_finished
--- a/src/chervillead/jobs/task_runs.py
+++ b/src/chervillead/jobs/task_runs.py
@@ -1,5 +1,6 @@
 """Runs of tasks on workers. A task that is retried has several runs."""
 
+import asyncio
 import enum
 import typing
 
@@ -44,6 +45,8 @@
             of a previous owner, the time at which it was discovered.
         sent_s: Time at which the start command was sent, by the owner's clock;
             None until then, and for a run of a previous owner.
+        recorded: Append that must be stored before the start command is sent;
+            None if there is none.
         phase: State of the run.
         started_clock_ms: Worker's clock in its reply to the start command; None
             until then.
@@ -84,6 +87,7 @@
         self.reserved = reserved
         self.started_s = started_s
         self.sent_s: float | None = None
+        self.recorded: asyncio.Future[None] | None = None
         self.phase = phase
         self.started_clock_ms: int | None = None
         self.stopped_clock_ms: int | None = None
--- a/src/chervillead/pools/crash_tracking.py
+++ b/src/chervillead/pools/crash_tracking.py
@@ -1,6 +1,7 @@
 """Applies crashes of workers to the tasks that ran on them."""
 
 import asyncio
+from collections import abc
 
 from chervillead.jobs import crash_evidence
 from chervillead.jobs import task_runs
@@ -62,6 +63,42 @@
     return sent_s + MAX_DELIVERY_S >= replaced_s
 
 
+def record_doubts(
+    state: owner_state.OwnerState, view: view_module.WorkerView
+) -> None:
+    """Stores which runs may have crashed a worker at which nothing listens.
+
+    Whether it crashed shows only seconds later, when another process answers
+    or its lease has ended. An owner that is replaced before that has stored
+    what the next one must count.
+    """
+    if _was_to_end(state, view):
+        return
+    answered_s = view.last_contact_s or view.discovered_s
+    for run in list(view.runs.values()):
+        job = state.jobs.get(run.job_id)
+        if (
+            job is not None
+            and job.has_task(run.task)
+            and run.phase is not task_runs.RunPhase.STARTING
+            and crash_evidence.is_worth_doubt(job, run, answered_s)
+            and crash_evidence.add_doubt(job, run)
+        ):
+            state.log_run("run:crash-suspected", run)
+            state.store_progress(job)
+
+
+def give_up_jobs(
+    state: owner_state.OwnerState, job_ids: abc.Iterable[str]
+) -> None:
+    """Gives up the jobs whose stored crashes have reached the limit."""
+    for job_id in job_ids:
+        job = state.jobs[job_id]
+        if crash_evidence.apply_stored_crashes(job, state.now_s()):
+            job_endings.handle_end(state, job)
+            state.store_progress(job)
+
+
 def _was_to_end(
     state: owner_state.OwnerState, view: view_module.WorkerView
 ) -> bool:
--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -5,6 +5,7 @@
 import traceback
 
 from chervillead import types
+from chervillead.jobs import crash_evidence
 from chervillead.jobs import job_state
 from chervillead.jobs import job_table
 from chervillead.jobs import model
@@ -312,6 +313,11 @@
         if job is not None:
             job.remove_run(run)
             self.jobs.mark_changed(run.job_id)
+            if (
+                kind is not task_runs.EndKind.WORKER_CRASHED
+                and crash_evidence.clear_doubt(job, run.task, run.number)
+            ):
+                self.store_progress(job)
         self.log_run("run:ended", run, how=kind.value)
         self.wake()
 
--- a/src/chervillead/pools/run_tracking.py
+++ b/src/chervillead/pools/run_tracking.py
@@ -97,6 +97,7 @@
         state.stop_run(run, "its job is unknown")
         return
     job.has_started = True
+    _correct_stored_crash(state, job, run)
     crash_evidence.clear_long_run(job, run, state.now_s())
     if running.checkpoint:
         job.checkpoints[run.task] = running.checkpoint
@@ -106,6 +107,23 @@
         state.stop_run(run, "another run of the task is done")
 
 
+def _correct_stored_crash(
+    state: owner_state.OwnerState, job: job_state.JobState, run: task_runs.Run
+) -> None:
+    """Takes back the crash of a worker on which the run goes on.
+
+    A previous owner stored it when nothing listened there, or before a start.
+    """
+    task = crash_evidence.counted_task(job, run.task)
+    if run.number not in job.crashed_runs.get(task, ()):
+        return
+    crash_evidence.clear_doubt(job, run.task, run.number)
+    if task in job.crashed_runs:
+        # Its next crash may come unseen as well.
+        crash_evidence.add_doubt(job, run)
+    state.store_progress(job)
+
+
 def _adopt(
     state: owner_state.OwnerState,
     view: view_module.WorkerView,
@@ -142,7 +160,9 @@
         return None
     now_s = state.now_s()
     max_attempts = state.terms_of(job).max_attempts
-    changed = job.apply_run_end(end, max_attempts, now_s)
+    # The worker lives, so it has not crashed under this run.
+    changed = crash_evidence.clear_doubt(job, end.run.task, end.run.number)
+    changed |= job.apply_run_end(end, max_attempts, now_s)
     state.jobs.mark_changed(job.spec.job_id)
     state.log(
         "run:ended",
--- a/src/chervillead/pools/start_tracking.py
+++ b/src/chervillead/pools/start_tracking.py
@@ -51,7 +51,7 @@
     view: view_module.WorkerView,
     run: task_runs.Run,
 ) -> None:
-    """Ends a run whose start command has not been sent."""
+    """Ends a run whose start command was not executed."""
     state.end_run(view, run, task_runs.EndKind.VANISHED)
     stop_gang_members(state, run)
 
@@ -87,7 +87,8 @@
             watch.wake()
     else:
         _apply_rejection(state, view, rejection)
-        state.end_run(view, run, task_runs.EndKind.VANISHED)
+        withdraw(state, view, run)
+        return
     stop_gang_members(state, run)
 
 
--- a/src/chervillead/pools/worker_registry.py
+++ b/src/chervillead/pools/worker_registry.py
@@ -181,6 +181,8 @@
         )
         state.changed_workers.add(view.worker_id)
         view.is_refused = failure.is_refused
+        if failure.is_refused:
+            crash_tracking.record_doubts(state, view)
         view.avoid_until_s = max(
             view.avoid_until_s, state.now_s() + UNREACHABLE_BACKOFF_S
         )
@@ -243,6 +245,7 @@
             for watch in state.watches.values()
         ):
             return
+        crash_tracking.give_up_jobs(state, sorted(state.recovering_jobs))
         for job_id in state.recovering_jobs:
             state.jobs[job_id].recovering_until_s = 0.0
             state.jobs.mark_changed(job_id)
--- a/src/chervillead/workers/watch.py
+++ b/src/chervillead/workers/watch.py
@@ -13,13 +13,16 @@
 
 from chervillead import types
 from chervillead.jobs import task_runs
+from chervillead.store import group_commit
 from chervillead.workers import interface
 from chervillead.workers import view as view_module
 
 COMMAND_SENDERS = 2
 # Longest wait of one poll; the lease must be extended well before it ends.
 POLL_WAIT_S = 1.0
-# Delay before the next poll, multiplied by the number of successive failures.
+# The second poll tells whether the process has ended or a connection broke.
+FIRST_POLL_RETRY_S = 0.02
+# Further delay before the next poll for each successive failure but the first.
 POLL_RETRY_INTERVAL_S = 0.15
 MAX_POLL_RETRY_INTERVAL_S = 0.5
 # A worker responds at once while ended runs are unacknowledged, so the next
@@ -177,7 +180,8 @@
                 await asyncio.sleep(
                     min(
                         MAX_POLL_RETRY_INTERVAL_S,
-                        POLL_RETRY_INTERVAL_S * failures,
+                        POLL_RETRY_INTERVAL_S * (failures - 1)
+                        + FIRST_POLL_RETRY_S,
                     )
                 )
                 continue
@@ -301,7 +305,12 @@
     async def _send_start(self, run: task_runs.Run) -> None:
         ports = self._ports
         await self._has_polled.wait()
-        if not self._view.is_answering:
+        if run.recorded is not None:
+            await asyncio.wait([run.recorded], timeout=RECORD_TIMEOUT_S)
+        is_recorded = run.recorded is None or group_commit.is_stored(
+            run.recorded
+        )
+        if not is_recorded or not self._view.is_answering:
             ports.withdraw_start(self._view, run)
             return
         command = ports.make_start_command(self._view, run)
--- a/tests/pools/crashing_tasks.feature
+++ b/tests/pools/crashing_tasks.feature
@@ -134,3 +134,47 @@
     Then every host was maintained once, at most 1 at a time
     And no run is reported as ended by a crash
     And 2 tasks of the job are running
+
+  Scenario Outline: Owners are killed after each crash, before it is counted
+    # Guards against crashes that no owner counts, since each is replaced before
+    # another process answers at the address of the worker.
+    Given a platform fleet of 3 hosts and 8 workers
+    And tasks run for 2 s
+    When 6 other jobs of 4 tasks are submitted
+    And the owner is killed <delay> s after each crash and restarted
+    And a job of 3 tasks is submitted whose first task crashes workers after 0.01 s
+    And 60 s pass
+    Then at most 5 workers crashed
+    And every host reports the job as failed
+    And the other jobs are completed
+
+    Examples:
+      | delay |
+      | 0.1   |
+      | 0.5   |
+      | 2     |
+
+  Scenario: Nothing listens at a worker for a moment and its owner is killed
+    # Guards against a crash that is counted against tasks which run on.
+    Given a platform fleet of 3 hosts and 2 workers
+    And tasks run for 6 s
+    When a job of 4 tasks is submitted
+    And all workers refuse connections for 1.5 s
+    And the owner is killed
+    And 12 s pass
+    Then every host reports the job as completed
+    And each task ran once
+    And no task is stored as having crashed workers
+
+  Scenario: A suspected task runs on through a change of owner
+    # Guards against a record of a start that is taken for one of a crash.
+    Given a platform fleet of 3 hosts and 4 workers
+    And tasks run for 6 s
+    When a job of 1 task is submitted
+    And 1 s pass
+    And the workers with tasks crash
+    And the task has been started again
+    And the owner is killed
+    And 12 s pass
+    Then every host reports the job as completed
+    And the task ran 2 times
--- a/tests/stand_ins/platform_fleet.py
+++ b/tests/stand_ins/platform_fleet.py
@@ -159,6 +159,9 @@
         self.store.put("keyed.op", "config", configuration())
         for index, (worker_id, worker) in enumerate(self.workers.items()):
             serve = http_server.serve_connections(worker.handle)
+            worker.reset_connections = functools.partial(
+                self.network.reset_place, worker_id
+            )
             self.network.refuse_while(
                 worker_id, functools.partial(getattr, worker, "is_crashed")
             )
--- a/tests/stand_ins/platform_worker.py
+++ b/tests/stand_ins/platform_worker.py
@@ -59,6 +59,7 @@
         crash_delay_s: Time from the start of such a task to the crash.
         down_s: Time after which a crashed worker returns, under another id.
         crashes: All crashes of the worker.
+        reset_connections: Resets its connections, as its process ends.
         work_s: Duration of a task.
         work_s_by_step: Duration of a task by step, where it differs.
         failing: Ids of jobs whose tasks fail.
@@ -93,6 +94,7 @@
         self.crash_delay_s = 0.01
         self.down_s = 2.0
         self.crashes: list[CrashRecord] = []
+        self.reset_connections: typing.Callable[[], None] = lambda: None
         self.long_running: set[str] = set()
         self.starts_to_drop = 0
         self.delayed_starts_s: float | None = None
@@ -122,6 +124,7 @@
         self.crashes.append(CrashRecord(self.worker_id, now_s, tasks))
         self.silent = True
         self.is_crashed = True
+        self.reset_connections()
         self._end_all("gone", list_ends=False)
         self._schedule(self.down_s, self._return)
 
--- a/tests/steps/pools_crashing_tasks.py
+++ b/tests/steps/pools_crashing_tasks.py
@@ -3,11 +3,18 @@
 import asyncio
 
 import behave
+import msgspec
 
+from chervillead.jobs import records
+from chervillead.pools import pool_partitions
 from stand_ins import platform_fleet
 from stand_ins import platform_scenarios
+from stand_ins import platform_store
 
 FIRST_OTHER_JOB = 100
+PARTITION = pool_partitions.partition_of(
+    platform_fleet.POOL, platform_store.PARTITIONS
+)
 
 
 def other_jobs(context):
@@ -146,3 +153,65 @@
         if line["message_type"] == "run:ended"
     ]
     assert ends and "worker-crashed" not in ends, ends
+
+
+@behave.when("the owner is killed {delay:g} s after each crash and restarted")
+def step(context, delay):
+    async def kill_after_crashes(fleet):
+        seen = 0
+        while True:
+            await asyncio.sleep(0.005)
+            crashes = sum(len(w.crashes) for w in fleet.workers.values())
+            if crashes == seen:
+                continue
+            seen = crashes
+            await asyncio.sleep(delay)
+            owners = [
+                name
+                for name, host in fleet.hosts.items()
+                if host.ownership.owner_of(PARTITION) is not None
+            ]
+            for name in owners:
+                await fleet.kill_host(name)
+                await asyncio.sleep(0.3)
+                fleet.start_host(name)
+
+    async def begin(fleet):
+        context.killing = asyncio.create_task(kill_after_crashes(fleet))
+
+    platform_scenarios.add_action(context, begin)
+
+
+@behave.when("all workers refuse connections for {seconds:g} s")
+def step(context, seconds):
+    async def refuse(fleet):
+        await asyncio.sleep(0.3)
+        for node, worker in fleet.workers.items():
+            worker.is_crashed = True
+            fleet.network.reset_place(node)
+
+        def accept():
+            for worker in fleet.workers.values():
+                worker.is_crashed = False
+
+        asyncio.get_running_loop().call_later(seconds, accept)
+        await asyncio.sleep(0.3)
+
+    platform_scenarios.add_action(context, refuse)
+
+
+def _stored_crashes(context):
+    """Returns the numbers of the runs stored as having crashed workers."""
+    fleet = platform_scenarios.run_once(context).fleet
+    value = fleet.store.value(
+        pool_partitions.JOBS_TOPIC,
+        PARTITION,
+        records.progress_key(platform_scenarios.JOB),
+    )
+    progress = msgspec.msgpack.decode(value)
+    return [number for task in progress[1] for number in task[4]]
+
+
+@behave.then("no task is stored as having crashed workers")
+def step(context):
+    assert not _stored_crashes(context)
