Count crashes of workers that were cordoned afterwards

Cause: an owner whose pool shrinks chooses workers to leave it, and one that has just crashed may be among them. When its crash was to be counted seconds later, it was cordoned, and the end of a worker that is to leave counts against no task. No hand-over is needed for that.

Change: whether the end of a worker had been announced is settled when nothing listens at its address first.

--- a/src/chervillead/pools/crash_tracking.py
+++ b/src/chervillead/pools/crash_tracking.py
@@ -72,6 +72,8 @@
     or its lease has ended. An owner that is replaced before that has stored
     what the next one must count.
     """
+    if view.was_announced is None:
+        view.was_announced = _is_announced(view)
     if _was_to_end(state, view):
         return
     answered_s = view.last_contact_s or view.discovered_s
@@ -104,11 +106,15 @@
 ) -> bool:
     """Returns whether the worker had announced its end, or was taken down."""
     taken_down = state.taken_down_incarnations.get(view.worker_id)
-    return (
-        view.registration.is_draining
-        or bool(view.cordoned_for)
-        or (taken_down is not None and taken_down == view.incarnation)
-    )
+    if taken_down is not None and taken_down == view.incarnation:
+        return True
+    if view.was_announced is not None:
+        return view.was_announced
+    return _is_announced(view)
+
+
+def _is_announced(view: view_module.WorkerView) -> bool:
+    return view.registration.is_draining or bool(view.cordoned_for)
 
 
 def _count_crash(
--- a/src/chervillead/pools/run_tracking.py
+++ b/src/chervillead/pools/run_tracking.py
@@ -45,6 +45,7 @@
     view.last_contact_s = now_s
     view.has_more_ends = status.has_more_ends
     view.is_refused = False
+    view.was_announced = None
     reported = {running.run for running in status.running}
     for running in status.running:
         _apply_running(state, view, running, status.clock_ms)
--- a/src/chervillead/workers/view.py
+++ b/src/chervillead/workers/view.py
@@ -55,6 +55,9 @@
         self.failed_poll_s = float("-inf")
         # Whether nothing listened at its address at the last poll.
         self.is_refused = False
+        # Whether its end had been announced when nothing listened there first;
+        # None since its last answer. A later cordon says nothing about it.
+        self.was_announced: bool | None = None
         self.health = worker_health.WorkerHealth()
         self._clock: ClockReading | None = None
         self._lease_until_clock_ms = 0
--- a/tests/pools/crashing_tasks.feature
+++ b/tests/pools/crashing_tasks.feature
@@ -178,3 +178,16 @@
     And 12 s pass
     Then every host reports the job as completed
     And the task ran 2 times
+
+  Scenario: Crashed workers are cordoned before their crash is counted
+    # Guards against crashes that aren't counted, since the worker that stayed
+    # away was chosen to leave its pool meanwhile.
+    Given a platform fleet of 3 hosts and 8 workers
+    And tasks run for 2 s
+    When 6 other jobs of 4 tasks are submitted
+    And crashed workers are cordoned 0.5 s after their crash
+    And a job of 3 tasks is submitted whose first task crashes workers after 0.01 s
+    And 30 s pass
+    Then at most 3 workers crashed
+    And every host reports the job as failed
+    And the other jobs are completed
--- a/tests/steps/pools_crashing_tasks.py
+++ b/tests/steps/pools_crashing_tasks.py
@@ -215,3 +215,26 @@
 @behave.then("no task is stored as having crashed workers")
 def step(context):
     assert not _stored_crashes(context)
+
+
+@behave.when("crashed workers are cordoned {delay:g} s after their crash")
+def step(context, delay):
+    def cordon(fleet, worker_id):
+        host = fleet.hosts[fleet.owner_host()]
+        owner = host.ownership.owner_of(PARTITION)
+        if worker_id in owner.state.watches:
+            owner.drain.cordon(worker_id, "its pool shrinks")
+
+    async def follow(fleet):
+        loop, seen = asyncio.get_running_loop(), 0
+        while True:
+            crashes = [c for w in fleet.workers.values() for c in w.crashes]
+            for crash in sorted(crashes, key=lambda c: c.at_s)[seen:]:
+                loop.call_later(delay, cordon, fleet, crash.worker_id)
+            seen = len(crashes)
+            await asyncio.sleep(0.01)
+
+    async def begin(fleet):
+        context.cordoning = asyncio.create_task(follow(fleet))
+
+    platform_scenarios.add_action(context, begin)
