Keep crashes of gangs when another member reports its end

Cause: members of a gang share the number of their run, and since the report of a run takes back a crash stored under its number. So a member on a living worker took back the crash under another one, and a gang that crashes its workers was never given up.

Change: nothing is stored ahead for gangs and nothing of them is taken back, so they are as on: a crash in a hand-over isn't counted. A worker that was replaced by another id counts all its runs, also those sent within 0.5 s before. The runs stored ahead are called unconfirmed crashes.

Evidence: crash_evidence.feature "A member of a gang ends as its gang has lost a worker" failed before.

--- a/src/chervillead/jobs/crash_evidence.py
+++ b/src/chervillead/jobs/crash_evidence.py
@@ -111,7 +111,7 @@
         return False
     crashed = crashed | {run.number}
     job.crashed_runs[task] = crashed
-    job.doubtful_runs.get(task, set()).discard(run.number)
+    job.unconfirmed_crashes.get(task, set()).discard(run.number)
     if job.step(run.task).gang:
         limit = MAX_GANG_CRASHES
     else:
@@ -122,23 +122,28 @@
     return True
 
 
-def add_doubt(job: job_state.JobState, run: task_runs.Run) -> bool:
+def add_unconfirmed_crash(job: job_state.JobState, run: task_runs.Run) -> bool:
     """Notes a run whose worker may crash before that can be recorded.
 
+    Members of a gang share the number of their run, so the end of one would
+    take back what is noted for another; nothing is noted for a gang.
+
     Returns:
         Whether the stored progress of the job has changed.
     """
-    task = counted_task(job, run.task)
-    known = job.crashed_runs.get(task, set()) | job.doubtful_runs.get(
+    task = run.task
+    known = job.crashed_runs.get(task, set()) | job.unconfirmed_crashes.get(
         task, set()
     )
     if job.is_finished or job.is_done(run.task) or run.number in known:
         return False
-    job.doubtful_runs.setdefault(task, set()).add(run.number)
+    if job.step(run.task).gang:
+        return False
+    job.unconfirmed_crashes.setdefault(task, set()).add(run.number)
     return True
 
 
-def is_worth_doubt(
+def may_have_crashed(
     job: job_state.JobState, run: task_runs.Run, answered_s: float
 ) -> bool:
     """Returns whether a run may be what has ended its worker.
@@ -149,31 +154,31 @@
         answered_s: Time of the worker's last answer, by the owner's clock.
     """
     is_recent = answered_s - run.started_s < MAX_CRASH_DELAY_S
-    return is_recent or counted_task(job, run.task) in job.crashed_runs
+    return is_recent or run.task in job.crashed_runs
 
 
-def clear_doubt(
+def retract_crash(
     job: job_state.JobState, task: model.TaskKey, number: int
 ) -> bool:
     """Forgets that a worker may have crashed under a run that was reported.
 
-    A new owner may have read it as a crash.
+    A new owner may have read it as a crash. Nothing is forgotten of a gang, as
+    its members on other workers report the same run.
 
     Returns:
         Whether the stored progress of the job has changed.
     """
-    if not job.has_task(task):
+    if not job.has_task(task) or job.step(task).gang:
         return False
-    counted = counted_task(job, task)
     changed = False
-    for runs in (job.crashed_runs, job.doubtful_runs):
-        if number in runs.get(counted, ()):
+    for runs in (job.crashed_runs, job.unconfirmed_crashes):
+        if number in runs.get(task, ()):
             changed = True
-            runs[counted].discard(number)
-            if not runs[counted]:
-                del runs[counted]
-    if changed and counted not in job.crashed_runs:
-        job.suspected_s.pop(counted, None)
+            runs[task].discard(number)
+            if not runs[task]:
+                del runs[task]
+    if changed and task not in job.crashed_runs:
+        job.suspected_s.pop(task, None)
     return changed
 
 
--- a/src/chervillead/jobs/job_state.py
+++ b/src/chervillead/jobs/job_state.py
@@ -38,9 +38,10 @@
         done: Numbers of the completed tasks of each step.
         failed_runs: Numbers of the failed runs of each task.
         crashed_runs: Numbers of the runs of each task whose worker crashed.
-        doubtful_runs: Numbers of the runs of each task under which a worker may
-            crash, or may have crashed, unknown to the next owner. They are
-            stored as crashed; an owner that finds such a run corrects that.
+        unconfirmed_crashes: Numbers of the runs of each task under which a
+            worker may have crashed, or may crash unknown to the next owner.
+            They are stored as crashed; an owner that finds such a run corrects
+            that.
         suspected_s: When each task that may have crashed its worker was
             suspected, by the owner's clock.
         crash_addresses: Addresses of the workers that crashed under each
@@ -81,7 +82,7 @@
         self.done: dict[tuple[int, int], set[int]] = {}
         self.failed_runs: dict[model.TaskKey, set[int]] = {}
         self.crashed_runs: dict[model.TaskKey, set[int]] = {}
-        self.doubtful_runs: dict[model.TaskKey, set[int]] = {}
+        self.unconfirmed_crashes: dict[model.TaskKey, set[int]] = {}
         self.suspected_s: dict[model.TaskKey, float] = {}
         self.crash_addresses: dict[model.TaskKey, set[types.Address]] = {}
         self.highest_run: dict[model.TaskKey, int] = {}
--- a/src/chervillead/jobs/records.py
+++ b/src/chervillead/jobs/records.py
@@ -151,7 +151,7 @@
             tuple(
                 sorted(
                     job.crashed_runs.get(task, set())
-                    | job.doubtful_runs.get(task, set())
+                    | job.unconfirmed_crashes.get(task, set())
                 )
             ),
         )
--- a/src/chervillead/pools/crash_tracking.py
+++ b/src/chervillead/pools/crash_tracking.py
@@ -63,7 +63,7 @@
     return sent_s + MAX_DELIVERY_S >= replaced_s
 
 
-def record_doubts(
+def record_unconfirmed_crashes(
     state: owner_state.OwnerState, view: view_module.WorkerView
 ) -> None:
     """Stores which runs may have crashed a worker at which nothing listens.
@@ -72,8 +72,8 @@
     or its lease has ended. An owner that is replaced before that has stored
     what the next one must count.
     """
-    if view.was_announced is None:
-        view.was_announced = _is_announced(view)
+    if view.was_end_announced is None:
+        view.was_end_announced = _is_end_announced(view)
     if _was_to_end(state, view):
         return
     answered_s = view.last_contact_s or view.discovered_s
@@ -83,8 +83,8 @@
             job is not None
             and job.has_task(run.task)
             and run.phase is not task_runs.RunPhase.STARTING
-            and crash_evidence.is_worth_doubt(job, run, answered_s)
-            and crash_evidence.add_doubt(job, run)
+            and crash_evidence.may_have_crashed(job, run, answered_s)
+            and crash_evidence.add_unconfirmed_crash(job, run)
         ):
             state.log_run("run:crash-suspected", run)
             state.recorder.store_progress(job)
@@ -108,12 +108,12 @@
     taken_down = state.taken_down_incarnations.get(view.worker_id)
     if taken_down is not None and taken_down == view.incarnation:
         return True
-    if view.was_announced is not None:
-        return view.was_announced
-    return _is_announced(view)
+    if view.was_end_announced is not None:
+        return view.was_end_announced
+    return _is_end_announced(view)
 
 
-def _is_announced(view: view_module.WorkerView) -> bool:
+def _is_end_announced(view: view_module.WorkerView) -> bool:
     return view.registration.is_draining or bool(view.cordoned_for)
 
 
--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -267,7 +267,7 @@
             self.jobs.mark_changed(run.job_id)
             if (
                 kind is not task_runs.EndKind.WORKER_CRASHED
-                and crash_evidence.clear_doubt(job, run.task, run.number)
+                and crash_evidence.retract_crash(job, run.task, run.number)
             ):
                 self._recorder.store_progress(job)
         self.log_run("run:ended", run, how=kind.value)
--- a/src/chervillead/pools/placement_pass.py
+++ b/src/chervillead/pools/placement_pass.py
@@ -326,7 +326,7 @@
         if crash_evidence.needs_isolation(ready.job, ready.task):
             # Its worker may crash, and this owner be replaced, at once: then
             # only the record tells the next one of this run.
-            crash_evidence.add_doubt(ready.job, run)
+            crash_evidence.add_unconfirmed_crash(ready.job, run)
             run.recorded = self._state.recorder.store_progress(ready.job)
         self._state.jobs.mark_changed(ready.job.spec.job_id)
         self._state.track_run(watch.view, run)
--- a/src/chervillead/pools/run_tracking.py
+++ b/src/chervillead/pools/run_tracking.py
@@ -45,7 +45,7 @@
     view.last_contact_s = now_s
     view.has_more_ends = status.has_more_ends
     view.is_refused = False
-    view.was_announced = None
+    view.was_end_announced = None
     reported = {running.run for running in status.running}
     for running in status.running:
         _apply_running(state, view, running, status.clock_ms)
@@ -117,13 +117,13 @@
 
     A previous owner stored it when nothing listened there, or before a start.
     """
-    task = crash_evidence.counted_task(job, run.task)
-    if run.number not in job.crashed_runs.get(task, ()):
+    if run.number not in job.crashed_runs.get(run.task, ()):
         return
-    crash_evidence.clear_doubt(job, run.task, run.number)
-    if task in job.crashed_runs:
+    if not crash_evidence.retract_crash(job, run.task, run.number):
+        return
+    if run.task in job.crashed_runs:
         # Its next crash may come unseen as well.
-        crash_evidence.add_doubt(job, run)
+        crash_evidence.add_unconfirmed_crash(job, run)
     state.recorder.store_progress(job)
 
 
@@ -164,7 +164,7 @@
     now_s = state.now_s()
     max_attempts = state.terms_of(job).max_attempts
     # The worker lives, so it has not crashed under this run.
-    changed = crash_evidence.clear_doubt(job, end.run.task, end.run.number)
+    changed = crash_evidence.retract_crash(job, end.run.task, end.run.number)
     changed |= job.apply_run_end(end, max_attempts, now_s)
     state.jobs.mark_changed(job.spec.job_id)
     state.log(
--- a/src/chervillead/pools/worker_registry.py
+++ b/src/chervillead/pools/worker_registry.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import abc
 import itertools
+import math
 
 from chervillead.jobs import task_runs
 from chervillead.pools import crash_tracking
@@ -183,7 +184,7 @@
         state.changed_workers.add(view.worker_id)
         view.is_refused = failure.is_refused
         if failure.is_refused:
-            crash_tracking.record_doubts(state, view)
+            crash_tracking.record_unconfirmed_crashes(state, view)
         view.avoid_until_s = max(
             view.avoid_until_s, state.now_s() + UNREACHABLE_BACKOFF_S
         )
@@ -192,7 +193,7 @@
         if failure.rejection is worker_interface.RejectionReason.OTHER_INSTANCE:
             view.is_replaced = True
             # No start reaches the new process, which has another id.
-            crash_tracking.end_runs(state, view, state.now_s())
+            crash_tracking.end_runs(state, view, math.inf)
             for run in list(view.runs.values()):
                 state.end_run(view, run, task_runs.EndKind.VANISHED)
 
--- a/src/chervillead/workers/view.py
+++ b/src/chervillead/workers/view.py
@@ -57,7 +57,7 @@
         self.is_refused = False
         # Whether its end had been announced when nothing listened there first;
         # None since its last answer. A later cordon says nothing about it.
-        self.was_announced: bool | None = None
+        self.was_end_announced: bool | None = None
         self.health = worker_health.WorkerHealth()
         self._clock: ClockReading | None = None
         self._lease_until_clock_ms = 0
--- a/tests/jobs/crash_evidence.feature
+++ b/tests/jobs/crash_evidence.feature
@@ -51,6 +51,24 @@
       | 2      | isolated and unconfirmed | 3     | 3     | suspected |
       | 3      | isolated and unconfirmed | 3     | 4     | given up  |
 
+  Scenario: A member of a gang ends as its gang has lost a worker
+    # Guards against a crash that is taken back because another member, whose
+    # worker lives, reports the end of the same run.
+    Given a gang of 2 tasks
+    When workers crash under both members of 2 runs
+    And another member reports the end of each run
+    Then the gang has lost 2 workers and gets another run
+    When workers crash under both members of 1 run
+    Then the gang is given up
+
+  Scenario: A task is reported on whose worker was taken for crashed
+    # Guards against a crash that stays counted against a run that goes on.
+    Given a task that has lost 2 workers
+    When its worker reports the end of run 2
+    Then the task has lost 1 workers and is suspected
+    When its worker reports the end of run 1
+    Then the task has lost 0 workers and is clear
+
   Scenario: A gang loses workers
     # Guards against gangs that are started without end, as their members can't be
     # started alone, and against counting a crash once for each member.
--- a/tests/steps/jobs_crash_evidence.py
+++ b/tests/steps/jobs_crash_evidence.py
@@ -143,3 +143,15 @@
 def step(context, seconds):
     run = new_run(10, seconds)
     crash_evidence.clear_long_run(context.job, run, NOW_S)
+
+
+@behave.when("another member reports the end of each run")
+def step(context):
+    member = TASK._replace(number=1)
+    for number in range(1, context.next_run):
+        crash_evidence.retract_crash(context.job, member, number)
+
+
+@behave.when("its worker reports the end of run {number:d}")
+def step(context, number):
+    crash_evidence.retract_crash(context.job, TASK, number)
--- a/tests/steps/pools_job_router.py
+++ b/tests/steps/pools_job_router.py
@@ -12,13 +12,12 @@
 from chervillead import verdicts
 from chervillead.entries import job_messages
 from chervillead.entries import job_streams
-from chervillead.jobs import model
 from chervillead.pools import group_members
 from chervillead.pools import job_router
 from chervillead.pools import job_service
 from chervillead.store import interface
 from stand_ins import memory_network
-from stand_ins import platform_fleet
+from stand_ins import owner_states
 from stand_ins import virtual_time
 
 HOST = types.Address("10.0.0.1", 1)
@@ -109,14 +108,7 @@
 
 
 def submission(number):
-    spec = model.JobSpec(
-        platform_fleet.job_id(number),
-        "queue-1",
-        "pool-1",
-        "account-1",
-        "x",
-        (model.Step(1, model.Resources(1000, 100)),),
-    )
+    spec = owner_states.job(number)
     return job_messages.SubmitJob(PARTITION, spec, int(1000 * CALL_TIMEOUT_S))
 
 
