Log why each long-running task is stopped, and bound decisions apart

- run:stop, one line for each stop of a long-running run: reason, token, count, budget and the age of what the sender knew.
- Lines about decisions that can't be taken back have a rate limit of their own.
- job:given-up, when stored crashes end a job.

What the budget allows is decided in jobs/availability.py now, as before; every stop goes through pools/run_stopping.py.

--- a/src/chervillead/bounded_logs.py
+++ b/src/chervillead/bounded_logs.py
@@ -3,6 +3,9 @@
 Lines are buffered and written in batches to a non-blocking file descriptor.
 Lines beyond the rate limit, or beyond the buffer if the reader is slow, are
 dropped; the next line that is kept carries their number as `dropped_before`.
+Lines about decisions that can't be taken back have a rate limit of their own:
+they are rare, and often follow a burst of others, such as the lines about each
+run that a new owner finds.
 """
 
 import asyncio
@@ -16,8 +19,47 @@
 
 LINES_PER_S = 400
 BURST_LINES = 2000
+DECISION_LINES_PER_S = 50
+DECISION_BURST_LINES = 500
 FLUSH_INTERVAL_S = 0.1
 MAX_BUFFER_BYTES = 256 * 1024
+# Part of the buffer that only lines about decisions may use.
+DECISION_BUFFER_BYTES = 64 * 1024
+# Decisions that can't be taken back.
+DECISION_TYPES = frozenset(
+    {
+        "host:moved",
+        "job:ended",
+        "job:given-up",
+        "maintenance:begun",
+        "owner:fenced",
+        "owner:gained",
+        "owner:lost",
+        "owner:recovered",
+        "run:crash-counted",
+        "run:stop",
+    }
+)
+
+
+class _TokenBucket:
+    """Rate limiter that allows bursts."""
+
+    def __init__(self, rate_per_s: float, burst: int, now_s: float) -> None:
+        self._rate_per_s = rate_per_s
+        self._burst = burst
+        self._tokens = float(burst)
+        self._refilled_s = now_s
+
+    def take(self, now_s: float) -> bool:
+        """Takes a token; returns False if there is none."""
+        refill = self._rate_per_s * (now_s - self._refilled_s)
+        self._tokens = min(self._burst, self._tokens + refill)
+        self._refilled_s = now_s
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
 
 
 class BoundedLog:
@@ -32,8 +74,11 @@
         self._descriptor = descriptor
         self._monotonic = monotonic
         self._buffer = bytearray()
-        self._tokens = float(BURST_LINES)
-        self._refilled_s = monotonic()
+        now_s = monotonic()
+        self._lines = _TokenBucket(LINES_PER_S, BURST_LINES, now_s)
+        self._decision_lines = _TokenBucket(
+            DECISION_LINES_PER_S, DECISION_BURST_LINES, now_s
+        )
         self._dropped = 0
         self._timer: asyncio.TimerHandle | None = None
 
@@ -44,7 +89,7 @@
 
     def __call__(self, message: dict[str, typing.Any]) -> None:
         """Buffers one message, or drops it; eliot calls this per message."""
-        if not self._take_token():
+        if not self._has_capacity(message.get("message_type")):
             self._dropped += 1
             return
         fields = {
@@ -73,17 +118,16 @@
         except OSError:
             self._buffer.clear()
 
-    def _take_token(self) -> bool:
-        now_s = self._monotonic()
-        self._tokens = min(
-            BURST_LINES,
-            self._tokens + LINES_PER_S * (now_s - self._refilled_s),
+    def _has_capacity(self, message_type: object) -> bool:
+        """Takes the capacity for a line; returns False if there is none."""
+        now_s, size = self._monotonic(), len(self._buffer)
+        if size <= MAX_BUFFER_BYTES and self._lines.take(now_s):
+            return True
+        return (
+            message_type in DECISION_TYPES
+            and size <= MAX_BUFFER_BYTES + DECISION_BUFFER_BYTES
+            and self._decision_lines.take(now_s)
         )
-        self._refilled_s = now_s
-        if self._tokens < 1 or len(self._buffer) > MAX_BUFFER_BYTES:
-            return False
-        self._tokens -= 1
-        return True
 
     def _schedule_flush(self) -> None:
         if self._timer is not None:
--- a/src/chervillead/jobs/host_maintenance.py
+++ b/src/chervillead/jobs/host_maintenance.py
@@ -1,17 +1,12 @@
-"""Host maintenance: which hosts go down next, and which tasks may be stopped.
+"""Host maintenance: which hosts go down next.
 
 A maintenance wave may coincide with bursts of a pool, so maintenance waits for
-idle hosts until the remaining time of the wave forces it. Availability budgets
-always hold.
+idle hosts until the remaining time of the wave forces it.
 """
 
 from collections import abc
 import typing
 
-from chervillead.jobs import job_state
-from chervillead.jobs import model
-from chervillead.jobs import task_runs
-
 # Reserve at the end of a wave, by which all hosts should be done.
 WAVE_END_MARGIN_S = 3.0
 
@@ -123,43 +118,3 @@
     )
     allowed = (c for c in candidates_by_impact if urgent or not c.batch_tasks)
     return [c.host for c in allowed][: max(0, slots)]
-
-
-def is_available(run: task_runs.Run) -> bool:
-    """Returns whether a run of a long-running task is fully available.
-
-    It is once it reports a progress of 100 percent and isn't paced.
-    """
-    return (
-        run.phase is task_runs.RunPhase.RUNNING
-        and not run.stop_requested
-        and run.progress_percent >= 100
-        and run.pace_percent == 100
-    )
-
-
-def may_disrupt(
-    job: job_state.JobState,
-    task: model.TaskKey,
-    is_responsive: abc.Callable[[str], bool],
-) -> bool:
-    """Returns whether the availability budget allows stopping a task.
-
-    Args:
-        job: The job.
-        task: The long-running task to stop.
-        is_responsive: Whether a worker has answered recently; one that hasn't
-            may have crashed, so its tasks count as unavailable.
-    """
-    step = job.step(task)
-    if step.max_unavailable is None:
-        return True
-    unavailable = sum(
-        not any(
-            is_available(run) and is_responsive(run.worker_id)
-            for run in job.runs.get(task._replace(number=number), ())
-        )
-        for number in range(step.tasks)
-        if number != task.number
-    )
-    return unavailable < step.max_unavailable
--- a/src/chervillead/pools/crash_tracking.py
+++ b/src/chervillead/pools/crash_tracking.py
@@ -97,6 +97,7 @@
     for job_id in job_ids:
         job = state.jobs[job_id]
         if crash_evidence.apply_stored_crashes(job, state.now_s()):
+            state.log("job:given-up", job=job_id, reason="stored crashes")
             job_endings.handle_end(state, job)
             state.recorder.store_progress(job)
 
--- a/src/chervillead/pools/host_drain.py
+++ b/src/chervillead/pools/host_drain.py
@@ -1,8 +1,8 @@
 """Drains workers within disruption budgets before their hosts go down."""
 
-from chervillead.jobs import host_maintenance
 from chervillead.jobs import task_runs
 from chervillead.pools import owner_state
+from chervillead.pools import run_stopping
 from chervillead.pools import worker_registry
 
 
@@ -85,8 +85,7 @@
                 or not self._is_long_running(run)
             ):
                 continue
-            if host_maintenance.may_disrupt(job, run.task, state.in_contact):
-                watch.stop(run, reason)
+            run_stopping.stop_within_budget(state, run, reason)
 
     def has_unrecorded_ends(self, worker_id: str) -> bool:
         """Returns whether ends would be lost if the worker went down now.
@@ -118,7 +117,9 @@
                 continue
             for run in list(watch.view.runs.values()):
                 if self._is_long_running(run) and not run.stop_requested:
-                    watch.stop(run, "its worker is draining")
+                    run_stopping.stop_run(
+                        self._state, run, "its worker is draining"
+                    )
 
     def _is_long_running(self, run: task_runs.Run) -> bool:
         step = self._state.step_of(run)
--- a/src/chervillead/pools/job_operations.py
+++ b/src/chervillead/pools/job_operations.py
@@ -9,6 +9,7 @@
 from chervillead.jobs import model
 from chervillead.pools import owner_state
 from chervillead.pools import retry_after
+from chervillead.pools import run_stopping
 from chervillead.store import group_commit
 
 # New jobs are refused once appends have failed for this long, since the store
@@ -133,7 +134,7 @@
         if not job.is_finished:
             job.cancel(state.now_s())
             state.log("job:cancelled", job=job_id, token=state.token)
-            state.stop_runs(job.active_runs(), "cancelled")
+            run_stopping.stop_runs(state, job.active_runs(), "cancelled")
             state.recorder.store_progress(job)
         if await state.recorder.wait_for_stored_end(job, timeout_s):
             return result.Success(None)
--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from collections import abc
+import math
 import traceback
 
 from chervillead import types
+from chervillead.jobs import availability
 from chervillead.jobs import crash_evidence
 from chervillead.jobs import job_state
 from chervillead.jobs import job_table
@@ -20,9 +22,6 @@
 # Long enough to survive a change of owner, short enough that the tasks of a
 # crashed worker soon restart elsewhere.
 LEASE_MS = 6000
-# Busy workers are polled once a second; one that has not answered for this long
-# may have crashed.
-CONTACT_TIMEOUT_S = 1.5
 # Terms of jobs whose queue was gone before any could be stored. Earlier builds
 # kept no terms.
 UNKNOWN_TERMS = model.JobTerms(max_attempts=3)
@@ -242,17 +241,6 @@
         self.changed_workers.add(view.worker_id)
         return view.remove_run(key)
 
-    def stop_run(self, run: task_runs.Run, reason: str) -> None:
-        """Asks a run's worker to stop it; the reason is for logs."""
-        watch = self.watches.get(run.worker_id)
-        if watch is not None:
-            watch.stop(run, reason)
-
-    def stop_runs(self, runs: abc.Iterable[task_runs.Run], reason: str) -> None:
-        """Asks the workers of some runs to stop them."""
-        for run in list(runs):
-            self.stop_run(run, reason)
-
     def end_run(
         self,
         view: view_module.WorkerView,
@@ -275,9 +263,13 @@
 
     def in_contact(self, worker_id: str) -> bool:
         """Returns whether a worker has answered within the contact timeout."""
+        return self.contact_age_s(worker_id) < availability.CONTACT_TIMEOUT_S
+
+    def contact_age_s(self, worker_id: str) -> float:
+        """Returns how long ago a worker answered last; infinite if never."""
         watch = self.watches.get(worker_id)
         last_s = watch.view.last_contact_s if watch is not None else None
-        return last_s is not None and self.now_s() - last_s < CONTACT_TIMEOUT_S
+        return math.inf if last_s is None else self.now_s() - last_s
 
     def mark_fenced(self) -> None:
         """Stops all commands, since a newer owner has been seen."""
--- a/src/chervillead/pools/placement_pass.py
+++ b/src/chervillead/pools/placement_pass.py
@@ -24,6 +24,7 @@
 from chervillead.jobs import task_runs
 from chervillead.jobs import waiting_jobs
 from chervillead.pools import owner_state
+from chervillead.pools import run_stopping
 from chervillead.pools import schedulable_workers
 
 Tickets = abc.Callable[
@@ -363,7 +364,9 @@
                 worker=worker_id,
                 victims=[run.job_id for run in victims],
             )
-            self._state.stop_runs(victims, "preempted by a long-running task")
+            run_stopping.stop_runs(
+                self._state, victims, "preempted by a long-running task"
+            )
 
     def _is_long_running(self, run: task_runs.Run) -> bool:
         step = self._state.step_of(run)
--- /dev/null
+++ b/src/chervillead/pools/run_stopping.py
@@ -0,0 +1,79 @@
+"""Asks workers to stop runs, and logs why each long-running one is stopped."""
+
+from collections import abc
+import math
+
+from chervillead.jobs import availability
+from chervillead.jobs import task_runs
+from chervillead.pools import owner_state
+
+
+def stop_run(
+    state: owner_state.OwnerState, run: task_runs.Run, reason: str
+) -> None:
+    """Asks a run's worker to stop it; the reason is for logs."""
+    watch = state.watches.get(run.worker_id)
+    if watch is None:
+        return
+    if not run.stop_requested:
+        _log_stop(state, run, reason)
+    watch.stop(run, reason)
+
+
+def stop_runs(
+    state: owner_state.OwnerState,
+    runs: abc.Iterable[task_runs.Run],
+    reason: str,
+) -> None:
+    """Asks the workers of some runs to stop them."""
+    for run in list(runs):
+        stop_run(state, run, reason)
+
+
+def stop_within_budget(
+    state: owner_state.OwnerState, run: task_runs.Run, reason: str
+) -> None:
+    """Stops a long-running run if the availability budget of its step allows.
+
+    Args:
+        state: State of the owner.
+        run: The run, whose job must be known.
+        reason: Why, for logs.
+    """
+    disruption = availability.assess_disruption(
+        state.jobs[run.job_id], run.task, state.contact_age_s
+    )
+    if disruption.is_allowed:
+        stop_run(state, run, reason)
+
+
+def _log_stop(
+    state: owner_state.OwnerState, run: task_runs.Run, reason: str
+) -> None:
+    """Logs the stop of a run that isn't certainly a batch run.
+
+    A stop can't be taken back, and its reason may be wrong.
+    """
+    job, step = state.jobs.get(run.job_id), state.step_of(run)
+    if step is not None and not step.long_running:
+        return
+    fields: dict[str, object] = {}
+    if job is not None and step is not None:
+        disruption = availability.assess_disruption(
+            job, run.task, state.contact_age_s
+        )
+        fields = {
+            "unavailable": disruption.unavailable,
+            "allowed": disruption.allowed,
+            "knowledge_age_s": round(disruption.knowledge_age_s, 3),
+        }
+    age_s = state.contact_age_s(run.worker_id)
+    state.log_run(
+        "run:stop",
+        run,
+        reason=reason,
+        token=state.token,
+        progress=run.progress_percent,
+        contact_age_s=None if math.isinf(age_s) else round(age_s, 3),
+        **fields,
+    )
--- a/src/chervillead/pools/run_tracking.py
+++ b/src/chervillead/pools/run_tracking.py
@@ -10,6 +10,7 @@
 from chervillead.pools import crash_tracking
 from chervillead.pools import job_endings
 from chervillead.pools import owner_state
+from chervillead.pools import run_stopping
 from chervillead.workers import interface as worker_interface
 from chervillead.workers import view as view_module
 
@@ -97,7 +98,7 @@
         run.progress_since_ms = clock_ms
     run.reported_ms = clock_ms
     if job is None:
-        state.stop_run(run, "its job is unknown")
+        run_stopping.stop_run(state, run, "its job is unknown")
         return
     job.has_started = True
     _correct_stored_crash(state, job, run)
@@ -105,9 +106,9 @@
     if running.checkpoint:
         job.checkpoints[run.task] = running.checkpoint
     if job.is_finished:
-        state.stop_run(run, job.phase.value)
+        run_stopping.stop_run(state, run, job.phase.value)
     elif job.is_done(run.task):
-        state.stop_run(run, "another run of the task is done")
+        run_stopping.stop_run(state, run, "another run of the task is done")
 
 
 def _correct_stored_crash(
@@ -182,8 +183,10 @@
             _schedule_retry(job, run, now_s)
         job.remove_run(run)
     if job.is_done(end.run.task) or job.is_finished:
-        state.stop_runs(
-            job.runs.get(end.run.task, ()), "another run of the task is done"
+        run_stopping.stop_runs(
+            state,
+            job.runs.get(end.run.task, ()),
+            "another run of the task is done",
         )
     if changed and job.is_finished:
         job_endings.handle_end(state, job)
@@ -234,7 +237,7 @@
             watch.view.health.record_failure(now_s)
             state.changed_workers.add(worker_id)
             state.jobs[run.job_id].add_failed_worker(run.task, worker_id)
-            watch.stop(run, "the run made no progress")
+            run_stopping.stop_run(state, run, "the run made no progress")
 
 
 def _schedule_retry(
@@ -268,4 +271,4 @@
             if clock_ms > start_deadline:
                 state.end_run(view, run, task_runs.EndKind.VANISHED)
             elif stopped_ms is None and not run.stop_requested:
-                state.stop_run(run, "the start got no reply")
+                run_stopping.stop_run(state, run, "the start got no reply")
--- a/src/chervillead/pools/start_tracking.py
+++ b/src/chervillead/pools/start_tracking.py
@@ -5,6 +5,7 @@
 from chervillead import verdicts
 from chervillead.jobs import task_runs
 from chervillead.pools import owner_state
+from chervillead.pools import run_stopping
 from chervillead.workers import interface as worker_interface
 from chervillead.workers import view as view_module
 from chervillead.workers import watch as watch_module
@@ -110,7 +111,7 @@
     state.log_run("run:started", run, token=state.token)
     state.ports.increment("chervillead_starts", "accepted")
     if run.stop_requested:
-        state.stop_run(run, run.stop_reason)
+        run_stopping.stop_run(state, run, run.stop_reason)
 
 
 def _apply_rejection(
@@ -149,4 +150,4 @@
         and other.number == run.number
         and other is not run
     )
-    state.stop_runs(members, "a member of the gang did not start")
+    run_stopping.stop_runs(state, members, "a member of the gang did not start")
--- a/tests/steps/jobs_host_maintenance.py
+++ b/tests/steps/jobs_host_maintenance.py
@@ -3,9 +3,6 @@
 import behave
 
 from chervillead.jobs import host_maintenance
-from chervillead.jobs import job_state
-from chervillead.jobs import model
-from chervillead.jobs import task_runs
 
 POOLS = "abcdefgh"
 
@@ -31,62 +28,6 @@
     assert found == list(map(int, parts.split(","))), found
 
 
-def long_running_run(number, progress):
-    run = task_runs.Run(
-        "0" * 16,
-        model.TaskKey(0, 0, number),
-        1,
-        f"i-{number}",
-        reserved=model.Resources(),
-        started_s=0.0,
-        phase=task_runs.RunPhase.RUNNING,
-    )
-    run.progress_percent = progress
-    return run
-
-
-@behave.given(
-    "a long-running step of {tasks:d} tasks with at most {budget} unavailable"
-)
-def step(context, tasks, budget):
-    found = model.Step(
-        tasks,
-        model.Resources(1000),
-        long_running=True,
-        max_unavailable=None if budget == "none" else int(budget),
-    )
-    spec = model.JobSpec("0" * 16, "queue", "pool", "", "", (found,))
-    context.job = job_state.JobState(spec, accepted_s=0.0)
-    context.silent = set()
-    for number in range(tasks):
-        context.job.add_run(long_running_run(number, 100))
-
-
-@behave.given("task 1 is {state}")
-def step(context, state):
-    (run,) = context.job.runs[model.TaskKey(0, 0, 1)]
-    if state == "not running":
-        context.job.remove_run(run)
-    if state == "starting":
-        run.progress_percent = 0
-    if state == "on a silent worker":
-        context.silent.add(run.worker_id)
-
-
-@behave.when("task 0 is to be stopped for maintenance")
-def step(context):
-    context.allowed = host_maintenance.may_disrupt(
-        context.job,
-        model.TaskKey(0, 0, 0),
-        lambda worker_id: worker_id not in context.silent,
-    )
-
-
-@behave.then("stopping it is {verdict}")
-def step(context, verdict):
-    assert context.allowed == (verdict == "allowed")
-
-
 @behave.given(
     "hosts that are due for maintenance with {batch} batch tasks each"
 )
