--- a/tests/stand_ins/platform_machines.py
+++ b/tests/stand_ins/platform_machines.py
@@ -46,6 +46,7 @@
         pools: Current pool of each host.
         delayed_moves_s: Delay after which moves are carried out without a
             response; None if they are carried out at once.
+        drops_commands: Whether commands are lost; hosts are listed.
     """
 
     def __init__(
@@ -68,6 +69,7 @@
             self._workers[name].silent = True
         self._moving: set[str] = set()
         self.delayed_moves_s: float | None = None
+        self.drops_commands = False
         self._tokens: dict[str, int] = {}
         self._completed: set[tuple[str, int]] = set()
 
@@ -99,6 +101,8 @@
         if request.path == "/machines":
             rows = [self._row(name) for name in self._workers]
             return _json({"Machines": rows, "NextPageToken": None})
+        if self.drops_commands:
+            return None
         fields = msgspec.json.decode(request.body)
         name = fields["Machine"]
         token = int(request.headers["fencing-token"])
--- a/tests/stand_ins/platform_worker.py
+++ b/tests/stand_ins/platform_worker.py
@@ -70,6 +70,9 @@
         poll_replies_to_drop: Number of the next polls that are carried out and
             get no reply.
         start_delay_s: Time that the worker takes to carry out a start.
+        stop_s: Time from a stop to the end of its run.
+        stops_to_drop: Number of the next stops that are lost.
+        stops: Times at which it was told to stop runs, and names of the tasks.
         max_lease_ms: Longest lease that it accepts.
         silent: Whether the worker neither carries out nor responds to calls.
         is_crashed: Whether its process has crashed and hasn't returned yet.
@@ -100,6 +103,9 @@
         self.delayed_starts_s: float | None = None
         self.poll_replies_to_drop = 0
         self.start_delay_s = 0.0
+        self.stop_s = STOP_S
+        self.stops_to_drop = 0
+        self.stops: list[tuple[float, str]] = []
         self.silent = False
         self.is_crashed = False
         self.records: list[RunRecord] = []
@@ -174,6 +180,9 @@
                     self.delayed_starts_s, lambda: self._start(fields)
                 )
             await asyncio.sleep(3600)
+        if request.path == "/run-stop" and self.stops_to_drop:
+            self.stops_to_drop -= 1
+            await asyncio.sleep(3600)
         if int(fields.get("FencingToken", 0)) < self._token:
             return self._reply(409, Reason="fence")
         self._token = int(fields["FencingToken"])
@@ -219,7 +228,9 @@
             self._max_rejected_run.get(key[0], 0), key[1]
         )
         if key in self._running:
-            self._schedule(STOP_S, lambda: self._end(key, "stopped"))
+            now_s = asyncio.get_running_loop().time()
+            self.stops.append((now_s, key[0]))
+            self._schedule(self.stop_s, lambda: self._end(key, "stopped"))
         return self._reply(200)
 
     async def _poll(self, fields: dict[str, typing.Any]) -> http_server.Reply:
