Start a suspected task where a worker crashed if it has no other choice

Cause: a task that may crash its worker gets one at another address than those that have crashed under it. The addresses were only tried if no other worker was schedulable at all; one that can't take the task (its step allows no second task there) was enough to keep it waiting. Change: the workers that crashed are tried when none of the others can take it. Guard: pools/crashing_tasks, "The only worker with room for a suspected task is the one that crashed", failed before: no second run within 7 s, and none until the other tasks have ended.

--- a/src/chervillead/pools/placement_pass.py
+++ b/src/chervillead/pools/placement_pass.py
@@ -246,14 +246,15 @@
             for snapshot in candidates
             if self._address_of(snapshot.worker_id) not in crashed
         ]
-        best = placement.select_isolated_worker(
-            others if others or may_wait else candidates,
-            ready.step,
-            _step_key(ready),
-            accept_busy=not may_wait,
-        )
-        if best is not None:
-            return [best.worker_id]
+        for workers in (others,) if may_wait else (others, candidates):
+            best = placement.select_isolated_worker(
+                workers,
+                ready.step,
+                _step_key(ready),
+                accept_busy=not may_wait,
+            )
+            if best is not None:
+                return [best.worker_id]
         return (
             _Verdict.NO_IDLE_WORKER if may_wait else _Verdict.NO_ROOM_FOR_TASK
         )
--- a/tests/pools/crashing_tasks.feature
+++ b/tests/pools/crashing_tasks.feature
@@ -191,3 +191,14 @@
     Then at most 3 workers crashed
     And every host reports the job as failed
     And the other jobs are completed
+
+  Scenario: The only worker with room for a suspected task is the one that crashed
+    # Guards against a task that isn't started again while its job's other tasks
+    # keep it off all other workers.
+    Given a platform fleet of 3 hosts and 3 workers
+    And tasks run for 9 s
+    When a job of 3 tasks with at most 1 per worker is submitted
+    And 1 s pass
+    And the worker of the first task crashes 1 times, 0 s after each start
+    And 7 s pass
+    Then the first task was started again within 5 s of its crash
--- a/tests/steps/pools_crashing_tasks.py
+++ b/tests/steps/pools_crashing_tasks.py
@@ -238,3 +238,16 @@
         context.cordoning = asyncio.create_task(follow(fleet))
 
     platform_scenarios.add_action(context, begin)
+
+
+@behave.then(
+    "the first task was started again within {seconds:g} s of its crash"
+)
+def step(context, seconds):
+    runs = [
+        run
+        for run in platform_scenarios.run_once(context).runs
+        if run.task.endswith(".0")
+    ]
+    assert len(runs) == 2, runs
+    assert runs[1].began_s - runs[0].ended_s <= seconds, runs
