Never give a job up for workers that crashed under its long-running tasks

Cause: a count of crashes was taken for proof. The class: an irreversible decision about sound work on evidence that may be another's. Change: the limits hold for tasks that end only. A long-running task that loses workers is started by itself, on an idle worker before a busy one, after a pause of 0.5 to 3 s from its third crash on; that costs its neighbours nothing and doesn't end the job. At most eight crashes are kept. Crashes that are forgotten after a long run are forgotten in the store, too. The end of a job is logged and counted once. Why it works: nothing but a cancel or a failed limit of attempts ends a job that lasts, so its tasks are stopped one at a time within their budget.

--- a/src/chervillead/jobs/crash_evidence.py
+++ b/src/chervillead/jobs/crash_evidence.py
@@ -4,6 +4,11 @@
 shows when a task is started again by itself: a suspected task gets a worker of
 its own until it has run for a while. One under which workers crash there too is
 given up, and any other one is started like other tasks again.
+
+A long-running task has no limit of attempts, and over days many of its workers
+crash by chance, so its job is never given up for them: its other tasks would be
+stopped for what may be nobody's fault. A suspected one is started by itself as
+well, after pauses that grow with its crashes.
 """
 
 from collections import abc
@@ -22,7 +27,7 @@
 MIN_CRASHES = 3
 # A task under which this many workers crashed may crash them late.
 LATE_SUSPICION_CRASHES = 2
-# Crashes after which a task is given up whatever ran beside it.
+# Crashes after which a task that ends is given up whatever ran beside it.
 MAX_CRASHES = 4
 # All members of a gang start together, so none can be started by itself.
 MAX_GANG_CRASHES = 3
@@ -33,6 +38,12 @@
 MAX_ISOLATION_WAIT_S = 1.0
 # A worker that crashes again within this time may do so whatever runs on it.
 REPEATED_CRASH_S = 10.0
+# Pause before a long-running task starts again after its third crash in a row,
+# doubled for each further one. A task must not stay away for many seconds.
+RESTART_PAUSE_S = 0.5
+MAX_RESTART_PAUSE_S = 3.0
+# Most crashes of a task that are kept; further ones change nothing.
+MAX_KEPT_CRASHES = 8
 
 
 def counted_task(job: job_state.JobState, task: model.TaskKey) -> model.TaskKey:
@@ -109,19 +120,38 @@
     is_certain = run.phase is not task_runs.RunPhase.UNCERTAIN or is_sole_cause
     if run.number in crashed or not is_certain:
         return False
-    crashed = crashed | {run.number}
+    crashed = set(sorted(crashed | {run.number})[-MAX_KEPT_CRASHES:])
     job.crashed_runs[task] = crashed
     job.unconfirmed_crashes.get(task, set()).discard(run.number)
-    if job.step(run.task).gang:
-        limit = MAX_GANG_CRASHES
-    else:
-        is_proof = is_sole_cause and not crash.is_repeated
-        limit = MIN_CRASHES if is_proof else MAX_CRASHES
-    if len(crashed) >= limit:
+    if job.step(run.task).long_running:
+        _pause(job, run.task, now_s)
+    elif len(crashed) >= _max_crashes(
+        job.step(run.task), is_proof=is_sole_cause and not crash.is_repeated
+    ):
         job.give_up(now_s)
     return True
 
 
+def _max_crashes(step: model.Step, *, is_proof: bool) -> int:
+    """Returns after how many crashes a task that ends is given up.
+
+    Args:
+        step: Its step.
+        is_proof: Whether nothing else can have caused the last crash.
+    """
+    if step.gang:
+        return MAX_GANG_CRASHES
+    return MIN_CRASHES if is_proof else MAX_CRASHES
+
+
+def _pause(job: job_state.JobState, task: model.TaskKey, now_s: float) -> None:
+    """Delays the next start of a long-running task by its crashes."""
+    crashes = len(job.crashed_runs.get(counted_task(job, task), ()))
+    if crashes >= MIN_CRASHES:
+        pause_s = RESTART_PAUSE_S * 2 ** (crashes - MIN_CRASHES)
+        job.retry_at_s[task] = now_s + min(MAX_RESTART_PAUSE_S, pause_s)
+
+
 def add_unconfirmed_crash(job: job_state.JobState, run: task_runs.Run) -> bool:
     """Notes a run whose worker may crash before that can be recorded.
 
@@ -183,7 +213,9 @@
 
 
 def apply_stored_crashes(job: job_state.JobState, now_s: float) -> bool:
-    """Gives up a job whose stored crashes already reach the limit.
+    """Applies the crashes that previous owners have stored.
+
+    A job is given up if those of a task that ends reach the limit.
 
     Returns:
         Whether the job was given up.
@@ -191,8 +223,10 @@
     if job.is_finished:
         return False
     for task, crashed in job.crashed_runs.items():
-        limit = MAX_GANG_CRASHES if job.step(task).gang else MAX_CRASHES
-        if len(crashed) >= limit:
+        step = job.step(task)
+        if step.long_running:
+            _pause(job, task, now_s)
+        elif len(crashed) >= _max_crashes(step, is_proof=False):
             job.give_up(now_s)
             return True
     return False
@@ -207,7 +241,10 @@
     job: job_state.JobState, task: model.TaskKey, now_s: float
 ) -> bool:
     """Returns whether a suspected task waits for a worker without tasks."""
-    return now_s - job.suspected_s[task] < MAX_ISOLATION_WAIT_S
+    may_start_s = max(
+        job.suspected_s[task], job.retry_at_s.get(task, float("-inf"))
+    )
+    return now_s - may_start_s < MAX_ISOLATION_WAIT_S
 
 
 def isolation_ends_s(
@@ -215,23 +252,33 @@
 ) -> float:
     """Returns until when a suspected task keeps its worker for itself.
 
-    A batch task that may crash workers late keeps the worker to its end.
+    A task that may crash workers late keeps the worker to its end, or until its
+    crashes are forgotten.
     """
     crashes = len(job.crashed_runs.get(task, ()))
-    if crashes >= LATE_SUSPICION_CRASHES and not job.step(task).long_running:
+    if job.step(task).long_running:
+        is_late = crashes >= MAX_CRASHES
+        return started_s + (LONG_RUN_CLEAR_S if is_late else MAX_CRASH_DELAY_S)
+    if crashes >= LATE_SUSPICION_CRASHES:
         return float("inf")
     return started_s + MAX_CRASH_DELAY_S
 
 
 def clear_long_run(
     job: job_state.JobState, run: task_runs.Run, now_s: float
-) -> None:
-    """Forgets the crashes of a long-running task that has run long since."""
+) -> bool:
+    """Forgets the crashes of a long-running task that has run long since.
+
+    Returns:
+        Whether the stored progress of the job has changed.
+    """
     if (
-        run.task in job.crashed_runs
-        and job.step(run.task).long_running
-        and now_s - run.started_s > LONG_RUN_CLEAR_S
+        run.task not in job.crashed_runs
+        or not job.step(run.task).long_running
+        or now_s - run.started_s <= LONG_RUN_CLEAR_S
     ):
-        del job.crashed_runs[run.task]
-        job.suspected_s.pop(run.task, None)
-        job.crash_addresses.pop(run.task, None)
+        return False
+    del job.crashed_runs[run.task]
+    job.suspected_s.pop(run.task, None)
+    job.crash_addresses.pop(run.task, None)
+    return True
--- a/src/chervillead/pools/placement_pass.py
+++ b/src/chervillead/pools/placement_pass.py
@@ -234,7 +234,8 @@
         """Returns a worker for a task that may crash it.
 
         One that crashed under the task before may crash for another reason, so
-        it tells little about the task and is the last choice.
+        it tells little about the task and is the last choice; a long-running
+        task, which isn't given up, rather runs there than beside others.
         """
         may_wait = crash_evidence.may_wait_for_idle_worker(
             ready.job, ready.task, self._now_s
@@ -246,12 +247,17 @@
             for snapshot in candidates
             if self._address_of(snapshot.worker_id) not in crashed
         ]
-        for workers in (others,) if may_wait else (others, candidates):
+        choices = [(others, False)]
+        if ready.step.long_running:
+            choices.append((candidates, False))
+        if not may_wait:
+            choices += [(others, True), (candidates, True)]
+        for workers, accept_busy in choices:
             best = placement.select_isolated_worker(
                 workers,
                 ready.step,
                 _step_key(ready),
-                accept_busy=not may_wait,
+                accept_busy=accept_busy,
             )
             if best is not None:
                 return [best.worker_id]
--- a/src/chervillead/pools/run_tracking.py
+++ b/src/chervillead/pools/run_tracking.py
@@ -102,7 +102,8 @@
         return
     job.has_started = True
     _correct_stored_crash(state, job, run)
-    crash_evidence.clear_long_run(job, run, state.now_s())
+    if crash_evidence.clear_long_run(job, run, state.now_s()):
+        state.recorder.store_progress(job)
     if running.checkpoint:
         job.checkpoints[run.task] = running.checkpoint
     if job.is_finished:
@@ -163,6 +164,7 @@
     if job is None or not job.has_task(end.run.task):
         return None
     now_s = state.now_s()
+    was_finished = job.is_finished
     max_attempts = state.terms_of(job).max_attempts
     # The worker lives, so it has not crashed under this run.
     changed = crash_evidence.retract_crash(job, end.run.task, end.run.number)
@@ -188,7 +190,7 @@
             job.runs.get(end.run.task, ()),
             "another run of the task is done",
         )
-    if changed and job.is_finished:
+    if job.is_finished and not was_finished:
         job_endings.handle_end(state, job)
     return job if changed else None
 
--- a/tests/jobs/crash_evidence.feature
+++ b/tests/jobs/crash_evidence.feature
@@ -96,3 +96,23 @@
       | lasted | after | state     |
       | 5      | 2     | suspected |
       | 9      | 0     | clear     |
+
+  Scenario Outline: Workers crash under a long-running task by chance
+    # Guards against a job that is given up, and its sound tasks stopped, for the
+    # crashes of workers; and against a restart without a pause.
+    Given a long-running task that has lost <before> workers
+    And a run of it that is <start>, <ran> s old at the worker's last answer
+    And other runs there that are none s old
+    When the worker crashes
+    Then the task has lost <after> workers and is suspected
+    And it may run again after <pause> s
+    And the job goes on with a new owner
+
+    Examples:
+      | before | start    | ran | after | pause |
+      | 1      | placed   | 7.0 | 2     | 0     |
+      | 2      | isolated | 0.1 | 3     | 0.5   |
+      | 3      | placed   | 7.0 | 4     | 1     |
+      | 3      | isolated | 0.1 | 4     | 1     |
+      | 5      | isolated | 0.1 | 6     | 3     |
+      | 8      | isolated | 0.1 | 8     | 3     |
--- a/tests/steps/jobs_crash_evidence.py
+++ b/tests/steps/jobs_crash_evidence.py
@@ -155,3 +155,19 @@
 @behave.when("its worker reports the end of run {number:d}")
 def step(context, number):
     crash_evidence.retract_crash(context.job, TASK, number)
+
+
+@behave.then("it may run again after {pause:g} s")
+def step(context, pause):
+    assert context.job.retry_at_s.get(TASK, NOW_S) - NOW_S == pause, (
+        context.job.retry_at_s
+    )
+
+
+@behave.then("the job goes on with a new owner")
+def step(context):
+    restored = new_job(long_running=True)
+    value = records.encode_progress(context.job)
+    records.apply_progress(restored, value, NOW_S)
+    assert not crash_evidence.apply_stored_crashes(restored, NOW_S)
+    assert not restored.is_finished and not context.job.is_finished
--- a/tests/steps/pools_crashing_tasks.py
+++ b/tests/steps/pools_crashing_tasks.py
@@ -139,6 +139,33 @@
     assert 0 < len(crashes) <= count, sorted(crashes, key=lambda c: c.at_s)
 
 
+@behave.then(
+    "each worker but the first {count:d} that crashed ran no other task"
+)
+def step(context, count):
+    fleet = platform_scenarios.run_once(context).fleet
+    crashes = sorted(
+        (
+            crash
+            for worker in fleet.workers.values()
+            for crash in worker.crashes
+        ),
+        key=lambda crash: crash.at_s,
+    )
+    deadly = (f"{platform_scenarios.JOB}.0.0.0",)
+    assert all(crash.tasks == deadly for crash in crashes[count:]), crashes
+
+
+@behave.then("the second task of the job ran once and is running")
+def step(context):
+    runs = [
+        run
+        for run in platform_scenarios.run_once(context).runs
+        if run.task.endswith(".1")
+    ]
+    assert [run.how for run in runs] == [""], runs
+
+
 @behave.then("the other jobs are completed")
 def step(context):
     platform_scenarios.run_once(context)
