Count tasks that a new owner finds as unavailable until no stop can be in progress

Cause: a stop takes up to StopTimeoutMs, and the worker lists the run meanwhile. A new owner that found it took it for available and spent the budget once more. The class: a promise kept by what one process remembers; the next one starts anew. Change: a run that a new owner finds counts as unavailable until a report lists it at least StopTimeoutMs and 0.5 s after the first poll, by the worker's clock. Why it works: that poll carries the new token, so the worker rejects any later stop of the previous owner; what it had accepted by then has ended by the end of the span. No record and no message between owners is needed. A wave waits 1.4 s longer after a change of owner (StopTimeoutMs 900).

The setting min_ready_ms, which nothing read, is gone; Bounds.StopTimeoutMs is read.

--- a/src/chervillead/jobs/availability.py
+++ b/src/chervillead/jobs/availability.py
@@ -44,11 +44,13 @@
 def is_available(run: task_runs.Run) -> bool:
     """Returns whether a run of a long-running task is fully available.
 
-    It is once it reports a progress of 100 percent and isn't paced.
+    It is once it reports a progress of 100 percent and isn't paced. A run that
+    a previous owner may have stopped is reported until its worker has ended it.
     """
     return (
         run.phase is task_runs.RunPhase.RUNNING
         and not run.stop_requested
+        and run.reported_ms >= run.may_be_stopping_until_ms
         and run.progress_percent >= 100
         and run.pace_percent == 100
     )
--- a/src/chervillead/jobs/task_runs.py
+++ b/src/chervillead/jobs/task_runs.py
@@ -55,6 +55,8 @@
         start_by_clock_ms: Latest time of the worker's clock at which a start
             command without a reply may still take effect.
         ticket: Ticket of the queue's advisory service; empty for none.
+        may_be_stopping_until_ms: Time of the worker's clock by which a stop has
+            ended the run that its owner doesn't know of.
         stop_requested: Whether the run is to be stopped.
         stop_reason: Why; empty if it isn't.
         usage: Usage as the worker last reported it: tail latency in
@@ -93,6 +95,7 @@
         self.stopped_clock_ms: int | None = None
         self.start_by_clock_ms = 0
         self.ticket = ""
+        self.may_be_stopping_until_ms = 0
         self.stop_requested = False
         self.stop_reason = ""
         self.usage = 0
--- a/src/chervillead/platform/settings.py
+++ b/src/chervillead/platform/settings.py
@@ -156,7 +156,7 @@
     return ports_module.Limits(
         max_lease_ms=int(_number(document, "Bounds.MaxHoldMs", 6000)),
         job_retention_s=_number(document, "Bounds.status_s", 120),
-        min_ready_ms=int(_number(document, "Bounds.NoticeMs", 4500)),
+        max_stop_ms=int(_number(document, "Bounds.StopTimeoutMs", 900)),
         maintenance_s=_number(document, "Bounds.MaintenanceS", 2),
         move_s=_number(document, "Bounds.MoveS", 1.5),
         host_lease_s=_number(document, "Bounds.LeaseMs", 3000) / 1000,
--- a/src/chervillead/pools/ports.py
+++ b/src/chervillead/pools/ports.py
@@ -17,7 +17,8 @@
     Attributes:
         max_lease_ms: Longest lease that workers accept.
         job_retention_s: How long the state of a finished job must be available.
-        min_ready_ms: How long a task must be ready to count as available.
+        max_stop_ms: Longest time that a worker takes to end a run that it was
+            told to stop.
         maintenance_s: How long the maintenance of a host takes.
         move_s: How long the move of a host to another pool takes.
         host_lease_s: Least time between the commands to hosts of an owner of
@@ -27,7 +28,7 @@
 
     max_lease_ms: int = 6000
     job_retention_s: float = 120.0
-    min_ready_ms: int = 4500
+    max_stop_ms: int = 900
     maintenance_s: float = 2.0
     move_s: float = 1.5
     host_lease_s: float = 3.0
--- a/src/chervillead/pools/run_tracking.py
+++ b/src/chervillead/pools/run_tracking.py
@@ -14,6 +14,9 @@
 from chervillead.workers import interface as worker_interface
 from chervillead.workers import view as view_module
 
+# A stop of a previous owner, or of this one before it failed and began anew,
+# reaches the worker this long after the first poll at most.
+MAX_STOP_DELIVERY_MS = 500
 # Delay before the retry of a failed task, doubled for each failure.
 RETRY_DELAY_S = 0.05
 MAX_RETRY_DELAY_S = 1.0
@@ -82,7 +85,9 @@
     job = state.jobs.get(running.run.job_id)
     if job is not None and not job.has_task(running.run.task):
         job = None
-    run = view.runs.get(running.run) or _adopt(state, view, running.run, job)
+    run = view.runs.get(running.run) or _adopt(
+        state, view, running.run, job, clock_ms
+    )
     if run.phase in (
         task_runs.RunPhase.STARTING,
         task_runs.RunPhase.UNCERTAIN,
@@ -134,8 +139,12 @@
     view: view_module.WorkerView,
     key: task_runs.RunKey,
     job: job_state.JobState | None,
+    clock_ms: int,
 ) -> task_runs.Run:
-    """Tracks a run that a previous owner started."""
+    """Tracks a run that a previous owner started, and may have stopped.
+
+    The worker has seen this owner's token, so it rejects later stops.
+    """
     run = task_runs.Run(
         key.job_id,
         key.task,
@@ -145,6 +154,9 @@
         started_s=state.now_s(),
         phase=task_runs.RunPhase.RUNNING,
     )
+    run.may_be_stopping_until_ms = (
+        clock_ms + state.ports.limits.max_stop_ms + MAX_STOP_DELIVERY_MS
+    )
     if job is not None:
         run.reserved = job.step(key.task).reserved
         job.add_run(run)
--- a/tests/jobs/availability.feature
+++ b/tests/jobs/availability.feature
@@ -16,6 +16,8 @@
       | 3     | 1      | starting                 | forbidden |
       | 3     | 1      | not running              | forbidden |
       | 3     | 1      | on a silent worker       | forbidden |
+      | 3     | 1      | found by a new owner     | forbidden |
+      | 3     | 2      | found by a new owner     | allowed   |
       | 3     | 2      | not running              | allowed   |
       | 3     | 0      | available                | forbidden |
       | 3     | none   | not running              | allowed   |
--- a/tests/steps/jobs_availability.py
+++ b/tests/steps/jobs_availability.py
@@ -46,6 +46,8 @@
         context.job.remove_run(run)
     if state == "starting":
         run.progress_percent = 0
+    if state == "found by a new owner":
+        run.may_be_stopping_until_ms = run.reported_ms + 1
     if state == "on a silent worker":
         context.silent.add(run.worker_id)
 
