Ask the availability budget again before a stop is sent or repeated

Cause: the budget was asked when a stop was queued. The command waits behind others of its worker, is sent late by a process that has been suspended, and is repeated each 0.3 s while the run is listed; by then another worker may have crashed. And a start without a reply is stopped without a budget; if the run turns up after all, it was stopped at work. The class: a permission that is used later than it was given. Evidence: two scenarios of availability_budgets: stops are lost for 8 s, another worker crashes meanwhile, and the next repeat of the stop took a second task away; a task whose start was in doubt was stopped at work. Change: the sender asks the budget right before each attempt. A stop that was never sent is withdrawn, one that may have reached the worker waits; a run that its worker reports after a doubtful start is kept, and counts as unavailable until the stops sent meanwhile must have ended it. Stops of finished jobs need no budget, as before. Why it works: what counts as available was answered at most 1.5 s before the call is sent, and 2.5 s more if the process was suspended in between, since the membership runs out by the boot clock; a task counts as away only after NoticeMs (4.5 s).

--- a/src/chervillead/jobs/task_runs.py
+++ b/src/chervillead/jobs/task_runs.py
@@ -59,6 +59,9 @@
             ended the run that its owner doesn't know of.
         stop_requested: Whether the run is to be stopped.
         stop_reason: Why; empty if it isn't.
+        needs_budget: Whether it is stopped only while the availability budget
+            of its step allows.
+        is_stop_sent: Whether a stop has been sent to its worker.
         usage: Usage as the worker last reported it: tail latency in
             milliseconds for a latency-sensitive task, millicores otherwise.
         progress_percent: Progress as the worker last reported it.
@@ -98,6 +101,8 @@
         self.may_be_stopping_until_ms = 0
         self.stop_requested = False
         self.stop_reason = ""
+        self.needs_budget = False
+        self.is_stop_sent = False
         self.usage = 0
         self.progress_percent = 0
         self.progress_since_ms: int | None = None
@@ -106,6 +111,12 @@
         self.checkpoint = ""
         self.isolated_until_s = float("-inf")
 
+    def withdraw_stop(self) -> None:
+        """Takes back the request to stop it."""
+        self.stop_requested = False
+        self.stop_reason = ""
+        self.needs_budget = False
+
     @property
     def key(self) -> "RunKey":
         """Identity of the run in calls to its worker."""
--- a/src/chervillead/pools/run_stopping.py
+++ b/src/chervillead/pools/run_stopping.py
@@ -44,9 +44,39 @@
         state.jobs[run.job_id], run.task, state.contact_age_s
     )
     if disruption.is_allowed:
+        run.needs_budget = True
         stop_run(state, run, reason)
 
 
+def may_send_stop(state: owner_state.OwnerState, run: task_runs.Run) -> bool:
+    """Returns whether a stop that was queued may still be sent.
+
+    Other tasks of the step may have become unavailable since the budget was
+    asked. Then the stop is repeated later if it may have reached the worker,
+    and is withdrawn otherwise.
+    """
+    if not run.stop_requested:
+        return False
+    job = state.jobs.get(run.job_id)
+    if not run.needs_budget or job is None or job.is_finished:
+        return True
+    disruption = availability.assess_disruption(
+        job, run.task, state.contact_age_s
+    )
+    if disruption.is_allowed:
+        return True
+    if not run.is_stop_sent:
+        state.log_run(
+            "run:stop-withdrawn",
+            run,
+            reason=run.stop_reason,
+            unavailable=disruption.unavailable,
+            allowed=disruption.allowed,
+        )
+        run.withdraw_stop()
+    return False
+
+
 def _log_stop(
     state: owner_state.OwnerState, run: task_runs.Run, reason: str
 ) -> None:
--- a/src/chervillead/pools/run_tracking.py
+++ b/src/chervillead/pools/run_tracking.py
@@ -17,6 +17,7 @@
 # A stop of a previous owner, or of this one before it failed and began anew,
 # reaches the worker this long after the first poll at most.
 MAX_STOP_DELIVERY_MS = 500
+START_UNANSWERED = "the start got no reply"
 # Delay before the retry of a failed task, doubled for each failure.
 RETRY_DELAY_S = 0.05
 MAX_RETRY_DELAY_S = 1.0
@@ -102,6 +103,14 @@
         run.progress_percent = running.progress_percent
         run.progress_since_ms = clock_ms
     run.reported_ms = clock_ms
+    if (
+        run.stop_reason == START_UNANSWERED
+        and job is not None
+        and job.step(run.task).long_running
+    ):
+        # A stop that was sent meanwhile may still end it.
+        run.withdraw_stop()
+        run.may_be_stopping_until_ms = _stops_end_ms(state, clock_ms)
     if job is None:
         run_stopping.stop_run(state, run, "its job is unknown")
         return
@@ -117,6 +126,16 @@
         run_stopping.stop_run(state, run, "another run of the task is done")
 
 
+def _stops_end_ms(state: owner_state.OwnerState, clock_ms: int) -> int:
+    """Returns by when stops that have been sent have ended their runs.
+
+    Args:
+        state: State of the owner.
+        clock_ms: Worker's clock now.
+    """
+    return clock_ms + state.ports.limits.max_stop_ms + MAX_STOP_DELIVERY_MS
+
+
 def _correct_stored_crash(
     state: owner_state.OwnerState, job: job_state.JobState, run: task_runs.Run
 ) -> None:
@@ -154,9 +173,7 @@
         started_s=state.now_s(),
         phase=task_runs.RunPhase.RUNNING,
     )
-    run.may_be_stopping_until_ms = (
-        clock_ms + state.ports.limits.max_stop_ms + MAX_STOP_DELIVERY_MS
-    )
+    run.may_be_stopping_until_ms = _stops_end_ms(state, clock_ms)
     if job is not None:
         run.reserved = job.step(key.task).reserved
         job.add_run(run)
@@ -285,4 +302,4 @@
             if clock_ms > start_deadline:
                 state.end_run(view, run, task_runs.EndKind.VANISHED)
             elif stopped_ms is None and not run.stop_requested:
-                run_stopping.stop_run(state, run, "the start got no reply")
+                run_stopping.stop_run(state, run, START_UNANSWERED)
--- a/src/chervillead/pools/worker_registry.py
+++ b/src/chervillead/pools/worker_registry.py
@@ -8,6 +8,7 @@
 from chervillead.jobs import task_runs
 from chervillead.pools import crash_tracking
 from chervillead.pools import owner_state
+from chervillead.pools import run_stopping
 from chervillead.pools import run_tracking
 from chervillead.pools import start_tracking
 from chervillead.workers import interface as worker_interface
@@ -116,6 +117,7 @@
             make_start_command=lambda view, run: (
                 start_tracking.make_start_command(state, view, run)
             ),
+            may_stop=lambda run: run_stopping.may_send_stop(state, run),
             withdraw_start=lambda view, run: start_tracking.withdraw(
                 state, view, run
             ),
--- a/src/chervillead/workers/watch.py
+++ b/src/chervillead/workers/watch.py
@@ -248,7 +248,7 @@
                 self._log_withheld(command)
             elif command.kind == "pace":
                 await self._client.pace(command.run.key, command.percent)
-            else:
+            elif self._ports.may_stop(command.run):
                 await self._send_stop(command.run)
 
     def _log_withheld(self, command: Command) -> None:
@@ -283,6 +283,7 @@
         ports.on_start_result(self._view, run, outcome)
 
     async def _send_stop(self, run: task_runs.Run) -> None:
+        run.is_stop_sent = True
         outcome = await self._client.stop(run.key)
         if pipeline.is_successful(outcome):
             run.stopped_clock_ms = outcome.unwrap()
--- a/src/chervillead/workers/watch_ports.py
+++ b/src/chervillead/workers/watch_ports.py
@@ -24,6 +24,7 @@
         on_start_result: Handles the outcome of a start.
         make_start_command: Returns the command for a run, or None if the run
             is obsolete.
+        may_stop: Whether a stop that was queued may still be sent.
         withdraw_start: Handles a start that won't be sent.
         on_poll_failure: Handles a failed poll.
         log: Writes a log line.
@@ -43,6 +44,7 @@
     make_start_command: abc.Callable[
         [view_module.WorkerView, task_runs.Run], interface.StartCommand | None
     ]
+    may_stop: abc.Callable[[task_runs.Run], bool]
     withdraw_start: abc.Callable[[view_module.WorkerView, task_runs.Run], None]
     on_poll_failure: abc.Callable[
         [view_module.WorkerView, interface.WorkerCallFailure], None
--- a/tests/steps/workers_watch.py
+++ b/tests/steps/workers_watch.py
@@ -54,6 +54,7 @@
 @behave.given("a watched worker with a run")
 def step(context):
     context.is_confirmed = True
+    context.may_stop = True
     context.actions = []
 
 
@@ -62,6 +63,15 @@
     _set_confirmed(context, confirmed=False)
 
 
+@behave.when("the availability budget is used up")
+def step(context):
+    def use_up(watch, run):
+        del watch, run
+        context.may_stop = False
+
+    context.actions.append(use_up)
+
+
 @behave.when("the ownership is confirmed again")
 def step(context):
     _set_confirmed(context, confirmed=True)
@@ -128,6 +138,7 @@
             apply_status=apply_status,
             on_start_result=lambda *_: None,
             make_start_command=lambda *_: None,
+            may_stop=lambda _: context.may_stop,
             withdraw_start=lambda *_: None,
             on_poll_failure=lambda *_: None,
             log=lambda *_, **__: None,
@@ -156,6 +167,12 @@
     assert "stop" in kinds, kinds
 
 
+@behave.then("the worker gets a pace")
+def step(context):
+    kinds = {kind for kind, _ in run_watch(context).commands}
+    assert kinds == {"pace"}, kinds
+
+
 @behave.then("the worker gets no command")
 def step(context):
     assert not run_watch(context).commands, run_watch(context).commands
--- a/tests/workers/watch.feature
+++ b/tests/workers/watch.feature
@@ -25,3 +25,11 @@
     And a stop and a change of pace are queued
     And the ownership is confirmed again
     Then the worker gets a stop
+
+  Scenario: The availability budget is used up before a queued stop is sent
+    # Guards against a stop that is sent, or repeated, by what was known when it
+    # was queued: other tasks of the step have become unavailable since.
+    Given a watched worker with a run
+    When the availability budget is used up
+    And a stop and a change of pace are queued
+    Then the worker gets a pace
