Take a host down only for the worker that was drained there

What callers could see: tasks that last go down with their host, however many others of their step are away (AVAIL). Cause: no known run was taken for "nothing runs". A worker that a new owner doesn't watch (missing from the store's list), or hasn't heard from for 4 s, counted as empty, and such hosts were chosen first, as those with the least work. A worker that crashed while its host was being drained counted as empty as well; the one that replaced it on the host wasn't cordoned and ran tasks when the command was carried out. And commands for maintenance didn't say whose they were, so those of a replaced owner were carried out. The class: absence of knowledge taken for knowledge of absence, and an order that doesn't name what it was decided about. Evidence: three scenarios of availability_budgets failed before: a host whose worker a new owner doesn't know, one that it can't reach, and a worker that restarts while its host waits and commands for hosts are lost. Change: a host is chosen, and goes down, only when all that runs on its worker is known, or all leases of earlier owners have ended. The command names the drained worker, the pool and the token of its owner; the owner of the hosts partition checks them with its own list of hosts, and the owner's token once more after the record of the command is stored, as for hosts that are released.

The scenario of the worker that restarts began its wave within 20 ms of a crash, so its own check failed for a stop that is allowed; it waits 2 s now and was seen to fail before this change and to pass after it.

--- a/src/chervillead/entries/host_messages.py
+++ b/src/chervillead/entries/host_messages.py
@@ -11,10 +11,22 @@
 
 
 class BeginMaintenance(typing.NamedTuple):
-    """Requests the maintenance of a host in a wave; the host goes down."""
+    """Requests the maintenance of a host in a wave; the host goes down.
+
+    Attributes:
+        host: Name of the host.
+        wave: Number of the wave.
+        worker_id: Id of the worker that was drained; empty for a host that is
+            turned off.
+        pool: Name of its pool.
+        token: Fencing token of the pool's owner.
+    """
 
     host: str
     wave: int
+    worker_id: str
+    pool: str
+    token: int
 
 
 class TurnOffHost(typing.NamedTuple):
--- a/src/chervillead/machines/host_controller.py
+++ b/src/chervillead/machines/host_controller.py
@@ -38,6 +38,7 @@
 STARTING = "starting"
 UNANSWERED = "unanswered"
 UNRECORDED = "unrecorded"
+OTHER_WORKER = "other-worker"
 
 
 _UNREADABLE = host_messages.HostReply(
@@ -118,15 +119,15 @@
     async def _serve(
         self, call: host_messages.HostCall
     ) -> host_messages.HostReply:
-        if isinstance(call, host_messages.BeginMaintenance):
-            return await self._begin_maintenance(call.host, call.wave)
         # The call may have been delayed until after a change of owner.
         if not self._allocator.is_current(call.pool, call.token):
             return host_messages.HostReply(host_messages.REPLACED)
+        if isinstance(call, host_messages.BeginMaintenance):
+            return await self._begin_maintenance(call)
         if isinstance(call, host_messages.ReportLoad):
             self._allocator.record(call, self._now_s())
             return self._allocator.reply(call.pool, self._now_s())
-        return await self._turn_off(call.worker_id)
+        return await self._turn_off(call)
 
     async def _send_spare_hosts(self) -> None:
         """Sends spare hosts to the pools that lack hosts."""
@@ -201,9 +202,10 @@
         )
 
     async def _begin_maintenance(
-        self, host_name: str, number: int
+        self, call: host_messages.BeginMaintenance
     ) -> host_messages.HostReply:
         """Starts the maintenance of a host within the cap of its wave."""
+        host_name, number = call.host, call.wave
         key = number, host_name
         if key in self._begun:
             return host_messages.HostReply()
@@ -214,6 +216,8 @@
         host = self._moves.host(host_name)
         if host is not None and not self._moves.may_command(host):
             return host_messages.HostReply(STARTING)
+        if _runs_other_worker(host, call.worker_id):
+            return host_messages.HostReply(OTHER_WORKER)
         wave = self._fleet.waves().get(number)
         now_s = self._now_s()
         if wave is None or self._count_down(wave, host_name) >= wave.cap:
@@ -228,6 +232,9 @@
             # The process was suspended while the command was being recorded.
             del self._down_until_s[key]
             return host_messages.HostReply(STARTING)
+        if not self._allocator.is_current(call.pool, call.token):
+            del self._down_until_s[key]
+            return host_messages.HostReply(host_messages.REPLACED)
         outcome = await self._client.begin_maintenance(
             host_name, number, self._state.token
         )
@@ -249,11 +256,13 @@
         down |= self._moves.hosts_down() & set(wave.hosts)
         return len(down - {but})
 
-    async def _turn_off(self, worker_id: str) -> host_messages.HostReply:
+    async def _turn_off(
+        self, call: host_messages.TurnOffHost
+    ) -> host_messages.HostReply:
         """Moves the host of a drained worker to a pool that lacks hosts."""
         if not await self._moves.refresh():
             return _UNREADABLE
-        host = self._moves.host_of(worker_id)
+        host = self._moves.host_of(call.worker_id)
         if host is None:
             # The host has already moved, or its worker has ended otherwise.
             return host_messages.HostReply()
@@ -266,6 +275,8 @@
             return host_messages.HostReply(STARTING)
         if not await self._moves.record_commands([host.name]):
             return host_messages.HostReply(UNRECORDED)
+        if not self._allocator.is_current(call.pool, call.token):
+            return host_messages.HostReply(host_messages.REPLACED)
         pool = self._destination(host)
         if pool is not None:
             outcome = await self._send(host, pool)
@@ -287,6 +298,18 @@
         return self._allocator.destination(host.pool, self._now_s())
 
 
+def _runs_other_worker(host: interface.Host | None, worker_id: str) -> bool:
+    """Returns whether a host is up with another worker than the drained one.
+
+    That one has crashed, or the host was moved, and its tasks may run there.
+    """
+    return (
+        host is not None
+        and host.state is interface.HostState.UP
+        and host.worker_id != worker_id
+    )
+
+
 def _reply(outcome: host_moves.Outcome) -> host_messages.HostReply:
     if pipeline.is_successful(outcome):
         return host_messages.HostReply()
--- a/src/chervillead/machines/hosts_owner_client.py
+++ b/src/chervillead/machines/hosts_owner_client.py
@@ -33,7 +33,9 @@
             reason if it was refused, or None if the owner is unavailable.
     """
 
-    begin_maintenance: abc.Callable[[str, int], abc.Awaitable[Outcome]]
+    begin_maintenance: abc.Callable[
+        [host_messages.BeginMaintenance], abc.Awaitable[Outcome]
+    ]
     turn_off: abc.Callable[[host_messages.TurnOffHost], abc.Awaitable[Outcome]]
     report_load: abc.Callable[
         [host_messages.ReportLoad],
@@ -76,8 +78,10 @@
             )
         )
 
-    async def begin_maintenance(host: str, wave: int) -> Outcome:
-        return await send_command(host_messages.BeginMaintenance(host, wave))
+    async def begin_maintenance(
+        request: host_messages.BeginMaintenance,
+    ) -> Outcome:
+        return await send_command(request)
 
     async def turn_off(request: host_messages.TurnOffHost) -> Outcome:
         return await send_command(request)
--- a/src/chervillead/machines/wave_controller.py
+++ b/src/chervillead/machines/wave_controller.py
@@ -7,6 +7,7 @@
 
 from returns import pipeline
 
+from chervillead.entries import host_messages
 from chervillead.jobs import host_maintenance
 from chervillead.machines import host_controller
 from chervillead.machines import hosts_owner_client
@@ -254,6 +255,7 @@
                 self._candidate(host)
                 for host in hosts
                 if host.state is interface.HostState.UP
+                and self._owner.drain.are_runs_known(host.worker_id)
                 and self._paused_until_s.get(host.name, 0.0) <= now_s
             )
             chosen = host_maintenance.select_hosts(
@@ -285,21 +287,34 @@
         self, draining: _DrainingHost, wave: interface.Wave
     ) -> None:
         """Stops long-running tasks within budget; then begins maintenance."""
-        self._owner.drain.stop_long_running(draining.worker_id, "upkeep")
-        batch, long_running = self._owner.drain.task_counts(draining.worker_id)
+        drain = self._owner.drain
         now_s = self._clock.monotonic()
-        may_run_tasks = batch or not self._owner.drain.are_runs_known(
-            draining.worker_id
-        )
+        # The worker may have been found, or replaced, since it was chosen.
+        if (
+            not drain.cordon(draining.worker_id, CORDON_REASON)
+            or self._hosts[draining.name].worker_id != draining.worker_id
+        ):
+            self._cancel_draining(draining, now_s + REJECTION_BACKOFF_S)
+            return
+        if not drain.are_runs_known(draining.worker_id):
+            return
+        drain.stop_long_running(draining.worker_id, "upkeep")
+        batch, long_running = drain.task_counts(draining.worker_id)
         is_in_grace_period = now_s - draining.since_s < BATCH_GRACE_PERIOD_S
-        if long_running or (may_run_tasks and is_in_grace_period):
+        if long_running or (batch and is_in_grace_period):
             return
         if self._owner.drain.has_unrecorded_ends(draining.worker_id):
             return
         if not self._owner.state.has_authority():
             return
         outcome = await self._ports.hosts_owner.begin_maintenance(
-            draining.name, wave.number
+            host_messages.BeginMaintenance(
+                draining.name,
+                wave.number,
+                draining.worker_id,
+                self._hosts[draining.name].pool,
+                self._owner.state.token,
+            )
         )
         if pipeline.is_successful(outcome):
             await self._record_begun(draining, wave)
--- a/src/chervillead/pools/host_drain.py
+++ b/src/chervillead/pools/host_drain.py
@@ -57,12 +57,8 @@
             self._state.wake()
 
     def are_runs_known(self, worker_id: str) -> bool:
-        """Returns whether all runs on a worker are known.
-
-        True for a worker that the owner does not watch.
-        """
-        watch = self._state.watches.get(worker_id)
-        return watch is None or watch.view.has_answered
+        """Returns whether all that runs on a worker is known."""
+        return self._workers.are_runs_known(worker_id)
 
     def task_counts(self, worker_id: str) -> tuple[int, int]:
         """Returns the numbers of batch and long-running tasks on a worker."""
--- a/src/chervillead/pools/worker_registry.py
+++ b/src/chervillead/pools/worker_registry.py
@@ -262,6 +262,25 @@
         )
         state.recovering_jobs.clear()
 
+    def are_runs_known(self, worker_id: str) -> bool:
+        """Returns whether all that runs on a worker is known.
+
+        On one that isn't watched, tasks of previous owners may run until their
+        last lease has ended.
+        """
+        state = self._state
+        if not worker_id or worker_id in state.ended_workers:
+            return True
+        watch = state.watches.get(worker_id)
+        now_s = state.now_s()
+        if watch is None:
+            return now_s > self._latest_unlisted_lease_end_s()
+        return not self._may_have_unknown_runs(watch.view, now_s)
+
+    def _latest_unlisted_lease_end_s(self) -> float:
+        """Returns when leases of previous owners have ended on any worker."""
+        return self._started_s + MAX_OWNER_OVERLAP_S + self._max_lease_s()
+
     def _may_have_unknown_runs(
         self, view: view_module.WorkerView, now_s: float
     ) -> bool:
@@ -280,8 +299,7 @@
         """
         if self._workers_on_live_hosts is None:
             return now_s - self._started_s < HOST_LIST_TIMEOUT_S
-        latest_s = self._started_s + MAX_OWNER_OVERLAP_S + self._max_lease_s()
-        if now_s > latest_s:
+        if now_s > self._latest_unlisted_lease_end_s():
             return False
         return bool(self._missing_workers())
 
--- a/tests/machines/host_controller.feature
+++ b/tests/machines/host_controller.feature
@@ -86,3 +86,38 @@
     And a pool releases a host
     Then 0 host is moved
     And the pool is told that nothing was done
+
+  Scenario: Another worker runs on a host than the one that was drained
+    # Guards against a command that takes down the tasks of a worker that has
+    # replaced the drained one: it crashed, or its host was moved.
+    Given a wave over 4 hosts with a cap of 4 and a new host controller
+    When 4 s pass for the host controller
+    And maintenance is requested for workers that ran there before
+    Then 0 hosts begin maintenance
+
+  Scenario: The previous owner of a pool asks for maintenance
+    # Guards against a request that was delayed until the next owner has started
+    # tasks on the host.
+    Given a wave over 4 hosts with a cap of 4 and a new host controller
+    When 4 s pass for the host controller
+    And the next owner of the pool has reported its load
+    And maintenance of all hosts is requested
+    Then 0 hosts begin maintenance
+
+  Scenario: The owner of a pool is replaced while its request is carried out
+    # Guards against a command that is sent after a slow append, when the next
+    # owner has started tasks on the host.
+    Given a wave over 4 hosts with a cap of 4 and a new host controller
+    When 4 s pass for the host controller
+    And the next owner reports its load while the next record is stored
+    And maintenance of all hosts is requested
+    Then 0 hosts begin maintenance
+
+  Scenario: The owner of a pool is replaced while its host is being released
+    # Guards against moving a host on which the next owner has started tasks.
+    Given a wave over 1 hosts with a cap of 1 and a new host controller
+    When 4 s pass for the host controller
+    And the next owner reports its load while the next record is stored
+    And a pool releases a host
+    Then 0 host is moved
+    And the pool is told that nothing was done
--- a/tests/pools/availability_budgets.feature
+++ b/tests/pools/availability_budgets.feature
@@ -85,8 +85,9 @@
     When a job of 3 long-running tasks, at most 1 on a worker, of which 1 may be unavailable is submitted
     And 4 s pass
     And a worker with tasks crashes for 9 s
-    And operators publish a wave over all hosts with a cap of 3
     And 2 s pass
+    And operators publish a wave over all hosts with a cap of 3
+    And 1 s pass
     And commands for hosts are lost
     And a cordoned worker crashes for 2 s
     And 10 s pass
--- a/tests/steps/machines_host_controller.py
+++ b/tests/steps/machines_host_controller.py
@@ -74,6 +74,7 @@
     context.service = FakeHostService()
     context.accepts_records = True
     context.is_suspended_in_append = False
+    context.replaced_in_append = False
     context.previous_commands = {}
     context.has_authority = True
     wave = interface.Wave(WAVE, tuple(context.names), 30.0, cap, context.now_s)
@@ -82,6 +83,8 @@
         del topic, partition, records, producer
         if context.is_suspended_in_append:
             context.has_authority = False
+        if context.replaced_in_append:
+            await context.controller.serve(next_owner_report())
         return (
             result.Success(0)
             if context.accepts_records
@@ -159,12 +162,15 @@
     context.is_suspended_in_append = True
 
 
-@behave.when("the next owner of the pool has reported its load")
-def step(context):
-    report = host_messages.ReportLoad(
+def next_owner_report():
+    return host_messages.ReportLoad(
         "billing", OWNER_TOKEN + 1, 4, 0, 3, 3, 3, 3, term=0, accounted=0
     )
-    reply = asyncio.run(context.controller.serve(report))
+
+
+@behave.when("the next owner of the pool has reported its load")
+def step(context):
+    reply = asyncio.run(context.controller.serve(next_owner_report()))
     assert not reply.reason, reply
 
 
@@ -194,12 +200,18 @@
     context.accepts_records = False
 
 
-def request_maintenance(context, names):
+def request_maintenance(context, names, drained=None):
     async def request():
         await asyncio.gather(
             *(
                 context.controller.serve(
-                    host_messages.BeginMaintenance(name, WAVE)
+                    host_messages.BeginMaintenance(
+                        name,
+                        WAVE,
+                        drained or name.replace("m-", "i-"),
+                        "billing",
+                        OWNER_TOKEN,
+                    )
                 )
                 for name in names
             )
@@ -213,6 +225,16 @@
     request_maintenance(context, context.names)
 
 
+@behave.when("maintenance is requested for workers that ran there before")
+def step(context):
+    request_maintenance(context, context.names, drained="i-before")
+
+
+@behave.when("the next owner reports its load while the next record is stored")
+def step(context):
+    context.replaced_in_append = True
+
+
 @behave.when("maintenance of all other hosts is requested")
 def step(context):
     request_maintenance(context, context.names[1:])
