Leave runs alone whose job's stored spec can't be read

One way in which an accepted job is unknown is a record that the new owner can't decode, for example of a later build: its tasks at work were stopped for good, which can't be taken back, whereas leaving them costs little. Change: an owner remembers the jobs whose spec it couldn't read; their runs go on. What it can't do is unchanged: start their tasks, or tell callers of them. Guard: availability_budgets, "A new owner can't read the record of a job", failed before (both tasks stopped).

--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -53,6 +53,8 @@
         watches: The watched workers, by id.
         recovering_jobs: Ids of the jobs whose tasks a previous owner may have
             started.
+        unreadable_jobs: Ids of jobs whose stored spec couldn't be decoded. Their
+            runs go on: another build may be able to read it.
         ended_workers: Ids of workers that certainly run nothing any more.
         taken_down_incarnations: Incarnation, by worker id, of workers whose
             hosts this owner took down. The store lists them for a while longer.
@@ -84,6 +86,7 @@
         self.jobs = job_table.JobTable()
         self.watches: dict[str, watch_module.WorkerWatch] = {}
         self.recovering_jobs: set[str] = set()
+        self.unreadable_jobs: set[str] = set()
         self.ended_workers: set[str] = set()
         self.taken_down_incarnations: dict[str, int] = {}
         self.crashed_s: dict[types.Address, float] = {}
--- a/src/chervillead/pools/run_tracking.py
+++ b/src/chervillead/pools/run_tracking.py
@@ -112,7 +112,8 @@
         run.withdraw_stop()
         run.may_be_stopping_until_ms = _stops_end_ms(state, clock_ms)
     if job is None:
-        run_stopping.stop_run(state, run, "its job is unknown")
+        if run.job_id not in state.unreadable_jobs:
+            run_stopping.stop_run(state, run, "its job is unknown")
         return
     job.has_started = True
     _correct_stored_crash(state, job, run)
--- a/src/chervillead/pools/takeover.py
+++ b/src/chervillead/pools/takeover.py
@@ -60,6 +60,9 @@
         stored, ports.clock.monotonic(), 1000 * ports.clock.wall(), ports.log
     )
     owner.load(jobs)
+    owner.state.unreadable_jobs.update(
+        _stored_ids(stored) - {job.spec.job_id for job in jobs}
+    )
     for key in _keys_without_job(stored):
         writer.delete(key)
     ports.log(
@@ -131,6 +134,15 @@
     return terms
 
 
+def _stored_ids(stored: tuple[store_interface.KeyedRecord, ...]) -> set[str]:
+    """Returns the ids of all jobs that have a spec, readable or not."""
+    return {
+        record.key.removeprefix(records.SPEC_PREFIX)
+        for record in stored
+        if record.key.startswith(records.SPEC_PREFIX)
+    }
+
+
 def _keys_without_job(
     stored: tuple[store_interface.KeyedRecord, ...],
 ) -> abc.Iterator[str]:
--- a/tests/pools/availability_budgets.feature
+++ b/tests/pools/availability_budgets.feature
@@ -121,3 +121,15 @@
     And 8 s pass
     Then no task of the job was stopped
     And 2 tasks of the job are running
+
+  Scenario: A new owner can't read the record of a job
+    # Guards against stopping the tasks of an accepted job because the build of
+    # the new owner can't decode what is stored of it.
+    Given a platform fleet of 3 hosts and 4 workers
+    When a job of 2 long-running tasks, at most 1 on a worker, of which 1 may be unavailable is submitted
+    And 4 s pass
+    And the stored spec of the job becomes unreadable
+    And the owner is killed
+    And 10 s pass
+    Then no task of the job was stopped
+    And 2 tasks of the job are running
--- a/tests/steps/pools_availability_budgets.py
+++ b/tests/steps/pools_availability_budgets.py
@@ -6,6 +6,7 @@
 import behave
 import msgspec
 
+from chervillead.jobs import records
 from chervillead.pools import pool_partitions
 from stand_ins import platform_fleet
 from stand_ins import platform_scenarios
@@ -216,6 +217,17 @@
     platform_scenarios.add_action(context, crash)
 
 
+@behave.when("the stored spec of the job becomes unreadable")
+def step(context):
+    async def overwrite(fleet):
+        key = records.spec_key(platform_scenarios.JOB)
+        fleet.store.put_records(
+            pool_partitions.JOBS_TOPIC, PARTITION, {key: b"\xc1"}
+        )
+
+    platform_scenarios.add_action(context, overwrite)
+
+
 @behave.when("commands for hosts are lost")
 def step(context):
     async def drop(fleet):
