--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -53,8 +53,8 @@
         watches: The watched workers, by id.
         recovering_jobs: Ids of the jobs whose tasks a previous owner may have
             started.
-        unreadable_jobs: Ids of jobs whose stored spec couldn't be decoded. Their
-            runs go on: another build may be able to read it.
+        unreadable_jobs: Ids of jobs whose stored spec couldn't be decoded. Runs
+            of them go on: another build may be able to read it.
         ended_workers: Ids of workers that certainly run nothing any more.
         taken_down_incarnations: Incarnation, by worker id, of workers whose
             hosts this owner took down. The store lists them for a while longer.
