--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -34,15 +34,19 @@
         is_confirmed: Returns whether the ownership is certain to hold now.
         is_store_unavailable: Returns whether the last renewal of the membership
             failed.
+        request_renewal: Asks for a renewal as soon as possible, and returns the
+            number of the next one to be sent.
     """
 
     def __init__(
         self,
         is_confirmed: abc.Callable[[], bool],
         is_store_unavailable: abc.Callable[[], bool],
+        request_renewal: abc.Callable[[], int] = lambda: 0,
     ) -> None:
         self.is_confirmed = is_confirmed
         self.is_store_unavailable = is_store_unavailable
+        self.request_renewal = request_renewal
 
 
 class OwnerState:
@@ -199,6 +203,23 @@
         """Returns whether commands that end running work may be sent now."""
         return self.is_owner() and not self._writer.failure_duration_s()
 
+    def await_renewal(self, view: view_module.WorkerView) -> None:
+        """Starts nothing on a worker's process until the ownership is renewed.
+
+        If another host owns the partition by now, this process hasn't seen the
+        new owner's token, so it would carry out commands of both.
+        """
+        view.awaited_renewal = self._ownership.request_renewal()
+
+    def apply_renewal(self, number: int) -> None:
+        """Applies a confirmed renewal of the ownership."""
+        for worker_id, watch in self.watches.items():
+            awaited = watch.view.awaited_renewal
+            if awaited is not None and awaited <= number:
+                watch.view.awaited_renewal = None
+                self.changed_workers.add(worker_id)
+                self.wake()
+
     def step_of(self, run: task_runs.Run) -> model.Step | None:
         """Returns the step of a run, or None if the run's job is unknown."""
         job = self.jobs.get(run.job_id)
--- a/src/chervillead/pools/run_tracking.py
+++ b/src/chervillead/pools/run_tracking.py
@@ -42,6 +42,7 @@
             appends = crash_tracking.end_runs(
                 state, view, now_s - age_s, status.clock_ms
             )
+            state.await_renewal(view)
         view.begin_incarnation(status.incarnation)
         # A previous owner may just have extended the lease, and a call with a
         # deadline by the clock of the process before gives the longest one.
--- a/src/chervillead/pools/start_tracking.py
+++ b/src/chervillead/pools/start_tracking.py
@@ -35,6 +35,7 @@
         or clock_ms is None
         or not state.may_start()
         or not view.may_start(state.ports.zones_out())
+        or view.awaited_renewal is not None
     ):
         withdraw(state, view, run)
         return None
--- a/src/chervillead/pools/worker_registry.py
+++ b/src/chervillead/pools/worker_registry.py
@@ -33,6 +33,7 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._orders = itertools.count()
         self._started_s = state.now_s()
+        self._has_listed_workers = False
         # Workers on hosts that are up; None until the list of hosts was read.
         self._workers_on_live_hosts: set[str] | None = None
 
@@ -61,6 +62,7 @@
         for worker_id, watch in state.watches.items():
             if worker_id not in registrations:
                 watch.view.is_registered = False
+        self._has_listed_workers = True
         state.changed_workers.update(state.watches)
         state.wake()
 
@@ -127,6 +129,9 @@
         calls = state.ports.open_worker(registration, state.token)
         watch = watch_module.WorkerWatch(view, calls, ports)
         state.watches[registration.worker_id] = watch
+        # A later owner polls those that are listed when it takes over.
+        if self._has_listed_workers:
+            state.await_renewal(view)
         task = asyncio.create_task(watch.run())
         task.add_done_callback(
             lambda done: self._watch_ended(registration.worker_id, done)
--- a/src/chervillead/workers/view.py
+++ b/src/chervillead/workers/view.py
@@ -39,6 +39,9 @@
         self.order = order
         self.discovered_s = discovered_s
         self.is_registered = True
+        # Number of the renewal of the ownership that must be confirmed before
+        # anything is started on its process; None if none has to be.
+        self.awaited_renewal: int | None = None
         # Set when another process responds at its address: this worker has
         # certainly ended.
         self.is_replaced = False
@@ -241,6 +244,7 @@
         """Returns whether new runs may be placed on the worker."""
         return (
             self.may_start(zones_out)
+            and self.awaited_renewal is None
             and self.is_answering
             and self.avoid_until_s <= now_s
             and not self.is_isolated(now_s)
--- a/tests/stand_ins/platform_store.py
+++ b/tests/stand_ins/platform_store.py
@@ -74,6 +74,7 @@
         dropping_replies: Whether POST calls are executed but get no reply.
         paths_without_reply: Calls to these paths are executed but get no reply.
         calls: Paths of the received calls, in order.
+        hosts_without_joins: Entry hosts whose joins get no answer.
     """
 
     def __init__(self) -> None:
@@ -84,6 +85,7 @@
         self.dropping_replies = False
         self.paths_without_reply: set[str] = set()
         self.calls: list[str] = []
+        self.hosts_without_joins: set[str] = set()
         self._topics: dict[tuple[str, int], _Partition] = {}
         self._newest: dict[tuple[str, int], dict[str, tuple[int, bytes]]] = {}
         self._groups: dict[str, _Group] = {}
@@ -152,6 +154,8 @@
             await asyncio.sleep(durations_s.get(request.path, APPEND_S))
             if self.is_down or host in self.rejected_hosts:
                 return http_server.Reply(503)
+            if request.path == "/log-join" and host in self.hosts_without_joins:
+                await asyncio.sleep(3600)
             reply = await self._answer(request)
             if request.path in self.paths_without_reply or (
                 self.dropping_replies and request.method == "POST"
