--- a/src/chervillead/machines/host_controller.py
+++ b/src/chervillead/machines/host_controller.py
@@ -16,15 +16,12 @@
 from chervillead.machines import fleet_allocator
 from chervillead.machines import host_moves
 from chervillead.machines import interface
+from chervillead.machines import wave_downtime
 from chervillead.pools import owner_state
 from chervillead.pools import ports as ports_module
 
 # Slightly shorter than the timeout of calls between entry hosts.
 CALL_TIMEOUT_S = 0.9
-# A host counts as down for this long beyond the duration of its maintenance.
-RECOVERY_MARGIN_S = 0.5
-# A command without a response may still be carried out within this time.
-LATE_COMMAND_S = 3.0
 # Interval at which spare hosts are sent to pools that lack hosts.
 ALLOCATION_INTERVAL_S = 0.1
 # Maximum age of the number of spare hosts.
@@ -77,22 +74,19 @@
         self._limits = ports.limits
         # Maintenance that a previous owner started has ended by then.
         commands_from_s = self._now_s() + max(
-            self._recovery_s, ports.limits.host_lease_s
+            wave_downtime.recovery_s(ports.limits.maintenance_s),
+            ports.limits.host_lease_s,
         )
         self._moves = host_moves.HostMoves(
             state, client, ports, commands_from_s
         )
         self._allocator = fleet_allocator.FleetAllocator(state.token)
-        self._begun: set[tuple[int, str]] = set()
-        self._down_until_s: dict[tuple[int, str], float] = {}
+        self._downtime = wave_downtime.WaveDowntime(
+            ports.clock.monotonic, ports.limits.maintenance_s
+        )
         self._logged_s = float("-inf")
         self._logged_pools: dict[str, list[int]] = {}
 
-    @property
-    def _recovery_s(self) -> float:
-        """Seconds after which a host that went down counts as up again."""
-        return self._limits.maintenance_s + RECOVERY_MARGIN_S
-
     def _now_s(self) -> float:
         return self._clock.monotonic()
 
@@ -170,7 +164,7 @@
         now_s = self._now_s()
         return any(
             host_name in wave.hosts
-            and (wave.number, host_name) not in self._begun
+            and not self._downtime.has_begun(wave.number, host_name)
             and now_s < wave.first_seen_s + wave.duration_s
             for wave in self._fleet.waves().values()
         )
@@ -205,56 +199,55 @@
         self, call: host_messages.BeginMaintenance
     ) -> host_messages.HostReply:
         """Starts the maintenance of a host within the cap of its wave."""
-        host_name, number = call.host, call.wave
-        key = number, host_name
-        if key in self._begun:
+        downtime = self._downtime
+        if downtime.has_begun(call.wave, call.host):
             return host_messages.HostReply()
         if not await self._moves.refresh(WAVE_HOSTS_MAX_AGE_S):
             return _UNREADABLE
-        if key in self._begun:
+        if downtime.has_begun(call.wave, call.host):
             return host_messages.HostReply()
-        host = self._moves.host(host_name)
+        host = self._moves.host(call.host)
         if host is not None and not self._moves.may_command(host):
             return host_messages.HostReply(STARTING)
         if _runs_other_worker(host, call.worker_id):
             return host_messages.HostReply(OTHER_WORKER)
-        wave = self._fleet.waves().get(number)
-        now_s = self._now_s()
-        if wave is None or self._count_down(wave, host_name) >= wave.cap:
+        wave = self._fleet.waves().get(call.wave)
+        if wave is None or not downtime.has_slot(
+            wave, call.host, self._moves.hosts_down()
+        ):
             return host_messages.HostReply(WAVE_FULL)
         # Counts against the cap before the response arrives, since a command
         # without a response may still be carried out.
-        self._down_until_s[key] = now_s + self._recovery_s + LATE_COMMAND_S
-        if not await self._moves.record_commands([host_name]):
-            del self._down_until_s[key]
-            return host_messages.HostReply(UNRECORDED)
-        if not self._state.has_authority():
-            # The process was suspended while the command was being recorded.
-            del self._down_until_s[key]
-            return host_messages.HostReply(STARTING)
-        if not self._allocator.is_current(call.pool, call.token):
-            del self._down_until_s[key]
-            return host_messages.HostReply(host_messages.REPLACED)
+        downtime.reserve(call.wave, call.host)
+        reason = await self._record_maintenance(call)
+        if reason:
+            downtime.release(call.wave, call.host)
+            return host_messages.HostReply(reason)
         outcome = await self._client.begin_maintenance(
-            host_name, number, self._state.token
+            call.host, call.wave, self._state.token
         )
         if pipeline.is_successful(outcome):
-            self._begun.add(key)
-            self._down_until_s[key] = self._now_s() + self._recovery_s
+            downtime.begin(call.wave, call.host)
         elif outcome.failure().rejection is not None:
-            del self._down_until_s[key]
+            downtime.release(call.wave, call.host)
         return _reply(outcome)
 
-    def _count_down(self, wave: interface.Wave, but: str) -> int:
-        """Returns how many hosts of a wave may be down, except for one."""
-        now_s = self._now_s()
-        down = {
-            name
-            for (number, name), until_s in self._down_until_s.items()
-            if number == wave.number and until_s > now_s
-        }
-        down |= self._moves.hosts_down() & set(wave.hosts)
-        return len(down - {but})
+    async def _record_maintenance(
+        self, call: host_messages.BeginMaintenance
+    ) -> str:
+        """Records that a command is about to be sent.
+
+        Returns:
+            Why the command must not be sent; empty if it may be.
+        """
+        if not await self._moves.record_commands([call.host]):
+            return UNRECORDED
+        if not self._state.has_authority():
+            # The process was suspended while the command was being recorded.
+            return STARTING
+        if not self._allocator.is_current(call.pool, call.token):
+            return host_messages.REPLACED
+        return ""
 
     async def _turn_off(
         self, call: host_messages.TurnOffHost
--- a/src/chervillead/machines/host_release.py
+++ b/src/chervillead/machines/host_release.py
@@ -11,8 +11,8 @@
 from returns import pipeline
 
 from chervillead.entries import host_messages
-from chervillead.machines import host_controller
 from chervillead.machines import hosts_owner_client
+from chervillead.machines import wave_downtime
 from chervillead.pools import partition_owner
 from chervillead.pools import pool_load
 from chervillead.pools import ports as ports_module
@@ -217,7 +217,7 @@
         )
         now_s = self._ports.clock.monotonic()
         if failure.rejection is None:
-            until_s = now_s + host_controller.LATE_COMMAND_S
+            until_s = now_s + wave_downtime.LATE_COMMAND_S
             self._unanswered_until_s[worker_id] = until_s
         elif not self._may_still_move(worker_id):
             self._paused_until_s[worker_id] = now_s + REJECTION_BACKOFF_S
--- a/src/chervillead/machines/wave_controller.py
+++ b/src/chervillead/machines/wave_controller.py
@@ -9,9 +9,9 @@
 
 from chervillead.entries import host_messages
 from chervillead.jobs import host_maintenance
-from chervillead.machines import host_controller
 from chervillead.machines import hosts_owner_client
 from chervillead.machines import interface
+from chervillead.machines import wave_downtime
 from chervillead.pools import partition_owner
 from chervillead.pools import ports as ports_module
 from chervillead.store import interface as store_interface
@@ -73,6 +73,9 @@
         self._clock = owner_ports.clock
         self._log = owner_ports.log
         self._limits = owner_ports.limits
+        self._recovery_s = wave_downtime.recovery_s(
+            owner_ports.limits.maintenance_s
+        )
         self._configuration = owner_ports.configuration
         self._reports_waves = reports_waves
         self._hosts: dict[str, interface.Host] = {}
@@ -150,11 +153,6 @@
                 }
             )
 
-    @property
-    def _recovery_s(self) -> float:
-        """Seconds after which a host that went down counts as up again."""
-        return self._limits.maintenance_s + host_controller.RECOVERY_MARGIN_S
-
     def _is_completed(self, wave: interface.Wave) -> bool:
         return self._reported.get(wave.number) is True
 
--- a/src/chervillead/pools/partition_owner.py
+++ b/src/chervillead/pools/partition_owner.py
@@ -15,7 +15,7 @@
 from chervillead.pools import owner_state
 from chervillead.pools import placement_scheduler
 from chervillead.pools import ports as ports_module
-from chervillead.pools import run_tracking
+from chervillead.pools import stalled_runs
 from chervillead.pools import worker_registry
 from chervillead.store import group_commit
 from chervillead.workers import pacing
@@ -144,7 +144,7 @@
         self._checked_s = state.now_s()
         self._workers.expire_leases()
         self._drain.evict_from_draining()
-        run_tracking.stop_stalled(state)
+        stalled_runs.stop_stalled(state)
         if state.now_s() - self._expiry_checked_s >= EXPIRY_CHECK_INTERVAL_S:
             self._expiry_checked_s = state.now_s()
             self._delete_expired_jobs()
