Keep draining a host that is already down, and evict beside a pending stop

A host whose command for maintenance got no reply may be down already, without a worker; its draining was given up, so that the worker which returned was drained once more for nothing.

--- a/src/chervillead/machines/wave_controller.py
+++ b/src/chervillead/machines/wave_controller.py
@@ -288,10 +288,11 @@
         drain = self._owner.drain
         now_s = self._clock.monotonic()
         # The worker may have been found, or replaced, since it was chosen.
+        host = self._hosts[draining.name]
+        is_replaced = host.worker_id != draining.worker_id
         if (
-            not drain.cordon(draining.worker_id, CORDON_REASON)
-            or self._hosts[draining.name].worker_id != draining.worker_id
-        ):
+            is_replaced and host.state is interface.HostState.UP
+        ) or not drain.cordon(draining.worker_id, CORDON_REASON):
             self._cancel_draining(draining, now_s + REJECTION_BACKOFF_S)
             return
         if not drain.are_runs_known(draining.worker_id):
@@ -310,7 +311,7 @@
                 draining.name,
                 wave.number,
                 draining.worker_id,
-                self._hosts[draining.name].pool,
+                host.pool,
                 self._owner.state.token,
             )
         )
--- a/src/chervillead/pools/host_drain.py
+++ b/src/chervillead/pools/host_drain.py
@@ -112,7 +112,9 @@
             if not watch.view.registration.is_draining:
                 continue
             for run in list(watch.view.runs.values()):
-                if self._is_long_running(run) and not run.stop_requested:
+                is_stopping = run.stop_requested and not run.needs_budget
+                if self._is_long_running(run) and not is_stopping:
+                    run.needs_budget = False
                     run_stopping.stop_run(
                         self._state, run, "its worker is draining"
                     )
