Say each thing once in the code of the availability budgets, and split what grew

Behaviour is meant to stay; one reply differs: a host whose release is recorded while its owner lost its authority is answered `starting` like maintenance, and not by the failed move.

--- a/src/chervillead/entries/dispatcher.py
+++ b/src/chervillead/entries/dispatcher.py
@@ -184,7 +184,7 @@
             if not isinstance(reply, messages.Waiting):
                 self._notify(entry_host, reply)
 
-    def adopt(self, slot: slots_module.HeldSlot) -> None:
+    def restore_grant(self, slot: slots_module.HeldSlot) -> None:
         """Adds the grant of a running task that no entry host has reported."""
         self._allocator.refresh_configuration()
         if slot.grant_id not in self._grants:
--- a/src/chervillead/entries/host_tasks.py
+++ b/src/chervillead/entries/host_tasks.py
@@ -5,7 +5,6 @@
 from chervillead import http_exchange
 from chervillead import settings as settings_module
 from chervillead import types
-from chervillead.entries import adoption
 from chervillead.entries import config_sync
 from chervillead.entries import host as host_module
 from chervillead.entries import leadership
@@ -13,6 +12,7 @@
 from chervillead.entries import recovery
 from chervillead.entries import seat_manager
 from chervillead.entries import streams
+from chervillead.entries import task_recovery
 from chervillead.entries import transfers
 from chervillead.fleet import log_client
 from chervillead.fleet import log_reader
@@ -32,7 +32,7 @@
     dial: http_exchange.Dial = http_exchange.dial,
     listen: http_exchange.Listen = http_exchange.listen,
     is_task_finished: recovery.IsTaskFinished,
-    read_tasks: adoption.ReadTasks,
+    read_tasks: task_recovery.ReadTasks,
 ) -> None:
     """Listens for peers, dials them and holds a seat, until cancelled."""
 
@@ -78,7 +78,7 @@
             )
             _start_recovery(tasks, host, settings, reader, is_task_finished)
             tasks.create_task(
-                adoption.adopt_running(
+                task_recovery.recover_running(
                     host.leader_role, reader, settings.zone, read_tasks
                 )
             )
--- a/src/chervillead/entries/leader_role.py
+++ b/src/chervillead/entries/leader_role.py
@@ -52,7 +52,7 @@
         self._clock = clock
         self._post = post
         self._successor: str | None = None
-        self._adopted_incarnation: int | None = None
+        self._recovered_incarnation: int | None = None
         self._leadership = leadership_module.Leadership(
             zone=zone, reader=reader, peers=peers, clock=clock
         )
@@ -111,23 +111,24 @@
     def may_grant(self) -> bool:
         """Returns whether the dispatcher may grant right now.
 
-        A new leader first adopts the running tasks of its zone's upstreams: an
-        entry host that can't reach the leader can't report its held grants.
+        A new leader first recovers the running tasks of its zone's upstreams:
+        an entry host that can't reach the leader can't report its held grants.
         """
         return (
             self._leadership.has_authority()
-            and self._adopted_incarnation == self._leadership.active_incarnation
+            and self._recovered_incarnation
+            == self._leadership.active_incarnation
         )
 
-    def record_adoption(self, incarnation: int) -> None:
-        """Records that an incarnation has adopted the running tasks."""
-        self._adopted_incarnation = incarnation
+    def record_recovery(self, incarnation: int) -> None:
+        """Records that an incarnation has recovered the running tasks."""
+        self._recovered_incarnation = incarnation
         self._dispatcher.grant_waiting()
 
     @property
-    def adopted_incarnation(self) -> int | None:
-        """Incarnation that has adopted the running tasks of the upstreams."""
-        return self._adopted_incarnation
+    def recovered_incarnation(self) -> int | None:
+        """Incarnation that has recovered the running tasks of the upstreams."""
+        return self._recovered_incarnation
 
     def answer_claim(
         self, message: messages.Claim | messages.Lookup
--- a/src/chervillead/entries/adoption.py
+++ b/src/chervillead/entries/task_recovery.py
@@ -1,4 +1,4 @@
-"""Adoption of the tasks that upstreams run, before a new dispatcher grants.
+"""Recovery of the tasks that upstreams run, before a new dispatcher grants.
 
 Entry hosts report their grants, but one that is partitioned from the new
 dispatcher can't. Its tasks keep running and use units of their teams' limits,
@@ -26,13 +26,13 @@
 UNKNOWN_ENTRY_HOST = ""
 
 
-async def adopt_running(
+async def recover_running(
     leader_role: leader_role_module.LeaderRole,
     reader: log_reader.LogReader,
     zone: str,
     read_tasks: ReadTasks,
 ) -> None:
-    """Adopts the running tasks of the zone's upstreams, until cancelled.
+    """Recovers the running tasks of the zone's upstreams, until cancelled.
 
     Runs once for each incarnation of this process that becomes the zone's
     dispatcher, unless the previous one handed over its complete state.
@@ -41,19 +41,19 @@
         incarnation = leader_role.leadership.active_incarnation
         if (
             incarnation is not None
-            and leader_role.adopted_incarnation != incarnation
+            and leader_role.recovered_incarnation != incarnation
         ):
             if not leader_role.leadership.had_complete_handover:
                 hosts = reader.configuration.hosts.items()
                 names = [name for name, host in hosts if host.zone == zone]
                 await asyncio.gather(
-                    *(_adopt(leader_role, name, read_tasks) for name in names)
+                    *(_recover(leader_role, name, read_tasks) for name in names)
                 )
-            leader_role.record_adoption(incarnation)
+            leader_role.record_recovery(incarnation)
         await asyncio.sleep(CHECK_INTERVAL_S)
 
 
-async def _adopt(
+async def _recover(
     leader_role: leader_role_module.LeaderRole,
     upstream: str,
     read_tasks: ReadTasks,
@@ -62,7 +62,7 @@
     if tasks is None:
         eliot.log_message("entries:running-tasks-unknown", upstream=upstream)
     for task in tasks or ():
-        leader_role.dispatcher.adopt(
+        leader_role.dispatcher.restore_grant(
             slots.HeldSlot(
                 task.grant_id,
                 upstream,
--- a/src/chervillead/machines/host_controller.py
+++ b/src/chervillead/machines/host_controller.py
@@ -209,7 +209,7 @@
         host = self._moves.host(call.host)
         if host is not None and not self._moves.may_command(host):
             return host_messages.HostReply(STARTING)
-        if _runs_other_worker(host, call.worker_id):
+        if host is not None and host.runs_other_worker(call.worker_id):
             return host_messages.HostReply(OTHER_WORKER)
         wave = self._fleet.waves().get(call.wave)
         if wave is None or not downtime.has_slot(
@@ -219,7 +219,7 @@
         # Counts against the cap before the response arrives, since a command
         # without a response may still be carried out.
         downtime.reserve(call.wave, call.host)
-        reason = await self._record_maintenance(call)
+        reason = await self._record_command(call.host, call)
         if reason:
             downtime.release(call.wave, call.host)
             return host_messages.HostReply(reason)
@@ -232,15 +232,17 @@
             downtime.release(call.wave, call.host)
         return _reply(outcome)
 
-    async def _record_maintenance(
-        self, call: host_messages.BeginMaintenance
+    async def _record_command(
+        self,
+        host_name: str,
+        call: host_messages.BeginMaintenance | host_messages.TurnOffHost,
     ) -> str:
-        """Records that a command is about to be sent.
+        """Records that a command for a host is about to be sent.
 
         Returns:
             Why the command must not be sent; empty if it may be.
         """
-        if not await self._moves.record_commands([call.host]):
+        if not await self._moves.record_commands([host_name]):
             return UNRECORDED
         if not self._state.has_authority():
             # The process was suspended while the command was being recorded.
@@ -266,10 +268,9 @@
             )
         if not self._moves.may_command(host):
             return host_messages.HostReply(STARTING)
-        if not await self._moves.record_commands([host.name]):
-            return host_messages.HostReply(UNRECORDED)
-        if not self._allocator.is_current(call.pool, call.token):
-            return host_messages.HostReply(host_messages.REPLACED)
+        reason = await self._record_command(host.name, call)
+        if reason:
+            return host_messages.HostReply(reason)
         pool = self._destination(host)
         if pool is not None:
             outcome = await self._send(host, pool)
@@ -291,18 +292,6 @@
         return self._allocator.destination(host.pool, self._now_s())
 
 
-def _runs_other_worker(host: interface.Host | None, worker_id: str) -> bool:
-    """Returns whether a host is up with another worker than the drained one.
-
-    That one has crashed, or the host was moved, and its tasks may run there.
-    """
-    return (
-        host is not None
-        and host.state is interface.HostState.UP
-        and host.worker_id != worker_id
-    )
-
-
 def _reply(outcome: host_moves.Outcome) -> host_messages.HostReply:
     if pipeline.is_successful(outcome):
         return host_messages.HostReply()
--- a/src/chervillead/machines/hosts_owner_client.py
+++ b/src/chervillead/machines/hosts_owner_client.py
@@ -78,18 +78,10 @@
             )
         )
 
-    async def begin_maintenance(
-        request: host_messages.BeginMaintenance,
-    ) -> Outcome:
-        return await send_command(request)
-
-    async def turn_off(request: host_messages.TurnOffHost) -> Outcome:
-        return await send_command(request)
-
     async def report_load(
         report: host_messages.ReportLoad,
     ) -> host_messages.HostReply | None:
         outcome = await call_owner(report)
         return outcome.value_or(None)
 
-    return HostsOwnerClient(begin_maintenance, turn_off, report_load)
+    return HostsOwnerClient(send_command, send_command, report_load)
--- a/src/chervillead/machines/interface.py
+++ b/src/chervillead/machines/interface.py
@@ -15,7 +15,7 @@
 
     UP = "up"
     MOVING = "moving"
-    MAINTENANCE = "upkeep"
+    MAINTENANCE = "maintenance"
     DOWN = "down"
 
 
@@ -40,6 +40,13 @@
     capacity: model.Resources
     worker_id: str
 
+    def runs_other_worker(self, worker_id: str) -> bool:
+        """Returns whether the host is up with another worker than this one.
+
+        That one has crashed or its host was moved; tasks may run on the other.
+        """
+        return self.state is HostState.UP and self.worker_id != worker_id
+
 
 class Wave(typing.NamedTuple):
     """A maintenance wave: hosts that are due for maintenance together.
--- a/src/chervillead/machines/wave_controller.py
+++ b/src/chervillead/machines/wave_controller.py
@@ -12,19 +12,17 @@
 from chervillead.machines import hosts_owner_client
 from chervillead.machines import interface
 from chervillead.machines import wave_downtime
+from chervillead.machines import wave_hosts
 from chervillead.pools import partition_owner
 from chervillead.pools import ports as ports_module
 from chervillead.store import interface as store_interface
 
-MAINTENANCE_TOPIC = "keyed.upkeep"
 INTERVAL_S = 0.25
 IDLE_INTERVAL_S = 0.5
-# Interval at which the list of hosts is read while a wave is in progress.
-HOST_LIST_INTERVAL_S = 1.0
 # How long batch tasks may take to end on a host that is being drained.
 BATCH_GRACE_PERIOD_S = 4.0
 REJECTION_BACKOFF_S = 0.5
-CORDON_REASON = "upkeep"
+CORDON_REASON = "maintenance"
 
 
 class WavePorts(typing.NamedTuple):
@@ -78,11 +76,9 @@
         )
         self._configuration = owner_ports.configuration
         self._reports_waves = reports_waves
-        self._hosts: dict[str, interface.Host] = {}
-        # Asked for each worker several times a second.
-        self._host_of_worker: dict[str, str] = {}
-        self._listed_s = float("-inf")
-        self._done: set[tuple[int, str]] = set()
+        self._hosts = wave_hosts.WaveHosts(
+            ports.list_hosts, ports.store, owner_ports.clock.monotonic
+        )
         self._down_until_s: dict[str, float] = {}
         self._draining: dict[str, _DrainingHost] = {}
         self._paused_until_s: dict[str, float] = {}
@@ -97,13 +93,13 @@
         previous owner may just have taken down.
         """
         while True:
-            if self._owner.workers.has_uncontacted_workers():
+            if self._owner.recovery.has_uncontacted_workers():
                 await self._apply_host_list()
             waves = [
                 w for w in self._ports.waves() if not self._is_completed(w)
             ]
             if waves and self._is_responsible():
-                await self._refresh()
+                await self._hosts.refresh()
                 for wave in waves:
                     await self._advance(wave)
             await asyncio.sleep(INTERVAL_S if waves else IDLE_INTERVAL_S)
@@ -129,9 +125,9 @@
         ]
         if not waves:
             return False
-        name = self._host_of_worker.get(worker_id)
+        name = self._hosts.name_of(worker_id)
         return name is None or any(
-            name in wave.hosts and (wave.number, name) not in self._done
+            name in wave.hosts and not self._hosts.has_begun(wave.number, name)
             for wave in waves
         )
 
@@ -156,32 +152,15 @@
     def _is_completed(self, wave: interface.Wave) -> bool:
         return self._reported.get(wave.number) is True
 
-    async def _refresh(self) -> None:
-        """Reads the list of hosts and the record of begun maintenance."""
-        now_s = self._clock.monotonic()
-        if now_s - self._listed_s < HOST_LIST_INTERVAL_S:
-            return
-        listed = await self._ports.list_hosts()
-        done = await self._ports.store.read_latest(MAINTENANCE_TOPIC, 0)
-        if pipeline.is_successful(listed) and pipeline.is_successful(done):
-            self._hosts = {host.name: host for host in listed.unwrap()}
-            self._host_of_worker = {
-                host.worker_id: host.name for host in listed.unwrap()
-            }
-            self._listed_s = now_s
-            for record in done.unwrap().records:
-                wave, _, name = record.key.partition("/")
-                self._done.add((int(wave), name))
-
     async def _advance(self, wave: interface.Wave) -> None:
-        if not self._hosts:
+        if not self._hosts.by_name:
             return
         if self._reports_waves:
             await self._report(wave)
         due = [
-            self._hosts[name]
-            for name in wave.hosts
-            if name in self._hosts and (wave.number, name) not in self._done
+            host
+            for host in self._hosts.of_wave(wave)
+            if not self._hosts.has_begun(wave.number, host.name)
         ]
         owned = [host for host in due if self._owns_pool(host.pool)]
         slots = self._free_slots(wave, due)
@@ -199,8 +178,9 @@
         a host of another pool that stays away.
         """
         now_s = self._clock.monotonic()
+        hosts = self._hosts.by_name
         counts = collections.Counter(
-            self._hosts[name].pool for name in wave.hosts if name in self._hosts
+            host.pool for host in self._hosts.of_wave(wave)
         )
         due_pools = {host.pool for host in due}
         for pool in counts:
@@ -218,16 +198,15 @@
             for name, until_s in self._down_until_s.items()
             if now_s < until_s
         } | {
-            name
-            for name in wave.hosts
-            if name in self._hosts
-            and self._hosts[name].state is interface.HostState.MAINTENANCE
+            host.name
+            for host in self._hosts.of_wave(wave)
+            if host.state is interface.HostState.MAINTENANCE
         }
-        for name in down & self._hosts.keys():
-            pool = self._hosts[name].pool
+        for name in down & hosts.keys():
+            pool = hosts[name].pool
             free_slots[pool] = free_slots.get(pool, 0) - 1
         for draining in self._draining.values():
-            pool = self._hosts[draining.name].pool
+            pool = hosts[draining.name].pool
             free_slots[pool] = free_slots.get(pool, 0) - 1
         return free_slots
 
@@ -263,7 +242,7 @@
                 pending_tasks=self._owner.drain.count_pending_tasks(pool),
             )
             for name in chosen:
-                worker_id = self._hosts[name].worker_id
+                worker_id = self._hosts.by_name[name].worker_id
                 if not self._owner.drain.cordon(worker_id, CORDON_REASON):
                     continue
                 self._draining[name] = _DrainingHost(
@@ -287,22 +266,21 @@
         """Stops long-running tasks within budget; then begins maintenance."""
         drain = self._owner.drain
         now_s = self._clock.monotonic()
+        host = self._hosts.by_name[draining.name]
         # The worker may have been found, or replaced, since it was chosen.
-        host = self._hosts[draining.name]
-        is_replaced = host.worker_id != draining.worker_id
-        if (
-            is_replaced and host.state is interface.HostState.UP
-        ) or not drain.cordon(draining.worker_id, CORDON_REASON):
+        if host.runs_other_worker(draining.worker_id) or not drain.cordon(
+            draining.worker_id, CORDON_REASON
+        ):
             self._cancel_draining(draining, now_s + REJECTION_BACKOFF_S)
             return
         if not drain.are_runs_known(draining.worker_id):
             return
-        drain.stop_long_running(draining.worker_id, "upkeep")
+        drain.stop_long_running(draining.worker_id, CORDON_REASON)
         batch, long_running = drain.task_counts(draining.worker_id)
         is_in_grace_period = now_s - draining.since_s < BATCH_GRACE_PERIOD_S
         if long_running or (batch and is_in_grace_period):
             return
-        if self._owner.drain.has_unrecorded_ends(draining.worker_id):
+        if drain.has_unrecorded_ends(draining.worker_id):
             return
         if not self._owner.state.has_authority():
             return
@@ -330,7 +308,7 @@
             interface.RejectionReason.NOT_IN_WAVE,
             interface.RejectionReason.UNKNOWN,
         ):
-            self._done.add((wave.number, draining.name))
+            self._hosts.mark_begun(wave.number, draining.name)
         if failure.rejection is not None:
             self._cancel_draining(draining, now_s + REJECTION_BACKOFF_S)
 
@@ -338,7 +316,7 @@
         self, draining: _DrainingHost, wave: interface.Wave
     ) -> None:
         now_s = self._clock.monotonic()
-        self._done.add((wave.number, draining.name))
+        self._hosts.mark_begun(wave.number, draining.name)
         self._down_until_s[draining.name] = now_s + self._recovery_s
         self._draining.pop(draining.name, None)
         if await self._is_down(draining):
@@ -352,15 +330,13 @@
             wave=wave.number,
             token=self._owner.state.token,
         )
-        key = f"{wave.number}/{draining.name}"
-        record = store_interface.KeyedRecord(key, b"begun")
-        stored = await self._ports.store.append(
-            MAINTENANCE_TOPIC, 0, (record,), None
-        )
-        if not pipeline.is_successful(stored):
+        failure = await self._hosts.record_begun(wave.number, draining.name)
+        if failure is not None:
             # A later owner repeats the command, which has no effect.
             self._log(
-                "maintenance:unrecorded", key=key, error=stored.failure().detail
+                "maintenance:unrecorded",
+                key=wave_hosts.record_key(wave.number, draining.name),
+                error=failure.detail,
             )
 
     async def _is_down(self, draining: _DrainingHost) -> bool:
@@ -386,9 +362,8 @@
     async def _report(self, wave: interface.Wave) -> None:
         """Publishes the status of a wave for operators when it changes."""
         is_done = all(
-            (wave.number, name) in self._done
-            for name in wave.hosts
-            if name in self._hosts
+            self._hosts.has_begun(wave.number, host.name)
+            for host in self._hosts.of_wave(wave)
         )
         if self._reported.get(wave.number) == is_done:
             return
--- a/src/chervillead/pools/host_drain.py
+++ b/src/chervillead/pools/host_drain.py
@@ -2,6 +2,7 @@
 
 from chervillead.jobs import task_runs
 from chervillead.pools import owner_state
+from chervillead.pools import recovery
 from chervillead.pools import run_stopping
 from chervillead.pools import worker_registry
 
@@ -13,9 +14,11 @@
         self,
         state: owner_state.OwnerState,
         workers: worker_registry.WorkerRegistry,
+        owner_recovery: recovery.OwnerRecovery,
     ) -> None:
         self._state = state
         self._workers = workers
+        self._recovery = owner_recovery
 
     def count_pending_tasks(self, pool: str) -> int:
         """Returns how many tasks of a pool are pending and not blocked.
@@ -58,7 +61,7 @@
 
     def are_runs_known(self, worker_id: str) -> bool:
         """Returns whether all that runs on a worker is known."""
-        return self._workers.are_runs_known(worker_id)
+        return self._recovery.are_runs_known(worker_id)
 
     def task_counts(self, worker_id: str) -> tuple[int, int]:
         """Returns the numbers of batch and long-running tasks on a worker."""
--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -59,6 +59,8 @@
             started.
         unreadable_jobs: Ids of jobs whose stored spec couldn't be decoded. Runs
             of them go on: another build may be able to read it.
+        awaiting_renewal: Ids of workers on which nothing is started before the
+            ownership has been renewed.
         ended_workers: Ids of workers that certainly run nothing any more.
         taken_down_incarnations: Incarnation, by worker id, of workers whose
             hosts this owner took down. The store lists them for a while longer.
@@ -91,6 +93,7 @@
         self.watches: dict[str, watch_module.WorkerWatch] = {}
         self.recovering_jobs: set[str] = set()
         self.unreadable_jobs: set[str] = set()
+        self.awaiting_renewal: set[str] = set()
         self.ended_workers: set[str] = set()
         self.taken_down_incarnations: dict[str, int] = {}
         self.crashed_s: dict[types.Address, float] = {}
@@ -203,23 +206,6 @@
         """Returns whether commands that end running work may be sent now."""
         return self.is_owner() and not self._writer.failure_duration_s()
 
-    def await_renewal(self, view: view_module.WorkerView) -> None:
-        """Starts nothing on a worker's process until the ownership is renewed.
-
-        If another host owns the partition by now, this process hasn't seen the
-        new owner's token, so it would carry out commands of both.
-        """
-        view.awaited_renewal = self._ownership.request_renewal()
-
-    def apply_renewal(self, number: int) -> None:
-        """Applies a confirmed renewal of the ownership."""
-        for worker_id, watch in self.watches.items():
-            awaited = watch.view.awaited_renewal
-            if awaited is not None and awaited <= number:
-                watch.view.awaited_renewal = None
-                self.changed_workers.add(worker_id)
-                self.wake()
-
     def step_of(self, run: task_runs.Run) -> model.Step | None:
         """Returns the step of a run, or None if the run's job is unknown."""
         job = self.jobs.get(run.job_id)
--- a/src/chervillead/pools/ownership.py
+++ b/src/chervillead/pools/ownership.py
@@ -16,9 +16,11 @@
 from chervillead.pools import group_members
 from chervillead.pools import owner_role
 from chervillead.pools import owner_state
+from chervillead.pools import ownership_checks
 from chervillead.pools import partition_owner
 from chervillead.pools import pool_partitions
 from chervillead.pools import ports as ports_module
+from chervillead.pools import renewal_requests
 from chervillead.pools import takeover
 from chervillead.store import group_commit
 from chervillead.store import interface as store_interface
@@ -26,8 +28,6 @@
 # A shorter time speeds up failover; a longer one survives pauses of the store.
 MEMBERSHIP_TTL_S = 2.5
 RENEWAL_INTERVAL_S = 0.5
-# Shortest time between two renewals that are asked for.
-MIN_RENEWAL_INTERVAL_S = 0.05
 # Delay before the next attempt after a failed call about the membership.
 MEMBERSHIP_RETRY_S = 0.15
 # How often a host that stands by looks at the list of owners.
@@ -75,8 +75,7 @@
         self._may_be_member = False
         self._is_group_lost = False
         self._is_store_unavailable = False
-        self._renewal_requested = asyncio.Event()
-        self._renewals_sent = 0
+        self._renewals = renewal_requests.RenewalRequests()
         self._on_change: abc.Callable[[], None] = lambda: None
 
     @property
@@ -123,23 +122,7 @@
             if delay_s < RENEWAL_INTERVAL_S:
                 await asyncio.sleep(delay_s)
             else:
-                await self._wait_for_renewal()
-
-    def _request_renewal(self) -> int:
-        """Asks for a renewal; returns the number of the next one."""
-        self._renewal_requested.set()
-        return self._renewals_sent + 1
-
-    async def _wait_for_renewal(self) -> None:
-        """Waits until the next renewal is due or asked for."""
-        await asyncio.sleep(MIN_RENEWAL_INTERVAL_S)
-        try:
-            async with asyncio.timeout(
-                RENEWAL_INTERVAL_S - MIN_RENEWAL_INTERVAL_S
-            ):
-                await self._renewal_requested.wait()
-        except TimeoutError:
-            pass
+                await self._renewals.wait(RENEWAL_INTERVAL_S)
 
     async def leave(self) -> None:
         """Gives up all partitions and leaves the group."""
@@ -150,8 +133,7 @@
 
     async def _renew(self) -> float:
         """Joins or renews, and returns the delay before the next renewal."""
-        self._renewal_requested.clear()
-        self._renewals_sent += 1
+        number = self._renewals.begin()
         sent_s = self._boot_time()
         self._may_be_member = True
         outcome = await self._ports.store.join(
@@ -175,7 +157,7 @@
             return MEMBERSHIP_RETRY_S
         self._apply_membership(outcome.unwrap(), sent_s)
         for owner in self._owners.values():
-            owner.state.apply_renewal(self._renewals_sent)
+            ownership_checks.apply_renewal(owner.state, number)
         return RENEWAL_INTERVAL_S
 
     async def _stand_by(self) -> float:
@@ -267,7 +249,7 @@
             owner_state.OwnershipStatus(
                 self.is_confirmed,
                 lambda: self._is_store_unavailable,
-                self._request_renewal,
+                self._renewals.request,
             ),
         )
         self._owners[partition] = owner
--- a/src/chervillead/pools/partition_owner.py
+++ b/src/chervillead/pools/partition_owner.py
@@ -15,6 +15,7 @@
 from chervillead.pools import owner_state
 from chervillead.pools import placement_scheduler
 from chervillead.pools import ports as ports_module
+from chervillead.pools import recovery
 from chervillead.pools import stalled_runs
 from chervillead.pools import worker_registry
 from chervillead.store import group_commit
@@ -56,8 +57,13 @@
             partition, token, writer, ports, ownership
         )
         self._operations = job_operations.JobOperations(self._state)
-        self._workers = worker_registry.WorkerRegistry(self._state)
-        self._drain = host_drain.HostDrain(self._state, self._workers)
+        self._recovery = recovery.OwnerRecovery(self._state)
+        self._workers = worker_registry.WorkerRegistry(
+            self._state, self._recovery
+        )
+        self._drain = host_drain.HostDrain(
+            self._state, self._workers, self._recovery
+        )
         self._advice_cache = advice_cache.AdviceCache(self._state)
         self._placement = placement_scheduler.PlacementScheduler(
             self._state, self._advice_cache.tickets
@@ -80,6 +86,11 @@
         """Workers of the partition's pools."""
         return self._workers
 
+    @property
+    def recovery(self) -> recovery.OwnerRecovery:
+        """Whether all runs of earlier owners are known."""
+        return self._recovery
+
     @property
     def drain(self) -> host_drain.HostDrain:
         """Cordons and drains workers, for host maintenance and resizing."""
@@ -131,7 +142,7 @@
         is_check_due = state.now_s() - self._checked_s >= CHECK_INTERVAL_S
         if is_check_due:
             self._check_all()
-        self._workers.finish_recovery()
+        self._recovery.finish()
         pacing.pace_workers(self._changed_watches(), state.step_of)
         self._placement.refresh_workers(look_at_all=is_check_due)
         configuration = state.ports.configuration()
--- a/src/chervillead/pools/placement_pass.py
+++ b/src/chervillead/pools/placement_pass.py
@@ -3,51 +3,29 @@
 Built for bursts that exceed the capacity of a pool. Jobs are placed in the
 order of `jobs.ordering`; a long-running task that does not fit preempts batch
 tasks, and speculative copies of stragglers use only idle capacity.
-
-Room only shrinks during a pass. So once a task finds none, the pass skips the
-tasks that need as much or more, instead of trying them on every worker.
 """
 
 from collections import abc
-import enum
 import itertools
 
-from chervillead import types
 from chervillead.jobs import crash_evidence
 from chervillead.jobs import job_state
 from chervillead.jobs import model
 from chervillead.jobs import placement
 from chervillead.jobs import quotas
 from chervillead.jobs import readiness
-from chervillead.jobs import room_index
 from chervillead.jobs import speculation
 from chervillead.jobs import task_runs
 from chervillead.jobs import waiting_jobs
 from chervillead.pools import owner_state
 from chervillead.pools import run_stopping
 from chervillead.pools import schedulable_workers
-
-Tickets = abc.Callable[
-    [job_state.JobState, model.TaskKey], abc.Mapping[str, str] | None
-]
+from chervillead.pools import worker_selection
 
 # Calls of other hosts wait while a pass runs.
 MAX_PASS_S = 0.03
 
 
-class _Verdict(enum.Enum):
-    """What a pass found for a task or a gang."""
-
-    STARTED = "started"
-    OVER_QUOTA = "over-quota"
-    # No room for any task of the step.
-    NO_ROOM = "no-room"
-    # No room on the workers that this task may use.
-    NO_ROOM_FOR_TASK = "no-room-for-task"
-    # No worker without tasks yet, for a task that may crash its worker.
-    NO_IDLE_WORKER = "no-idle-worker"
-
-
 class PlacementPass:
     """One pass over the tasks that are ready."""
 
@@ -55,7 +33,7 @@
         self,
         state: owner_state.OwnerState,
         configuration: model.FleetConfiguration,
-        tickets: Tickets,
+        tickets: worker_selection.Tickets,
         workers: schedulable_workers.SchedulableWorkers,
         waiting: waiting_jobs.WaitingJobs,
     ) -> None:
@@ -65,9 +43,10 @@
         self._workers = workers
         self._waiting = waiting
         self._now_s = state.now_s()
+        self._selection = worker_selection.WorkerSelection(
+            state, tickets, workers, self._now_s
+        )
         self._full_pools: set[str] = set()
-        # Smallest amounts that found no room, by pool and required label.
-        self._unplaceable: dict[tuple[str, str], list[model.Resources]] = {}
 
     def run(self, *, is_thorough: bool, skip: int = 0) -> int:
         """Starts all tasks that may start now.
@@ -112,7 +91,10 @@
         """Starts tasks of a step until no further one can start."""
         for ready in step.ready_tasks():
             verdict = self._place([ready])
-            if verdict in (_Verdict.OVER_QUOTA, _Verdict.NO_ROOM):
+            if verdict in (
+                worker_selection.Verdict.OVER_QUOTA,
+                worker_selection.Verdict.NO_ROOM,
+            ):
                 return
 
     def _ordered_jobs(
@@ -161,7 +143,9 @@
         )
         return any(watch and watch.view.is_refused for watch in watches)
 
-    def _place(self, group: list[readiness.ReadyTask]) -> _Verdict:
+    def _place(
+        self, group: list[readiness.ReadyTask]
+    ) -> worker_selection.Verdict:
         """Starts a single task or a gang if all of its tasks fit."""
         first = group[0]
         account = first.job.spec.account
@@ -169,11 +153,11 @@
         if not quotas.is_within_quota(
             self._configuration, account, self._state.usage_by_account, need
         ):
-            return _Verdict.OVER_QUOTA
-        chosen = self._select_workers(group)
-        if chosen is _Verdict.NO_IDLE_WORKER:
+            return worker_selection.Verdict.OVER_QUOTA
+        chosen = self._selection.select(group)
+        if chosen is worker_selection.Verdict.NO_IDLE_WORKER:
             return chosen
-        if isinstance(chosen, _Verdict):
+        if isinstance(chosen, worker_selection.Verdict):
             self._full_pools.add(first.job.spec.pool)
             if first.step.long_running:
                 self._preempt(first)
@@ -184,133 +168,7 @@
             self._start(
                 ready, worker_id, number if first.step.gang else task_number
             )
-        return _Verdict.STARTED
-
-    def _select_workers(
-        self, group: list[readiness.ReadyTask]
-    ) -> list[str] | _Verdict:
-        """Returns a worker for each task of a group."""
-        first = group[0]
-        index = self._workers.in_pool(first.job.spec.pool)
-        if crash_evidence.needs_isolation(first.job, first.task):
-            return self._select_isolated(first, index)
-        if len(group) == 1:
-            return self._select_worker(first, index)
-        # Asks for tickets even if there is no room yet.
-        candidates = self._candidates(first, index)
-        if self._is_unplaceable(first):
-            return _Verdict.NO_ROOM
-        chosen = placement.select_gang_workers(
-            candidates, first.step, _step_key(first), len(group)
-        )
-        return _Verdict.NO_ROOM if chosen is None else chosen
-
-    def _select_worker(
-        self, ready: readiness.ReadyTask, index: room_index.RoomIndex
-    ) -> list[str] | _Verdict:
-        tickets = self._tickets(ready.job, ready.task)
-        if self._is_unplaceable(ready):
-            return _Verdict.NO_ROOM
-        rack = _current_rack(self._state, ready)
-        best = index.select(ready.step, _step_key(ready), preferred_rack=rack)
-        if best is None:
-            self._record_unplaceable(ready)
-            return _Verdict.NO_ROOM
-        excluded = _occupied_workers(ready) | ready.job.failed_workers.get(
-            ready.task, set()
-        )
-        if tickets is not None or best.worker_id in excluded:
-            best = placement.select_worker(
-                self._candidates(ready, index),
-                ready.step,
-                _step_key(ready),
-                preferred_rack=rack,
-            )
-        return _Verdict.NO_ROOM_FOR_TASK if best is None else [best.worker_id]
-
-    def _select_isolated(
-        self, ready: readiness.ReadyTask, index: room_index.RoomIndex
-    ) -> list[str] | _Verdict:
-        """Returns a worker for a task that may crash it.
-
-        One that crashed under the task before may crash for another reason, so
-        it tells little about the task and is the last choice; a long-running
-        task, which isn't given up, rather runs there than beside others.
-        """
-        may_wait = crash_evidence.may_wait_for_idle_worker(
-            ready.job, ready.task, self._now_s
-        )
-        candidates = self._candidates(ready, index)
-        crashed = ready.job.crash_addresses.get(ready.task, set())
-        others = [
-            snapshot
-            for snapshot in candidates
-            if self._address_of(snapshot.worker_id) not in crashed
-        ]
-        choices = [(others, False)]
-        if ready.step.long_running:
-            choices.append((candidates, False))
-        if not may_wait:
-            choices += [(others, True), (candidates, True)]
-        for workers, accept_busy in choices:
-            best = placement.select_isolated_worker(
-                workers,
-                ready.step,
-                _step_key(ready),
-                accept_busy=accept_busy,
-            )
-            if best is not None:
-                return [best.worker_id]
-        return (
-            _Verdict.NO_IDLE_WORKER if may_wait else _Verdict.NO_ROOM_FOR_TASK
-        )
-
-    def _address_of(self, worker_id: str) -> types.Address:
-        return self._state.watches[worker_id].view.registration.address
-
-    def _is_unplaceable(self, ready: readiness.ReadyTask) -> bool:
-        """Returns whether a task that needs no more has found no room."""
-        key = ready.job.spec.pool, ready.step.required_label
-        need = ready.step.reserved
-        return any(need.covers(n) for n in self._unplaceable.get(key, ()))
-
-    def _record_unplaceable(self, ready: readiness.ReadyTask) -> None:
-        """Records that a task found no room on any worker of its pool."""
-        if ready.step.max_per_worker:
-            # Tasks of other steps may still fit.
-            return
-        key = ready.job.spec.pool, ready.step.required_label
-        need = ready.step.reserved
-        known = self._unplaceable.get(key, ())
-        self._unplaceable[key] = [
-            need,
-            *(other for other in known if not other.covers(need)),
-        ]
-
-    def _candidates(
-        self, ready: readiness.ReadyTask, index: room_index.RoomIndex
-    ) -> list[placement.WorkerSnapshot]:
-        """Returns the workers that could take a task once they have room.
-
-        Workers on which the task has failed are left out while there are
-        others.
-        """
-        occupied = _occupied_workers(ready)
-        tickets = self._tickets(ready.job, ready.task)
-        eligible = [
-            snapshot
-            for snapshot in index.workers
-            if snapshot.worker_id not in occupied
-            and (tickets is None or snapshot.worker_id in tickets)
-            and placement.is_suitable(snapshot, ready.step)
-        ]
-        avoided = ready.job.failed_workers.get(ready.task, set())
-        others = [
-            snapshot
-            for snapshot in eligible
-            if snapshot.worker_id not in avoided
-        ]
-        return others or eligible
+        return worker_selection.Verdict.STARTED
 
     def _start(
         self, ready: readiness.ReadyTask, worker_id: str, number: int
@@ -346,8 +204,7 @@
         if not self._state.has_authority():
             return
         options = []
-        index = self._workers.in_pool(ready.job.spec.pool)
-        for snapshot in self._candidates(ready, index):
+        for snapshot in self._selection.candidates(ready):
             watch = self._state.watches[snapshot.worker_id]
             runs = [
                 run
@@ -355,7 +212,11 @@
                 if not self._is_long_running(run)
             ]
             victims = placement.select_preemption_victims(
-                snapshot, ready.step, _step_key(ready), runs, self._now_s
+                snapshot,
+                ready.step,
+                worker_selection.step_key(ready),
+                runs,
+                self._now_s,
             )
             if victims is not None:
                 options.append((len(victims), snapshot.worker_id, victims))
@@ -378,26 +239,3 @@
     def _is_long_running(self, run: task_runs.Run) -> bool:
         step = self._state.step_of(run)
         return step is not None and step.long_running
-
-
-def _step_key(ready: readiness.ReadyTask) -> tuple[str, int, int]:
-    return ready.job.spec.job_id, ready.task.occurrence, ready.task.step
-
-
-def _occupied_workers(ready: readiness.ReadyTask) -> set[str]:
-    """Returns the workers on which runs of a task are active."""
-    return {run.worker_id for run in ready.job.runs.get(ready.task, ())}
-
-
-def _current_rack(
-    state: owner_state.OwnerState, ready: readiness.ReadyTask
-) -> str:
-    """Returns the rack in which a rack-sensitive step runs, if any."""
-    if not ready.step.same_rack:
-        return ""
-    for run in ready.job.active_runs():
-        is_same_step = run.task.step == ready.task.step
-        watch = state.watches.get(run.worker_id)
-        if is_same_step and watch is not None:
-            return watch.view.registration.rack
-    return ""
--- a/src/chervillead/pools/placement_scheduler.py
+++ b/src/chervillead/pools/placement_scheduler.py
@@ -11,6 +11,7 @@
 from chervillead.pools import owner_state
 from chervillead.pools import placement_pass
 from chervillead.pools import schedulable_workers
+from chervillead.pools import worker_selection
 
 # Least time between two passes over all waiting jobs.
 MIN_THOROUGH_INTERVAL_S = 0.1
@@ -24,7 +25,7 @@
     """Runs the placement passes of one owner."""
 
     def __init__(
-        self, state: owner_state.OwnerState, tickets: placement_pass.Tickets
+        self, state: owner_state.OwnerState, tickets: worker_selection.Tickets
     ) -> None:
         self._state = state
         self._tickets = tickets
--- a/src/chervillead/pools/run_stopping.py
+++ b/src/chervillead/pools/run_stopping.py
@@ -12,12 +12,8 @@
     state: owner_state.OwnerState, run: task_runs.Run, reason: str
 ) -> None:
     """Asks a run's worker to stop it; the reason is for logs."""
-    watch = state.watches.get(run.worker_id)
-    if watch is None:
-        return
-    if not run.stop_requested:
-        _log_stop(state, run, reason)
-    watch.stop(run, reason)
+    disruption = None if run.stop_requested else _assess(state, run)
+    _request_stop(state, run, reason, disruption)
 
 
 def stop_runs(
@@ -40,12 +36,10 @@
         run: The run, whose job must be known.
         reason: Why, for logs.
     """
-    disruption = availability.assess_disruption(
-        state.jobs[run.job_id], run.task, state.contact_age_s
-    )
-    if disruption.is_allowed:
+    disruption = _assess(state, run)
+    if disruption is not None and disruption.is_allowed:
         run.needs_budget = True
-        stop_run(state, run, reason)
+        _request_stop(state, run, reason, disruption)
 
 
 def may_send_stop(state: owner_state.OwnerState, run: task_runs.Run) -> bool:
@@ -60,10 +54,8 @@
     job = state.jobs.get(run.job_id)
     if not run.needs_budget or job is None or job.is_finished:
         return True
-    disruption = availability.assess_disruption(
-        job, run.task, state.contact_age_s
-    )
-    if disruption.is_allowed:
+    disruption = _assess(state, run)
+    if disruption is None or disruption.is_allowed:
         return True
     if not run.is_stop_sent:
         state.log_run(
@@ -77,27 +69,52 @@
     return False
 
 
-def _log_stop(
-    state: owner_state.OwnerState, run: task_runs.Run, reason: str
-) -> None:
-    """Logs the stop of a run that isn't certainly a batch run.
+def _assess(
+    state: owner_state.OwnerState, run: task_runs.Run
+) -> availability.Disruption | None:
+    """Returns what stopping a run would mean for its step.
 
-    A stop can't be taken back, and its reason may be wrong.
+    Returns:
+        None if its step is unknown or has tasks that end by themselves.
     """
-    job, step = state.jobs.get(run.job_id), state.step_of(run)
-    if step is not None and not step.long_running:
+    step = state.step_of(run)
+    if step is None or not step.long_running:
+        return None
+    return availability.assess_disruption(
+        state.jobs[run.job_id], run.task, state.contact_age_s
+    )
+
+
+def _request_stop(
+    state: owner_state.OwnerState,
+    run: task_runs.Run,
+    reason: str,
+    disruption: availability.Disruption | None,
+) -> None:
+    watch = state.watches.get(run.worker_id)
+    if watch is None:
         return
+    may_be_long_running = disruption is not None or state.step_of(run) is None
+    if may_be_long_running and not run.stop_requested:
+        _log_stop(state, run, reason, disruption)
+    watch.stop(run, reason)
+
+
+def _log_stop(
+    state: owner_state.OwnerState,
+    run: task_runs.Run,
+    reason: str,
+    disruption: availability.Disruption | None,
+) -> None:
+    """Logs a stop, which can't be taken back and whose reason may be wrong."""
+    age_s = state.contact_age_s(run.worker_id)
     fields: dict[str, object] = {}
-    if job is not None and step is not None:
-        disruption = availability.assess_disruption(
-            job, run.task, state.contact_age_s
-        )
+    if disruption is not None:
         fields = {
             "unavailable": disruption.unavailable,
             "allowed": disruption.allowed,
             "knowledge_age_s": round(disruption.knowledge_age_s, 3),
         }
-    age_s = state.contact_age_s(run.worker_id)
     state.log_run(
         "run:stop",
         run,
--- a/src/chervillead/pools/run_tracking.py
+++ b/src/chervillead/pools/run_tracking.py
@@ -9,12 +9,13 @@
 from chervillead.pools import crash_tracking
 from chervillead.pools import job_endings
 from chervillead.pools import owner_state
+from chervillead.pools import ownership_checks
 from chervillead.pools import run_stopping
 from chervillead.workers import interface as worker_interface
 from chervillead.workers import view as view_module
 
-# A stop of a previous owner, or of this one before it failed and began anew,
-# reaches the worker this long after the first poll at most.
+# A stop of a previous owner, or of this one before it failed and was started
+# again, reaches the worker this long after the first poll at most.
 MAX_STOP_DELIVERY_MS = 500
 START_UNANSWERED = "the start got no reply"
 # Delay before the retry of a failed task, doubled for each failure.
@@ -41,7 +42,7 @@
             appends = crash_tracking.end_runs(
                 state, view, now_s - age_s, status.clock_ms
             )
-            state.await_renewal(view)
+            ownership_checks.await_renewal(state, view)
         view.begin_incarnation(status.incarnation)
         # A previous owner may just have extended the lease, and a call with a
         # deadline by the clock of the process before gives the longest one.
@@ -86,7 +87,7 @@
     job = state.jobs.get(running.run.job_id)
     if job is not None and not job.has_task(running.run.task):
         job = None
-    run = view.runs.get(running.run) or _adopt(
+    run = view.runs.get(running.run) or _track_found_run(
         state, view, running.run, job, clock_ms
     )
     if run.phase in (
@@ -154,7 +155,7 @@
     state.recorder.store_progress(job)
 
 
-def _adopt(
+def _track_found_run(
     state: owner_state.OwnerState,
     view: view_module.WorkerView,
     key: task_runs.RunKey,
--- a/src/chervillead/recovery_wiring.py
+++ b/src/chervillead/recovery_wiring.py
@@ -3,8 +3,8 @@
 from collections import abc
 import typing
 
-from chervillead.entries import adoption
 from chervillead.entries import recovery
+from chervillead.entries import task_recovery
 from chervillead.fleet import configuration as configuration_module
 from chervillead.fleet import host_list
 from chervillead.upstreams import pool
@@ -23,7 +23,7 @@
     """
 
     is_task_finished: recovery.IsTaskFinished
-    read_tasks: adoption.ReadTasks
+    read_tasks: task_recovery.ReadTasks
 
 
 def recovery_ports(
