--- a/tests/pools/takeover.feature
+++ b/tests/pools/takeover.feature
@@ -12,7 +12,7 @@
 
   Scenario: The owner is killed while tasks run
     # Guards against a new owner that restarts tasks which are still running: it
-    # must count the lease of an adopted run from its own first poll.
+    # must count the lease of a found run from its own first poll.
     Given a platform fleet of 3 hosts and 3 workers
     And tasks run for 3 s
     When a job of 6 tasks is submitted
@@ -23,7 +23,7 @@
     And no invariant was violated on the workers
 
   Scenario: The owner is killed while some tasks have ended and others run
-    # Guards against a new owner that considers the lease of an adopted run as
+    # Guards against a new owner that considers the lease of a found run as
     # expired because it has not renewed any lease yet: storing the ends of the
     # other tasks delays its next poll.
     Given a platform fleet of 3 hosts and 3 workers
--- a/tests/stand_ins/platform_scenarios.py
+++ b/tests/stand_ins/platform_scenarios.py
@@ -4,11 +4,13 @@
 step runs all of them on a virtual clock and keeps the result for the checks.
 """
 
+import asyncio
 from collections import abc
 import functools
 import typing
 
 from behave import runner
+import msgspec
 from returns import result
 
 from chervillead import verdicts
@@ -17,6 +19,8 @@
 from stand_ins import virtual_time
 
 JOB = platform_fleet.job_id(1)
+# A step that waits for longer than this waits for what won't happen.
+MAX_WAIT_S = 60.0
 
 
 Action = abc.Callable[..., abc.Awaitable[typing.Any]]
@@ -107,3 +111,29 @@
     """Submits the scenario's job; `host` selects one of the fleet."""
     name = host(fleet) if host is not None else None
     return await fleet.submit(JOB, steps, host=name, **arguments)
+
+
+async def wait_until(
+    condition: abc.Callable[[], object], interval_s: float = 0.05
+) -> None:
+    """Waits until a condition holds.
+
+    Raises:
+        TimeoutError: It doesn't within `MAX_WAIT_S`.
+    """
+    async with asyncio.timeout(MAX_WAIT_S):
+        while not condition():
+            await asyncio.sleep(interval_s)
+
+
+async def publish_wave(
+    fleet: platform_fleet.PlatformFleet, *, cap: int, duration_s: int = 20
+) -> None:
+    """Publishes a maintenance wave over all hosts, as operators do."""
+    wave = {
+        "Wave": 1,
+        "Machines": fleet.hosts_service.names,
+        "DurationS": duration_s,
+        "Cap": cap,
+    }
+    fleet.store.put("keyed.op", "wave/1", msgspec.json.encode(wave))
