Show that a task larger than a part of its tenant's quota never runs

Each pool enforces an equal part of a quota, and a task that needs more than the part never starts, though its tenant runs nothing.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -42,7 +42,7 @@
     step = {"Count": 1, "Cpu": 8000, "MemMb": 500, "EstimateMs": 60000}
     body = msgspec.json.encode({"Spec": "one task", "Phases": [step]})
     for job_id in (RUNNING_JOB, *WAITING_JOBS):
-        if (await fleet.call(0, "POST", job_id, body)).status != 200:
+        if not await fleet.submit(0, job_id, body):
             return script.Outcome.NOT_RUN
         await asyncio.sleep(0.1)
     if script.has_trouble():
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -54,7 +54,7 @@
     await fleet.start(3, "service-a")
     step = {"Count": TASKS, "Cpu": 1000, "MemMb": 500, "EstimateMs": 25000}
     body = msgspec.json.encode({"Spec": "one step", "Phases": [step]})
-    if (await fleet.call(0, "POST", JOB, body)).status != 200:
+    if not await fleet.submit(0, JOB, body):
         return script.Outcome.NOT_RUN
     accepted_s = record.now_s()
     await asyncio.sleep(1.0)
--- a/review/stage/deployment.py
+++ b/review/stage/deployment.py
@@ -39,6 +39,8 @@
 READY_ATTEMPTS = 300
 READY_INTERVAL_S = 0.1
 STOP_TIMEOUT_S = 8.0
+SUBMIT_ATTEMPTS = 5
+SUBMIT_PAUSE_S = 1.0
 CLIENT_DEADLINE_MS = 3000
 # As on the sheets of the users' deployments.
 BOUNDS = {
@@ -138,12 +140,13 @@
             },
         }
 
-    async def start(self, hosts: int, pool: str) -> None:
+    async def start(self, hosts: int, pool: str, *, cap_cpu: int = 0) -> None:
         """Starts the stand-ins and some hosts, and waits until all are ready.
 
         Args:
             hosts: Number of entry hosts.
             pool: Pool that serves the queue at first.
+            cap_cpu: As for `put_configuration`.
         """
         self._ports.release()
         first = MAX_HOSTS * PORTS_PER_HOST
@@ -162,7 +165,7 @@
             await worker.listen(
                 types.Address(free_ports.LOOPBACK, self._port(index))
             )
-        self.put_configuration(pool)
+        self.put_configuration(pool, cap_cpu=cap_cpu)
         for name, workers in self._workers_by_pool.items():
             for worker in workers:
                 self._tasks.append(
@@ -185,10 +188,21 @@
         await asyncio.sleep((self.store_slowdown - 1.0) * usual_s)
         return await self.store.handler_for("any")(request, writer)
 
-    def put_configuration(self, pool: str) -> None:
-        """Writes a new version in which a pool serves the queue."""
+    def put_configuration(self, pool: str, *, cap_cpu: int = 0) -> None:
+        """Writes a new version of the configuration.
+
+        Args:
+            pool: Pool that serves the queue.
+            cap_cpu: Most CPU that the tenant may have running, in thousandths
+                of a core; 0 for no limit.
+        """
         self._version += 3
-        tenant = {"Name": "team-1", "ApiKeys": [KEY], "Weight": 10}
+        tenant = {
+            "Name": "team-1",
+            "ApiKeys": [KEY],
+            "Weight": 10,
+            "Cap": {"Cpu": cap_cpu, "MemMb": 0, "Gpu": 0},
+        }
         route: dict[str, typing.Any] = {
             "Name": QUEUE,
             "Host": free_ports.LOOPBACK,
@@ -215,7 +229,8 @@
         }
         self.store.put("keyed.op", "config", msgspec.json.encode(configuration))
         self._record.write(
-            f"operator: version {self._version} sends {QUEUE} to {pool}"
+            f"operator: version {self._version} sends {QUEUE} to {pool}, "
+            f"Cap of the tenant: Cpu {cap_cpu}"
         )
 
     async def _register(self, worker: workers_module.Worker, pool: str) -> None:
@@ -289,6 +304,18 @@
         )
         return answer
 
+    async def submit(self, host: int, job_id: str, body: bytes) -> bool:
+        """Submits a job, again if it is refused, and returns if it is accepted.
+
+        A refusal says that the submission was not accepted and never runs.
+        """
+        for _ in range(SUBMIT_ATTEMPTS):
+            answer = await self.call(host, "POST", job_id, body)
+            if answer.status not in (429, 503):
+                return answer.status == 200
+            await asyncio.sleep(SUBMIT_PAUSE_S)
+        return False
+
     async def stop(self) -> None:
         """Ends all processes that were started."""
         for process in self._processes.values():
--- a/review/stage/workers.py
+++ b/review/stage/workers.py
@@ -27,9 +27,10 @@
         *,
         work_s: float,
         rack: str = "rack-1",
+        cpu: int = 8000,
     ) -> None:
         """Starts to run tasks that last `work_s`, but listens to nobody yet."""
-        super().__init__(worker_id, work_s=work_s)
+        super().__init__(worker_id, work_s=work_s, cpu=cpu)
         self.rack = rack
         self.is_up = True
         # What a start must carry; empty if it needs no ticket.
