Open a partition again in each new generation, and reload it if another host did

Cause: a partition that stayed listed counted as held all the while unless a renewal was in doubt. Rejected renewals raise no doubt, and a reassignment at once doesn't wait for the member that loses a partition.

Ruled out: taking each change of the generation as a loss, since a roll of nine hosts would make every owner reload. Keeping the old epoch and asking whether it still holds, since a host that was assigned the partition in between may open it after that answer.

Change: an owner appends a record when it opens its partition, and in each new generation it opens it again under a higher epoch. That shuts out every host of a generation in between, and the partition's end tells whether one had opened it before: then the jobs are loaded from the store, otherwise only the epoch changes. Nothing is started or stopped until that is known. This also replaces the reload after an interruption by the same proof. Epochs are no longer equal to the generation, so an owner that restarts after an error in one generation doesn't share epoch and sequence numbers with its predecessor: the store would have answered its first appends with the replies of earlier ones.

Tests: the new scenario of pools/takeover.feature failed before ("unknown-job" at the hosts).

--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -89,6 +89,7 @@
         self._wake = asyncio.Event()
         self._usage = account_usage.AccountUsage()
         self._recorder = job_recorder.JobRecorder(writer)
+        writer.on_reopened(self._apply_reopened)
         self.jobs = job_table.JobTable()
         self.watches: dict[str, watch_module.WorkerWatch] = {}
         self.recovering_jobs: set[str] = set()
@@ -198,13 +199,22 @@
         """Returns whether runs may be started now.
 
         Operators may have taken a zone out, or lowered a quota, since a
-        configuration that is out of date.
+        configuration that is out of date. Another host may have started tasks
+        since the group changed, until the partition has been opened again.
         """
-        return self.is_owner() and self._ports.is_current()
+        return (
+            self.is_owner()
+            and self._writer.is_current
+            and self._ports.is_current()
+        )
 
     def has_authority(self) -> bool:
         """Returns whether commands that end running work may be sent now."""
-        return self.is_owner() and not self._writer.failure_duration_s()
+        return (
+            self.is_owner()
+            and self._writer.is_current
+            and not self._writer.failure_duration_s()
+        )
 
     def step_of(self, run: task_runs.Run) -> model.Step | None:
         """Returns the step of a run, or None if the run's job is unknown."""
@@ -281,6 +291,16 @@
         last_s = watch.view.last_contact_s if watch is not None else None
         return math.inf if last_s is None else self.now_s() - last_s
 
+    def _apply_reopened(self) -> None:
+        """Places tasks again, as no other owner has come between."""
+        self.log(
+            "owner:reopened",
+            partition=self._partition,
+            token=self._token,
+            epoch=self._writer.epoch,
+        )
+        self.wake()
+
     def mark_fenced(self) -> None:
         """Stops all commands, since a newer owner has been seen."""
         if not self._is_fenced:
--- a/src/chervillead/pools/ownership.py
+++ b/src/chervillead/pools/ownership.py
@@ -4,6 +4,12 @@
 the join reply that assigned it until its membership has not been renewed for
 the time to live. The generation in the reply is the fencing token: it rises
 with every rebalance, so a later owner always has a higher one.
+
+A partition that stays listed in another generation may have been another host's
+in between: the store may reassign all partitions at once, and back. Its owner
+opens it again under an epoch of the new generation, which shuts such a host
+out, and reloads it if one has opened it before. Otherwise nobody else has
+sent a command to the partition's workers, so the token stays as it was.
 """
 
 import asyncio
@@ -12,7 +18,6 @@
 
 from returns import pipeline
 
-from chervillead import verdicts
 from chervillead.pools import group_members
 from chervillead.pools import owner_role
 from chervillead.pools import owner_state
@@ -32,6 +37,9 @@
 MEMBERSHIP_RETRY_S = 0.15
 # How often a host that stands by looks at the list of owners.
 STANDBY_INTERVAL_S = 0.25
+# An owner that restarts in one generation takes a higher epoch, since an
+# append of its predecessor may still be executed.
+EPOCHS_PER_GENERATION = 4096
 
 _NOT_A_MEMBER = store_interface.RejectionReason.NOT_A_MEMBER
 
@@ -68,9 +76,8 @@
         self._spent_tokens: dict[int, int] = {}
         self._failed_partitions: set[int] = set()
         self._is_leaving = False
-        # Whether a renewal without a reply may have been executed: in that way
-        # a partition may be given to another host and back, unnoticed.
-        self._has_unknown_renewal = False
+        # Epochs used in the present generation.
+        self._used_epochs = 0
         # Whether the store may count this process as a member.
         self._may_be_member = False
         self._is_group_lost = False
@@ -152,8 +159,6 @@
         self._is_store_unavailable = failure is not None
         self._log_group(failure)
         if failure is not None:
-            if failure.verdict is not verdicts.Verdict.NOT_RUN:
-                self._has_unknown_renewal = True
             return MEMBERSHIP_RETRY_S
         self._apply_membership(outcome.unwrap(), sent_s)
         for owner in self._owners.values():
@@ -212,11 +217,11 @@
     ) -> None:
         generation = membership.generation
         # In the same generation no partition has changed hands.
-        is_interrupted = generation != self._generation and (
-            self._has_unknown_renewal or not self.is_confirmed()
-        )
+        is_changed = generation != self._generation
+        if is_changed:
+            self._generation = generation
+            self._used_epochs = 0
         self._confirmed_s = sent_s
-        self._has_unknown_renewal = False
         for partition in list(self._owners):
             fenced = self._tasks[partition].done()
             if fenced and partition not in self._failed_partitions:
@@ -227,19 +232,26 @@
                 self._release(partition, "fenced")
             elif partition not in membership.partitions:
                 self._release(partition, "reassigned")
-            elif is_interrupted:
-                # Another host may have owned it since the last confirmation.
-                self._release(partition, "interrupted")
+            elif is_changed:
+                self._owners[partition].state.writer.reopen(self._next_epoch())
         self._failed_partitions.clear()
         for partition in sorted(membership.partitions):
             spent_token = self._spent_tokens.get(partition, -1)
             if partition not in self._owners and generation > spent_token:
                 self._acquire(partition, generation)
-        self._generation = generation
+
+    def _next_epoch(self) -> int:
+        """Returns an epoch that no owner has used before."""
+        number = min(self._used_epochs, EPOCHS_PER_GENERATION - 1)
+        self._used_epochs += 1
+        return self._generation * EPOCHS_PER_GENERATION + number
 
     def _acquire(self, partition: int, token: int) -> None:
         writer = group_commit.PartitionWriter(
-            self._ports.store, pool_partitions.JOBS_TOPIC, partition, token
+            self._ports.store,
+            pool_partitions.JOBS_TOPIC,
+            partition,
+            self._next_epoch(),
         )
         owner = partition_owner.PartitionOwner(
             partition,
@@ -263,6 +275,7 @@
         owner: partition_owner.PartitionOwner,
         writer: group_commit.PartitionWriter,
     ) -> None:
+        partition = owner.state.partition
         if not await takeover.load(owner, writer, self._ports):
             return
         self._on_change()
@@ -272,13 +285,16 @@
                 await owner.run()
                 companion.cancel()
         except Exception as error:
-            self._failed_partitions.add(owner.state.partition)
+            self._failed_partitions.add(partition)
             self._ports.log(
                 "owner:failed",
-                partition=owner.state.partition,
+                partition=partition,
                 token=owner.state.token,
                 error=owner_state.describe_error(error),
             )
+        if writer.is_outdated and self._owners.get(partition) is owner:
+            self._release(partition, "interrupted")
+            self._acquire(partition, self._generation)
 
     def _release_all(self, reason: str) -> None:
         for partition, owner in list(self._owners.items()):
--- a/src/chervillead/store/group_commit.py
+++ b/src/chervillead/store/group_commit.py
@@ -6,9 +6,11 @@
 """
 
 import asyncio
+from collections import abc
 import typing
 
 from returns import pipeline
+from returns import result
 
 from chervillead import verdicts
 from chervillead.store import interface
@@ -20,6 +22,10 @@
 # A link of 5 Mbit/s carries it in about a tenth of a second, so that the reply
 # isn't late even while the link has other work.
 MAX_BATCH_BYTES = 64 * 1024
+# Key of the record that each owner appends when it opens a partition. An owner
+# that opens it again sees by the partition's end whether another one has come
+# between.
+OPENING_KEY = "o"
 
 
 class AppendError(Exception):
@@ -51,7 +57,8 @@
 
 
 class _PendingRecord(typing.NamedTuple):
-    record: interface.KeyedRecord
+    # None to confirm the ownership without a record.
+    record: interface.KeyedRecord | None
     stored: asyncio.Future[None]
 
 
@@ -66,6 +73,12 @@
         self._partition = partition
         self._epoch = epoch
         self._sequence = 0
+        # End of the partition after the last append of this writer.
+        self._end = 0
+        # Epoch under which the partition is to be opened again, if any.
+        self._requested_epoch: int | None = None
+        self._is_outdated = False
+        self._on_reopened: abc.Callable[[], None] = lambda: None
         self._pending: list[_PendingRecord] = []
         self._in_flight: list[_PendingRecord] = []
         self._wake_event = asyncio.Event()
@@ -82,6 +95,20 @@
         """Whether a newer owner has taken over, or the writer was closed."""
         return self._is_fenced
 
+    @property
+    def is_current(self) -> bool:
+        """Whether no other owner can have come between, as far as is known."""
+        return self._requested_epoch is None and not self._is_fenced
+
+    @property
+    def is_outdated(self) -> bool:
+        """Whether another owner may have held the partition meanwhile."""
+        return self._is_outdated
+
+    def on_reopened(self, action: abc.Callable[[], None]) -> None:
+        """Sets the function to call when `reopen` has succeeded."""
+        self._on_reopened = action
+
     def failure_duration_s(self) -> float:
         """Returns for how many seconds appends have failed; 0 if none fails."""
         if self._failing_since_s is None:
@@ -97,6 +124,21 @@
             A future that completes when the record is stored; it raises an
             AppendError if the owner is fenced first or the record discarded.
         """
+        return self._queue(interface.KeyedRecord(key, value))
+
+    def confirm(self) -> asyncio.Future[None]:
+        """Asks the store whether this owner still holds the partition.
+
+        Returns:
+            A future that completes when the store has accepted an append that
+            was sent after this call: until then no newer owner had opened the
+            partition. It raises an AppendError like that of a record.
+        """
+        return self._queue(None)
+
+    def _queue(
+        self, record: interface.KeyedRecord | None
+    ) -> asyncio.Future[None]:
         stored = asyncio.get_running_loop().create_future()
         # Retrieves the exception, as nobody may be waiting for the future when
         # the owner is fenced.
@@ -104,7 +146,6 @@
         if self._is_fenced:
             stored.set_exception(FencedError(may_be_stored=False))
             return stored
-        record = interface.KeyedRecord(key, value)
         self._pending.append(_PendingRecord(record, stored))
         self._wake_event.set()
         return stored
@@ -132,36 +173,86 @@
         self.append(key, b"")
 
     async def open(self) -> interface.StoreFailure | None:
-        """Sets the epoch of the partition, which fences any previous owner.
+        """Opens the partition, which fences any previous owner.
 
         Returns:
             The failure, or None if this owner now holds the partition.
         """
-        outcome = await self._store.append(
-            self._topic,
-            self._partition,
-            (),
-            interface.Producer("owner", self._epoch, 0),
-        )
+        while True:
+            outcome = await self._append_opening(self._epoch, self._sequence)
+            if pipeline.is_successful(outcome):
+                # The store answers a known sequence number with its earlier
+                # reply, so the first batch must not reuse that of this call.
+                self._sequence += 1
+                self._end = outcome.unwrap()
+                return None
+            failure = outcome.failure()
+            if failure.rejection is interface.RejectionReason.FENCED:
+                self._fence()
+            if (
+                failure.rejection
+                is not interface.RejectionReason.OUT_OF_SEQUENCE
+            ):
+                return failure
+            # The store has forgotten an earlier call of this owner that it
+            # executed.
+            self._sequence = failure.expected or 0
+
+    def reopen(self, epoch: int) -> None:
+        """Asks for the partition to be opened again under a higher epoch.
+
+        Afterwards no owner of an epoch in between can append. If one has opened
+        the partition before, the writer is outdated, and closed. Records wait
+        until that is known.
+        """
+        self._requested_epoch = epoch
+        self._wake_event.set()
+
+    async def _reopen(self, epoch: int) -> None:
+        outcome = await self._append_opening(epoch, 0)
         if pipeline.is_successful(outcome):
-            # The store answers a known sequence number with its earlier reply,
-            # so the first batch must not reuse the number of this call.
-            self._sequence = 1
-            return None
+            end = outcome.unwrap()
+            if end != self._end + 1:
+                self._is_outdated = True
+                self._fence()
+                return
+            self._epoch, self._sequence, self._end = epoch, 1, end
+            self._failing_since_s = None
+            if self._requested_epoch == epoch:
+                self._requested_epoch = None
+                self._on_reopened()
+            return
         failure = outcome.failure()
-        if failure.rejection is interface.RejectionReason.OUT_OF_SEQUENCE:
-            # An earlier call of this owner was executed but its reply was
-            # lost; the epoch is set.
-            self._sequence = failure.expected or 0
-            return None
-        if failure.rejection is interface.RejectionReason.FENCED:
+        if failure.rejection is not None:
+            self._is_outdated = (
+                failure.rejection is not interface.RejectionReason.FENCED
+            )
             self._fence()
-        return failure
+            return
+        self._note_failure()
+        await asyncio.sleep(RETRY_INTERVAL_S)
+
+    async def _append_opening(
+        self, epoch: int, sequence: int
+    ) -> result.Result[int, interface.StoreFailure]:
+        return await self._store.append(
+            self._topic,
+            self._partition,
+            (interface.KeyedRecord(OPENING_KEY, str(epoch).encode()),),
+            interface.Producer("owner", epoch, sequence),
+        )
+
+    def _note_failure(self) -> None:
+        if self._failing_since_s is None:
+            self._failing_since_s = asyncio.get_running_loop().time()
 
     async def run(self) -> None:
         """Sends queued records in batches until cancelled or fenced."""
         while not self._is_fenced:
             await self._wake_event.wait()
+            if self._requested_epoch is not None:
+                await self._reopen(self._requested_epoch)
+                continue
             await asyncio.sleep(BATCH_DELAY_S)
             batch = self._take_batch()
             if not self._pending:
@@ -181,7 +272,7 @@
         size = 0
         count = 0
         for entry in self._pending:
-            size += len(entry.record.value)
+            size += len(entry.record.value) if entry.record else 0
             if count and size > MAX_BATCH_BYTES:
                 break
             count += 1
@@ -195,7 +286,9 @@
         """
         may_be_stored = False
         self._in_flight = batch
-        latest = {entry.record.key: entry.record for entry in batch}
+        latest = {
+            entry.record.key: entry.record for entry in batch if entry.record
+        }
         records = tuple(latest.values())
         while True:
             producer = interface.Producer("owner", self._epoch, self._sequence)
@@ -223,9 +316,7 @@
                 _fail(batch, error)
                 self._fence()
                 return
-            loop = asyncio.get_running_loop()
-            if self._failing_since_s is None:
-                self._failing_since_s = loop.time()
+            self._note_failure()
             if failure.verdict is not verdicts.Verdict.NOT_RUN:
                 may_be_stored = True
             if not may_be_stored:
@@ -240,6 +331,7 @@
         self._failing_since_s = None
         self._in_flight = []
         self._sequence += 1
+        self._end = outcome.unwrap()
         for entry in batch:
             if not entry.stored.done():
                 entry.stored.set_result(None)
--- a/src/chervillead/store/interface.py
+++ b/src/chervillead/store/interface.py
@@ -110,8 +110,9 @@
     the read of a page.
 
     Attributes:
-        append: Appends records atomically to (topic, partition) as a producer;
-            without records it only sets the producer's epoch.
+        append: Appends records atomically to (topic, partition) as a producer
+            and returns the end of the partition after them; without records it
+            only sets the producer's epoch.
         read: Reads (topic, partition) from an offset on; the last argument is
             the longest wait for a record, in ms.
         read_latest: Reads the latest record of each key of (topic, partition).
--- a/tests/pools/takeover.feature
+++ b/tests/pools/takeover.feature
@@ -168,6 +168,18 @@
     And each task ran once
     And no invariant was violated on the workers
 
+  Scenario: A partition is reassigned and comes back within one membership
+    # Guards against an owner that goes on with what it knew, as the store turned
+    # it away for less than its membership lasts: it denies a job that another
+    # host has accepted meanwhile, and nothing starts its tasks again.
+    Given a platform fleet of 3 hosts and 3 workers
+    And tasks run for 12 s
+    When the store turns the owner away for 1.9 s while another host owns all partitions and accepts a job
+    And 8 s pass
+    Then every host reports the job as running
+    And each task ran once
+    And no invariant was violated on the workers
+
   Scenario: A host owns a partition again that another one owned meanwhile
     # Guards against an owner that was cut off, returns, and goes on with what it
     # knew: it denies the jobs that the other owner has accepted.
--- a/tests/steps/platform_fleet.py
+++ b/tests/steps/platform_fleet.py
@@ -571,6 +571,35 @@
     platform_scenarios.add_action(context, reject)
 
 
+@behave.when(
+    "the store turns the owner away for {seconds:g} s while another host owns "
+    "all partitions and accepts a job"
+)
+def step(context, seconds):
+    def assigned_host(fleet):
+        member = fleet.store.assignments("pool-owners")[POOL_PARTITION]
+        return member.split("/")[2]
+
+    async def reassign_twice(fleet):
+        now_s = asyncio.get_running_loop().time
+        first, ends_s = assigned_host(fleet), now_s() + seconds
+        fleet.store.rejected_hosts.add(first)
+        fleet.store.rebalance("pool-owners")
+        # The others renew their membership each half second.
+        await asyncio.sleep(0.75)
+        outcome = await platform_scenarios.submit(
+            fleet, [platform_fleet.step(2)], host=assigned_host
+        )
+        assert pipeline.is_successful(outcome), outcome
+        while assigned_host(fleet) != first:
+            fleet.store.rebalance("pool-owners")
+        assert now_s() < ends_s
+        await asyncio.sleep(ends_s - now_s())
+        fleet.store.rejected_hosts.clear()
+
+    platform_scenarios.add_action(context, reassign_twice)
+
+
 @behave.when("the store rejects a host")
 def step(context):
     async def reject(fleet):
