Call a job unknown only once the store has confirmed the ownership

A replaced owner whose renewals get no answer stays confirmed for up to 2.5 s. In that time it answered 410 for a job that the next owner had accepted, and callers take 410 as final. Nothing fenced it, as a GET appends nothing.

Change: before a 410 the owner lets the store confirm its epoch with an append that was sent after the call came (it shares a call with records that are waiting). Fenced, it says that it was replaced, and the caller's host asks the next owner. Without an answer within 1 s, or while appends fail, the caller is told to come back.

--- a/src/chervillead/pools/job_operations.py
+++ b/src/chervillead/pools/job_operations.py
@@ -19,12 +19,16 @@
 # How long a caller who asks for a job waits for the store to confirm its end.
 # It is told of an end at most this much later, and asks again otherwise.
 MAX_END_WAIT_S = 0.4
+# How long an answer that a job is unknown may wait for the store to confirm the
+# ownership: a few appends of a slow store.
+MAX_CONFIRMATION_WAIT_S = 1.0
 # Callers wait 3 s, in which their host tries an owner twice for 1.2 s each. In
 # that time a submission waits four times for the event loop: to be read, to be
 # sent to the store, for the store's reply, and to be answered.
 MAX_LOOP_LAG_S = 0.3
 
 OWNER_OVERLOADED = "owner-overloaded"
+OWNER_REPLACED = "owner-replaced"
 
 Outcome = result.Result[None, verdicts.Refusal]
 JobOutcome = result.Result[job_state.JobState, verdicts.Refusal]
@@ -150,11 +154,29 @@
         state = self._state
         job = state.jobs.get(job_id)
         if job is None:
-            return result.Failure(unknown_job(job_id))
+            return await self._refuse_unknown(job_id)
         if job.is_finished and not self._is_store_failing():
             await state.recorder.wait_for_stored_end(job, MAX_END_WAIT_S)
         return result.Success(job)
 
+    async def _refuse_unknown(self, job_id: str) -> JobOutcome:
+        """Refuses a call about a job that this owner doesn't know.
+
+        Callers take the job for lost then. So the store confirms first that no
+        later owner can have accepted it.
+        """
+        state = self._state
+        if state.writer.failure_duration_s() > 0:
+            return result.Failure(_unconfirmed())
+        confirmed = state.writer.confirm()
+        await asyncio.wait([confirmed], timeout=MAX_CONFIRMATION_WAIT_S)
+        if group_commit.is_stored(confirmed):
+            return result.Failure(unknown_job(job_id))
+        state.writer.discard_unsent(confirmed)
+        if state.is_fenced:
+            return result.Failure(_owner_replaced())
+        return result.Failure(_unconfirmed())
+
     def _is_store_failing(self) -> bool:
         state = self._state
         return (
@@ -200,18 +222,32 @@
     )
 
 
+def _unconfirmed() -> verdicts.Refusal:
+    return _store_unavailable("the store has not confirmed the ownership")
+
+
+def _owner_replaced() -> verdicts.Refusal:
+    return verdicts.not_run(
+        OWNER_REPLACED,
+        503,
+        "another host has become the owner",
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
 def _append_refusal(error: BaseException | None) -> verdicts.Refusal:
     """Returns the refusal of a submission whose append has failed."""
     if isinstance(error, group_commit.DiscardedError):
         return _store_unavailable(
             "the record was not sent to the store in time"
         )
-    detail = "another host became the owner before the job was stored"
     if isinstance(error, group_commit.AppendError) and not error.may_be_stored:
-        return verdicts.not_run(
-            "owner-replaced", 503, detail, retry_after_s=RETRY_AFTER_S
-        )
-    return verdicts.may_have_run("owner-replaced", 502, detail)
+        return _owner_replaced()
+    return verdicts.may_have_run(
+        OWNER_REPLACED,
+        502,
+        "another host became the owner before the job was stored",
+    )
 
 
 def _store_timeout() -> verdicts.Refusal:
--- a/tests/pools/takeover.feature
+++ b/tests/pools/takeover.feature
@@ -180,6 +180,19 @@
     And each task ran once
     And no invariant was violated on the workers
 
+  Scenario Outline: A replaced owner that doesn't know it is asked for a job
+    # Guards against an owner that calls a job unknown which the next one has
+    # accepted: callers take that as final.
+    Given a platform fleet of 3 hosts and 3 workers
+    When another host owns all partitions and accepts a job while joins of the owner get no answer
+    And <then>
+    Then the job is reported as <phase>
+
+    Examples:
+      | then                                      | phase      |
+      | the replaced owner is asked for the job   | running    |
+      | the store turns it away and it is asked   | store-away |
+
   Scenario: A host owns a partition again that another one owned meanwhile
     # Guards against an owner that was cut off, returns, and goes on with what it
     # knew: it denies the jobs that the other owner has accepted.
--- a/tests/steps/platform_fleet.py
+++ b/tests/steps/platform_fleet.py
@@ -571,15 +571,67 @@
     platform_scenarios.add_action(context, reject)
 
 
+def assigned_host(fleet):
+    """Returns the host to which the store has assigned the pool's partition."""
+    member = fleet.store.assignments("pool-owners")[POOL_PARTITION]
+    return member.split("/")[2]
+
+
+@behave.when(
+    "another host owns all partitions and accepts a job while joins of the "
+    "owner get no answer"
+)
+def step(context):
+    async def replace_owner(fleet):
+        context.replaced_host = assigned_host(fleet)
+        fleet.store.hosts_without_joins.add(context.replaced_host)
+        fleet.store.rebalance("pool-owners")
+        # The others renew their membership each half second.
+        await asyncio.sleep(0.75)
+        return await platform_scenarios.submit(
+            fleet, [platform_fleet.step(2)], host=assigned_host
+        )
+
+    platform_scenarios.add_action(context, replace_owner)
+
+
+async def ask_replaced_owner(context, fleet):
+    ownership = fleet.hosts[context.replaced_host].ownership
+    assert ownership.owner_of(POOL_PARTITION) is not None
+    context.told = await fleet.phase(
+        platform_scenarios.JOB, host=context.replaced_host
+    )
+
+
+@behave.when("the replaced owner is asked for the job")
+def step(context):
+    async def ask(fleet):
+        await ask_replaced_owner(context, fleet)
+
+    platform_scenarios.add_action(context, ask)
+
+
+@behave.when("the store turns it away and it is asked")
+def step(context):
+    async def ask(fleet):
+        fleet.store.rejected_hosts.add(context.replaced_host)
+        await ask_replaced_owner(context, fleet)
+
+    platform_scenarios.add_action(context, ask)
+
+
+@behave.then("the job is reported as {phase}")
+def step(context, phase):
+    outcome = platform_scenarios.run_once(context).outcomes[0]
+    assert pipeline.is_successful(outcome), outcome
+    assert context.told == phase, context.told
+
+
 @behave.when(
     "the store turns the owner away for {seconds:g} s while another host owns "
     "all partitions and accepts a job"
 )
 def step(context, seconds):
-    def assigned_host(fleet):
-        member = fleet.store.assignments("pool-owners")[POOL_PARTITION]
-        return member.split("/")[2]
-
     async def reassign_twice(fleet):
         now_s = asyncio.get_running_loop().time
         first, ends_s = assigned_host(fleet), now_s() + seconds
