Refuse a submission whose job was cancelled before it arrived

Cause: the owner looked for the job among the stored ones only, and kept no note of the cancelling. A 410 promises that nothing starts, so the same holds for a submission that a host retries, one that is held up on its way, one that the next owner finds, and one that comes in at the partition of an earlier pool.

A submission that comes later is refused as not run; one that is being stored is cancelled once it is stored, before a task can start, also by the next owner. A GET of a submission that is being stored waits for it instead of answering 410. The owner checks the client account, since the host can't know that of a job which isn't stored.

Ruled out: looking into the submissions under way only, which leaves those that are still between two hosts.

--- a/src/chervillead/entries/job_messages.py
+++ b/src/chervillead/entries/job_messages.py
@@ -18,17 +18,36 @@
 
 
 class FindJob(typing.NamedTuple):
-    """Asks the owner of a partition for the state of a job."""
+    """Asks the owner of a partition for the state of a job.
+
+    Attributes:
+        partition: The partition.
+        job_id: The job.
+        confirm_unknown: Whether a caller will be told if the owner doesn't know
+            the job, so that the store has to confirm the ownership first.
+    """
 
     partition: int
     job_id: str
+    confirm_unknown: bool
 
 
 class CancelJob(typing.NamedTuple):
-    """Asks the owner of a partition to cancel a job."""
+    """Asks the owner of a partition to cancel a job.
+
+    Attributes:
+        partition: The partition.
+        job_id: The job.
+        account: Client account of the caller.
+        confirm_unknown: Whether a caller will be told if the owner doesn't know
+            the job, so that the owner may not accept it later.
+        timeout_ms: How long the owner may wait for the store.
+    """
 
     partition: int
     job_id: str
+    account: str
+    confirm_unknown: bool
     timeout_ms: int
 
 
--- a/src/chervillead/jobs/records.py
+++ b/src/chervillead/jobs/records.py
@@ -2,12 +2,15 @@
 
 Spec and terms are written once. The progress is small and each record replaces
 the previous one. All are keyed by job, so log compaction keeps the newest of
-each. Earlier builds skip the terms and reject a spec with further fields.
+each. A submission that was cancelled before it arrived has a record of its own,
+without a job. Earlier builds skip the terms and reject a spec with further
+fields.
 """
 
 import typing
 
 import msgspec
+import xxhash
 
 from chervillead.jobs import job_state
 from chervillead.jobs import model
@@ -16,11 +19,26 @@
 SPEC_PREFIX = "j"
 PROGRESS_PREFIX = "p"
 TERMS_PREFIX = "t"
+CANCELLATION_PREFIX = "c"
 
 
 _Value = typing.TypeVar("_Value")
 
 
+class Cancellation(typing.NamedTuple):
+    """A call that cancelled a job which its owner didn't know.
+
+    Attributes:
+        job_id: The job.
+        account: Client account of the caller.
+        cancelled_unix_ms: When it was cancelled, by the owner's wall clock.
+    """
+
+    job_id: str
+    account: str
+    cancelled_unix_ms: int
+
+
 class TaskProgress(typing.NamedTuple):
     """Stored progress of one task that hasn't completed.
 
@@ -76,6 +94,7 @@
 
 _spec_decoder = msgspec.msgpack.Decoder(model.JobSpec)
 _terms_decoder = msgspec.msgpack.Decoder(model.JobTerms)
+_cancellation_decoder = msgspec.msgpack.Decoder(Cancellation)
 _progress_decoder = msgspec.msgpack.Decoder(Progress)
 _encoder = msgspec.msgpack.Encoder()
 
@@ -109,6 +128,29 @@
     return _decode(_terms_decoder, value)
 
 
+def cancellation_key(job_id: str, account: str) -> str:
+    """Returns the key of the record of a cancellation.
+
+    The account is hashed, since keys are short and its name may not be.
+    """
+    digest = xxhash.xxh64_hexdigest(account.encode())
+    return f"{CANCELLATION_PREFIX}{job_id}{digest}"
+
+
+def encode_cancellation(cancellation: Cancellation) -> bytes:
+    """Returns the value of the record of a cancellation."""
+    return _encoder.encode(cancellation)
+
+
+def decode_cancellation(value: bytes) -> Cancellation:
+    """Returns the cancellation in the value of a record.
+
+    Raises:
+        MalformedRecordError: The value isn't an encoded cancellation.
+    """
+    return _decode(_cancellation_decoder, value)
+
+
 def encode_spec(spec: model.JobSpec) -> bytes:
     """Returns the value of the record of a spec."""
     return _encoder.encode(spec)
--- a/src/chervillead/platform/assembly.py
+++ b/src/chervillead/platform/assembly.py
@@ -232,6 +232,7 @@
             configuration=lambda: self.fleet_view.configuration,
             is_current=self.is_current,
             configuration_age_s=self.fleet_view.age_s,
+            partitions=self.settings.store.partitions,
             partition_of=self.partition_of,
             call_owner=self.router.call,
             previous_pools=self.fleet_view.previous_pools,
--- a/src/chervillead/pools/job_recorder.py
+++ b/src/chervillead/pools/job_recorder.py
@@ -85,6 +85,19 @@
             await asyncio.wait([stored], timeout=timeout_s)
         return job.is_end_stored
 
+    def store_cancellation(
+        self, cancellation: records.Cancellation
+    ) -> asyncio.Future[None]:
+        """Queues the record of a cancelled submission that hasn't arrived.
+
+        Returns:
+            A future that completes when the record is stored.
+        """
+        return self._writer.append(
+            records.cancellation_key(cancellation.job_id, cancellation.account),
+            records.encode_cancellation(cancellation),
+        )
+
     def delete(self, job_id: str) -> None:
         """Queues the deletion of all records of a job."""
         self._writer.delete(records.spec_key(job_id))
--- a/src/chervillead/pools/job_router.py
+++ b/src/chervillead/pools/job_router.py
@@ -57,7 +57,12 @@
 )
 # Submissions refused for these reasons are not retried here.
 _FINAL_FOR_SUBMISSIONS = frozenset(
-    (OWNER_SILENT, OWNER_BUSY, job_operations.OWNER_OVERLOADED)
+    (
+        OWNER_SILENT,
+        OWNER_BUSY,
+        job_operations.OWNER_OVERLOADED,
+        job_operations.CANCELLED,
+    )
 )
 
 # Serves calls about hosts if this host owns the hosts partition.
--- a/src/chervillead/pools/job_service.py
+++ b/src/chervillead/pools/job_service.py
@@ -27,7 +27,10 @@
         return _outcome_reply(outcome)
     if isinstance(call, job_messages.CancelJob):
         outcome = await owner.operations.cancel(
-            call.job_id, call.timeout_ms / 1000
+            call.job_id,
+            call.account,
+            call.timeout_ms / 1000,
+            confirm_unknown=call.confirm_unknown,
         )
         return _outcome_reply(outcome)
     if isinstance(call, job_messages.CountPending):
@@ -35,7 +38,9 @@
             verdicts.Verdict.RAN.value,
             pending=owner.operations.pending(call.queue),
         )
-    found = await owner.operations.find(call.job_id)
+    found = await owner.operations.find(
+        call.job_id, confirm_unknown=call.confirm_unknown
+    )
     if not pipeline.is_successful(found):
         return refusal_reply(found.failure())
     job = found.unwrap()
--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -13,6 +13,7 @@
 from chervillead.jobs import model
 from chervillead.jobs import task_runs
 from chervillead.pools import account_usage
+from chervillead.pools import cancelled_submissions
 from chervillead.pools import job_recorder
 from chervillead.pools import ports as ports_module
 from chervillead.store import group_commit
@@ -64,6 +65,7 @@
         ended_workers: Ids of workers that certainly run nothing any more.
         taken_down_incarnations: Incarnation, by worker id, of workers whose
             hosts this owner took down. The store lists them for a while longer.
+        cancelled: Submissions that were cancelled before they arrived.
         crashed_s: When the last worker that crashed at each address had last
             answered.
         changed_workers: Ids of workers whose runs or health changed since the
@@ -97,6 +99,7 @@
         self.awaiting_renewal: set[str] = set()
         self.ended_workers: set[str] = set()
         self.taken_down_incarnations: dict[str, int] = {}
+        self.cancelled = cancelled_submissions.CancelledSubmissions()
         self.crashed_s: dict[types.Address, float] = {}
         self.changed_workers: set[str] = set()
         self.is_loaded = False
--- a/src/chervillead/pools/partition_owner.py
+++ b/src/chervillead/pools/partition_owner.py
@@ -107,6 +107,10 @@
             job.recovering_until_s = float("inf")
             job.max_unrecorded_run = RUN_NUMBERS_PER_TOKEN * state.token
             state.jobs[job.spec.job_id] = job
+            if (job.spec.job_id, job.spec.account) in state.cancelled:
+                # Its submission was on its way to the store when it was
+                # cancelled at the previous owner.
+                self._operations.cancel_known(job)
             if not job.is_finished:
                 state.recovering_jobs.add(job.spec.job_id)
         state.is_loaded = True
@@ -159,6 +163,8 @@
         if state.now_s() - self._expiry_checked_s >= EXPIRY_CHECK_INTERVAL_S:
             self._expiry_checked_s = state.now_s()
             self._delete_expired_jobs()
+            for key in state.cancelled.take_expired(state.now_s()):
+                state.writer.delete(key)
             # Heals an index that missed a change, before callers notice.
             for job in state.jobs.unfinished():
                 state.jobs.mark_changed(job.spec.job_id)
--- a/src/chervillead/pools/takeover.py
+++ b/src/chervillead/pools/takeover.py
@@ -59,6 +59,15 @@
     jobs = restore_jobs(
         stored, ports.clock.monotonic(), 1000 * ports.clock.wall(), ports.log
     )
+    for cancellation in restore_cancellations(stored, ports.log):
+        age_s = max(
+            0.0, ports.clock.wall() - cancellation.cancelled_unix_ms / 1000
+        )
+        owner.state.cancelled.add(
+            cancellation.job_id,
+            cancellation.account,
+            ports.clock.monotonic() - age_s,
+        )
     owner.load(jobs)
     owner.state.unreadable_jobs.update(
         _stored_ids(stored) - {job.spec.job_id for job in jobs}
@@ -118,6 +127,23 @@
     return list(jobs.values())
 
 
+def restore_cancellations(
+    stored: tuple[store_interface.KeyedRecord, ...],
+    log: abc.Callable[..., None],
+) -> abc.Iterator[records.Cancellation]:
+    """Yields the stored cancellations of unknown jobs.
+
+    Unreadable ones are logged and skipped.
+    """
+    for record in stored:
+        if not record.key.startswith(records.CANCELLATION_PREFIX):
+            continue
+        try:
+            yield records.decode_cancellation(record.value)
+        except records.MalformedRecordError as error:
+            log("record:unreadable", key=record.key, error=str(error))
+
+
 def _restore_terms(
     stored: tuple[store_interface.KeyedRecord, ...],
     log: abc.Callable[..., None],
--- a/tests/pools/job_operations.feature
+++ b/tests/pools/job_operations.feature
@@ -61,6 +61,57 @@
     And the job is cancelled 0.7 s after it was submitted
     Then both submissions and the cancellation succeed
 
+  Scenario Outline: A job is cancelled while its submission is being stored
+    # Guards against an owner that calls a job unknown which it is about to
+    # accept, and runs it after its caller was told that it doesn't exist.
+    Given the store takes <append> s for an append
+    When a job is submitted with 1 s to wait
+    And the job is cancelled <after> s after it was submitted
+    Then the cancellation <outcome>
+    And the job is known as cancelled
+
+    Examples:
+      | append | after | outcome               |
+      | 0.1    | 0.0   | succeeds              |
+      | 0.1    | 0.05  | succeeds              |
+      | 0.3    | 0.2   | succeeds              |
+      | 0.8    | 0.2   | may have been stored  |
+
+  Scenario: A submission arrives after its cancelling was answered
+    # Guards against a submission that was held up, and runs although its caller
+    # was told that there is none.
+    Given the store takes 0.1 s for an append
+    When the job is cancelled first
+    And a job is submitted with 1 s to wait 0.5 s later
+    And another job is submitted 0.1 s later
+    Then the cancellation is refused as unknown
+    And the submission is refused as not-run with status 503
+    And the other submission is accepted
+
+  Scenario: A job is cancelled by another client account while it is being stored
+    # Guards against a cancelling of unknown jobs that reaches others' jobs.
+    Given the store takes 0.1 s for an append
+    When a job is submitted with 1 s to wait
+    And another client account cancels the job 0.05 s after it was submitted
+    Then the cancellation is refused with status 403
+    And the submission is accepted
+
+  Scenario: An unknown job is cancelled by another client account
+    # Guards against an account that keeps jobs of others from being accepted.
+    Given the store takes 0.1 s for an append
+    When another client account cancels the job
+    And a job is submitted with 1 s to wait 0.5 s later
+    Then the cancellation is refused as unknown
+    And the submission is accepted
+
+  Scenario: A job is looked for while its submission is being stored
+    # Guards against an answer that a job is unknown which is accepted a moment
+    # later; a host that moves a queue would accept it a second time.
+    Given the store takes 0.8 s for an append
+    When a job is submitted with 1 s to wait
+    And the job is looked for 0.2 s after it was submitted
+    Then it is refused as not-run with status 503 within 0.5 s
+
   Scenario: Jobs refused by a late owner return spread over time
     # Guards against callers that all return at one moment.
     Given an owner whose event loop runs 1 s late
