Keep stored cancellations whatever the wall clocks of the hosts say

A cancellation of an unknown job held the wall-clock time of its owner, and the next owner counted its age by its own wall clock. Where clocks differ or jump by a minute, a submission that came late was accepted after its caller had been told that there is none.

--- a/src/chervillead/jobs/records.py
+++ b/src/chervillead/jobs/records.py
@@ -32,12 +32,10 @@
     Attributes:
         job_id: The job.
         account: Client account of the caller.
-        cancelled_unix_ms: When it was cancelled, by the owner's wall clock.
     """
 
     job_id: str
     account: str
-    cancelled_unix_ms: int
 
 
 class QueueAssignment(typing.NamedTuple):
--- a/src/chervillead/pools/job_operations.py
+++ b/src/chervillead/pools/job_operations.py
@@ -260,9 +260,7 @@
             return _too_many_cancellations()
         state.cancelled.add(job_id, account, state.now_s())
         stored = state.recorder.store_cancellation(
-            records.Cancellation(
-                job_id, account, int(1000 * state.ports.clock.wall())
-            )
+            records.Cancellation(job_id, account)
         )
         await asyncio.wait([stored], timeout=timeout_s)
         if group_commit.is_stored(stored):
--- a/src/chervillead/pools/takeover.py
+++ b/src/chervillead/pools/takeover.py
@@ -68,13 +68,11 @@
         records.decode_cancellation,
         ports.log,
     ):
-        age_s = max(
-            0.0, ports.clock.wall() - cancellation.cancelled_unix_ms / 1000
-        )
+        # Kept as long as by the previous owner, whose clock isn't this one.
         owner.state.cancelled.add(
             cancellation.job_id,
             cancellation.account,
-            ports.clock.monotonic() - age_s,
+            ports.clock.monotonic(),
         )
     owner.state.queues.update(
         (assignment.address, assignment)
--- a/tests/pools/takeover.feature
+++ b/tests/pools/takeover.feature
@@ -210,6 +210,7 @@
       | meanwhile                                   |
       | 1 s pass                                    |
       | the owner is killed                         |
+      | all hosts restart and their wall clocks jump |
       | operators assign the queue to the other pool |
 
   Scenario: An owner is replaced while it cancels a job that is being stored
--- a/tests/stand_ins/platform_fleet.py
+++ b/tests/stand_ins/platform_fleet.py
@@ -108,6 +108,7 @@
         unlisted: Ids of workers that are missing from the store's list.
         accepted_jobs: Ids of accepted jobs, if the test records them.
         ended_tasks: Tasks of hosts that ended by themselves, with the error.
+        wall_clock_ahead_s: How far the wall clocks of hosts are ahead.
         host_cores: Cores of the hosts that don't have one, by name.
     """
 
@@ -143,6 +144,7 @@
         self.unlisted: set[str] = set()
         self.accepted_jobs: list[str] = []
         self.ended_tasks: list[tuple[str, str]] = []
+        self.wall_clock_ahead_s = 0.0
         self.host_cores: dict[str, float] = {}
         # Ids of the workers that belong to the other pool.
         self.other_pool_workers: set[str] = set()
@@ -185,6 +187,9 @@
         self._tasks.append(asyncio.create_task(self._count_pending()))
         await asyncio.sleep(0.5)
 
+    def _wall_s(self) -> float:
+        return virtual_time.clock().wall() + self.wall_clock_ahead_s
+
     async def _count_pending(self) -> None:
         """Asks a host for the queue's number of pending jobs."""
         ports = next(iter(self.hosts.values())).job_ports()
@@ -229,7 +234,7 @@
             ),
             log,
             assembly.HostEnvironment(
-                virtual_time.clock(),
+                types.Clock(loop.time, self._wall_s),
                 loop.time,
                 self.network.dial_from(name),
                 self.network.listen_at(name),
--- a/tests/steps/platform_fleet.py
+++ b/tests/steps/platform_fleet.py
@@ -511,14 +511,26 @@
     assert not late, late
 
 
+@behave.when("all hosts restart and their wall clocks jump")
+def step(context):
+    async def restart(fleet):
+        names = list(fleet.hosts)
+        for name in names:
+            await fleet.kill_host(name)
+        fleet.wall_clock_ahead_s += 3600
+        for name in names:
+            fleet.start_host(name)
+        await asyncio.sleep(3)
+
+    platform_scenarios.add_action(context, restart)
+
+
 @behave.when("the owner is killed just after it stored the job's cancelling")
 def step(context):
     async def kill(fleet):
         await fleet.kill_host(fleet.owner_host())
         cancellation = job_records.Cancellation(
-            platform_scenarios.JOB,
-            "team-1",
-            int(1000 * next(iter(fleet.hosts.values())).clock.wall()),
+            platform_scenarios.JOB, "team-1"
         )
         key = job_records.cancellation_key(
             cancellation.job_id, cancellation.account
