Let pools share an account's quota by what they need, with one ledger

Cause: the equal parts. Gangs, accelerators (parts of 0) and an account whose work comes in one pool met the same bound, and no log said why a task waits.

Change: partitions hold shares of each quota, in millionths, and start tasks within them. The owner of the hosts partition keeps the ledger; it grants only what no partition holds, stores that before it answers, and refuses reports that were overtaken. A partition asks when a task or a gang doesn't fit, stores what it gives back before it reports it, and gives nothing back before it knows what its predecessor was granted and what runs. What waits longest goes first where there is too little. A task larger than the quota starts alone. Equal parts are gone. Tasks of an owner that end with an error now end the owner, which starts again.

Ruled out: loans from owner to owner, which need each lender's proof that it has given up an amount; `entries/escrow.py`, whose records are the fold's.

--- a/src/chervillead/entries/codec.py
+++ b/src/chervillead/entries/codec.py
@@ -63,6 +63,7 @@
     "cancel-job": job_messages.CancelJob,
     "count-pending": job_messages.CountPending,
     "close-queue": job_messages.CloseQueue,
+    "report-shares": job_messages.ReportShares,
     "job-reply": job_messages.JobReply,
     "ask-operator-records": job_messages.AskOperatorRecords,
     "operator-records": job_messages.OperatorRecords,
--- a/src/chervillead/entries/job_messages.py
+++ b/src/chervillead/entries/job_messages.py
@@ -87,6 +87,60 @@
     timeout_ms: int
 
 
+class ShareRow(typing.NamedTuple):
+    """What a partition holds and needs of an account's quota, in shares.
+
+    Attributes:
+        account: The client account.
+        held: Share that it holds.
+        used: Share that its running tasks need.
+        least: Share with which one more task or gang could start.
+        wanted: Share that it could use.
+        waiting_ms: How long it has been waiting for `least`.
+    """
+
+    account: str
+    held: int
+    used: int
+    least: int
+    wanted: int
+    waiting_ms: int
+
+
+class ReportShares(typing.NamedTuple):
+    """Tells the owner of the hosts partition about shares of quotas.
+
+    Attributes:
+        partition: The hosts partition.
+        reporter: Partition of the sender.
+        epoch: Epoch of the sender as its owner.
+        number: Number of the report; it rises with each one of an owner.
+        rows: The accounts that have a share or need one.
+        timeout_ms: How long the owner may wait for the store.
+    """
+
+    partition: int
+    reporter: int
+    epoch: int
+    number: int
+    rows: tuple[ShareRow, ...]
+    timeout_ms: int
+
+
+class ShareGrant(typing.NamedTuple):
+    """Share of an account's quota that a partition holds.
+
+    Attributes:
+        account: The client account.
+        held: Share that it holds.
+        target: Share that it should hold; it gives back what is beyond that.
+    """
+
+    account: str
+    held: int
+    target: int
+
+
 class JobReply(typing.NamedTuple):
     """Reply of the owner of a partition.
 
@@ -104,6 +158,7 @@
         partitions: Other partitions with pending jobs of the queue.
         job_ids: Jobs whose submission may come again, in the reply to
             `CloseQueue`.
+        shares: Shares that the sender holds, in the reply to `ReportShares`.
     """
 
     verdict: str
@@ -117,6 +172,7 @@
     pending: int = 0
     partitions: tuple[int, ...] = ()
     job_ids: tuple[str, ...] = ()
+    shares: tuple[ShareGrant, ...] = ()
 
 
 class AskOperatorRecords(typing.NamedTuple):
@@ -152,6 +208,8 @@
     owners: dict[int, str] = {}
 
 
-JobCall = SubmitJob | FindJob | CancelJob | CountPending | CloseQueue
+JobCall = (
+    SubmitJob | FindJob | CancelJob | CountPending | CloseQueue | ReportShares
+)
 Call = JobCall | AskOperatorRecords | host_messages.HostCall
 Reply = JobReply | OperatorRecords | host_messages.HostReply
--- a/src/chervillead/jobs/quotas.py
+++ b/src/chervillead/jobs/quotas.py
@@ -1,77 +1,116 @@
-"""Resource quotas of client accounts.
+"""Resource quotas of client accounts, and the shares of them that pools hold.
 
 The quota of an account applies to the sum over all pools. The owner of each
-pool enforces an equal part of it, so no owner has to ask another before it
-starts a task, and the quota holds during a network partition between owners.
+partition holds a share of it and starts tasks within that, so no owner has to
+ask another one for each task. The shares of an account never add up to more
+than its whole quota. As they are fractions, a quota that is lowered lowers what
+all of them allow at once.
 """
 
 from collections import abc
+import typing
 
 from chervillead.jobs import model
 
+# Shares are counted in parts of this number, which stands for a whole quota.
+WHOLE = 1_000_000
 
-def pool_quota(quota: model.Resources, pools: int) -> model.Resources:
-    """Returns the part of a quota that one pool may use.
 
-    Args:
-        quota: The quota of a client account.
-        pools: Number of pools that share it.
+class ShareNeed(typing.NamedTuple):
+    """What one partition needs of an account's quota.
+
+    Attributes:
+        used: Share that its running tasks need.
+        least: Share with which one more task, or one more gang, could start;
+            the same as `used` if none waits.
+        wanted: Share that it could use.
+        waiting_s: How long it has been waiting for `least`.
     """
-    parts = max(1, pools)
-    return model.Resources(
-        quota.millicores // parts,
-        quota.memory_mb // parts,
-        quota.accelerators // parts,
+
+    used: int
+    least: int
+    wanted: int
+    waiting_s: float = 0.0
+
+
+def needed_share(quota: model.Resources, amounts: model.Resources) -> int:
+    """Returns the least share of a quota that covers some amounts.
+
+    It is more than `WHOLE` if the quota doesn't cover them. A quota of 0 means
+    no limit.
+    """
+    return max(
+        -(-amount * WHOLE // limit) if limit else 0
+        for amount, limit in zip(amounts, quota, strict=True)
     )
 
 
-def fits_quota(
-    part: model.Resources,
+def allows(
     quota: model.Resources,
-    running: model.Resources,
+    share: int,
+    used: model.Resources,
     need: model.Resources,
+    tasks: int = 1,
 ) -> bool:
-    """Returns whether a further request stays within one pool's quota.
+    """Returns whether further tasks may start under a share of a quota.
+
+    A single task that exceeds the whole quota may start if nothing else of its
+    account runs, since it would wait for ever otherwise.
 
     Args:
-        part: The pool's part of the quota.
-        quota: The whole quota; an amount of 0 means no limit.
-        running: Resources of the account's running tasks in the pool.
-        need: Resources of the further tasks.
+        quota: Quota of the client account.
+        share: Share that is held.
+        used: Resources of the account's running tasks.
+        need: Resources of the further tasks together.
+        tasks: Number of the further tasks.
     """
-    total = running.plus(need)
-    return all(
-        not quota_amount or used <= allowed
-        for quota_amount, allowed, used in zip(quota, part, total, strict=True)
-    )
+    if needed_share(quota, used.plus(need)) <= share:
+        return True
+    return tasks == 1 and share == WHOLE and not any(used)
 
 
-def count_active_pools(configuration: model.FleetConfiguration) -> int:
-    """Returns the number of pools that run tasks, without spare pools."""
-    return sum(not pool.is_spare for pool in configuration.pools.values())
+def quota_of(
+    configuration: model.FleetConfiguration, account: str
+) -> model.Resources | None:
+    """Returns the quota of a client account, or None if it has no limit."""
+    client_account = configuration.accounts.get(account)
+    if client_account is None or not any(client_account.quota):
+        return None
+    return client_account.quota
 
 
-def is_within_quota(
-    configuration: model.FleetConfiguration,
-    account: str,
-    running: abc.Mapping[str, model.Resources],
-    need: model.Resources,
-) -> bool:
-    """Returns whether a client account may use more of one pool.
+def divide_shares(
+    needs: abc.Mapping[int, ShareNeed],
+) -> dict[int, int]:
+    """Returns the share that each partition should hold, by partition.
+
+    What waits longest comes first, with the least that it can start with: a
+    large task, or a gang, would otherwise wait for as long as others keep
+    taking what becomes free. The rest is divided by max-min fairness, and what
+    nobody wants is left.
 
     Args:
-        configuration: The configuration; an account that it doesn't have is
-            not limited.
-        account: Name of the client account.
-        running: Resources of running tasks in the pool, by account.
-        need: Resources that the account requests in addition.
+        needs: What the partitions need, by partition.
     """
-    client_account = configuration.accounts.get(account)
-    if client_account is None or not any(client_account.quota):
-        return True
-    part = pool_quota(client_account.quota, count_active_pools(configuration))
-    used = running.get(account, model.Resources())
-    return fits_quota(part, client_account.quota, used, need)
+    shares = {partition: 0 for partition in needs}
+    left = WHOLE
+    for partition, need in sorted(
+        needs.items(), key=lambda item: (-item[1].waiting_s, item[0])
+    ):
+        least = min(need.least, WHOLE)
+        shares[partition] = least if least <= left else min(need.used, left)
+        left -= shares[partition]
+    open_partitions = sorted(
+        needs, key=lambda partition: (needs[partition].wanted, partition)
+    )
+    # Filling the smallest wants first leaves equal parts to all others.
+    for number, partition in enumerate(open_partitions):
+        parts = len(open_partitions) - number
+        wanted = min(needs[partition].wanted, WHOLE) - shares[partition]
+        extra = max(0, min(wanted, left // parts))
+        shares[partition] += extra
+        left -= extra
+    return shares
 
 
 def share_usage_by_account(
--- a/src/chervillead/jobs/records.py
+++ b/src/chervillead/jobs/records.py
@@ -21,6 +21,8 @@
 TERMS_PREFIX = "t"
 CANCELLATION_PREFIX = "c"
 QUEUE_PREFIX = "q"
+SHARE_PREFIX = "s"
+GRANTS_PREFIX = "g"
 
 
 _Value = typing.TypeVar("_Value")
@@ -57,6 +59,27 @@
     other_partitions: tuple[int, ...] = ()
 
 
+class QuotaShare(typing.NamedTuple):
+    """Share of an account's quota that a partition holds."""
+
+    account: str
+    share: int
+
+
+class QuotaGrants(typing.NamedTuple):
+    """Shares of an account's quota that partitions have been granted.
+
+    Attributes:
+        account: The client account.
+        shares: The shares, by partition.
+        reports: Epoch and number of the last report of each partition.
+    """
+
+    account: str
+    shares: dict[int, int]
+    reports: dict[int, tuple[int, int]]
+
+
 class TaskProgress(typing.NamedTuple):
     """Stored progress of one task that hasn't completed.
 
@@ -112,6 +135,8 @@
 
 _spec_decoder = msgspec.msgpack.Decoder(model.JobSpec)
 _terms_decoder = msgspec.msgpack.Decoder(model.JobTerms)
+_share_decoder = msgspec.msgpack.Decoder(QuotaShare)
+_grants_decoder = msgspec.msgpack.Decoder(QuotaGrants)
 _queue_decoder = msgspec.msgpack.Decoder(QueueAssignment)
 _cancellation_decoder = msgspec.msgpack.Decoder(Cancellation)
 _progress_decoder = msgspec.msgpack.Decoder(Progress)
@@ -189,6 +214,44 @@
     return _decode(_queue_decoder, value)
 
 
+def share_key(account: str) -> str:
+    """Returns the key of the record of a held share."""
+    return SHARE_PREFIX + xxhash.xxh64_hexdigest(account.encode())
+
+
+def encode_share(share: QuotaShare) -> bytes:
+    """Returns the value of the record of a held share."""
+    return _encoder.encode(share)
+
+
+def decode_share(value: bytes) -> QuotaShare:
+    """Returns the held share in the value of a record.
+
+    Raises:
+        MalformedRecordError: The value isn't an encoded share.
+    """
+    return _decode(_share_decoder, value)
+
+
+def grants_key(account: str) -> str:
+    """Returns the key of the record of an account's grants."""
+    return GRANTS_PREFIX + xxhash.xxh64_hexdigest(account.encode())
+
+
+def encode_grants(grants: QuotaGrants) -> bytes:
+    """Returns the value of the record of an account's grants."""
+    return _encoder.encode(grants)
+
+
+def decode_grants(value: bytes) -> QuotaGrants:
+    """Returns the grants in the value of a record.
+
+    Raises:
+        MalformedRecordError: The value isn't encoded grants.
+    """
+    return _decode(_grants_decoder, value)
+
+
 def encode_spec(spec: model.JobSpec) -> bytes:
     """Returns the value of the record of a spec."""
     return _encoder.encode(spec)
--- a/src/chervillead/pools/job_recorder.py
+++ b/src/chervillead/pools/job_recorder.py
@@ -98,6 +98,26 @@
             records.encode_queue(assignment),
         )
 
+    def store_share(self, share: records.QuotaShare) -> asyncio.Future[None]:
+        """Queues the record of a held share of a quota.
+
+        Returns:
+            A future that completes when the record is stored.
+        """
+        return self._writer.append(
+            records.share_key(share.account), records.encode_share(share)
+        )
+
+    def store_grants(self, grants: records.QuotaGrants) -> asyncio.Future[None]:
+        """Queues the record of an account's grants.
+
+        Returns:
+            A future that completes when the record is stored.
+        """
+        return self._writer.append(
+            records.grants_key(grants.account), records.encode_grants(grants)
+        )
+
     def store_cancellation(
         self, cancellation: records.Cancellation
     ) -> asyncio.Future[None]:
--- a/src/chervillead/pools/job_service.py
+++ b/src/chervillead/pools/job_service.py
@@ -41,6 +41,8 @@
                 call.address, call.version, call.timeout_ms / 1000
             )
         )
+    if isinstance(call, job_messages.ReportShares):
+        return _reply(await owner.ledger.report(call, call.timeout_ms / 1000))
     found = await owner.operations.find(
         call.job_id, confirm_unknown=call.confirm_unknown
     )
--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -15,6 +15,7 @@
 from chervillead.jobs import task_runs
 from chervillead.pools import account_usage
 from chervillead.pools import cancelled_submissions
+from chervillead.pools import held_shares
 from chervillead.pools import job_recorder
 from chervillead.pools import ports as ports_module
 from chervillead.store import group_commit
@@ -67,6 +68,11 @@
         taken_down_incarnations: Incarnation, by worker id, of workers whose
             hosts this owner took down. The store lists them for a while longer.
         queues: Which queues the partition accepts jobs of, by address.
+        shares: Shares of the accounts' quotas that the partition holds.
+        grants: Shares that the ledger of the hosts partition has granted, by
+            account and partition.
+        reports: Epoch and number of the last report to the ledger, by
+            partition.
         cancelled: Submissions that were cancelled before they arrived.
         crashed_s: When the last worker that crashed at each address had last
             answered.
@@ -103,6 +109,9 @@
         self.ended_workers: set[str] = set()
         self.taken_down_incarnations: dict[str, int] = {}
         self.queues: dict[str, records.QueueAssignment] = {}
+        self.shares = held_shares.HeldShares()
+        self.grants: dict[str, dict[int, int]] = {}
+        self.reports: dict[int, tuple[int, int]] = {}
         self.cancelled = cancelled_submissions.CancelledSubmissions()
         self.crashed_s: dict[types.Address, float] = {}
         self.changed_workers: set[str] = set()
--- a/src/chervillead/pools/partition_owner.py
+++ b/src/chervillead/pools/partition_owner.py
@@ -15,6 +15,8 @@
 from chervillead.pools import owner_state
 from chervillead.pools import placement_scheduler
 from chervillead.pools import ports as ports_module
+from chervillead.pools import quota_ledger
+from chervillead.pools import quota_shares
 from chervillead.pools import recovery
 from chervillead.pools import stalled_runs
 from chervillead.pools import worker_registry
@@ -68,6 +70,10 @@
         self._placement = placement_scheduler.PlacementScheduler(
             self._state, self._advice_cache.tickets
         )
+        self._ledger = quota_ledger.QuotaLedger(self._state)
+        self._quota_shares = quota_shares.QuotaShares(
+            self._state, lambda: not self._state.recovering_jobs
+        )
         self._checked_s = float("-inf")
         self._expiry_checked_s = float("-inf")
 
@@ -91,6 +97,11 @@
         """Whether all runs of earlier owners are known."""
         return self._recovery
 
+    @property
+    def ledger(self) -> quota_ledger.QuotaLedger:
+        """The ledger of quotas, which counts in the hosts partition only."""
+        return self._ledger
+
     @property
     def drain(self) -> host_drain.HostDrain:
         """Cordons and drains workers, for host maintenance and resizing."""
@@ -123,7 +134,10 @@
         background_tasks = [
             asyncio.create_task(state.writer.run()),
             asyncio.create_task(self._advice_cache.run()),
+            asyncio.create_task(self._quota_shares.run()),
         ]
+        for task in background_tasks:
+            task.add_done_callback(self._record_failure)
         try:
             delay_s = BATCH_DELAY_S
             while not state.is_fenced:
@@ -141,6 +155,12 @@
                 task.cancel()
             await self._workers.close_all()
 
+    def _record_failure(self, task: asyncio.Task[None]) -> None:
+        """Ends the owner if one of its tasks has failed."""
+        if not task.cancelled() and task.exception() is not None:
+            self._state.failure = task.exception()
+            self._state.wake()
+
     def run_pass(self) -> None:
         """Applies what changed since the last pass and starts tasks."""
         state = self._state
--- a/src/chervillead/pools/placement_pass.py
+++ b/src/chervillead/pools/placement_pass.py
@@ -150,9 +150,7 @@
         first = group[0]
         account = first.job.spec.account
         need = first.step.size.times(len(group))
-        if not quotas.is_within_quota(
-            self._configuration, account, self._state.usage_by_account, need
-        ):
+        if not self._is_within_quota(account, need, len(group)):
             return worker_selection.Verdict.OVER_QUOTA
         chosen = self._selection.select(group)
         if chosen is worker_selection.Verdict.NO_IDLE_WORKER:
@@ -170,6 +168,24 @@
             )
         return worker_selection.Verdict.STARTED
 
+    def _is_within_quota(
+        self, account: str, need: model.Resources, tasks: int
+    ) -> bool:
+        """Returns whether an account's share allows further tasks.
+
+        A shortage is noted, so that the owner asks for a larger share.
+        """
+        quota = quotas.quota_of(self._configuration, account)
+        if quota is None:
+            return True
+        shares = self._state.shares
+        used = self._state.usage_by_account.get(account, model.Resources())
+        if quotas.allows(quota, shares.held(account), used, need, tasks):
+            shares.note_use(account, self._now_s)
+            return True
+        shares.note_shortage(account, need, self._now_s)
+        return False
+
     def _start(
         self, ready: readiness.ReadyTask, worker_id: str, number: int
     ) -> None:
--- a/src/chervillead/pools/pool_load.py
+++ b/src/chervillead/pools/pool_load.py
@@ -32,11 +32,7 @@
         *(amount // max(1, len(hosts)) for amount in total)
     )
     demand = list(
-        _within_quotas(
-            configuration,
-            _usage_by_account(state, watches),
-            _ready_steps(state, pool),
-        )
+        _within_quotas(state, configuration, _ready_steps(state, pool))
     )
     free = [view.registration.capacity.minus(view.reserved()) for view in hosts]
     return autoscaling.PoolLoad(
@@ -76,21 +72,6 @@
             yield from readiness.ready_steps(job, state.now_s(), now_unix_ms)
 
 
-def _usage_by_account(
-    state: owner_state.OwnerState,
-    watches: abc.Iterable[watch_module.WorkerWatch],
-) -> dict[str, model.Resources]:
-    """Returns the resources that each account uses on some workers."""
-    usage: dict[str, model.Resources] = {}
-    for watch in watches:
-        for run in watch.view.runs.values():
-            job = state.jobs.get(run.job_id)
-            if job is not None:
-                used_before = usage.get(job.spec.account, model.Resources())
-                usage[job.spec.account] = used_before.plus(run.reserved)
-    return usage
-
-
 def _urgent(
     state: owner_state.OwnerState,
     configuration: model.FleetConfiguration,
@@ -125,39 +106,43 @@
 
 
 def _within_quotas(
+    state: owner_state.OwnerState,
     configuration: model.FleetConfiguration,
-    usage: dict[str, model.Resources],
     ready: abc.Iterable[readiness.ReadyStep],
 ) -> abc.Iterator[readiness.ReadyStep]:
     """Yields the tasks that fit into the quotas along with all before them.
 
-    More hosts would not help a task that exceeds the quota of its account.
+    More hosts would not help a task that exceeds the share of its account which
+    the partition holds, or could be granted.
     """
+    usage = dict(state.usage_by_account)
     for step in ready:
         account, need = step.job.spec.account, step.step.reserved
-        count = _count_within_quota(configuration, usage, step)
+        quota = quotas.quota_of(configuration, account)
+        if quota is None:
+            yield step
+            continue
+        used = usage.get(account, model.Resources())
+        share = max(state.shares.held(account), state.shares.target(account))
+        count = _count_allowed(quota, share, used, need, len(step.tasks))
         if count:
-            used_before = usage.get(account, model.Resources())
-            usage[account] = used_before.plus(need.times(count))
+            usage[account] = used.plus(need.times(count))
             yield step._replace(tasks=step.tasks[:count])
 
 
-def _count_within_quota(
-    configuration: model.FleetConfiguration,
-    usage: abc.Mapping[str, model.Resources],
-    ready: readiness.ReadyStep,
+def _count_allowed(
+    quota: model.Resources,
+    share: int,
+    used: model.Resources,
+    need: model.Resources,
+    tasks: int,
 ) -> int:
-    """Returns how many tasks of a step fit into the quota of its account."""
+    """Returns how many of some equal tasks a share of a quota allows."""
     return next(
         (
             count
-            for count in range(len(ready.tasks), 0, -1)
-            if quotas.is_within_quota(
-                configuration,
-                ready.job.spec.account,
-                usage,
-                ready.step.reserved.times(count),
-            )
+            for count in range(tasks, 0, -1)
+            if quotas.allows(quota, share, used, need.times(count), count)
         ),
         0,
     )
--- a/src/chervillead/pools/takeover.py
+++ b/src/chervillead/pools/takeover.py
@@ -9,6 +9,7 @@
 from chervillead.jobs import job_state
 from chervillead.jobs import model
 from chervillead.jobs import records
+from chervillead.pools import owner_state
 from chervillead.pools import partition_owner
 from chervillead.pools import pool_partitions
 from chervillead.pools import ports as ports_module
@@ -80,6 +81,7 @@
             stored, records.QUEUE_PREFIX, records.decode_queue, ports.log
         )
     )
+    _restore_quotas(owner.state, stored)
     owner.load(jobs)
     owner.state.unreadable_jobs.update(
         _stored_ids(stored) - {job.spec.job_id for job in jobs}
@@ -97,6 +99,24 @@
     return True
 
 
+def _restore_quotas(
+    state: owner_state.OwnerState,
+    stored: tuple[store_interface.KeyedRecord, ...],
+) -> None:
+    """Restores the shares that a partition holds, and the ledger of all."""
+    for share in _decode_records(
+        stored, records.SHARE_PREFIX, records.decode_share, state.log
+    ):
+        state.shares.hold(share.account, share.share)
+    for grants in _decode_records(
+        stored, records.GRANTS_PREFIX, records.decode_grants, state.log
+    ):
+        state.grants[grants.account] = dict(grants.shares)
+        for partition, report in grants.reports.items():
+            last = state.reports.get(partition, report)
+            state.reports[partition] = max(last, report)
+
+
 def restore_jobs(
     stored: tuple[store_interface.KeyedRecord, ...],
     now_s: float,
--- a/tests/stand_ins/memory_partition.py
+++ b/tests/stand_ins/memory_partition.py
@@ -13,6 +13,7 @@
 from chervillead import types
 from chervillead.jobs import job_state
 from chervillead.jobs import model
+from chervillead.jobs import quotas
 from chervillead.jobs import task_runs
 from chervillead.pools import owner_state
 from chervillead.pools import partition_owner
@@ -50,6 +51,8 @@
             self._make_ports(configuration),
             owner_state.OwnershipStatus(lambda: True, lambda: False),
         )
+        for account in configuration.accounts:
+            self._owner.state.shares.hold(account, quotas.WHOLE)
         self._owner.load(jobs)
         self._owner.workers.update({w.worker_id: w for w in workers})
         for worker in workers:
--- a/tests/stand_ins/moving_queue.py
+++ b/tests/stand_ins/moving_queue.py
@@ -15,17 +15,12 @@
 from returns import pipeline
 from returns import result
 
-from chervillead import types
 from chervillead import verdicts
 from chervillead.entries import job_messages
 from chervillead.jobs import model
 from chervillead.jobs import records
-from chervillead.pools import owner_state
-from chervillead.pools import partition_owner
 from chervillead.pools import pool_partitions
-from chervillead.pools import ports as ports_module
-from chervillead.pools import takeover
-from chervillead.store import group_commit
+from stand_ins import memory_owners
 from stand_ins import memory_store
 from stand_ins import virtual_time
 
@@ -66,9 +61,11 @@
             self._rng, LONGEST_STORE_CALL_S, LOST_REPLIES
         )
         self._configurations = [_configuration(1, POOLS[0])] * len(POOLS)
-        self._owners: dict[int, partition_owner.PartitionOwner] = {}
-        self._running: dict[int, asyncio.Task[None]] = {}
-        self._epoch = 0
+        self._owners = memory_owners.MemoryOwners(
+            self._store,
+            lambda partition: self._configurations[partition],
+            self._call_owner,
+        )
         self._accepted: set[str] = set()
         self._attempts: dict[str, list[verdicts.Verdict]] = {}
         self._reasons: collections.Counter[str] = collections.Counter()
@@ -76,7 +73,7 @@
     async def run(self) -> Outcome:
         """Plays all calls and faults, and returns what was stored."""
         for partition in range(len(POOLS)):
-            await self._take_over(partition)
+            await self._owners.replace(partition)
         tasks = [
             asyncio.create_task(work)
             for work in (
@@ -87,9 +84,7 @@
         ]
         await asyncio.gather(*tasks)
         await asyncio.sleep(3.0)
-        for task in self._running.values():
-            task.cancel()
-        await asyncio.gather(*self._running.values(), return_exceptions=True)
+        await self._owners.stop()
         return Outcome(
             self._partitions_of_job(),
             self._accepted,
@@ -149,7 +144,7 @@
     ) -> abc.Iterator[abc.Coroutine[typing.Any, typing.Any, None]]:
         async def replace(partition: int, at_s: float) -> None:
             await asyncio.sleep(at_s)
-            await self._take_over(partition)
+            await self._owners.replace(partition)
 
         for _ in range(5):
             partition = self._rng.randrange(len(POOLS))
@@ -160,7 +155,7 @@
         pool = self._configurations[host].queues["queue"].pool
         partition = POOLS.index(pool)
         await asyncio.sleep(self._rng.uniform(0.0, 0.05))
-        owner = self._owners[partition]
+        owner = self._owners.owners[partition]
         if not owner.state.is_loaded:
             return
         outcome = await owner.operations.submit(
@@ -179,7 +174,7 @@
     ) -> result.Result[job_messages.JobReply, verdicts.Refusal]:
         assert isinstance(call, job_messages.CloseQueue)
         await asyncio.sleep(self._rng.uniform(0.0, 0.05))
-        owner = self._owners[call.partition]
+        owner = self._owners.owners[call.partition]
         if not owner.state.is_loaded:
             return result.Failure(verdicts.not_run("no-owner", 503))
         outcome = await owner.operations.queues.close(
@@ -188,44 +183,6 @@
         await asyncio.sleep(self._rng.uniform(0.0, 0.05))
         return outcome
 
-    async def _take_over(self, partition: int) -> None:
-        """Replaces a partition's owner, which isn't told."""
-        self._epoch += 1
-        ports = self._owner_ports(partition)
-        writer = group_commit.PartitionWriter(
-            ports.store, pool_partitions.JOBS_TOPIC, partition, self._epoch
-        )
-        owner = partition_owner.PartitionOwner(
-            partition,
-            self._epoch,
-            writer,
-            ports,
-            owner_state.OwnershipStatus(lambda: True, lambda: False),
-        )
-        if await takeover.load(owner, writer, ports):
-            replaced = self._running.get(partition)
-            self._owners[partition] = owner
-            self._running[partition] = asyncio.create_task(owner.run())
-            if replaced is not None:
-                replaced.cancel()
-
-    def _owner_ports(self, partition: int) -> ports_module.OwnerPorts:
-        return ports_module.OwnerPorts(
-            store=self._store.store(),
-            open_worker=typing.cast(typing.Any, None),
-            clock=types.Clock(
-                asyncio.get_running_loop().time, virtual_time.clock().wall
-            ),
-            limits=ports_module.Limits(),
-            configuration=lambda: self._configurations[partition],
-            zones_out=frozenset,
-            is_current=lambda: True,
-            log=lambda message_type, **fields: None,
-            increment=lambda *labels: None,
-            observe=lambda name, seconds: None,
-            call_owner=self._call_owner,
-        )
-
 
 def run_seeded(seed: int) -> Outcome:
     """Plays one run on a virtual clock."""
--- a/tests/steps/pools_placement_pass.py
+++ b/tests/steps/pools_placement_pass.py
@@ -140,9 +140,7 @@
             key = job.spec.job_id, ready.occurrence, ready.number
             size = ready.step.size
             account = job.spec.account
-            if quotas.is_within_quota(
-                CONFIGURATION, account, summed_usage(state), size
-            ):
+            if is_allowed(state, account, size):
                 found += [
                     (ready.ready_tasks(), watch.view.worker_id)
                     for watch in allowed_watches(state, ready, now_s)
@@ -153,6 +151,12 @@
     return found
 
 
+def is_allowed(state, account, size):
+    quota = quotas.quota_of(CONFIGURATION, account)
+    used = summed_usage(state).get(account, model.Resources())
+    return quota is None or quotas.allows(quota, quotas.WHOLE, used, size)
+
+
 def allowed_watches(state, ready, now_s):
     """Returns the workers on which no task of a step has failed."""
     failed = {
