--- a/src/chervillead/jobs/model.py
+++ b/src/chervillead/jobs/model.py
@@ -167,13 +167,13 @@
     The service issues tickets for the workers that may run a step.
 
     Attributes:
-        timeout_ms: Timeout of a call.
-        timeout_per_worker_ms: Additional timeout for each worker in the call.
+        answer_ms: How long the service takes to answer a call.
+        answer_per_worker_ms: How much longer it takes for each worker in it.
         ticket_ttl_ms: How long a ticket is valid.
     """
 
-    timeout_ms: int
-    timeout_per_worker_ms: int
+    answer_ms: int
+    answer_per_worker_ms: int
     ticket_ttl_ms: int
 
 
--- a/src/chervillead/platform/advice_client.py
+++ b/src/chervillead/platform/advice_client.py
@@ -13,8 +13,6 @@
 from chervillead.platform import wire
 from chervillead.pools import ports
 
-TIMEOUT_S = 3.0
-
 
 def connect_advice(
     address: types.Address, *, dial: http_exchange.Dial = http_exchange.dial
@@ -23,7 +21,11 @@
     channel = http_connection.HttpConnection(address, dial=dial)
 
     async def ask(
-        job_id: str, occurrence: int, step: int, workers: abc.Sequence[str]
+        job_id: str,
+        occurrence: int,
+        step: int,
+        workers: abc.Sequence[str],
+        timeout_s: float,
     ) -> result.Result[ports.Advice, ports.AdviceFailure]:
         fields = {
             # A phase is named like its tasks, without the task number.
@@ -36,7 +38,7 @@
             (("content-type", "application/json"),),
             msgspec.json.encode(fields),
         )
-        outcome = await channel.call(request, TIMEOUT_S)
+        outcome = await channel.call(request, timeout_s)
         if not pipeline.is_successful(outcome):
             return result.Failure(ports.AdviceFailure(outcome.failure().detail))
         response = outcome.unwrap()
--- a/src/chervillead/pools/ports.py
+++ b/src/chervillead/pools/ports.py
@@ -55,9 +55,9 @@
 
 
 # Asks which of some workers may run a step: job id, occurrence, number of the
-# step, ids of the workers.
+# step, ids of the workers, and the timeout in seconds.
 AskAdvice = abc.Callable[
-    [str, int, int, abc.Sequence[str]],
+    [str, int, int, abc.Sequence[str], float],
     abc.Awaitable[result.Result[Advice, AdviceFailure]],
 ]
 
--- a/tests/stand_ins/memory_partition.py
+++ b/tests/stand_ins/memory_partition.py
@@ -40,8 +40,10 @@
         configuration: model.FleetConfiguration,
         workers: abc.Sequence[worker_interface.Registration],
         jobs: abc.Iterable[job_state.JobState],
+        ask_advice: ports.AskAdvice | None = None,
     ) -> None:
         self.now_s = START_S
+        self._ask_advice = ask_advice
         self._clock_ms = 0
         self._end_numbers: dict[str, int] = {}
         self._owner = partition_owner.PartitionOwner(
@@ -64,6 +66,11 @@
         """State of the owner."""
         return self._owner.state
 
+    @property
+    def owner(self) -> partition_owner.PartitionOwner:
+        """The owner."""
+        return self._owner
+
     def runs_on(self, worker_id: str) -> list[task_runs.RunKey]:
         """Returns the runs on a worker."""
         return list(self.state.watches[worker_id].view.runs)
@@ -116,6 +123,7 @@
             increment=lambda name, label: None,
             observe=lambda name, seconds: None,
             call_owner=None,
+            ask_advice=self._ask_advice,
         )
 
 
