Split the operations on jobs, and give records without a job one codec

Change: submissions, refusals and cancelling are modules of their own, and jobs/partition_records.py encodes and decodes all kinds by their type. Behaviour stays; keys of cancellations are hashed as the others are.

--- /dev/null
+++ b/src/chervillead/jobs/partition_records.py
@@ -0,0 +1,116 @@
+"""Stored records of a partition that describe no job, as MessagePack.
+
+They lie beside the records of the partition's jobs, so a later owner loads both
+at once. The first letter of a key tells the kind of its record.
+"""
+
+import typing
+
+import msgspec
+import xxhash
+
+from chervillead.jobs import records
+
+
+class Cancellation(typing.NamedTuple):
+    """A call that cancelled a job which its owner didn't know.
+
+    Attributes:
+        job_id: The job.
+        account: Client account of the caller.
+    """
+
+    job_id: str
+    account: str
+
+
+class QueueAssignment(typing.NamedTuple):
+    """Whether a partition accepts jobs of a queue.
+
+    Attributes:
+        address: Address of the queue.
+        version: Version of the configuration that opened or closed it here.
+        is_open: Whether it accepts its jobs.
+        other_jobs: Jobs that other partitions have accepted a short time before
+            it was opened here.
+        other_partitions: Partitions that held jobs without a started task then.
+    """
+
+    address: str
+    version: int
+    is_open: bool
+    other_jobs: tuple[str, ...] = ()
+    other_partitions: tuple[int, ...] = ()
+
+
+class QuotaShare(typing.NamedTuple):
+    """Share of an account's quota that a partition holds."""
+
+    account: str
+    share: int
+
+
+class QuotaGrants(typing.NamedTuple):
+    """Shares of an account's quota that partitions have been granted.
+
+    Attributes:
+        account: The client account.
+        shares: The shares, by partition.
+        reports: Epoch and number of the last report of each partition.
+    """
+
+    account: str
+    shares: dict[int, int]
+    reports: dict[int, tuple[int, int]]
+
+
+Record = Cancellation | QueueAssignment | QuotaShare | QuotaGrants
+_Value = typing.TypeVar("_Value")
+
+# The letters of job records are taken.
+_PREFIXES: dict[type, str] = {
+    Cancellation: "c",
+    QueueAssignment: "q",
+    QuotaShare: "s",
+    QuotaGrants: "g",
+}
+_decoders: dict[type, msgspec.msgpack.Decoder[typing.Any]] = {
+    kind: msgspec.msgpack.Decoder(kind) for kind in _PREFIXES
+}
+_encoder = msgspec.msgpack.Encoder()
+
+
+def key_of(record: Record) -> str:
+    """Returns the key of a record.
+
+    What it is about is hashed, since keys are short and names may not be.
+    """
+    if isinstance(record, Cancellation):
+        subject = f"{record.job_id}:{record.account}"
+    elif isinstance(record, QueueAssignment):
+        subject = record.address
+    else:
+        subject = record.account
+    return _PREFIXES[type(record)] + xxhash.xxh64_hexdigest(subject.encode())
+
+
+def encode(record: Record) -> bytes:
+    """Returns the value of a record."""
+    return _encoder.encode(record)
+
+
+def has_kind(key: str, kind: type) -> bool:
+    """Returns whether a key is that of a record of some kind."""
+    return key.startswith(_PREFIXES[kind])
+
+
+def decode(kind: type[_Value], value: bytes) -> _Value:
+    """Returns the record in a value.
+
+    Raises:
+        MalformedRecordError: The value isn't a record of this kind.
+    """
+    try:
+        return typing.cast(_Value, _decoders[kind].decode(value))
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise records.MalformedRecordError(str(error)) from error
--- a/src/chervillead/jobs/records.py
+++ b/src/chervillead/jobs/records.py
@@ -2,15 +2,12 @@
 
 Spec and terms are written once. The progress is small and each record replaces
 the previous one. All are keyed by job, so log compaction keeps the newest of
-each. A submission that was cancelled before it arrived has a record of its own,
-without a job. Earlier builds skip the terms and reject a spec with further
-fields.
+each. Earlier builds skip the terms and reject a spec with further fields.
 """
 
 import typing
 
 import msgspec
-import xxhash
 
 from chervillead.jobs import job_state
 from chervillead.jobs import model
@@ -19,67 +16,11 @@
 SPEC_PREFIX = "j"
 PROGRESS_PREFIX = "p"
 TERMS_PREFIX = "t"
-CANCELLATION_PREFIX = "c"
-QUEUE_PREFIX = "q"
-SHARE_PREFIX = "s"
-GRANTS_PREFIX = "g"
 
 
 _Value = typing.TypeVar("_Value")
 
 
-class Cancellation(typing.NamedTuple):
-    """A call that cancelled a job which its owner didn't know.
-
-    Attributes:
-        job_id: The job.
-        account: Client account of the caller.
-    """
-
-    job_id: str
-    account: str
-
-
-class QueueAssignment(typing.NamedTuple):
-    """Whether a partition accepts jobs of a queue.
-
-    Attributes:
-        address: Address of the queue.
-        version: Version of the configuration that opened or closed it here.
-        is_open: Whether it accepts its jobs.
-        other_jobs: Jobs that other partitions have accepted a short time before
-            it was opened here.
-        other_partitions: Partitions that held jobs without a started task then.
-    """
-
-    address: str
-    version: int
-    is_open: bool
-    other_jobs: tuple[str, ...] = ()
-    other_partitions: tuple[int, ...] = ()
-
-
-class QuotaShare(typing.NamedTuple):
-    """Share of an account's quota that a partition holds."""
-
-    account: str
-    share: int
-
-
-class QuotaGrants(typing.NamedTuple):
-    """Shares of an account's quota that partitions have been granted.
-
-    Attributes:
-        account: The client account.
-        shares: The shares, by partition.
-        reports: Epoch and number of the last report of each partition.
-    """
-
-    account: str
-    shares: dict[int, int]
-    reports: dict[int, tuple[int, int]]
-
-
 class TaskProgress(typing.NamedTuple):
     """Stored progress of one task that hasn't completed.
 
@@ -135,10 +76,6 @@
 
 _spec_decoder = msgspec.msgpack.Decoder(model.JobSpec)
 _terms_decoder = msgspec.msgpack.Decoder(model.JobTerms)
-_share_decoder = msgspec.msgpack.Decoder(QuotaShare)
-_grants_decoder = msgspec.msgpack.Decoder(QuotaGrants)
-_queue_decoder = msgspec.msgpack.Decoder(QueueAssignment)
-_cancellation_decoder = msgspec.msgpack.Decoder(Cancellation)
 _progress_decoder = msgspec.msgpack.Decoder(Progress)
 _encoder = msgspec.msgpack.Encoder()
 
@@ -172,86 +109,6 @@
     return _decode(_terms_decoder, value)
 
 
-def cancellation_key(job_id: str, account: str) -> str:
-    """Returns the key of the record of a cancellation.
-
-    The account is hashed, since keys are short and its name may not be.
-    """
-    digest = xxhash.xxh64_hexdigest(account.encode())
-    return f"{CANCELLATION_PREFIX}{job_id}{digest}"
-
-
-def encode_cancellation(cancellation: Cancellation) -> bytes:
-    """Returns the value of the record of a cancellation."""
-    return _encoder.encode(cancellation)
-
-
-def decode_cancellation(value: bytes) -> Cancellation:
-    """Returns the cancellation in the value of a record.
-
-    Raises:
-        MalformedRecordError: The value isn't an encoded cancellation.
-    """
-    return _decode(_cancellation_decoder, value)
-
-
-def queue_key(address: str) -> str:
-    """Returns the key of the record of a queue, by its address."""
-    return QUEUE_PREFIX + xxhash.xxh64_hexdigest(address.encode())
-
-
-def encode_queue(assignment: QueueAssignment) -> bytes:
-    """Returns the value of the record of a queue."""
-    return _encoder.encode(assignment)
-
-
-def decode_queue(value: bytes) -> QueueAssignment:
-    """Returns the assignment in the value of a record.
-
-    Raises:
-        MalformedRecordError: The value isn't an encoded assignment.
-    """
-    return _decode(_queue_decoder, value)
-
-
-def share_key(account: str) -> str:
-    """Returns the key of the record of a held share."""
-    return SHARE_PREFIX + xxhash.xxh64_hexdigest(account.encode())
-
-
-def encode_share(share: QuotaShare) -> bytes:
-    """Returns the value of the record of a held share."""
-    return _encoder.encode(share)
-
-
-def decode_share(value: bytes) -> QuotaShare:
-    """Returns the held share in the value of a record.
-
-    Raises:
-        MalformedRecordError: The value isn't an encoded share.
-    """
-    return _decode(_share_decoder, value)
-
-
-def grants_key(account: str) -> str:
-    """Returns the key of the record of an account's grants."""
-    return GRANTS_PREFIX + xxhash.xxh64_hexdigest(account.encode())
-
-
-def encode_grants(grants: QuotaGrants) -> bytes:
-    """Returns the value of the record of an account's grants."""
-    return _encoder.encode(grants)
-
-
-def decode_grants(value: bytes) -> QuotaGrants:
-    """Returns the grants in the value of a record.
-
-    Raises:
-        MalformedRecordError: The value isn't encoded grants.
-    """
-    return _decode(_grants_decoder, value)
-
-
 def encode_spec(spec: model.JobSpec) -> bytes:
     """Returns the value of the record of a spec."""
     return _encoder.encode(spec)
--- a/src/chervillead/pools/cancelled_submissions.py
+++ b/src/chervillead/pools/cancelled_submissions.py
@@ -7,7 +7,7 @@
 
 from collections import abc
 
-from chervillead.jobs import records
+from chervillead.jobs import partition_records
 
 # Submissions arrive until the deadline of their caller's last attempt, some
 # seconds after the first one.
@@ -49,4 +49,6 @@
         ]
         for submission in expired:
             del self._expires_s[submission]
-            yield records.cancellation_key(*submission)
+            yield partition_records.key_of(
+                partition_records.Cancellation(*submission)
+            )
--- a/src/chervillead/pools/job_recorder.py
+++ b/src/chervillead/pools/job_recorder.py
@@ -4,6 +4,7 @@
 
 from chervillead.jobs import job_state
 from chervillead.jobs import model
+from chervillead.jobs import partition_records
 from chervillead.jobs import records
 from chervillead.store import group_commit
 
@@ -85,50 +86,14 @@
             await asyncio.wait([stored], timeout=timeout_s)
         return job.is_end_stored
 
-    def store_queue(
-        self, assignment: records.QueueAssignment
-    ) -> asyncio.Future[None]:
-        """Queues the record of a queue.
-
-        Returns:
-            A future that completes when the record is stored.
-        """
-        return self._writer.append(
-            records.queue_key(assignment.address),
-            records.encode_queue(assignment),
-        )
-
-    def store_share(self, share: records.QuotaShare) -> asyncio.Future[None]:
-        """Queues the record of a held share of a quota.
-
-        Returns:
-            A future that completes when the record is stored.
-        """
-        return self._writer.append(
-            records.share_key(share.account), records.encode_share(share)
-        )
-
-    def store_grants(self, grants: records.QuotaGrants) -> asyncio.Future[None]:
-        """Queues the record of an account's grants.
-
-        Returns:
-            A future that completes when the record is stored.
-        """
-        return self._writer.append(
-            records.grants_key(grants.account), records.encode_grants(grants)
-        )
-
-    def store_cancellation(
-        self, cancellation: records.Cancellation
-    ) -> asyncio.Future[None]:
-        """Queues the record of a cancelled submission that hasn't arrived.
+    def store(self, record: partition_records.Record) -> asyncio.Future[None]:
+        """Queues a record that describes no job.
 
         Returns:
-            A future that completes when the record is stored.
+            A future that completes when it is stored.
         """
         return self._writer.append(
-            records.cancellation_key(cancellation.job_id, cancellation.account),
-            records.encode_cancellation(cancellation),
+            partition_records.key_of(record), partition_records.encode(record)
         )
 
     def delete(self, job_id: str) -> None:
--- a/src/chervillead/pools/job_router.py
+++ b/src/chervillead/pools/job_router.py
@@ -19,7 +19,7 @@
 from chervillead.entries import job_messages
 from chervillead.entries import job_streams
 from chervillead.pools import group_members
-from chervillead.pools import job_operations
+from chervillead.pools import job_refusals
 from chervillead.pools import job_service
 from chervillead.pools import owner_calls
 from chervillead.pools import ownership
@@ -52,7 +52,7 @@
 _OWNER_IS_KNOWN = frozenset(
     (
         job_service.OWNER_LOADING,
-        job_operations.OWNER_OVERLOADED,
+        job_refusals.OWNER_OVERLOADED,
         OWNER_BUSY,
     )
 )
@@ -61,8 +61,8 @@
     (
         OWNER_SILENT,
         OWNER_BUSY,
-        job_operations.OWNER_OVERLOADED,
-        job_operations.CANCELLED,
+        job_refusals.OWNER_OVERLOADED,
+        job_refusals.CANCELLED,
         queue_assignments.QUEUE_MOVING,
     )
 )
--- a/src/chervillead/pools/job_service.py
+++ b/src/chervillead/pools/job_service.py
@@ -21,7 +21,7 @@
     if owner is None:
         return refusal_reply(_not_serving(call.partition, local_ownership))
     if isinstance(call, job_messages.SubmitJob):
-        outcome = await owner.operations.submit(
+        outcome = await owner.operations.submissions.submit(
             call.spec, call.timeout_ms / 1000
         )
         return _outcome_reply(outcome)
--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -11,7 +11,7 @@
 from chervillead.jobs import job_state
 from chervillead.jobs import job_table
 from chervillead.jobs import model
-from chervillead.jobs import records
+from chervillead.jobs import partition_records
 from chervillead.jobs import task_runs
 from chervillead.pools import account_usage
 from chervillead.pools import cancelled_submissions
@@ -108,7 +108,7 @@
         self.awaiting_renewal: set[str] = set()
         self.ended_workers: set[str] = set()
         self.taken_down_incarnations: dict[str, int] = {}
-        self.queues: dict[str, records.QueueAssignment] = {}
+        self.queues: dict[str, partition_records.QueueAssignment] = {}
         self.shares = held_shares.HeldShares()
         self.grants: dict[str, dict[int, int]] = {}
         self.reports: dict[int, tuple[int, int]] = {}
--- a/src/chervillead/pools/partition_owner.py
+++ b/src/chervillead/pools/partition_owner.py
@@ -11,6 +11,7 @@
 from chervillead.jobs import job_state
 from chervillead.pools import advice_cache
 from chervillead.pools import host_drain
+from chervillead.pools import job_cancelling
 from chervillead.pools import job_operations
 from chervillead.pools import owner_state
 from chervillead.pools import placement_scheduler
@@ -121,7 +122,7 @@
             if (job.spec.job_id, job.spec.account) in state.cancelled:
                 # Its submission was on its way to the store when it was
                 # cancelled at the previous owner.
-                self._operations.cancel_known(job)
+                job_cancelling.cancel_job(state, job)
             if not job.is_finished:
                 state.recovering_jobs.add(job.spec.job_id)
         state.loaded_s = state.now_s()
--- a/src/chervillead/pools/queue_assignments.py
+++ b/src/chervillead/pools/queue_assignments.py
@@ -22,7 +22,7 @@
 from chervillead import verdicts
 from chervillead.entries import job_messages
 from chervillead.jobs import model
-from chervillead.jobs import records
+from chervillead.jobs import partition_records
 from chervillead.pools import owner_state
 from chervillead.pools import pool_partitions
 from chervillead.store import group_commit
@@ -123,7 +123,7 @@
                 f"{MAX_REPEATABLE_JOBS}"
             )
         refusal = await self._store(
-            records.QueueAssignment(
+            partition_records.QueueAssignment(
                 address,
                 version,
                 True,
@@ -219,7 +219,8 @@
                     moving(f"{address} is being opened in this partition")
                 )
         assignment = state.queues.get(
-            address, records.QueueAssignment(address, _NO_VERSION, False)
+            address,
+            partition_records.QueueAssignment(address, _NO_VERSION, False),
         )
         if assignment.version > version or (
             assignment.version == version and assignment.is_open
@@ -270,11 +271,11 @@
         )
 
     async def _store(
-        self, assignment: records.QueueAssignment, timeout_s: float
+        self, assignment: partition_records.QueueAssignment, timeout_s: float
     ) -> verdicts.Refusal | None:
         """Stores an assignment, and applies it once it is stored."""
         state = self._state
-        stored = state.recorder.store_queue(assignment)
+        stored = state.recorder.store(assignment)
         await asyncio.wait([stored], timeout=timeout_s)
         if group_commit.is_stored(stored):
             state.queues[assignment.address] = assignment
--- a/src/chervillead/pools/quota_ledger.py
+++ b/src/chervillead/pools/quota_ledger.py
@@ -13,8 +13,8 @@
 
 from chervillead import verdicts
 from chervillead.entries import job_messages
+from chervillead.jobs import partition_records
 from chervillead.jobs import quotas
-from chervillead.jobs import records
 from chervillead.pools import owner_state
 from chervillead.store import group_commit
 
@@ -91,8 +91,8 @@
         part = self._divide(row.account)[call.reporter]
         grants[call.reporter] = held + max(0, min(part - held, free))
         if grants[call.reporter] != before:
-            self._appends[row.account] = state.recorder.store_grants(
-                records.QuotaGrants(
+            self._appends[row.account] = state.recorder.store(
+                partition_records.QuotaGrants(
                     row.account, dict(grants), dict(state.reports)
                 )
             )
--- a/src/chervillead/pools/quota_shares.py
+++ b/src/chervillead/pools/quota_shares.py
@@ -14,8 +14,8 @@
 
 from chervillead.entries import job_messages
 from chervillead.jobs import model
+from chervillead.jobs import partition_records
 from chervillead.jobs import quotas
-from chervillead.jobs import records
 from chervillead.pools import owner_state
 from chervillead.pools import pool_partitions
 from chervillead.store import group_commit
@@ -149,8 +149,8 @@
             if kept < held:
                 state.shares.hold(account, kept)
                 stored.append(
-                    state.recorder.store_share(
-                        records.QuotaShare(account, kept)
+                    state.recorder.store(
+                        partition_records.QuotaShare(account, kept)
                     )
                 )
         if stored:
@@ -172,8 +172,8 @@
             state.shares.set_target(grant.account, grant.target)
             if grant.held > state.shares.held(grant.account):
                 state.shares.hold(grant.account, grant.held)
-                state.recorder.store_share(
-                    records.QuotaShare(grant.account, grant.held)
+                state.recorder.store(
+                    partition_records.QuotaShare(grant.account, grant.held)
                 )
                 state.wake()
 
--- a/src/chervillead/pools/takeover.py
+++ b/src/chervillead/pools/takeover.py
@@ -8,6 +8,7 @@
 
 from chervillead.jobs import job_state
 from chervillead.jobs import model
+from chervillead.jobs import partition_records
 from chervillead.jobs import records
 from chervillead.pools import owner_state
 from chervillead.pools import partition_owner
@@ -64,10 +65,7 @@
         stored, ports.clock.monotonic(), 1000 * ports.clock.wall(), ports.log
     )
     for cancellation in _decode_records(
-        stored,
-        records.CANCELLATION_PREFIX,
-        records.decode_cancellation,
-        ports.log,
+        stored, partition_records.Cancellation, ports.log
     ):
         # Kept as long as by the previous owner, whose clock isn't this one.
         owner.state.cancelled.add(
@@ -78,7 +76,7 @@
     owner.state.queues.update(
         (assignment.address, assignment)
         for assignment in _decode_records(
-            stored, records.QUEUE_PREFIX, records.decode_queue, ports.log
+            stored, partition_records.QueueAssignment, ports.log
         )
     )
     _restore_quotas(owner.state, stored)
@@ -105,11 +103,11 @@
 ) -> None:
     """Restores the shares that a partition holds, and the ledger of all."""
     for share in _decode_records(
-        stored, records.SHARE_PREFIX, records.decode_share, state.log
+        stored, partition_records.QuotaShare, state.log
     ):
         state.shares.hold(share.account, share.share)
     for grants in _decode_records(
-        stored, records.GRANTS_PREFIX, records.decode_grants, state.log
+        stored, partition_records.QuotaGrants, state.log
     ):
         state.grants[grants.account] = dict(grants.shares)
         for partition, report in grants.reports.items():
@@ -161,16 +159,15 @@
 
 def _decode_records(
     stored: tuple[store_interface.KeyedRecord, ...],
-    prefix: str,
-    decode: abc.Callable[[bytes], _Value],
+    kind: type[_Value],
     log: abc.Callable[..., None],
 ) -> abc.Iterator[_Value]:
     """Yields the decoded records of one kind; logs unreadable ones."""
     for record in stored:
-        if not record.key.startswith(prefix):
+        if not partition_records.has_kind(record.key, kind):
             continue
         try:
-            yield decode(record.value)
+            yield partition_records.decode(kind, record.value)
         except records.MalformedRecordError as error:
             log("record:unreadable", key=record.key, error=str(error))
 
--- a/tests/stand_ins/moving_queue.py
+++ b/tests/stand_ins/moving_queue.py
@@ -158,7 +158,7 @@
         owner = self._owners.owners[partition]
         if not owner.state.is_loaded:
             return
-        outcome = await owner.operations.submit(
+        outcome = await owner.operations.submissions.submit(
             _job(job_id, pool), CALL_TIMEOUT_S
         )
         if pipeline.is_successful(outcome):
--- a/tests/stand_ins/owner_states.py
+++ b/tests/stand_ins/owner_states.py
@@ -5,7 +5,7 @@
 
 from chervillead import verdicts
 from chervillead.jobs import model
-from chervillead.jobs import records
+from chervillead.jobs import partition_records
 from chervillead.pools import owner_state
 from chervillead.pools import ports
 from chervillead.store import group_commit
@@ -80,7 +80,10 @@
         owner_state.OwnershipStatus(lambda: True, lambda: False),
     )
     state.queues.update(
-        (queue.address, records.QueueAssignment(queue.address, 1, True))
+        (
+            queue.address,
+            partition_records.QueueAssignment(queue.address, 1, True),
+        )
         for queue in configuration.queues.values()
     )
     return state
--- a/tests/steps/platform_fleet.py
+++ b/tests/steps/platform_fleet.py
@@ -14,6 +14,7 @@
 from chervillead import verdicts
 from chervillead.jobs import job_state
 from chervillead.jobs import model
+from chervillead.jobs import partition_records
 from chervillead.jobs import records as job_records
 from chervillead.pools import pool_partitions
 from stand_ins import platform_fleet
@@ -529,16 +530,17 @@
 def step(context):
     async def kill(fleet):
         await fleet.kill_host(fleet.owner_host())
-        cancellation = job_records.Cancellation(
+        cancellation = partition_records.Cancellation(
             platform_scenarios.JOB, "team-1"
         )
-        key = job_records.cancellation_key(
-            cancellation.job_id, cancellation.account
-        )
         fleet.store.put_records(
             "keyed.jobs",
             POOL_PARTITION,
-            {key: job_records.encode_cancellation(cancellation)},
+            {
+                partition_records.key_of(cancellation): (
+                    partition_records.encode(cancellation)
+                )
+            },
         )
 
     platform_scenarios.add_action(context, kill)
--- a/tests/steps/pools_job_operations.py
+++ b/tests/steps/pools_job_operations.py
@@ -8,6 +8,7 @@
 
 from chervillead import verdicts
 from chervillead.pools import job_operations
+from chervillead.pools import job_refusals
 from stand_ins import owner_states
 from stand_ins import virtual_time
 
@@ -68,7 +69,9 @@
     async def submit(number, delay_s):
         await asyncio.sleep(delay_s)
         began_s = now_s()
-        outcome = await operations.submit(owner_states.job(number), 1.0)
+        outcome = await operations.submissions.submit(
+            owner_states.job(number), 1.0
+        )
         refusal = None if outcome == SUCCESS else outcome.failure()
         return Submission(refusal, now_s() - began_s)
 
@@ -285,7 +288,7 @@
 def step(context):
     submission = run_once(context)[0]
     check_refusal(submission, "not-run", 503)
-    assert submission.refusal.reason == job_operations.OWNER_OVERLOADED
+    assert submission.refusal.reason == job_refusals.OWNER_OVERLOADED
     assert submission.duration_s < APPEND_S, submission
 
 
