--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -225,9 +225,13 @@
             and self._ports.is_current()
         )
 
-    def has_work(self) -> bool:
-        """Returns whether any job isn't finished, as far as is known."""
-        return not self.is_loaded or bool(self.jobs.unfinished())
+    def is_in_use(self) -> bool:
+        """Returns whether there may be workers or jobs to attend to."""
+        return (
+            not self.is_loaded
+            or bool(self.watches)
+            or bool(self.jobs.unfinished())
+        )
 
     def has_authority(self) -> bool:
         """Returns whether commands that end running work may be sent now."""
--- a/src/chervillead/pools/ownership.py
+++ b/src/chervillead/pools/ownership.py
@@ -234,9 +234,11 @@
                 self._release(partition, "reassigned")
             elif is_changed:
                 state = self._owners[partition].state
-                state.writer.reopen(
-                    self._next_epoch(), is_idle=not state.has_work()
+                is_in_use = (
+                    state.is_in_use()
+                    or partition == pool_partitions.HOSTS_PARTITION
                 )
+                state.writer.reopen(self._next_epoch(), is_idle=not is_in_use)
         self._failed_partitions.clear()
         for partition in sorted(membership.partitions):
             spent_token = self._spent_tokens.get(partition, -1)
--- a/tests/stand_ins/run_features.py
+++ b/tests/stand_ins/run_features.py
@@ -24,6 +24,8 @@
     "entries/escrow.feature",
     "fleet/host_borrowing.feature",
     "pools/random_faults.feature",
+    "pools/shared_quotas.feature",
+    "pools/queue_assignments.feature",
     "entries/seats.feature",
     "fleet/pool_moves.feature",
     "callers/application.feature",
