Count what a new owner doesn't know yet against the quotas of accounts

A new owner that couldn't reach a worker started 4 tasks of an account beside the 4 that its predecessor had left there, under a quota of 4 tasks. It counted only the runs that it knew. Equal parts had bounded that by one part; a pool may hold the whole quota now.

Change: while an owner recovers, workers that have not answered count with their whole capacity against each limited account's share, and nothing of a limited account starts while there may be workers that aren't known.

--- a/src/chervillead/pools/partition_owner.py
+++ b/src/chervillead/pools/partition_owner.py
@@ -69,7 +69,9 @@
         )
         self._advice_cache = advice_cache.AdviceCache(self._state)
         self._placement = placement_scheduler.PlacementScheduler(
-            self._state, self._advice_cache.tickets
+            self._state,
+            self._advice_cache.tickets,
+            self._recovery.unknown_usage,
         )
         self._ledger = quota_ledger.QuotaLedger(self._state)
         self._quota_shares = quota_shares.QuotaShares(
--- a/src/chervillead/pools/placement_pass.py
+++ b/src/chervillead/pools/placement_pass.py
@@ -25,6 +25,10 @@
 # Calls of other hosts wait while a pass runs.
 MAX_PASS_S = 0.03
 
+# Returns the most that runs of earlier owners which aren't known yet may use;
+# None if that has no bound.
+UnknownUsage = abc.Callable[[], model.Resources | None]
+
 
 class PlacementPass:
     """One pass over the tasks that are ready."""
@@ -36,12 +40,14 @@
         tickets: worker_selection.Tickets,
         workers: schedulable_workers.SchedulableWorkers,
         waiting: waiting_jobs.WaitingJobs,
+        unknown_usage: model.Resources | None,
     ) -> None:
         self._state = state
         self._configuration = configuration
         self._tickets = tickets
         self._workers = workers
         self._waiting = waiting
+        self._unknown_usage = unknown_usage
         self._now_s = state.now_s()
         self._selection = worker_selection.WorkerSelection(
             state, tickets, workers, self._now_s
@@ -173,13 +179,17 @@
     ) -> bool:
         """Returns whether an account's share allows further tasks.
 
-        A shortage is noted, so that the owner asks for a larger share.
+        A shortage is noted, so that the owner asks for a larger share. Runs of
+        earlier owners that aren't known yet count as the account's.
         """
         quota = quotas.quota_of(self._configuration, account)
         if quota is None:
             return True
+        if self._unknown_usage is None:
+            return False
         shares = self._state.shares
         used = self._state.usage_by_account.get(account, model.Resources())
+        used = used.plus(self._unknown_usage)
         if quotas.allows(quota, shares.held(account), used, need, tasks):
             shares.note_use(account, self._now_s)
             return True
--- a/src/chervillead/pools/placement_scheduler.py
+++ b/src/chervillead/pools/placement_scheduler.py
@@ -25,10 +25,14 @@
     """Runs the placement passes of one owner."""
 
     def __init__(
-        self, state: owner_state.OwnerState, tickets: worker_selection.Tickets
+        self,
+        state: owner_state.OwnerState,
+        tickets: worker_selection.Tickets,
+        unknown_usage: placement_pass.UnknownUsage,
     ) -> None:
         self._state = state
         self._tickets = tickets
+        self._unknown_usage = unknown_usage
         self._workers = schedulable_workers.SchedulableWorkers(state)
         self._waiting = waiting_jobs.WaitingJobs()
         self._configuration_version: int | None = None
@@ -52,7 +56,12 @@
         begin_s = state.now_s()
         self._is_thorough |= begin_s >= self._thorough_from_s
         self._skipped_jobs = placement_pass.PlacementPass(
-            state, configuration, self._tickets, self._workers, self._waiting
+            state,
+            configuration,
+            self._tickets,
+            self._workers,
+            self._waiting,
+            self._unknown_usage(),
         ).run(is_thorough=self._is_thorough, skip=self._skipped_jobs)
         self._pass_time_s += state.now_s() - begin_s
         if self._skipped_jobs:
--- a/src/chervillead/pools/recovery.py
+++ b/src/chervillead/pools/recovery.py
@@ -1,5 +1,6 @@
 """Whether a new owner knows all that earlier owners have left running."""
 
+from chervillead.jobs import model
 from chervillead.pools import crash_tracking
 from chervillead.pools import owner_state
 from chervillead.workers import view as view_module
@@ -68,6 +69,25 @@
             return now_s > self._latest_unlisted_lease_end_s()
         return not self._may_have_unknown_runs(watch.view, now_s)
 
+    def unknown_usage(self) -> model.Resources | None:
+        """Returns the most that runs which aren't known yet may use.
+
+        None while it has no bound, as there may be workers that aren't known.
+        """
+        state = self._state
+        if not state.recovering_jobs:
+            return model.Resources()
+        now_s = state.now_s()
+        if not state.watches and self.workers_on_live_hosts is None:
+            return None
+        if self._has_unlisted_workers(now_s):
+            return None
+        unknown = model.Resources()
+        for watch in state.watches.values():
+            if self._may_have_unknown_runs(watch.view, now_s):
+                unknown = unknown.plus(watch.view.registration.capacity)
+        return unknown
+
     def has_uncontacted_workers(self) -> bool:
         """Returns whether recovery waits for workers that have not answered."""
         if not self._state.recovering_jobs:
--- a/tests/pools/shared_quotas.feature
+++ b/tests/pools/shared_quotas.feature
@@ -38,6 +38,21 @@
       | 6000  | 1 task            | 6000       |
       | 4000  | 1 task            | 6000       |
 
+  Scenario: A new owner can't reach a worker whose tasks use the quota
+    # Guards against a new owner that starts tasks beyond a quota, as it doesn't
+    # know yet what its predecessor has left running.
+    Given a platform fleet of 3 hosts and 3 workers
+    And tasks run for 12 s
+    When operators limit the account to 4000 millicores
+    And a job of 4 tasks is submitted
+    And a worker with tasks is cut off from all hosts but the owner
+    And the owner is killed
+    And 4 s pass
+    And another job of 4 tasks is submitted
+    And 30 s pass
+    Then the account never had more than 4 tasks running
+    And tasks of the other job have started
+
   Scenario: Both pools use a quota that is too small for either
     # Guards against a pool that keeps a quota which another one waits for.
     Given a platform fleet of 3 hosts and 3 workers
--- a/tests/steps/pools_shared_quotas.py
+++ b/tests/steps/pools_shared_quotas.py
@@ -142,6 +142,24 @@
     )
 
 
+@behave.when("another job of {tasks:d} tasks is submitted")
+def step(context, tasks):
+    async def submit(fleet):
+        outcome = await fleet.submit(
+            platform_fleet.job_id(2), [platform_fleet.step(tasks)]
+        )
+        assert pipeline.is_successful(outcome), outcome
+
+    platform_scenarios.add_action(context, submit)
+
+
+@behave.then("tasks of the other job have started")
+def step(context):
+    other_job = platform_fleet.job_id(2)
+    tasks = [run.task for run in all_runs(context)]
+    assert any(task.startswith(other_job) for task in tasks), tasks
+
+
 @behave.when("{count:d} tasks are submitted to each pool")
 def step(context, count):
     async def submit_to_both(fleet):
