Ask for a share for unseen runs instead of waiting until all workers are known

Change: only listed workers that have not answered count, with their whole capacity, and the owner asks the ledger for a share for that beside what it wants to start.

Ruled out: bounding them by the shares that the predecessor held; the trial broke shared_quotas.feature (more held than the whole).

Tests: 76 scenarios of shared_quotas, placement_pass, takeover and calls passed; "A new owner can't reach a worker whose tasks use the quota" guards the bound itself.

--- a/src/chervillead/pools/partition_owner.py
+++ b/src/chervillead/pools/partition_owner.py
@@ -75,7 +75,9 @@
         )
         self._ledger = quota_ledger.QuotaLedger(self._state)
         self._quota_shares = quota_shares.QuotaShares(
-            self._state, lambda: not self._state.recovering_jobs
+            self._state,
+            lambda: not self._state.recovering_jobs,
+            self._recovery.unknown_usage,
         )
         self._checked_s = float("-inf")
         self._expiry_checked_s = float("-inf")
--- a/src/chervillead/pools/placement_pass.py
+++ b/src/chervillead/pools/placement_pass.py
@@ -25,9 +25,8 @@
 # Calls of other hosts wait while a pass runs.
 MAX_PASS_S = 0.03
 
-# Returns the most that runs of earlier owners which aren't known yet may use;
-# None if that has no bound.
-UnknownUsage = abc.Callable[[], model.Resources | None]
+# Returns the most that runs of earlier owners may use unseen.
+UnknownUsage = abc.Callable[[], model.Resources]
 
 
 class PlacementPass:
@@ -40,7 +39,7 @@
         tickets: worker_selection.Tickets,
         workers: schedulable_workers.SchedulableWorkers,
         waiting: waiting_jobs.WaitingJobs,
-        unknown_usage: model.Resources | None,
+        unknown_usage: model.Resources,
     ) -> None:
         self._state = state
         self._configuration = configuration
@@ -185,8 +184,6 @@
         quota = quotas.quota_of(self._configuration, account)
         if quota is None:
             return True
-        if self._unknown_usage is None:
-            return False
         shares = self._state.shares
         used = self._state.usage_by_account.get(account, model.Resources())
         used = used.plus(self._unknown_usage)
--- a/src/chervillead/pools/quota_shares.py
+++ b/src/chervillead/pools/quota_shares.py
@@ -39,6 +39,7 @@
         self,
         state: owner_state.OwnerState,
         is_recovered: abc.Callable[[], bool],
+        unknown_usage: abc.Callable[[], model.Resources],
     ) -> None:
         """Makes the shares of one owner.
 
@@ -46,9 +47,12 @@
             state: State of the owner.
             is_recovered: Returns whether all runs of earlier owners are known.
                 Until then nothing is given back, since they use it.
+            unknown_usage: Returns the most that such runs may use, for which a
+                share is asked for as well.
         """
         self._state = state
         self._is_recovered = is_recovered
+        self._unknown_usage = unknown_usage
         # Distinguishes this owner's reports from those of earlier ones.
         self._epoch = state.writer.epoch
         self._numbers = itertools.count()
@@ -120,6 +124,7 @@
     ) -> abc.Iterator[tuple[str, quotas.ShareNeed]]:
         """Yields what each limited account needs here."""
         state = self._state
+        unknown = self._unknown_usage()
         for account, quota in limited.items():
             usage = state.usage_by_account.get(account, model.Resources())
             used = min(quotas.needed_share(quota, usage), quotas.WHOLE)
@@ -130,7 +135,9 @@
                 continue
             least = wanted = used
             if shortage is not None:
-                needed = quotas.needed_share(quota, usage.plus(shortage))
+                needed = quotas.needed_share(
+                    quota, usage.plus(shortage).plus(unknown)
+                )
                 least = min(needed, quotas.WHOLE)
                 wanted = min(max(least, 2 * held, LEAST_STEP), quotas.WHOLE)
             yield account, quotas.ShareNeed(used, least, wanted, waiting_s)
--- a/src/chervillead/pools/recovery.py
+++ b/src/chervillead/pools/recovery.py
@@ -69,20 +69,16 @@
             return now_s > self._latest_unlisted_lease_end_s()
         return not self._may_have_unknown_runs(watch.view, now_s)
 
-    def unknown_usage(self) -> model.Resources | None:
-        """Returns the most that runs which aren't known yet may use.
+    def unknown_usage(self) -> model.Resources:
+        """Returns the most that runs of earlier owners may use unseen.
 
-        None while it has no bound, as there may be workers that aren't known.
+        Workers that aren't listed don't count: none may exist.
         """
         state = self._state
+        unknown = model.Resources()
         if not state.recovering_jobs:
-            return model.Resources()
+            return unknown
         now_s = state.now_s()
-        if not state.watches and self.workers_on_live_hosts is None:
-            return None
-        if self._has_unlisted_workers(now_s):
-            return None
-        unknown = model.Resources()
         for watch in state.watches.values():
             if self._may_have_unknown_runs(watch.view, now_s):
                 unknown = unknown.plus(watch.view.registration.capacity)
