--- a/src/chervillead/jobs/ordering.py
+++ b/src/chervillead/jobs/ordering.py
@@ -10,6 +10,16 @@
 from chervillead.jobs import model
 
 
+def step_time_s(job: job_state.JobState, number: int) -> float:
+    """Returns how long a task of a step is expected to take, in seconds.
+
+    Args:
+        job: The job.
+        number: Number of the step.
+    """
+    return job.spec.steps[number].estimate_ms / 1000
+
+
 def critical_path_ms(spec: model.JobSpec) -> int:
     """Returns the estimated run time of the critical path of a job's steps."""
     ends: list[int] = []
@@ -19,16 +29,16 @@
     return max(ends, default=0)
 
 
-def remaining_critical_path_ms(job: job_state.JobState) -> int:
+def remaining_critical_path_ms(job: job_state.JobState) -> float:
     """Returns the critical path of the steps that haven't completed.
 
     Only the first occurrence of the steps is considered.
     """
-    ends: list[int] = []
+    ends: list[float] = []
     for number, step in enumerate(job.spec.steps):
         start = max((ends[earlier] for earlier in step.depends_on), default=0)
         done = job.step_is_done(0, number)
-        ends.append(start + (0 if done else step.estimate_ms))
+        ends.append(start + (0 if done else 1000 * step_time_s(job, number)))
     return max(ends, default=0)
 
 
