--- a/src/chervillead/jobs/job_state.py
+++ b/src/chervillead/jobs/job_state.py
@@ -55,6 +55,11 @@
             the owner's clock.
         failed_workers: Workers on which runs of each task failed.
         durations_s: Durations of the completed runs of each step.
+        step_times_s: Expected run time of a task of each step, in seconds: the
+            caller's estimates until they are refreshed. They must not change
+            while the job is in the index of waiting jobs.
+        learned_steps: Numbers of the steps whose expected run time rests on
+            enough completed runs.
         finished_s: Time at which the job finished, by the owner's clock; None
             while it hasn't.
         has_started: Whether any task of the job is known to have started.
@@ -92,6 +97,10 @@
         self.retry_at_s: dict[model.TaskKey, float] = {}
         self.failed_workers: dict[model.TaskKey, set[str]] = {}
         self.durations_s: dict[tuple[int, int], list[float]] = {}
+        self.step_times_s = tuple(
+            step.estimate_ms / 1000 for step in spec.steps
+        )
+        self.learned_steps: frozenset[int] = frozenset()
         self.finished_s: float | None = None
         self.stored_end: Phase | None = None
         self.has_started = False
--- a/src/chervillead/jobs/ordering.py
+++ b/src/chervillead/jobs/ordering.py
@@ -17,15 +17,15 @@
         job: The job.
         number: Number of the step.
     """
-    return job.spec.steps[number].estimate_ms / 1000
+    return job.step_times_s[number]
 
 
-def critical_path_ms(spec: model.JobSpec) -> int:
-    """Returns the estimated run time of the critical path of a job's steps."""
-    ends: list[int] = []
-    for step in spec.steps:
-        start = max((ends[number] for number in step.depends_on), default=0)
-        ends.append(start + step.estimate_ms)
+def critical_path_ms(job: job_state.JobState) -> float:
+    """Returns the expected run time of the critical path of a job's steps."""
+    ends: list[float] = []
+    for number, step in enumerate(job.spec.steps):
+        start = max((ends[earlier] for earlier in step.depends_on), default=0)
+        ends.append(start + 1000 * step_time_s(job, number))
     return max(ends, default=0)
 
 
@@ -42,9 +42,11 @@
     return max(ends, default=0)
 
 
-def completion_target_ms(spec: model.JobSpec, terms: model.JobTerms) -> float:
+def completion_target_ms(
+    job: job_state.JobState, terms: model.JobTerms
+) -> float:
     """Returns the time from acceptance in which a job should complete."""
-    return terms.stretch * critical_path_ms(spec) + terms.target_ms
+    return terms.stretch * critical_path_ms(job) + terms.target_ms
 
 
 def is_long_running(spec: model.JobSpec) -> bool:
@@ -55,9 +57,10 @@
 def latest_start_s(job: job_state.JobState, terms: model.JobTerms) -> float:
     """Returns the latest time to go on in order to meet the target.
 
-    By the owner's clock. It doesn't change while the job waits.
+    By the owner's clock. It changes only with the expected run times and the
+    completed steps of the job.
     """
-    left_ms = completion_target_ms(job.spec, terms)
+    left_ms = completion_target_ms(job, terms)
     return job.accepted_s + (left_ms - remaining_critical_path_ms(job)) / 1000
 
 
@@ -80,7 +83,7 @@
     if is_long_running(job.spec):
         return True
     if is_running:
-        target_s = completion_target_ms(job.spec, terms) / 1000
+        target_s = completion_target_ms(job, terms) / 1000
         return now_s <= job.accepted_s + target_s
     return now_s <= latest_start_s(job, terms)
 
--- a/tests/steps/jobs_ordering.py
+++ b/tests/steps/jobs_ordering.py
@@ -1,9 +1,8 @@
 """Steps of tests/jobs/ordering.feature."""
 
-import types
-
 import behave
 
+from chervillead.jobs import job_state
 from chervillead.jobs import model
 from chervillead.jobs import ordering
 
@@ -29,11 +28,10 @@
 @behave.when("it was accepted {age:g} s ago and {done:d} of its steps are done")
 def step(context, age, done):
     context.age_s = age
-    context.job = types.SimpleNamespace(
-        spec=context.spec,
-        accepted_s=100.0,
-        step_is_done=lambda occurrence, number: number < done,
-    )
+    context.job = job_state.JobState(context.spec, accepted_s=100.0)
+    for number in range(done):
+        tasks = context.spec.steps[number].tasks
+        context.job.done[0, number] = set(range(tasks))
 
 
 @behave.then("a task that {state} {expected} meet the target")
