Record completed runs of workers and store what was learned

Owners record the first completed run of each task of queues with a completion target. Runs that tell about their worker, pace, checkpoint or previous owner are excluded and counted by reason. Each key is stored as a record of the partition at most once in 2 s, so that a later owner begins with it; nothing is queued while the store fails.

Runs of an earlier owner no longer count in a step's durations: the time of their start isn't known, so the median was too short, and it is the expected run time of the step now.

Run.checkpoint was never set; resumed_from replaces it.

--- a/src/chervillead/jobs/partition_records.py
+++ b/src/chervillead/jobs/partition_records.py
@@ -9,6 +9,7 @@
 import msgspec
 import xxhash
 
+from chervillead.jobs import learned_times
 from chervillead.jobs import records
 
 
@@ -64,7 +65,25 @@
     reports: dict[int, tuple[int, int]]
 
 
-Record = Cancellation | QueueAssignment | QuotaShare | QuotaGrants
+class LearnedRunTime(typing.NamedTuple):
+    """Run times of the tasks of one queue and image.
+
+    Attributes:
+        queue_address: Address of the queue.
+        image: The image; empty for none.
+        learned: The run times.
+        used_unix_ms: When the last of the runs completed.
+    """
+
+    queue_address: str
+    image: str
+    learned: learned_times.LearnedTimes
+    used_unix_ms: int
+
+
+Record = (
+    Cancellation | QueueAssignment | QuotaShare | QuotaGrants | LearnedRunTime
+)
 _Value = typing.TypeVar("_Value")
 
 # The letters of job records are taken.
@@ -73,6 +92,7 @@
     QueueAssignment: "q",
     QuotaShare: "s",
     QuotaGrants: "g",
+    LearnedRunTime: "r",
 }
 _decoders: dict[type, msgspec.msgpack.Decoder[typing.Any]] = {
     kind: msgspec.msgpack.Decoder(kind) for kind in _PREFIXES
@@ -85,13 +105,24 @@
 
     What it is about is hashed, since keys are short and names may not be.
     """
+    if isinstance(record, LearnedRunTime):
+        return run_time_key(record.queue_address, record.image)
     if isinstance(record, Cancellation):
         subject = f"{record.job_id}:{record.account}"
     elif isinstance(record, QueueAssignment):
         subject = record.address
     else:
         subject = record.account
-    return _PREFIXES[type(record)] + xxhash.xxh64_hexdigest(subject.encode())
+    return _hashed_key(type(record), subject)
+
+
+def run_time_key(queue_address: str, image: str) -> str:
+    """Returns the key of the record of a queue's and image's run times."""
+    return _hashed_key(LearnedRunTime, f"{queue_address}\n{image}")
+
+
+def _hashed_key(kind: type, subject: str) -> str:
+    return _PREFIXES[kind] + xxhash.xxh64_hexdigest(subject.encode())
 
 
 def encode(record: Record) -> bytes:
--- a/src/chervillead/jobs/task_runs.py
+++ b/src/chervillead/jobs/task_runs.py
@@ -69,7 +69,9 @@
             with that progress; None before the first report of the run.
         reported_ms: Worker's clock in the latest report.
         pace_percent: CPU share that the run may use; 100 if it isn't paced.
-        checkpoint: Checkpoint of the run; empty for none.
+        was_paced: Whether it was slowed or paused at any time.
+        resumed_from: Checkpoint with which it was started; empty for none.
+        is_found: Whether a previous owner started it.
         isolated_until_s: Time until which no other run is started beside it, by
             the owner's clock, as its task may have crashed another worker.
     """
@@ -108,7 +110,9 @@
         self.progress_since_ms: int | None = None
         self.reported_ms = 0
         self.pace_percent = 100
-        self.checkpoint = ""
+        self.was_paced = False
+        self.resumed_from = ""
+        self.is_found = False
         self.isolated_until_s = float("-inf")
 
     def withdraw_stop(self) -> None:
--- a/src/chervillead/metrics_page.py
+++ b/src/chervillead/metrics_page.py
@@ -15,6 +15,10 @@
     "chervillead_machine_calls": ("Calls for hosts.", ("path", "status")),
     "chervillead_starts": ("Orders to start a run.", ("outcome",)),
     "chervillead_runs_ended": ("Runs that ended.", ("kind",)),
+    "chervillead_run_time_samples": (
+        "Completed runs, by whether their run time was used, or why not.",
+        ("use",),
+    ),
     "chervillead_jobs_ended": ("Jobs that ended.", ("phase",)),
     "chervillead_operator_syncs": (
         "Fetches of operator records from peers.",
--- a/src/chervillead/pools/job_submissions.py
+++ b/src/chervillead/pools/job_submissions.py
@@ -8,6 +8,7 @@
 from chervillead import verdicts
 from chervillead.jobs import job_state
 from chervillead.jobs import model
+from chervillead.jobs import run_times
 from chervillead.pools import job_cancelling
 from chervillead.pools import job_refusals
 from chervillead.pools import owner_state
@@ -156,10 +157,11 @@
         if not group_commit.is_stored(stored):
             return
         state = self._state
-        job = state.jobs.setdefault(
-            spec.job_id,
-            job_state.JobState(spec, accepted_s=state.now_s(), terms=terms),
+        accepted = job_state.JobState(
+            spec, accepted_s=state.now_s(), terms=terms
         )
+        run_times.refresh(accepted, terms, state.run_times)
+        job = state.jobs.setdefault(spec.job_id, accepted)
         state.log(
             "job:accepted",
             job=spec.job_id,
--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -12,6 +12,7 @@
 from chervillead.jobs import job_table
 from chervillead.jobs import model
 from chervillead.jobs import partition_records
+from chervillead.jobs import run_times
 from chervillead.jobs import task_runs
 from chervillead.pools import account_usage
 from chervillead.pools import cancelled_submissions
@@ -78,6 +79,7 @@
             answered.
         changed_workers: Ids of workers whose runs or health changed since the
             last placement pass.
+        run_times: Run times of tasks, learned from completed runs.
         loaded_s: When the jobs of the partition were loaded.
         is_loaded: Whether all jobs of the partition have been loaded.
         failure: Error that ended one of the owner's asyncio tasks.
@@ -115,6 +117,7 @@
         self.cancelled = cancelled_submissions.CancelledSubmissions()
         self.crashed_s: dict[types.Address, float] = {}
         self.changed_workers: set[str] = set()
+        self.run_times = run_times.RunTimes()
         self.loaded_s = float("-inf")
         self.is_loaded = False
         self._is_fenced = False
--- a/src/chervillead/pools/placement_scheduler.py
+++ b/src/chervillead/pools/placement_scheduler.py
@@ -7,6 +7,7 @@
 """
 
 from chervillead.jobs import model
+from chervillead.jobs import run_times
 from chervillead.jobs import waiting_jobs
 from chervillead.pools import owner_state
 from chervillead.pools import placement_pass
@@ -85,9 +86,11 @@
             if job is None:
                 self._waiting.discard(job_id)
                 continue
+            terms = self._state.terms_of(job)
+            run_times.refresh(job, terms, self._state.run_times)
             self._waiting.put(
                 job,
-                self._state.terms_of(job),
+                terms,
                 order=jobs.order_of(job_id),
                 now_s=self._state.now_s(),
             )
--- a/src/chervillead/pools/run_tracking.py
+++ b/src/chervillead/pools/run_tracking.py
@@ -10,6 +10,7 @@
 from chervillead.pools import job_endings
 from chervillead.pools import owner_state
 from chervillead.pools import ownership_checks
+from chervillead.pools import run_samples
 from chervillead.pools import run_stopping
 from chervillead.workers import interface as worker_interface
 from chervillead.workers import view as view_module
@@ -175,6 +176,7 @@
         started_s=state.now_s(),
         phase=task_runs.RunPhase.RUNNING,
     )
+    run.is_found = True
     run.may_be_stopping_until_ms = _stops_end_ms(state, clock_ms)
     if job is not None:
         run.reserved = job.step(key.task).reserved
@@ -195,7 +197,7 @@
     if job is None or not job.has_task(end.run.task):
         return None
     now_s = state.now_s()
-    was_finished = job.is_finished
+    was_finished, was_done = job.is_finished, job.is_done(end.run.task)
     max_attempts = state.terms_of(job).max_attempts
     # The worker lives, so it has not crashed under this run.
     changed = crash_evidence.retract_crash(job, end.run.task, end.run.number)
@@ -212,6 +214,8 @@
     state.ports.increment("chervillead_runs_ended", end.kind.value)
     if run is not None:
         _update_health(view, job, run, end.kind, now_s)
+        if end.kind is task_runs.EndKind.DONE and not was_done:
+            run_samples.record(state, view, job, run)
         if end.kind is task_runs.EndKind.FAILED:
             _schedule_retry(job, run, now_s)
         job.remove_run(run)
@@ -234,7 +238,10 @@
     now_s: float,
 ) -> None:
     """Updates the health of a worker after a run has ended."""
-    if kind is task_runs.EndKind.DONE:
+    if kind is task_runs.EndKind.DONE and run.is_found:
+        # When it started isn't known, so neither is how long it took.
+        view.health.record_success(None)
+    elif kind is task_runs.EndKind.DONE:
         duration_s = now_s - run.started_s
         view.health.record_success(job.relative_duration(run.task, duration_s))
         job.record_duration(run.task, duration_s)
--- a/src/chervillead/pools/start_tracking.py
+++ b/src/chervillead/pools/start_tracking.py
@@ -39,11 +39,12 @@
     ):
         withdraw(state, view, run)
         return None
+    run.resumed_from = job.checkpoint_for(run.task)
     return worker_interface.StartCommand(
         run.key,
         job.spec.payload,
         clock_ms + watch_module.START_WINDOW_MS,
-        job.checkpoint_for(run.task),
+        run.resumed_from,
         run.ticket,
     )
 
--- a/src/chervillead/pools/takeover.py
+++ b/src/chervillead/pools/takeover.py
@@ -14,6 +14,7 @@
 from chervillead.pools import partition_owner
 from chervillead.pools import pool_partitions
 from chervillead.pools import ports as ports_module
+from chervillead.pools import run_samples
 from chervillead.store import group_commit
 from chervillead.store import interface as store_interface
 
@@ -80,6 +81,10 @@
         )
     )
     _restore_quotas(owner.state, stored)
+    run_samples.restore(
+        owner.state,
+        _decode_records(stored, partition_records.LearnedRunTime, ports.log),
+    )
     owner.load(jobs)
     owner.state.unreadable_jobs.update(
         _stored_ids(stored) - {job.spec.job_id for job in jobs}
--- a/src/chervillead/workers/watch.py
+++ b/src/chervillead/workers/watch.py
@@ -102,6 +102,7 @@
     def pace(self, run: task_runs.Run, percent: int) -> None:
         """Queues a change of pace, in percent of the run's full speed."""
         run.pace_percent = percent
+        run.was_paced |= percent < 100
         self._commands.put_nowait(Command(run, "pace", percent))
 
     def take_new_status(self) -> bool:
--- a/tests/stand_ins/memory_partition.py
+++ b/tests/stand_ins/memory_partition.py
@@ -80,8 +80,17 @@
         worker_id: str,
         ended: task_runs.RunKey | None = None,
         kind: task_runs.EndKind = task_runs.EndKind.DONE,
+        found: task_runs.RunKey | None = None,
     ) -> None:
-        """Applies a status of a worker, in which one run may have ended."""
+        """Applies a status of a worker, in which one run may have ended.
+
+        Args:
+            worker_id: The worker.
+            ended: The run that has ended; None if none has.
+            kind: How it ended.
+            found: A run that a previous owner has started there; None if there
+                is none.
+        """
         self._clock_ms += 1
         ends: tuple[worker_interface.EndedRun, ...] = ()
         if ended is not None:
@@ -92,7 +101,7 @@
         view = self.state.watches[worker_id].view
         running = tuple(
             worker_interface.RunStatus(key, "", 50, 0)
-            for key in view.runs
+            for key in (*view.runs, *([found] if found else []))
             if key != ended
         )
         status = worker_interface.WorkerStatus(
