Start copies of stragglers by the run time that other jobs let expect

A straggler of a speculative step got a copy only once three tasks of the step had completed, so never in a step of one or two tasks, and late where the first tasks were slow. Now a run that exceeds twice the expected run time gets one as well, if the expectation rests on the samples of about four steps; the caller's estimate alone would start copies of most tasks.

--- a/src/chervillead/jobs/speculation.py
+++ b/src/chervillead/jobs/speculation.py
@@ -9,10 +9,12 @@
 import statistics
 
 from chervillead.jobs import job_state
+from chervillead.jobs import ordering
 from chervillead.jobs import readiness
 from chervillead.jobs import task_runs
 
-# A run that exceeds the median duration of its step by this factor straggles.
+# A run that exceeds the median duration of its step, or the run time that other
+# jobs let expect, by this factor straggles.
 STRAGGLER_FACTOR = 2.0
 # Completed runs of a step needed before their median duration is used.
 MIN_DURATION_SAMPLES = 3
@@ -39,9 +41,12 @@
     job: job_state.JobState, occurrence: int, number: int
 ) -> float | None:
     durations = job.durations_s.get((occurrence, number), [])
-    if len(durations) < MIN_DURATION_SAMPLES:
-        return None
-    return STRAGGLER_FACTOR * statistics.median(durations)
+    if len(durations) >= MIN_DURATION_SAMPLES:
+        return STRAGGLER_FACTOR * statistics.median(durations)
+    if number in job.learned_steps:
+        return STRAGGLER_FACTOR * ordering.step_time_s(job, number)
+    # A caller's estimate that is too low would start a copy of every task.
+    return None
 
 
 def _is_straggling(
--- a/tests/jobs/run_times.feature
+++ b/tests/jobs/run_times.feature
@@ -101,3 +101,17 @@
     When the tasks of 20 other jobs have taken 2.2 s each
     And it is put into the index again
     Then its steps are expected to take 1 to 1 s each
+
+  Scenario Outline: A task of a speculative step before any other has completed
+    # Guards against a straggler that gets a copy only once three other tasks have
+    # completed, and against copies by an estimate that is too low.
+    Given a speculative job whose tasks are estimated at 0.5 s
+    When the tasks of <jobs> jobs with the same estimate have taken 1 s each
+    And one of its tasks has run for <seconds> s
+    Then it gets <copies> copies
+
+    Examples:
+      | jobs | seconds | copies |
+      | 20   | 1.5     | 0      |
+      | 20   | 2.5     | 1      |
+      | 0    | 9       | 0      |
--- a/tests/steps/jobs_run_times.py
+++ b/tests/steps/jobs_run_times.py
@@ -10,6 +10,8 @@
 from chervillead.jobs import model
 from chervillead.jobs import ordering
 from chervillead.jobs import run_times
+from chervillead.jobs import speculation
+from chervillead.jobs import task_runs
 
 ADDRESS = "jobs.example/billing/"
 SIZE = model.Resources(1000, 100)
@@ -351,3 +353,41 @@
 @behave.then("its first step is expected to take {seconds:g} s")
 def step(context, seconds):
     assert ordering.step_time_s(context.job, 0) == seconds
+
+
+@behave.given("a speculative job whose tasks are estimated at 0.5 s")
+def step(context):
+    only = make_step(2, 0.5)._replace(speculative=True)
+    spec = model.JobSpec("0" * 16, "queue-1", "billing", "", "x", (only,))
+    context.job = job_state.JobState(spec, accepted_s=0.0, terms=TERMS)
+    context.times = run_times.RunTimes()
+
+
+@behave.when(
+    "the tasks of {count:d} jobs with the same estimate have taken {seconds:g} "
+    "s each"
+)
+def step(context, count, seconds):
+    for _ in range(count):
+        complete(context.times, make_step(5, 0.5), [seconds] * 5)
+
+
+@behave.when("one of its tasks has run for {seconds:g} s")
+def step(context, seconds):
+    run_times.refresh(context.job, TERMS, context.times)
+    run = task_runs.Run(
+        context.job.spec.job_id,
+        model.TaskKey(0, 0, 0),
+        1,
+        "i-1",
+        reserved=SIZE,
+        started_s=-seconds,
+        phase=task_runs.RunPhase.RUNNING,
+    )
+    context.job.add_run(run)
+
+
+@behave.then("it gets {count:d} copies")
+def step(context, count):
+    found = list(speculation.stragglers(context.job, 0.0))
+    assert len(found) == count, found
