Move checkpointing runs from slow workers to others with room

A run that may have one run only waited for its worker, however slow that was. Now a thorough pass stops at most one such run of each pool if its worker makes a third of the usual progress with runs of two steps, and the rest would take less elsewhere from the checkpoint on. The next run starts once the worker has reported the end, as after any stop.

--- a/src/chervillead/jobs/task_runs.py
+++ b/src/chervillead/jobs/task_runs.py
@@ -71,6 +71,8 @@
         pace_percent: CPU share that the run may use; 100 if it isn't paced.
         was_paced: Whether it was slowed or paused at any time.
         resumed_from: Checkpoint with which it was started; empty for none.
+        checkpoint_percent: Progress at its newest checkpoint at the least; 0
+            before the first.
         is_found: Whether a previous owner started it.
         isolated_until_s: Time until which no other run is started beside it, by
             the owner's clock, as its task may have crashed another worker.
@@ -112,6 +114,7 @@
         self.pace_percent = 100
         self.was_paced = False
         self.resumed_from = ""
+        self.checkpoint_percent = 0
         self.is_found = False
         self.isolated_until_s = float("-inf")
 
--- a/src/chervillead/jobs/worker_health.py
+++ b/src/chervillead/jobs/worker_health.py
@@ -18,6 +18,9 @@
 SLOW_FACTOR = 1.8
 # Weight of the newest duration in the moving average of a worker's slowness.
 SLOWNESS_SMOOTHING = 0.4
+# Slowness of a worker whose running tasks make a third of the usual progress.
+# Two usual runs make up for it.
+OBSERVED_SLOWNESS = 3.0
 # A run without progress for this long is considered stalled.
 STALL_TIMEOUT_S = 2.2
 
@@ -65,6 +68,10 @@
                 relative_duration - self._slowness
             )
 
+    def record_slow_progress(self) -> None:
+        """Records that its runs make far less progress than usual ones."""
+        self._slowness = max(self._slowness, OBSERVED_SLOWNESS)
+
     def record_failure(self, now_s: float) -> None:
         """Records a run that failed or stalled through the worker's fault."""
         self._failures.append(True)
--- a/src/chervillead/metrics_page.py
+++ b/src/chervillead/metrics_page.py
@@ -19,6 +19,7 @@
         "Completed runs, by whether their run time was used, or why not.",
         ("use",),
     ),
+    "chervillead_run_moves": ("Runs stopped to go on elsewhere.", ("why",)),
     "chervillead_jobs_ended": ("Jobs that ended.", ("phase",)),
     "chervillead_operator_syncs": (
         "Fetches of operator records from peers.",
--- a/src/chervillead/pools/placement_pass.py
+++ b/src/chervillead/pools/placement_pass.py
@@ -18,6 +18,7 @@
 from chervillead.jobs import task_runs
 from chervillead.jobs import waiting_jobs
 from chervillead.pools import owner_state
+from chervillead.pools import run_moves
 from chervillead.pools import run_stopping
 from chervillead.pools import schedulable_workers
 from chervillead.pools import worker_selection
@@ -79,6 +80,9 @@
             for ready in self._stragglers():
                 if ready.job.spec.pool not in self._full_pools:
                     self._place([ready])
+            run_moves.move_from_slow_workers(
+                self._state, self._selection.candidates, self._full_pools
+            )
         return 0
 
     def _place_job(self, job: job_state.JobState, now_unix_ms: float) -> None:
--- a/src/chervillead/pools/run_tracking.py
+++ b/src/chervillead/pools/run_tracking.py
@@ -101,6 +101,12 @@
     run.usage = running.usage
     if run.progress_since_ms is None:
         run.progress_since_ms = run.started_clock_ms
+    if job is not None and running.checkpoint not in (
+        "",
+        job.checkpoints.get(run.task),
+    ):
+        # It was taken since the report before, at that progress at the least.
+        run.checkpoint_percent = run.progress_percent
     if run.progress_percent != running.progress_percent:
         run.progress_percent = running.progress_percent
         run.progress_since_ms = clock_ms
--- a/tests/stand_ins/platform_worker.py
+++ b/tests/stand_ins/platform_worker.py
@@ -62,6 +62,10 @@
         reset_connections: Resets its connections, as its process ends.
         work_s: Duration of a task.
         work_s_by_step: Duration of a task by step, where it differs.
+        slowness: Factor by which tasks that start now take longer.
+        takes_checkpoints: Whether tasks report a checkpoint at each tenth of
+            their work, and resume from one.
+        resumed: Names of the tasks that were resumed, and their progress then.
         failing: Ids of jobs whose tasks fail.
         long_running: Ids of jobs whose tasks run until they are stopped.
         starts_to_drop: Number of the next starts that get no response.
@@ -92,6 +96,9 @@
         self.cpu = cpu
         self.memory_mb = memory_mb
         self.work_s_by_step: dict[str, float] = {}
+        self.slowness = 1.0
+        self.takes_checkpoints = False
+        self.resumed: list[tuple[str, int]] = []
         self.failing: set[str] = set()
         self.deadly: set[str] = set()
         self.crash_delay_s = 0.01
@@ -117,6 +124,10 @@
         self._start_s = asyncio.get_running_loop().time()
         self._token = 0
         self._running: dict[tuple[str, int], int] = {}
+        # Progress in percent at the start of each run that was resumed, and
+        # duration of each run from there.
+        self._resumed_percent: dict[tuple[str, int], int] = {}
+        self._durations_s: dict[tuple[str, int], float] = {}
         self._ended: list[list[typing.Any]] = []
         self._end_count = 0
         self._max_rejected_run: dict[str, int] = {}
@@ -218,8 +229,13 @@
         if job_id not in self.long_running:
             how = "failed" if job_id in self.failing else "done"
             step = key[0].split(".")[2]
-            work_s = self.work_s_by_step.get(step, self.work_s)
-            self._schedule(work_s, lambda: self._end(key, how))
+            work_s = self.work_s_by_step.get(step, self.work_s) * self.slowness
+            done = int(fields.get("Checkpoint") or 0)
+            if done:
+                self.resumed.append((key[0], done))
+            self._resumed_percent[key] = done
+            self._durations_s[key] = work_s * (1 - done / 100)
+            self._schedule(self._durations_s[key], lambda: self._end(key, how))
         return self._reply(200)
 
     def _stop(self, fields: dict[str, typing.Any]) -> http_server.Reply:
@@ -252,24 +268,29 @@
             await asyncio.sleep(3600)
         self._expire()
         running = [
-            [task, run, "", self._progress(index), 0]
-            for (task, run), index in self._running.items()
+            [*key, self._checkpoint(key), self._progress(key), 0]
+            for key in self._running
         ]
         ended = self._ended[:MAX_LISTED_ENDS]
         return self._reply(200, Running=running, Ended=ended)
 
-    def _progress(self, index: int) -> int:
+    def _checkpoint(self, key: tuple[str, int]) -> str:
+        """Returns the newest checkpoint of a run: its progress, in tenths."""
+        tenths = self._progress(key) // 10
+        return str(10 * tenths) if self.takes_checkpoints and tenths else ""
+
+    def _progress(self, key: tuple[str, int]) -> int:
         """Returns the progress of a run in percent.
 
         A long-running task is available at 100.
         """
-        record = self.records[index]
+        record = self.records[self._running[key]]
         ran_s = asyncio.get_running_loop().time() - record.began_s
         if record.task.partition(".")[0] in self.long_running:
             return 100 if ran_s >= STARTUP_S else 0
-        step = record.task.split(".")[2]
-        work_s = self.work_s_by_step.get(step, self.work_s)
-        return min(99, int(100 * ran_s / work_s))
+        done = self._resumed_percent[key]
+        left = (100 - done) * ran_s / self._durations_s[key]
+        return min(99, int(done + left))
 
     def _extend(self, until_ms: int) -> None:
         now_ms = self.clock_ms()
@@ -295,6 +316,7 @@
             return
         if how == "done" and self.clock_ms() > self.lease_until_ms:
             how = "lapsed"
+        checkpoint = self._checkpoint(key) if how == "stopped" else ""
         del self._running[key]
         self._max_rejected_run[key[0]] = max(
             self._max_rejected_run.get(key[0], 0), key[1]
@@ -305,7 +327,7 @@
         )
         if list_ends:
             self._end_count += 1
-            self._ended.append([self._end_count, *key, how, ""])
+            self._ended.append([self._end_count, *key, how, checkpoint])
         self._status_changed.set()
         self._status_changed = asyncio.Event()
 
