Learn which best-effort images interfere, and place tasks apart by that

Placement keeps best-effort tasks apart from latency-sensitive ones by their number, so a harmless task takes the room that one which interferes needs.

The owner keeps, for each pair of images, the rise of the tail latency relative to its target, estimated by recursive least squares from changes of paces on a worker. The rank of a worker has the expected rise over the neighbors in place of their number; without estimates both give the same order. Nothing feeds the estimates yet.

The scan and the index are compared with random rises as well now.

--- a/src/chervillead/jobs/placement.py
+++ b/src/chervillead/jobs/placement.py
@@ -23,8 +23,9 @@
         free: Capacity that is not reserved.
         capacity: Its total capacity.
         step_tasks: Number of its tasks by (job id, occurrence, step).
-        latency_sensitive_tasks: Number of its tasks with a latency target.
-        best_effort_tasks: Number of its best-effort tasks.
+        latency_sensitive_images: Numbers of its tasks with a latency target,
+            by image.
+        best_effort_images: Numbers of its best-effort tasks, by image.
         penalty: 0 for a healthy worker; workers with a higher one are used
             last.
     """
@@ -35,11 +36,16 @@
     free: model.Resources
     capacity: model.Resources
     step_tasks: abc.Mapping[tuple[str, int, int], int]
-    latency_sensitive_tasks: int = 0
-    best_effort_tasks: int = 0
+    latency_sensitive_images: tuple[tuple[str, int], ...] = ()
+    best_effort_images: tuple[tuple[str, int], ...] = ()
     penalty: float = 0.0
 
 
+# Returns how much a task and its neighbors would interfere on a worker; 0 for
+# not at all.
+NeighborRise = abc.Callable[[WorkerSnapshot], float]
+
+
 def is_suitable(worker: WorkerSnapshot, step: model.Step) -> bool:
     """Returns whether an idle worker could take a task of a step.
 
@@ -76,6 +82,7 @@
     step_key: tuple[str, int, int],
     *,
     preferred_rack: str = "",
+    rise: NeighborRise | None = None,
 ) -> WorkerSnapshot | None:
     """Returns the best feasible worker for a task, or None if there is none.
 
@@ -85,8 +92,10 @@
         step_key: Job id, occurrence and step.
         preferred_rack: Rack of the other tasks of the step, for steps that are
             slower across racks; empty for no preference.
+        rise: Expected interference with its neighbors; None for the number of
+            neighbors that interfere.
     """
-    rank = _ranking(step, step_key, preferred_rack)
+    rank = _ranking(step, step_key, preferred_rack, rise)
     allowed = (
         worker for worker in workers if is_feasible(worker, step, step_key)
     )
@@ -127,6 +136,7 @@
     step_key: tuple[str, int, int],
     *,
     preferred_rack: str = "",
+    rise: NeighborRise | None = None,
 ) -> WorkerSnapshot | None:
     """Returns what `select_worker` does, from workers in a known order.
 
@@ -137,8 +147,9 @@
         step: The step of the task.
         step_key: Job id, occurrence and step.
         preferred_rack: As for `select_worker`.
+        rise: As for `select_worker`.
     """
-    rank = _ranking(step, step_key, preferred_rack)
+    rank = _ranking(step, step_key, preferred_rack, rise)
     best: WorkerSnapshot | None = None
     best_rank: tuple[float, ...] = (float("inf"),)
     for worker in workers:
@@ -157,23 +168,34 @@
     return worker.free.millicores / max(1, worker.capacity.millicores)
 
 
+def count_neighbors(step: model.Step) -> NeighborRise:
+    """Returns how many neighbors interfere, whatever their images are."""
+
+    def count(worker: WorkerSnapshot) -> float:
+        slowed = worker.latency_sensitive_images if step.fills else ()
+        slowing = worker.best_effort_images if step.latency_target_ms else ()
+        return sum(number for _, number in (*slowed, *slowing))
+
+    return count
+
+
 def _ranking(
-    step: model.Step, step_key: tuple[str, int, int], preferred_rack: str
+    step: model.Step,
+    step_key: tuple[str, int, int],
+    preferred_rack: str,
+    rise: NeighborRise | None,
 ) -> abc.Callable[[WorkerSnapshot], tuple[float, ...]]:
     """Returns the rank of workers for a step before their free share."""
     wanted_rack = step.data_rack or preferred_rack
+    interference = rise or count_neighbors(step)
 
     def rank(worker: WorkerSnapshot) -> tuple[float, ...]:
         off_rack = bool(wanted_rack) and worker.rack != wanted_rack
-        slowed_neighbors = worker.latency_sensitive_tasks if step.fills else 0
-        slowing_neighbors = (
-            worker.best_effort_tasks if step.latency_target_ms else 0
-        )
         crowded = (
             step.long_running
             and 2 * worker.step_tasks.get(step_key, 0) >= step.tasks
         )
-        return (off_rack, slowed_neighbors + slowing_neighbors, crowded)
+        return (off_rack, interference(worker), crowded)
 
     return rank
 
@@ -183,6 +205,7 @@
     step: model.Step,
     step_key: tuple[str, int, int],
     count: int,
+    rise: NeighborRise | None = None,
 ) -> list[str] | None:
     """Returns a worker id for each member of a gang, or None if not all fit.
 
@@ -193,10 +216,10 @@
     if step.same_rack:
         for rack in racks:
             in_rack = [worker for worker in workers if worker.rack == rack]
-            chosen = _place_members(in_rack, step, step_key, count)
+            chosen = _place_members(in_rack, step, step_key, count, rise)
             if chosen is not None:
                 return chosen
-    return _place_members(workers, step, step_key, count)
+    return _place_members(workers, step, step_key, count, rise)
 
 
 def _place_members(
@@ -204,12 +227,13 @@
     step: model.Step,
     step_key: tuple[str, int, int],
     count: int,
+    rise: NeighborRise | None = None,
 ) -> list[str] | None:
     """Places identical tasks one by one, accounting for those before."""
     remaining = list(workers)
     chosen: list[str] = []
     for _ in range(count):
-        worker = select_worker(remaining, step, step_key)
+        worker = select_worker(remaining, step, step_key, rise=rise)
         if worker is None:
             return None
         chosen.append(worker.worker_id)
--- a/src/chervillead/jobs/room_index.py
+++ b/src/chervillead/jobs/room_index.py
@@ -74,6 +74,7 @@
         step_key: tuple[str, int, int],
         *,
         preferred_rack: str = "",
+        rise: placement.NeighborRise | None = None,
     ) -> placement.WorkerSnapshot | None:
         """Returns what `placement.select_worker` returns for all workers."""
         best = placement.select_best_ranked(
@@ -81,6 +82,7 @@
             step,
             step_key,
             preferred_rack=preferred_rack,
+            rise=rise,
         )
         if best is not None or not self._penalized:
             return best
@@ -90,6 +92,7 @@
             step,
             step_key,
             preferred_rack=preferred_rack,
+            rise=rise,
         )
 
     def has_room(self, need: model.Resources) -> bool:
--- a/src/chervillead/metrics_page.py
+++ b/src/chervillead/metrics_page.py
@@ -16,6 +16,10 @@
     "chervillead_starts": ("Orders to start a run.", ("outcome",)),
     "chervillead_runs_ended": ("Runs that ended.", ("kind",)),
     "chervillead_jobs_ended": ("Jobs that ended.", ("phase",)),
+    "chervillead_interference": (
+        "Tasks placed apart, paced or moved because they interfere.",
+        ("action",),
+    ),
     "chervillead_operator_syncs": (
         "Fetches of operator records from peers.",
         ("outcome",),
--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -8,6 +8,7 @@
 from chervillead import types
 from chervillead.jobs import availability
 from chervillead.jobs import crash_evidence
+from chervillead.jobs import interference
 from chervillead.jobs import job_state
 from chervillead.jobs import job_table
 from chervillead.jobs import model
@@ -78,6 +79,7 @@
             answered.
         changed_workers: Ids of workers whose runs or health changed since the
             last placement pass.
+        interference: What is known of the interference between tasks.
         loaded_s: When the jobs of the partition were loaded.
         is_loaded: Whether all jobs of the partition have been loaded.
         failure: Error that ended one of the owner's asyncio tasks.
@@ -115,6 +117,7 @@
         self.cancelled = cancelled_submissions.CancelledSubmissions()
         self.crashed_s: dict[types.Address, float] = {}
         self.changed_workers: set[str] = set()
+        self.interference = interference.Interference()
         self.loaded_s = float("-inf")
         self.is_loaded = False
         self._is_fenced = False
@@ -248,6 +251,11 @@
             return None
         return job.step(run.task)
 
+    def image_of(self, run: task_runs.Run, step: model.Step) -> str:
+        """Returns the image of a run's step, or what stands for it."""
+        address = self.terms_of(self.jobs[run.job_id]).queue_address
+        return interference.image_of(step, address)
+
     def queue(self, name: str) -> model.Queue | None:
         """Returns a queue, or None if this host's configuration lacks it."""
         configuration = self._ports.configuration()
@@ -280,7 +288,11 @@
     ) -> None:
         """Counts a run as being on a worker."""
         step = self.step_of(run)
-        view.add_run(run, step)
+        interferes = step is not None and (
+            step.fills or step.latency_target_ms > 0
+        )
+        image = self.image_of(run, step) if step and interferes else ""
+        view.add_run(run, step, image)
         if step is not None:
             account = self.jobs[run.job_id].spec.account
             self._usage.add(run, account, step)
--- a/src/chervillead/pools/worker_selection.py
+++ b/src/chervillead/pools/worker_selection.py
@@ -9,6 +9,7 @@
 
 from chervillead import types
 from chervillead.jobs import crash_evidence
+from chervillead.jobs import interference
 from chervillead.jobs import job_state
 from chervillead.jobs import model
 from chervillead.jobs import placement
@@ -67,7 +68,11 @@
         if self._is_unplaceable(first):
             return Verdict.NO_ROOM
         chosen = placement.select_gang_workers(
-            candidates, first.step, step_key(first), len(group)
+            candidates,
+            first.step,
+            step_key(first),
+            len(group),
+            self._rise(first),
         )
         return Verdict.NO_ROOM if chosen is None else chosen
 
@@ -76,8 +81,9 @@
         if self._is_unplaceable(ready):
             return Verdict.NO_ROOM
         rack = _current_rack(self._state, ready)
+        rise = self._rise(ready)
         best = self._index(ready).select(
-            ready.step, step_key(ready), preferred_rack=rack
+            ready.step, step_key(ready), preferred_rack=rack, rise=rise
         )
         if best is None:
             self._record_unplaceable(ready)
@@ -91,8 +97,44 @@
                 ready.step,
                 step_key(ready),
                 preferred_rack=rack,
+                rise=rise,
+            )
+        if best is None:
+            return Verdict.NO_ROOM_FOR_TASK
+        if rise is not None and tickets is None:
+            self._count_if_apart(ready, best, rise, rack)
+        return [best.worker_id]
+
+    def _rise(
+        self, ready: readiness.ReadyTask
+    ) -> placement.NeighborRise | None:
+        """Returns the interference to expect; None for a task without any."""
+        step = ready.step
+        if not step.fills and not step.latency_target_ms:
+            return None
+        address = self._state.terms_of(ready.job).queue_address
+        return self._state.interference.rise_beside(
+            step, interference.image_of(step, address)
+        )
+
+    def _count_if_apart(
+        self,
+        ready: readiness.ReadyTask,
+        chosen: placement.WorkerSnapshot,
+        rise: placement.NeighborRise,
+        rack: str,
+    ) -> None:
+        """Counts a task for which packing alone would choose a worse worker."""
+        packed = self._index(ready).select(
+            ready.step,
+            step_key(ready),
+            preferred_rack=rack,
+            rise=lambda worker: 0,
+        )
+        if packed is not None and rise(packed) > rise(chosen):
+            self._state.ports.increment(
+                "chervillead_interference", "placed-apart"
             )
-        return Verdict.NO_ROOM_FOR_TASK if best is None else [best.worker_id]
 
     def _select_isolated(
         self, ready: readiness.ReadyTask
--- a/src/chervillead/workers/view.py
+++ b/src/chervillead/workers/view.py
@@ -187,10 +187,12 @@
         self._clock = None
         self._lease_until_clock_ms = 0
 
-    def add_run(self, run: task_runs.Run, step: model.Step | None) -> None:
-        """Adds a run; its step is None if its job is unknown."""
+    def add_run(
+        self, run: task_runs.Run, step: model.Step | None, image: str = ""
+    ) -> None:
+        """Adds a run with its image; the step of an unknown job is None."""
         self._runs[run.key] = run
-        self._load.add(run, step)
+        self._load.add(run, step, image)
         if run.isolated_until_s > float("-inf"):
             self._isolated[run.key] = run.isolated_until_s
 
@@ -208,6 +210,11 @@
         """Returns the resources that its runs reserve."""
         return self._load.reserved
 
+    @property
+    def has_latency_sensitive(self) -> bool:
+        """Whether tasks with a latency target run on it."""
+        return bool(self._load.latency_sensitive_images)
+
     @property
     def has_long_running(self) -> bool:
         """Whether tasks run on it that don't end by themselves."""
@@ -223,8 +230,8 @@
             capacity.minus(self._load.reserved),
             capacity,
             self._load.step_tasks,
-            self._load.latency_sensitive_tasks,
-            self._load.best_effort_tasks,
+            self._load.latency_sensitive_images,
+            self._load.best_effort_images,
             self.health.penalty,
         )
 
--- a/tests/steps/jobs_room_index.py
+++ b/tests/steps/jobs_room_index.py
@@ -38,6 +38,9 @@
     latency_target_ms=strategies.sampled_from((0, 100)),
     fills=strategies.booleans(),
 )
+image_counts = strategies.dictionaries(
+    strategies.sampled_from("ab"), strategies.integers(1, 2)
+).map(lambda counts: tuple(counts.items()))
 workers = strategies.builds(
     placement.WorkerSnapshot,
     worker_id=strategies.sampled_from([f"i-{n}" for n in range(8)]),
@@ -50,8 +53,8 @@
     step_tasks=strategies.dictionaries(
         strategies.sampled_from(STEP_KEYS), strategies.integers(1, 3)
     ),
-    latency_sensitive_tasks=strategies.integers(0, 2),
-    best_effort_tasks=strategies.integers(0, 2),
+    latency_sensitive_images=image_counts,
+    best_effort_images=image_counts,
     penalty=strategies.sampled_from((0.0, 0.0, 2.0, 100.0)),
 )
 
@@ -72,7 +75,7 @@
 def step(context, count):
     context.choices = []
 
-    def place(updates, step, rack):
+    def place(updates, step, rack, rises):
         index, known, orders = room_index.RoomIndex(), {}, {}
         for worker, is_gone in updates:
             worker_id = worker.worker_id
@@ -89,12 +92,11 @@
             scanned = [known[i] for i in sorted(known, key=orders.get)]
             assert index.workers == scanned, (index.workers, scanned)
             arguments = step, STEP_KEYS[0]
+            preferences = {"preferred_rack": rack, "rise": rise_by(rises)}
             context.choices.append(
                 (
-                    index.select(*arguments, preferred_rack=rack),
-                    placement.select_worker(
-                        scanned, *arguments, preferred_rack=rack
-                    ),
+                    index.select(*arguments, **preferences),
+                    placement.select_worker(scanned, *arguments, **preferences),
                 )
             )
 
@@ -105,6 +107,19 @@
         strategies.lists(updates, min_size=1, max_size=30),
         steps,
         strategies.sampled_from(("", *RACKS)),
+        strategies.none()
+        | strategies.fixed_dictionaries(
+            dict.fromkeys("ab", strategies.sampled_from((0, 5, 50)))
+        ),
+    )
+
+
+def rise_by(rises):
+    """Returns the interference with neighbors by their images, if any."""
+    if rises is None:
+        return None
+    return lambda worker: sum(
+        rises[image] * count for image, count in worker.best_effort_images
     )
 
 
@@ -137,7 +152,8 @@
                 usage.remove("i-1", run.key)
             else:
                 active[run.key] = run, step if is_known else None, account
-                worker_load.add(run, step if is_known else None)
+                image = "ab"[number % 2]
+                worker_load.add(run, step if is_known else None, image)
                 if is_known:
                     usage.add(run, account, step)
             context.loads.append(
@@ -157,23 +173,26 @@
     return (
         worker_load.reserved,
         worker_load.step_tasks,
-        worker_load.latency_sensitive_tasks,
-        worker_load.best_effort_tasks,
+        dict(worker_load.latency_sensitive_images),
+        dict(worker_load.best_effort_images),
         {name: used for name, used in usage.by_account.items() if any(used)},
     )
 
 
 def summed_values(active):
     reserved, step_tasks, by_account = model.Resources(), {}, {}
-    latency_sensitive = best_effort = 0
+    latency_sensitive, best_effort = {}, {}
     for run, step, account in active.values():
         reserved = reserved.plus(run.reserved)
         key = run.job_id, run.task.occurrence, run.task.step
         step_tasks[key] = step_tasks.get(key, 0) + 1
         if step is None:
             continue
-        latency_sensitive += step.latency_target_ms > 0
-        best_effort += step.fills
+        image = "ab"[run.task.number % 2]
+        if step.latency_target_ms:
+            latency_sensitive[image] = latency_sensitive.get(image, 0) + 1
+        if step.fills:
+            best_effort[image] = best_effort.get(image, 0) + 1
         used = by_account.get(account, model.Resources()).plus(step.size)
         by_account[account] = used
     by_account = {name: used for name, used in by_account.items() if any(used)}
