Pace best-effort tasks by what they contribute to a tail latency

All best-effort tasks of a worker were slowed alike.

Statuses of workers feed the estimates. The limit at 0.9 holds for all: neighbors that are known to be harmless go on for one round, and are stopped too if the latency stays.

A change of pace that failed, or that a previous owner may have sent, was never corrected: the owner took the pace for the one that it had set. It is sent again now with the next status.

Trials: raising all unknown images at once never told them apart; an assumed deviation of 0.05 in place of 0.03 kept estimates unknown for 10 s longer; raising and slowing by separate rules left a harmless task at 30% beside one at 50% that used the room.

--- a/src/chervillead/jobs/task_runs.py
+++ b/src/chervillead/jobs/task_runs.py
@@ -69,6 +69,8 @@
             with that progress; None before the first report of the run.
         reported_ms: Worker's clock in the latest report.
         pace_percent: CPU share that the run may use; 100 if it isn't paced.
+        is_pace_uncertain: Whether its worker may apply another pace, since the
+            command failed or a previous owner may have sent one.
         checkpoint: Checkpoint of the run; empty for none.
         isolated_until_s: Time until which no other run is started beside it, by
             the owner's clock, as its task may have crashed another worker.
@@ -108,6 +110,7 @@
         self.progress_since_ms: int | None = None
         self.reported_ms = 0
         self.pace_percent = 100
+        self.is_pace_uncertain = False
         self.checkpoint = ""
         self.isolated_until_s = float("-inf")
 
--- a/src/chervillead/pools/partition_owner.py
+++ b/src/chervillead/pools/partition_owner.py
@@ -11,6 +11,7 @@
 from chervillead.jobs import job_state
 from chervillead.pools import advice_cache
 from chervillead.pools import host_drain
+from chervillead.pools import interference_tracking
 from chervillead.pools import job_cancelling
 from chervillead.pools import job_operations
 from chervillead.pools import owner_state
@@ -22,7 +23,6 @@
 from chervillead.pools import stalled_runs
 from chervillead.pools import worker_registry
 from chervillead.store import group_commit
-from chervillead.workers import pacing
 from chervillead.workers import watch as watch_module
 
 # Events within this time, or longer, share one placement pass.
@@ -79,6 +79,9 @@
             lambda: not self._state.recovering_jobs,
             self._recovery.unknown_usage,
         )
+        self._interference = interference_tracking.InterferenceTracking(
+            self._state
+        )
         self._checked_s = float("-inf")
         self._expiry_checked_s = float("-inf")
 
@@ -173,7 +176,7 @@
         if is_check_due:
             self._check_all()
         self._recovery.finish()
-        pacing.pace_workers(self._changed_watches(), state.step_of)
+        self._interference.update(self._changed_watches())
         self._placement.refresh_workers(look_at_all=is_check_due)
         configuration = state.ports.configuration()
         if configuration is not None and state.may_start():
--- a/src/chervillead/pools/run_tracking.py
+++ b/src/chervillead/pools/run_tracking.py
@@ -176,6 +176,7 @@
         phase=task_runs.RunPhase.RUNNING,
     )
     run.may_be_stopping_until_ms = _stops_end_ms(state, clock_ms)
+    run.is_pace_uncertain = True
     if job is not None:
         run.reserved = job.step(key.task).reserved
         job.add_run(run)
--- a/src/chervillead/workers/watch.py
+++ b/src/chervillead/workers/watch.py
@@ -102,6 +102,7 @@
     def pace(self, run: task_runs.Run, percent: int) -> None:
         """Queues a change of pace, in percent of the run's full speed."""
         run.pace_percent = percent
+        run.is_pace_uncertain = False
         self._commands.put_nowait(Command(run, "pace", percent))
 
     def take_new_status(self) -> bool:
@@ -246,8 +247,9 @@
                 # The process may have been suspended since the command was
                 # queued. A stop is queued again while its run is listed.
                 self._log_withheld(command)
+                command.run.is_pace_uncertain |= command.kind == "pace"
             elif command.kind == "pace":
-                await self._client.pace(command.run.key, command.percent)
+                await self._send_pace(command)
             elif self._ports.may_stop(command.run):
                 await self._send_stop(command.run)
 
@@ -282,6 +284,13 @@
         self._record_grant(command.start_by_clock_ms, _clock_ms(outcome))
         ports.on_start_result(self._view, run, outcome)
 
+    async def _send_pace(self, command: Command) -> None:
+        run = command.run
+        outcome = await self._client.pace(run.key, command.percent)
+        # Set again with the next status, unless another pace has been set.
+        if run.pace_percent == command.percent:
+            run.is_pace_uncertain = not pipeline.is_successful(outcome)
+
     async def _send_stop(self, run: task_runs.Run) -> None:
         run.is_stop_sent = True
         outcome = await self._client.stop(run.key)
--- a/tests/stand_ins/memory_partition.py
+++ b/tests/stand_ins/memory_partition.py
@@ -41,8 +41,18 @@
         workers: abc.Sequence[worker_interface.Registration],
         jobs: abc.Iterable[job_state.JobState],
         ask_advice: ports.AskAdvice | None = None,
+        *,
+        running: abc.Mapping[str, abc.Iterable[task_runs.RunKey]] | None = None,
+        log: abc.Callable[..., None] = lambda message_type, **fields: None,
+        increment: abc.Callable[..., None] = lambda name, label: None,
+        start_s: float = START_S,
     ) -> None:
-        self.now_s = START_S
+        self.now_s = start_s
+        # Runs of a previous owner, by worker, until the worker has reported
+        # them.
+        self._found = dict(running or {})
+        self._log = log
+        self._increment = increment
         self._ask_advice = ask_advice
         self._clock_ms = 0
         self._end_numbers: dict[str, int] = {}
@@ -80,6 +90,7 @@
         worker_id: str,
         ended: task_runs.RunKey | None = None,
         kind: task_runs.EndKind = task_runs.EndKind.DONE,
+        usages: abc.Mapping[task_runs.RunKey, int] | None = None,
     ) -> None:
         """Applies a status of a worker, in which one run may have ended."""
         self._clock_ms += 1
@@ -91,8 +102,8 @@
             ends = (worker_interface.EndedRun(number, end),)
         view = self.state.watches[worker_id].view
         running = tuple(
-            worker_interface.RunStatus(key, "", 50, 0)
-            for key in view.runs
+            worker_interface.RunStatus(key, "", 50, (usages or {}).get(key, 0))
+            for key in [*view.runs, *self._found.pop(worker_id, ())]
             if key != ended
         )
         status = worker_interface.WorkerStatus(
@@ -119,8 +130,8 @@
             configuration=lambda: configuration,
             zones_out=frozenset,
             is_current=lambda: True,
-            log=lambda message_type, **fields: None,
-            increment=lambda name, label: None,
+            log=self._log,
+            increment=self._increment,
             observe=lambda name, seconds: None,
             call_owner=None,
             ask_advice=self._ask_advice,
--- a/tests/steps/workers_watch.py
+++ b/tests/steps/workers_watch.py
@@ -6,6 +6,7 @@
 from returns import result
 
 from chervillead import types
+from chervillead import verdicts
 from chervillead.jobs import model
 from chervillead.jobs import task_runs
 from chervillead.workers import interface
@@ -24,6 +25,7 @@
         self.run = run
         self.commands = []
         self.leases = []
+        self.is_rejecting_paces = False
 
     async def poll(self, request):
         """Lists the run until it is stopped."""
@@ -45,6 +47,10 @@
         """Records a change of pace."""
         del percent
         self.commands.append(("pace", key))
+        if self.is_rejecting_paces:
+            return result.Failure(
+                interface.WorkerCallFailure(verdicts.Verdict.NOT_RUN, "503")
+            )
         return result.Success(None)
 
     def close(self):
@@ -85,6 +91,21 @@
     context.actions.append(set_confirmed)
 
 
+@behave.when("a change of pace is {outcome}")
+def step(context, outcome):
+    def queue(watch, run):
+        watch._client.is_rejecting_paces = outcome == "rejected"
+        watch.pace(run, 50)
+
+    context.actions.append(queue)
+
+
+@behave.then("its pace is {state}")
+def step(context, state):
+    run = run_watch(context).run
+    assert run.is_pace_uncertain == (state == "uncertain"), state
+
+
 @behave.when("a stop and a change of pace are queued")
 def step(context):
     def queue(watch, run):
--- a/tests/workers/watch.feature
+++ b/tests/workers/watch.feature
@@ -33,3 +33,17 @@
     When the availability budget is used up
     And a stop and a change of pace are queued
     Then the worker gets a pace
+
+  Scenario: A change of pace fails
+    # Guards against a best-effort task that goes on at full pace because its
+    # owner believes that it was slowed.
+    Given a watched worker with a run
+    When a change of pace is rejected
+    Then its pace is uncertain
+
+  Scenario: A change of pace succeeds after one that failed
+    # Guards against a pace that is sent again with each status.
+    Given a watched worker with a run
+    When a change of pace is rejected
+    And a change of pace is accepted
+    Then its pace is certain
