--- a/src/chervillead/jobs/worker_trace.py
+++ b/src/chervillead/jobs/worker_trace.py
@@ -13,7 +13,6 @@
 class BestEffortRun(typing.NamedTuple):
     """A best-effort run on a worker, with its pace in percent."""
 
-    key: task_runs.RunKey
     image: str
     pace_percent: int
 
--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -253,6 +253,8 @@
 
     def image_of(self, run: task_runs.Run, step: model.Step) -> str:
         """Returns the image of a run's step, or what stands for it."""
+        if step.image:
+            return step.image
         address = self.terms_of(self.jobs[run.job_id]).queue_address
         return interference.image_of(step, address)
 
--- a/src/chervillead/workers/pacing.py
+++ b/src/chervillead/workers/pacing.py
@@ -4,6 +4,7 @@
 import typing
 
 from chervillead.jobs import interference
+from chervillead.jobs import latency_fit
 from chervillead.jobs import model
 from chervillead.jobs import pacing
 from chervillead.jobs import task_runs
@@ -89,10 +90,13 @@
                 now_s,
             )
         paces = self._next_paces(watch, best_effort, affected, now_s)
+        is_changed = False
         for one, percent in zip(best_effort, paces, strict=True):
             if percent != one.run.pace_percent or one.run.is_pace_uncertain:
                 self._set_pace(watch, one.run, percent)
-        self._record_paces(watch, best_effort, now_s)
+                is_changed = True
+        if is_changed:
+            self._record_paces(watch, best_effort, now_s)
 
     def _classify(
         self, watch: watch_module.WorkerWatch
@@ -121,9 +125,7 @@
         self._learned.record_paces(
             watch.view.worker_id,
             (
-                worker_trace.BestEffortRun(
-                    one.run.key, one.image, one.run.pace_percent
-                )
+                worker_trace.BestEffortRun(one.image, one.run.pace_percent)
                 for one in best_effort
             ),
             now_s,
@@ -146,14 +148,7 @@
         )
         by_affected = [
             pacing.next_paces(
-                [
-                    pacing.Neighbor(
-                        one.image,
-                        one.run.pace_percent,
-                        self._learned.estimate(one.image, other.image, now_s),
-                    )
-                    for one in best_effort
-                ],
+                self._neighbors(best_effort, other.image, now_s),
                 other.latency_ratio,
                 is_settled=self._learned.is_settled(worker_id, now_s),
                 may_spare=over_limit_s < worker_trace.SETTLE_S,
@@ -164,5 +159,24 @@
             return [100] * len(best_effort)
         return [min(paces) for paces in zip(*by_affected, strict=True)]
 
+    def _neighbors(
+        self,
+        best_effort: abc.Iterable[_BestEffort],
+        affected: str,
+        now_s: float,
+    ) -> list[pacing.Neighbor]:
+        """Returns the best-effort runs with their effects on an image."""
+        effects: dict[str, latency_fit.Estimate] = {}
+        neighbors = []
+        for one in best_effort:
+            effect = effects.get(one.image)
+            if effect is None:
+                effect = self._learned.estimate(one.image, affected, now_s)
+                effects[one.image] = effect
+            neighbors.append(
+                pacing.Neighbor(one.image, one.run.pace_percent, effect)
+            )
+        return neighbors
+
 
 _RUNNING = task_runs.RunPhase.RUNNING
--- a/tests/jobs/interference.feature
+++ b/tests/jobs/interference.feature
@@ -8,7 +8,7 @@
     # and against a tail over its target for longer than a reaction takes.
     Given 6 workers with a service and images heavy, light and none beside it
     And heavy raises its tail by <heavy>, light by 0.1 and none by 0
-    When they run for 20 s
+    When the services run for 20 s
     Then none runs at 90 percent or more everywhere
     And heavy runs at half of the pace of none or less
     And the tail is over its target for at most 2 s, and never after 5 s
@@ -22,9 +22,9 @@
     # Guards against estimates that outlive the effects that they describe.
     Given 6 workers with a service and images heavy, light and none beside it
     And heavy raises its tail by 0.8, light by 0.1 and none by 0
-    When they run for 10 s
+    When the services run for 10 s
     And heavy raises its tail by 0, light by 0.1 and none by 0.8 from now on
-    And they run for 20 s
+    And the services run for 20 s
     Then heavy runs faster than none
     And the tail is over its target for at most 3 s, and never after 20 s
 
@@ -33,9 +33,9 @@
     # to be harmless, where 4.5 s are too long.
     Given 6 workers with a service and images heavy, light and none beside it
     And heavy raises its tail by 0, light by 0 and none by 0
-    When they run for 20 s
+    When the services run for 20 s
     And heavy raises its tail by 0.9, light by 0.9 and none by 0.9 from now on
-    And they run for 20 s
+    And the services run for 20 s
     Then the tail is over its target for at most 4 s, and never after 25 s
 
   Scenario Outline: A harmless task goes on beyond the limit for one round only
@@ -59,8 +59,8 @@
     # slow worker, where the levels of workers are compared.
     Given 6 workers with a service and images heavy, light and none beside it
     And heavy raises its tail by 0.5, light by 0.1 and none by 0
-    And worker i-0 is 2.2 times slower
-    When they run for 20 s
+    And worker i-0 of a service is 2.2 times slower
+    When the services run for 20 s
     Then none is expected to raise the tail by at most a quarter of what heavy does
     And none runs at 90 percent or more on the other workers
 
@@ -69,9 +69,9 @@
     # rose on one worker.
     Given 6 workers with a service and images heavy, light and none beside it
     And heavy raises its tail by 0.5, light by 0.1 and none by 0
-    When they run for 10 s
-    And worker i-0 is 2.2 times slower
-    And they run for 10 s
+    When the services run for 10 s
+    And worker i-0 of a service is 2.2 times slower
+    And the services run for 10 s
     Then none is expected to raise the tail by at most a quarter of what heavy does
     And none runs at 90 percent or more on the other workers
 
@@ -86,22 +86,22 @@
     # Guards against one sample that outweighs all others.
     When 10 samples of an image come in 10 s
     And one sample is 5 times the others
-    Then its estimate is less than a third off
+    Then its estimated effect is less than a third off
 
   Scenario: An effect ends
     # Guards against an estimate that follows a change only as its memory fades.
     When 10 samples of an image come in 10 s
     And 4 samples show no effect any more
-    Then its estimate is a quarter of the effect or less
+    Then its estimated effect is a quarter of the effect or less
 
   Scenario: Old estimates lose their weight
     # Guards against decisions on effects that nobody has seen for long.
     When 10 samples of an image come in 10 s
-    Then the image is known
+    Then the effect of the image is known
     When 100 s pass without samples
-    Then the image isn't known
+    Then the effect of the image isn't known
     When 100 s pass without samples
-    Then its estimate is nearer to the prior than to its samples
+    Then its estimated effect is nearer to the prior than to its samples
 
   Scenario: The number of images is bounded
     # Guards against memory that grows with the names that callers choose.
@@ -113,11 +113,11 @@
     # waits although it has room there.
     Given 8 workers, of which 7 have a service, and images heavy and none
     And heavy raises its tail by 0.5, light by 0.1 and none by 0
-    When they run for 10 s
+    When the services run for 10 s
     Then a task of heavy is placed where no service runs
     And a task of none is placed where a service runs
     And a service prefers the worker with none to a fuller one with heavy
-    When there is no other room
+    When only workers with services have room
     Then a task of heavy is placed where a service runs
 
   Scenario: A worker stops answering
@@ -125,12 +125,12 @@
     # commands that it can't answer.
     Given 6 workers with a service and images heavy, light and none beside it
     And heavy raises its tail by 0.5, light by 0.1 and none by 0
-    When they run for 5 s
+    When the services run for 5 s
     And worker i-0 goes silent with 9 times its tail latency
-    And they run for 10 s
+    And the services run for 10 s
     Then the paces on worker i-0 have not changed since
-    When worker i-0 answers again
-    And they run for 3 s
+    When worker i-0 of a service answers again
+    And the services run for 3 s
     Then none is still known
     And none is expected to raise the tail by at most a quarter of what heavy does
 
@@ -138,10 +138,10 @@
     # Guards against an owner that relies on what it has not seen.
     Given 6 workers with a service and images heavy, light and none beside it
     And heavy raises its tail by 0.8, light by 0.1 and none by 0
-    When they run for 10 s
-    And another owner takes over
+    When the services run for 10 s
+    And another owner takes the services over
     Then no pair of images is known
-    When they run for 20 s
+    When the services run for 20 s
     Then none runs at 90 percent or more everywhere
     And the tail is over its target for at most 2 s, and never after 15 s
 
@@ -151,7 +151,7 @@
     Given 6 workers with a service and images heavy, light and none beside it
     And heavy raises its tail by 0.8, light by 0.1 and none by 0
     When changes of pace are lost for 2 s
-    And they run for 10 s
+    And the services run for 10 s
     Then the tail is over its target for at most 4 s, and never after 5 s
 
   Scenario: What is learned is logged
@@ -159,7 +159,7 @@
     # with the number of pairs.
     Given 6 workers with a service and images heavy, light and none beside it
     And heavy raises its tail by 0.5, light by 0.1 and none by 0
-    When they run for 10 s
+    When the services run for 10 s
     Then heavy and none are logged as learned, with at most one line a second
     And paced tasks are counted
 
@@ -167,10 +167,10 @@
     # Guards against a task that stands still while another worker has room, and
     # against a service that is moved for it.
     Given 8 workers with services at 0.8 of their target on 4, and heavy beside them
-    When they run for 5 s
-    Then no task has moved
-    When the other workers get room
-    And they run for 8 s
+    When the services run for 5 s
+    Then no best-effort task has moved
+    When the workers without services get room
+    And the services run for 8 s
     Then every task of heavy runs at full pace where no service runs
     And the services are where they were
     And tasks have moved one at a time, at least 1 s apart
@@ -180,10 +180,10 @@
     # against a second run of a task whose first one may go on.
     Given 8 workers with services at 0.8 of their target on 4, and heavy beside them
     And <reason>
-    When they run for 5 s
-    And the other workers get room
-    And they run for 8 s
-    Then no task has moved
+    When the services run for 5 s
+    And the workers without services get room
+    And the services run for 8 s
+    Then no best-effort task has moved
 
     Examples:
       | reason                                             |
@@ -195,7 +195,7 @@
   Scenario: The worker of a task to be moved goes silent
     # Guards against a second run of a task whose first one may go on.
     Given 8 workers with services at 0.8 of their target on 4, and heavy beside them
-    When they run for 5 s
+    When the services run for 5 s
     And the workers with services go silent as the others get room
-    And they run for 8 s
+    And the services run for 8 s
     Then each task of heavy has one run, where it was
--- a/tests/steps/jobs_interference.py
+++ b/tests/steps/jobs_interference.py
@@ -54,13 +54,13 @@
     context.world.effects.update(heavy=heavy, light=light, none=none)
 
 
-@behave.given("worker {worker_id} is {factor:g} times slower")
-@behave.when("worker {worker_id} is {factor:g} times slower")
+@behave.given("worker {worker_id} of a service is {factor:g} times slower")
+@behave.when("worker {worker_id} of a service is {factor:g} times slower")
 def step(context, worker_id, factor):
     context.world.slowness[worker_id] = factor
 
 
-@behave.when("they run for {seconds:d} s")
+@behave.when("the services run for {seconds:d} s")
 def step(context, seconds):
     if "mover" in context:
         start_mover(context)
@@ -200,7 +200,7 @@
     context.fit.record({"a": 1.0}, 0.8 * factor, context.at_s)
 
 
-@behave.then("its estimate is less than a third off")
+@behave.then("its estimated effect is less than a third off")
 def step(context):
     rise = context.fit.estimate("a", context.at_s).rise
     assert 0.8 <= rise < 0.8 * 4 / 3, rise
@@ -213,13 +213,13 @@
         context.fit.record({"a": 1.0}, 0.0, context.at_s)
 
 
-@behave.then("its estimate is a quarter of the effect or less")
+@behave.then("its estimated effect is a quarter of the effect or less")
 def step(context):
     rise = context.fit.estimate("a", context.at_s).rise
     assert abs(rise) <= 0.8 / 4, rise
 
 
-@behave.then("the image is known")
+@behave.then("the effect of the image is known")
 def step(context):
     assert context.fit.estimate("a", context.at_s).is_confident
 
@@ -229,12 +229,12 @@
     context.at_s += seconds
 
 
-@behave.then("the image isn't known")
+@behave.then("the effect of the image isn't known")
 def step(context):
     assert not context.fit.estimate("a", context.at_s).is_confident
 
 
-@behave.then("its estimate is nearer to the prior than to its samples")
+@behave.then("its estimated effect is nearer to the prior than to its samples")
 def step(context):
     rise = context.fit.estimate("a", context.at_s).rise
     prior = latency_fit.PRIOR_RISE
@@ -248,7 +248,7 @@
     for number in range(count):
         for is_beside in (False, True):
             run = worker_trace.BestEffortRun(
-                run_key(number), f"from-{number}", 100 if is_beside else 0
+                f"from-{number}", 100 if is_beside else 0
             )
             now_s += 1.0
             for other in range(affected):
@@ -337,7 +337,7 @@
     assert placement.select_worker(snapshots, service, key) is snapshots[0]
 
 
-@behave.when("there is no other room")
+@behave.when("only workers with services have room")
 def step(context):
     with_service = context.world.workers_with(SERVICE)
     cordon(context, set(context.world.worker_ids) - set(with_service))
@@ -368,7 +368,7 @@
     assert paces_on(context, worker_id) == context.paces
 
 
-@behave.when("worker {worker_id} answers again")
+@behave.when("worker {worker_id} of a service answers again")
 def step(context, worker_id):
     context.world.silent.remove(worker_id)
 
@@ -382,7 +382,7 @@
     assert estimate.is_confident, estimate
 
 
-@behave.when("another owner takes over")
+@behave.when("another owner takes the services over")
 def step(context):
     context.world.change_owner()
 
@@ -469,7 +469,7 @@
     context.services = 8
 
 
-@behave.when("the other workers get room")
+@behave.when("the workers without services get room")
 def step(context):
     cordon(context, context.others, "")
 
@@ -480,7 +480,7 @@
     cordon(context, context.others, "")
 
 
-@behave.then("no task has moved")
+@behave.then("no best-effort task has moved")
 def step(context):
     assert workers_of(context, context.heavy) == set(context.busy)
     assert not context.world.log_lines("run:moving")
