--- a/src/chervillead/jobs/task_runs.py
+++ b/src/chervillead/jobs/task_runs.py
@@ -74,6 +74,8 @@
         checkpoint_percent: Progress at its newest checkpoint at the least; 0
             before the first.
         is_found: Whether a previous owner started it.
+        is_pace_uncertain: Whether its worker may apply another pace, since the
+            command failed or a previous owner may have sent one.
         isolated_until_s: Time until which no other run is started beside it, by
             the owner's clock, as its task may have crashed another worker.
     """
@@ -116,6 +118,7 @@
         self.resumed_from = ""
         self.checkpoint_percent = 0
         self.is_found = False
+        self.is_pace_uncertain = False
         self.isolated_until_s = float("-inf")
 
     def withdraw_stop(self) -> None:
--- a/src/chervillead/metrics_page.py
+++ b/src/chervillead/metrics_page.py
@@ -21,6 +21,10 @@
     ),
     "chervillead_run_moves": ("Runs stopped to go on elsewhere.", ("why",)),
     "chervillead_jobs_ended": ("Jobs that ended.", ("phase",)),
+    "chervillead_interference": (
+        "Tasks placed apart, paced or moved because they interfere.",
+        ("action",),
+    ),
     "chervillead_operator_syncs": (
         "Fetches of operator records from peers.",
         ("outcome",),
--- a/src/chervillead/pools/run_tracking.py
+++ b/src/chervillead/pools/run_tracking.py
@@ -184,6 +184,7 @@
     )
     run.is_found = True
     run.may_be_stopping_until_ms = _stops_end_ms(state, clock_ms)
+    run.is_pace_uncertain = True
     if job is not None:
         run.reserved = job.step(key.task).reserved
         job.add_run(run)
