Test entry host processes against clients that use up memory or descriptors

Cause: clients made a process run out of memory.

Features that measure memory run after all others, alone.

--- a/tests/stand_ins/local_platform.py
+++ b/tests/stand_ins/local_platform.py
@@ -64,8 +64,23 @@
 class LocalPlatform:
     """Stand-ins and entry host processes of one run."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
-        count = HOSTS * PORTS_PER_HOST + WORKERS + 2
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        *,
+        hosts: int = HOSTS,
+        limits: dict[str, int] | None = None,
+    ) -> None:
+        """Reserves the ports.
+
+        Args:
+            folder: Folder for settings files and logs.
+            hosts: Number of entry hosts.
+            limits: Limits of the machine, as the settings file names them.
+        """
+        self._hosts = hosts
+        self._limits = limits or {}
+        count = hosts * PORTS_PER_HOST + WORKERS + 2
         self._reserved_ports = free_ports.reserve_ports(count)
         self._folder = folder
         self._store = platform_store.StoreStandIn()
@@ -87,7 +102,7 @@
 
     def _settings(self, host: int) -> dict[str, typing.Any]:
         first = host * PORTS_PER_HOST
-        store_port = self._port(HOSTS * PORTS_PER_HOST + WORKERS)
+        store_port = self._port(self._hosts * PORTS_PER_HOST + WORKERS)
         loopback = free_ports.LOOPBACK
         return {
             "Node": f"host-{host}",
@@ -105,13 +120,14 @@
                 "RecordBytes": 262144,
                 "CallBytes": 2097152,
             },
+            "Limits": self._limits,
         }
 
     async def start(self) -> None:
         """Starts the stand-ins, then the entry host processes."""
         self._reserved_ports.release()
         loopback = free_ports.LOOPBACK
-        first = HOSTS * PORTS_PER_HOST
+        first = self._hosts * PORTS_PER_HOST
         self._servers.append(
             await http_server.serve(
                 self._store.handler_for("any"),
@@ -129,7 +145,7 @@
         configuration = platform_fleet.configuration(queue_host=loopback)
         self._store.put("keyed.op", "config", configuration)
         self._tasks.append(asyncio.create_task(self._heartbeats()))
-        for host in range(HOSTS):
+        for host in range(self._hosts):
             await self._start_host(host)
 
     async def _start_host(self, host: int) -> None:
@@ -149,7 +165,7 @@
             )
 
     async def _heartbeats(self) -> None:
-        first = HOSTS * PORTS_PER_HOST
+        first = self._hosts * PORTS_PER_HOST
         for sequence in range(1_000_000):
             for index, worker in enumerate(self._workers):
                 address = f"{free_ports.LOOPBACK}:{self._port(first + index)}"
@@ -167,6 +183,36 @@
             usages.append(_usage(process.pid))
         return usages
 
+    def process_id(self, host: int) -> int:
+        """Returns the id of the process of a host."""
+        return self._processes[host].pid
+
+    def internal_address(self, host: int) -> types.Address:
+        """Returns the address at which a host listens for other hosts."""
+        port = self._port(host * PORTS_PER_HOST + 2)
+        return types.Address(free_ports.LOOPBACK, port)
+
+    def metrics_address(self, host: int) -> types.Address:
+        """Returns the address at which a host serves its metrics."""
+        port = self._port(host * PORTS_PER_HOST + 3)
+        return types.Address(free_ports.LOOPBACK, port)
+
+    def is_running(self, host: int) -> bool:
+        """Returns whether the process of a host hasn't ended."""
+        return self._processes[host].returncode is None
+
+    async def submit_job(self, number: int) -> int:
+        """Submits a small job to the first host.
+
+        Returns:
+            The status of the response, or 0 if there was none.
+        """
+        path = platform_fleet.QUEUE_PATH + platform_fleet.job_id(number)
+        body = msgspec.json.encode(
+            {"Spec": "small", "Phases": [platform_fleet.step(1)]}
+        )
+        return await self._status("POST", 0, path, body)
+
     async def _status(
         self, method: str, host: int, path: str, body: bytes = b""
     ) -> int:
@@ -196,7 +242,7 @@
         status = await self._status("POST", 0, path, body)
         phase = f"refused with {status}"
         while status == 200 and time.monotonic() - started_s < JOB_TIMEOUT_S:
-            response = await self._call("GET", HOSTS - 1, path)
+            response = await self._call("GET", self._hosts - 1, path)
             if response is not None and response.status == 200:
                 phase = msgspec.json.decode(response.body)["State"]
             if phase == "completed":
--- a/tests/stand_ins/run_features.py
+++ b/tests/stand_ins/run_features.py
@@ -34,6 +34,9 @@
     "operators/pages.feature",
     "examples.feature",
 )
+# Features that measure the memory of a process under load. They run after all
+# others, one at a time.
+RUN_ALONE = ("platform/request_limits.feature",)
 _COUNTS = re.compile(r"^(\d+) scenarios? passed(.*)$", re.MULTILINE)
 _NOT_PASSED = re.compile(r"(\d+) (?:failed|error)")
 
@@ -128,7 +131,10 @@
             print(outcome.output, flush=True)
         return outcome
 
-    outcomes = await asyncio.gather(*map(run_one, paths))
+    alone = [path for path in paths if str(path).endswith(RUN_ALONE)]
+    others = [path for path in paths if path not in alone]
+    outcomes = list(await asyncio.gather(*map(run_one, others)))
+    outcomes += [await run_one(path) for path in alone]
     passed = sum(outcome.passed for outcome in outcomes)
     failed = sum(outcome.failed for outcome in outcomes)
     print(f"{passed} scenarios passed, {failed} failed, 0 skipped")
--- /dev/null
+++ b/tests/steps/platform_request_limits.py
@@ -0,0 +1,120 @@
+"""Steps of tests/platform/request_limits.feature."""
+
+import asyncio
+import contextlib
+import pathlib
+import tempfile
+import time
+
+import behave
+import psutil
+
+from stand_ins import hostile_clients
+from stand_ins import local_platform
+
+# A fraction of a real machine's, so that few clients reach the limits.
+LIMITS = {"MemoryMb": 48, "MaxFds": 400}
+SAMPLE_INTERVAL_S = 0.02
+# Within this time an ordinary request is answered, with repetitions where it
+# is refused.
+ANSWER_WITHIN_S = 15.0
+
+
+def peak_memory_mb(pid):
+    """Returns the largest resident memory of a process since its start."""
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    line = next(x for x in status.splitlines() if x.startswith("VmHWM:"))
+    return int(line.split()[1]) / 1024
+
+
+async def sample_descriptors(pid, counts):
+    """Appends the number of open descriptors until cancelled."""
+    process = psutil.Process(pid)
+    with contextlib.suppress(psutil.Error):
+        while True:
+            counts.append(process.num_fds())
+            await asyncio.sleep(SAMPLE_INTERVAL_S)
+
+
+async def submit_until_answered(local):
+    """Repeats an ordinary request; returns the statuses that it got."""
+    ends_s = time.monotonic() + ANSWER_WITHIN_S
+    statuses = []
+    while time.monotonic() < ends_s:
+        status = 0
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(5.0):
+                status = await local.submit_job(len(statuses) + 1)
+        statuses.append(status)
+        if statuses[-1] == 200:
+            break
+        await asyncio.sleep(0.3)
+    return statuses
+
+
+async def run(context, folder, pattern, clients):
+    """Runs the clients against one host and records what it used."""
+    local = local_platform.LocalPlatform(
+        pathlib.Path(folder), hosts=1, limits=LIMITS
+    )
+    context.descriptors = []
+    try:
+        await local.start()
+        usage = (await local.wait_until_ready())[0]
+        pid = local.process_id(0)
+        sampling = asyncio.create_task(
+            sample_descriptors(pid, context.descriptors)
+        )
+        opened = await hostile_clients.attack(
+            local.callers_address(0),
+            hostile_clients.PATTERNS[pattern],
+            clients,
+        )
+        await asyncio.sleep(1.0)
+        context.is_running = local.is_running(0)
+        context.statuses = await submit_until_answered(local)
+        context.is_running = context.is_running and local.is_running(0)
+        context.growth_mb = (
+            peak_memory_mb(pid) - usage.memory_mb
+            if context.is_running
+            else float("inf")
+        )
+        sampling.cancel()
+        for connection in opened:
+            connection.writer.transport.abort()
+        await asyncio.sleep(0.1)
+    finally:
+        await local.stop()
+
+
+@behave.given("an entry host process with lowered request limits")
+def step(context):
+    context.limits = LIMITS
+
+
+@behave.when("{clients:d} clients send {pattern}")
+def step(context, clients, pattern):
+    with tempfile.TemporaryDirectory() as folder:
+        asyncio.run(run(context, folder, pattern, clients))
+    print(
+        f"{pattern}: {context.growth_mb:.1f} MB more, at most "
+        f"{max(context.descriptors)} descriptors, "
+        f"statuses {context.statuses}"
+    )
+
+
+@behave.then(
+    "the process is alive and has used at most {memory:d} MB and "
+    "{descriptors:d} descriptors"
+)
+def step(context, memory, descriptors):
+    assert context.is_running
+    assert context.growth_mb <= memory, context.growth_mb
+    assert max(context.descriptors) <= descriptors, max(context.descriptors)
+
+
+@behave.then(
+    "an ordinary request was answered while those clients stayed connected"
+)
+def step(context):
+    assert context.statuses[-1:] == [200], context.statuses
