Limit what clients make an entry host hold

Cause: a body was read as a whole before its size was checked, uvicorn parsed all pipelined requests of a read at once, and nothing limited the bytes and connections of all clients together.

Change: one limiter (callers/request_limiter.py) for the callers' ports of both daemons and for the streams between hosts of the platform. The connection counts bytes as they arrive and stops reading; the application answers, since on the project's own port it alone knows whether an earlier submission of the id has run. Without room, the client address that holds the most gives way.

--- a/src/chervillead/assembly.py
+++ b/src/chervillead/assembly.py
@@ -25,6 +25,7 @@
 from chervillead.callers import credentials
 from chervillead.callers import in_progress
 from chervillead.callers import request_claims
+from chervillead.callers import request_limiter
 from chervillead.callers import submission
 from chervillead.entries import dispatch_client
 from chervillead.entries import dispatcher
@@ -202,7 +203,9 @@
         lookup=parts.submission_ports.lookup,
         cancel=cancel,
         answers=answers.AnswerCache(parts.clock),
-        body_memory=bodies.BodyMemoryLimiter(),
+        limiter=request_limiter.RequestLimiter(
+            request_limiter.Limits(), lambda: bodies.MAX_BODY_BYTES
+        ),
         running_submissions=set(),
         is_ready=lambda: (
             parts.reader.configuration.offset >= 0 and not is_stopping()
--- a/src/chervillead/callers/application.py
+++ b/src/chervillead/callers/application.py
@@ -5,7 +5,6 @@
 import typing
 
 import blacksheep
-from blacksheep import exceptions
 from returns import pipeline
 from returns import result
 
@@ -16,6 +15,7 @@
 from chervillead.callers import headers
 from chervillead.callers import in_progress
 from chervillead.callers import request_claims
+from chervillead.callers import request_limiter
 from chervillead.callers import responses
 from chervillead.entries import messages
 
@@ -32,7 +32,7 @@
         lookup: Asks the claim holder for the state of a request id.
         cancel: Asks the host that processes a claimed request to cancel it.
         answers: Cached outcomes of the claimed requests of this host.
-        body_memory: Bound on the memory of all request bodies.
+        limiter: Limits on what all connections hold.
         running_submissions: Tasks of the submissions in progress.
         is_ready: Whether the load balancer should send requests here.
         is_stopping: Whether to close connections after the next answer.
@@ -52,7 +52,7 @@
     lookup: request_claims.Lookup
     cancel: abc.Callable[[str], None]
     answers: answers.AnswerCache
-    body_memory: bodies.BodyMemoryLimiter
+    limiter: request_limiter.RequestLimiter
     running_submissions: set[asyncio.Task[RequestOutcome]]
     is_ready: abc.Callable[[], bool]
     is_stopping: abc.Callable[[], bool]
@@ -76,7 +76,8 @@
         if not pipeline.is_successful(parsed):
             response = await _refusal_response(request, parsed.failure(), ports)
         else:
-            response = await _submit(parsed.unwrap(), ports)
+            reservation = bodies.reservation_of(request)
+            response = await _submit(parsed.unwrap(), reservation, ports)
         return _close_if_stopping(response, ports)
 
     async def fetch(request: blacksheep.Request) -> blacksheep.Response:
@@ -120,9 +121,7 @@
     if not pipeline.is_successful(team):
         return result.Failure(team.failure())
     found = parsed.unwrap()
-    body = await bodies.read_body(
-        _body_chunks(request), found.content_length, ports.body_memory
-    )
+    body = await bodies.read_body(request)
     return body.map(
         lambda payload: _Submission(
             types.Request(
@@ -141,14 +140,6 @@
     )
 
 
-async def _body_chunks(request: blacksheep.Request) -> abc.AsyncIterator[bytes]:
-    try:
-        async for chunk in request.stream():  # type: ignore[attr-defined]
-            yield chunk
-    except exceptions.MessageAborted as error:
-        raise bodies.TruncatedBodyError from error
-
-
 async def _refusal_response(
     request: blacksheep.Request,
     refusal: verdicts.Refusal,
@@ -168,7 +159,9 @@
 
 
 async def _submit(
-    submission: _Submission, ports: FrontEndPorts
+    submission: _Submission,
+    reservation: request_limiter.Reservation,
+    ports: FrontEndPorts,
 ) -> blacksheep.Response:
     """Runs a submission and returns its response.
 
@@ -184,10 +177,11 @@
         ports.submit(request, claimed, progress)
     )
     ports.running_submissions.add(task)
+    reservation.hold()
 
     def on_task_done(ended: asyncio.Task[RequestOutcome]) -> None:
         ports.running_submissions.discard(ended)
-        ports.body_memory.release(len(request.body))
+        reservation.release()
         if ended.cancelled() or ended.exception() is not None:
             return
         if progress.claimed.is_set():
--- a/src/chervillead/callers/connections.py
+++ b/src/chervillead/callers/connections.py
@@ -1,62 +1,105 @@
-"""Timeouts and size limits for the head of a request.
+"""Applies the limits on requests to the connections of callers.
 
-The head is the request line and the headers. uvicorn limits neither the time in
-which a head arrives nor its length, so its protocol class is extended here.
-Everything else about a connection is left to uvicorn.
+uvicorn limits neither the time in which a request arrives, nor its length, nor
+how many requests wait on a connection, so its protocol class is extended here.
+docs/design/request-limits.md explains the limits. A refused request is answered
+by the application, which knows whether an earlier submission of it has run;
+only a request without a complete head is answered here.
 """
 
 import asyncio
-from collections import abc
+import functools
+import typing
 
 from uvicorn.protocols.http import httptools_impl
 
 from chervillead import verdicts
-from chervillead.callers import problems
+from chervillead.callers import bodies
+from chervillead.callers import refusable_connection
+from chervillead.callers import request_limiter
 
-HEAD_TIMEOUT_S = 5.0
 MAX_HEAD_BYTES = 32 * 1024
 MAX_HEADERS = 64
-# Time for which the rest of a refused body is read and discarded. Closing a
-# connection with unread bytes resets it, and the caller could miss the refusal.
+# Requests that wait on a connection while an earlier one runs. uvicorn parses
+# all that a read returns, which was 8,000 requests and 90 MB for one client.
+MAX_PIPELINED = 32
+RESERVED_STEP_BYTES = 4096
+# Time for which the rest of a body is read and discarded whose request has been
+# answered. Closing a connection with unread bytes resets it, and the caller
+# could miss the response.
 LINGERING_CLOSE_S = 2.0
 
 
-class CallerConnection(httptools_impl.HttpToolsProtocol):
+class CallerConnection(refusable_connection.RefusableConnection):
     """Server side of one HTTP connection of a caller."""
 
+    def __init__(
+        self,
+        *arguments: typing.Any,
+        limiter: request_limiter.RequestLimiter,
+        **named: typing.Any,
+    ) -> None:
+        super().__init__(*arguments, limiter=limiter, **named)
+        self._body_bytes = 0
+        # Size of the body up to which memory is reserved.
+        self._checked_body_bytes = 0
+        self._head_refusal: verdicts.Refusal | None = None
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Starts the timeout for the first head."""
-        self._head_bytes = 0
-        self._is_reading_head = False
-        self._is_reading_body = False
-        self._refusal: verdicts.Refusal | None = None
-        self._timer: asyncio.TimerHandle | None = None
-        super().connection_made(transport)  # type: ignore[arg-type]
-        self._start_head_timeout()
+        """Counts the connection and starts the timeout for the first head."""
+        super().connection_made(transport)
+        self._connection = self._limiter.connect(
+            self._client_address, self._give_way
+        )
+        if self._connection is None:
+            self._write_refusal(self._limiter.connections_refusal())
+            self.transport.close()
+            return
+        self._start_timer(self._limits.head_timeout_s, self._on_head_timeout)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancels the timeout in progress."""
-        self._stop_timer()
+        """Releases what no handler uses and cancels the timeouts."""
+        if self._is_reading_head and self._reservation is not None:
+            self._reservation.release()
+        # Requests that wait for an earlier one are never started now.
+        for cycle, _ in self.pipeline:
+            bodies.reservation_in(cycle.scope).release()
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        """Parses received bytes and refuses a head that is too large."""
-        if self._refusal is not None:
+        """Parses received bytes and applies the limits."""
+        if self._is_refused or self._connection is None:
             return
         if not self._is_reading_head and not self._is_reading_body:
-            self._start_head_timeout()
-        self._head_bytes += len(data)
+            self._start_head()
+        self._unparsed_bytes += len(data)
         super().data_received(data)
-        if self._refusal is not None or not self._is_reading_head:
+        if self._is_refused or self.transport.is_closing():
             return
-        if self._head_bytes > MAX_HEAD_BYTES:
+        if self._unparsed_bytes > MAX_HEAD_BYTES and (
+            self._is_reading_head or self._is_reading_body
+        ):
+            # In a body, these are an endless chunk header or trailer.
             self._refuse(_head_too_large(f"more than {MAX_HEAD_BYTES} bytes"))
+        elif self._is_reading_head and self._reservation is not None:
+            self._reservation.resize(self._unparsed_bytes)
+        elif self._is_reading_body and self._timer is None:
+            self._start_timer(
+                self._limits.body_timeout_s, self._on_body_timeout
+            )
 
     def on_message_begin(self) -> None:
-        """Starts the timeout for the head of a further request."""
+        """Starts the head of a further request.
+
+        Raises:
+            ValueError: If too many requests wait; it stops the parser.
+        """
+        if len(self.pipeline) >= MAX_PIPELINED:
+            self._head_refusal = _too_many_pipelined()
+            raise ValueError(self._head_refusal.detail)
         super().on_message_begin()
         if not self._is_reading_head:
-            self._start_head_timeout()
+            self._start_head()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects a header.
@@ -66,33 +109,76 @@
         """
         super().on_header(name, value)
         if len(self.headers) > MAX_HEADERS:
-            self._refusal = _head_too_large(f"more than {MAX_HEADERS} headers")
-            raise ValueError(self._refusal.detail)
+            self._head_refusal = _head_too_large(f"more than {MAX_HEADERS}")
+            raise ValueError(self._head_refusal.detail)
 
     def on_headers_complete(self) -> None:
-        """Starts the request; `bodies` applies its own timeout to the body."""
+        """Starts the request, and refuses a body that is declared too large."""
         self._stop_timer()
         self._is_reading_head = False
         self._is_reading_body = True
+        self._unparsed_bytes = 0
+        self._body_bytes = 0
+        self._checked_body_bytes = 0
+        reservation = self._reservation
+        if reservation is None or reservation.is_released:
+            raise ValueError("the request is refused")
+        bodies.attach_reservation(
+            typing.cast("dict[str, typing.Any]", self.scope), reservation
+        )
         super().on_headers_complete()
+        reservation.resize(request_limiter.REQUEST_BYTES)
+        declared = dict(self.headers).get(b"content-length", b"0")
+        refusal = reservation.refusal or self._limiter.body_refusal(
+            int(declared)
+        )
+        if refusal is not None:
+            self._refuse_body(refusal)
+
+    def on_body(self, body: bytes) -> None:
+        """Collects a part of a body unless it exceeds a limit.
+
+        Raises:
+            ValueError: If the request is refused; it stops the parser.
+        """
+        self._unparsed_bytes = 0
+        self._body_bytes += len(body)
+        if self._body_bytes > self._checked_body_bytes:
+            self._check_body()
+        if self._is_refused:
+            raise ValueError("the request is refused")
+        super().on_body(body)
 
     def on_message_complete(self) -> None:
-        """Stops the timeout for the rest of a refused body."""
+        """Marks the request as received, so that it can't be refused."""
+        if self._is_refused:
+            raise ValueError("the request is refused")
         self._is_reading_body = False
+        self._stop_timer()
+        if self._reservation is not None:
+            self._reservation.complete()
+        if self._connection is not None and not self.cycle.response_complete:
+            self._connection.set_waiting(waiting=False)
         super().on_message_complete()
-        if self.cycle.response_complete:
-            self._stop_timer()
 
     def on_response_complete(self) -> None:
-        """Limits the time in which the rest of a refused body is discarded."""
+        """Limits the time in which the rest of a request is discarded."""
         super().on_response_complete()
-        if self._is_reading_body and not self.transport.is_closing():
+        if self.transport.is_closing():
+            self._limit_flush()
+        if self._is_refused or self.transport.is_closing():
+            return
+        if self._connection is not None and not self._has_response_pending():
+            self._connection.set_waiting(waiting=True)
+        if self._is_reading_body:
             self._start_timer(LINGERING_CLOSE_S, self.transport.close)
 
     def send_400_response(self, msg: str) -> None:
         """Refuses malformed HTTP; uvicorn calls this on parser errors."""
+        if self._is_refused:
+            return
         self._refuse(
-            self._refusal
+            self._head_refusal
             or verdicts.not_run(
                 "malformed-http",
                 400,
@@ -100,13 +186,47 @@
             )
         )
 
-    def _start_head_timeout(self) -> None:
+    def _start_asgi_task(
+        self, cycle: httptools_impl.RequestResponseCycle, app: typing.Any
+    ) -> None:
+        """Runs the application, and then releases what the request holds."""
+
+        async def run(*arguments: typing.Any) -> None:
+            try:
+                await app(*arguments)
+            finally:
+                bodies.reservation_in(cycle.scope).release()
+
+        super()._start_asgi_task(cycle, run)
+
+    def _check_body(self) -> None:
+        """Reserves memory for a body that has grown, or refuses it.
+
+        Reserves in steps: for each byte of a body that comes in chunks of one,
+        it would take longer than parsing it.
+        """
+        refusal = self._limiter.body_refusal(self._body_bytes)
+        if refusal is not None:
+            self._refuse_body(refusal)
+            return
+        self._checked_body_bytes = min(
+            self._body_bytes + RESERVED_STEP_BYTES,
+            self._limiter.max_body_bytes(),
+        )
+        if self._reservation is not None and not self.cycle.response_complete:
+            self._reservation.resize(
+                request_limiter.REQUEST_BYTES + self._checked_body_bytes
+            )
+
+    def _start_head(self) -> None:
         self._is_reading_head = True
-        self._head_bytes = 0
-        self._start_timer(HEAD_TIMEOUT_S, self._on_head_timeout)
+        self._unparsed_bytes = 0
+        if self._connection is not None:
+            self._reservation = self._connection.reserve(self._give_way)
+        self._start_timer(self._limits.head_timeout_s, self._on_head_timeout)
 
     def _on_head_timeout(self) -> None:
-        if self._head_bytes == 0:
+        if self._unparsed_bytes == 0:
             self.transport.close()
             return
         # The request id isn't known yet, and the load balancer may have sent
@@ -115,51 +235,31 @@
             verdicts.may_have_run(
                 "head-timeout",
                 408,
-                f"{self._head_bytes} bytes of headers received within "
-                f"{HEAD_TIMEOUT_S} s",
+                f"{self._unparsed_bytes} bytes of headers received within "
+                f"{self._limits.head_timeout_s} s",
             )
         )
 
-    def _refuse(self, refusal: verdicts.Refusal) -> None:
-        """Sends a problem response and closes the connection."""
-        self._refusal = refusal
-        self._stop_timer()
-        problems.log_refusal(refusal, "")
-        if self._has_response_pending():
-            # Bytes written now would become part of the response to an earlier
-            # request of this connection.
-            self.cycle.keep_alive = False
-            self.flow.pause_reading()
-            return
-        self.transport.write(
-            httptools_impl.STATUS_LINE[refusal.status]
-            + b"".join(
-                name + b": " + value + b"\r\n"
-                for name, value in problems.closing_headers(refusal)
+    def _on_body_timeout(self) -> None:
+        self._timer = None
+        if self.flow.read_paused:
+            # The application is late, not the client.
+            self._start_timer(
+                self._limits.body_timeout_s, self._on_body_timeout
             )
-            + b"\r\n"
-            + problems.encode_problem(refusal, "")
-        )
-        self.transport.close()
-
-    def _has_response_pending(self) -> bool:
-        """Returns whether a complete request awaits its response."""
-        return bool(self.pipeline) or (
-            self.cycle is not None
-            and not self.cycle.response_complete
-            and not self.cycle.more_body
-        )
+            return
+        timeout_s = self._limits.body_timeout_s
+        self._refuse_body(bodies.timeout_refusal(self._body_bytes, timeout_s))
 
-    def _start_timer(
-        self, delay_s: float, action: abc.Callable[[], None]
-    ) -> None:
-        self._stop_timer()
-        self._timer = self.loop.call_later(delay_s, action)
 
-    def _stop_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+def protocol_class(
+    limiter: request_limiter.RequestLimiter,
+) -> type[asyncio.Protocol]:
+    """Returns what uvicorn calls for each connection."""
+    return typing.cast(
+        "type[asyncio.Protocol]",
+        functools.partial(CallerConnection, limiter=limiter),
+    )
 
 
 def _head_too_large(found: str) -> verdicts.Refusal:
@@ -169,3 +269,12 @@
         f"the request has {found}; at most {MAX_HEADERS} headers and "
         f"{MAX_HEAD_BYTES} bytes are allowed",
     )
+
+
+def _too_many_pipelined() -> verdicts.Refusal:
+    return verdicts.not_run(
+        "too-many-pipelined",
+        429,
+        f"at most {MAX_PIPELINED} requests may wait on one connection",
+        retry_after_s=request_limiter.RETRY_AFTER_S,
+    )
--- a/src/chervillead/daemon.py
+++ b/src/chervillead/daemon.py
@@ -21,6 +21,7 @@
 from chervillead.callers import application
 from chervillead.callers import connections
 from chervillead.callers import headers
+from chervillead.callers import request_limiter
 from chervillead.operators import burn_records
 from chervillead.operators import burn_republishing
 from chervillead.operators import endpoint
@@ -128,7 +129,12 @@
     )
     try:
         await _serve_callers(
-            settings, callers, app, stopping, parts.entry.leave
+            settings,
+            callers,
+            app,
+            front_end.limiter,
+            stopping,
+            parts.entry.leave,
         )
         await _finish_running(front_end)
         burn_records_task.cancel()
@@ -149,6 +155,7 @@
     settings: settings_module.Settings,
     listener: socket.socket,
     app: blacksheep.Application,
+    limiter: request_limiter.RequestLimiter,
     stopping: asyncio.Event,
     leave: abc.Callable[[], abc.Awaitable[None]],
 ) -> None:
@@ -159,9 +166,11 @@
             app,
             lifespan="off",
             log_config=None,
+            # uvicorn warns of each malformed request.
+            log_level="error",
             access_log=False,
             proxy_headers=False,
-            http=connections.CallerConnection,
+            http=connections.protocol_class(limiter),
             timeout_keep_alive=KEEP_ALIVE_S,
             timeout_graceful_shutdown=int(DRAIN_TIMEOUT_S),
         )
--- a/src/chervillead/entries/codec.py
+++ b/src/chervillead/entries/codec.py
@@ -113,15 +113,27 @@
     Raises:
         MalformedFrameError: A frame is too long or malformed.
     """
-    while True:
+    while (length := await read_length(reader)) is not None:
         try:
-            prefix = await reader.readexactly(_LENGTH.size)
-            (length,) = _LENGTH.unpack(prefix)
-            if length > MAX_FRAME_BYTES:
-                raise MalformedFrameError(
-                    f"frame too long: {length} bytes, limit {MAX_FRAME_BYTES}"
-                )
             payload = await reader.readexactly(length)
         except (asyncio.IncompleteReadError, ConnectionError):
             return
         yield decode_payload(payload)
+
+
+async def read_length(reader: asyncio.StreamReader) -> int | None:
+    """Reads the length of the next payload; None at the end of the stream.
+
+    Raises:
+        MalformedFrameError: The frame is too long.
+    """
+    try:
+        prefix = await reader.readexactly(_LENGTH.size)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    length: int = _LENGTH.unpack(prefix)[0]
+    if length > MAX_FRAME_BYTES:
+        raise MalformedFrameError(
+            f"frame too long: {length} bytes, limit {MAX_FRAME_BYTES}"
+        )
+    return length
--- a/src/chervillead/entries/job_streams.py
+++ b/src/chervillead/entries/job_streams.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections import abc
+import functools
 import typing
 
 from returns import result
@@ -14,8 +15,10 @@
 from chervillead import http_exchange
 from chervillead import types
 from chervillead import verdicts
+from chervillead.callers import request_limiter
 from chervillead.entries import codec
 from chervillead.entries import job_messages
+from chervillead.entries import limited_frames
 from chervillead.entries import messages
 from chervillead.entries import peer_stream
 
@@ -191,7 +194,11 @@
             stream.close()
 
 
-def serve_calls(serve: Serve, clock: types.Clock) -> http_exchange.ServeStreams:
+def serve_calls(
+    serve: Serve,
+    clock: types.Clock,
+    limiter: request_limiter.RequestLimiter,
+) -> http_exchange.ServeStreams:
     """Returns the function that serves an accepted stream with `serve`."""
 
     async def serve_stream(
@@ -199,22 +206,38 @@
     ) -> None:
         stream = peer_stream.PeerStream("", writer, clock)
         tasks: set[asyncio.Task[None]] = set()
+        connection = limited_frames.accept(limiter, writer)
+        if connection is None:
+            return
 
         async def answer(frame: codec.Frame) -> None:
             if isinstance(frame.message, job_messages.Call):
                 reply = await serve(frame.message)
                 stream.post(reply, frame.number)
 
+        def end(
+            task: asyncio.Task[None], reservation: request_limiter.Reservation
+        ) -> None:
+            tasks.discard(task)
+            reservation.release()
+            connection.set_waiting(waiting=not tasks)
+
         try:
-            async for frame in codec.read_frames(reader):
+            async for frame, reservation in limited_frames.read_frames(
+                reader, connection, stream.close
+            ):
                 task = asyncio.create_task(answer(frame))
                 tasks.add(task)
-                task.add_done_callback(tasks.discard)
+                connection.set_waiting(waiting=False)
+                task.add_done_callback(
+                    functools.partial(end, reservation=reservation)
+                )
         except (codec.MalformedFrameError, asyncio.CancelledError):
             # Cancellation means that the process stops; asyncio would log an
             # error if it were raised from a connection's task.
             pass
         finally:
+            connection.close()
             stream.close()
 
     return serve_stream
--- a/src/chervillead/metrics_page.py
+++ b/src/chervillead/metrics_page.py
@@ -10,6 +10,10 @@
 
 _COUNTERS: dict[str, tuple[str, tuple[str, ...]]] = {
     "chervillead_calls": ("Calls of callers.", ("method", "status")),
+    "chervillead_requests_refused": (
+        "Requests and connections refused by the limits on them.",
+        ("reason",),
+    ),
     "chervillead_store_calls": ("Calls to the store.", ("path", "status")),
     "chervillead_worker_calls": ("Calls to workers.", ("path", "status")),
     "chervillead_machine_calls": ("Calls for hosts.", ("path", "status")),
--- a/src/chervillead/platform/assembly.py
+++ b/src/chervillead/platform/assembly.py
@@ -10,6 +10,8 @@
 from chervillead import http_exchange
 from chervillead import metrics_page
 from chervillead import types
+from chervillead.callers import refusal_log
+from chervillead.callers import request_limiter
 from chervillead.entries import host_messages
 from chervillead.entries import job_messages
 from chervillead.entries import job_streams
@@ -89,6 +91,23 @@
         self.fleet_view = fleet_view.FleetView(
             environment.boot_time, self.clock.monotonic, self.log
         )
+        self.limiter = request_limiter.RequestLimiter(
+            settings.request_limits,
+            self.max_body_bytes,
+            refusal_log.RefusalLog(
+                self.log, self.metrics.increment, self.clock.monotonic
+            ).report,
+        )
+        self.metrics.gauge(
+            "chervillead_request_bytes_held",
+            "Bytes of requests that are received or handled.",
+            lambda: self.limiter.held_bytes,
+        )
+        self.metrics.gauge(
+            "chervillead_request_connections",
+            "Open connections of clients and of other hosts.",
+            lambda: self.limiter.connections,
+        )
         self.store: store_interface.Store = store_client.connect_store(
             settings.store.address,
             self.metrics.increment,
@@ -154,6 +173,13 @@
         self.fleet_view.on_change(self.update_workers)
         self.ownership.on_change(self.update_workers)
 
+    def max_body_bytes(self) -> int:
+        """Returns the configured limit of one body, in bytes."""
+        configuration = self.fleet_view.configuration
+        if configuration is None:
+            return fleet_configuration.DEFAULT_MAX_BODY_BYTES
+        return configuration.max_body_bytes
+
     def partition_of(self, pool: str) -> int:
         """Returns the store partition that holds the jobs of a pool."""
         return pool_partitions.partition_of(
@@ -346,5 +372,6 @@
         return await job_service.serve(call, host.ownership)
 
     await host.environment.listen(
-        host.settings.entries, job_streams.serve_calls(serve, host.clock)
+        host.settings.entries,
+        job_streams.serve_calls(serve, host.clock, host.limiter),
     )
--- a/src/chervillead/platform/caller_routes.py
+++ b/src/chervillead/platform/caller_routes.py
@@ -10,6 +10,7 @@
 
 from chervillead import types
 from chervillead import verdicts
+from chervillead.callers import bodies
 from chervillead.jobs import job_api
 from chervillead.jobs import validation
 from chervillead.platform import job_bodies
@@ -114,18 +115,11 @@
 async def _submit(
     request: blacksheep.Request, call: _Call, path: str, ports: RoutePorts
 ) -> blacksheep.Response:
-    configuration = ports.jobs.configuration()
-    limit = configuration.max_body_bytes if configuration is not None else 0
-    body = await request.read() or b""
-    if len(body) > limit:
-        refusal = verdicts.not_run(
-            "body-too-large",
-            413,
-            f"{len(body)} bytes exceed the limit of {limit}",
-        )
-        return _refusal_response(refusal, path, ports)
+    body = await bodies.read_body(request)
+    if not pipeline.is_successful(body):
+        return _refusal_response(body.failure(), path, ports)
     decoded = job_bodies.decode_job(
-        body,
+        body.unwrap(),
         job_id=call.job_id,
         queue=call.admission.queue,
         account=call.admission.account,
--- a/src/chervillead/platform/daemon.py
+++ b/src/chervillead/platform/daemon.py
@@ -131,9 +131,11 @@
             app,
             lifespan="off",
             log_config=None,
+            # uvicorn warns of each malformed request.
+            log_level="error",
             access_log=False,
             proxy_headers=False,
-            http=connections.CallerConnection,
+            http=connections.protocol_class(host.limiter),
             timeout_keep_alive=75,
             timeout_graceful_shutdown=int(CONNECTION_DRAIN_S) + 1,
         )
--- a/src/chervillead/platform/settings.py
+++ b/src/chervillead/platform/settings.py
@@ -9,6 +9,7 @@
 
 from chervillead import settings as settings_module
 from chervillead import types
+from chervillead.callers import request_limiter
 from chervillead.pools import ports as ports_module
 
 SETTINGS_VARIABLE = "CHERVILLEAD_CONFIG"
@@ -51,6 +52,7 @@
             since a key may have been withdrawn or a queue changed by then.
         stop_grace_s: Time between SIGTERM and SIGKILL.
         cores: Processor time per second that the host provides, in cores.
+        request_limits: Limits on what clients make the host hold.
     """
 
     host: str
@@ -66,6 +68,14 @@
     config_max_age_s: float
     stop_grace_s: float
     cores: float = 1.0
+    request_limits: request_limiter.Limits = request_limiter.Limits()
+
+
+# The smallest machines of the platform have 160 MB and 4,100 descriptors.
+DEFAULT_MEMORY_MB = 160
+DEFAULT_DESCRIPTORS = 4096
+# Below that, the process alone takes up the memory.
+MIN_MEMORY_MB = 32
 
 
 class _SettingError(Exception):
@@ -134,6 +144,7 @@
         config_max_age_s=_config_max_age_s(document),
         stop_grace_s=_number(document, "Bounds.GraceS", 6),
         cores=_cores(document),
+        request_limits=_request_limits(document),
     )
 
 
@@ -152,6 +163,28 @@
     return speed * _number(document, "Limits.CpuShare", 1.0)
 
 
+def _request_limits(document: object) -> request_limiter.Limits:
+    def number(path: str, default: float, low: float, high: float) -> float:
+        value = _number(document, path, default)
+        if not low <= value <= high:
+            raise _SettingError(path, value, f"{low:g} to {high:g}")
+        return value
+
+    memory_mb = number(
+        "Limits.MemoryMb", DEFAULT_MEMORY_MB, MIN_MEMORY_MB, 1048576
+    )
+    descriptors = number("Limits.MaxFds", DEFAULT_DESCRIPTORS, 64, 1048576)
+    memory_share = number("RequestLimits.MemoryShare", 0.1, 0.01, 0.5)
+    connection_share = number("RequestLimits.ConnectionShare", 0.5, 0.1, 0.8)
+    return request_limiter.Limits(
+        memory_bytes=int(memory_mb * memory_share * 1024 * 1024),
+        connections=int(descriptors * connection_share),
+        head_timeout_s=number("RequestLimits.HeadTimeoutS", 5.0, 0.1, 60.0),
+        body_timeout_s=number("RequestLimits.BodyTimeoutS", 10.0, 0.1, 60.0),
+        write_timeout_s=number("RequestLimits.WriteTimeoutS", 10.0, 0.1, 60.0),
+    )
+
+
 def _limits(document: object) -> ports_module.Limits:
     return ports_module.Limits(
         max_lease_ms=int(_number(document, "Bounds.MaxHoldMs", 6000)),
--- a/tests/stand_ins/memory_caller.py
+++ b/tests/stand_ins/memory_caller.py
@@ -43,6 +43,15 @@
     def close(self) -> None:
         self.closed.set()
 
+    def abort(self) -> None:
+        self.closed.set()
+
+    def can_write_eof(self) -> bool:
+        return False
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
     def is_closing(self) -> bool:
         return self.closed.is_set()
 
@@ -87,7 +96,9 @@
 
     def connect(self) -> "MemoryCaller":
         """Opens a connection to the entry host."""
-        protocol = connections.CallerConnection(self._config, self._state, {})
+        protocol = connections.CallerConnection(
+            self._config, self._state, {}, limiter=self.ports.limiter
+        )
         return MemoryCaller(protocol)
 
 
--- a/tests/stand_ins/memory_network.py
+++ b/tests/stand_ins/memory_network.py
@@ -74,6 +74,9 @@
     def get_write_buffer_size(self) -> int:
         return self._unread_bytes
 
+    def get_extra_info(self, name: str) -> tuple[str, int] | None:
+        return (self._target, 0) if name == "peername" else None
+
     def abort(self) -> None:
         """Closes this end at once; the peer sees the end after the delay."""
         if not self._closed:
--- a/tests/steps/callers_application.py
+++ b/tests/steps/callers_application.py
@@ -30,8 +30,7 @@
             await front_end.start()
         await scenario(fleet, front_ends)
         context.reserved_bytes = [
-            front_end.ports.body_memory.reserved_bytes
-            for front_end in front_ends
+            front_end.ports.limiter.held_bytes for front_end in front_ends
         ]
         await fleet.stop()
         context.executed_ids = [r.request_id for r in fleet.executions()]
--- a/tests/steps/entries_job_streams.py
+++ b/tests/steps/entries_job_streams.py
@@ -6,6 +6,7 @@
 from returns import pipeline
 
 from chervillead import types
+from chervillead.callers import request_limiter
 from chervillead.entries import job_messages
 from chervillead.entries import job_streams
 from chervillead.jobs import model
@@ -58,7 +59,9 @@
     found = CallsResult()
     network = memory_network.MemoryNetwork(seed=context.seed)
     answer = context.answer
-    serve = job_streams.serve_calls(answer, virtual_time.clock())
+    serve = job_streams.serve_calls(
+        answer, virtual_time.clock(), request_limiter.unlimited()
+    )
 
     async def accept(reader, writer):
         found.dials += 1
--- a/tests/steps/pools_job_router.py
+++ b/tests/steps/pools_job_router.py
@@ -10,6 +10,7 @@
 
 from chervillead import types
 from chervillead import verdicts
+from chervillead.callers import request_limiter
 from chervillead.entries import job_messages
 from chervillead.entries import job_streams
 from chervillead.pools import group_members
@@ -122,7 +123,11 @@
         asyncio.create_task(
             network.listen_at("owner")(
                 OWNER,
-                job_streams.serve_calls(owner.serve, virtual_time.clock()),
+                job_streams.serve_calls(
+                    owner.serve,
+                    virtual_time.clock(),
+                    request_limiter.unlimited(),
+                ),
             )
         ),
     ]
