Apply the limits on requests to all ports, and document them

Cause: the ports for other hosts and for metrics kept connections without a limit; a client there could send a frame of 4 MB that never ends.

Change: the limiter counts the streams of both daemons and the metrics page too. Settings say the memory and the descriptors of the machine and the shares for clients; they are checked at the start, and the process's own descriptor limit counts if it is lower.

--- a/src/chervillead/assembly.py
+++ b/src/chervillead/assembly.py
@@ -14,6 +14,7 @@
 
 from chervillead import http_exchange
 from chervillead import maintenance_wiring
+from chervillead import metrics
 from chervillead import recovery_wiring
 from chervillead import settings as settings_module
 from chervillead import types
@@ -24,6 +25,7 @@
 from chervillead.callers import cancellation
 from chervillead.callers import credentials
 from chervillead.callers import in_progress
+from chervillead.callers import refusal_log
 from chervillead.callers import request_claims
 from chervillead.callers import request_limiter
 from chervillead.callers import submission
@@ -55,6 +57,7 @@
         submission_ports: Functions that the submission of a request calls.
         dial: Opens connections.
         listen: Accepts connections.
+        limiter: Limits on what clients make the host hold.
         host_list: Cache of the platform's list of live and leaving hosts.
     """
 
@@ -68,6 +71,7 @@
     submission_ports: submission.SubmissionPorts
     dial: http_exchange.Dial
     listen: http_exchange.Listen
+    limiter: request_limiter.RequestLimiter
     host_list: host_list.HostListCache
 
 
@@ -87,8 +91,9 @@
     )
     requests = in_progress.RequestsInProgress()
     hosts = host_list.HostListCache(clock)
+    limiter = _create_limiter(settings, clock)
     entry = host_module.EntryHost(
-        settings, reader, clock, requests.cancel, lambda: hosts.hosts
+        settings, reader, clock, limiter, requests.cancel, lambda: hosts.hosts
     )
     pools = pool.UpstreamPools(
         clock,
@@ -109,10 +114,31 @@
         ),
         dial,
         listen,
+        limiter,
         hosts,
     )
 
 
+def _create_limiter(
+    settings: settings_module.Settings, clock: types.Clock
+) -> request_limiter.RequestLimiter:
+    increment = metrics.connect_metrics(settings.statsd).increment
+    refusals = refusal_log.RefusalLog(
+        eliot.log_message,
+        lambda *names: increment(metrics.metric_name(*names), 1),
+        clock.monotonic,
+    )
+    return request_limiter.RequestLimiter(
+        request_limiter.Limits(
+            # A quarter of the machine; the rest is for claims and answers.
+            memory_bytes=settings.memory_mb * 1024 * 1024 // 4,
+            connections=settings.max_fds // 2,
+        ),
+        lambda: bodies.MAX_BODY_BYTES,
+        refusals.report,
+    )
+
+
 async def run_background(parts: Assembly) -> None:
     """Runs all tasks except the HTTP front end until cancelled."""
     recovery = recovery_wiring.recovery_ports(
@@ -203,9 +229,7 @@
         lookup=parts.submission_ports.lookup,
         cancel=cancel,
         answers=answers.AnswerCache(parts.clock),
-        limiter=request_limiter.RequestLimiter(
-            request_limiter.Limits(), lambda: bodies.MAX_BODY_BYTES
-        ),
+        limiter=parts.limiter,
         running_submissions=set(),
         is_ready=lambda: (
             parts.reader.configuration.offset >= 0 and not is_stopping()
--- a/src/chervillead/entries/host.py
+++ b/src/chervillead/entries/host.py
@@ -14,6 +14,7 @@
 from chervillead import settings as settings_module
 from chervillead import types
 from chervillead import verdicts
+from chervillead.callers import request_limiter
 from chervillead.entries import claim_client
 from chervillead.entries import claim_holders
 from chervillead.entries import config_sync
@@ -47,6 +48,7 @@
         settings: settings_module.Settings,
         reader: log_reader.LogReader,
         clock: types.Clock,
+        limiter: request_limiter.RequestLimiter,
         cancel: abc.Callable[[str], bool] = lambda request_id: False,
         hosts: abc.Callable[[], host_list.HostList] = lambda: host_list.UNKNOWN,
     ) -> None:
@@ -57,7 +59,7 @@
         self._stopping = False
         self._releases_seat = False
         self._streams = streams.PeerStreams(
-            messages.Hello(settings.host, settings.zone), clock
+            messages.Hello(settings.host, settings.zone), clock, limiter
         )
         self._membership = membership.Membership(settings.host, clock)
         self._config_sync = config_sync.connect_ports(reader)
--- a/src/chervillead/entries/streams.py
+++ b/src/chervillead/entries/streams.py
@@ -14,7 +14,9 @@
 from chervillead import http_exchange
 from chervillead import types
 from chervillead import verdicts
+from chervillead.callers import request_limiter
 from chervillead.entries import codec
+from chervillead.entries import limited_frames
 from chervillead.entries import messages
 from chervillead.entries import peer_stream
 
@@ -34,8 +36,14 @@
 class PeerStreams:
     """Open streams of this host, by peer."""
 
-    def __init__(self, hello: messages.Hello, clock: types.Clock) -> None:
+    def __init__(
+        self,
+        hello: messages.Hello,
+        clock: types.Clock,
+        limiter: request_limiter.RequestLimiter,
+    ) -> None:
         self._hello = hello
+        self._limiter = limiter
         self._clock = clock
         self._dialled: dict[str, peer_stream.PeerStream] = {}
         self._accepted: dict[str, peer_stream.PeerStream] = {}
@@ -139,15 +147,28 @@
             dialled: Whether this host opened the connection.
             expected: Name that the peer must send; None accepts any name.
         """
+        connection = limited_frames.accept(
+            self._limiter if not dialled else request_limiter.unlimited(),
+            writer,
+        )
+        if connection is None:
+            return
         stream = peer_stream.PeerStream("", writer, self._clock)
         self._all.add(stream)
         stream.post(self._hello)
         try:
-            frames = codec.read_frames(reader)
+            frames = limited_frames.read_frames(
+                reader, connection, stream.close
+            )
             async with asyncio.timeout(HELLO_TIMEOUT_S):
-                hello = (await anext(frames)).message
-            self._open(stream, hello, expected, dialled=dialled)
-            async for frame in frames:
+                hello, reservation = await anext(frames)
+            reservation.release()
+            self._open(stream, hello.message, expected, dialled=dialled)
+            # A stream of a known host isn't closed in favour of others.
+            connection.set_waiting(waiting=False)
+            async for frame, reservation in frames:
+                # Handlers keep no part of a frame beyond their limits.
+                reservation.release()
                 # Frames that were in transit when this host closed the stream
                 # don't show that the peer is alive.
                 if stream.is_closed:
@@ -167,6 +188,7 @@
                 "entries:stream-failed", peer=stream.peer, error=repr(error)
             )
         finally:
+            connection.close()
             self._discard(stream)
 
     def _open(
--- a/src/chervillead/platform/assembly.py
+++ b/src/chervillead/platform/assembly.py
@@ -10,8 +10,6 @@
 from chervillead import http_exchange
 from chervillead import metrics_page
 from chervillead import types
-from chervillead.callers import refusal_log
-from chervillead.callers import request_limiter
 from chervillead.entries import host_messages
 from chervillead.entries import job_messages
 from chervillead.entries import job_streams
@@ -23,6 +21,7 @@
 from chervillead.platform import host_management
 from chervillead.platform import operator_sync
 from chervillead.platform import registrations
+from chervillead.platform import request_limits
 from chervillead.platform import settings as settings_module
 from chervillead.platform import store_client
 from chervillead.platform import worker_client
@@ -91,22 +90,12 @@
         self.fleet_view = fleet_view.FleetView(
             environment.boot_time, self.clock.monotonic, self.log
         )
-        self.limiter = request_limiter.RequestLimiter(
+        self.limiter = request_limits.create_limiter(
             settings.request_limits,
             self.max_body_bytes,
-            refusal_log.RefusalLog(
-                self.log, self.metrics.increment, self.clock.monotonic
-            ).report,
-        )
-        self.metrics.gauge(
-            "chervillead_request_bytes_held",
-            "Bytes of requests that are received or handled.",
-            lambda: self.limiter.held_bytes,
-        )
-        self.metrics.gauge(
-            "chervillead_request_connections",
-            "Open connections of clients and of other hosts.",
-            lambda: self.limiter.connections,
+            self.metrics,
+            self.log,
+            self.clock.monotonic,
         )
         self.store: store_interface.Store = store_client.connect_store(
             settings.store.address,
--- a/src/chervillead/platform/daemon.py
+++ b/src/chervillead/platform/daemon.py
@@ -1,7 +1,6 @@
 """Process of one entry host: signals, listeners, start and shutdown."""
 
 import asyncio
-import contextlib
 import gc
 import pathlib
 import signal
@@ -14,8 +13,10 @@
 from chervillead import bounded_logs
 from chervillead import http_exchange
 from chervillead.callers import connections
+from chervillead.entries import limited_frames
 from chervillead.platform import assembly
 from chervillead.platform import caller_routes
+from chervillead.platform import request_limits
 from chervillead.platform import settings as settings_module
 
 # The load balancer probes readiness every second and takes a host out after two
@@ -31,9 +32,11 @@
 ) -> None:
     """Runs an entry host until SIGTERM or SIGINT; SIGHUP reloads `path`."""
     loop = asyncio.get_running_loop()
+    log = bounded_logs.bind_log(host=settings.host)
+    limits = request_limits.within_descriptors(settings.request_limits, log)
     host = assembly.EntryHost(
-        settings,
-        bounded_logs.bind_log(host=settings.host),
+        settings._replace(request_limits=limits),
+        log,
         assembly.HostEnvironment(),
     )
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -97,8 +100,14 @@
     async def answer(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            await reader.readuntil(b"\r\n\r\n")
+        connection = limited_frames.accept(host.limiter, writer)
+        if connection is None:
+            return
+        try:
+            async with asyncio.timeout(
+                host.settings.request_limits.head_timeout_s
+            ):
+                await reader.readuntil(b"\r\n\r\n")
             page = host.metrics.render()
             head = (
                 "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n"
@@ -106,7 +115,12 @@
             )
             writer.write(head.encode() + page)
             await writer.drain()
-        writer.close()
+        except (OSError, EOFError, asyncio.LimitOverrunError):
+            # A client that sends no request gets no page.
+            pass
+        finally:
+            connection.close()
+            writer.close()
 
     await http_exchange.listen(host.settings.metrics, answer)
 
--- a/src/chervillead/platform/settings.py
+++ b/src/chervillead/platform/settings.py
@@ -171,9 +171,9 @@
         return value
 
     memory_mb = number(
-        "Limits.MemoryMb", DEFAULT_MEMORY_MB, MIN_MEMORY_MB, 1048576
+        "Limits.MemoryMb", DEFAULT_MEMORY_MB, MIN_MEMORY_MB, 524288
     )
-    descriptors = number("Limits.MaxFds", DEFAULT_DESCRIPTORS, 64, 1048576)
+    descriptors = number("Limits.MaxFds", DEFAULT_DESCRIPTORS, 64, 524288)
     memory_share = number("RequestLimits.MemoryShare", 0.1, 0.01, 0.5)
     connection_share = number("RequestLimits.ConnectionShare", 0.5, 0.1, 0.8)
     return request_limiter.Limits(
--- a/src/chervillead/settings.py
+++ b/src/chervillead/settings.py
@@ -50,6 +50,8 @@
         statsd: Address to which metrics are sent; None disables them.
         stop_delay_s: Time during which a stopping host still accepts requests,
             because load balancers stop sending with a delay, in seconds.
+        memory_mb: Memory of the machine; requests may hold a quarter of it.
+        max_fds: Descriptors of the machine; clients may use half of them.
         burn_period_s: Time between two burn records of this host, in seconds.
     """
 
@@ -61,6 +63,8 @@
     peers: tuple[Peer, ...] = ()
     statsd: types.Address | None = None
     stop_delay_s: float = 3.0
+    memory_mb: int = 256
+    max_fds: int = 4096
     burn_period_s: int = 300
 
 
@@ -122,6 +126,8 @@
     "$.peers[].address.port": _PORT,
     "$.statsd.port": _PORT,
     "$.stop_delay_s": Range(0, 60, "s"),
+    "$.memory_mb": Range(32, 524288, "MB"),
+    "$.max_fds": Range(64, 524288, "descriptors"),
     "$.burn_period_s": Range(1, 3600, "s"),
 }
 
--- a/tests/platform/calls.feature
+++ b/tests/platform/calls.feature
@@ -177,13 +177,20 @@
     Then the error names the setting <field>
 
     Examples:
-      | field             | value    |
-      | Ip                | 7        |
-      | ListenAddrs.Front | "here"   |
-      | InternalPorts     | [7000]   |
-      | platform.parts    | "many"   |
-      | Bounds.RevokeMs   | -1       |
-      | Limits.CpuShare   | "half"   |
+      | field                         | value    |
+      | Ip                            | 7        |
+      | ListenAddrs.Front             | "here"   |
+      | InternalPorts                 | [7000]   |
+      | platform.parts                | "many"   |
+      | Bounds.RevokeMs               | -1       |
+      | Limits.CpuShare               | "half"   |
+      | Limits.MemoryMb               | 4        |
+      | Limits.MaxFds                 | 10       |
+      | RequestLimits.MemoryShare     | 0.9      |
+      | RequestLimits.ConnectionShare | 1        |
+      | RequestLimits.HeadTimeoutS    | 0        |
+      | RequestLimits.BodyTimeoutS    | "long"   |
+      | RequestLimits.WriteTimeoutS   | 3600     |
 
   Scenario Outline: The settings say how many cores a host has
     # Guards against large hosts that look small: the share of the processor says
--- a/tests/platform/request_limits.feature
+++ b/tests/platform/request_limits.feature
@@ -25,3 +25,31 @@
       | 100     | request heads that never end                  |
       | 400     | connections that send nothing                 |
       | 20      | requests whose responses are never read       |
+
+  Scenario Outline: Many clients that are no hosts send <pattern>
+    # Guards against buffers of the port for other hosts and of that for metrics.
+    Given an entry host process with lowered request limits
+    When <clients> clients of its <port> port send <pattern>
+    Then the process is alive and has used at most 24 MB and 300 descriptors
+    And an ordinary request was answered while those clients stayed connected
+
+    Examples:
+      | clients | port    | pattern                                         |
+      | 100     | entries | frames between hosts that stop before their end |
+      | 400     | entries | connections that send nothing                   |
+      | 400     | metrics | connections that send nothing                   |
+
+  Scenario Outline: A client that sends <pattern> learns that it was refused
+    # Guards against connections that are closed without a word, on which a client
+    # would send the same again at once.
+    Given an entry host process with lowered request limits
+    When <clients> clients send <pattern>
+    Then the clients got responses only with status <statuses>
+    And an ordinary request was answered while those clients stayed connected
+
+    Examples:
+      | clients | pattern                                       | statuses    |
+      | 3       | bodies declared far over the limit            | 413         |
+      | 3       | bodies over the limit without a declared size | 413         |
+      | 3       | a body that stops before its end              | 408         |
+      | 100     | bodies of legal size that stop one byte short | 408 and 503 |
--- a/tests/stand_ins/hostile_clients.py
+++ b/tests/stand_ins/hostile_clients.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections import abc
 import contextlib
+import struct
 import typing
 
 import msgspec
@@ -142,6 +143,17 @@
         await _send(connection, request * 1000)
 
 
+async def _stop_frames(connection: Connection) -> None:
+    # The largest frame that hosts send each other is 4 MB.
+    await _send(connection, struct.pack(">I", OVERSIZE_BYTES))
+    for _ in range(OVERSIZE_BYTES // len(PIECE) - 1):
+        await _send(connection, PIECE)
+
+
+async def _send_slowly(connection: Connection) -> None:
+    await _send(connection, _DECLARED_HEAD + b"x")
+
+
 PATTERNS: dict[str, Pattern] = {
     "whole bodies of legal size": _send_whole,
     "bodies of legal size in pieces": _send_pieces,
@@ -155,6 +167,8 @@
     "request heads that never end": _send_endless_head,
     "connections that send nothing": _send_nothing,
     "requests whose responses are never read": _read_nothing,
+    "frames between hosts that stop before their end": _stop_frames,
+    "a body that stops before its end": _send_slowly,
 }
 
 
--- a/tests/stand_ins/local_platform.py
+++ b/tests/stand_ins/local_platform.py
@@ -70,6 +70,7 @@
         *,
         hosts: int = HOSTS,
         limits: dict[str, int] | None = None,
+        request_limits: dict[str, float] | None = None,
     ) -> None:
         """Reserves the ports.
 
@@ -77,9 +78,11 @@
             folder: Folder for settings files and logs.
             hosts: Number of entry hosts.
             limits: Limits of the machine, as the settings file names them.
+            request_limits: Settings of the limits on requests.
         """
         self._hosts = hosts
         self._limits = limits or {}
+        self._request_limits = request_limits or {}
         count = hosts * PORTS_PER_HOST + WORKERS + 2
         self._reserved_ports = free_ports.reserve_ports(count)
         self._folder = folder
@@ -121,6 +124,7 @@
                 "CallBytes": 2097152,
             },
             "Limits": self._limits,
+            "RequestLimits": self._request_limits,
         }
 
     async def start(self) -> None:
--- a/tests/steps/entries_streams.py
+++ b/tests/steps/entries_streams.py
@@ -5,6 +5,7 @@
 import behave
 
 from chervillead import types
+from chervillead.callers import request_limiter
 from chervillead.entries import codec
 from chervillead.entries import membership
 from chervillead.entries import messages
@@ -22,7 +23,9 @@
     def __init__(self, seed):
         self.network = memory_network.MemoryNetwork(seed=seed)
         hello = messages.Hello("host", "a")
-        self.streams = streams.PeerStreams(hello, virtual_time.clock())
+        self.streams = streams.PeerStreams(
+            hello, virtual_time.clock(), request_limiter.unlimited()
+        )
         self.received = []
         self.tasks = set()
         heartbeat = messages.Heartbeat(0, 0, False, {}, {})
@@ -114,7 +117,9 @@
 def step(context):
     async def script(host):
         hello = messages.Hello("caller", "a")
-        own = streams.PeerStreams(hello, virtual_time.clock())
+        own = streams.PeerStreams(
+            hello, virtual_time.clock(), request_limiter.unlimited()
+        )
         task = asyncio.ensure_future(
             streams.keep_connected(
                 own,
--- a/tests/steps/platform_adapter.py
+++ b/tests/steps/platform_adapter.py
@@ -104,7 +104,7 @@
     section = document
     *sections, name = field.split(".")
     for key in sections:
-        section = section[key]
+        section = section.setdefault(key, {})
     section[name] = msgspec.json.decode(value.encode())
     context.settings = settings_module.decode_settings(document)
 
--- a/tests/steps/platform_request_limits.py
+++ b/tests/steps/platform_request_limits.py
@@ -1,6 +1,7 @@
 """Steps of tests/platform/request_limits.feature."""
 
 import asyncio
+import collections
 import contextlib
 import pathlib
 import tempfile
@@ -9,11 +10,15 @@
 import behave
 import psutil
 
+from chervillead import http_exchange
 from stand_ins import hostile_clients
 from stand_ins import local_platform
 
 # A fraction of a real machine's, so that few clients reach the limits.
 LIMITS = {"MemoryMb": 48, "MaxFds": 400}
+REQUEST_LIMITS = {"BodyTimeoutS": 4.0}
+# Longer than the time limit of a body.
+RESPONSE_WITHIN_S = 6.0
 SAMPLE_INTERVAL_S = 0.02
 # Within this time an ordinary request is answered, with repetitions where it
 # is refused.
@@ -52,11 +57,29 @@
     return statuses
 
 
-async def run(context, folder, pattern, clients):
+async def read_status(connection):
+    """Returns the status of the response to a client, or None."""
+    try:
+        async with asyncio.timeout(RESPONSE_WITHIN_S):
+            response = await http_exchange.read_response(connection.reader)
+    except (OSError, TimeoutError, http_exchange.IncompleteResponseError):
+        return None
+    return response.status
+
+
+async def run(context, folder, pattern, clients, port="callers"):
     """Runs the clients against one host and records what it used."""
     local = local_platform.LocalPlatform(
-        pathlib.Path(folder), hosts=1, limits=LIMITS
+        pathlib.Path(folder),
+        hosts=1,
+        limits=LIMITS,
+        request_limits=REQUEST_LIMITS if context.reads_responses else {},
     )
+    addresses = {
+        "callers": local.callers_address(0),
+        "entries": local.internal_address(0),
+        "metrics": local.metrics_address(0),
+    }
     context.descriptors = []
     try:
         await local.start()
@@ -66,9 +89,7 @@
             sample_descriptors(pid, context.descriptors)
         )
         opened = await hostile_clients.attack(
-            local.callers_address(0),
-            hostile_clients.PATTERNS[pattern],
-            clients,
+            addresses[port], hostile_clients.PATTERNS[pattern], clients
         )
         await asyncio.sleep(1.0)
         context.is_running = local.is_running(0)
@@ -80,6 +101,10 @@
             else float("inf")
         )
         sampling.cancel()
+        if context.reads_responses:
+            context.responses = collections.Counter(
+                await asyncio.gather(*map(read_status, opened))
+            )
         for connection in opened:
             connection.writer.transport.abort()
         await asyncio.sleep(0.1)
@@ -89,13 +114,23 @@
 
 @behave.given("an entry host process with lowered request limits")
 def step(context):
-    context.limits = LIMITS
+    context.reads_responses = "learns" in context.scenario.name
 
 
 @behave.when("{clients:d} clients send {pattern}")
 def step(context, clients, pattern):
+    attack(context, clients, pattern, "callers")
+
+
+@behave.when("{clients:d} clients of its {port} port send {pattern}")
+def step(context, clients, port, pattern):
+    attack(context, clients, pattern, port)
+
+
+def attack(context, clients, pattern, port):
+    """Runs the clients and prints what the process used."""
     with tempfile.TemporaryDirectory() as folder:
-        asyncio.run(run(context, folder, pattern, clients))
+        asyncio.run(run(context, folder, pattern, clients, port))
     print(
         f"{pattern}: {context.growth_mb:.1f} MB more, at most "
         f"{max(context.descriptors)} descriptors, "
@@ -118,3 +153,10 @@
 )
 def step(context):
     assert context.statuses[-1:] == [200], context.statuses
+
+
+@behave.then("the clients got responses only with status {statuses}")
+def step(context, statuses):
+    found = {key for key in context.responses if key is not None}
+    expected = set(map(int, statuses.split(" and ")))
+    assert found == expected, context.responses
--- a/tests/steps/settings.py
+++ b/tests/steps/settings.py
@@ -65,6 +65,7 @@
     )
     document["platform"]["timeout_s"] = 1.0
     document["burn_period_s"] = 300
+    document |= {"memory_mb": 256, "max_fds": 4096}
     document["statsd"] = {"host": "127.0.0.1", "port": 8125}
     *places, last = path.removeprefix("$.").split(".")
     target = document
