Check that nothing stays reserved after hostile clients have gone

Cause: a reservation that an exit path keeps would let a host refuse ordinary callers until it is restarted. Each scenario now reads the gauges of the metrics page after the clients have gone: 0 bytes and the one connection that reads the page.

--- a/tests/platform/request_limits.feature
+++ b/tests/platform/request_limits.feature
@@ -10,6 +10,7 @@
     When <clients> clients send <pattern>
     Then the process is alive and has used at most 24 MB and 300 descriptors
     And an ordinary request was answered while those clients stayed connected
+    And nothing was counted as held after those clients had gone
 
     Examples:
       | clients | pattern                                       |
@@ -32,6 +33,7 @@
     When <clients> clients of its <port> port send <pattern>
     Then the process is alive and has used at most 24 MB and 300 descriptors
     And an ordinary request was answered while those clients stayed connected
+    And nothing was counted as held after those clients had gone
 
     Examples:
       | clients | port    | pattern                                         |
--- a/tests/steps/platform_request_limits.py
+++ b/tests/steps/platform_request_limits.py
@@ -4,6 +4,7 @@
 import collections
 import contextlib
 import pathlib
+import re
 import tempfile
 import time
 
@@ -19,6 +20,8 @@
 REQUEST_LIMITS = {"BodyTimeoutS": 4.0}
 # Longer than the time limit of a body.
 RESPONSE_WITHIN_S = 6.0
+# Bytes and connections of an idle process: the one that reads the page.
+AT_REST = [0.0, 1.0]
 SAMPLE_INTERVAL_S = 0.02
 # Within this time an ordinary request is answered, with repetitions where it
 # is refused.
@@ -67,6 +70,34 @@
     return response.status
 
 
+async def read_held(local):
+    """Returns the bytes and connections that the metrics page shows."""
+    try:
+        response = await http_exchange.call_once(
+            http_exchange.dial,
+            local.metrics_address(0),
+            http_exchange.HttpRequest("GET", "/metrics"),
+        )
+    except (OSError, http_exchange.IncompleteResponseError):
+        return None
+    found = re.findall(
+        rb"^chervillead_request_(?:bytes_held|connections) (\S+)$",
+        response.body,
+        re.MULTILINE,
+    )
+    return [float(value) for value in found]
+
+
+async def held_at_rest(local):
+    """Returns the counts once they are those of an idle process, or later."""
+    ends_s = time.monotonic() + ANSWER_WITHIN_S
+    held = None
+    while held != AT_REST and time.monotonic() < ends_s:
+        await asyncio.sleep(0.1)
+        held = await read_held(local)
+    return held
+
+
 async def run(context, folder, pattern, clients, port="callers"):
     """Runs the clients against one host and records what it used."""
     local = local_platform.LocalPlatform(
@@ -107,7 +138,7 @@
             )
         for connection in opened:
             connection.writer.transport.abort()
-        await asyncio.sleep(0.1)
+        context.held = await held_at_rest(local)
     finally:
         await local.stop()
 
@@ -160,3 +191,8 @@
     found = {key for key in context.responses if key is not None}
     expected = set(map(int, statuses.split(" and ")))
     assert found == expected, context.responses
+
+
+@behave.then("nothing was counted as held after those clients had gone")
+def step(context):
+    assert context.held == AT_REST, context.held
