--- a/src/chervillead/platform/assembly.py
+++ b/src/chervillead/platform/assembly.py
@@ -21,6 +21,7 @@
 from chervillead.platform import host_management
 from chervillead.platform import operator_sync
 from chervillead.platform import registrations
+from chervillead.platform import request_limits
 from chervillead.platform import settings as settings_module
 from chervillead.platform import store_client
 from chervillead.platform import worker_client
@@ -89,6 +90,13 @@
         self.fleet_view = fleet_view.FleetView(
             environment.boot_time, self.clock.monotonic, self.log
         )
+        self.limiter = request_limits.create_limiter(
+            settings.request_limits,
+            self.max_body_bytes,
+            self.metrics,
+            self.log,
+            self.clock.monotonic,
+        )
         self.store: store_interface.Store = store_client.connect_store(
             settings.store.address,
             self.metrics.increment,
@@ -154,6 +162,13 @@
         self.fleet_view.on_change(self.update_workers)
         self.ownership.on_change(self.update_workers)
 
+    def max_body_bytes(self) -> int:
+        """Returns the configured limit of one body, in bytes."""
+        configuration = self.fleet_view.configuration
+        if configuration is None:
+            return fleet_configuration.DEFAULT_MAX_BODY_BYTES
+        return configuration.max_body_bytes
+
     def partition_of(self, pool: str) -> int:
         """Returns the store partition that holds the jobs of a pool."""
         return pool_partitions.partition_of(
@@ -346,5 +361,6 @@
         return await job_service.serve(call, host.ownership)
 
     await host.environment.listen(
-        host.settings.entries, job_streams.serve_calls(serve, host.clock)
+        host.settings.entries,
+        job_streams.serve_calls(serve, host.clock, host.limiter),
     )
