Size pools by their offered load instead of the width of their backlog

Pool sizes followed the cores that all waiting tasks would use at once, so they were largest when a burst was over (12 hosts at its start, 148 hosts 1.5 s after its end). The owner of a pool now measures the work of accepted jobs per second and sizes the pool for that rate and for the backlog expected when a host could arrive, within the time that the waiting jobs have.

Runs that have taken more than twice their expected time keep what they reserve: without that, "Hosts are borrowed for a burst and returned" failed, where tasks with an estimate of 0.5 s take 4 s.

tests/jobs/autoscaling.feature and tests/machines/pool_resizing.feature pass.

--- a/src/chervillead/jobs/autoscaling.py
+++ b/src/chervillead/jobs/autoscaling.py
@@ -12,8 +12,10 @@
 import typing
 
 from chervillead.jobs import model
+from chervillead.jobs import required_capacity
 
 # Spare capacity, so that new tasks don't have to wait for a host to arrive.
+# Used while the offered load is unknown.
 HEADROOM_FACTOR = 1.25
 # Room for the beginning of a burst, and enough hosts to survive a crash.
 MIN_HOSTS = 3
@@ -40,6 +42,8 @@
         min_hosts: Hosts needed by steps that limit their tasks per worker.
         is_fragmented: Whether a pending task would fit an empty host but fits
             no host with its current tasks.
+        offered: Work of the pool and the resources that it has for it; None
+            while the offered load is unknown.
     """
 
     hosts: int
@@ -49,6 +53,7 @@
     urgent: model.Resources = model.Resources()
     min_hosts: int = 0
     is_fragmented: bool = False
+    offered: required_capacity.Demand | None = None
 
     @property
     def demand(self) -> model.Resources:
@@ -61,18 +66,15 @@
 
     Args:
         load: Load of the pool.
-        demand_increase: Growth of its demand over `TREND_WINDOW_S`.
+        demand_increase: Growth of its demand over `TREND_WINDOW_S`; it counts
+            only while the offered load is unknown.
     """
-    needed = max(MIN_HOSTS, load.min_hosts)
-    for current, increase, capacity in zip(
-        load.demand, demand_increase, load.host_capacity, strict=True
-    ):
-        if capacity > 0:
-            forecast = (
-                current + max(0, increase) * HOST_LEAD_TIME_S / TREND_WINDOW_S
-            )
-            target = max(current * HEADROOM_FACTOR, forecast)
-            needed = max(needed, math.ceil(target / capacity))
+    if load.offered is None:
+        required = _extrapolated(load.demand, demand_increase)
+    else:
+        # Hosts that running tasks occupy can't be used elsewhere.
+        required = _maximum(_required(load, with_late=True), load.used)
+    needed = _hosts_for(load, required)
     if load.is_fragmented:
         needed = max(needed, load.hosts + 1)
     return needed
@@ -80,13 +82,56 @@
 
 def hosts_needed_urgently(load: PoolLoad) -> int:
     """Returns how many hosts serve work that may still meet its target."""
+    if load.offered is None:
+        return _hosts_for(load, _extrapolated(load.urgent, model.Resources()))
+    return _hosts_for(load, _required(load, with_late=False))
+
+
+def _required(load: PoolLoad, *, with_late: bool) -> model.Resources:
+    """Returns the resources that the offered load and the backlog require."""
+    if load.offered is None:
+        return model.Resources()
+    return required_capacity.required(
+        load.offered,
+        ready=load.demand,
+        hosts=load.hosts,
+        host_capacity=load.host_capacity,
+        with_late=with_late,
+    )
+
+
+def _hosts_for(load: PoolLoad, required: model.Resources) -> int:
+    """Returns the number of hosts that have the required resources."""
     needed = max(MIN_HOSTS, load.min_hosts)
-    for amount, capacity in zip(load.urgent, load.host_capacity, strict=True):
+    for amount, capacity in zip(required, load.host_capacity, strict=True):
         if capacity > 0:
-            needed = max(needed, math.ceil(amount * HEADROOM_FACTOR / capacity))
+            needed = max(needed, math.ceil(amount / capacity))
     return needed
 
 
+def _extrapolated(
+    demand: model.Resources, increase: model.Resources
+) -> model.Resources:
+    """Returns the resources for a demand and its growth until hosts arrive."""
+    return model.Resources(
+        *(
+            math.ceil(
+                max(
+                    now * HEADROOM_FACTOR,
+                    now + max(0, more) * HOST_LEAD_TIME_S / TREND_WINDOW_S,
+                )
+            )
+            for now, more in zip(demand, increase, strict=True)
+        )
+    )
+
+
+def _maximum(
+    first: model.Resources, second: model.Resources
+) -> model.Resources:
+    return model.Resources(*map(max, first, second))
+
+
 class _Sample(typing.NamedTuple):
     at_s: float
     demand: model.Resources
@@ -99,9 +144,13 @@
 
     def __init__(self) -> None:
         self._samples: collections.deque[_Sample] = collections.deque()
+        # When the offered load changed, and when that was first seen.
+        self._load_changed_s: float | None = None
+        self._change_seen_s = float("-inf")
 
     def record(self, load: PoolLoad, now_s: float) -> None:
         """Records the load of the pool at a time."""
+        self._note_change(load.offered, now_s)
         previous_demand = next(
             (
                 n.demand
@@ -117,27 +166,32 @@
         while self._samples[0].at_s < now_s - SHRINK_DELAY_S:
             self._samples.popleft()
 
+    def _note_change(
+        self, offered: required_capacity.Demand | None, now_s: float
+    ) -> None:
+        """Notes that the offered load has changed since the last record."""
+        changed_s = None if offered is None else offered.rates.changed_s
+        if changed_s != self._load_changed_s:
+            self._load_changed_s, self._change_seen_s = changed_s, now_s
+
     def min_size(self, now_s: float) -> int:
         """Returns the size below which the pool should grow.
 
-        Demand counts only once it has lasted for `GROWTH_DELAY_S`. A load must
-        have been recorded within that time.
+        Demand counts only once it has lasted for `GROWTH_DELAY_S`, or for the
+        time in which a burst is measured. A load must have been recorded within
+        that time.
         """
-        return min(
-            sample.hosts
-            for sample in self._samples
-            if sample.at_s >= now_s - GROWTH_DELAY_S
-        )
+        return min(sample.hosts for sample in self._recent(now_s))
 
     def urgent_size(self, now_s: float) -> int:
         """Returns the part of `min_size` that serves work still on time."""
-        urgent_hosts = min(
-            sample.urgent_hosts
-            for sample in self._samples
-            if sample.at_s >= now_s - GROWTH_DELAY_S
-        )
+        urgent_hosts = min(n.urgent_hosts for n in self._recent(now_s))
         return min(urgent_hosts, self.min_size(now_s))
 
+    def _recent(self, now_s: float) -> list[_Sample]:
+        since_s = max(self._change_seen_s, now_s - GROWTH_DELAY_S)
+        return [n for n in self._samples if n.at_s >= since_s]
+
     def max_size(self, now_s: float) -> int | None:
         """Returns the size above which the pool should shrink.
 
--- /dev/null
+++ b/src/chervillead/jobs/offered_load.py
@@ -0,0 +1,215 @@
+"""Offered load of a pool: the work of the jobs that are accepted per second.
+
+Meant for queues that burst at up to 30 jobs per second for a few seconds. The
+number of cores that all waiting tasks would use at once grows with the backlog
+and is highest when the burst is over. The offered load is known within 0.3 s of
+the start of a burst and doesn't depend on the backlog.
+"""
+
+import collections
+from collections import abc
+import math
+import typing
+
+from chervillead.jobs import expected_work
+from chervillead.jobs import model
+
+# A window must have seen this many jobs to count.
+MIN_JOBS = 3
+# The rate is taken over the long window, which starts anew when the rate
+# changes, and changes are found in the short window.
+LONG_WINDOW_S = 2.0
+SHORT_WINDOW_S = 0.5
+# A rise counts once it has lasted for this long.
+MIN_RISE_S = 0.3
+# A rise is this many standard deviations of the number of jobs: in a steady
+# load, less than one tick in a thousand shows one by chance.
+RISE_DEVIATIONS = 3.5
+# A rate that falls below this part counts as the end of a burst.
+FALL_RATIO = 0.2
+# Jobs over which the mean work of a job is averaged. The work of single jobs
+# differs so much that the work seen in a short window says little.
+MEAN_WORK_JOBS = 32
+# Jobs accepted within this time are counted together, which bounds the number
+# of samples.
+SAMPLE_S = 0.02
+
+
+class Rates(typing.NamedTuple):
+    """Offered load of a pool.
+
+    Attributes:
+        jobs: Jobs per second.
+        used: Resources in use on average if no job is delayed; the same as the
+            offered work per second.
+        in_flight: Work of the jobs that are under way if no job is delayed.
+        sizes: Resources that all tasks of the jobs of a second reserve.
+        changed_s: When the rate changed last.
+    """
+
+    jobs: float
+    used: model.Resources
+    in_flight: model.Resources
+    sizes: model.Resources
+    changed_s: float
+
+
+class _Sample(typing.NamedTuple):
+    at_s: float
+    jobs: int
+
+
+class _MeanWork:
+    """Part of an account in the mean work of a job of the pool.
+
+    Attributes:
+        sums: Weighted sums of the amounts of `expected_work.JobWork`.
+    """
+
+    def __init__(self) -> None:
+        self.sums = [[0.0] * len(model.Resources())] * len(
+            expected_work.JobWork._fields
+        )
+
+    def decay(self, factor: float) -> None:
+        """Reduces the weight of earlier jobs."""
+        self.sums = [[n * factor for n in amounts] for amounts in self.sums]
+
+    def add(self, work: expected_work.JobWork, weight: float) -> None:
+        """Adds the work of a job with its weight."""
+        self.sums = [
+            [
+                total + weight * n
+                for total, n in zip(totals, amounts, strict=True)
+            ]
+            for totals, amounts in zip(self.sums, work, strict=True)
+        ]
+
+    def rates(
+        self, jobs: float, limit: model.Resources | None
+    ) -> expected_work.JobWork:
+        """Returns the work of that many jobs that a quota allows.
+
+        Args:
+            jobs: Number of jobs of the pool per second.
+            limit: Resources that the account may use at once.
+        """
+        work, in_flight, size = (
+            model.Resources(*(round(jobs * n) for n in amounts))
+            for amounts in self.sums
+        )
+        part = expected_work.allowed_part(
+            expected_work.scaled(work, 0.001), limit
+        )
+        return expected_work.JobWork(
+            *(expected_work.scaled(n, part) for n in (work, in_flight, size))
+        )
+
+
+class OfferedLoad:
+    """Measures the load that is offered to one pool."""
+
+    def __init__(self, now_s: float) -> None:
+        self._started_s = now_s
+        # When the rate changed last, as far as it is known.
+        self._changed_s = now_s
+        self._samples: collections.deque[_Sample] = collections.deque()
+        self._jobs = 0
+        self._work_by_account: dict[str, _MeanWork] = {}
+
+    def record(
+        self, work: expected_work.JobWork, account: str, now_s: float
+    ) -> None:
+        """Counts a job that was accepted."""
+        jobs = 1
+        at_s = now_s
+        if self._samples and now_s - self._samples[-1].at_s < SAMPLE_S:
+            at_s, earlier = self._samples.pop()
+            jobs += earlier
+        self._samples.append(_Sample(at_s, jobs))
+        self._drop_old(now_s)
+        self._jobs += 1
+        weight = 1 / min(self._jobs, MEAN_WORK_JOBS)
+        for name, mean in list(self._work_by_account.items()):
+            mean.decay(1 - weight)
+            if sum(mean.sums[0]) < 1:
+                del self._work_by_account[name]
+        self._work_by_account.setdefault(account, _MeanWork()).add(work, weight)
+
+    def rates(
+        self, now_s: float, limits: abc.Mapping[str, model.Resources]
+    ) -> Rates | None:
+        """Returns the offered load, or None before a window is complete.
+
+        Args:
+            now_s: Time of the owner's clock.
+            limits: Resources that the tasks of an account may use at once, by
+                account, for those with a quota; an amount of 0 means no limit.
+        """
+        if now_s - self._started_s < SHORT_WINDOW_S:
+            return None
+        self._drop_old(now_s)
+        self._find_rise(now_s)
+        self._find_fall(now_s)
+        rate = self._rate(now_s)
+        work = in_flight = sizes = model.Resources()
+        for account, mean in self._work_by_account.items():
+            part = mean.rates(rate, limits.get(account))
+            work = work.plus(part.work)
+            in_flight = in_flight.plus(part.in_flight)
+            sizes = sizes.plus(part.size)
+        return Rates(
+            rate,
+            expected_work.scaled(work, 0.001),
+            in_flight,
+            sizes,
+            self._changed_s,
+        )
+
+    def _drop_old(self, now_s: float) -> None:
+        while self._samples and self._samples[0].at_s < now_s - LONG_WINDOW_S:
+            self._samples.popleft()
+
+    def _count(self, since_s: float) -> int:
+        return sum(n.jobs for n in self._samples if n.at_s > since_s)
+
+    def _rate(self, now_s: float) -> float:
+        """Returns the jobs per second since the rate changed."""
+        # A window that starts with a job doesn't count that job: the time
+        # before it isn't part of the window.
+        since_s = max(self._changed_s, now_s - LONG_WINDOW_S)
+        jobs = self._count(since_s)
+        return jobs / (now_s - since_s) if jobs >= MIN_JOBS else 0.0
+
+    def _find_rise(self, now_s: float) -> None:
+        """Starts the window at the first job of a burst, if one began."""
+        rate = self._rate(now_s)
+        best = 0.0
+        jobs = 0
+        for sample in reversed(self._samples):
+            age_s = now_s - sample.at_s
+            if age_s > SHORT_WINDOW_S:
+                break
+            expected = max(rate * age_s, 0.1)
+            excess = jobs - expected
+            if (
+                age_s >= MIN_RISE_S
+                and jobs >= MIN_JOBS
+                and excess > RISE_DEVIATIONS * max(1, expected) ** 0.5
+            ):
+                # Logarithm of how much more likely the jobs are at their own
+                # rate than at the former one.
+                gain = jobs * math.log(jobs / expected) - excess
+                if gain > best:
+                    best, self._changed_s = gain, sample.at_s
+            jobs += sample.jobs
+
+    def _find_fall(self, now_s: float) -> None:
+        """Starts the window anew if a burst has ended."""
+        expected = self._rate(now_s) * SHORT_WINDOW_S
+        recent_s = now_s - SHORT_WINDOW_S
+        if (
+            expected >= MIN_JOBS
+            and self._count(recent_s) < FALL_RATIO * expected
+        ):
+            self._changed_s = recent_s
--- a/src/chervillead/machines/pool_resizing.py
+++ b/src/chervillead/machines/pool_resizing.py
@@ -17,6 +17,7 @@
 from chervillead.machines import wave_controller
 from chervillead.pools import partition_owner
 from chervillead.pools import pool_load
+from chervillead.pools import pool_work
 from chervillead.pools import ports as ports_module
 
 RESIZE_INTERVAL_S = 0.1
@@ -82,6 +83,13 @@
         self.replied_s = now_s
         self._count_released(self.released - released)
 
+    def arrivals_s(self, lead_time_s: float) -> list[float]:
+        """Returns when hosts that are on their way should start tasks."""
+        return [
+            until_s - fleet_allocator.REGISTRATION_TIMEOUT_S + lead_time_s
+            for until_s in self.arrival_deadlines_s
+        ]
+
     def record_released(self) -> None:
         """Counts a host as released, which reduces the surplus."""
         self.released += 1
@@ -149,7 +157,10 @@
         self._release.drain_zones_out(name)
         if now_s - pool.replied_s > REPLY_TTL_S:
             pool.surplus = pool.wanted = 0
-        load = pool_load.measure(self._owner.state, name)
+        lead_s = pool_work.lead_time_s(self._owner.state)
+        load = pool_load.measure(
+            self._owner.state, name, pool.arrivals_s(lead_s)
+        )
         if load is None or not self._is_conclusive(pool, load, now_s):
             return
         pool.autoscaler.record(load, now_s)
--- a/src/chervillead/pools/job_submissions.py
+++ b/src/chervillead/pools/job_submissions.py
@@ -11,6 +11,7 @@
 from chervillead.pools import job_cancelling
 from chervillead.pools import job_refusals
 from chervillead.pools import owner_state
+from chervillead.pools import pool_work
 from chervillead.pools import queue_assignments
 from chervillead.store import group_commit
 
@@ -160,6 +161,7 @@
             spec.job_id,
             job_state.JobState(spec, accepted_s=state.now_s(), terms=terms),
         )
+        pool_work.record_offered(state, job)
         state.log(
             "job:accepted",
             job=spec.job_id,
--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -11,6 +11,7 @@
 from chervillead.jobs import job_state
 from chervillead.jobs import job_table
 from chervillead.jobs import model
+from chervillead.jobs import offered_load
 from chervillead.jobs import partition_records
 from chervillead.jobs import task_runs
 from chervillead.pools import account_usage
@@ -115,6 +116,7 @@
         self.cancelled = cancelled_submissions.CancelledSubmissions()
         self.crashed_s: dict[types.Address, float] = {}
         self.changed_workers: set[str] = set()
+        self._offered_loads: dict[str, offered_load.OfferedLoad] = {}
         self.loaded_s = float("-inf")
         self.is_loaded = False
         self._is_fenced = False
@@ -253,6 +255,12 @@
         configuration = self._ports.configuration()
         return None if configuration is None else configuration.queues.get(name)
 
+    def offered_load(self, pool: str) -> offered_load.OfferedLoad:
+        """Returns the measurement of the load that is offered to a pool."""
+        if pool not in self._offered_loads:
+            self._offered_loads[pool] = offered_load.OfferedLoad(self.now_s())
+        return self._offered_loads[pool]
+
     def count_pending(self, queue_address: str) -> int:
         """Returns how many jobs of a queue have not started any task."""
         return sum(
--- a/src/chervillead/pools/pool_load.py
+++ b/src/chervillead/pools/pool_load.py
@@ -10,16 +10,24 @@
 from chervillead.jobs import quotas
 from chervillead.jobs import readiness
 from chervillead.pools import owner_state
+from chervillead.pools import pool_work
 from chervillead.workers import watch as watch_module
 
 
 def measure(
-    state: owner_state.OwnerState, pool: str
+    state: owner_state.OwnerState,
+    pool: str,
+    arrivals_s: abc.Sequence[float] = (),
 ) -> autoscaling.PoolLoad | None:
     """Returns the load of a pool, or None before the first configuration.
 
     Without a host that takes tasks, the capacity of a host is unknown and
     given as none.
+
+    Args:
+        state: State of the pool's owner.
+        pool: Name of the pool.
+        arrivals_s: When each host that is on its way should start tasks.
     """
     watches = watches_of(state, pool)
     zones_out = state.ports.zones_out()
@@ -49,6 +57,7 @@
             and not any(resources.covers(need) for resources in free)
             for need in {ready.step.reserved for ready in demand}
         ),
+        offered=pool_work.measure(state, pool, watches, demand, arrivals_s),
     )
 
 
