--- a/src/chervillead/pools/job_submissions.py
+++ b/src/chervillead/pools/job_submissions.py
@@ -12,6 +12,7 @@
 from chervillead.pools import job_cancelling
 from chervillead.pools import job_refusals
 from chervillead.pools import owner_state
+from chervillead.pools import pool_work
 from chervillead.pools import queue_assignments
 from chervillead.store import group_commit
 
@@ -162,6 +163,7 @@
         )
         run_times.refresh(accepted, terms, state.run_times)
         job = state.jobs.setdefault(spec.job_id, accepted)
+        pool_work.record_offered(state, job)
         state.log(
             "job:accepted",
             job=spec.job_id,
--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -12,6 +12,7 @@
 from chervillead.jobs import job_state
 from chervillead.jobs import job_table
 from chervillead.jobs import model
+from chervillead.jobs import offered_load
 from chervillead.jobs import partition_records
 from chervillead.jobs import run_times
 from chervillead.jobs import task_runs
@@ -121,6 +122,7 @@
         self.changed_workers: set[str] = set()
         self.run_times = run_times.RunTimes()
         self.interference = interference.Interference()
+        self._offered_loads: dict[str, offered_load.OfferedLoad] = {}
         self.loaded_s = float("-inf")
         self.is_loaded = False
         self._is_fenced = False
@@ -266,6 +268,12 @@
         configuration = self._ports.configuration()
         return None if configuration is None else configuration.queues.get(name)
 
+    def offered_load(self, pool: str) -> offered_load.OfferedLoad:
+        """Returns the measurement of the load that is offered to a pool."""
+        if pool not in self._offered_loads:
+            self._offered_loads[pool] = offered_load.OfferedLoad(self.now_s())
+        return self._offered_loads[pool]
+
     def count_pending(self, queue_address: str) -> int:
         """Returns how many jobs of a queue have not started any task."""
         return sum(
