Place jobs beyond their account's agreed rate after those within it

It is charged once a job's record is stored, so refused submissions cost nothing, and the verdict is kept on the job. Within a priority, jobs within the rate go before those beyond it; the flag is one more field of the buckets of waiting jobs.

--- a/src/chervillead/jobs/job_state.py
+++ b/src/chervillead/jobs/job_state.py
@@ -65,6 +65,9 @@
             all workers first.
         pending_tasks: Numbers of the tasks of each step that are neither active
             nor completed.
+        is_over_rate: Whether the job was submitted beyond the agreed rate of
+            its account. It isn't stored: a job that a later owner loads counts
+            as within the rate.
         stored_end: How the job ended, as the store has confirmed it; None until
             then. A later owner knows only what is stored.
     """
@@ -98,6 +101,7 @@
         self.is_cancelled = False
         self.is_failed = False
         self.recovering_until_s = 0.0
+        self.is_over_rate = False
         self.pending_tasks: dict[tuple[int, int], set[int]] = {
             (occurrence, number): set(range(step.tasks))
             for occurrence in range(spec.occurrences)
--- a/src/chervillead/jobs/ordering.py
+++ b/src/chervillead/jobs/ordering.py
@@ -4,6 +4,8 @@
 seconds: in first-come, first-served order every job of such a burst would miss
 its target. Jobs that can still meet their completion target go first, the one
 with the least slack before the others; jobs that will miss it get what is left.
+Jobs beyond the agreed rate of their account come after all others of their
+priority.
 """
 
 from chervillead.jobs import job_state
@@ -110,7 +112,13 @@
     if is_long_running(job.spec):
         # Long-running tasks are few, and their users notice every second of
         # an outage.
-        return (-1.0, priority, 0.0, 0.0, job.accepted_s)
+        return (-1.0, priority, 0.0, 0.0, 0.0, job.accepted_s)
     slack_s = latest_start_s(job, terms) - now_s
     is_late = slack_s < 0
-    return (priority, float(is_late), over_share(share_usage), slack_s)
+    return (
+        priority,
+        float(job.is_over_rate),
+        float(is_late),
+        over_share(share_usage),
+        slack_s,
+    )
--- a/src/chervillead/jobs/waiting_jobs.py
+++ b/src/chervillead/jobs/waiting_jobs.py
@@ -42,6 +42,7 @@
 
     is_long_running: bool
     priority: int
+    is_over_rate: bool
     account: str
 
 
@@ -79,10 +80,12 @@
             return
         priority = terms.priority
         if ordering.is_long_running(job.spec):
-            bucket = _Bucket(True, priority, "")
+            bucket = _Bucket(True, priority, False, "")
             entry = _Entry(job.accepted_s, order, job)
         else:
-            bucket = _Bucket(False, priority, job.spec.account)
+            bucket = _Bucket(
+                False, priority, job.is_over_rate, job.spec.account
+            )
             start_s = ordering.latest_start_s(job, terms)
             entry = _Entry(start_s, order, job)
         bisect.insort(self._buckets.setdefault(bucket, []), entry)
@@ -134,11 +137,13 @@
             usage_by_account: Usage of accounts divided by their fair share.
         """
         buckets = (b for b in sorted(self._buckets) if not b.is_long_running)
-        for _, group in itertools.groupby(buckets, key=lambda b: b.priority):
-            of_priority = list(group)
+        for _, group in itertools.groupby(
+            buckets, key=lambda b: (b.priority, b.is_over_rate)
+        ):
+            of_group = list(group)
             for is_late in (False, True):
                 yield from self._by_share(
-                    of_priority, now_s, usage_by_account, is_late=is_late
+                    of_group, now_s, usage_by_account, is_late=is_late
                 )
 
     def least_need(self, pool: str) -> model.Resources | None:
@@ -159,7 +164,7 @@
         *,
         is_late: bool,
     ) -> abc.Iterator[job_state.JobState]:
-        """Yields jobs of one priority by what their accounts use too much."""
+        """Yields jobs of one group by what their accounts use too much."""
 
         def excess(bucket: _Bucket) -> float:
             return ordering.over_share(
--- a/src/chervillead/pools/job_submissions.py
+++ b/src/chervillead/pools/job_submissions.py
@@ -156,10 +156,13 @@
         if not group_commit.is_stored(stored):
             return
         state = self._state
-        job = state.jobs.setdefault(
-            spec.job_id,
-            job_state.JobState(spec, accepted_s=state.now_s(), terms=terms),
-        )
+        if spec.job_id not in state.jobs:
+            job = job_state.JobState(
+                spec, accepted_s=state.now_s(), terms=terms
+            )
+            job.is_over_rate = not state.overload.take_token(spec.account)
+            state.jobs[spec.job_id] = job
+        job = state.jobs[spec.job_id]
         state.log(
             "job:accepted",
             job=spec.job_id,
--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -17,6 +17,7 @@
 from chervillead.pools import cancelled_submissions
 from chervillead.pools import held_shares
 from chervillead.pools import job_recorder
+from chervillead.pools import overload_control
 from chervillead.pools import ports as ports_module
 from chervillead.store import group_commit
 from chervillead.workers import view as view_module
@@ -78,6 +79,7 @@
             answered.
         changed_workers: Ids of workers whose runs or health changed since the
             last placement pass.
+        overload: Rates of accounts, and what decides on jobs under overload.
         loaded_s: When the jobs of the partition were loaded.
         is_loaded: Whether all jobs of the partition have been loaded.
         failure: Error that ended one of the owner's asyncio tasks.
@@ -115,6 +117,7 @@
         self.cancelled = cancelled_submissions.CancelledSubmissions()
         self.crashed_s: dict[types.Address, float] = {}
         self.changed_workers: set[str] = set()
+        self.overload = overload_control.OverloadControl(ports)
         self.loaded_s = float("-inf")
         self.is_loaded = False
         self._is_fenced = False
--- a/tests/steps/jobs_room_index.py
+++ b/tests/steps/jobs_room_index.py
@@ -291,9 +291,10 @@
 
     def change(specs, events, usage, now_s):
         index, jobs = waiting_jobs.WaitingJobs(), []
-        for number, (spec, accepted_s) in enumerate(specs):
+        for number, (spec, accepted_s, is_over_rate) in enumerate(specs):
             spec = spec._replace(job_id=f"{number:016x}")
             jobs.append(job_state.JobState(spec, accepted_s=accepted_s))
+            jobs[-1].is_over_rate = is_over_rate
             put(index, jobs, number, now_s)
         for number, event in events:
             if number >= len(jobs):
@@ -323,7 +324,9 @@
         count,
         change,
         strategies.lists(
-            strategies.tuples(queued_jobs, times), min_size=1, max_size=6
+            strategies.tuples(queued_jobs, times, strategies.booleans()),
+            min_size=1,
+            max_size=6,
         ),
         strategies.lists(events, max_size=12),
         strategies.dictionaries(
