--- a/src/chervillead/metrics_page.py
+++ b/src/chervillead/metrics_page.py
@@ -29,6 +29,11 @@
         "Tasks placed apart, paced or moved because they interfere.",
         ("action",),
     ),
+    "chervillead_overloads": ("Times a pool became overloaded.", ("pool",)),
+    "chervillead_overload_refusals": (
+        "Submissions refused for load.",
+        ("reason",),
+    ),
     "chervillead_operator_syncs": (
         "Fetches of operator records from peers.",
         ("outcome",),
--- a/src/chervillead/pools/job_submissions.py
+++ b/src/chervillead/pools/job_submissions.py
@@ -148,6 +148,18 @@
             return job_refusals.outdated(spec.queue)
         return await self._queues.open(queue, timeout_s)
 
+    def _accept(
+        self, spec: model.JobSpec, terms: model.JobTerms
+    ) -> job_state.JobState:
+        """Adds a job that was stored, and counts it as offered load."""
+        state = self._state
+        job = job_state.JobState(spec, accepted_s=state.now_s(), terms=terms)
+        job.is_over_rate = not state.overload.take_token(spec.account)
+        run_times.refresh(job, terms, state.run_times)
+        state.jobs[spec.job_id] = job
+        pool_work.record_offered(state, job)
+        return job
+
     def _submission_stored(
         self,
         spec: model.JobSpec,
@@ -158,12 +170,7 @@
         if not group_commit.is_stored(stored):
             return
         state = self._state
-        accepted = job_state.JobState(
-            spec, accepted_s=state.now_s(), terms=terms
-        )
-        run_times.refresh(accepted, terms, state.run_times)
-        job = state.jobs.setdefault(spec.job_id, accepted)
-        pool_work.record_offered(state, job)
+        job = state.jobs.get(spec.job_id) or self._accept(spec, terms)
         state.log(
             "job:accepted",
             job=spec.job_id,
--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -20,6 +20,7 @@
 from chervillead.pools import cancelled_submissions
 from chervillead.pools import held_shares
 from chervillead.pools import job_recorder
+from chervillead.pools import overload_control
 from chervillead.pools import ports as ports_module
 from chervillead.store import group_commit
 from chervillead.workers import view as view_module
@@ -83,6 +84,7 @@
             last placement pass.
         run_times: Run times of tasks, learned from completed runs.
         interference: What is known of the interference between tasks.
+        overload: Rates of accounts, and what decides on jobs under overload.
         loaded_s: When the jobs of the partition were loaded.
         is_loaded: Whether all jobs of the partition have been loaded.
         failure: Error that ended one of the owner's asyncio tasks.
@@ -123,6 +125,7 @@
         self.run_times = run_times.RunTimes()
         self.interference = interference.Interference()
         self._offered_loads: dict[str, offered_load.OfferedLoad] = {}
+        self.overload = overload_control.OverloadControl(ports)
         self.loaded_s = float("-inf")
         self.is_loaded = False
         self._is_fenced = False
