--- a/src/chervillead/jobs/autoscaling.py
+++ b/src/chervillead/jobs/autoscaling.py
@@ -87,6 +87,16 @@
     return _hosts_for(load, _required(load, with_late=False))
 
 
+def hosts_for_rate(load: PoolLoad) -> int:
+    """Returns how many hosts the offered load alone needs, without a backlog.
+
+    It is 0 while the offered load is unknown.
+    """
+    if load.offered is None:
+        return 0
+    return _hosts_for(load, required_capacity.for_rate(load.offered))
+
+
 def _required(load: PoolLoad, *, with_late: bool) -> model.Resources:
     """Returns the resources that the offered load and the backlog require."""
     if load.offered is None:
@@ -150,7 +160,6 @@
 
     def record(self, load: PoolLoad, now_s: float) -> None:
         """Records the load of the pool at a time."""
-        self._note_change(load.offered, now_s)
         previous_demand = next(
             (
                 n.demand
@@ -160,6 +169,7 @@
             load.demand,
         )
         needed = hosts_needed(load, load.demand.minus(previous_demand))
+        self._note_change(load.offered, needed, now_s)
         self._samples.append(
             _Sample(now_s, load.demand, needed, hosts_needed_urgently(load))
         )
@@ -167,12 +177,25 @@
             self._samples.popleft()
 
     def _note_change(
-        self, offered: required_capacity.Demand | None, now_s: float
+        self,
+        offered: required_capacity.Demand | None,
+        needed: int,
+        now_s: float,
     ) -> None:
-        """Notes that the offered load has changed since the last record."""
+        """Corrects the earlier samples once the offered load has changed.
+
+        When a burst has ended, its hosts are released without a delay, which
+        is meant for the pauses between jobs.
+        """
         changed_s = None if offered is None else offered.rates.changed_s
-        if changed_s != self._load_changed_s:
-            self._load_changed_s, self._change_seen_s = changed_s, now_s
+        if changed_s == self._load_changed_s:
+            return
+        self._load_changed_s, self._change_seen_s = changed_s, now_s
+        if changed_s is not None:
+            self._samples = collections.deque(
+                sample._replace(hosts=min(sample.hosts, needed))
+                for sample in self._samples
+            )
 
     def min_size(self, now_s: float) -> int:
         """Returns the size below which the pool should grow.
--- a/src/chervillead/jobs/offered_load.py
+++ b/src/chervillead/jobs/offered_load.py
@@ -17,7 +17,7 @@
 # A window must have seen this many jobs to count.
 MIN_JOBS = 3
 # The rate is taken over the long window, which starts anew when the rate
-# changes, and changes are found in the short window.
+# changes. A burst has ended when the short window shows it.
 LONG_WINDOW_S = 2.0
 SHORT_WINDOW_S = 0.5
 # A rise counts once it has lasted for this long.
@@ -27,9 +27,12 @@
 RISE_DEVIATIONS = 3.5
 # A rate that falls below this part counts as the end of a burst.
 FALL_RATIO = 0.2
+# Jobs that a fall must have kept away. With 5 jobs, falls were seen in the
+# middle of bursts of 12 jobs per second.
+FALL_JOBS = 10
 # Jobs over which the mean work of a job is averaged. The work of single jobs
 # differs so much that the work seen in a short window says little.
-MEAN_WORK_JOBS = 32
+MEAN_WORK_JOBS = 64
 # Jobs accepted within this time are counted together, which bounds the number
 # of samples.
 SAMPLE_S = 0.02
@@ -183,13 +186,14 @@
 
     def _find_rise(self, now_s: float) -> None:
         """Starts the window at the first job of a burst, if one began."""
-        rate = self._rate(now_s)
+        rate, changed_s = self._rate(now_s), self._changed_s
         best = 0.0
         jobs = 0
         for sample in reversed(self._samples):
-            age_s = now_s - sample.at_s
-            if age_s > SHORT_WINDOW_S:
+            if sample.at_s <= changed_s:
+                # Jobs of an earlier burst.
                 break
+            age_s = now_s - sample.at_s
             expected = max(rate * age_s, 0.1)
             excess = jobs - expected
             if (
@@ -206,10 +210,10 @@
 
     def _find_fall(self, now_s: float) -> None:
         """Starts the window anew if a burst has ended."""
-        expected = self._rate(now_s) * SHORT_WINDOW_S
-        recent_s = now_s - SHORT_WINDOW_S
-        if (
-            expected >= MIN_JOBS
-            and self._count(recent_s) < FALL_RATIO * expected
-        ):
+        rate = self._rate(now_s)
+        if rate < FALL_JOBS / LONG_WINDOW_S:
+            return
+        window_s = max(SHORT_WINDOW_S, FALL_JOBS / rate)
+        recent_s = now_s - window_s
+        if self._count(recent_s) < FALL_RATIO * rate * window_s:
             self._changed_s = recent_s
--- a/src/chervillead/jobs/required_capacity.py
+++ b/src/chervillead/jobs/required_capacity.py
@@ -64,6 +64,12 @@
     )
 
 
+def for_rate(demand: Demand) -> model.Resources:
+    """Returns the resources that the offered load alone requires."""
+    used = demand.rates.used.plus(demand.kept)
+    return expected_work.scaled(used, HEADROOM_FACTOR)
+
+
 def _required_amount(
     demand: Demand,
     index: int,
--- a/src/chervillead/machines/pool_resizing.py
+++ b/src/chervillead/machines/pool_resizing.py
@@ -14,6 +14,7 @@
 from chervillead.machines import fleet_allocator
 from chervillead.machines import host_release
 from chervillead.machines import hosts_owner_client
+from chervillead.machines import pool_growth
 from chervillead.machines import wave_controller
 from chervillead.pools import partition_owner
 from chervillead.pools import pool_load
@@ -25,6 +26,9 @@
 # otherwise.
 REPORT_INTERVAL_S = 0.3
 IDLE_REPORT_INTERVAL_S = 1.0
+# A need that has grown by this factor since the last report is reported at
+# once: a burst is found between two reports.
+RISE_RATIO = 1.25
 # Hosts are released by a reply for this long, and kept without a later one.
 REPLY_TTL_S = 2.0
 # A new owner reaches the workers of its pools within this time; a pool without
@@ -43,6 +47,7 @@
         known_workers: Workers that were ever seen in the pool.
         empty_from_s: Since when tasks wait while the pool has no host.
         reported_s: Time of the last report.
+        reported_needed: Hosts needed according to it.
         term: Term of the last reply of the owner of the hosts partition.
         accounted: Number of the last host sent in that term.
         surplus: Number of hosts to release.
@@ -58,6 +63,7 @@
         self.known_workers: set[str] = set()
         self.empty_from_s: float | None = None
         self.reported_s = float("-inf")
+        self.reported_needed = 0
         self.term = 0
         self.accounted = 0
         self.surplus = 0
@@ -168,8 +174,11 @@
         report = self._measure_report(name, pool, load)
         is_settled = report.needed <= report.hosts <= report.retained
         interval_s = IDLE_REPORT_INTERVAL_S if is_settled else REPORT_INTERVAL_S
+        if report.needed > RISE_RATIO * pool.reported_needed:
+            interval_s = RESIZE_INTERVAL_S
         if now_s - pool.reported_s >= interval_s:
             pool.reported_s = now_s
+            pool.reported_needed = report.needed
             await self._report(pool, load, report)
 
     async def _report(
@@ -189,15 +198,7 @@
             return
         pool.apply(reply, released, self._now_s())
         if reply.arriving:
-            self._owner.state.log(
-                "pool:growing",
-                pool=report.pool,
-                hosts=load.hosts,
-                needed=report.needed,
-                arriving=reply.arriving,
-                used_millicores=load.used.millicores,
-                pending_millicores=load.pending.millicores,
-            )
+            pool_growth.record(self._owner.state, load, report, reply.arriving)
 
     def _measure_report(
         self, name: str, pool: _Pool, load: autoscaling.PoolLoad
--- a/src/chervillead/metrics_page.py
+++ b/src/chervillead/metrics_page.py
@@ -16,6 +16,7 @@
     "chervillead_starts": ("Orders to start a run.", ("outcome",)),
     "chervillead_runs_ended": ("Runs that ended.", ("kind",)),
     "chervillead_jobs_ended": ("Jobs that ended.", ("phase",)),
+    "chervillead_hosts_requested": ("Hosts sent to pools.", ("reason",)),
     "chervillead_operator_syncs": (
         "Fetches of operator records from peers.",
         ("outcome",),
