Measure the offered load more cheaply

Each measurement of a pool looked at every run, and at every account that submits, on its own. Runs are now taken together by step, accounts without a quota aren't told apart, and the on-time share of today's demand is computed only while the offered load is unknown.

--- a/src/chervillead/jobs/autoscaling.py
+++ b/src/chervillead/jobs/autoscaling.py
@@ -38,7 +38,7 @@
         used: Resources that running tasks reserve.
         pending: Resources of the tasks that wait only for room.
         urgent: Part of both that may still meet the completion target of its
-            job.
+            job; none while `offered` is known.
         min_hosts: Hosts needed by steps that limit their tasks per worker.
         is_fragmented: Whether a pending task would fit an empty host but fits
             no host with its current tasks.
--- a/src/chervillead/jobs/expected_work.py
+++ b/src/chervillead/jobs/expected_work.py
@@ -141,22 +141,37 @@
 
 
 def running_work(tasks: abc.Iterable[RunningTask]) -> Running:
-    """Returns the work that running tasks have left."""
-    work = kept = model.Resources()
-    elapsed: dict[StepKey, list[float]] = collections.defaultdict(list)
-    for job, task, reserved, elapsed_s in tasks:
-        if job is None or not job.has_task(task) or job.step(task).long_running:
-            kept = kept.plus(reserved)
+    """Returns the work that running tasks have left.
+
+    The tasks of a step are taken together, as there are far more tasks than
+    steps.
+    """
+    kept = model.Resources()
+    runs: dict[StepKey, list[RunningTask]] = {}
+    for run in tasks:
+        if run.job is None or not run.job.has_task(run.task):
+            kept = kept.plus(run.reserved)
+            continue
+        key = run.job.spec.job_id, run.task.occurrence, run.task.step
+        runs.setdefault(key, []).append(run)
+    work = model.Resources()
+    elapsed: dict[StepKey, float] = {}
+    for key, same in runs.items():
+        job, task, reserved, _ = same[0]
+        if job is None:
             continue
-        key = job.spec.job_id, task.occurrence, task.step
-        elapsed[key].append(elapsed_s)
-        if elapsed_s > ENDLESS_FACTOR * task_s(job, task.step):
-            kept = kept.plus(reserved)
+        elapsed_s = sum(run.elapsed_s for run in same) / len(same)
+        elapsed[key] = elapsed_s
+        expected_s = task_s(job, task.step)
+        if (
+            job.step(task).long_running
+            or elapsed_s > ENDLESS_FACTOR * expected_s
+        ):
+            kept = kept.plus(reserved.times(len(same)))
         else:
             left_s = task_s(job, task.step, elapsed_s) - elapsed_s
-            work = work.plus(scaled(reserved, 1000 * left_s))
-    means = {key: statistics.mean(times) for key, times in elapsed.items()}
-    return Running(work, kept, means)
+            work = work.plus(reserved.times(round(1000 * left_s * len(same))))
+    return Running(work, kept, elapsed)
 
 
 def pending_work(
@@ -184,8 +199,8 @@
         ):
             key = job.spec.job_id, occurrence, number
             time_s = task_s(job, number, elapsed_s.get(key, 0.0))
-            size = step.reserved.times(len(indexes))
-            work = work.plus(scaled(size, 1000 * time_s))
+            task_ms = round(1000 * len(indexes) * time_s)
+            work = work.plus(step.reserved.times(task_ms))
     return work
 
 
--- a/src/chervillead/jobs/offered_load.py
+++ b/src/chervillead/jobs/offered_load.py
@@ -8,6 +8,7 @@
 
 import collections
 from collections import abc
+import itertools
 import math
 import typing
 
@@ -37,6 +38,9 @@
 # of samples.
 SAMPLE_S = 0.02
 
+_KINDS = len(model.Resources())
+_AMOUNTS = _KINDS * len(expected_work.JobWork._fields)
+
 
 class Rates(typing.NamedTuple):
     """Offered load of a pool.
@@ -62,53 +66,6 @@
     jobs: int
 
 
-class _MeanWork:
-    """Part of an account in the mean work of a job of the pool.
-
-    Attributes:
-        sums: Weighted sums of the amounts of `expected_work.JobWork`.
-    """
-
-    def __init__(self) -> None:
-        self.sums = [[0.0] * len(model.Resources())] * len(
-            expected_work.JobWork._fields
-        )
-
-    def decay(self, factor: float) -> None:
-        """Reduces the weight of earlier jobs."""
-        self.sums = [[n * factor for n in amounts] for amounts in self.sums]
-
-    def add(self, work: expected_work.JobWork, weight: float) -> None:
-        """Adds the work of a job with its weight."""
-        self.sums = [
-            [
-                total + weight * n
-                for total, n in zip(totals, amounts, strict=True)
-            ]
-            for totals, amounts in zip(self.sums, work, strict=True)
-        ]
-
-    def rates(
-        self, jobs: float, limit: model.Resources | None
-    ) -> expected_work.JobWork:
-        """Returns the work of that many jobs that a quota allows.
-
-        Args:
-            jobs: Number of jobs of the pool per second.
-            limit: Resources that the account may use at once.
-        """
-        work, in_flight, size = (
-            model.Resources(*(round(jobs * n) for n in amounts))
-            for amounts in self.sums
-        )
-        part = expected_work.allowed_part(
-            expected_work.scaled(work, 0.001), limit
-        )
-        return expected_work.JobWork(
-            *(expected_work.scaled(n, part) for n in (work, in_flight, size))
-        )
-
-
 class OfferedLoad:
     """Measures the load that is offered to one pool."""
 
@@ -118,7 +75,9 @@
         self._changed_s = now_s
         self._samples: collections.deque[_Sample] = collections.deque()
         self._jobs = 0
-        self._work_by_account: dict[str, _MeanWork] = {}
+        # Part of each account in the mean of the amounts of `JobWork`, in their
+        # order.
+        self._means: dict[str, list[float]] = {}
 
     def record(
         self, work: expected_work.JobWork, account: str, now_s: float
@@ -132,12 +91,24 @@
         self._samples.append(_Sample(at_s, jobs))
         self._drop_old(now_s)
         self._jobs += 1
-        weight = 1 / min(self._jobs, MEAN_WORK_JOBS)
-        for name, mean in list(self._work_by_account.items()):
-            mean.decay(1 - weight)
-            if sum(mean.sums[0]) < 1:
-                del self._work_by_account[name]
-        self._work_by_account.setdefault(account, _MeanWork()).add(work, weight)
+        self._add_to_means(work, account, 1 / min(self._jobs, MEAN_WORK_JOBS))
+
+    def _add_to_means(
+        self, work: expected_work.JobWork, account: str, weight: float
+    ) -> None:
+        self._means = {
+            name: [(1 - weight) * amount for amount in amounts]
+            for name, amounts in self._means.items()
+            # An account that no longer submits is forgotten.
+            if max(amounts) >= 1
+        }
+        means = self._means.get(account, [0.0] * _AMOUNTS)
+        self._means[account] = [
+            mean + weight * amount
+            for mean, amount in zip(
+                means, itertools.chain.from_iterable(work), strict=True
+            )
+        ]
 
     def rates(
         self, now_s: float, limits: abc.Mapping[str, model.Resources]
@@ -155,15 +126,26 @@
         self._find_rise(now_s)
         self._find_fall(now_s)
         rate = self._rate(now_s)
-        work = in_flight = sizes = model.Resources()
-        for account, mean in self._work_by_account.items():
-            part = mean.rates(rate, limits.get(account))
-            work = work.plus(part.work)
-            in_flight = in_flight.plus(part.in_flight)
-            sizes = sizes.plus(part.size)
+        totals = [0.0] * _AMOUNTS
+        for account, means in self._means.items():
+            limit = limits.get(account)
+            part = rate
+            if limit is not None:
+                used = model.Resources(
+                    *(round(rate * n / 1000) for n in means[:_KINDS])
+                )
+                part *= expected_work.allowed_part(used, limit)
+            totals = [
+                total + part * mean
+                for total, mean in zip(totals, means, strict=True)
+            ]
+        used, in_flight, sizes = (
+            model.Resources(*map(round, totals[start : start + _KINDS]))
+            for start in range(0, _AMOUNTS, _KINDS)
+        )
         return Rates(
             rate,
-            expected_work.scaled(work, 0.001),
+            expected_work.scaled(used, 0.001),
             in_flight,
             sizes,
             self._changed_s,
--- a/src/chervillead/pools/pool_load.py
+++ b/src/chervillead/pools/pool_load.py
@@ -42,6 +42,7 @@
     demand = list(
         _within_quotas(state, configuration, _ready_steps(state, pool))
     )
+    offered = pool_work.measure(state, pool, watches, demand, arrivals_s)
     free = [view.registration.capacity.minus(view.reserved()) for view in hosts]
     return autoscaling.PoolLoad(
         hosts=len(hosts),
@@ -50,14 +51,18 @@
         pending=_sum(
             ready.step.reserved.times(len(ready.tasks)) for ready in demand
         ),
-        urgent=_urgent(state, configuration, watches, demand),
+        urgent=(
+            _urgent(state, configuration, watches, demand)
+            if offered is None
+            else model.Resources()
+        ),
         min_hosts=_min_hosts(demand),
         is_fragmented=any(
             mean_capacity.covers(need)
             and not any(resources.covers(need) for resources in free)
             for need in {ready.step.reserved for ready in demand}
         ),
-        offered=pool_work.measure(state, pool, watches, demand, arrivals_s),
+        offered=offered,
     )
 
 
--- a/src/chervillead/pools/pool_work.py
+++ b/src/chervillead/pools/pool_work.py
@@ -25,10 +25,19 @@
     Jobs with a schedule or with long-running tasks don't come as a rate.
     """
     spec = job.spec
-    if not spec.schedule.repeats and not ordering.is_long_running(spec):
-        state.offered_load(spec.pool).record(
-            expected_work.job_work(job), spec.account, state.now_s()
-        )
+    if spec.schedule.repeats or ordering.is_long_running(spec):
+        return
+    configuration = state.ports.configuration()
+    is_limited = (
+        configuration is not None
+        and quotas.quota_of(configuration, spec.account) is not None
+    )
+    state.offered_load(spec.pool).record(
+        expected_work.job_work(job),
+        # Accounts without a quota needn't be told apart.
+        spec.account if is_limited else "",
+        state.now_s(),
+    )
 
 
 def lead_time_s(state: owner_state.OwnerState) -> float:
