--- a/src/chervillead/jobs/offered_load.py
+++ b/src/chervillead/jobs/offered_load.py
@@ -8,6 +8,7 @@
 
 import collections
 from collections import abc
+import itertools
 import math
 import typing
 
@@ -17,7 +18,7 @@
 # A window must have seen this many jobs to count.
 MIN_JOBS = 3
 # The rate is taken over the long window, which starts anew when the rate
-# changes, and changes are found in the short window.
+# changes. A burst has ended when the short window shows it.
 LONG_WINDOW_S = 2.0
 SHORT_WINDOW_S = 0.5
 # A rise counts once it has lasted for this long.
@@ -27,13 +28,19 @@
 RISE_DEVIATIONS = 3.5
 # A rate that falls below this part counts as the end of a burst.
 FALL_RATIO = 0.2
+# Jobs that a fall must have kept away. With 5 jobs, falls were seen in the
+# middle of bursts of 12 jobs per second.
+FALL_JOBS = 10
 # Jobs over which the mean work of a job is averaged. The work of single jobs
 # differs so much that the work seen in a short window says little.
-MEAN_WORK_JOBS = 32
+MEAN_WORK_JOBS = 64
 # Jobs accepted within this time are counted together, which bounds the number
 # of samples.
 SAMPLE_S = 0.02
 
+_KINDS = len(model.Resources())
+_AMOUNTS = _KINDS * len(expected_work.JobWork._fields)
+
 
 class Rates(typing.NamedTuple):
     """Offered load of a pool.
@@ -59,53 +66,6 @@
     jobs: int
 
 
-class _MeanWork:
-    """Part of an account in the mean work of a job of the pool.
-
-    Attributes:
-        sums: Weighted sums of the amounts of `expected_work.JobWork`.
-    """
-
-    def __init__(self) -> None:
-        self.sums = [[0.0] * len(model.Resources())] * len(
-            expected_work.JobWork._fields
-        )
-
-    def decay(self, factor: float) -> None:
-        """Reduces the weight of earlier jobs."""
-        self.sums = [[n * factor for n in amounts] for amounts in self.sums]
-
-    def add(self, work: expected_work.JobWork, weight: float) -> None:
-        """Adds the work of a job with its weight."""
-        self.sums = [
-            [
-                total + weight * n
-                for total, n in zip(totals, amounts, strict=True)
-            ]
-            for totals, amounts in zip(self.sums, work, strict=True)
-        ]
-
-    def rates(
-        self, jobs: float, limit: model.Resources | None
-    ) -> expected_work.JobWork:
-        """Returns the work of that many jobs that a quota allows.
-
-        Args:
-            jobs: Number of jobs of the pool per second.
-            limit: Resources that the account may use at once.
-        """
-        work, in_flight, size = (
-            model.Resources(*(round(jobs * n) for n in amounts))
-            for amounts in self.sums
-        )
-        part = expected_work.allowed_part(
-            expected_work.scaled(work, 0.001), limit
-        )
-        return expected_work.JobWork(
-            *(expected_work.scaled(n, part) for n in (work, in_flight, size))
-        )
-
-
 class OfferedLoad:
     """Measures the load that is offered to one pool."""
 
@@ -115,7 +75,9 @@
         self._changed_s = now_s
         self._samples: collections.deque[_Sample] = collections.deque()
         self._jobs = 0
-        self._work_by_account: dict[str, _MeanWork] = {}
+        # Part of each account in the mean of the amounts of `JobWork`, in their
+        # order.
+        self._means: dict[str, list[float]] = {}
 
     def record(
         self, work: expected_work.JobWork, account: str, now_s: float
@@ -129,12 +91,24 @@
         self._samples.append(_Sample(at_s, jobs))
         self._drop_old(now_s)
         self._jobs += 1
-        weight = 1 / min(self._jobs, MEAN_WORK_JOBS)
-        for name, mean in list(self._work_by_account.items()):
-            mean.decay(1 - weight)
-            if sum(mean.sums[0]) < 1:
-                del self._work_by_account[name]
-        self._work_by_account.setdefault(account, _MeanWork()).add(work, weight)
+        self._add_to_means(work, account, 1 / min(self._jobs, MEAN_WORK_JOBS))
+
+    def _add_to_means(
+        self, work: expected_work.JobWork, account: str, weight: float
+    ) -> None:
+        self._means = {
+            name: [(1 - weight) * amount for amount in amounts]
+            for name, amounts in self._means.items()
+            # An account that no longer submits is forgotten.
+            if max(amounts) >= 1
+        }
+        means = self._means.get(account, [0.0] * _AMOUNTS)
+        self._means[account] = [
+            mean + weight * amount
+            for mean, amount in zip(
+                means, itertools.chain.from_iterable(work), strict=True
+            )
+        ]
 
     def rates(
         self, now_s: float, limits: abc.Mapping[str, model.Resources]
@@ -152,15 +126,26 @@
         self._find_rise(now_s)
         self._find_fall(now_s)
         rate = self._rate(now_s)
-        work = in_flight = sizes = model.Resources()
-        for account, mean in self._work_by_account.items():
-            part = mean.rates(rate, limits.get(account))
-            work = work.plus(part.work)
-            in_flight = in_flight.plus(part.in_flight)
-            sizes = sizes.plus(part.size)
+        totals = [0.0] * _AMOUNTS
+        for account, means in self._means.items():
+            limit = limits.get(account)
+            part = rate
+            if limit is not None:
+                used = model.Resources(
+                    *(round(rate * n / 1000) for n in means[:_KINDS])
+                )
+                part *= expected_work.allowed_part(used, limit)
+            totals = [
+                total + part * mean
+                for total, mean in zip(totals, means, strict=True)
+            ]
+        used, in_flight, sizes = (
+            model.Resources(*map(round, totals[start : start + _KINDS]))
+            for start in range(0, _AMOUNTS, _KINDS)
+        )
         return Rates(
             rate,
-            expected_work.scaled(work, 0.001),
+            expected_work.scaled(used, 0.001),
             in_flight,
             sizes,
             self._changed_s,
@@ -183,13 +168,14 @@
 
     def _find_rise(self, now_s: float) -> None:
         """Starts the window at the first job of a burst, if one began."""
-        rate = self._rate(now_s)
+        rate, changed_s = self._rate(now_s), self._changed_s
         best = 0.0
         jobs = 0
         for sample in reversed(self._samples):
-            age_s = now_s - sample.at_s
-            if age_s > SHORT_WINDOW_S:
+            if sample.at_s <= changed_s:
+                # Jobs of an earlier burst.
                 break
+            age_s = now_s - sample.at_s
             expected = max(rate * age_s, 0.1)
             excess = jobs - expected
             if (
@@ -206,10 +192,10 @@
 
     def _find_fall(self, now_s: float) -> None:
         """Starts the window anew if a burst has ended."""
-        expected = self._rate(now_s) * SHORT_WINDOW_S
-        recent_s = now_s - SHORT_WINDOW_S
-        if (
-            expected >= MIN_JOBS
-            and self._count(recent_s) < FALL_RATIO * expected
-        ):
+        rate = self._rate(now_s)
+        if rate < FALL_JOBS / LONG_WINDOW_S:
+            return
+        window_s = max(SHORT_WINDOW_S, FALL_JOBS / rate)
+        recent_s = now_s - window_s
+        if self._count(recent_s) < FALL_RATIO * rate * window_s:
             self._changed_s = recent_s
