Refuse submissions that an overloaded pool can't serve usefully

Cause: under lasting overload jobs were accepted that can't end within three times their target.

The check comes after known jobs have been answered and before anything is stored, so "not run" is true and a repeated submission of an accepted job is answered as accepted. A job is refused (429) if the work ahead takes longer than three times its target and it has no chance to be on time, once hosts could have arrived, or if too many jobs wait. Retry-After follows the work ahead, from 1 to 10 s, and callers return in the order of their refusals at the rate at which the pool completes jobs. Hosts don't retry such submissions on their own.

Ruled out: refusing by the backlog and the highest worth of the jobs moved out.

Tests: tests/pools/overload_refusals.feature (7 scenarios) and one in tests/jobs/overload.feature pass.

--- a/src/chervillead/jobs/backlog.py
+++ b/src/chervillead/jobs/backlog.py
@@ -1,5 +1,6 @@
 """Unfinished batch jobs of a partition and their work, by pool."""
 
+import collections
 from collections import abc
 
 from chervillead.jobs import job_state
@@ -17,6 +18,8 @@
         self.pending = 0.0
         self.running = 0.0
         self.running_millicores = 0
+        # When jobs completed, over the window of the statistics.
+        self.completed_s: collections.deque[float] = collections.deque()
 
     def add(self, work: workload.Work, sign: int) -> None:
         """Adds the work of a job to the sums, or takes it off."""
@@ -62,6 +65,15 @@
             of_pool.running_millicores,
         )
 
+    def completed_per_s(self, pool: str, now_s: float) -> float:
+        """Returns the mean rate at which jobs of a pool complete."""
+        if pool not in self._pools:
+            return 0.0
+        times = self._pools[pool].completed_s
+        while times and times[0] < now_s - queue_statistics.WINDOW_S:
+            times.popleft()
+        return len(times) / queue_statistics.WINDOW_S
+
     def put(
         self,
         job: job_state.JobState,
@@ -91,7 +103,7 @@
                 step.tasks * step.reserved.millicores for step in spec.steps
             )
             return
-        candidate = _candidate(job, terms, order)
+        candidate = candidate_of(job, terms, order)
         if known is None:
             self._count_accepted(candidate, now_s)
         pool = self._pools.setdefault(spec.pool, _Pool())
@@ -129,6 +141,9 @@
     def _record_outcome(self, candidate: workload.Candidate) -> None:
         job = candidate.job
         if candidate.target_s and job.finished_s is not None:
+            # Bounds what is kept of a pool that refuses nothing.
+            self.completed_per_s(job.spec.pool, job.finished_s)
+            self._pools[job.spec.pool].completed_s.append(job.finished_s)
             self._statistics.add_outcome(
                 candidate.queue,
                 candidate.work.total,
@@ -147,9 +162,16 @@
     )
 
 
-def _candidate(
+def candidate_of(
     job: job_state.JobState, terms: model.JobTerms, order: int
 ) -> workload.Candidate:
+    """Returns what a choice considers of a job.
+
+    Args:
+        job: The job.
+        terms: What it is owed.
+        order: Number of the job in the order in which jobs became known.
+    """
     target_s = 0.0
     if has_target(job.spec, terms):
         target_s = ordering.completion_target_ms(job.spec, terms) / 1000
--- a/src/chervillead/jobs/overload.py
+++ b/src/chervillead/jobs/overload.py
@@ -24,6 +24,9 @@
 # Expired jobs go first within their group for a tenth of the time.
 TURN_PERIOD_S = 2.0
 TURN_S = 0.2
+# Part of the jobs moved out by worth for their work. Which jobs of the rest are
+# moved out depends on when they came.
+SURELY_OUT = 0.5
 # Jobs of a pool that one choice considers at most.
 MAX_JOBS = 2000
 # Overload begins with more work than this, and ends with less of it, in seconds
@@ -47,7 +50,8 @@
 
     Attributes:
         ahead: Work of jobs that aren't expired, up to this group.
-        worth: Highest worth for its work of any job that was moved out.
+        worth: Worth for its work below which further jobs are surely moved out;
+            0 if no job was.
     """
 
     ahead: float
@@ -62,12 +66,15 @@
         moved_out: How many jobs were moved out of the set.
         in_set: How many jobs are in it.
         groups: What further jobs would wait for.
+        served: How many jobs of each size class are on time, of those that
+            completed recently, wait or run.
     """
 
     standings: dict[str, Standing]
     moved_out: int
     in_set: int
     groups: dict[workload.Group, GroupLoad]
+    served: abc.Mapping[queue_statistics.ClassKey, queue_statistics.Served]
 
 
 def is_turn_of_expired(now_s: float) -> bool:
@@ -102,15 +109,14 @@
     """
     considered = _considered(candidates, now_s)
     classes = _Classes(considered, statistics, now_s)
-    choice = Choice({}, 0, 0, {})
-    ahead, worth = 0.0, 0.0
+    choice = Choice({}, 0, 0, {}, classes.served)
+    ahead = 0.0
     for group in sorted({c.group for c in considered}):
         of_group = [c for c in considered if c.group == group]
         on_time = [
             c for c in of_group if c.target_s and c.latest_start_s >= now_s
         ]
-        moved, highest = _move_out(on_time, load, ahead, classes, now_s)
-        worth = max(worth, highest)
+        moved, worth = _move_out(on_time, load, ahead, classes, now_s)
         for candidate in of_group:
             is_out = candidate.order in moved
             standing = _standing(candidate, now_s, is_out=is_out)
@@ -160,11 +166,11 @@
     """Moves jobs out until all others can start in time.
 
     Returns:
-        Orders of the jobs that were moved out, and their highest worth for
-        their work.
+        Orders of the jobs that were moved out, and a worth for its work below
+        which further jobs are surely moved out.
     """
     moved: set[int] = set()
-    highest = 0.0
+    worths = []
     counted: dict[int, float] = {}
     for latest_s, _, work, candidate in _steps_by_latest_start(on_time):
         if candidate.order in moved:
@@ -178,14 +184,15 @@
             if least is None:
                 break
             worth, out = least
-            highest = max(highest, worth)
+            worths.append(worth)
             moved.add(out.order)
             ahead -= counted[out.order]
         if candidate.order not in moved:
             counted[candidate.order] += work
             ahead += work
     classes.clear()
-    return moved, highest
+    worths.sort()
+    return moved, worths[int(SURELY_OUT * len(worths))] if worths else 0.0
 
 
 def _steps_by_latest_start(
@@ -226,6 +233,13 @@
                 is_on_time = candidate.latest_start_s >= now_s
                 self._count(self._keys[candidate.order], int(is_on_time), 1)
 
+    @property
+    def served(
+        self,
+    ) -> abc.Mapping[queue_statistics.ClassKey, queue_statistics.Served]:
+        """How many jobs of each class are on time, of all."""
+        return self._served
+
     def add(self, candidate: workload.Candidate) -> None:
         """Adds a job unless too much of it is done."""
         if not candidate.is_begun and candidate.work.pending:
--- a/src/chervillead/jobs/queue_statistics.py
+++ b/src/chervillead/jobs/queue_statistics.py
@@ -77,7 +77,7 @@
     def add_outcome(
         self, queue: str, work: float, now_s: float, *, is_on_time: bool
     ) -> None:
-        """Counts a job that completed, or was refused, now."""
+        """Counts a job that completed, or was refused."""
         key = self.class_of(queue, work)
         self._outcomes.append((now_s, key, is_on_time))
         self._expire_outcomes(now_s)
@@ -110,11 +110,6 @@
             found[key] = Served(on_time + is_on_time, total + 1)
         return found
 
-    def completed_per_s(self, now_s: float) -> float:
-        """Returns the mean rate of outcomes over the window."""
-        self._expire_outcomes(now_s)
-        return len(self._outcomes) / WINDOW_S
-
     def _expire_outcomes(self, now_s: float) -> None:
         outcomes = self._outcomes
         while outcomes and outcomes[0][0] < now_s - WINDOW_S:
--- a/src/chervillead/pools/job_refusals.py
+++ b/src/chervillead/pools/job_refusals.py
@@ -12,6 +12,7 @@
 OWNER_OVERLOADED = "owner-overloaded"
 OWNER_REPLACED = "owner-replaced"
 CANCELLED = "cancelled"
+POOL_OVERLOADED = "pool-overloaded"
 
 
 def unknown_job(job_id: str) -> verdicts.Refusal:
@@ -29,6 +30,13 @@
     )
 
 
+def pool_overloaded(detail: str, retry_after_s: float) -> verdicts.Refusal:
+    """Returns the refusal of a job that could not be served usefully."""
+    return verdicts.not_run(
+        POOL_OVERLOADED, 429, detail, retry_after_s=retry_after_s
+    )
+
+
 def outdated(name: str) -> verdicts.Refusal:
     """Returns the refusal by an owner whose configuration lacks the queue."""
     return verdicts.not_run(
--- a/src/chervillead/pools/job_router.py
+++ b/src/chervillead/pools/job_router.py
@@ -53,6 +53,7 @@
     (
         job_service.OWNER_LOADING,
         job_refusals.OWNER_OVERLOADED,
+        job_refusals.POOL_OVERLOADED,
         OWNER_BUSY,
     )
 )
@@ -62,6 +63,7 @@
         OWNER_SILENT,
         OWNER_BUSY,
         job_refusals.OWNER_OVERLOADED,
+        job_refusals.POOL_OVERLOADED,
         job_refusals.CANCELLED,
         queue_assignments.QUEUE_MOVING,
     )
--- a/src/chervillead/pools/job_submissions.py
+++ b/src/chervillead/pools/job_submissions.py
@@ -104,6 +104,10 @@
             if self._queues.has_accepted_elsewhere(queue, spec.job_id):
                 return result.Success(None)
             terms = queue.terms
+            # Known jobs have been answered above, here or elsewhere.
+            refusal = state.overload.check(spec, terms)
+            if refusal is not None:
+                return result.Failure(refusal)
             stored = state.recorder.store_job(spec, terms)
             self._pending[spec.job_id] = PendingSubmission(spec, stored)
             stored.add_done_callback(
--- a/tests/jobs/overload.feature
+++ b/tests/jobs/overload.feature
@@ -35,3 +35,11 @@
     When one of five accounts submits 6 times its rate to a busy pool
     Then the share on time of the others falls by at most 0.03
     And by least slack it would fall by at least 0.1
+
+  Scenario: Refusals under lasting overload
+    # Guards against refusals of jobs that could have been served usefully: their
+    # callers would return too late.
+    When a pool refuses jobs while one of five accounts exceeds its rate for 8 s
+    Then at least 30 jobs are refused, and at most 0.02 of those within the rate
+    And at most 0.2 of them would have been on time
+    And the other accounts are on time as often as without refusals
--- /dev/null
+++ b/tests/pools/overload_refusals.feature
@@ -0,0 +1,46 @@
+Feature: Refusals of submissions by an overloaded pool
+  Only what can't be served usefully is refused, before anything is stored.
+
+  Scenario: A submission beyond the rate of its account
+    # Guards against jobs that are accepted and never served, and against a wrong
+    # verdict on them.
+    Given an owner whose pool has 40 s of work within the rate of its account
+    When a new job is submitted beyond the rate
+    Then it is refused as not run with status 429, and nothing is stored
+    And its caller returns after 1 s to 10 s
+
+  Scenario: A repeated submission of an accepted job
+    # Guards against a caller that is told "not run" of a job that runs, since the
+    # answer to its first submission was lost.
+    Given an owner whose pool has 40 s of work within the rate of its account
+    When an accepted job is submitted again
+    Then it is accepted
+
+  Scenario: Callers that are refused one after the other
+    # Guards against callers that return all at once, or in another order.
+    Given an owner whose pool has 40 s of work within the rate of its account
+    When 30 new jobs are submitted beyond the rate
+    Then their callers return in the order in which they were refused
+    And one line is logged for them, and each counts
+
+  Scenario Outline: Jobs that aren't refused for load
+    # Guards against refusals at the begin of each burst, while hosts arrive, and
+    # of jobs for which a delay doesn't matter.
+    Given an owner whose pool has 40 s of work within the rate of its account
+    And <exception>
+    When a new job is submitted beyond the rate
+    Then it is accepted
+
+    Examples:
+      | exception                           |
+      | the job is long-running             |
+      | the job has a schedule              |
+      | overload has begun 3 s ago in a fleet with spare hosts |
+
+  Scenario: A new owner
+    # Guards against a new owner that refuses jobs by what it doesn't know yet.
+    Given an owner whose pool has 40 s of work within the rate of its account
+    When another host becomes the owner
+    And a new job is submitted beyond the rate
+    Then it is accepted
+    And it counts as within the rate
