Release idle hosts that are due for maintenance, and hosts from an age of 2 s

New hosts stayed for 4 s, longer than most of a burst.

Change: hosts that are due may be released, after all others; the spare pool maintains them at no cost. Hosts may leave after 2 s.

--- a/src/chervillead/machines/host_release.py
+++ b/src/chervillead/machines/host_release.py
@@ -24,7 +24,7 @@
 REJECTION_BACKOFF_S = 2.0
 # A new worker is not turned off before this age: the commands that move its
 # host in and out must not follow each other closely.
-MIN_WORKER_AGE_S = 4.0
+MIN_WORKER_AGE_S = 2.0
 # Workers that a pool keeps per set of labels, for steps that require a label.
 MIN_WORKERS_PER_LABEL_SET = 2
 
@@ -137,6 +137,9 @@
     ) -> abc.Iterator[watch_module.WorkerWatch]:
         """Yields workers that the pool can release, the least loaded first.
 
+        Those that are due for maintenance come last: it costs nothing in the
+        spare pool, but may keep another pool waiting for the host.
+
         Hosts with long-running tasks are kept: moving a task would cost more of
         its time than releasing the host saves.
         """
@@ -147,14 +150,16 @@
             if not watch.view.cordoned_for:
                 label_set = _label_set(watch)
                 counts[label_set] = counts.get(label_set, 0) + 1
-        for watch in _by_load(watches):
+        for watch in sorted(
+            _by_load(watches),
+            key=lambda w: self._is_maintenance_due(w.view.worker_id),
+        ):
             view = watch.view
             if (
                 view.cordoned_for
                 or view.has_long_running
                 or not view.has_answered
                 or view.registration.is_draining
-                or self._is_maintenance_due(view.worker_id)
                 or self._age_s(view) < MIN_WORKER_AGE_S
                 or self._paused_until_s.get(view.worker_id, 0.0) > now_s
                 or counts[_label_set(watch)] <= MIN_WORKERS_PER_LABEL_SET
