--- a/src/chervillead/jobs/offered_load.py
+++ b/src/chervillead/jobs/offered_load.py
@@ -126,19 +126,7 @@
         self._find_rise(now_s)
         self._find_fall(now_s)
         rate = self._rate(now_s)
-        totals = [0.0] * _AMOUNTS
-        for account, means in self._means.items():
-            limit = limits.get(account)
-            part = rate
-            if limit is not None:
-                used = model.Resources(
-                    *(round(rate * n / 1000) for n in means[:_KINDS])
-                )
-                part *= expected_work.allowed_part(used, limit)
-            totals = [
-                total + part * mean
-                for total, mean in zip(totals, means, strict=True)
-            ]
+        totals = self._totals(rate, limits)
         used, in_flight, sizes = (
             model.Resources(*map(round, totals[start : start + _KINDS]))
             for start in range(0, _AMOUNTS, _KINDS)
@@ -151,6 +139,25 @@
             self._changed_s,
         )
 
+    def _totals(
+        self, rate: float, limits: abc.Mapping[str, model.Resources]
+    ) -> list[float]:
+        """Returns the amounts of `JobWork` per second that quotas allow."""
+        totals = [0.0] * _AMOUNTS
+        for account, means in self._means.items():
+            limit = limits.get(account)
+            part = rate
+            if limit is not None:
+                wanted = model.Resources(
+                    *(round(rate * n / 1000) for n in means[:_KINDS])
+                )
+                part *= expected_work.allowed_part(wanted, limit)
+            totals = [
+                total + part * mean
+                for total, mean in zip(totals, means, strict=True)
+            ]
+        return totals
+
     def _drop_old(self, now_s: float) -> None:
         while self._samples and self._samples[0].at_s < now_s - LONG_WINDOW_S:
             self._samples.popleft()
--- a/src/chervillead/pools/pool_work.py
+++ b/src/chervillead/pools/pool_work.py
@@ -67,16 +67,7 @@
     if rates is None:
         return None
     lead_s = lead_time_s(state)
-    running = expected_work.running_work(
-        expected_work.RunningTask(
-            state.jobs.get(run.job_id),
-            run.task,
-            run.reserved,
-            now_s - run.started_s,
-        )
-        for watch in watches
-        for run in watch.view.runs.values()
-    )
+    running = expected_work.running_work(_running_tasks(state, watches))
     waiting = _waiting_jobs(state, pool, running.elapsed_s)
     kept = running.kept
     for step in ready:
@@ -95,6 +86,21 @@
     )
 
 
+def _running_tasks(
+    state: owner_state.OwnerState,
+    watches: abc.Iterable[watch_module.WorkerWatch],
+) -> abc.Iterator[expected_work.RunningTask]:
+    now_s = state.now_s()
+    for watch in watches:
+        for run in watch.view.runs.values():
+            yield expected_work.RunningTask(
+                state.jobs.get(run.job_id),
+                run.task,
+                run.reserved,
+                now_s - run.started_s,
+            )
+
+
 def _waiting_jobs(
     state: owner_state.OwnerState,
     pool: str,
