--- a/tests/jobs/overload.feature
+++ b/tests/jobs/overload.feature
@@ -43,3 +43,10 @@
     Then at least 30 jobs are refused, and at most 0.02 of those within the rate
     And at most 0.2 of them would have been on time
     And the other accounts are on time as often as without refusals
+
+  Scenario: Standings change as jobs come and go
+    # Guards against a job that is lost, or placed twice, when its standing
+    # changes, and against late jobs that wait for those accepted after them.
+    When 500 random changes of standings and jobs reach the index of waiting jobs
+    Then it always yields each waiting job once
+    And jobs that run when there is room are in the order of acceptance
--- a/tests/steps/jobs_overload.py
+++ b/tests/steps/jobs_overload.py
@@ -3,9 +3,13 @@
 import bisect
 import collections
 import itertools
+import random
 
 import behave
 
+from chervillead.jobs import job_state
+from chervillead.jobs import overload
+from chervillead.jobs import waiting_jobs
 from stand_ins import pool_model
 
 
@@ -174,3 +178,55 @@
         for jobs in (context.jobs, context.kept)
     )
     assert found >= kept, (found, kept)
+
+
+@behave.when(
+    "{count:d} random changes of standings and jobs reach the index of waiting "
+    "jobs"
+)
+def step(context, count):
+    rng = random.Random(pool_model.SEED)
+    jobs = [
+        job_state.JobState(arrival.spec, accepted_s=arrival.at_s)
+        for arrival in pool_model.make_arrivals(2.5, 4.5, {"a": 1, "b": 1})
+    ]
+    for job in jobs:
+        job.is_over_rate = rng.random() < 0.3
+    index, waiting, standings = waiting_jobs.WaitingJobs(), set(), {}
+    context.yielded = []
+    for now_s in range(count):
+        job = rng.choice(jobs)
+        job_id = job.spec.job_id
+        if rng.random() < 0.3:
+            index.discard(job_id)
+            waiting.discard(job_id)
+            standings.pop(job_id, None)
+        else:
+            order, terms = int(job_id, 16), pool_model.terms_of(job)
+            index.put(job, terms, order=order, now_s=0.0)
+            waiting.add(job_id)
+        changed = rng.choices(sorted(waiting) or [job_id], k=3)
+        standings |= {i: rng.choice(list(overload.Standing)) for i in changed}
+        index.set_standings({i: standings[i] for i in changed})
+        found = list(index.batch(now_s / 10, {}))
+        context.yielded.append((found, set(waiting), dict(standings)))
+
+
+@behave.then("it always yields each waiting job once")
+def step(context):
+    for found, waiting, _ in context.yielded:
+        assert sorted(j.spec.job_id for j in found) == sorted(waiting)
+
+
+@behave.then("jobs that run when there is room are in the order of acceptance")
+def step(context):
+    most = 0
+    for found, _, standings in context.yielded:
+        times = [
+            (job.is_over_rate, job.accepted_s)
+            for job in found
+            if standings.get(job.spec.job_id) is overload.Standing.WHEN_ROOM
+        ]
+        most = max(most, len(times))
+        assert times == sorted(times), times
+    assert most > 10, most
