Keep one host beyond running tasks while the offered load tells no rate

Cause: with learned run times no task of a single large job counts as overdue, so its pool kept just the hosts that its tasks reserve: 5 in place of the 6 that "The owner of the hosts partition is killed in a burst" asks for. New workers were released from an age of 2 s, which failed "Moves are executed late and get no reply" and "Most jobs have their data in one rack"; the age is 4 s again.

Headroom of 1.15 on running tasks, and releasing after SHRINK_DELAY_S at the end of a burst, failed examples of offered_load.feature by their host-seconds. pool_resizing 11, grown_fleet 11 (with the age of 4 s), offered_load 7 and autoscaling 11 scenarios pass.

--- a/src/chervillead/jobs/autoscaling.py
+++ b/src/chervillead/jobs/autoscaling.py
@@ -72,8 +72,13 @@
     if load.offered is None:
         required = _extrapolated(load.demand, demand_increase)
     else:
-        # Hosts that running tasks occupy can't be used elsewhere.
-        required = _maximum(_required(load, with_late=True), load.used)
+        # Hosts that running tasks occupy can't be used elsewhere. While too few
+        # jobs come to tell their rate, one more takes the next tasks, which
+        # would have to wait for a host otherwise.
+        occupied = load.used
+        if any(occupied) and not load.offered.rates.jobs:
+            occupied = occupied.plus(load.host_capacity)
+        required = _maximum(_required(load, with_late=True), occupied)
     needed = _hosts_for(load, required)
     if load.is_fragmented:
         needed = max(needed, load.hosts + 1)
--- a/src/chervillead/machines/host_release.py
+++ b/src/chervillead/machines/host_release.py
@@ -24,7 +24,7 @@
 REJECTION_BACKOFF_S = 2.0
 # A new worker is not turned off before this age: the commands that move its
 # host in and out must not follow each other closely.
-MIN_WORKER_AGE_S = 2.0
+MIN_WORKER_AGE_S = 4.0
 # Workers that a pool keeps per set of labels, for steps that require a label.
 MIN_WORKERS_PER_LABEL_SET = 2
 
