--- a/src/chervillead/pools/placement_pass.py
+++ b/src/chervillead/pools/placement_pass.py
@@ -52,11 +52,9 @@
             state, tickets, workers, self._now_s
         )
         self._full_pools: set[str] = set()
-        # Needs without room by pool, the number of starts, and the number at
-        # which there was room for a need.
+        # Needs without room by pool, and the number of starts.
         self._no_room_for: dict[str, list[model.Resources]] = {}
         self._started = 0
-        self._room_after: dict[tuple[str, model.Resources], int] = {}
 
     def run(self, *, is_thorough: bool, skip: int = 0) -> int:
         """Starts all tasks that may start now.
@@ -119,10 +117,14 @@
             yield from batch
             return
         open_pools = set(self._waiting.pools)
+        # Room only shrinks in a pass, by the runs that are started.
+        checked: dict[str, int] = {}
         for job in batch:
             pool = job.spec.pool
-            if pool in open_pools and not self._may_have_room(pool):
-                open_pools.discard(pool)
+            if checked.get(pool) != self._started:
+                checked[pool] = self._started
+                if not self._may_have_room(pool):
+                    open_pools.discard(pool)
             if not open_pools:
                 return
             if pool in open_pools and self._has_room(
@@ -140,14 +142,10 @@
 
         Passes over all jobs note shortages of quotas of jobs without room.
         """
-        # Many jobs need as much as others that were looked at.
-        if self._room_after.get((pool, need)) == self._started:
-            return True
         no_room_for = self._no_room_for.get(pool, ())
         if any(need.covers(other) for other in no_room_for):
             return False
         if self._workers.in_pool(pool).has_room(need):
-            self._room_after[pool, need] = self._started
             return True
         self._no_room_for[pool] = [
             *(other for other in no_room_for if not other.covers(need)),
