Don't count refusals of jobs beyond the rate as outcomes of their size class

Many of them would lower the chance that jobs within the rate are taken to have, and get those refused as well. tests/pools/overload_refusals.feature passes (7 scenarios).

Ruled out for now: a size class of its own for jobs beyond the rate.

--- a/src/chervillead/pools/overload_control.py
+++ b/src/chervillead/pools/overload_control.py
@@ -105,11 +105,13 @@
             ahead_s=refusal.backlog_s,
             jobs_per_s=self._backlog.completed_per_s(spec.pool, now_s),
         )
-        # Otherwise the refused jobs would be missing where it is decided
-        # whether a size class starves.
-        self._backlog.statistics.add_outcome(
-            candidate.queue, candidate.work.total, now_s, is_on_time=False
-        )
+        if not candidate.group.is_over_rate:
+            # Otherwise the refused jobs would be missing where it is decided
+            # whether a size class starves. Jobs beyond the rate of their
+            # account, which may be many, must not lower the chance of others.
+            self._backlog.statistics.add_outcome(
+                candidate.queue, candidate.work.total, now_s, is_on_time=False
+            )
         self._ports.increment("chervillead_overload_refusals", refusal.reason)
         self._log_refusal(candidate, refusal, waiting, delay_s, now_s)
         return job_refusals.pool_overloaded(
