--- a/src/chervillead/jobs/run_times.py
+++ b/src/chervillead/jobs/run_times.py
@@ -22,7 +22,8 @@
 # 2.7 on average, a standard deviation of 1 in the logarithm.
 PRIOR_WEIGHT = 1.0
 PRIOR_VARIANCE = 1.0
-# Weight of the samples from which a key counts as learned. With steps of 32
+# Weight of the samples, the prior included, from which a key counts as learned:
+# copies and moves rest on three steps at least. With steps of 32
 # tasks, the largest there are, the weight tends to 200 / 32 = 6.
 MIN_LEARNED_WEIGHT = 4.0
 MAX_KEYS = 256
@@ -33,7 +34,7 @@
 # Weight of the samples from which a key is stored: the prior and one step. An
 # image that is used once isn't worth a record.
 MIN_STORED_WEIGHT = 2.0
-# The same for log lines.
+# A key is logged at most once in this time, after a change by this ratio.
 LOG_INTERVAL_S = 5.0
 LOG_CHANGE = math.log(1.25)
 
@@ -134,15 +135,17 @@
 
     def expected_s(self, queue_address: str, step: model.Step) -> float:
         """Returns the expected run time of a task of a step, in seconds."""
-        entry = self._entries.get((queue_address, step.image))
-        if entry is None:
-            return _prior_s(step)
-        return entry.predictor.expected_s(step.estimate_ms / 1000)
+        return self.look_up(queue_address, step)[0]
 
-    def is_learned(self, queue_address: str, step: model.Step) -> bool:
-        """Returns whether the expected run time rests on enough samples."""
+    def look_up(
+        self, queue_address: str, step: model.Step
+    ) -> tuple[float, bool]:
+        """Returns the expected run time, and whether enough samples show it."""
         entry = self._entries.get((queue_address, step.image))
-        return entry is not None and entry.is_learned
+        if entry is None:
+            return _prior_s(step), False
+        expected_s = entry.predictor.expected_s(step.estimate_ms / 1000)
+        return expected_s, entry.is_learned
 
     def record(
         self,
@@ -234,22 +237,15 @@
     """
     if job.is_finished or not has_target(terms):
         return
-    address, steps = terms.queue_address, job.spec.steps
-    job.step_times_s = tuple(
-        _median_s(job, number) or times.expected_s(address, step)
-        for number, step in enumerate(steps)
-    )
-    job.learned_steps = frozenset(
-        number
-        for number, step in enumerate(steps)
-        if times.is_learned(address, step)
-    )
-
-
-def _median_s(job: job_state.JobState, number: int) -> float | None:
-    """Returns the median run time of a step's tasks that have completed.
-
-    Only the first occurrence of the steps is considered.
-    """
-    durations = job.durations_s.get((0, number))
-    return statistics.median(durations) if durations else None
+    expected, learned = [], []
+    for number, step in enumerate(job.spec.steps):
+        expected_s, is_learned = times.look_up(terms.queue_address, step)
+        # Only the first occurrence of the steps is considered.
+        durations = job.durations_s.get((0, number))
+        expected.append(
+            statistics.median(durations) if durations else expected_s
+        )
+        if is_learned:
+            learned.append(number)
+    job.step_times_s = tuple(expected)
+    job.learned_steps = frozenset(learned)
--- a/src/chervillead/pools/run_moves.py
+++ b/src/chervillead/pools/run_moves.py
@@ -41,37 +41,39 @@
     """
     if not state.has_authority():
         return
-    # More than one could be meant for the same room.
-    moved: set[str] = set()
-    for job in state.jobs.unfinished():
-        pool = job.spec.pool
-        if pool in full_pools or pool in moved:
+    # Pools are mostly full while jobs wait, so looking at the workers costs
+    # less than looking at the jobs.
+    skipped: set[str] = set()
+    for watch in state.watches.values():
+        pool = watch.view.registration.pool
+        # More than one run of a pool could be meant for the same room.
+        if pool in full_pools or pool in skipped:
             continue
-        run = next(_movable_runs(state, job, candidates), None)
-        if run is not None:
-            moved.add(pool)
+        found = next(_movable_runs(state, watch.view, candidates), None)
+        if found is not None:
+            skipped.add(pool)
+            job, run = found
             _mark_slow(state, _ready(job, run), candidates)
             _stop(state, job, run)
 
 
 def _movable_runs(
     state: owner_state.OwnerState,
-    job: job_state.JobState,
+    view: view_module.WorkerView,
     candidates: Candidates,
-) -> abc.Iterator[task_runs.Run]:
-    if not any(step.checkpointing for step in job.spec.steps):
-        return
-    if not run_times.has_target(state.terms_of(job)):
-        return
-    for run in list(job.active_runs()):
-        watch = state.watches.get(run.worker_id)
+) -> abc.Iterator[tuple[job_state.JobState, task_runs.Run]]:
+    for run in view.runs.values():
+        job = state.jobs.get(run.job_id)
         if (
-            watch is not None
+            job is not None
+            and job.has_task(run.task)
+            and job.spec.pool == view.registration.pool
             and _may_move(job, run)
-            and _is_delayed(state, watch.view, job, run)
+            and run_times.has_target(state.terms_of(job))
+            and _is_delayed(state, view, job, run)
             and _has_room_elsewhere(state, job, run, candidates)
         ):
-            yield run
+            yield job, run
 
 
 def _may_move(job: job_state.JobState, run: task_runs.Run) -> bool:
@@ -85,7 +87,8 @@
         and not (step.speculative or step.gang or step.long_running)
         and not (step.fills or step.latency_target_ms)
         and bool(job.checkpoints.get(run.task))
-        and len(job.runs[run.task]) == 1
+        and not job.is_finished
+        and len(job.runs.get(run.task, ())) == 1
         and not run.stop_requested
         and not run.resumed_from
         and not crash_evidence.needs_isolation(job, run.task)
--- a/src/chervillead/pools/run_samples.py
+++ b/src/chervillead/pools/run_samples.py
@@ -27,17 +27,23 @@
         job: Job of the task, with all its active runs.
         run: The run.
     """
-    terms, step = state.terms_of(job), job.step(run.task)
-    if step.long_running or not run_times.has_target(terms):
+    if job.step(run.task).long_running:
+        return
+    if not run_times.has_target(state.terms_of(job)):
         return
     reason = _exclusion(view, job, run)
     state.ports.increment(_COUNTER, reason or "used")
-    if reason:
-        return
-    now_s = state.now_s()
+    if not reason:
+        _learn(state, job, run)
+
+
+def _learn(
+    state: owner_state.OwnerState, job: job_state.JobState, run: task_runs.Run
+) -> None:
+    step, now_s = job.step(run.task), state.now_s()
     can_store = not state.writer.failure_duration_s()
     update = state.run_times.record(
-        terms.queue_address,
+        state.terms_of(job).queue_address,
         step,
         now_s - run.started_s,
         # The first end of a gang completes all of its tasks.
