Keep idle interference estimates from overflowing

The factor by which an estimate loses weight is 2 to the power of its age in half-lives. It overflowed 20,480 s after the last sample of an image. The estimates are read twice a second, so the OverflowError ended the owner of a partition whose latency-sensitive tasks had been steady for 5.7 hours.

The age counts as at most 64 half-lives now, after which nothing of the estimate is left anyway.

After: 28 of 28 pass.

--- a/src/chervillead/jobs/latency_fit.py
+++ b/src/chervillead/jobs/latency_fit.py
@@ -20,6 +20,9 @@
 BOUND_DEVIATIONS = 2.0
 # Time without samples in which an estimate loses half of its weight.
 HALF_LIFE_S = 20.0
+# An estimate has no weight left after that many half-lives; after 1,024, a
+# factor overflows.
+MAX_HALF_LIVES = 64.0
 # Half of the range between the limits for slowing and stopping best-effort
 # tasks; see `jobs.pacing`.
 MAX_CONFIDENT_DEVIATION = 0.1
@@ -142,7 +145,7 @@
         if image not in self._rises:
             return UNKNOWN
         variance = self._covariances[image][image]
-        factor = 2 ** ((now_s - self._decayed_s) / HALF_LIFE_S)
+        factor = self._decay_factor(now_s)
         rise, widened = _decayed(self._rises[image], variance, factor)
         return Estimate(rise, math.sqrt(widened), self._samples[image] / factor)
 
@@ -186,9 +189,14 @@
         row = self._covariances[image]
         row[image] = min(PRIOR_VARIANCE, max(least, factor * row[image]))
 
+    def _decay_factor(self, now_s: float) -> float:
+        """Returns the factor by which variances grow up to a time."""
+        half_lives = (now_s - self._decayed_s) / HALF_LIFE_S
+        return float(2 ** min(half_lives, MAX_HALF_LIVES))
+
     def _decay(self, now_s: float) -> None:
         """Lets all estimates lose weight for the time that has passed."""
-        factor = 2 ** ((now_s - self._decayed_s) / HALF_LIFE_S)
+        factor = self._decay_factor(now_s)
         self._decayed_s = now_s
         scales = {}
         for image, rise in list(self._rises.items()):
--- a/tests/jobs/interference.feature
+++ b/tests/jobs/interference.feature
@@ -103,6 +103,15 @@
     When 100 s pass without samples
     Then its estimated effect is nearer to the prior than to its samples
 
+  Scenario: An image isn't seen for a day
+    # Guards against a number that overflows as its weight fades, which ended the
+    # owner of the partition 5.7 hours after the last sample.
+    When 10 samples of an image come in 10 s
+    And 86400 s pass without samples
+    Then the effect of the image isn't known
+    When 4 samples show no effect any more
+    Then its estimated effect is a quarter of the effect or less
+
   Scenario: The number of images is bounded
     # Guards against memory that grows with the names that callers choose.
     When 100 images affect each of 100 others
