Refuse an invalid address without touching the request before it

uvicorn parses the address in on_headers_complete, which CallerConnection had by then marked as the start of a body. The refusal was applied to the last cycle: without one, an AttributeError left data_received and the caller got no response; with one, the body of the request before it was dropped although it was complete, and that request ran with an empty body.

The head now counts as incomplete until uvicorn has accepted it.

Before: tests/callers/application.feature failed in "an invalid address" (AttributeError) and in "An invalid address in the same packet as a request before it" (the answer is not that to its body). After: 29 of 29 pass.

--- a/src/chervillead/callers/connections.py
+++ b/src/chervillead/callers/connections.py
@@ -114,19 +114,21 @@
 
     def on_headers_complete(self) -> None:
         """Starts the request, and refuses a body that is declared too large."""
-        self._stop_timer()
-        self._is_reading_head = False
-        self._is_reading_body = True
-        self._unparsed_bytes = 0
-        self._body_bytes = 0
-        self._checked_body_bytes = 0
         reservation = self._reservation
         if reservation is None or reservation.is_released:
             raise ValueError("the request is refused")
         bodies.attach_reservation(
             typing.cast("dict[str, typing.Any]", self.scope), reservation
         )
+        # Raises an error for an invalid address. Until then `cycle` is that of
+        # the request before this one, so the head counts as incomplete.
         super().on_headers_complete()
+        self._stop_timer()
+        self._is_reading_head = False
+        self._is_reading_body = True
+        self._unparsed_bytes = 0
+        self._body_bytes = 0
+        self._checked_body_bytes = 0
         reservation.resize(request_limiter.REQUEST_BYTES)
         declared = dict(self.headers).get(b"content-length", b"0")
         refusal = reservation.refusal or self._limiter.body_refusal(
--- a/tests/callers/application.feature
+++ b/tests/callers/application.feature
@@ -37,6 +37,7 @@
       | a slow body               | 408    | body-timeout   |
       | an endless chunked body   | 413    | body-too-large |
       | bytes that are not HTTP   | 400    | malformed-http |
+      | an invalid address        | 400    | malformed-http |
       | a malformed key           | 401    | malformed-key  |
       | an unknown queue          | 404    | unknown-queue  |
       | an unknown path           | 404    | unknown-path   |
@@ -52,6 +53,12 @@
     When a caller sends malformed bytes after a request that is running
     Then the caller gets the complete answer and its connection is closed
 
+  Scenario: An invalid address in the same packet as a request before it
+    # Guards against a request that runs without its body, which was dropped
+    # with the request after it.
+    When a caller sends a request and one with an invalid address at once
+    Then the caller gets the complete answer and its connection is closed
+
   Scenario: A refusal by the front end takes earlier submissions into account
     # Guards against "not run" for a request that another host is running.
     When a caller repeats a running request through another host without a key
--- a/tests/steps/callers_application.py
+++ b/tests/steps/callers_application.py
@@ -109,6 +109,8 @@
                 await asyncio.sleep(0.001)
         case "bytes that are not HTTP":
             caller.send(b"\x16\x03\x01\x02\x00\r\n\r\n")
+        case "an invalid address":
+            caller.send(head.replace(PATH.encode(), b"http:///x"))
         case "a malformed key":
             caller.send(head.replace(b"Bearer key", b"Bearer\xff"))
         case "an unknown queue":
@@ -159,6 +161,20 @@
     run_scenario(context, scenario)
 
 
+@behave.when("a caller sends a request and one with an invalid address at once")
+def step(context):
+    async def scenario(_, front_ends):
+        caller = front_ends[0].connect()
+        first = memory_caller.encode(
+            "POST", PATH, headers=(id_header(),), body=b"run=1"
+        )
+        caller.send(first + b"GET http:///x HTTP/1.1\r\nhost: x\r\n\r\n")
+        context.response = await caller.receive()
+        context.is_closed = caller.is_closed
+
+    run_scenario(context, scenario)
+
+
 @behave.when(
     "a caller repeats a running request through another host without a key"
 )
