Send the paces of a run one after the other

Two senders serve the commands of a worker, each on a connection of its own, so a later pace could be applied before an earlier one. The owner then held the later one for confirmed, and a best-effort task that it had stopped went on at full pace beside a latency-sensitive one until the next change, if any.

A run's pace is sent by one sender at a time, which goes on with the newest one. One without an answer leaves the pace uncertain, also when the next one was answered, since it may be applied late.

Before: tests/workers/watch.feature, "Changes of pace overtake each other" with answers after 0.3 and 0.1 s, ended with paces 0, 100 and a certain pace.

--- a/src/chervillead/workers/watch.py
+++ b/src/chervillead/workers/watch.py
@@ -67,6 +67,8 @@
         self._has_work = asyncio.Event()
         self._has_work.set()
         self._stop_sent_s: dict[task_runs.RunKey, float] = {}
+        # Runs whose change of pace is being sent.
+        self._paced: set[task_runs.RunKey] = set()
         self._unrecorded: list[_EndBatch] = []
         self._has_new_status = False
         self._is_waiting_for_work = False
@@ -286,11 +288,28 @@
         ports.on_start_result(self._view, run, outcome)
 
     async def _send_pace(self, command: Command) -> None:
+        """Sends a change of pace, and those that follow in the meantime.
+
+        The senders' connections may overtake each other, so only one of them
+        sends paces of a run at a time.
+        """
         run = command.run
-        outcome = await self._client.pace(run.key, command.percent)
-        # Set again with the next status, unless another pace has been set.
-        if run.pace_percent == command.percent:
-            run.is_pace_uncertain = not pipeline.is_successful(outcome)
+        if run.key in self._paced or run.pace_percent != command.percent:
+            return
+        self._paced.add(run.key)
+        percent: int | None = None
+        is_uncertain = False
+        while run.pace_percent != percent:
+            if not self._ports.is_confirmed():
+                is_uncertain = True
+                break
+            percent = run.pace_percent
+            outcome = await self._client.pace(run.key, percent)
+            # One without an answer may yet be applied, after the next one.
+            is_uncertain |= not pipeline.is_successful(outcome)
+        self._paced.discard(run.key)
+        # Set again with the next status.
+        run.is_pace_uncertain = is_uncertain
 
     async def _send_stop(self, run: task_runs.Run) -> None:
         run.is_stop_sent = True
--- a/tests/steps/workers_watch.py
+++ b/tests/steps/workers_watch.py
@@ -26,6 +26,10 @@
         self.commands = []
         self.leases = []
         self.is_rejecting_paces = False
+        # Delays of the next changes of pace, and the paces in the order in
+        # which they were applied.
+        self.pace_delays_s = []
+        self.applied_paces = []
 
     async def poll(self, request):
         """Lists the run until it is stopped."""
@@ -45,8 +49,10 @@
 
     async def pace(self, key, percent):
         """Records a change of pace."""
-        del percent
         self.commands.append(("pace", key))
+        if self.pace_delays_s:
+            await asyncio.sleep(self.pace_delays_s.pop(0))
+        self.applied_paces.append(percent)
         if self.is_rejecting_paces:
             return result.Failure(
                 interface.WorkerCallFailure(verdicts.Verdict.NOT_RUN, "503")
@@ -106,6 +112,33 @@
     assert run.is_pace_uncertain == (state == "uncertain"), state
 
 
+@behave.when(
+    "changes of pace to {first:d} and then to {second:d} are answered after "
+    "{one:g} and {other:g} s"
+)
+def step(context, first, second, one, other):
+    def queue(watch, run):
+        watch._client.pace_delays_s = [one, other]
+        watch.pace(run, first)
+        watch.pace(run, second)
+
+    context.actions.append(queue)
+
+
+@behave.when("no other command follows for a second")
+def step(context):
+    context.actions.append(lambda watch, run: None)
+
+
+@behave.then(
+    "the worker applies a pace of {percent:d} last, or its pace is uncertain"
+)
+def step(context, percent):
+    worker = run_watch(context)
+    is_applied = worker.applied_paces[-1:] == [percent]
+    assert is_applied or worker.run.is_pace_uncertain, worker.applied_paces
+
+
 @behave.when("a stop and a change of pace are queued")
 def step(context):
     def queue(watch, run):
--- a/tests/workers/watch.feature
+++ b/tests/workers/watch.feature
@@ -47,3 +47,17 @@
     When a change of pace is rejected
     And a change of pace is accepted
     Then its pace is certain
+
+  Scenario Outline: Changes of pace overtake each other
+    # Guards against a best-effort task that goes on at full pace for good: two
+    # senders use connections of their own, and the owner held the pace that was
+    # set last for the one that its worker applied last.
+    Given a watched worker with a run
+    When changes of pace to <first> and then to 0 are answered after <s> s
+    And no other command follows for a second
+    Then the worker applies a pace of 0 last, or its pace is uncertain
+
+    Examples:
+      | first | s           |
+      | 100   | 0.3 and 0.1 |
+      | 100   | 0.1 and 0.3 |
