Keep hosts connected while requests hold all memory for requests

A frame between hosts counted against the same limit as requests and couldn't make those give way that run. With the limit held by running requests, each heartbeat was refused, which closes its stream, and so was the hello of the next one: two healthy hosts were cut off from each other until the requests ended. On a machine whose share is less than 4 MiB, a larger frame was refused each time.

Frames may exceed the limit by one of the maximum size.

Before: tests/entries/streams.feature, "Requests that run hold all memory for requests", failed with both examples.

--- a/src/chervillead/callers/request_limiter.py
+++ b/src/chervillead/callers/request_limiter.py
@@ -50,11 +50,16 @@
     """What one request holds, until its last user releases it."""
 
     def __init__(
-        self, limiter: "RequestLimiter", client: str, give_way: GiveWay
+        self,
+        limiter: "RequestLimiter",
+        client: str,
+        give_way: GiveWay,
+        extra_bytes: int = 0,
     ) -> None:
         self._limiter = limiter
         self._users = 1
         self.client = client
+        self.extra_bytes = extra_bytes
         self.give_way = give_way
         self.held_bytes = 0
         self.is_complete = False
@@ -116,13 +121,17 @@
         if self.is_open:
             self._limiter.set_waiting(self, waiting=waiting)
 
-    def reserve(self, give_way: GiveWay) -> Reservation:
+    def reserve(
+        self, give_way: GiveWay, *, extra_bytes: int = 0
+    ) -> Reservation:
         """Returns the reservation of a new request, which holds nothing yet.
 
         Args:
             give_way: Refuses the request by calling `Reservation.refuse`.
+            extra_bytes: Bytes beyond the limit that all requests together may
+                hold when this one grows.
         """
-        return Reservation(self._limiter, self.client, give_way)
+        return Reservation(self._limiter, self.client, give_way, extra_bytes)
 
     def close(self) -> None:
         """Ends the connection; has no effect when repeated."""
@@ -226,7 +235,8 @@
         reservation.held_bytes = held_bytes
         if not reservation.is_complete:
             self._rank(reservation)
-        while self._held_bytes > self._memory_bytes():
+        allowed = self._memory_bytes() + reservation.extra_bytes
+        while self._held_bytes > allowed:
             victim = self._largest_incomplete() or reservation
             victim.give_way(self._memory_refusal())
             if not victim.is_released:
--- a/src/chervillead/entries/limited_frames.py
+++ b/src/chervillead/entries/limited_frames.py
@@ -9,6 +9,11 @@
 from chervillead.entries import codec
 
 
+# Frames have room of their own, for one of the maximum size: hosts must stay
+# connected while requests that run hold all that requests may.
+EXTRA_BYTES = codec.MAX_FRAME_BYTES + request_limiter.REQUEST_BYTES
+
+
 class LimitedFrame(typing.NamedTuple):
     """A frame and what it holds; its handler releases the reservation."""
 
@@ -48,7 +53,9 @@
         length = await codec.read_length(reader)
         if length is None:
             return
-        reservation = connection.reserve(lambda refusal: close())
+        reservation = connection.reserve(
+            lambda refusal: close(), extra_bytes=EXTRA_BYTES
+        )
         payload = None
         try:
             if reservation.resize(request_limiter.REQUEST_BYTES + length):
--- a/tests/entries/streams.feature
+++ b/tests/entries/streams.feature
@@ -28,3 +28,16 @@
     # Guards against a stream that is closed because of one message.
     When a message of 5 MB is sent to a peer, and then a small one
     Then the peer has received only the small one
+
+  Scenario Outline: Requests that run hold all memory for requests
+    # Guards against healthy hosts that are cut off from each other for as long
+    # as requests run on one of them, or for good if the share of a small machine
+    # is less than one frame: each frame was refused, which closes its stream.
+    Given a listening host with <room> KB for requests, of which <held> are held
+    When a peer sends heartbeats and a frame of <size> KB
+    Then the stream of the peer has stayed open
+
+    Examples:
+      | room | held | size |
+      | 64   | 64   | 1    |
+      | 512  | 0    | 4000 |
--- a/tests/steps/entries_streams.py
+++ b/tests/steps/entries_streams.py
@@ -20,11 +20,13 @@
 class Host:
     """A listening host that sends heartbeats, and its open tasks."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, limiter=None):
         self.network = memory_network.MemoryNetwork(seed=seed)
         hello = messages.Hello("host", "a")
         self.streams = streams.PeerStreams(
-            hello, virtual_time.clock(), request_limiter.unlimited()
+            hello,
+            virtual_time.clock(),
+            limiter or request_limiter.unlimited(),
         )
         self.received = []
         self.tasks = set()
@@ -58,7 +60,7 @@
 def run_host(context, script):
     async def main():
         await asyncio.sleep(0)
-        host = Host(context.seed)
+        host = Host(context.seed, getattr(context, "limiter", None))
         await asyncio.sleep(0.1)
         outcome = await script(host)
         for task in host.background:
@@ -76,6 +78,38 @@
         await asyncio.sleep(0.25)
 
 
+@behave.given(
+    "a listening host with {room:d} KB for requests, of which {held:d} are held"
+)
+def step(context, room, held):
+    context.limiter = request_limiter.RequestLimiter(
+        request_limiter.Limits(1024 * room, 10), lambda: 1024
+    )
+    connection = context.limiter.connect("caller", lambda refusal: None)
+    reservation = connection.reserve(lambda refusal: None)
+    reservation.resize(1024 * held)
+    reservation.complete()
+
+
+@behave.when("a peer sends heartbeats and a frame of {size:d} KB")
+def step(context, size):
+    async def script(host):
+        _, writer = await host.connect()
+        beating = asyncio.ensure_future(keep_beating(writer))
+        record = messages.ConfigRecords(0, [b"x" * 1024 * size])
+        writer.write(codec.encode_frame(codec.Frame(3, 0, record)))
+        await asyncio.sleep(2.5)
+        beating.cancel()
+        return host.streams.open_streams()
+
+    run_host(context, script)
+
+
+@behave.then("the stream of the peer has stayed open")
+def step(context):
+    assert len(context.outcome) == 1, context.outcome
+
+
 @behave.when("a peer of a listening host {fault}")
 def step(context, fault):
     first = {
