Say that a request may have run where its id wasn't looked up

A connection that gives way to another one and an incomplete head that is refused for room are answered at once, without the application. These answers said "not run", also for a repeated submission that another host is running, as the answer to a head that is late already avoids.

--- a/src/chervillead/callers/connections.py
+++ b/src/chervillead/callers/connections.py
@@ -52,7 +52,8 @@
             self._client_address, self._give_way
         )
         if self._connection is None:
-            self._write_refusal(self._limiter.connections_refusal())
+            refusal = self._limiter.connections_refusal()
+            self._write_refusal(refusable_connection.unverified(refusal))
             self.transport.close()
             return
         self._start_timer(self._limits.head_timeout_s, self._on_head_timeout)
--- a/src/chervillead/callers/refusable_connection.py
+++ b/src/chervillead/callers/refusable_connection.py
@@ -21,6 +21,14 @@
 REFUSED_CLOSE_S = 1.0
 
 
+def unverified(refusal: verdicts.Refusal) -> verdicts.Refusal:
+    """Returns a refusal of a request whose id has not been looked up.
+
+    An earlier submission of the same id may have run on any host.
+    """
+    return refusal._replace(verdict=verdicts.Verdict.MAY_HAVE_RUN)
+
+
 class _StoppableFlow(flow_control.FlowControl):
     """Flow control that can stop reading for good."""
 
@@ -135,10 +143,10 @@
         if self._connection is not None and not self._connection.is_open:
             # Another connection takes its place, so it can't linger.
             if self._can_write_refusal():
-                self._write_refusal(refusal)
+                self._write_refusal(unverified(refusal))
             self.transport.close()
         elif self._is_reading_head:
-            self._refuse(refusal)
+            self._refuse(unverified(refusal))
         else:
             self._refuse_body(refusal)
 
--- a/tests/callers/application.feature
+++ b/tests/callers/application.feature
@@ -64,6 +64,19 @@
     When a caller repeats a running request through another host without a key
     Then the caller is refused with 401 and the verdict "may-have-run"
 
+  Scenario Outline: A repeated submission is refused for room: <part>
+    # Guards against "not run" for a request that another host is running, from a
+    # host that has no time to look it up.
+    When a caller repeats a running request through a full host up to its <part>
+    Then the caller is refused with 503 and the verdict "may-have-run"
+
+    Examples:
+      | part        |
+      | connection  |
+      | first bytes |
+      | head        |
+      | body        |
+
   Scenario: An answer can be fetched only by the team that submitted
     # Guards against an answer that is lost or given to another team.
     When a caller submits a request for an asynchronous answer
--- a/tests/steps/callers_application.py
+++ b/tests/steps/callers_application.py
@@ -6,7 +6,9 @@
 import eliot
 import msgspec
 
+from chervillead.callers import bodies
 from chervillead.callers import request_ids
+from chervillead.callers import request_limiter
 from stand_ins import local_fleet
 from stand_ins import memory_caller
 from stand_ins import memory_fleet
@@ -200,6 +202,51 @@
     run_scenario(context, scenario)
 
 
+@behave.when(
+    "a caller repeats a running request through a full host up to its {part}"
+)
+def step(context, part):
+    async def scenario(_, front_ends):
+        limiter = front_ends[1].ports.limiter
+        limiter.limits = limiter.limits._replace(connections=1)
+        headers = (id_header(),)
+        encoded = memory_caller.encode(
+            "POST", PATH, headers=headers, body=b"run=1"
+        )
+        first = front_ends[0].connect()
+        first.send(encoded)
+        await asyncio.sleep(0.1)
+        if part == "connection":
+            # Another request runs, so the new connection has to give way.
+            other = front_ends[1].connect()
+            other.send(
+                memory_caller.encode(
+                    "POST", PATH, headers=(id_header(),), body=b"run=2"
+                )
+            )
+            refused = front_ends[1].connect()
+        elif part == "first bytes":
+            # Running requests hold all the memory.
+            refused = front_ends[1].connect()
+            other = request_limiter.Reservation(
+                limiter, "other", lambda refusal: None
+            )
+            limiter.limits = limiter.limits._replace(memory_bytes=0)
+            other.complete()
+            other.resize(bodies.MAX_BODY_BYTES + request_limiter.REQUEST_BYTES)
+            refused.send(encoded[:20])
+        else:
+            refused = front_ends[1].connect()
+            refused.send(encoded[: 20 if part == "head" else -1])
+            other = front_ends[1].connect()
+        context.response = await refused.receive()
+        await first.receive()
+        if part == "first bytes":
+            other.release()
+
+    run_scenario(context, scenario)
+
+
 @behave.when("a caller submits a request for an asynchronous answer")
 def step(context):
     async def scenario(_, front_ends):
@@ -279,9 +326,11 @@
     assert context.is_closed
 
 
-@behave.then('the caller is refused with 401 and the verdict "{verdict}"')
-def step(context, verdict):
-    assert context.response.status == 401, context.response
+@behave.then(
+    'the caller is refused with {status:d} and the verdict "{verdict}"'
+)
+def step(context, status, verdict):
+    assert context.response.status == status, context.response
     found = context.response.headers["chervillead-verdict"]
     assert found == verdict, context.response
 
