Close connections that have no timeout or are no longer counted

A body that arrives after its answer, such as that of a 404, ended uvicorn's keep-alive timeout, which starts only with an answer. The connection then stayed for good if its client was gone. The timeout is started again.

A connection that gives way to another one isn't counted any more, but stayed open until its client had read what waited for it, or for the keep-alive timeout of 75 s. It is aborted now if anything is unsent.

The steps about a full host count the streams of hosts, so that the examples for a head and a body reach the code that they guard.

--- a/src/chervillead/callers/connections.py
+++ b/src/chervillead/callers/connections.py
@@ -88,6 +88,17 @@
             self._start_timer(
                 self._limits.body_timeout_s, self._on_body_timeout
             )
+        elif not (
+            self._is_reading_head
+            or self._is_reading_body
+            or self._has_response_pending()
+        ):
+            # The end of a body that was answered before. uvicorn starts this
+            # timeout only with an answer, and ends it with each byte.
+            self._unset_keepalive_if_required()
+            self.timeout_keep_alive_task = self.loop.call_later(
+                self.timeout_keep_alive, self.timeout_keep_alive_handler
+            )
 
     def on_message_begin(self) -> None:
         """Starts the head of a further request.
--- a/src/chervillead/callers/refusable_connection.py
+++ b/src/chervillead/callers/refusable_connection.py
@@ -144,7 +144,12 @@
             # Another connection takes its place, so it can't linger.
             if self._can_write_refusal():
                 self._write_refusal(unverified(refusal))
-            self.transport.close()
+            # It isn't counted any more, so its descriptor must not wait for a
+            # client that doesn't read.
+            if self.transport.get_write_buffer_size():
+                self.transport.abort()
+            else:
+                self.transport.close()
         elif self._is_reading_head:
             self._refuse(unverified(refusal))
         else:
--- a/src/chervillead/entries/limited_frames.py
+++ b/src/chervillead/entries/limited_frames.py
@@ -8,7 +8,6 @@
 from chervillead.callers import request_limiter
 from chervillead.entries import codec
 
-
 # Frames have room of their own, for one of the maximum size: hosts must stay
 # connected while requests that run hold all that requests may.
 EXTRA_BYTES = codec.MAX_FRAME_BYTES + request_limiter.REQUEST_BYTES
--- a/tests/callers/application.feature
+++ b/tests/callers/application.feature
@@ -59,6 +59,18 @@
     When a caller sends a request and one with an invalid address at once
     Then the caller gets the complete answer and its connection is closed
 
+  Scenario: A caller sends its body after the answer, and then nothing
+    # Guards against a connection without any timeout, which stays for good when
+    # its client is gone.
+    When a caller is refused before its body, sends it, and waits for 10 s
+    Then its connection is closed
+
+  Scenario: A caller that reads no answer has to give way
+    # Guards against descriptors that are no longer counted, but stay open until
+    # the client has read what waits for it.
+    When a caller that leaves answers unread has to give way
+    Then its connection is closed
+
   Scenario: A refusal by the front end takes earlier submissions into account
     # Guards against "not run" for a request that another host is running.
     When a caller repeats a running request through another host without a key
--- a/tests/stand_ins/memory_caller.py
+++ b/tests/stand_ins/memory_caller.py
@@ -35,13 +35,16 @@
         self.written = b""
         self.closed = asyncio.Event()
         self.paused = False
+        # Bytes that the other side doesn't read; they delay a close.
+        self.unsent_bytes = 0
 
     def write(self, data: typing.Any) -> None:
         if not self.closed.is_set():
             self.written += bytes(data)
 
     def close(self) -> None:
-        self.closed.set()
+        if not self.unsent_bytes:
+            self.closed.set()
 
     def abort(self) -> None:
         self.closed.set()
@@ -50,7 +53,7 @@
         return False
 
     def get_write_buffer_size(self) -> int:
-        return 0
+        return self.unsent_bytes
 
     def is_closing(self) -> bool:
         return self.closed.is_set()
@@ -120,6 +123,10 @@
         if not self.is_closed:
             self._protocol.data_received(data)
 
+    def leave_unread(self, count: int) -> None:
+        """Leaves bytes unread that the entry host has written."""
+        self._transport.unsent_bytes = count
+
     def disconnect(self) -> None:
         """Closes the connection from the caller's side."""
         self._protocol.connection_lost(None)
--- a/tests/steps/callers_application.py
+++ b/tests/steps/callers_application.py
@@ -177,6 +177,55 @@
     run_scenario(context, scenario)
 
 
+def allow_another_connection(limiter):
+    """Sets the limit to one connection besides the streams of hosts."""
+    limiter.limits = limiter.limits._replace(
+        connections=limiter.connections + 1
+    )
+
+
+@behave.when(
+    "a caller is refused before its body, sends it, and waits for 10 s"
+)
+def step(context):
+    async def scenario(_, front_ends):
+        caller = front_ends[0].connect()
+        head = memory_caller.encode(
+            "POST", "/x", headers=("content-length: 5",)
+        )
+        caller.send(head)
+        assert (await caller.receive()).status == 404
+        caller.send(b"run=1")
+        await asyncio.sleep(1.0)
+        context.was_closed = caller.is_closed
+        await asyncio.sleep(9.0)
+        context.is_closed = caller.is_closed
+
+    run_scenario(context, scenario)
+
+
+@behave.when("a caller that leaves answers unread has to give way")
+def step(context):
+    async def scenario(_, front_ends):
+        limiter = front_ends[0].ports.limiter
+        allow_another_connection(limiter)
+        caller = front_ends[0].connect()
+        caller.send(memory_caller.encode("GET", "/livez"))
+        await caller.receive()
+        caller.leave_unread(100)
+        context.was_closed = caller.is_closed
+        front_ends[0].connect()
+        context.is_closed = caller.is_closed
+
+    run_scenario(context, scenario)
+
+
+@behave.then("its connection is closed")
+def step(context):
+    found = context.was_closed, context.is_closed
+    assert found == (False, True), found
+
+
 @behave.when(
     "a caller repeats a running request through another host without a key"
 )
@@ -208,7 +257,7 @@
 def step(context, part):
     async def scenario(_, front_ends):
         limiter = front_ends[1].ports.limiter
-        limiter.limits = limiter.limits._replace(connections=1)
+        allow_another_connection(limiter)
         headers = (id_header(),)
         encoded = memory_caller.encode(
             "POST", PATH, headers=headers, body=b"run=1"
