--- a/src/chervillead/callers/refusable_connection.py
+++ b/src/chervillead/callers/refusable_connection.py
@@ -35,7 +35,7 @@
     is_stopped = False
 
     def stop_reading(self) -> None:
-        """Reads no more, whatever the application asks for."""
+        """Stops reading, whatever the application asks for."""
         self.pause_reading()
         self.is_stopped = True
 
@@ -96,7 +96,7 @@
         self.flow = _StoppableFlow(self.transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Counts the connection no more and cancels the timeouts."""
+        """Stops counting the connection and cancels the timeouts."""
         self._stop_timer()
         self._stop_write_timer()
         if self._connection is not None:
@@ -156,7 +156,7 @@
             self._refuse_body(refusal)
 
     def _refuse_body(self, refusal: verdicts.Refusal) -> None:
-        """Reads no more; the application answers with the refusal."""
+        """Stops reading; the application answers with the refusal."""
         if self._is_refused:
             return
         self._is_refused = True
--- a/src/chervillead/callers/request_limiter.py
+++ b/src/chervillead/callers/request_limiter.py
@@ -245,7 +245,7 @@
                 return
 
     def withdraw(self, reservation: Reservation) -> None:
-        """Lets a request give way no more."""
+        """Excludes a request from those that may have to give way."""
         client = reservation.client
         ranking = self._incomplete_by_client.get(client)
         if ranking is None:
@@ -280,7 +280,7 @@
             self._clients_by_waiting.remove(client)
 
     def forget(self, connection: Connection) -> None:
-        """Counts a connection no more."""
+        """Stops counting a connection."""
         self._connections -= 1
 
     def _rank(self, reservation: Reservation) -> None:
--- a/src/chervillead/jobs/latency_fit.py
+++ b/src/chervillead/jobs/latency_fit.py
@@ -33,7 +33,7 @@
 # A sample counts as at most this many standard deviations off. One that is
 # further off suggests that the effect has changed.
 MAX_DEVIATIONS = 3.0
-SURPRISE_FACTOR = 16.0
+OUTLIER_FACTOR = 16.0
 # Variance of a tail latency relative to its target that is assumed before it is
 # measured, its lower bound, and the least weight of the newest measurement.
 INITIAL_NOISE = 0.03**2
@@ -130,14 +130,14 @@
         )
         limit = MAX_DEVIATIONS * math.sqrt(variance)
         error = rise - expected
-        is_surprising = abs(error) > limit
+        is_outlier = abs(error) > limit
         self._apply(shared, max(-limit, min(limit, error)), variance)
         for image in changes:
             self._samples[image] += 1
             self._widen(
                 image,
                 sample_variance * MIN_VARIANCE_SHARE,
-                SURPRISE_FACTOR if is_surprising else 1.0,
+                OUTLIER_FACTOR if is_outlier else 1.0,
             )
 
     def estimate(self, image: str, now_s: float) -> Estimate:
