Accept the descriptor limits of machines with many descriptors

A host whose settings gave Limits.MaxFds as 1048576, the usual default of kernels and container runtimes, didn't start, since at most 524288 was allowed. This is a fact about the machine and no choice; the limit of the process still bounds the connections.

--- a/src/chervillead/platform/settings.py
+++ b/src/chervillead/platform/settings.py
@@ -74,6 +74,8 @@
 # The smallest machines of the platform have 160 MB and 4,100 descriptors.
 DEFAULT_MEMORY_MB = 160
 DEFAULT_DESCRIPTORS = 4096
+# The largest limit that Linux kernels can be configured for is just below.
+MAX_DESCRIPTORS = 2**30
 # Below that, the process alone takes up the memory.
 MIN_MEMORY_MB = 32
 
@@ -173,7 +175,9 @@
     memory_mb = number(
         "Limits.MemoryMb", DEFAULT_MEMORY_MB, MIN_MEMORY_MB, 524288
     )
-    descriptors = number("Limits.MaxFds", DEFAULT_DESCRIPTORS, 64, 524288)
+    descriptors = number(
+        "Limits.MaxFds", DEFAULT_DESCRIPTORS, 64, MAX_DESCRIPTORS
+    )
     memory_share = number("RequestLimits.MemoryShare", 0.1, 0.01, 0.5)
     connection_share = number("RequestLimits.ConnectionShare", 0.5, 0.1, 0.8)
     return request_limiter.Limits(
--- a/tests/platform/calls.feature
+++ b/tests/platform/calls.feature
@@ -192,6 +192,17 @@
       | RequestLimits.BodyTimeoutS    | "long"   |
       | RequestLimits.WriteTimeoutS   | 3600     |
 
+  Scenario Outline: Settings of a machine with many descriptors
+    # Guards against a host that doesn't start where the limit is the largest
+    # that a kernel allows, by default or by configuration.
+    When the platform's settings have Limits.MaxFds set to <value>
+    Then connections may take <connections> descriptors of the machine
+
+    Examples:
+      | value      | connections |
+      | 1048576    | 524288      |
+      | 1073741816 | 536870908   |
+
   Scenario Outline: The settings say how many cores a host has
     # Guards against large hosts that look small: the share of the processor says
     # little without its speed.
--- a/tests/steps/platform_adapter.py
+++ b/tests/steps/platform_adapter.py
@@ -115,6 +115,12 @@
     assert context.settings.failure().path == field
 
 
+@behave.then("connections may take {count:d} descriptors of the machine")
+def step(context, count):
+    limits = context.settings.unwrap().request_limits
+    assert limits.connections == count, limits
+
+
 @behave.then("the host has {cores:f} cores")
 def step(context, cores):
     assert context.settings.unwrap().cores == cores, context.settings
