--- a/src/chervillead/callers/connections.py
+++ b/src/chervillead/callers/connections.py
@@ -52,7 +52,8 @@
             self._client_address, self._give_way
         )
         if self._connection is None:
-            self._write_refusal(self._limiter.connections_refusal())
+            refusal = self._limiter.connections_refusal()
+            self._write_refusal(refusable_connection.unverified(refusal))
             self.transport.close()
             return
         self._start_timer(self._limits.head_timeout_s, self._on_head_timeout)
@@ -87,6 +88,17 @@
             self._start_timer(
                 self._limits.body_timeout_s, self._on_body_timeout
             )
+        elif not (
+            self._is_reading_head
+            or self._is_reading_body
+            or self._has_response_pending()
+        ):
+            # The end of a body that was answered before. uvicorn starts this
+            # timeout only with an answer, and ends it with each byte.
+            self._unset_keepalive_if_required()
+            self.timeout_keep_alive_task = self.loop.call_later(
+                self.timeout_keep_alive, self.timeout_keep_alive_handler
+            )
 
     def on_message_begin(self) -> None:
         """Starts the head of a further request.
@@ -114,19 +126,21 @@
 
     def on_headers_complete(self) -> None:
         """Starts the request, and refuses a body that is declared too large."""
-        self._stop_timer()
-        self._is_reading_head = False
-        self._is_reading_body = True
-        self._unparsed_bytes = 0
-        self._body_bytes = 0
-        self._checked_body_bytes = 0
         reservation = self._reservation
         if reservation is None or reservation.is_released:
             raise ValueError("the request is refused")
         bodies.attach_reservation(
             typing.cast("dict[str, typing.Any]", self.scope), reservation
         )
+        # Raises an error for an invalid address. Until then `cycle` is that of
+        # the request before this one, so the head counts as incomplete.
         super().on_headers_complete()
+        self._stop_timer()
+        self._is_reading_head = False
+        self._is_reading_body = True
+        self._unparsed_bytes = 0
+        self._body_bytes = 0
+        self._checked_body_bytes = 0
         reservation.resize(request_limiter.REQUEST_BYTES)
         declared = dict(self.headers).get(b"content-length", b"0")
         refusal = reservation.refusal or self._limiter.body_refusal(
--- a/src/chervillead/callers/refusable_connection.py
+++ b/src/chervillead/callers/refusable_connection.py
@@ -21,13 +21,21 @@
 REFUSED_CLOSE_S = 1.0
 
 
+def unverified(refusal: verdicts.Refusal) -> verdicts.Refusal:
+    """Returns a refusal of a request whose id has not been looked up.
+
+    An earlier submission of the same id may have run on any host.
+    """
+    return refusal._replace(verdict=verdicts.Verdict.MAY_HAVE_RUN)
+
+
 class _StoppableFlow(flow_control.FlowControl):
     """Flow control that can stop reading for good."""
 
     is_stopped = False
 
     def stop_reading(self) -> None:
-        """Reads no more, whatever the application asks for."""
+        """Stops reading, whatever the application asks for."""
         self.pause_reading()
         self.is_stopped = True
 
@@ -88,7 +96,7 @@
         self.flow = _StoppableFlow(self.transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Counts the connection no more and cancels the timeouts."""
+        """Stops counting the connection and cancels the timeouts."""
         self._stop_timer()
         self._stop_write_timer()
         if self._connection is not None:
@@ -135,15 +143,20 @@
         if self._connection is not None and not self._connection.is_open:
             # Another connection takes its place, so it can't linger.
             if self._can_write_refusal():
-                self._write_refusal(refusal)
-            self.transport.close()
+                self._write_refusal(unverified(refusal))
+            # It isn't counted any more, so its descriptor must not wait for a
+            # client that doesn't read.
+            if self.transport.get_write_buffer_size():
+                self.transport.abort()
+            else:
+                self.transport.close()
         elif self._is_reading_head:
-            self._refuse(refusal)
+            self._refuse(unverified(refusal))
         else:
             self._refuse_body(refusal)
 
     def _refuse_body(self, refusal: verdicts.Refusal) -> None:
-        """Reads no more; the application answers with the refusal."""
+        """Stops reading; the application answers with the refusal."""
         if self._is_refused:
             return
         self._is_refused = True
--- a/src/chervillead/jobs/latency_fit.py
+++ b/src/chervillead/jobs/latency_fit.py
@@ -20,6 +20,9 @@
 BOUND_DEVIATIONS = 2.0
 # Time without samples in which an estimate loses half of its weight.
 HALF_LIFE_S = 20.0
+# An estimate has no weight left after that many half-lives; after 1,024, a
+# factor overflows.
+MAX_HALF_LIVES = 64.0
 # Half of the range between the limits for slowing and stopping best-effort
 # tasks; see `jobs.pacing`.
 MAX_CONFIDENT_DEVIATION = 0.1
@@ -30,7 +33,7 @@
 # A sample counts as at most this many standard deviations off. One that is
 # further off suggests that the effect has changed.
 MAX_DEVIATIONS = 3.0
-SURPRISE_FACTOR = 16.0
+OUTLIER_FACTOR = 16.0
 # Variance of a tail latency relative to its target that is assumed before it is
 # measured, its lower bound, and the least weight of the newest measurement.
 INITIAL_NOISE = 0.03**2
@@ -127,14 +130,14 @@
         )
         limit = MAX_DEVIATIONS * math.sqrt(variance)
         error = rise - expected
-        is_surprising = abs(error) > limit
+        is_outlier = abs(error) > limit
         self._apply(shared, max(-limit, min(limit, error)), variance)
         for image in changes:
             self._samples[image] += 1
             self._widen(
                 image,
                 sample_variance * MIN_VARIANCE_SHARE,
-                SURPRISE_FACTOR if is_surprising else 1.0,
+                OUTLIER_FACTOR if is_outlier else 1.0,
             )
 
     def estimate(self, image: str, now_s: float) -> Estimate:
@@ -142,7 +145,7 @@
         if image not in self._rises:
             return UNKNOWN
         variance = self._covariances[image][image]
-        factor = 2 ** ((now_s - self._decayed_s) / HALF_LIFE_S)
+        factor = self._decay_factor(now_s)
         rise, widened = _decayed(self._rises[image], variance, factor)
         return Estimate(rise, math.sqrt(widened), self._samples[image] / factor)
 
@@ -186,9 +189,14 @@
         row = self._covariances[image]
         row[image] = min(PRIOR_VARIANCE, max(least, factor * row[image]))
 
+    def _decay_factor(self, now_s: float) -> float:
+        """Returns the factor by which variances grow up to a time."""
+        half_lives = (now_s - self._decayed_s) / HALF_LIFE_S
+        return float(2 ** min(half_lives, MAX_HALF_LIVES))
+
     def _decay(self, now_s: float) -> None:
         """Lets all estimates lose weight for the time that has passed."""
-        factor = 2 ** ((now_s - self._decayed_s) / HALF_LIFE_S)
+        factor = self._decay_factor(now_s)
         self._decayed_s = now_s
         scales = {}
         for image, rise in list(self._rises.items()):
--- a/tests/callers/application.feature
+++ b/tests/callers/application.feature
@@ -37,6 +37,7 @@
       | a slow body               | 408    | body-timeout   |
       | an endless chunked body   | 413    | body-too-large |
       | bytes that are not HTTP   | 400    | malformed-http |
+      | an invalid address        | 400    | malformed-http |
       | a malformed key           | 401    | malformed-key  |
       | an unknown queue          | 404    | unknown-queue  |
       | an unknown path           | 404    | unknown-path   |
@@ -52,11 +53,42 @@
     When a caller sends malformed bytes after a request that is running
     Then the caller gets the complete answer and its connection is closed
 
+  Scenario: An invalid address in the same packet as a request before it
+    # Guards against a request that runs without its body, which was dropped
+    # with the request after it.
+    When a caller sends a request and one with an invalid address at once
+    Then the caller gets the complete answer and its connection is closed
+
+  Scenario: A caller sends its body after the answer, and then nothing
+    # Guards against a connection without any timeout, which stays for good when
+    # its client is gone.
+    When a caller is refused before its body, sends it, and waits for 10 s
+    Then its connection is closed
+
+  Scenario: A caller that reads no answer has to give way
+    # Guards against descriptors that are no longer counted, but stay open until
+    # the client has read what waits for it.
+    When a caller that leaves answers unread has to give way
+    Then its connection is closed
+
   Scenario: A refusal by the front end takes earlier submissions into account
     # Guards against "not run" for a request that another host is running.
     When a caller repeats a running request through another host without a key
     Then the caller is refused with 401 and the verdict "may-have-run"
 
+  Scenario Outline: A repeated submission is refused for room: <part>
+    # Guards against "not run" for a request that another host is running, from a
+    # host that has no time to look it up.
+    When a caller repeats a running request through a full host up to its <part>
+    Then the caller is refused with 503 and the verdict "may-have-run"
+
+    Examples:
+      | part        |
+      | connection  |
+      | first bytes |
+      | head        |
+      | body        |
+
   Scenario: An answer can be fetched only by the team that submitted
     # Guards against an answer that is lost or given to another team.
     When a caller submits a request for an asynchronous answer
--- a/tests/steps/callers_application.py
+++ b/tests/steps/callers_application.py
@@ -6,7 +6,9 @@
 import eliot
 import msgspec
 
+from chervillead.callers import bodies
 from chervillead.callers import request_ids
+from chervillead.callers import request_limiter
 from stand_ins import local_fleet
 from stand_ins import memory_caller
 from stand_ins import memory_fleet
@@ -109,6 +111,8 @@
                 await asyncio.sleep(0.001)
         case "bytes that are not HTTP":
             caller.send(b"\x16\x03\x01\x02\x00\r\n\r\n")
+        case "an invalid address":
+            caller.send(head.replace(PATH.encode(), b"http:///x"))
         case "a malformed key":
             caller.send(head.replace(b"Bearer key", b"Bearer\xff"))
         case "an unknown queue":
@@ -159,6 +163,69 @@
     run_scenario(context, scenario)
 
 
+@behave.when("a caller sends a request and one with an invalid address at once")
+def step(context):
+    async def scenario(_, front_ends):
+        caller = front_ends[0].connect()
+        first = memory_caller.encode(
+            "POST", PATH, headers=(id_header(),), body=b"run=1"
+        )
+        caller.send(first + b"GET http:///x HTTP/1.1\r\nhost: x\r\n\r\n")
+        context.response = await caller.receive()
+        context.is_closed = caller.is_closed
+
+    run_scenario(context, scenario)
+
+
+def allow_another_connection(limiter):
+    """Sets the limit to one connection besides the streams of hosts."""
+    limiter.limits = limiter.limits._replace(
+        connections=limiter.connections + 1
+    )
+
+
+@behave.when(
+    "a caller is refused before its body, sends it, and waits for 10 s"
+)
+def step(context):
+    async def scenario(_, front_ends):
+        caller = front_ends[0].connect()
+        head = memory_caller.encode(
+            "POST", "/x", headers=("content-length: 5",)
+        )
+        caller.send(head)
+        assert (await caller.receive()).status == 404
+        caller.send(b"run=1")
+        await asyncio.sleep(1.0)
+        context.was_closed = caller.is_closed
+        await asyncio.sleep(9.0)
+        context.is_closed = caller.is_closed
+
+    run_scenario(context, scenario)
+
+
+@behave.when("a caller that leaves answers unread has to give way")
+def step(context):
+    async def scenario(_, front_ends):
+        limiter = front_ends[0].ports.limiter
+        allow_another_connection(limiter)
+        caller = front_ends[0].connect()
+        caller.send(memory_caller.encode("GET", "/livez"))
+        await caller.receive()
+        caller.leave_unread(100)
+        context.was_closed = caller.is_closed
+        front_ends[0].connect()
+        context.is_closed = caller.is_closed
+
+    run_scenario(context, scenario)
+
+
+@behave.then("its connection is closed")
+def step(context):
+    found = context.was_closed, context.is_closed
+    assert found == (False, True), found
+
+
 @behave.when(
     "a caller repeats a running request through another host without a key"
 )
@@ -184,6 +251,51 @@
     run_scenario(context, scenario)
 
 
+@behave.when(
+    "a caller repeats a running request through a full host up to its {part}"
+)
+def step(context, part):
+    async def scenario(_, front_ends):
+        limiter = front_ends[1].ports.limiter
+        allow_another_connection(limiter)
+        headers = (id_header(),)
+        encoded = memory_caller.encode(
+            "POST", PATH, headers=headers, body=b"run=1"
+        )
+        first = front_ends[0].connect()
+        first.send(encoded)
+        await asyncio.sleep(0.1)
+        if part == "connection":
+            # Another request runs, so the new connection has to give way.
+            other = front_ends[1].connect()
+            other.send(
+                memory_caller.encode(
+                    "POST", PATH, headers=(id_header(),), body=b"run=2"
+                )
+            )
+            refused = front_ends[1].connect()
+        elif part == "first bytes":
+            # Running requests hold all the memory.
+            refused = front_ends[1].connect()
+            other = request_limiter.Reservation(
+                limiter, "other", lambda refusal: None
+            )
+            limiter.limits = limiter.limits._replace(memory_bytes=0)
+            other.complete()
+            other.resize(bodies.MAX_BODY_BYTES + request_limiter.REQUEST_BYTES)
+            refused.send(encoded[:20])
+        else:
+            refused = front_ends[1].connect()
+            refused.send(encoded[: 20 if part == "head" else -1])
+            other = front_ends[1].connect()
+        context.response = await refused.receive()
+        await first.receive()
+        if part == "first bytes":
+            other.release()
+
+    run_scenario(context, scenario)
+
+
 @behave.when("a caller submits a request for an asynchronous answer")
 def step(context):
     async def scenario(_, front_ends):
@@ -263,9 +375,11 @@
     assert context.is_closed
 
 
-@behave.then('the caller is refused with 401 and the verdict "{verdict}"')
-def step(context, verdict):
-    assert context.response.status == 401, context.response
+@behave.then(
+    'the caller is refused with {status:d} and the verdict "{verdict}"'
+)
+def step(context, status, verdict):
+    assert context.response.status == status, context.response
     found = context.response.headers["chervillead-verdict"]
     assert found == verdict, context.response
 
