Refuse submissions for load by expected run times and known capacity

Three faults of the admission check:

- It judged a submission by the caller's estimates, and the accepted jobs by the expected run times.
With an estimate of a tenth of the run time, the target, and so the backlog behind which the job is refused, was a tenth too.
- A pool without a schedulable host, for example while its hosts are out of contact, counted as one of 1 millicore: every job was moved out of the set and submissions were refused.
- A return time of 10 s could exceed 10 s by a rounding error, which Retry-After rounds up to 11 s.

--- a/src/chervillead/jobs/admission.py
+++ b/src/chervillead/jobs/admission.py
@@ -165,4 +165,5 @@
         returns_s = max(now_s + MIN_RETURN_S, last_s + interval_s)
         returns_s = min(returns_s, now_s + longest_s)
         self._last_s[pool, group] = returns_s
-        return returns_s - now_s
+        # The rounding error of the sum would make 11 s of 10 s in Retry-After.
+        return max(MIN_RETURN_S, min(longest_s, returns_s - now_s))
--- a/src/chervillead/jobs/overloaded_pools.py
+++ b/src/chervillead/jobs/overloaded_pools.py
@@ -52,7 +52,10 @@
             millicores: Millicores of its schedulable hosts.
             now_s: Time of the owner's clock.
         """
-        if now_s < self._due_s.get(pool, 0.0):
+        # What a pool without hosts can do isn't known: they may be out of
+        # contact for a moment, or on their way. No choice for longer than
+        # `admission.MAX_CHOICE_AGE_S` also ends refusals for its backlog.
+        if not millicores or now_s < self._due_s.get(pool, 0.0):
             return {}
         load = self._backlog.load(pool, millicores)
         least = overload.LEAST_BACKLOG_S * load.millicores
--- a/src/chervillead/pools/job_submissions.py
+++ b/src/chervillead/pools/job_submissions.py
@@ -107,7 +107,7 @@
                 return result.Success(None)
             terms = queue.terms
             # Known jobs have been answered above, here or elsewhere.
-            refusal = state.overload.check(spec, terms)
+            refusal = state.overload.check(spec, terms, state.run_times)
             if refusal is not None:
                 return result.Failure(refusal)
             stored = state.recorder.store_job(spec, terms)
--- a/src/chervillead/pools/overload_control.py
+++ b/src/chervillead/pools/overload_control.py
@@ -10,6 +10,7 @@
 from chervillead.jobs import model
 from chervillead.jobs import overload
 from chervillead.jobs import overloaded_pools
+from chervillead.jobs import run_times
 from chervillead.jobs import waiting_jobs
 from chervillead.jobs import workload
 from chervillead.pools import job_refusals
@@ -47,13 +48,17 @@
         return self._rates.take(account, self._agreed_rate(account), now_s)
 
     def check(
-        self, spec: model.JobSpec, terms: model.JobTerms
+        self,
+        spec: model.JobSpec,
+        terms: model.JobTerms,
+        times: run_times.RunTimes,
     ) -> verdicts.Refusal | None:
         """Returns why a new job is refused for load, or None.
 
         Args:
             spec: The job, which must not be known.
             terms: What it would be owed.
+            times: Run times of its partition.
         """
         now_s = self._ports.clock.monotonic()
         if not backlog.has_target(spec, terms):
@@ -63,6 +68,7 @@
         if state is None and waiting <= admission.MAX_WAITING_OVER_RATE:
             return None
         job = job_state.JobState(spec, accepted_s=now_s, terms=terms)
+        run_times.refresh(job, terms, times)
         job.is_over_rate = not self._rates.has_token(
             spec.account, self._agreed_rate(spec.account), now_s
         )
--- a/tests/pools/overload_refusals.feature
+++ b/tests/pools/overload_refusals.feature
@@ -44,3 +44,25 @@
     And a new job is submitted beyond the rate
     Then it is accepted
     And it counts as within the rate
+
+  Scenario: A caller whose estimate is a tenth of the run time
+    # Guards against refusals by the target that follows from the estimate: such
+    # a job is worth something for ten times as long.
+    Given an owner whose pool has 40 s of work within the rate of its account
+    And the tasks of its queue take 30 s, and are estimated at 1 s
+    When a new job is submitted beyond the rate
+    Then it is accepted
+
+  Scenario: A pool without hosts
+    # Guards against refusals by a capacity that isn't known: the hosts may be
+    # out of contact for a moment.
+    Given an owner whose pool has 40 s of work within the rate of its account
+    And none of the hosts of the pool can take tasks
+    When a new job is submitted beyond the rate
+    Then it is accepted
+
+  Scenario: Refusals while the owner's clock shows any time
+    # Guards against a Retry-After of 11 s, to which a delay of 10 s and a
+    # rounding error is rounded up.
+    When callers are refused at 1000 times behind a backlog of 60 s
+    Then all of them return after 1 s to 10 s
--- a/tests/steps/pools_overload_refusals.py
+++ b/tests/steps/pools_overload_refusals.py
@@ -1,14 +1,18 @@
 """Steps of tests/pools/overload_refusals.feature."""
 
 import asyncio
+import math
+import random
 
 import behave
 from returns import result
 
 from chervillead import verdicts
+from chervillead.jobs import admission
 from chervillead.jobs import job_state
 from chervillead.jobs import model
 from chervillead.jobs import waiting_jobs
+from chervillead.jobs import workload
 from chervillead.pools import job_operations
 from chervillead.pools import overload_control
 from stand_ins import owner_states
@@ -41,14 +45,14 @@
     )
 
 
-def refresh(state, waiting):
+def refresh(state, waiting, millicores):
     """Does what the placement scheduler does before a pass."""
     now_s = state.now_s()
     for job in state.jobs.values():
         order = state.jobs.order_of(job.spec.job_id)
         waiting.put(job, job.terms, order=order, now_s=now_s)
         state.overload.backlog.put(job, job.terms, order=order, now_s=now_s)
-    state.overload.refresh(waiting, lambda pool: MILLICORES)
+    state.overload.refresh(waiting, lambda pool: millicores)
 
 
 @behave.given(
@@ -60,6 +64,8 @@
     context.is_long_running = False
     context.schedule = model.Schedule()
     context.is_replaced = False
+    context.millicores = MILLICORES
+    context.learned_s = None
 
 
 @behave.given("the job is long-running")
@@ -81,6 +87,16 @@
     context.begun_s_ago = 3.0
 
 
+@behave.given("the tasks of its queue take 30 s, and are estimated at 1 s")
+def step(context):
+    context.learned_s = 30.0
+
+
+@behave.given("none of the hosts of the pool can take tasks")
+def step(context):
+    context.millicores = 0
+
+
 @behave.when("another host becomes the owner")
 def step(context):
     context.is_replaced = True
@@ -104,16 +120,21 @@
     waiting = waiting_jobs.WaitingJobs()
     for number in range(ACCEPTED):
         accept(state, number, state.now_s())
-    refresh(state, waiting)
+    refresh(state, waiting, context.millicores)
     await asyncio.sleep(context.begun_s_ago)
     # Those accepted first have expired, so they are no work ahead.
     for number in range(ACCEPTED, 2 * ACCEPTED):
         accept(state, number, state.now_s())
-    refresh(state, waiting)
+    refresh(state, waiting, context.millicores)
     while state.overload.take_token("account-1"):
         pass
     if context.is_replaced:
         state.overload = overload_control.OverloadControl(ports)
+    if context.learned_s is not None:
+        for _ in range(200):
+            state.run_times.record(
+                QUEUE.address, STEP, context.learned_s, 1.0, state.now_s()
+            )
     context.outcomes = [
         await operations.submissions.submit(spec_of(context, number), 1.0)
         for number in numbers
@@ -141,6 +162,34 @@
     submit(context, range(NEW, NEW + 30))
 
 
+@behave.when("callers are refused at 1000 times behind a backlog of 60 s")
+def step(context):
+    draws = random.Random(context.seed)
+    context.delays_s = []
+    for _ in range(1000):
+        times = admission.ReturnTimes()
+        # Sums are rounded where they pass a power of 2.
+        now_s = 2.0 ** draws.randrange(5, 21) - draws.uniform(0.0, 10.0)
+        # The second one returns as late as possible.
+        context.delays_s += [
+            times.next_delay_s(
+                "pool-1",
+                workload.Group(0, False),
+                now_s,
+                ahead_s=60.0,
+                jobs_per_s=0.05,
+            )
+            for _ in range(2)
+        ]
+
+
+@behave.then("all of them return after 1 s to 10 s")
+def step(context):
+    assert min(context.delays_s) >= 1, min(context.delays_s)
+    # Rounded up as in the Retry-After header.
+    assert math.ceil(max(context.delays_s)) == 10, max(context.delays_s)
+
+
 @behave.then("it is refused as not run with status 429, and nothing is stored")
 def step(context):
     refusal = context.outcomes[0].failure()
