Measure the load of a pool at half of the cost

The resizer measures each pool every 100 ms. With 1,000 jobs of 3 steps, 5 of 6 of them waiting, one measurement took 51 ms of processor time and takes 21 ms now. What jobs wait for changes far less often, so the unblocked tasks, the latest start and the pending work of a job are cached until its tasks or expected run times change, and the jobs are scanned once.

The loads measured in a random trial of 25 s (250 measurements, with cancelled jobs) are the same as before. tests/stand_ins/pool_burst.py changes progress without JobState, so it counts these changes itself.

--- a/src/chervillead/jobs/expected_work.py
+++ b/src/chervillead/jobs/expected_work.py
@@ -186,9 +186,22 @@
     Args:
         job: The job.
         elapsed_s: How long the running tasks of a step have been running, on
-            average; only for steps that have some.
+            average; only for steps that have some. Empty if the job has none.
         now_unix_ms: Wall-clock time, for schedules.
     """
+    if elapsed_s or job.spec.schedule.repeats:
+        return _pending_work(job, elapsed_s, now_unix_ms)
+    key = job.revision, job.step_times_s
+    if job.pending_work is None or job.pending_work[0] != key:
+        job.pending_work = key, _pending_work(job, elapsed_s, now_unix_ms)
+    return job.pending_work[1]
+
+
+def _pending_work(
+    job: job_state.JobState,
+    elapsed_s: abc.Mapping[StepKey, float],
+    now_unix_ms: float,
+) -> model.Resources:
     work = model.Resources()
     for (occurrence, number), indexes in job.pending_tasks.items():
         step = job.spec.steps[number]
--- a/src/chervillead/jobs/job_state.py
+++ b/src/chervillead/jobs/job_state.py
@@ -8,6 +8,7 @@
 from collections import abc
 import enum
 import statistics
+import typing
 
 from chervillead import types
 from chervillead.jobs import model
@@ -27,6 +28,20 @@
     CANCELLED = "cancelled"
 
 
+class UnblockedTasks(typing.NamedTuple):
+    """Pending tasks of a step whose dependencies are met.
+
+    Attributes:
+        occurrence: Number of the occurrence, from 0.
+        number: Number of the step, from 0.
+        tasks: Numbers of the tasks, in order.
+    """
+
+    occurrence: int
+    number: int
+    tasks: tuple[int, ...]
+
+
 class JobState:
     """One job: its spec, its progress and its active runs.
 
@@ -70,6 +85,12 @@
             all workers first.
         pending_tasks: Numbers of the tasks of each step that are neither active
             nor completed.
+        revision: Number of changes of the pending and completed tasks since the
+            job was made or loaded; what is cached of them depends on it.
+        latest_start: What `ordering.latest_start_s` returned last, with what it
+            depends on.
+        pending_work: The same of `expected_work.pending_work` while no task
+            runs.
         is_over_rate: Whether the job was submitted beyond the agreed rate of
             its account. It isn't stored: a job that a later owner loads counts
             as within the rate.
@@ -111,6 +132,14 @@
         self.is_failed = False
         self.recovering_until_s = 0.0
         self.is_over_rate = False
+        self.revision = 0
+        self.latest_start: (
+            tuple[tuple[int, tuple[float, ...], model.JobTerms], float] | None
+        ) = None
+        self.pending_work: (
+            tuple[tuple[int, tuple[float, ...]], model.Resources] | None
+        ) = None
+        self._unblocked: tuple[int, list[UnblockedTasks]] | None = None
         self.pending_tasks: dict[tuple[int, int], set[int]] = {
             (occurrence, number): set(range(step.tasks))
             for occurrence in range(spec.occurrences)
@@ -195,6 +224,25 @@
         done = self.done.get((occurrence, number), ())
         return len(done) >= self._spec.steps[number].tasks
 
+    def unblocked_tasks(self) -> list[UnblockedTasks]:
+        """Returns the pending tasks that no other step blocks, by step.
+
+        They are looked up for all waiting jobs every 100 ms, and change much
+        less often.
+        """
+        if self._unblocked is None or self._unblocked[0] != self.revision:
+            unblocked = [
+                UnblockedTasks(occurrence, number, tuple(sorted(indexes)))
+                for (occurrence, number), indexes in self.pending_tasks.items()
+                if indexes
+                and all(
+                    self.step_is_done(occurrence, earlier)
+                    for earlier in self._spec.steps[number].depends_on
+                )
+            ]
+            self._unblocked = self.revision, unblocked
+        return self._unblocked[1]
+
     def active_runs(self) -> abc.Iterator[task_runs.Run]:
         """Yields all runs that may still be on a worker."""
         for runs in self.runs.values():
@@ -263,6 +311,7 @@
     def add_run(self, run: task_runs.Run) -> None:
         """Adds a run that was started or discovered on a worker."""
         task = run.task
+        self.revision += 1
         self.runs.setdefault(task, []).append(run)
         self.highest_run[task] = max(self.highest_run.get(task, 0), run.number)
         self.pending_tasks[task.occurrence, task.step].discard(task.number)
@@ -274,6 +323,7 @@
 
         Its task becomes pending again if it still has to run.
         """
+        self.revision += 1
         runs = self.runs.get(run.task, [])
         if run in runs:
             runs.remove(run)
@@ -315,6 +365,7 @@
         return False
 
     def _apply_success(self, task: model.TaskKey, now_s: float) -> None:
+        self.revision += 1
         key = task.occurrence, task.step
         if self.step(task).gang:
             self.done[key] = set(range(self.step(task).tasks))
@@ -360,5 +411,6 @@
             self._clear_pending_tasks()
 
     def _clear_pending_tasks(self) -> None:
+        self.revision += 1
         for indexes in self.pending_tasks.values():
             indexes.clear()
--- a/src/chervillead/jobs/ordering.py
+++ b/src/chervillead/jobs/ordering.py
@@ -62,8 +62,12 @@
     By the owner's clock. It changes only with the expected run times and the
     completed steps of the job.
     """
-    left_ms = completion_target_ms(job, terms)
-    return job.accepted_s + (left_ms - remaining_critical_path_ms(job)) / 1000
+    key = job.revision, job.step_times_s, terms
+    if job.latest_start is None or job.latest_start[0] != key:
+        left_ms = completion_target_ms(job, terms)
+        left_ms -= remaining_critical_path_ms(job)
+        job.latest_start = key, job.accepted_s + left_ms / 1000
+    return job.latest_start[1]
 
 
 def may_meet_target(
--- a/src/chervillead/jobs/readiness.py
+++ b/src/chervillead/jobs/readiness.py
@@ -51,21 +51,18 @@
     """
     if job.is_finished or now_s < job.recovering_until_s:
         return
-    for (occurrence, number), indexes in job.pending_tasks.items():
-        if not indexes or not is_due(job.spec, occurrence, now_unix_ms):
+    for occurrence, number, tasks in job.unblocked_tasks():
+        if not is_due(job.spec, occurrence, now_unix_ms):
             continue
-        step = job.spec.steps[number]
-        if not all(job.step_is_done(occurrence, n) for n in step.depends_on):
-            continue
-        tasks = sorted(indexes)
         if job.retry_at_s:
-            tasks = [
+            tasks = tuple(
                 index
                 for index in tasks
                 if _retry_at_s(job, occurrence, number, index) <= now_s
-            ]
+            )
         if tasks:
-            yield ReadyStep(job, occurrence, number, step, tuple(tasks))
+            step = job.spec.steps[number]
+            yield ReadyStep(job, occurrence, number, step, tasks)
 
 
 def unblocked_steps(job: job_state.JobState) -> abc.Iterator[model.Step]:
@@ -73,12 +70,8 @@
 
     They may still have to wait for their time.
     """
-    for (occurrence, number), indexes in job.pending_tasks.items():
-        step = job.spec.steps[number]
-        if indexes and all(
-            job.step_is_done(occurrence, n) for n in step.depends_on
-        ):
-            yield step
+    for unblocked in job.unblocked_tasks():
+        yield job.spec.steps[unblocked.number]
 
 
 def _retry_at_s(
--- a/src/chervillead/jobs/records.py
+++ b/src/chervillead/jobs/records.py
@@ -186,6 +186,7 @@
         key = step.occurrence, step.step
         job.done[key] = _from_bitmap(step.done)
         job.pending_tasks[key] -= job.done[key]
+        job.revision += 1
         job.has_started = True
     for task in progress.tasks:
         job.highest_run[task.task] = task.highest_run
@@ -205,6 +206,7 @@
         job.stored_end = job.phase
         for indexes in job.pending_tasks.values():
             indexes.clear()
+        job.revision += 1
 
 
 def _to_bitmap(indexes: set[int]) -> bytes:
--- a/src/chervillead/pools/pool_load.py
+++ b/src/chervillead/pools/pool_load.py
@@ -5,6 +5,7 @@
 import itertools
 
 from chervillead.jobs import autoscaling
+from chervillead.jobs import job_state
 from chervillead.jobs import model
 from chervillead.jobs import ordering
 from chervillead.jobs import quotas
@@ -39,10 +40,17 @@
     mean_capacity = model.Resources(
         *(amount // max(1, len(hosts)) for amount in total)
     )
+    waiting = [
+        job
+        for job in state.jobs.unfinished()
+        if job.spec.pool == pool and job.has_pending
+    ]
     demand = list(
-        _within_quotas(state, configuration, _ready_steps(state, pool))
+        _within_quotas(state, configuration, _ready_steps(state, waiting))
+    )
+    offered = pool_work.measure(
+        state, pool, watches, waiting, demand, arrivals_s
     )
-    offered = pool_work.measure(state, pool, watches, demand, arrivals_s)
     free = [view.registration.capacity.minus(view.reserved()) for view in hosts]
     return autoscaling.PoolLoad(
         hosts=len(hosts),
@@ -78,12 +86,11 @@
 
 
 def _ready_steps(
-    state: owner_state.OwnerState, pool: str
+    state: owner_state.OwnerState, jobs: abc.Iterable[job_state.JobState]
 ) -> abc.Iterator[readiness.ReadyStep]:
-    now_unix_ms = 1000 * state.ports.clock.wall()
-    for job in state.jobs.unfinished():
-        if job.spec.pool == pool and job.has_pending:
-            yield from readiness.ready_steps(job, state.now_s(), now_unix_ms)
+    now_s, now_unix_ms = state.now_s(), 1000 * state.ports.clock.wall()
+    for job in jobs:
+        yield from readiness.ready_steps(job, now_s, now_unix_ms)
 
 
 def _urgent(
--- a/src/chervillead/pools/pool_work.py
+++ b/src/chervillead/pools/pool_work.py
@@ -49,6 +49,7 @@
     state: owner_state.OwnerState,
     pool: str,
     watches: abc.Collection[watch_module.WorkerWatch],
+    waiting: abc.Iterable[job_state.JobState],
     ready: abc.Iterable[readiness.ReadyStep],
     arrivals_s: abc.Iterable[float],
 ) -> required_capacity.Demand | None:
@@ -58,6 +59,7 @@
         state: State of the pool's owner.
         pool: Name of the pool.
         watches: Its workers.
+        waiting: Its unfinished jobs with pending tasks.
         ready: Steps with tasks that wait only for room.
         arrivals_s: When each host that is on its way should start tasks.
     """
@@ -68,7 +70,7 @@
         return None
     lead_s = lead_time_s(state)
     running = expected_work.running_work(_running_tasks(state, watches))
-    waiting = _waiting_jobs(state, pool, running.elapsed_s)
+    works = _waiting_jobs(state, waiting, running.elapsed_s)
     kept = running.kept
     for step in ready:
         if step.step.long_running:
@@ -76,7 +78,7 @@
             kept = kept.plus(size)
     return required_capacity.Demand(
         rates=rates,
-        backlog=expected_work.backlog(waiting, limits),
+        backlog=expected_work.backlog(works, limits),
         running=running.work,
         kept=kept,
         arriving_s=sum(
@@ -103,24 +105,22 @@
 
 def _waiting_jobs(
     state: owner_state.OwnerState,
-    pool: str,
+    jobs: abc.Iterable[job_state.JobState],
     elapsed_s: abc.Mapping[expected_work.StepKey, float],
 ) -> abc.Iterator[expected_work.WaitingJob]:
-    """Yields the unfinished jobs of a pool with pending tasks."""
+    """Yields what the backlog counts of jobs with pending tasks."""
     now_s = state.now_s()
     now_unix_ms = 1000 * state.ports.clock.wall()
-    for job in state.jobs.unfinished():
-        if (
-            job.spec.pool != pool
-            or not job.has_pending
-            or now_s < job.recovering_until_s
-        ):
+    with_runs = {job_id for job_id, _, _ in elapsed_s}
+    for job in jobs:
+        if now_s < job.recovering_until_s:
             continue
         terms = state.terms_of(job)
         slack_s = None
         if terms.target_ms or terms.stretch > 1:
             slack_s = ordering.latest_start_s(job, terms) - now_s
-        work = expected_work.pending_work(job, elapsed_s, now_unix_ms)
+        elapsed = elapsed_s if job.spec.job_id in with_runs else {}
+        work = expected_work.pending_work(job, elapsed, now_unix_ms)
         yield expected_work.WaitingJob(job.spec.account, slack_s, work)
 
 
--- a/tests/stand_ins/pool_burst.py
+++ b/tests/stand_ins/pool_burst.py
@@ -163,6 +163,7 @@
             job.done[step] += 1
             if job.done[step] == job.state.spec.steps[step].tasks:
                 job.state.done[0, step] = set(range(job.done[step]))
+                job.state.revision += 1
                 job.step, job.started = job.step + 1, 0
                 if job.step == len(job.done):
                     self.jobs.remove(job)
@@ -183,6 +184,7 @@
                 heapq.heappush(self.running, run)
             pending = job.state.pending_tasks[0, job.step]
             pending.difference_update(range(job.started, job.started + count))
+            job.state.revision += 1
             job.started += count
 
     def used(self) -> int:
