--- a/tests/stand_ins/pool_model.py
+++ b/tests/stand_ins/pool_model.py
@@ -227,7 +227,7 @@
 
 def target_s(job: job_state.JobState) -> float:
     """Returns the completion target of a job."""
-    return ordering.completion_target_ms(job.spec, terms_of(job)) / 1000
+    return ordering.completion_target_ms(job, terms_of(job)) / 1000
 
 
 def on_time(jobs: abc.Iterable[job_state.JobState]) -> float:
