Let jobs that were moved out expire in pools with over 2,000 jobs

A choice considers 2,000 jobs, those on time first. With more of these, a job that was moved out earlier was never looked at again once it was late, so it kept its standing, took no turns, and waited for as long as such jobs came. Standings of late jobs that aren't considered are now set as well, which takes no sorting.

The scenario added to tests/jobs/overload.feature failed before: in its turn, the job had place 710, and a job that can be on time had place 0.

--- a/src/chervillead/jobs/overload.py
+++ b/src/chervillead/jobs/overload.py
@@ -107,9 +107,15 @@
         statistics: Recent jobs of its queues.
         now_s: Time of the owner's clock.
     """
-    considered = _considered(candidates, now_s)
+    considered, others = _considered(candidates, now_s)
     classes = _Classes(considered, statistics, now_s)
     choice = Choice({}, 0, 0, {}, classes.served)
+    for candidate in others:
+        # Otherwise a job moved out would never count as expired, and wait for
+        # as long as there are enough jobs on time.
+        if candidate.latest_start_s < now_s:
+            standing = _standing(candidate, now_s, is_out=False)
+            choice.standings[candidate.job.spec.job_id] = standing
     ahead = 0.0
     for group in sorted({c.group for c in considered}):
         of_group = [c for c in considered if c.group == group]
@@ -133,14 +139,19 @@
 
 def _considered(
     candidates: abc.Iterable[workload.Candidate], now_s: float
-) -> list[workload.Candidate]:
-    """Returns the jobs that are considered, of many those on time first."""
-    considered = list(candidates)
-    if len(considered) <= MAX_JOBS:
-        return considered
-    return heapq.nsmallest(
-        MAX_JOBS, considered, key=lambda c: (c.latest_start_s < now_s, c)
+) -> tuple[list[workload.Candidate], list[workload.Candidate]]:
+    """Returns the jobs that are considered, and the others.
+
+    Of too many jobs, those on time with the least slack are considered first.
+    """
+    found = list(candidates)
+    if len(found) <= MAX_JOBS:
+        return found, []
+    considered = heapq.nsmallest(
+        MAX_JOBS, found, key=lambda c: (c.latest_start_s < now_s, c)
     )
+    orders = {candidate.order for candidate in considered}
+    return considered, [c for c in found if c.order not in orders]
 
 
 def _standing(
--- a/tests/jobs/overload.feature
+++ b/tests/jobs/overload.feature
@@ -43,3 +43,10 @@
     Then at least 30 jobs are refused, and at most 0.02 of those within the rate
     And at most 0.2 of them would have been on time
     And the other accounts are on time as often as without refusals
+
+  Scenario: A job moved out of a pool with more jobs than are considered
+    # Guards against a job that never takes turns with the others, since it
+    # isn't looked at once it is late.
+    Given a job that was moved out when it could be on time
+    When it has waited for 4 times its target beside 2500 jobs that can be on time
+    Then it takes turns with other jobs
--- a/tests/steps/jobs_overload.py
+++ b/tests/steps/jobs_overload.py
@@ -6,8 +6,16 @@
 
 import behave
 
+from chervillead.jobs import backlog
+from chervillead.jobs import job_state
+from chervillead.jobs import model
+from chervillead.jobs import overload
+from chervillead.jobs import overloaded_pools
+from chervillead.jobs import waiting_jobs
 from stand_ins import pool_model
 
+TERMS = model.JobTerms(stretch=1.6, target_ms=600, queue_address="queue")
+
 
 def play(arrivals, **options):
     """Returns the jobs after all have ended."""
@@ -174,3 +182,65 @@
         for jobs in (context.jobs, context.kept)
     )
     assert found >= kept, (found, kept)
+
+
+class CrowdedPool:
+    """Jobs of one task each, all of which wait."""
+
+    def __init__(self):
+        self.waiting = waiting_jobs.WaitingJobs()
+        self._backlog = backlog.Backlog()
+        self._pools = overloaded_pools.OverloadedPools(self._backlog)
+
+    def accept(self, numbers, now_s):
+        """Adds jobs that should be complete 2.2 s later."""
+        for number in numbers:
+            step = model.Step(1, model.Resources(1000), 1000)
+            spec = model.JobSpec(
+                f"{number:016x}", "queue", pool_model.POOL, "team", "", (step,)
+            )
+            job = job_state.JobState(spec, accepted_s=now_s)
+            for index in (self.waiting, self._backlog):
+                index.put(job, TERMS, order=number, now_s=now_s)
+
+    def choose(self, now_s):
+        """Chooses the jobs that are run in time."""
+        standings = self._pools.refresh(pool_model.POOL, 100_000, now_s)
+        self.waiting.set_standings(standings)
+        return standings
+
+
+@behave.given("a job that was moved out when it could be on time")
+def step(context):
+    context.pool = CrowdedPool()
+    context.pool.accept(range(1000), 0.0)
+    standings = context.pool.choose(0.0)
+    context.job_id = next(
+        job_id
+        for job_id, standing in standings.items()
+        if standing is overload.Standing.WHEN_ROOM
+    )
+
+
+@behave.when(
+    "it has waited for 4 times its target beside {count:d} jobs that can be on "
+    "time"
+)
+def step(context, count):
+    # At a turn of the jobs that have waited for too long.
+    context.now_s = 10.0
+    context.pool.accept(range(1000, 1000 + count), context.now_s)
+    context.pool.choose(context.now_s)
+
+
+@behave.then("it takes turns with other jobs")
+def step(context):
+    placed = list(context.pool.waiting.batch(context.now_s, {}))
+    places = [job.spec.job_id for job in placed]
+    first = next(
+        number
+        for number, job in enumerate(placed)
+        if job.accepted_s == context.now_s
+    )
+    place = places.index(context.job_id)
+    assert place < first, (place, first)
