Count only unscheduled jobs against the limit of waiting jobs

Jobs that wait for the time of their schedule are in the index of waiting jobs as well. 2,500 of them made a partition without any load refuse submissions beyond the rate, and 5,000 all submissions with a completion target.

The scenario added to tests/pools/overload_refusals.feature failed before: '2600 jobs wait, more than are accepted'.

--- a/src/chervillead/jobs/admission.py
+++ b/src/chervillead/jobs/admission.py
@@ -48,7 +48,8 @@
 
     Args:
         candidate: The submitted job.
-        waiting: Number of jobs that wait in the partition.
+        waiting: Number of jobs that wait in the partition, without those with
+            a schedule.
         state: State of the job's pool; None if it isn't overloaded.
     """
     limit = (
--- a/src/chervillead/jobs/waiting_jobs.py
+++ b/src/chervillead/jobs/waiting_jobs.py
@@ -61,6 +61,7 @@
 
     def __init__(self) -> None:
         self._positions: dict[str, _Position] = {}
+        self._scheduled = 0
         self._buckets: dict[_Bucket, list[_Entry]] = {}
         # Standings of the jobs of overloaded pools, unless they are current.
         self._standings: dict[str, overload.Standing] = {}
@@ -70,6 +71,11 @@
     def __len__(self) -> int:
         return len(self._positions)
 
+    @property
+    def unscheduled(self) -> int:
+        """Number of jobs without a schedule, which mostly waits for a time."""
+        return len(self._positions) - self._scheduled
+
     def put(
         self,
         job: job_state.JobState,
@@ -93,6 +99,7 @@
         if job.is_finished or not steps or job.recovering_until_s > now_s:
             return
         need = _least_need(steps)
+        self._scheduled += job.spec.schedule.repeats > 0
         self._insert(job, terms, order, need)
         if not ordering.is_long_running(job.spec):
             amounts = self._needs.setdefault(job.spec.pool, ([], [], []))
@@ -161,6 +168,7 @@
         position = self._positions.pop(job_id, None)
         if position is None:
             return
+        self._scheduled -= position.entry.job.spec.schedule.repeats > 0
         self._remove_entry(position)
         if not position.bucket.is_long_running:
             pool = position.entry.job.spec.pool
--- a/src/chervillead/pools/overload_control.py
+++ b/src/chervillead/pools/overload_control.py
@@ -63,7 +63,7 @@
         now_s = self._ports.clock.monotonic()
         if not backlog.has_target(spec, terms):
             return None
-        waiting = 0 if self._waiting is None else len(self._waiting)
+        waiting = 0 if self._waiting is None else self._waiting.unscheduled
         state = self._pools.get(spec.pool)
         if state is None and waiting <= admission.MAX_WAITING_OVER_RATE:
             return None
--- a/tests/pools/overload_refusals.feature
+++ b/tests/pools/overload_refusals.feature
@@ -66,3 +66,10 @@
     # rounding error is rounded up.
     When callers are refused at 1000 times behind a backlog of 60 s
     Then all of them return after 1 s to 10 s
+
+  Scenario: Jobs that wait for their schedule
+    # Guards against refusals for a number of waiting jobs of which none waits
+    # for room.
+    Given an owner with 2600 scheduled jobs whose next time is far away
+    When a new job is submitted beyond the rate
+    Then it is accepted
--- a/tests/steps/pools_overload_refusals.py
+++ b/tests/steps/pools_overload_refusals.py
@@ -29,6 +29,8 @@
 MILLICORES = 10_000
 # Waits for 1.15 s of the pool each, with the headroom for packing.
 ACCEPTED = 35
+ANY_TIME = model.Schedule()
+FAR_AWAY = model.Schedule(2, 2**50, 1000)
 NEW = 1000
 
 
@@ -38,8 +40,8 @@
     return spec._replace(schedule=context.schedule)
 
 
-def accept(state, number, now_s):
-    spec = owner_states.job(number)._replace(steps=(STEP,))
+def accept(state, number, now_s, schedule=ANY_TIME):
+    spec = owner_states.job(number)._replace(steps=(STEP,), schedule=schedule)
     state.jobs[spec.job_id] = job_state.JobState(
         spec, accepted_s=now_s, terms=QUEUE.terms
     )
@@ -60,6 +62,8 @@
 )
 def step(context):
     context.configuration = CONFIGURATION
+    context.accepted = ACCEPTED
+    context.scheduled = 0
     context.begun_s_ago = 10.0
     context.is_long_running = False
     context.schedule = model.Schedule()
@@ -68,6 +72,17 @@
     context.learned_s = None
 
 
+@behave.given(
+    "an owner with {count:d} scheduled jobs whose next time is far away"
+)
+def step(context, count):
+    context.execute_steps(
+        "Given an owner whose pool has 40 s of work within the rate of its "
+        "account"
+    )
+    context.accepted, context.scheduled = 0, count
+
+
 @behave.given("the job is long-running")
 def step(context):
     context.is_long_running = True
@@ -118,12 +133,14 @@
     operations = job_operations.JobOperations(state)
     writing = asyncio.create_task(state.writer.run())
     waiting = waiting_jobs.WaitingJobs()
-    for number in range(ACCEPTED):
+    for number in range(context.scheduled):
+        accept(state, 2 * NEW + number, state.now_s(), FAR_AWAY)
+    for number in range(context.accepted):
         accept(state, number, state.now_s())
     refresh(state, waiting, context.millicores)
     await asyncio.sleep(context.begun_s_ago)
     # Those accepted first have expired, so they are no work ahead.
-    for number in range(ACCEPTED, 2 * ACCEPTED):
+    for number in range(context.accepted, 2 * context.accepted):
         accept(state, number, state.now_s())
     refresh(state, waiting, context.millicores)
     while state.overload.take_token("account-1"):
