--- a/tests/jobs/overload.feature
+++ b/tests/jobs/overload.feature
@@ -50,3 +50,10 @@
     When 500 random changes of standings and jobs reach the index of waiting jobs
     Then it always yields each waiting job once
     And jobs that run when there is room are in the order of acceptance
+
+  Scenario: A job moved out of a pool with more jobs than are considered
+    # Guards against a job that never takes turns with the others, since it
+    # isn't looked at once it is late.
+    Given a job that was moved out when it could be on time
+    When it has waited for 4 times its target beside 2500 jobs that can be on time
+    Then it takes turns with other jobs
