--- a/src/chervillead/jobs/overload.py
+++ b/src/chervillead/jobs/overload.py
@@ -24,9 +24,10 @@
 # Expired jobs go first within their group for a tenth of the time.
 TURN_PERIOD_S = 2.0
 TURN_S = 0.2
-# Part of the jobs moved out by worth for their work. Which jobs of the rest are
-# moved out depends on when they came.
-SURELY_OUT = 0.5
+# Quantile of the worth for their work of the jobs moved out, below which a
+# further job is taken to be moved out as well. Above it, that depends on when
+# it comes.
+MOVED_OUT_QUANTILE = 0.5
 # Jobs of a pool that one choice considers at most.
 MAX_JOBS = 2000
 # Overload begins with more work than this, and ends with less of it, in seconds
@@ -202,8 +203,10 @@
             counted[candidate.order] += work
             ahead += work
     classes.clear()
+    if not worths:
+        return moved, 0.0
     worths.sort()
-    return moved, worths[int(SURELY_OUT * len(worths))] if worths else 0.0
+    return moved, worths[int(MOVED_OUT_QUANTILE * len(worths))]
 
 
 def _steps_by_latest_start(
