Let the choice of jobs under overload take effect once no more hosts arrive

Cause: the choice counts the hosts that a pool has. At the start of a burst these are a fraction of those on their way, so it moved out jobs that could still be on time.

Change: in a fleet with a spare pool the choice takes effect 4 s after overload has begun, as refusals do. The first of the two scenarios failed before.

--- a/src/chervillead/pools/overload_control.py
+++ b/src/chervillead/pools/overload_control.py
@@ -160,6 +160,9 @@
     ) -> None:
         """Chooses again which jobs are run in time, where that is due.
 
+        A choice takes effect once no more hosts arrive: before, it would move
+        out jobs that the hosts on their way can still serve in time.
+
         Args:
             waiting: The waiting jobs.
             millicores: Returns the millicores of a pool's schedulable hosts.
@@ -169,8 +172,9 @@
         for pool in self._backlog.pools:
             before = self._pools.get(pool)
             standings = self._pools.refresh(pool, millicores(pool), now_s)
-            waiting.set_standings(standings)
             after = self._pools.get(pool)
+            if after is None or now_s - after.begun_s >= self._settle_s():
+                waiting.set_standings(standings)
             if after is not None and before is None:
                 self._ports.increment("chervillead_overloads", pool)
                 self._log(pool, after, now_s)
--- a/tests/pools/overload_refusals.feature
+++ b/tests/pools/overload_refusals.feature
@@ -73,3 +73,17 @@
     Given an owner with 2600 scheduled jobs whose next time is far away
     When a new job is submitted beyond the rate
     Then it is accepted
+
+  Scenario: Hosts that still arrive
+    # Guards against jobs that are moved out at the start of each burst by the
+    # capacity of hosts that the pool has before the ones it asked for arrive.
+    Given an owner whose pool has 40 s of work within the rate of its account
+    And overload has begun 3 s ago in a fleet with spare hosts
+    When a new job is submitted beyond the rate
+    Then jobs that can be on time are placed by their latest start
+
+  Scenario: No hosts arrive
+    # Guards against overload that never changes the order.
+    Given an owner whose pool has 40 s of work within the rate of its account
+    When a new job is submitted beyond the rate
+    Then jobs that can be on time are not placed by their latest start
--- a/tests/steps/pools_overload_refusals.py
+++ b/tests/steps/pools_overload_refusals.py
@@ -143,6 +143,7 @@
     for number in range(context.accepted, 2 * context.accepted):
         accept(state, number, state.now_s())
     refresh(state, waiting, context.millicores)
+    context.placed = list(waiting.batch(state.now_s(), {}))
     while state.overload.take_token("account-1"):
         pass
     if context.is_replaced:
@@ -207,6 +208,26 @@
     assert math.ceil(max(context.delays_s)) == 10, max(context.delays_s)
 
 
+def orders_on_time(context):
+    """Returns the numbers of the jobs accepted last, as they are placed."""
+    ids = [owner_states.job(n).job_id for n in range(2 * ACCEPTED)]
+    numbers = [ids.index(job.spec.job_id) for job in context.placed]
+    return [number for number in numbers if number >= ACCEPTED]
+
+
+@behave.then("jobs that can be on time are placed by their latest start")
+def step(context):
+    found = orders_on_time(context)
+    assert found == list(range(ACCEPTED, 2 * ACCEPTED)), found
+
+
+@behave.then("jobs that can be on time are not placed by their latest start")
+def step(context):
+    found = orders_on_time(context)
+    assert sorted(found) == list(range(ACCEPTED, 2 * ACCEPTED)), found
+    assert found != sorted(found), found
+
+
 @behave.then("it is refused as not run with status 429, and nothing is stored")
 def step(context):
     refusal = context.outcomes[0].failure()
