--- a/src/chervillead/platform/assembly.py
+++ b/src/chervillead/platform/assembly.py
@@ -127,6 +127,7 @@
             and advice_client.connect_advice(
                 settings.advice, dial=environment.dial
             ),
+            sizes_by_offered_load=settings.sizes_by_offered_load,
             loop_lag_s=lambda: self.loop_lag.highest_s,
         )
         self.ownership = ownership.Ownership(
--- a/src/chervillead/platform/settings.py
+++ b/src/chervillead/platform/settings.py
@@ -53,6 +53,8 @@
         stop_grace_s: Time between SIGTERM and SIGKILL.
         cores: Processor time per second that the host provides, in cores.
         request_limits: Limits on what clients make the host hold.
+        sizes_by_offered_load: Whether pools are sized by the load offered to
+            them.
     """
 
     host: str
@@ -69,6 +71,7 @@
     stop_grace_s: float
     cores: float = 1.0
     request_limits: request_limiter.Limits = request_limiter.Limits()
+    sizes_by_offered_load: bool = False
 
 
 # The smallest machines of the platform have 160 MB and 4,100 descriptors.
@@ -147,6 +150,9 @@
         stop_grace_s=_number(document, "Bounds.GraceS", 6),
         cores=_cores(document),
         request_limits=_request_limits(document),
+        sizes_by_offered_load=_flag(
+            document, "Autoscaling.OfferedLoad", default=False
+        ),
     )
 
 
@@ -165,6 +171,15 @@
     return speed * _number(document, "Limits.CpuShare", 1.0)
 
 
+def _flag(document: object, path: str, *, default: bool) -> bool:
+    value = _find(document, path)
+    if value is None:
+        return default
+    if not isinstance(value, bool):
+        raise _SettingError(path, value, "true or false")
+    return value
+
+
 def _request_limits(document: object) -> request_limiter.Limits:
     def number(path: str, default: float, low: float, high: float) -> float:
         value = _number(document, path, default)
--- a/src/chervillead/pools/pool_work.py
+++ b/src/chervillead/pools/pool_work.py
@@ -55,6 +55,8 @@
 ) -> required_capacity.Demand | None:
     """Returns the work of a pool, or None while its offered load is unknown.
 
+    It is also None where pools aren't sized by it.
+
     Args:
         state: State of the pool's owner.
         pool: Name of the pool.
@@ -63,6 +65,8 @@
         ready: Steps with tasks that wait only for room.
         arrivals_s: When each host that is on its way should start tasks.
     """
+    if not state.ports.sizes_by_offered_load:
+        return None
     now_s = state.now_s()
     limits = _quota_limits(state)
     rates = state.offered_load(pool).rates(now_s, limits)
--- a/src/chervillead/pools/ports.py
+++ b/src/chervillead/pools/ports.py
@@ -82,6 +82,8 @@
             without such a service.
         call_owner: Calls the owner of another partition; the second argument is
             the timeout in seconds.
+        sizes_by_offered_load: Whether pools are sized by the load offered to
+            them; otherwise by what all waiting tasks would use at once.
         loop_lag_s: Returns the highest recent lag of the event loop, in
             seconds.
     """
@@ -98,4 +100,5 @@
     observe: abc.Callable[[str, float], None]
     call_owner: job_api.CallOwner
     ask_advice: AskAdvice | None = None
+    sizes_by_offered_load: bool = True
     loop_lag_s: abc.Callable[[], float] = lambda: 0.0
--- a/tests/platform/calls.feature
+++ b/tests/platform/calls.feature
@@ -187,6 +187,7 @@
       | Limits.MemoryMb               | 4        |
       | Limits.MaxFds                 | 10       |
       | RequestLimits.MemoryShare     | 0.9      |
+      | Autoscaling.OfferedLoad       | 1        |
       | RequestLimits.ConnectionShare | 1        |
       | RequestLimits.HeadTimeoutS    | 0        |
       | RequestLimits.BodyTimeoutS    | "long"   |
