--- a/src/chervillead/jobs/autoscaling.py
+++ b/src/chervillead/jobs/autoscaling.py
@@ -73,7 +73,7 @@
         required = _extrapolated(load.demand, demand_increase)
     else:
         # Hosts that running tasks occupy can't be used elsewhere. While too few
-        # jobs come to tell their rate, one more takes the next tasks, which
+        # jobs come to show their rate, one more takes the next tasks, which
         # would have to wait for a host otherwise.
         occupied = load.used
         if any(occupied) and not load.offered.rates.jobs:
--- a/src/chervillead/jobs/backlog.py
+++ b/src/chervillead/jobs/backlog.py
@@ -3,6 +3,7 @@
 import collections
 from collections import abc
 
+from chervillead.jobs import expected_work
 from chervillead.jobs import job_state
 from chervillead.jobs import model
 from chervillead.jobs import ordering
@@ -60,7 +61,7 @@
         of_pool = self._pools.get(pool, _Pool())
         reserved = sum(self._long_running.get(pool, {}).values())
         return workload.Load(
-            max(1.0, (millicores - reserved) / workload.PACKING_FACTOR),
+            max(1.0, (millicores - reserved) / expected_work.PACKING_FACTOR),
             of_pool.running,
             of_pool.running_millicores,
         )
--- a/src/chervillead/jobs/expected_work.py
+++ b/src/chervillead/jobs/expected_work.py
@@ -10,6 +10,8 @@
 from chervillead.jobs import ordering
 from chervillead.jobs import readiness
 
+# Tasks of different sizes leave a part of the resources of hosts unused.
+PACKING_FACTOR = 1.15
 # Expected time of tasks that their caller gave no estimate for.
 DEFAULT_TASK_S = 1.0
 # A task that has run for longer than expected is expected to run for this part
--- a/src/chervillead/jobs/offered_load.py
+++ b/src/chervillead/jobs/offered_load.py
@@ -17,7 +17,7 @@
 
 # A window must have seen this many jobs to count.
 MIN_JOBS = 3
-# The rate is taken over the long window, which starts anew when the rate
+# The rate is taken over the long window, which restarts when the rate
 # changes. A burst has ended when the short window shows it.
 LONG_WINDOW_S = 2.0
 SHORT_WINDOW_S = 0.5
@@ -198,7 +198,7 @@
             jobs += sample.jobs
 
     def _find_fall(self, now_s: float) -> None:
-        """Starts the window anew if a burst has ended."""
+        """Restarts the window if a burst has ended."""
         rate = self._rate(now_s)
         if rate < FALL_JOBS / LONG_WINDOW_S:
             return
--- a/src/chervillead/jobs/quotas.py
+++ b/src/chervillead/jobs/quotas.py
@@ -103,7 +103,7 @@
     open_partitions = sorted(
         needs, key=lambda partition: (needs[partition].wanted, partition)
     )
-    # Filling the smallest wants first leaves equal parts to all others.
+    # Serving the smallest wants first leaves equal parts to all others.
     for number, partition in enumerate(open_partitions):
         parts = len(open_partitions) - number
         wanted = min(needs[partition].wanted, WHOLE) - shares[partition]
--- a/src/chervillead/jobs/required_capacity.py
+++ b/src/chervillead/jobs/required_capacity.py
@@ -7,9 +7,6 @@
 from chervillead.jobs import model
 from chervillead.jobs import offered_load
 
-# Packing leaves a part of the resources unused.
-HEADROOM_FACTOR = 1.15
-
 
 class Demand(typing.NamedTuple):
     """Work of a pool and the resources that it has for it.
@@ -67,7 +64,7 @@
 def for_rate(demand: Demand) -> model.Resources:
     """Returns the resources that the offered load alone requires."""
     used = demand.rates.used.plus(demand.kept)
-    return expected_work.scaled(used, HEADROOM_FACTOR)
+    return expected_work.scaled(used, expected_work.PACKING_FACTOR)
 
 
 def _required_amount(
@@ -89,7 +86,10 @@
     rates, backlog = demand.rates, demand.backlog
     rate, kept = rates.used[index], demand.kept[index]
     # Work that will be done before a host could arrive needs no host.
-    usable = resource_seconds / HEADROOM_FACTOR - demand.lead_time_s * kept
+    usable = (
+        resource_seconds / expected_work.PACKING_FACTOR
+        - demand.lead_time_s * kept
+    )
     left = (
         demand.running[index]
         - rates.in_flight[index]
@@ -107,4 +107,4 @@
         # What the pool does goes to the work that is due first.
         left = min(0.0, left)
     at_once = max(0, ready - kept) + demand.lead_time_s * rates.sizes[index]
-    return HEADROOM_FACTOR * (min(needed, at_once) + kept)
+    return expected_work.PACKING_FACTOR * (min(needed, at_once) + kept)
--- a/src/chervillead/jobs/run_times.py
+++ b/src/chervillead/jobs/run_times.py
@@ -228,7 +228,7 @@
     """Sets the expected run times of a job's steps.
 
     The index of waiting jobs is ordered by them, so this is called only before
-    a job is added to it or put anew.
+    a job is added to it or put again.
 
     Args:
         job: The job.
--- a/src/chervillead/jobs/slow_runs.py
+++ b/src/chervillead/jobs/slow_runs.py
@@ -12,7 +12,7 @@
 
 from chervillead.jobs import task_runs
 
-# Runs that have been observed for less than this tell nothing yet: their
+# Runs that have been observed for less than this show nothing yet: their
 # progress is reported in steps, and starting takes a part of it.
 MIN_OBSERVED_S = 0.5
 # A worker is slow if its progress is at most this share of what is expected.
--- a/src/chervillead/jobs/workload.py
+++ b/src/chervillead/jobs/workload.py
@@ -5,9 +5,6 @@
 from chervillead.jobs import job_state
 from chervillead.jobs import ordering
 
-# Tasks of different sizes leave some of the cores unused.
-PACKING_FACTOR = 1.15
-
 
 class StepWork(typing.NamedTuple):
     """Tasks of one step that wait, or that other steps block.
--- a/src/chervillead/machines/pool_resizing.py
+++ b/src/chervillead/machines/pool_resizing.py
@@ -18,7 +18,6 @@
 from chervillead.machines import wave_controller
 from chervillead.pools import partition_owner
 from chervillead.pools import pool_load
-from chervillead.pools import pool_work
 from chervillead.pools import ports as ports_module
 
 RESIZE_INTERVAL_S = 0.1
@@ -163,7 +162,7 @@
         self._release.drain_zones_out(name)
         if now_s - pool.replied_s > REPLY_TTL_S:
             pool.surplus = pool.wanted = 0
-        lead_s = pool_work.lead_time_s(self._owner.state)
+        lead_s = self._ports.limits.host_lead_time_s
         load = pool_load.measure(
             self._owner.state, name, pool.arrivals_s(lead_s)
         )
--- a/src/chervillead/pools/overload_control.py
+++ b/src/chervillead/pools/overload_control.py
@@ -16,9 +16,7 @@
 from chervillead.pools import job_refusals
 from chervillead.pools import ports as ports_module
 
-# A host registers this long after its move, and the requests for hosts follow
-# the load in about as many steps.
-REGISTRATION_S = 0.5
+# The requests for hosts follow the load in about this many steps.
 GROWTH_STEPS = 2
 # Refusals of this time share a log line.
 LOG_INTERVAL_S = 1.0
@@ -93,7 +91,7 @@
             pool.is_spare for pool in configuration.pools.values()
         ):
             return 0.0
-        return GROWTH_STEPS * (self._ports.limits.move_s + REGISTRATION_S)
+        return GROWTH_STEPS * self._ports.limits.host_lead_time_s
 
     def _refuse(
         self,
--- a/src/chervillead/pools/pool_work.py
+++ b/src/chervillead/pools/pool_work.py
@@ -12,10 +12,6 @@
 from chervillead.pools import owner_state
 from chervillead.workers import watch as watch_module
 
-# A host starts tasks this long after its move: its worker registers and is
-# polled first.
-REGISTRATION_S = 0.5
-
 
 def record_offered(
     state: owner_state.OwnerState, job: job_state.JobState
@@ -25,6 +21,8 @@
     Jobs with a schedule or with long-running tasks don't come as a rate.
     """
     spec = job.spec
+    if not state.ports.sizes_by_offered_load:
+        return
     if spec.schedule.repeats or ordering.is_long_running(spec):
         return
     configuration = state.ports.configuration()
@@ -40,11 +38,6 @@
     )
 
 
-def lead_time_s(state: owner_state.OwnerState) -> float:
-    """Returns the time until a host that is requested now can start tasks."""
-    return state.ports.limits.move_s + REGISTRATION_S
-
-
 def measure(
     state: owner_state.OwnerState,
     pool: str,
@@ -72,7 +65,7 @@
     rates = state.offered_load(pool).rates(now_s, limits)
     if rates is None:
         return None
-    lead_s = lead_time_s(state)
+    lead_s = state.ports.limits.host_lead_time_s
     running = expected_work.running_work(_running_tasks(state, watches))
     works = _waiting_jobs(state, waiting, running.elapsed_s)
     kept = running.kept
--- a/src/chervillead/pools/ports.py
+++ b/src/chervillead/pools/ports.py
@@ -11,6 +11,10 @@
 from chervillead.store import interface as store_interface
 from chervillead.workers import interface as worker_interface
 
+# A host starts tasks this long after its move: its worker registers and is
+# polled first.
+HOST_REGISTRATION_S = 0.5
+
 
 class Limits(typing.NamedTuple):
     """Limits and durations that the platform sets.
@@ -35,6 +39,11 @@
     host_lease_s: float = 3.0
     pace_delay_ms: int = 100
 
+    @property
+    def host_lead_time_s(self) -> float:
+        """Time until a host that is requested now can start tasks."""
+        return self.move_s + HOST_REGISTRATION_S
+
 
 class Advice(typing.NamedTuple):
     """Reply of the advisory service: which workers may run a step.
