Count accepted jobs by the memory that they hold, and limit it

What callers saw: an entry host ended when clients submitted jobs of many tasks or occurrences, and so did each owner after it, as it loaded the same jobs. 200 bodies of 80 bytes from 40 clients.

Cause: admission counts jobs, but a job held each task that hadn't started in a set (8 MB for 100,000 tasks) and each occurrence of its schedule (20 MB and more for 100,000). Steps and dependencies, which do need memory, weren't counted either.

Change: numbers of tasks are kept as ranges, occurrences are opened up to 256 steps at a time, and a completed task leaves only its number; a dependency is kept once. Jobs are counted by an estimate of their memory, for each pool, client account and owner; beyond the limits a submission is refused with 429 as not run, with a Retry-After. The shares are taken of the smallest host's memory, since any host may take over. What a new owner loads counts as well. It works because what an owner holds no longer depends on the tasks and occurrences that callers name, and what it does depend on has a bound.

A schedule's next due time, which nothing used, is gone. Second runs of stragglers are looked up by the running tasks, not by all occurrences.

--- a/src/chervillead/jobs/job_state.py
+++ b/src/chervillead/jobs/job_state.py
@@ -5,6 +5,7 @@
 learns of them by polling the workers.
 """
 
+import collections
 from collections import abc
 import enum
 import statistics
@@ -12,10 +13,16 @@
 
 from chervillead import types
 from chervillead.jobs import model
+from chervillead.jobs import task_numbers
 from chervillead.jobs import task_runs
 
 # Completed runs of a step needed before their median duration is used.
 MIN_DURATION_SAMPLES = 3
+# Durations kept of each step, the newest; a step may have 100,000 tasks.
+MAX_DURATION_SAMPLES = 1000
+# Steps of all occurrences of a job that are open at once, unless a single
+# occurrence has more. A schedule may have 100,000 occurrences.
+MAX_OPEN_STEPS = 256
 
 
 class Phase(enum.Enum):
@@ -34,18 +41,19 @@
     Attributes:
         occurrence: Number of the occurrence, from 0.
         number: Number of the step, from 0.
-        tasks: Numbers of the tasks, in order.
+        tasks: Numbers of the tasks.
     """
 
     occurrence: int
     number: int
-    tasks: tuple[int, ...]
+    tasks: task_numbers.TaskNumbers
 
 
 class JobState:
     """One job: its spec, its progress and its active runs.
 
-    Steps are keyed by (occurrence, step number).
+    Steps are keyed by (occurrence, step number). Occurrences are opened in
+    order, each once there is room for its steps among the open ones.
 
     Attributes:
         terms: What the job is owed; None if it was stored by an earlier build
@@ -61,7 +69,8 @@
             suspected, by the owner's clock.
         crash_addresses: Addresses of the workers that crashed under each
             suspected task, as far as this owner knows.
-        highest_run: Highest known run number of each task.
+        highest_run: Highest known run number of each task that hasn't
+            completed.
         max_unrecorded_run: Highest run number that previous owners may have
             used without recording it.
         checkpoints: Newest known checkpoint of each task.
@@ -69,7 +78,7 @@
         retry_at_s: Earliest time of the next run of each task that failed, by
             the owner's clock.
         failed_workers: Workers on which runs of each task failed.
-        durations_s: Durations of the completed runs of each step.
+        durations_s: Durations of the newest completed runs of each step.
         step_times_s: Expected run time of a task of each step, in seconds: the
             caller's estimates until they are refreshed. They must not change
             while the job is in the index of waiting jobs.
@@ -83,8 +92,8 @@
         recovering_until_s: Time until which no task is started, by the owner's
             clock. A previous owner may have started some, so a new owner polls
             all workers first.
-        pending_tasks: Numbers of the tasks of each step that are neither active
-            nor completed.
+        pending_tasks: Numbers of the tasks of each open step that are neither
+            active nor completed.
         revision: Number of changes of the pending and completed tasks since the
             job was made or loaded; what is cached of them depends on it.
         latest_start: What `ordering.latest_start_s` returned last, with what it
@@ -108,7 +117,7 @@
         self._spec = spec
         self.terms = terms
         self._accepted_s = accepted_s
-        self.done: dict[tuple[int, int], set[int]] = {}
+        self.done: dict[tuple[int, int], task_numbers.TaskNumbers] = {}
         self.failed_runs: dict[model.TaskKey, set[int]] = {}
         self.crashed_runs: dict[model.TaskKey, set[int]] = {}
         self.unconfirmed_crashes: dict[model.TaskKey, set[int]] = {}
@@ -120,7 +129,7 @@
         self.runs: dict[model.TaskKey, list[task_runs.Run]] = {}
         self.retry_at_s: dict[model.TaskKey, float] = {}
         self.failed_workers: dict[model.TaskKey, set[str]] = {}
-        self.durations_s: dict[tuple[int, int], list[float]] = {}
+        self.durations_s: dict[tuple[int, int], collections.deque[float]] = {}
         self.step_times_s = tuple(
             step.estimate_ms / 1000 for step in spec.steps
         )
@@ -140,12 +149,11 @@
             tuple[tuple[int, tuple[float, ...]], model.Resources] | None
         ) = None
         self._unblocked: tuple[int, list[UnblockedTasks]] | None = None
-        self.pending_tasks: dict[tuple[int, int], set[int]] = {
-            (occurrence, number): set(range(step.tasks))
-            for occurrence in range(spec.occurrences)
-            for number, step in enumerate(spec.steps)
-        }
-        self._open_steps = list(reversed(self.pending_tasks))
+        self.pending_tasks: dict[tuple[int, int], task_numbers.TaskNumbers] = {}
+        self._next_occurrence = 0
+        # Steps before this one are done, in the order of occurrences.
+        self._first_open_step = 0
+        self._open_occurrences()
 
     @property
     def spec(self) -> model.JobSpec:
@@ -169,13 +177,17 @@
     def is_completed(self) -> bool:
         """Whether all tasks of all occurrences have completed."""
         # Steps are never undone, so those that are done need no second look.
-        while self._open_steps and self.step_is_done(*self._open_steps[-1]):
-            self._open_steps.pop()
-        return not self._open_steps
+        steps = len(self._spec.steps)
+        total = self._spec.occurrences * steps
+        while self._first_open_step < total and self.step_is_done(
+            *divmod(self._first_open_step, steps)
+        ):
+            self._first_open_step += 1
+        return self._first_open_step >= total
 
     @property
     def has_pending(self) -> bool:
-        """Whether any task is neither active nor completed."""
+        """Whether any task of an open step is neither active nor completed."""
         return any(self.pending_tasks.values())
 
     @property
@@ -232,7 +244,7 @@
         """
         if self._unblocked is None or self._unblocked[0] != self.revision:
             unblocked = [
-                UnblockedTasks(occurrence, number, tuple(sorted(indexes)))
+                UnblockedTasks(occurrence, number, indexes.copy())
                 for (occurrence, number), indexes in self.pending_tasks.items()
                 if indexes
                 and all(
@@ -298,7 +310,7 @@
         Returns:
             The ratio, or None with fewer than `MIN_DURATION_SAMPLES` samples.
         """
-        known = self.durations_s.get((task.occurrence, task.step), [])
+        known = self.durations_s.get((task.occurrence, task.step), ())
         if len(known) < MIN_DURATION_SAMPLES:
             return None
         return duration_s / max(0.001, statistics.median(known))
@@ -306,7 +318,9 @@
     def record_duration(self, task: model.TaskKey, duration_s: float) -> None:
         """Records the duration of a completed run."""
         key = task.occurrence, task.step
-        self.durations_s.setdefault(key, []).append(duration_s)
+        self.durations_s.setdefault(
+            key, collections.deque(maxlen=MAX_DURATION_SAMPLES)
+        ).append(duration_s)
 
     def add_run(self, run: task_runs.Run) -> None:
         """Adds a run that was started or discovered on a worker."""
@@ -314,7 +328,7 @@
         self.revision += 1
         self.runs.setdefault(task, []).append(run)
         self.highest_run[task] = max(self.highest_run.get(task, 0), run.number)
-        self.pending_tasks[task.occurrence, task.step].discard(task.number)
+        self._pending_of(task).discard(task.number)
         if run.phase is task_runs.RunPhase.RUNNING:
             self.has_started = True
 
@@ -330,8 +344,7 @@
         if not runs:
             self.runs.pop(run.task, None)
             if not self.is_done(run.task) and not self.is_finished:
-                key = run.task.occurrence, run.task.step
-                self.pending_tasks[key].add(run.task.number)
+                self._pending_of(run.task).add(run.task.number)
 
     def apply_run_end(
         self, end: task_runs.RunEnd, max_attempts: int, now_s: float
@@ -347,13 +360,13 @@
             Whether the stored progress has changed.
         """
         task = end.run.task
+        if self.is_done(task):
+            return False
         self.highest_run[task] = max(
             self.highest_run.get(task, 0), end.run.number
         )
         if end.checkpoint:
             self.checkpoints[task] = end.checkpoint
-        if self.is_done(task):
-            return False
         if (
             end.kind is task_runs.EndKind.DONE
             and not self.step(task).long_running
@@ -368,14 +381,76 @@
         self.revision += 1
         key = task.occurrence, task.step
         if self.step(task).gang:
-            self.done[key] = set(range(self.step(task).tasks))
-            self.pending_tasks[key].clear()
+            self._add_done(key, range(self.step(task).tasks))
         else:
-            self.done.setdefault(key, set()).add(task.number)
-            self.pending_tasks[key].discard(task.number)
+            self._add_done(key, (task.number,))
         self.has_started = True
         if self.is_completed:
             self.finished_s = now_s
+        self._open_occurrences()
+
+    def restore_done(
+        self, key: tuple[int, int], numbers: abc.Iterable[int]
+    ) -> None:
+        """Adds completed tasks of a step, as a previous owner stored them."""
+        self.revision += 1
+        self.has_started = True
+        self._add_done(key, numbers)
+        self._open_occurrences()
+
+    def _add_done(
+        self, key: tuple[int, int], numbers: abc.Iterable[int]
+    ) -> None:
+        """Counts tasks as completed, and forgets what is kept to run them."""
+        pending = self.pending_tasks.get(key)
+        done = self.done.setdefault(key, task_numbers.TaskNumbers())
+        for number in numbers:
+            done.add(number)
+            if pending is not None:
+                pending.discard(number)
+            task = model.TaskKey(*key, number)
+            self.highest_run.pop(task, None)
+            self.checkpoints.pop(task, None)
+
+    def _pending_of(self, task: model.TaskKey) -> task_numbers.TaskNumbers:
+        """Returns the pending tasks of a task's step; opens it if need be.
+
+        A previous owner may have started tasks of later occurrences.
+        """
+        while task.occurrence >= self._next_occurrence:
+            self._open_occurrence()
+        # A step that was done is closed.
+        return self.pending_tasks.get(
+            (task.occurrence, task.step), task_numbers.TaskNumbers()
+        )
+
+    def _open_occurrences(self) -> None:
+        """Opens the next occurrences as far as the open steps leave room."""
+        steps = len(self._spec.steps)
+        allowed = max(MAX_OPEN_STEPS, steps) - steps
+        while self._next_occurrence < self._spec.occurrences:
+            if len(self.pending_tasks) > allowed:
+                self._close_done_steps()
+            if len(self.pending_tasks) > allowed:
+                return
+            self._open_occurrence()
+
+    def _open_occurrence(self) -> None:
+        """Makes all tasks of the next occurrence pending."""
+        self.revision += 1
+        for number, step in enumerate(self._spec.steps):
+            key = self._next_occurrence, number
+            pending = task_numbers.TaskNumbers(range(step.tasks))
+            pending -= self.done.get(key, task_numbers.TaskNumbers())
+            self.pending_tasks[key] = pending
+        self._next_occurrence += 1
+
+    def _close_done_steps(self) -> None:
+        """Forgets the open steps that are done."""
+        for key in [
+            key for key in self.pending_tasks if self.step_is_done(*key)
+        ]:
+            del self.pending_tasks[key]
 
     def _apply_failure(
         self, end: task_runs.RunEnd, max_attempts: int, now_s: float
--- a/src/chervillead/jobs/job_table.py
+++ b/src/chervillead/jobs/job_table.py
@@ -7,6 +7,7 @@
 from collections import abc
 import itertools
 
+from chervillead.jobs import held_jobs
 from chervillead.jobs import job_state
 
 
@@ -20,6 +21,7 @@
     """
 
     def __init__(self) -> None:
+        self._held = held_jobs.HeldJobs()
         self._jobs: dict[str, job_state.JobState] = {}
         self._unfinished: dict[str, job_state.JobState] = {}
         self._orders: dict[str, int] = {}
@@ -27,10 +29,19 @@
         # Ordered, so that jobs are seen in the order in which they were added.
         self._changed: dict[str, None] = {}
 
+    @property
+    def held(self) -> held_jobs.HeldJobs:
+        """Memory of the jobs, and of those that are being stored."""
+        return self._held
+
     def __getitem__(self, job_id: str) -> job_state.JobState:
         return self._jobs[job_id]
 
     def __setitem__(self, job_id: str, job: job_state.JobState) -> None:
+        replaced = self._jobs.get(job_id)
+        if replaced is not None:
+            self._held.remove(replaced.spec)
+        self._held.add(job.spec)
         self._jobs[job_id] = job
         self._unfinished[job_id] = job
         if job_id not in self._orders:
@@ -38,7 +49,7 @@
         self.mark_changed(job_id)
 
     def __delitem__(self, job_id: str) -> None:
-        del self._jobs[job_id]
+        self._held.remove(self._jobs.pop(job_id).spec)
         self._unfinished.pop(job_id, None)
         del self._orders[job_id]
         self.mark_changed(job_id)
--- a/src/chervillead/jobs/readiness.py
+++ b/src/chervillead/jobs/readiness.py
@@ -5,6 +5,7 @@
 
 from chervillead.jobs import job_state
 from chervillead.jobs import model
+from chervillead.jobs import task_numbers
 
 
 class ReadyTask(typing.NamedTuple):
@@ -23,14 +24,14 @@
         occurrence: Number of the occurrence, from 0.
         number: Number of the step, from 0.
         step: The step.
-        tasks: Numbers of its tasks that may be started, in order.
+        tasks: Numbers of its tasks that may be started.
     """
 
     job: job_state.JobState
     occurrence: int
     number: int
     step: model.Step
-    tasks: tuple[int, ...]
+    tasks: task_numbers.TaskNumbers
 
     def ready_tasks(self) -> abc.Iterator[ReadyTask]:
         """Yields the tasks that may be started."""
@@ -55,11 +56,8 @@
         if not is_due(job.spec, occurrence, now_unix_ms):
             continue
         if job.retry_at_s:
-            tasks = tuple(
-                index
-                for index in tasks
-                if _retry_at_s(job, occurrence, number, index) <= now_s
-            )
+            tasks = tasks.copy()
+            tasks -= _held_back(job, occurrence, number, now_s)
         if tasks:
             step = job.spec.steps[number]
             yield ReadyStep(job, occurrence, number, step, tasks)
@@ -74,12 +72,16 @@
         yield job.spec.steps[unblocked.number]
 
 
-def _retry_at_s(
-    job: job_state.JobState, occurrence: int, number: int, index: int
-) -> float:
-    """Returns the earliest time of the next run of a task."""
-    task = model.TaskKey(occurrence, number, index)
-    return job.retry_at_s.get(task, 0.0)
+def _held_back(
+    job: job_state.JobState, occurrence: int, number: int, now_s: float
+) -> task_numbers.TaskNumbers:
+    """Returns the tasks of a step that failed and have to wait."""
+    return task_numbers.TaskNumbers(
+        task.number
+        for task, retry_at_s in job.retry_at_s.items()
+        if (task.occurrence, task.step) == (occurrence, number)
+        and retry_at_s > now_s
+    )
 
 
 def is_due(spec: model.JobSpec, occurrence: int, now_unix_ms: float) -> bool:
@@ -95,17 +97,3 @@
         return True
     due_ms = schedule.start_unix_ms + occurrence * schedule.interval_ms
     return now_unix_ms >= due_ms
-
-
-def next_due_ms(spec: model.JobSpec, now_unix_ms: float) -> float | None:
-    """Returns when the next occurrence is due, or None if there is none."""
-    schedule = spec.schedule
-    return next(
-        (
-            float(schedule.start_unix_ms + number * schedule.interval_ms)
-            for number in range(schedule.repeats)
-            if schedule.start_unix_ms + number * schedule.interval_ms
-            > now_unix_ms
-        ),
-        None,
-    )
--- a/src/chervillead/jobs/records.py
+++ b/src/chervillead/jobs/records.py
@@ -5,6 +5,7 @@
 each. Earlier builds skip the terms and reject a spec with further fields.
 """
 
+from collections import abc
 import typing
 
 import msgspec
@@ -177,17 +178,13 @@
     """
     progress = _decode(_progress_decoder, value)
     for step in progress.steps:
-        if (step.occurrence, step.step) not in job.pending_tasks:
+        if not job.has_task(model.TaskKey(step.occurrence, step.step, 0)):
             raise MalformedRecordError(f"the job has no {step}")
     for task in progress.tasks:
         if not job.has_task(task.task):
             raise MalformedRecordError(f"the job has no {task}")
     for step in progress.steps:
-        key = step.occurrence, step.step
-        job.done[key] = _from_bitmap(step.done)
-        job.pending_tasks[key] -= job.done[key]
-        job.revision += 1
-        job.has_started = True
+        job.restore_done((step.occurrence, step.step), _from_bitmap(step.done))
     for task in progress.tasks:
         job.highest_run[task.task] = task.highest_run
         if task.failed_runs:
@@ -209,11 +206,17 @@
         job.revision += 1
 
 
-def _to_bitmap(indexes: set[int]) -> bytes:
-    bits = sum(1 << index for index in indexes)
-    return bits.to_bytes(max(indexes) // 8 + 1, "little")
+def _to_bitmap(indexes: abc.Collection[int]) -> bytes:
+    bitmap = bytearray(max(indexes) // 8 + 1)
+    for index in indexes:
+        bitmap[index // 8] |= 1 << index % 8
+    return bytes(bitmap)
 
 
-def _from_bitmap(bitmap: bytes) -> set[int]:
-    bits = int.from_bytes(bitmap, "little")
-    return {index for index in range(8 * len(bitmap)) if bits >> index & 1}
+def _from_bitmap(bitmap: bytes) -> abc.Iterator[int]:
+    return (
+        8 * number + bit
+        for number, byte in enumerate(bitmap)
+        for bit in range(8)
+        if byte >> bit & 1
+    )
--- a/src/chervillead/jobs/speculation.py
+++ b/src/chervillead/jobs/speculation.py
@@ -9,6 +9,7 @@
 import statistics
 
 from chervillead.jobs import job_state
+from chervillead.jobs import model
 from chervillead.jobs import ordering
 from chervillead.jobs import readiness
 from chervillead.jobs import task_runs
@@ -24,23 +25,24 @@
     job: job_state.JobState, now_s: float
 ) -> abc.Iterator[readiness.ReadyTask]:
     """Yields the straggling tasks of a job, which should get a second run."""
-    for number, step in enumerate(job.spec.steps):
-        if not step.speculative or step.gang or step.long_running:
+    running: dict[tuple[int, int], list[model.TaskKey]] = {}
+    for task in job.runs:
+        step = job.step(task)
+        if step.speculative and not step.gang and not step.long_running:
+            running.setdefault((task.step, task.occurrence), []).append(task)
+    for (number, occurrence), tasks in sorted(running.items()):
+        limit_s = _limit_s(job, occurrence, number)
+        if limit_s is None:
             continue
-        for occurrence in range(job.spec.occurrences):
-            limit_s = _limit_s(job, occurrence, number)
-            if limit_s is None:
-                continue
-            for task, runs in list(job.runs.items()):
-                in_step = (task.occurrence, task.step) == (occurrence, number)
-                if in_step and _is_straggling(runs, limit_s, now_s):
-                    yield readiness.ReadyTask(job, task, step)
+        for task in tasks:
+            if _is_straggling(job.runs.get(task, []), limit_s, now_s):
+                yield readiness.ReadyTask(job, task, job.step(task))
 
 
 def _limit_s(
     job: job_state.JobState, occurrence: int, number: int
 ) -> float | None:
-    durations = job.durations_s.get((occurrence, number), [])
+    durations = job.durations_s.get((occurrence, number), ())
     if len(durations) >= MIN_DURATION_SAMPLES:
         return STRAGGLER_FACTOR * statistics.median(durations)
     if number in job.learned_steps:
--- a/src/chervillead/metrics_page.py
+++ b/src/chervillead/metrics_page.py
@@ -34,6 +34,10 @@
         "Submissions refused for load.",
         ("reason",),
     ),
+    "chervillead_memory_refusals": (
+        "Submissions refused because accepted jobs hold too much memory.",
+        ("reason",),
+    ),
     "chervillead_hosts_requested": ("Hosts sent to pools.", ("reason",)),
     "chervillead_operator_syncs": (
         "Fetches of operator records from peers.",
--- a/src/chervillead/platform/assembly.py
+++ b/src/chervillead/platform/assembly.py
@@ -129,6 +129,12 @@
             ),
             sizes_by_offered_load=settings.sizes_by_offered_load,
             loop_lag_s=lambda: self.loop_lag.highest_s,
+            held_bytes=self.accepted_job_bytes,
+        )
+        self.metrics.gauge(
+            "chervillead_accepted_job_bytes",
+            "Memory of the accepted jobs of the pools that this host owns.",
+            self.accepted_job_bytes,
         )
         self.ownership = ownership.Ownership(
             member,
@@ -170,6 +176,13 @@
             return fleet_configuration.DEFAULT_MAX_BODY_BYTES
         return configuration.max_body_bytes
 
+    def accepted_job_bytes(self) -> int:
+        """Returns the memory of the jobs of all owned partitions, in bytes."""
+        return sum(
+            owner.state.jobs.held.total_bytes
+            for owner in self.ownership.owners.values()
+        )
+
     def partition_of(self, pool: str) -> int:
         """Returns the store partition that holds the jobs of a pool."""
         return pool_partitions.partition_of(
--- a/src/chervillead/platform/job_bodies.py
+++ b/src/chervillead/platform/job_bodies.py
@@ -72,8 +72,12 @@
             _integer(fields, "Gpu"),
         ),
         estimate_ms=_integer(fields, "EstimateMs"),
+        # A body of legal size may name one step 130,000 times.
         depends_on=tuple(
-            _typed(earlier, int, "After") for earlier in fields.get("After", ())
+            dict.fromkeys(
+                _typed(earlier, int, "After")
+                for earlier in fields.get("After", ())
+            )
         ),
         checkpointing=_boolean(fields, "Checkpointing"),
         gang=_boolean(fields, "Gang"),
--- a/src/chervillead/platform/settings.py
+++ b/src/chervillead/platform/settings.py
@@ -10,6 +10,7 @@
 from chervillead import settings as settings_module
 from chervillead import types
 from chervillead.callers import request_limiter
+from chervillead.jobs import held_jobs
 from chervillead.pools import ports as ports_module
 
 SETTINGS_VARIABLE = "CHERVILLEAD_CONFIG"
@@ -81,6 +82,7 @@
 MAX_DESCRIPTORS = 2**30
 # Below that, the process alone takes up the memory.
 MIN_MEMORY_MB = 32
+BYTES_PER_MB = 1024 * 1024
 
 
 class _SettingError(Exception):
@@ -180,23 +182,57 @@
     return value
 
 
+def _number_within(
+    document: object, path: str, default: float, low: float, high: float
+) -> float:
+    value = _number(document, path, default)
+    if not low <= value <= high:
+        raise _SettingError(path, value, f"{low:g} to {high:g}")
+    return value
+
+
+def _memory_bytes(document: object) -> float:
+    """Returns the memory of the machine, in bytes."""
+    memory_mb = _number_within(
+        document, "Limits.MemoryMb", DEFAULT_MEMORY_MB, MIN_MEMORY_MB, 524288
+    )
+    return memory_mb * BYTES_PER_MB
+
+
+def _accepted_jobs(document: object) -> held_jobs.Limits:
+    def share(path: str, default: float) -> float:
+        return _number_within(document, path, default, 0.01, 0.5)
+
+    # The smallest host may become the owner of any pool.
+    smallest_mb = _number_within(
+        document,
+        "AcceptedJobs.SmallestMemoryMb",
+        DEFAULT_MEMORY_MB,
+        MIN_MEMORY_MB,
+        524288,
+    )
+    memory_bytes = min(smallest_mb * BYTES_PER_MB, _memory_bytes(document))
+    pool_share = share("AcceptedJobs.PoolShare", 0.2)
+    account_share = share("AcceptedJobs.AccountShare", 0.1)
+    host_share = share("AcceptedJobs.HostShare", 0.25)
+    return held_jobs.Limits(
+        pool_bytes=int(memory_bytes * pool_share),
+        account_bytes=int(memory_bytes * account_share),
+        host_bytes=int(memory_bytes * host_share),
+    )
+
+
 def _request_limits(document: object) -> request_limiter.Limits:
     def number(path: str, default: float, low: float, high: float) -> float:
-        value = _number(document, path, default)
-        if not low <= value <= high:
-            raise _SettingError(path, value, f"{low:g} to {high:g}")
-        return value
+        return _number_within(document, path, default, low, high)
 
-    memory_mb = number(
-        "Limits.MemoryMb", DEFAULT_MEMORY_MB, MIN_MEMORY_MB, 524288
-    )
     descriptors = number(
         "Limits.MaxFds", DEFAULT_DESCRIPTORS, 64, MAX_DESCRIPTORS
     )
     memory_share = number("RequestLimits.MemoryShare", 0.1, 0.01, 0.5)
     connection_share = number("RequestLimits.ConnectionShare", 0.5, 0.1, 0.8)
     return request_limiter.Limits(
-        memory_bytes=int(memory_mb * memory_share * 1024 * 1024),
+        memory_bytes=int(_memory_bytes(document) * memory_share),
         connections=int(descriptors * connection_share),
         head_timeout_s=number("RequestLimits.HeadTimeoutS", 5.0, 0.1, 60.0),
         body_timeout_s=number("RequestLimits.BodyTimeoutS", 10.0, 0.1, 60.0),
@@ -213,6 +249,7 @@
         move_s=_number(document, "Bounds.MoveS", 1.5),
         host_lease_s=_number(document, "Bounds.LeaseMs", 3000) / 1000,
         pace_delay_ms=int(_number(document, "Bounds.PaceMs", 100)),
+        accepted_jobs=_accepted_jobs(document),
     )
 
 
--- a/src/chervillead/pools/job_submissions.py
+++ b/src/chervillead/pools/job_submissions.py
@@ -14,6 +14,7 @@
 from chervillead.pools import owner_state
 from chervillead.pools import pool_work
 from chervillead.pools import queue_assignments
+from chervillead.pools import retry_after
 from chervillead.store import group_commit
 
 # New jobs are refused once appends have failed for this long, since the store
@@ -108,9 +109,13 @@
             terms = queue.terms
             # Known jobs have been answered above, here or elsewhere.
             refusal = state.overload.check(spec, terms, state.run_times)
+            if refusal is not None:
+                return result.Failure(refusal)
+            refusal = self._check_memory(spec)
             if refusal is not None:
                 return result.Failure(refusal)
             stored = state.recorder.store_job(spec, terms)
+            state.jobs.held.add(spec)
             self._pending[spec.job_id] = PendingSubmission(spec, stored)
             stored.add_done_callback(
                 lambda f: self._submission_stored(spec, terms, f)
@@ -143,6 +148,19 @@
             )
         return None
 
+    def _check_memory(self, spec: model.JobSpec) -> verdicts.Refusal | None:
+        """Returns why there is no memory for a new job, or None."""
+        ports = self._state.ports
+        refusal = self._state.jobs.held.check(
+            spec,
+            ports.limits.accepted_jobs,
+            host_bytes=ports.held_bytes(),
+            retry_after_s=retry_after.draw_s(),
+        )
+        if refusal is not None:
+            ports.increment("chervillead_memory_refusals", refusal.reason)
+        return refusal
+
     async def _open_queue(
         self, spec: model.JobSpec, timeout_s: float
     ) -> verdicts.Refusal | None:
@@ -170,10 +188,11 @@
         terms: model.JobTerms,
         stored: asyncio.Future[None],
     ) -> None:
+        state = self._state
         self._pending.pop(spec.job_id, None)
+        state.jobs.held.remove(spec)
         if not group_commit.is_stored(stored):
             return
-        state = self._state
         job = state.jobs.get(spec.job_id) or self._accept(spec, terms)
         state.log(
             "job:accepted",
--- a/src/chervillead/pools/pool_load.py
+++ b/src/chervillead/pools/pool_load.py
@@ -1,5 +1,6 @@
 """Measures the load of a pool, the input of autoscaling."""
 
+import bisect
 from collections import abc
 import functools
 import itertools
@@ -148,7 +149,7 @@
         count = _count_allowed(quota, share, used, need, len(step.tasks))
         if count:
             usage[account] = used.plus(need.times(count))
-            yield step._replace(tasks=step.tasks[:count])
+            yield step._replace(tasks=step.tasks.first(count))
 
 
 def _count_allowed(
@@ -159,13 +160,12 @@
     tasks: int,
 ) -> int:
     """Returns how many of some equal tasks a share of a quota allows."""
-    return next(
-        (
-            count
-            for count in range(tasks, 0, -1)
-            if quotas.allows(quota, share, used, need.times(count), count)
+    return bisect.bisect_left(
+        range(1, tasks + 1),
+        True,
+        key=lambda count: (
+            not quotas.allows(quota, share, used, need.times(count), count)
         ),
-        0,
     )
 
 
--- a/src/chervillead/pools/ports.py
+++ b/src/chervillead/pools/ports.py
@@ -6,6 +6,7 @@
 from returns import result
 
 from chervillead import types
+from chervillead.jobs import held_jobs
 from chervillead.jobs import job_api
 from chervillead.jobs import model
 from chervillead.store import interface as store_interface
@@ -17,7 +18,7 @@
 
 
 class Limits(typing.NamedTuple):
-    """Limits and durations that the platform sets.
+    """Limits and durations that the platform sets, and limits for its hosts.
 
     Attributes:
         max_lease_ms: Longest lease that workers accept.
@@ -29,6 +30,7 @@
         host_lease_s: Least time between the commands to hosts of an owner of
             the hosts partition and those of the next one.
         pace_delay_ms: How long a worker takes to apply a new pace.
+        accepted_jobs: Limits on the memory of accepted jobs.
     """
 
     max_lease_ms: int = 6000
@@ -38,6 +40,7 @@
     move_s: float = 1.5
     host_lease_s: float = 3.0
     pace_delay_ms: int = 100
+    accepted_jobs: held_jobs.Limits = held_jobs.Limits()
 
     @property
     def host_lead_time_s(self) -> float:
@@ -95,6 +98,8 @@
             them; otherwise by what all waiting tasks would use at once.
         loop_lag_s: Returns the highest recent lag of the event loop, in
             seconds.
+        held_bytes: Returns the memory of the jobs of all partitions that this
+            host owns, in bytes.
     """
 
     store: store_interface.Store
@@ -111,3 +116,4 @@
     ask_advice: AskAdvice | None = None
     sizes_by_offered_load: bool = True
     loop_lag_s: abc.Callable[[], float] = lambda: 0.0
+    held_bytes: abc.Callable[[], int] = lambda: 0
--- a/tests/stand_ins/local_platform.py
+++ b/tests/stand_ins/local_platform.py
@@ -71,6 +71,9 @@
         hosts: int = HOSTS,
         limits: dict[str, int] | None = None,
         request_limits: dict[str, float] | None = None,
+        host_limits: dict[int, dict[str, int]] | None = None,
+        operator_fields: dict[str, typing.Any] | None = None,
+        late_hosts: int = 0,
     ) -> None:
         """Reserves the ports.
 
@@ -79,10 +82,17 @@
             hosts: Number of entry hosts.
             limits: Limits of the machine, as the settings file names them.
             request_limits: Settings of the limits on requests.
+            host_limits: Limits of the machines that differ, by host.
+            operator_fields: Top-level fields of the operators' configuration
+                that differ.
+            late_hosts: How many of the hosts aren't started with the others.
         """
         self._hosts = hosts
         self._limits = limits or {}
         self._request_limits = request_limits or {}
+        self._host_limits = host_limits or {}
+        self._operator_fields = operator_fields or {}
+        self._late_hosts = late_hosts
         count = hosts * PORTS_PER_HOST + WORKERS + 2
         self._reserved_ports = free_ports.reserve_ports(count)
         self._folder = folder
@@ -123,7 +133,7 @@
                 "RecordBytes": 262144,
                 "CallBytes": 2097152,
             },
-            "Limits": self._limits,
+            "Limits": self._limits | self._host_limits.get(host, {}),
             "RequestLimits": self._request_limits,
         }
 
@@ -146,13 +156,16 @@
                 )
             )
         # The host header of the calls is the loopback address.
-        configuration = platform_fleet.configuration(queue_host=loopback)
+        configuration = platform_fleet.configuration(
+            queue_host=loopback, **self._operator_fields
+        )
         self._store.put("keyed.op", "config", configuration)
         self._tasks.append(asyncio.create_task(self._heartbeats()))
-        for host in range(self._hosts):
-            await self._start_host(host)
+        for host in range(self._hosts - self._late_hosts):
+            await self.start_host(host)
 
-    async def _start_host(self, host: int) -> None:
+    async def start_host(self, host: int) -> None:
+        """Starts the process of the next host."""
         path = self._folder / f"host-{host}.yaml"
         path.write_text(yaml.safe_dump(self._settings(host)))
         log = (self._folder / f"host-{host}.log").open("wb")
@@ -201,12 +214,38 @@
         port = self._port(host * PORTS_PER_HOST + 3)
         return types.Address(free_ports.LOOPBACK, port)
 
+    def peak_memory_mb(self, host: int) -> float:
+        """Returns the largest resident memory of a host since its start."""
+        status = pathlib.Path(f"/proc/{self.process_id(host)}/status")
+        line = next(
+            line
+            for line in status.read_text().splitlines()
+            if line.startswith("VmHWM:")
+        )
+        return int(line.split()[1]) / 1024
+
+    def open_descriptors(self, host: int) -> int:
+        """Returns the number of descriptors that a host has open."""
+        return psutil.Process(self.process_id(host)).num_fds()
+
+    async def kill_host(self, host: int) -> None:
+        """Kills the process of a host, without a shutdown."""
+        self._processes[host].kill()
+        await self._processes[host].wait()
+
     def is_running(self, host: int) -> bool:
         """Returns whether the process of a host hasn't ended."""
         return self._processes[host].returncode is None
 
-    async def submit_job(self, number: int) -> int:
-        """Submits a small job to the first host.
+    async def submit_job(
+        self, number: int, *, host: int = 0, key: str = platform_fleet.KEY
+    ) -> int:
+        """Submits a small job to a host.
+
+        Args:
+            number: Number of the job, of which its id is made.
+            host: Number of the host.
+            key: Key of the caller.
 
         Returns:
             The status of the response, or 0 if there was none.
@@ -215,20 +254,28 @@
         body = msgspec.json.encode(
             {"Spec": "small", "Phases": [platform_fleet.step(1)]}
         )
-        return await self._status("POST", 0, path, body)
+        return await self._status("POST", host, path, body, key)
 
     async def _status(
-        self, method: str, host: int, path: str, body: bytes = b""
+        self,
+        method: str,
+        host: int,
+        path: str,
+        body: bytes = b"",
+        key: str = platform_fleet.KEY,
     ) -> int:
-        response = await self._call(method, host, path, body)
+        response = await self._call(method, host, path, body, key)
         return response.status if response is not None else 0
 
     async def _call(
-        self, method: str, host: int, path: str, body: bytes = b""
+        self,
+        method: str,
+        host: int,
+        path: str,
+        body: bytes = b"",
+        key: str = platform_fleet.KEY,
     ) -> http_exchange.HttpResponse | None:
-        request = http_exchange.HttpRequest(
-            method, path, (("key", platform_fleet.KEY),), body
-        )
+        request = http_exchange.HttpRequest(method, path, (("key", key),), body)
         with contextlib.suppress(
             OSError, http_exchange.IncompleteResponseError
         ):
--- a/tests/stand_ins/platform_fleet.py
+++ b/tests/stand_ins/platform_fleet.py
@@ -16,6 +16,7 @@
 from chervillead import types
 from chervillead import verdicts
 from chervillead.entries import job_messages
+from chervillead.jobs import held_jobs
 from chervillead.jobs import job_api
 from chervillead.platform import assembly
 from chervillead.platform import job_bodies
@@ -34,6 +35,7 @@
 QUEUE_HOST = "queue.example"
 QUEUE_PATH = "/jobs/"
 KEY = "key-1"
+DEFAULT_LIMITS = held_jobs.Limits()
 MAX_ATTEMPTS = 3
 HEARTBEAT_S = 0.5
 SILENCE_S = 1.5
@@ -120,6 +122,7 @@
         seed: int = 0,
         turned_off: int = 0,
         max_lease_ms: int = platform_worker.MAX_LEASE_MS,
+        accepted_jobs: held_jobs.Limits = DEFAULT_LIMITS,
     ) -> None:
         self.store = platform_store.StoreStandIn()
         self.network = memory_network.MemoryNetwork(seed=seed)
@@ -136,7 +139,9 @@
         )
         for worker in self.workers.values():
             worker.max_lease_ms = max_lease_ms
-        self._limits = ports_module.Limits(max_lease_ms=max_lease_ms)
+        self._limits = ports_module.Limits(
+            max_lease_ms=max_lease_ms, accepted_jobs=accepted_jobs
+        )
         self._host_names = [f"host-{number}" for number in range(hosts)]
         self._hosts: dict[str, _RunningHost] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -314,12 +319,13 @@
         *,
         host: str | None = None,
         key: str = KEY,
+        path: str = QUEUE_PATH,
         **fields: typing.Any,
     ) -> result.Result[None, verdicts.Refusal]:
         """Submits a job to a host, with a body like a caller's."""
         entry_host = self.hosts[host or self.other_host()]
         ports = entry_host.job_ports()
-        admission = job_api.admit(ports, QUEUE_HOST, QUEUE_PATH + job_id, key)
+        admission = job_api.admit(ports, QUEUE_HOST, path + job_id, key)
         if not pipeline.is_successful(admission):
             return result.Failure(admission.failure())
         body = msgspec.json.encode({"Spec": "x", "Phases": steps} | fields)
--- a/tests/stand_ins/pool_burst.py
+++ b/tests/stand_ins/pool_burst.py
@@ -183,7 +183,7 @@
                 run = (end_s, next(self.order), job, job.step, now_s)
                 heapq.heappush(self.running, run)
             pending = job.state.pending_tasks[0, job.step]
-            pending.difference_update(range(job.started, job.started + count))
+            pending -= set(range(job.started, job.started + count))
             job.state.revision += 1
             job.started += count
 
--- a/tests/stand_ins/run_features.py
+++ b/tests/stand_ins/run_features.py
@@ -36,7 +36,10 @@
 )
 # Features that measure the memory of a process under load. They run after all
 # others, one at a time.
-RUN_ALONE = ("platform/request_limits.feature",)
+RUN_ALONE = (
+    "platform/hostile_jobs.feature",
+    "platform/request_limits.feature",
+)
 _COUNTS = re.compile(r"^(\d+) scenarios? passed(.*)$", re.MULTILINE)
 _NOT_PASSED = re.compile(r"(\d+) (?:failed|error)")
 
