Parse received bytes in turns of the client addresses

What callers saw: no answer for as long as other clients sent bodies in chunks of one byte.

Cause: all bytes of a read, up to 256 KB, were parsed in one go. Each chunk takes a few calls, so a body of 262 KB in chunks of one byte kept the event loop busy for more than a second, and connections were parsed in no order.

Change: a connection parses at most 8 KiB in a turn, client addresses take turns, and other tasks run after 2 ms of turns. A connection that waits isn't read, and what it has received counts as held. A body that isn't parsed within its time limit is refused with 503 as not run. It works because an ordinary caller now waits for at most one turn of each other address, however much those send.

--- a/src/chervillead/callers/bodies.py
+++ b/src/chervillead/callers/bodies.py
@@ -77,6 +77,16 @@
     )
 
 
+def turn_refusal(timeout_s: float) -> verdicts.Refusal:
+    """Returns the refusal of a body that other clients keep from parsing."""
+    return verdicts.not_run(
+        "body-not-parsed",
+        503,
+        f"other clients' bodies took all of the {timeout_s} s for parsing",
+        retry_after_s=request_limiter.RETRY_AFTER_S,
+    )
+
+
 def _truncated(length: int) -> verdicts.Refusal:
     return verdicts.not_run(
         "body-truncated",
--- a/src/chervillead/callers/connections.py
+++ b/src/chervillead/callers/connections.py
@@ -15,6 +15,7 @@
 
 from chervillead import verdicts
 from chervillead.callers import bodies
+from chervillead.callers import parse_turns
 from chervillead.callers import refusable_connection
 from chervillead.callers import request_limiter
 
@@ -37,9 +38,13 @@
         self,
         *arguments: typing.Any,
         limiter: request_limiter.RequestLimiter,
+        turns: parse_turns.ParseTurns,
         **named: typing.Any,
     ) -> None:
         super().__init__(*arguments, limiter=limiter, **named)
+        self._turns = turns
+        # Received bytes that wait for a turn to be parsed.
+        self._waiting = bytearray()
         self._body_bytes = 0
         # Size of the body up to which memory is reserved.
         self._checked_body_bytes = 0
@@ -60,6 +65,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Releases what no handler uses and cancels the timeouts."""
+        self._waiting.clear()
         if self._is_reading_head and self._reservation is not None:
             self._reservation.release()
         # Requests that wait for an earlier one are never started now.
@@ -68,9 +74,50 @@
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        """Parses received bytes and applies the limits."""
+        """Parses received bytes, in turn with other clients if need be."""
         if self._is_refused or self._connection is None:
             return
+        if (
+            len(data) <= parse_turns.TURN_BYTES
+            and not self._waiting
+            and not self._turns.is_contended
+        ):
+            self._parse(data)
+            return
+        if not self._is_reading_head and not self._is_reading_body:
+            self._start_head()
+        is_first = not self._waiting
+        self._waiting += data
+        self._reserve_waiting()
+        if is_first and self._waiting:
+            self._stoppable_flow.hold_reading()
+            self._turns.join(
+                parse_turns.Connection(self._client_address, self._take_turn)
+            )
+
+    def _take_turn(self) -> bool:
+        """Parses some of the waiting bytes; returns whether more wait."""
+        part = bytes(self._waiting[: parse_turns.TURN_BYTES])
+        del self._waiting[: parse_turns.TURN_BYTES]
+        if part:
+            self._parse(part)
+        if self._is_refused or self.transport.is_closing():
+            self._waiting.clear()
+        if self._waiting:
+            self._reserve_waiting()
+        elif not self.transport.is_closing():
+            self._stoppable_flow.release_reading()
+        return bool(self._waiting)
+
+    def _reserve_waiting(self) -> None:
+        """Counts the bytes that wait to be parsed as held."""
+        if self._is_reading_head and self._reservation is not None:
+            self._reservation.resize(self._unparsed_bytes + len(self._waiting))
+        elif self._is_reading_body:
+            self._reserve_body()
+
+    def _parse(self, data: bytes) -> None:
+        """Parses bytes and applies the limits."""
         if not self._is_reading_head and not self._is_reading_body:
             self._start_head()
         self._unparsed_bytes += len(data)
@@ -227,9 +274,15 @@
             self._body_bytes + RESERVED_STEP_BYTES,
             self._limiter.max_body_bytes(),
         )
+        self._reserve_body()
+
+    def _reserve_body(self) -> None:
+        """Reserves what the body in progress and unparsed bytes hold."""
         if self._reservation is not None and not self.cycle.response_complete:
             self._reservation.resize(
-                request_limiter.REQUEST_BYTES + self._checked_body_bytes
+                request_limiter.REQUEST_BYTES
+                + self._checked_body_bytes
+                + len(self._waiting)
             )
 
     def _start_head(self) -> None:
@@ -256,6 +309,9 @@
 
     def _on_body_timeout(self) -> None:
         self._timer = None
+        if self._stoppable_flow.is_held:
+            self._refuse_body(bodies.turn_refusal(self._limits.body_timeout_s))
+            return
         if self.flow.read_paused:
             # The application is late, not the client.
             self._start_timer(
@@ -272,7 +328,9 @@
     """Returns what uvicorn calls for each connection."""
     return typing.cast(
         "type[asyncio.Protocol]",
-        functools.partial(CallerConnection, limiter=limiter),
+        functools.partial(
+            CallerConnection, limiter=limiter, turns=parse_turns.ParseTurns()
+        ),
     )
 
 
--- a/src/chervillead/callers/refusable_connection.py
+++ b/src/chervillead/callers/refusable_connection.py
@@ -29,19 +29,45 @@
     return refusal._replace(verdict=verdicts.Verdict.MAY_HAVE_RUN)
 
 
-class _StoppableFlow(flow_control.FlowControl):
-    """Flow control that can stop reading for good."""
+class StoppableFlow(flow_control.FlowControl):
+    """Flow control that can stop reading, for good or for a time.
 
-    is_stopped = False
+    Attributes:
+        is_held: Whether nothing is read until received bytes are parsed.
+    """
+
+    _is_stopped = False
+    # Whether uvicorn waits for the application to take what it holds.
+    _is_full = False
+    is_held = False
 
     def stop_reading(self) -> None:
         """Stops reading, whatever the application asks for."""
-        self.pause_reading()
-        self.is_stopped = True
+        self._is_stopped = True
+        super().pause_reading()
+
+    def hold_reading(self) -> None:
+        """Stops reading until `release_reading`."""
+        self.is_held = True
+        super().pause_reading()
+
+    def release_reading(self) -> None:
+        """Ends the effect of `hold_reading`."""
+        self.is_held = False
+        self._resume()
+
+    def pause_reading(self) -> None:
+        """Stops reading while the application is late."""
+        self._is_full = True
+        super().pause_reading()
 
     def resume_reading(self) -> None:
-        """Resumes reading unless it was stopped."""
-        if not self.is_stopped:
+        """Resumes reading unless there is another reason against it."""
+        self._is_full = False
+        self._resume()
+
+    def _resume(self) -> None:
+        if not (self._is_stopped or self.is_held or self._is_full):
             super().resume_reading()
 
 
@@ -93,7 +119,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Replaces the flow control by one that can stop."""
         super().connection_made(transport)  # type: ignore[arg-type]
-        self.flow = _StoppableFlow(self.transport)
+        self.flow = StoppableFlow(self.transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stops counting the connection and cancels the timeouts."""
@@ -211,8 +237,12 @@
         if self.transport.get_write_buffer_size() and not self._write_timer:
             self._start_write_timer()
 
+    @property
+    def _stoppable_flow(self) -> StoppableFlow:
+        return typing.cast(StoppableFlow, self.flow)
+
     def _stop_reading(self) -> None:
-        typing.cast(_StoppableFlow, self.flow).stop_reading()
+        self._stoppable_flow.stop_reading()
 
     def _answer_refused(self) -> None:
         """Lets the application answer, and closes the connection then."""
--- a/tests/platform/hostile_jobs.feature
+++ b/tests/platform/hostile_jobs.feature
@@ -17,6 +17,7 @@
       | bodies of small steps                           |
       | bodies of real steps                            |
       | several bodies of empty steps on one connection |
+      | bodies of empty steps in chunks of one byte     |
 
   Scenario Outline: Many clients submit <pattern>
     # Guards against accepted jobs that hold far more memory than their bodies,
--- a/tests/stand_ins/memory_caller.py
+++ b/tests/stand_ins/memory_caller.py
@@ -14,6 +14,7 @@
 from chervillead import assembly
 from chervillead.callers import application
 from chervillead.callers import connections
+from chervillead.callers import parse_turns
 from stand_ins import local_fleet
 
 RECEIVE_TIMEOUT_S = 60.0  # virtual; lets a test fail instead of hang
@@ -88,6 +89,7 @@
         self.stopping = False
         self.ports = assembly.front_end_ports(parts, lambda: self.stopping)
         self._app = application.build_application(self.ports)
+        self._turns = parse_turns.ParseTurns()
         self._state = server.ServerState()
         self._config = uvicorn.Config(
             self._app, lifespan="off", log_config=None, access_log=False
@@ -100,7 +102,11 @@
     def connect(self) -> "MemoryCaller":
         """Opens a connection to the entry host."""
         protocol = connections.CallerConnection(
-            self._config, self._state, {}, limiter=self.ports.limiter
+            self._config,
+            self._state,
+            {},
+            limiter=self.ports.limiter,
+            turns=self._turns,
         )
         return MemoryCaller(protocol)
 
