Shorten refused values in errors, responses and log lines

What callers saw: a refusal repeated what was sent, 390,054 characters for a Spec that is a list of numbers, and so did the log line about it. Workers, operators, the store and other hosts could fill logs in the same way.

Cause: decoders put values, or the error texts of libraries that hold values, whole into their errors.

Change: error_texts shortens values and texts, to at most 500 characters with both ends kept, and all decoders of bytes from outside use it. Refusals shorten their detail where they are made, and the log writer shortens long text fields, so a decoder that doesn't shorten can't fill a log either.

Evidence: error_texts.feature goes over 21 sources.

--- a/src/chervillead/bounded_logs.py
+++ b/src/chervillead/bounded_logs.py
@@ -22,6 +22,8 @@
 DECISION_LINES_PER_S = 50
 DECISION_BURST_LINES = 500
 FLUSH_INTERVAL_S = 0.1
+# Longer than the tracebacks that are logged.
+MAX_FIELD_CHARACTERS = 2000
 MAX_BUFFER_BYTES = 256 * 1024
 # Part of the buffer that only lines about decisions may use.
 DECISION_BUFFER_BYTES = 64 * 1024
@@ -93,7 +95,7 @@
             self._dropped += 1
             return
         fields = {
-            name: value
+            name: _shortened(value)
             for name, value in message.items()
             if name not in ("task_uuid", "task_level")
         }
@@ -141,6 +143,15 @@
         self._timer = loop.call_later(FLUSH_INTERVAL_S, self.flush)
 
 
+def _shortened(value: object) -> object:
+    """Returns a field of a line, or its beginning if it is a long text."""
+    if isinstance(value, str) and len(value) > MAX_FIELD_CHARACTERS:
+        return value[:MAX_FIELD_CHARACTERS] + "..."
+    if isinstance(value, list):
+        return [_shortened(item) for item in value]
+    return value
+
+
 def install_bounded_log(descriptor: int = 1) -> BoundedLog:
     """Sends all eliot messages of the process to a descriptor.
 
--- a/src/chervillead/client.py
+++ b/src/chervillead/client.py
@@ -15,6 +15,7 @@
 import msgspec
 from returns import result
 
+from chervillead import error_texts
 from chervillead import http_exchange
 from chervillead import types
 from chervillead import verdicts
@@ -166,7 +167,7 @@
             verdicts.Verdict(problem["verdict"]),
             problem["reason"],
             response.status,
-            problem["detail"],
+            error_texts.shorten_text(problem["detail"]),
             problem.get("retry_after_s"),
         )
     except (msgspec.DecodeError, ValueError) as error:
--- a/src/chervillead/entries/codec.py
+++ b/src/chervillead/entries/codec.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from chervillead import error_texts
 from chervillead.entries import host_messages
 from chervillead.entries import job_messages
 from chervillead.entries import messages
@@ -101,7 +102,8 @@
         message = _DECODERS[raw.kind].decode(raw.fields)
     # Deeply nested values exceed the recursion limit.
     except (msgspec.DecodeError, KeyError, RecursionError) as error:
-        raise MalformedFrameError(f"malformed frame: {error}") from error
+        detail = error_texts.shorten_text(f"malformed frame: {error}")
+        raise MalformedFrameError(detail) from error
     return Frame(raw.number, raw.reply_to, message)
 
 
--- a/src/chervillead/error_texts.py
+++ b/src/chervillead/error_texts.py
@@ -6,7 +6,7 @@
 
 import reprlib
 
-MAX_TEXT_CHARACTERS = 300
+MAX_TEXT_CHARACTERS = 500
 MAX_VALUE_CHARACTERS = 64
 
 _values = reprlib.Repr()
--- a/src/chervillead/fleet/fold.py
+++ b/src/chervillead/fleet/fold.py
@@ -13,6 +13,7 @@
 
 from returns import pipeline
 
+from chervillead import error_texts
 from chervillead.fleet import configuration as configuration_module
 from chervillead.fleet import fold_rules
 from chervillead.fleet import persistent_map
@@ -141,7 +142,7 @@
             entry.offset,
             record.record_id,
             evaluation.outcome,
-            evaluation.detail,
+            error_texts.shorten_text(evaluation.detail),
         ),
     )
 
--- a/src/chervillead/fleet/log_client.py
+++ b/src/chervillead/fleet/log_client.py
@@ -9,6 +9,7 @@
 import msgspec
 from returns import result
 
+from chervillead import error_texts
 from chervillead import http_exchange
 from chervillead import types
 from chervillead.fleet import records
@@ -129,13 +130,20 @@
     return PlatformClient(read, append, list_hosts, reboot_host)
 
 
+def _malformed(
+    what: str, error: msgspec.DecodeError
+) -> result.Result[typing.Any, str]:
+    detail = f"malformed {what}: {error}"
+    return result.Failure(error_texts.shorten_text(detail))
+
+
 def _decode_page(body: bytes) -> result.Result[records.LogPage, str]:
     try:
         return result.Success(
             msgspec.msgpack.decode(body, type=records.LogPage)
         )
     except msgspec.DecodeError as error:
-        return result.Failure(f"malformed log page: {error}")
+        return _malformed("log page", error)
 
 
 def _decode_append(body: bytes) -> result.Result[int, str]:
@@ -143,7 +151,7 @@
         reply = msgspec.json.decode(body, type=_AppendReply)
         return result.Success(reply["offset"])
     except msgspec.DecodeError as error:
-        return result.Failure(f"malformed append reply: {error}")
+        return _malformed("append reply", error)
 
 
 class _RebootReply(typing.TypedDict):
@@ -155,7 +163,7 @@
         reply = msgspec.json.decode(body, type=_RebootReply)
         return result.Success(reply["state"])
     except msgspec.DecodeError as error:
-        return result.Failure(f"malformed reboot reply: {error}")
+        return _malformed("reboot reply", error)
 
 
 class _HostMap(typing.TypedDict):
@@ -169,4 +177,4 @@
         hosts = msgspec.json.decode(body, type=list[_HostMap])
         return result.Success([HostEntry(**host) for host in hosts])
     except msgspec.DecodeError as error:
-        return result.Failure(f"malformed host list: {error}")
+        return _malformed("host list", error)
--- a/src/chervillead/fleet/records.py
+++ b/src/chervillead/fleet/records.py
@@ -10,6 +10,8 @@
 import msgspec
 from returns import result
 
+from chervillead import error_texts
+
 
 class Record(typing.NamedTuple):
     """A proposed change of the shared state.
@@ -122,7 +124,9 @@
     try:
         return result.Success(Record(**_record_decoder.decode(data)))
     except (msgspec.DecodeError, ValueError, RecursionError) as error:
-        return result.Failure(f"malformed record: {error}")
+        return result.Failure(
+            error_texts.shorten_text(f"malformed record: {error}")
+        )
 
 
 def decode_entries(
--- a/src/chervillead/fleet/snapshots.py
+++ b/src/chervillead/fleet/snapshots.py
@@ -13,6 +13,7 @@
 from returns import pipeline
 from returns import result
 
+from chervillead import error_texts
 from chervillead.fleet import configuration as configuration_module
 from chervillead.fleet import log_client
 from chervillead.fleet import persistent_map
@@ -78,7 +79,9 @@
             encoded.state, type=configuration_module.Configuration
         )
     except (zlib.error, msgspec.DecodeError, ValueError) as error:
-        return result.Failure(f"malformed snapshot: {error}")
+        return result.Failure(
+            error_texts.shorten_text(f"malformed snapshot: {error}")
+        )
     mappings: dict[str, typing.Any] = {
         name: persistent_map.PersistentMap(value)
         for name, value in state._asdict().items()
--- a/src/chervillead/jobs/job_api.py
+++ b/src/chervillead/jobs/job_api.py
@@ -11,6 +11,7 @@
 from returns import pipeline
 from returns import result
 
+from chervillead import error_texts
 from chervillead import verdicts
 from chervillead.entries import job_messages
 from chervillead.jobs import job_access
@@ -280,7 +281,7 @@
             verdicts.Verdict(reply.verdict),
             reply.reason,
             reply.status,
-            reply.detail,
+            error_texts.shorten_text(reply.detail),
             None if reply.retry_after_ms < 0 else reply.retry_after_ms / 1000,
         )
     )
--- a/src/chervillead/jobs/records.py
+++ b/src/chervillead/jobs/records.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from chervillead import error_texts
 from chervillead.jobs import job_state
 from chervillead.jobs import model
 from chervillead.jobs import validation
@@ -74,6 +75,9 @@
 class MalformedRecordError(Exception):
     """A stored value that describes no job, or no progress of its job."""
 
+    def __init__(self, detail: str) -> None:
+        super().__init__(error_texts.shorten_text(detail))
+
 
 _spec_decoder = msgspec.msgpack.Decoder(model.JobSpec)
 _terms_decoder = msgspec.msgpack.Decoder(model.JobTerms)
@@ -179,10 +183,10 @@
     progress = _decode(_progress_decoder, value)
     for step in progress.steps:
         if not job.has_task(model.TaskKey(step.occurrence, step.step, 0)):
-            raise MalformedRecordError(f"the job has no {step}")
+            raise _unknown_part(step)
     for task in progress.tasks:
         if not job.has_task(task.task):
-            raise MalformedRecordError(f"the job has no {task}")
+            raise _unknown_part(task)
     for step in progress.steps:
         job.restore_done((step.occurrence, step.step), _from_bitmap(step.done))
     for task in progress.tasks:
@@ -206,6 +210,11 @@
         job.revision += 1
 
 
+def _unknown_part(part: StepProgress | TaskProgress) -> MalformedRecordError:
+    """Returns the error of progress that its job doesn't have."""
+    return MalformedRecordError(f"the job has no {error_texts.shorten(part)}")
+
+
 def _to_bitmap(indexes: abc.Collection[int]) -> bytes:
     bitmap = bytearray(max(indexes) // 8 + 1)
     for index in indexes:
--- a/src/chervillead/operators/burn_records.py
+++ b/src/chervillead/operators/burn_records.py
@@ -16,6 +16,7 @@
 from returns import result
 
 from chervillead import burn_rates
+from chervillead import error_texts
 from chervillead import metrics as metrics_module
 from chervillead import types
 from chervillead.callers import submission
@@ -231,7 +232,8 @@
             msgspec.convert(ordered, burn_rates.CountedPeriod)
         )
     except msgspec.ValidationError as error:
-        return result.Failure(f"burn record {record.record_id!r}: {error}")
+        detail = f"burn record {record.record_id!r}: {error}"
+        return result.Failure(error_texts.shorten_text(detail))
 
 
 class BurnRecorder(typing.NamedTuple):
--- a/src/chervillead/platform/caller_routes.py
+++ b/src/chervillead/platform/caller_routes.py
@@ -8,6 +8,7 @@
 from returns import pipeline
 from returns import result
 
+from chervillead import error_texts
 from chervillead import types
 from chervillead import verdicts
 from chervillead.callers import bodies
@@ -176,7 +177,7 @@
     age_s = ports.jobs.configuration_age_s()
     ports.jobs.log(
         "call:refused",
-        path=path,
+        path=error_texts.shorten_text(path),
         reason=refusal.reason,
         status=refusal.status,
         verdict=refusal.verdict.value,
--- a/src/chervillead/platform/registrations.py
+++ b/src/chervillead/platform/registrations.py
@@ -41,7 +41,7 @@
     return wire.decode(_decoder, value).bind(
         lambda fields: (
             types.parse_address(fields["Address"])
-            .alt(wire.Malformed)
+            .alt(wire.malformed)
             .map(lambda address: _registration(worker_id, fields, address))
         )
     )
--- a/src/chervillead/platform/settings.py
+++ b/src/chervillead/platform/settings.py
@@ -7,6 +7,7 @@
 from returns import result
 import yaml
 
+from chervillead import error_texts
 from chervillead import settings as settings_module
 from chervillead import types
 from chervillead.callers import request_limiter
@@ -121,7 +122,9 @@
         return result.Success(_decode(document))
     except _SettingError as error:
         return result.Failure(
-            settings_module.SettingProblem(*map(str, error.args))
+            settings_module.SettingProblem(
+                *map(error_texts.shorten_text, map(str, error.args))
+            )
         )
 
 
--- a/src/chervillead/platform/store_responses.py
+++ b/src/chervillead/platform/store_responses.py
@@ -6,6 +6,7 @@
 import msgspec
 from returns import result
 
+from chervillead import error_texts
 from chervillead import http_exchange
 from chervillead import verdicts
 from chervillead.platform import store_records
@@ -72,7 +73,7 @@
     fields = wire.decode(_failure_decoder, response.body or b"{}").value_or(
         _FailureFields()
     )
-    detail = f"{path}: {response.status} {fields}"
+    detail = f"{path}: {response.status} {error_texts.shorten(fields)}"
     if response.status == 409:
         return interface.StoreFailure(
             verdicts.Verdict.NOT_RUN,
@@ -137,7 +138,7 @@
             for item in fields["items"]
         )
     except ValueError as error:
-        return result.Failure(wire.Malformed(repr(error)))
+        return result.Failure(wire.malformed(repr(error)))
     return result.Success(LatestPage(records, fields["HasMore"], fields["End"]))
 
 
@@ -153,7 +154,7 @@
     try:
         records = tuple(store_records.decode_page(body, offset))
     except ValueError as error:
-        return result.Failure(wire.Malformed(str(error)))
+        return result.Failure(wire.malformed(error))
     end_offset, _ = store_records.HEAD.unpack_from(body)
     return result.Success(
         interface.ReadPage(records, offset + len(records), end_offset)
--- a/src/chervillead/platform/wire.py
+++ b/src/chervillead/platform/wire.py
@@ -9,6 +9,8 @@
 import msgspec
 from returns import result
 
+from chervillead import error_texts
+
 # Field types that admit no value that the platform's services can't have.
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=1000)]
@@ -30,6 +32,11 @@
     Gpu: Count
 
 
+def malformed(error: object) -> Malformed:
+    """Returns why bytes can't be decoded, as a text of limited length."""
+    return Malformed(error_texts.shorten_text(str(error)))
+
+
 def decode(
     decoder: msgspec.json.Decoder[_Value], data: bytes
 ) -> result.Result[_Value, Malformed]:
@@ -38,4 +45,4 @@
         return result.Success(decoder.decode(data))
     # Deeply nested values exceed the recursion limit, even in unknown fields.
     except (msgspec.DecodeError, RecursionError) as error:
-        return result.Failure(Malformed(str(error)))
+        return result.Failure(malformed(error))
--- a/src/chervillead/platform/worker_responses.py
+++ b/src/chervillead/platform/worker_responses.py
@@ -6,6 +6,7 @@
 from returns import pipeline
 from returns import result
 
+from chervillead import error_texts
 from chervillead.jobs import model
 from chervillead.jobs import task_runs
 from chervillead.platform import wire
@@ -81,7 +82,7 @@
     try:
         return result.Success(_status(decoded.unwrap()))
     except (TypeError, ValueError, IndexError) as error:
-        return result.Failure(wire.Malformed(repr(error)))
+        return result.Failure(wire.malformed(repr(error)))
 
 
 def _status(fields: _StatusFields) -> interface.WorkerStatus:
@@ -107,7 +108,7 @@
 def _ended(row: _Row) -> interface.EndedRun:
     kind = _END_KINDS.get(_text(row[3]))
     if kind is None:
-        raise ValueError(f"unknown end {row[3]!r}")
+        raise ValueError(f"unknown end {error_texts.shorten(row[3])}")
     return interface.EndedRun(
         _integer(row[0]),
         task_runs.RunEnd(
@@ -118,18 +119,18 @@
 
 def _text(value: object) -> str:
     if not isinstance(value, str):
-        raise TypeError(f"{value!r} is not a text")
+        raise TypeError(f"{error_texts.shorten(value)} is not a text")
     return value
 
 
 def _integer(value: object) -> int:
     if not isinstance(value, int):
-        raise TypeError(f"{value!r} is not an integer")
+        raise TypeError(f"{error_texts.shorten(value)} is not an integer")
     return value
 
 
 def _whole(value: object) -> int:
     """Returns a number without its fraction."""
     if not isinstance(value, int | float):
-        raise TypeError(f"{value!r} is not a number")
+        raise TypeError(f"{error_texts.shorten(value)} is not a number")
     return int(value)
--- a/src/chervillead/types.py
+++ b/src/chervillead/types.py
@@ -12,6 +12,8 @@
 
 from returns import result
 
+from chervillead import error_texts
+
 MAX_PORT = 65535
 
 
@@ -33,8 +35,8 @@
         number = 0
     if not 1 <= number <= MAX_PORT:
         return result.Failure(
-            f"got {text!r}, expected an IP address and a port from 1 to "
-            f"{MAX_PORT}, such as '127.0.0.1:17000'"
+            f"got {error_texts.shorten(text)}, expected an IP address and a "
+            f"port from 1 to {MAX_PORT}, such as '127.0.0.1:17000'"
         )
     return result.Success(Address(host, number))
 
--- a/src/chervillead/verdicts.py
+++ b/src/chervillead/verdicts.py
@@ -13,6 +13,8 @@
 import enum
 import typing
 
+from chervillead import error_texts
+
 
 class Verdict(enum.Enum):
     """What is known about the execution of a request."""
@@ -29,7 +31,7 @@
         verdict: Whether the request may have run.
         reason: Stable identifier of the error, for programs.
         status: HTTP status code that fits the error.
-        detail: Explanation for people; contains the invalid value.
+        detail: Explanation for people; contains the invalid value, shortened.
         retry_after_s: Seconds to wait before a retry, or None if a retry of
             the same request can't succeed.
     """
@@ -49,14 +51,17 @@
     retry_after_s: float | None = None,
 ) -> Refusal:
     """Returns a refusal of a request that certainly did not run."""
+    detail = error_texts.shorten_text(detail)
     return Refusal(Verdict.NOT_RUN, reason, status, detail, retry_after_s)
 
 
 def may_have_run(reason: str, status: int, detail: str = "") -> Refusal:
     """Returns a refusal of a request that may or may not have run."""
+    detail = error_texts.shorten_text(detail)
     return Refusal(Verdict.MAY_HAVE_RUN, reason, status, detail)
 
 
 def ran(reason: str, status: int, detail: str = "") -> Refusal:
     """Returns a refusal of a request that ran but whose answer is lost."""
+    detail = error_texts.shorten_text(detail)
     return Refusal(Verdict.RAN, reason, status, detail)
