Keep a process alive whose log isn't read at its start

What callers saw: none; a process that starts or ends while the reader of its log is slow ended with a RecursionError, found by a test of long log lines.

Cause: without a running event loop, flush and _schedule_flush called each other for as long as the pipe was full.

Change: a flush that would block leaves the rest to the next line. The new scenario of bounded_logs.feature ended with a RecursionError before, and passes now.

--- a/src/chervillead/bounded_logs.py
+++ b/src/chervillead/bounded_logs.py
@@ -116,7 +116,9 @@
                 written = os.write(self._descriptor, self._buffer)
                 del self._buffer[:written]
         except BlockingIOError:
-            self._schedule_flush()
+            # Without a running event loop, the next line tries again.
+            if asyncio._get_running_loop() is not None:
+                self._schedule_flush()
         except OSError:
             self._buffer.clear()
 
--- a/tests/bounded_logs.feature
+++ b/tests/bounded_logs.feature
@@ -12,3 +12,9 @@
     # Guards against a kind of line that has no limit.
     When 5000 lines "run:found" and then 5000 lines "run:stop" are logged
     Then 2000 lines "run:found" and 500 lines "run:stop" are written
+
+  Scenario: Nobody reads the log of a process that is starting
+    # Guards against a process that ends with a RecursionError at its start, or
+    # its end, when the reader of its log is slow.
+    When 500 lines of 1000 characters are logged to a full pipe at the start
+    Then lines were kept within the buffer, and no error was raised
--- a/tests/steps/bounded_logs.py
+++ b/tests/steps/bounded_logs.py
@@ -1,6 +1,7 @@
 """Steps of tests/bounded_logs.feature."""
 
 import collections
+import os
 import tempfile
 
 import behave
@@ -45,3 +46,23 @@
         line for line in context.lines if line["message_type"] == message_type
     )
     assert line["dropped_before"] == count, line
+
+
+@behave.when(
+    "{count:d} lines of {characters:d} characters are logged to a full pipe at "
+    "the start"
+)
+def step(context, count, characters):
+    reading, writing = os.pipe()
+    os.set_blocking(writing, False)
+    context.log = bounded_logs.BoundedLog(writing)
+    for _ in range(count):
+        context.log({"message_type": "test", "detail": "x" * characters})
+    os.close(reading)
+    os.close(writing)
+
+
+@behave.then("lines were kept within the buffer, and no error was raised")
+def step(context):
+    limit = bounded_logs.MAX_BUFFER_BYTES
+    assert limit / 2 < len(context.log._buffer) <= limit + 2000
