Check at the start that the limits fit into the machine

What callers saw: none yet. The share of memory for requests was taken of the whole machine, without regard to what the process holds at rest and what accepted jobs hold.

Cause: RequestLimits.MemoryShare knows nothing of the rest, and nothing compared the sum with the machine.

Change: at its start a process adds up 64 MB at rest, the limit on accepted jobs and three times the limit on requests, and logs process:memory-short with all figures if they exceed Limits.MemoryMb.

Evidence: calls.feature holds the defaults to the sheets' machines of 160 to 552 MB.

--- a/src/chervillead/platform/daemon.py
+++ b/src/chervillead/platform/daemon.py
@@ -34,6 +34,9 @@
     loop = asyncio.get_running_loop()
     log = bounded_logs.bind_log(host=settings.host)
     limits = request_limits.within_descriptors(settings.request_limits, log)
+    request_limits.check_memory(
+        settings.memory_bytes, limits, settings.limits.accepted_jobs, log
+    )
     host = assembly.EntryHost(
         settings._replace(request_limits=limits),
         log,
--- a/src/chervillead/platform/request_limits.py
+++ b/src/chervillead/platform/request_limits.py
@@ -6,6 +6,14 @@
 from chervillead import metrics_page
 from chervillead.callers import refusal_log
 from chervillead.callers import request_limiter
+from chervillead.jobs import held_jobs
+
+BYTES_PER_MB = 1024 * 1024
+# Memory of a process without its jobs and requests; docs/CAPACITY.md has what
+# processes took on played days.
+REST_BYTES = 64 * BYTES_PER_MB
+# Requests take up to this many times the bytes that are counted for a moment.
+PEAK_FACTOR = 3
 
 
 def create_limiter(
@@ -34,6 +42,35 @@
     return limiter
 
 
+def check_memory(
+    memory_bytes: int,
+    requests: request_limiter.Limits,
+    jobs: held_jobs.Limits,
+    log: abc.Callable[..., None],
+) -> bool:
+    """Returns whether the limits together fit into a machine; logs if not.
+
+    Args:
+        memory_bytes: Memory of the machine.
+        requests: Limits on requests.
+        jobs: Limits on accepted jobs.
+        log: Writes a log line.
+    """
+    needed = REST_BYTES + jobs.host_bytes + PEAK_FACTOR * requests.memory_bytes
+    if needed <= memory_bytes:
+        return True
+    log(
+        "process:memory-short",
+        machine_mb=memory_bytes // BYTES_PER_MB,
+        needed_mb=-(-needed // BYTES_PER_MB),
+        at_rest_mb=REST_BYTES // BYTES_PER_MB,
+        jobs_mb=jobs.host_bytes // BYTES_PER_MB,
+        requests_mb=requests.memory_bytes // BYTES_PER_MB,
+        request_peak_factor=PEAK_FACTOR,
+    )
+    return False
+
+
 def within_descriptors(
     limits: request_limiter.Limits, log: abc.Callable[..., None]
 ) -> request_limiter.Limits:
--- a/src/chervillead/platform/settings.py
+++ b/src/chervillead/platform/settings.py
@@ -19,6 +19,16 @@
 _Loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 
 
+# The smallest machines of the platform have 160 MB and 4,100 descriptors.
+DEFAULT_MEMORY_MB = 160
+DEFAULT_DESCRIPTORS = 4096
+# The largest limit that Linux kernels can be configured for is just below.
+MAX_DESCRIPTORS = 2**30
+# Below that, the process alone takes up the memory.
+MIN_MEMORY_MB = 32
+BYTES_PER_MB = 1024 * 1024
+
+
 class StoreSettings(typing.NamedTuple):
     """Address and limits of the platform's store.
 
@@ -55,6 +65,7 @@
         stop_grace_s: Time between SIGTERM and SIGKILL.
         cores: Processor time per second that the host provides, in cores.
         request_limits: Limits on what clients make the host hold.
+        memory_bytes: Memory of the machine.
         sizes_by_offered_load: Whether pools are sized by the load offered to
             them.
     """
@@ -73,19 +84,10 @@
     stop_grace_s: float
     cores: float = 1.0
     request_limits: request_limiter.Limits = request_limiter.Limits()
+    memory_bytes: int = DEFAULT_MEMORY_MB * BYTES_PER_MB
     sizes_by_offered_load: bool = False
 
 
-# The smallest machines of the platform have 160 MB and 4,100 descriptors.
-DEFAULT_MEMORY_MB = 160
-DEFAULT_DESCRIPTORS = 4096
-# The largest limit that Linux kernels can be configured for is just below.
-MAX_DESCRIPTORS = 2**30
-# Below that, the process alone takes up the memory.
-MIN_MEMORY_MB = 32
-BYTES_PER_MB = 1024 * 1024
-
-
 class _SettingError(Exception):
     """A setting is missing or invalid: its path, value and what is valid."""
 
@@ -155,6 +157,7 @@
         stop_grace_s=_number(document, "Bounds.GraceS", 6),
         cores=_cores(document),
         request_limits=_request_limits(document),
+        memory_bytes=int(_memory_bytes(document)),
         sizes_by_offered_load=_flag(
             document, "Autoscaling.OfferedLoad", default=False
         ),
--- a/tests/platform/calls.feature
+++ b/tests/platform/calls.feature
@@ -216,3 +216,21 @@
       | Limits.Cores    | 1                           | 0.5   |
       | Limits.Cores    | null                        | 0.5   |
       | Limits.CpuShare | null                        | 3.0   |
+
+  Scenario Outline: The limits of a machine of <memory> MB fit into it
+    # Guards against default limits that together exceed a machine of the sheets.
+    When a process starts on a machine of <memory> MB
+    Then its limits fit into the machine
+
+    Examples:
+      | memory |
+      | 160    |
+      | 200    |
+      | 300    |
+      | 552    |
+
+  Scenario: A machine that is too small for its limits
+    # Guards against a process that ends by clients within its limits, without a
+    # word at its start.
+    When a process starts on a machine of 140 MB
+    Then it logs that it needs 141 MB
--- a/tests/steps/platform_adapter.py
+++ b/tests/steps/platform_adapter.py
@@ -14,6 +14,7 @@
 from chervillead.platform import daemon
 from chervillead.platform import job_bodies
 from chervillead.platform import registrations
+from chervillead.platform import request_limits
 from chervillead.platform import settings as settings_module
 
 SETTINGS = """
@@ -124,3 +125,35 @@
 @behave.then("the host has {cores:f} cores")
 def step(context, cores):
     assert context.settings.unwrap().cores == cores, context.settings
+
+
+@behave.when("a process starts on a machine of {memory:d} MB")
+def step(context, memory):
+    document = yaml.safe_load(SETTINGS)
+    document["Limits"]["MemoryMb"] = memory
+    settings = settings_module.decode_settings(document).unwrap()
+    context.lines = []
+
+    def log(message_type, **fields):
+        context.lines.append((message_type, fields))
+
+    context.fits = request_limits.check_memory(
+        settings.memory_bytes,
+        settings.request_limits,
+        settings.limits.accepted_jobs,
+        log,
+    )
+
+
+@behave.then("its limits fit into the machine")
+def step(context):
+    assert context.fits
+    assert not context.lines, context.lines
+
+
+@behave.then("it logs that it needs {needed:d} MB")
+def step(context, needed):
+    assert not context.fits
+    ((message_type, fields),) = context.lines
+    assert message_type == "process:memory-short"
+    assert fields["needed_mb"] == needed, fields
