Refuse no submission as never run whose job was accepted before

What callers saw: 503, the promise that a submission never runs, for one that was repeated after its response had been lost, if its body was refused for room or time: the job runs.

Cause: the platform's route answered a refused body without looking up the job, though only the owner knows whether an earlier submission was accepted.

Change: for 429 and 503 the owner of the queue's pool is asked, with one call. A known job gets 200, an unknown one the refusal, and 504 is sent if the owner can't tell.

--- a/src/chervillead/jobs/job_api.py
+++ b/src/chervillead/jobs/job_api.py
@@ -22,6 +22,8 @@
 # A request that no partition owner answers within this time is rejected: a
 # caller that retries is served sooner than one that waits for its deadline.
 MAX_OWNER_CALL_S = 2.0
+# Statuses by which callers know that a submission never runs.
+PROMISING_STATUSES = (429, 503)
 
 ReplyOutcome = result.Result[job_messages.JobReply, verdicts.Refusal]
 CallOwner = abc.Callable[
@@ -125,6 +127,46 @@
     return outcome.bind(_check_reply).map(lambda reply: None)
 
 
+async def check_unread(
+    ports: JobPorts,
+    admission: Admission,
+    job_id: str,
+    refusal: verdicts.Refusal,
+    time_left_s: float,
+) -> result.Result[None, verdicts.Refusal]:
+    """Decides on a submission whose body was refused before it was decoded.
+
+    Callers take 429 and 503 as a promise that the job never runs, but an
+    earlier submission of it may have been accepted. Only the owner of the
+    queue's pool is asked, as many such submissions may come at once.
+
+    Args:
+        ports: Dependencies.
+        admission: The queue and the client account.
+        job_id: Id of the job.
+        refusal: Why the body was refused.
+        time_left_s: Time left until the caller's deadline.
+
+    Returns:
+        Success if the job is known, or a refusal that is true.
+    """
+    if refusal.status not in PROMISING_STATUSES:
+        return result.Failure(refusal)
+    partition = ports.partition_of(admission.queue.pool)
+    outcome = await ports.call_owner(
+        job_messages.FindJob(partition, job_id, confirm_unknown=False),
+        owner_call_timeout_s(time_left_s),
+    )
+    found = outcome.bind(_check_reply)
+    if pipeline.is_successful(found):
+        return result.Success(None)
+    if _is_unknown(found):
+        return result.Failure(refusal)
+    return result.Failure(
+        verdicts.may_have_run(refusal.reason, 504, refusal.detail)
+    )
+
+
 async def find(
     ports: JobPorts, admission: Admission, job_id: str, time_left_s: float
 ) -> result.Result[job_messages.JobReply, verdicts.Refusal]:
--- a/src/chervillead/platform/caller_routes.py
+++ b/src/chervillead/platform/caller_routes.py
@@ -118,7 +118,16 @@
 ) -> blacksheep.Response:
     body = await bodies.read_body(request)
     if not pipeline.is_successful(body):
-        return _refusal_response(body.failure(), path, ports)
+        known = await job_api.check_unread(
+            ports.jobs,
+            call.admission,
+            call.job_id,
+            body.failure(),
+            call.time_left_s,
+        )
+        if not pipeline.is_successful(known):
+            return _refusal_response(known.failure(), path, ports)
+        return _json_response(200, None, ports)
     decoded = job_bodies.decode_job(
         body.unwrap(),
         job_id=call.job_id,
