Limit the responses of workers and of the advisory service

What callers saw: none; found by reading. A worker whose response never ends, by its body, its chunks or its headers, could make a host hold 16 MB, and there are hundreds of workers.

Cause: one limit for the responses of all peers, made for pages of the store.

Change: connections take the longest response as a parameter. It is 1 MiB for workers and the advisory service, whose longest, 500 ended runs, take about 100 KB. A longer one fails as a call without a response does. The store and the hosts' service keep 16 MB.

Evidence: three scenarios of http_connection.feature, with endless bodies, chunks and headers, hold the call to its limit and its memory to three times that. On the code before, they couldn't name a limit.

--- a/src/chervillead/http_connection.py
+++ b/src/chervillead/http_connection.py
@@ -41,9 +41,11 @@
         address: types.Address,
         *,
         dial: http_exchange.Dial = http_exchange.dial,
+        max_response_bytes: int = http_exchange.MAX_RESPONSE_BYTES,
     ) -> None:
         self._address = address
         self._dial = dial
+        self._max_response_bytes = max_response_bytes
         self._streams: http_exchange.Streams | None = None
         self._lock = asyncio.Lock()
 
@@ -102,6 +104,7 @@
                         stall_timeout_s=timeout_s
                         if transfer_timeout_s
                         else None,
+                        max_bytes=self._max_response_bytes,
                     )
                 keep_open = response.keep_alive
                 return result.Success(response)
@@ -145,9 +148,11 @@
         address: types.Address,
         *,
         dial: http_exchange.Dial = http_exchange.dial,
+        max_response_bytes: int = http_exchange.MAX_RESPONSE_BYTES,
     ) -> None:
         self._address = address
         self._dial = dial
+        self._max_response_bytes = max_response_bytes
         self._idle: list[HttpConnection] = []
 
     async def call(
@@ -163,7 +168,11 @@
         connection = (
             self._idle.pop()
             if self._idle
-            else HttpConnection(self._address, dial=self._dial)
+            else HttpConnection(
+                self._address,
+                dial=self._dial,
+                max_response_bytes=self._max_response_bytes,
+            )
         )
         try:
             return await connection.call(request, timeout_s, transfer_timeout_s)
--- a/src/chervillead/http_exchange.py
+++ b/src/chervillead/http_exchange.py
@@ -16,6 +16,8 @@
 
 READ_CHUNK_BYTES = 65536
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# The longest are lists of 500 ended runs, about 100 KB.
+MAX_WORKER_RESPONSE_BYTES = 1024 * 1024
 
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 Dial = abc.Callable[[types.Address], abc.Awaitable[Streams]]
@@ -94,7 +96,10 @@
 
 
 async def read_response(
-    reader: asyncio.StreamReader, *, stall_timeout_s: float | None = None
+    reader: asyncio.StreamReader,
+    *,
+    stall_timeout_s: float | None = None,
+    max_bytes: int = MAX_RESPONSE_BYTES,
 ) -> HttpResponse:
     """Reads one response.
 
@@ -102,6 +107,7 @@
         reader: Stream on which exactly one response is due.
         stall_timeout_s: Longest time without any byte, in seconds; None for no
             limit.
+        max_bytes: Longest response with its headers, in bytes.
 
     Returns:
         The complete response.
@@ -122,10 +128,8 @@
                 f"stream ended after {received} bytes of an incomplete response"
             )
         received += len(data)
-        if received > MAX_RESPONSE_BYTES:
-            raise IncompleteResponseError(
-                f"response exceeds {MAX_RESPONSE_BYTES} bytes"
-            )
+        if received > max_bytes:
+            raise IncompleteResponseError(f"response exceeds {max_bytes} bytes")
         try:
             parser.feed_data(data)
         except httptools.HttpParserError as error:
--- a/src/chervillead/platform/advice_client.py
+++ b/src/chervillead/platform/advice_client.py
@@ -18,7 +18,11 @@
     address: types.Address, *, dial: http_exchange.Dial = http_exchange.dial
 ) -> ports.AskAdvice:
     """Returns a function that asks the service at `address` for advice."""
-    channel = http_connection.HttpConnection(address, dial=dial)
+    channel = http_connection.HttpConnection(
+        address,
+        dial=dial,
+        max_response_bytes=http_exchange.MAX_WORKER_RESPONSE_BYTES,
+    )
 
     async def ask(
         job_id: str,
--- a/src/chervillead/platform/worker_client.py
+++ b/src/chervillead/platform/worker_client.py
@@ -61,10 +61,14 @@
     dial: http_exchange.Dial,
 ) -> interface.WorkerClient:
     poll_connection = http_connection.HttpConnection(
-        registration.address, dial=dial
+        registration.address,
+        dial=dial,
+        max_response_bytes=http_exchange.MAX_WORKER_RESPONSE_BYTES,
     )
     command_connections = http_connection.HttpConnectionPool(
-        registration.address, dial=dial
+        registration.address,
+        dial=dial,
+        max_response_bytes=http_exchange.MAX_WORKER_RESPONSE_BYTES,
     )
     headers = (
         ("content-type", "application/json"),
--- a/tests/http_connection.feature
+++ b/tests/http_connection.feature
@@ -26,3 +26,17 @@
       | 8     | completes it    | succeeds | 0.8 | 0.9  |
       | 3     | sends no more   | fails    | 0.6 | 0.7  |
       | 40    | completes it    | fails    | 2.0 | 2.1  |
+
+  Scenario Outline: A server sends <what> without end
+    # Guards against a worker or service that fills the memory of a host: each of
+    # hundreds could send 16 MB, in chunks or headers that take more.
+    Given a server that sends <what> without end
+    When a response of at most 1048576 bytes is read from it
+    Then the call fails because the response exceeds 1048576 bytes
+    And reading it took at most 3145728 bytes of memory
+
+    Examples:
+      | what             |
+      | a body           |
+      | small chunks     |
+      | headers          |
--- a/tests/steps/http_connection.py
+++ b/tests/steps/http_connection.py
@@ -1,8 +1,11 @@
 """Steps of tests/http_connection.feature."""
 
 import asyncio
+import contextlib
+import itertools
 import socket
 import struct
+import tracemalloc
 
 import behave
 from returns import pipeline
@@ -116,3 +119,58 @@
     succeeded = pipeline.is_successful(context.outcome)
     assert succeeded == (outcome == "succeeds"), context.outcome
     assert low <= context.duration_s <= high, context.duration_s
+
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+ENDLESS = {
+    "a body": (HEAD + b"content-length: 1000000000\r\n\r\n", b"x" * 65536),
+    "small chunks": (
+        HEAD + b"transfer-encoding: chunked\r\n\r\n",
+        b"40\r\n" + b"x" * 64 + b"\r\n",
+    ),
+    "headers": (HEAD, b"x-%d: " + b"y" * 100 + b"\r\n"),
+}
+
+
+@behave.given("a server that sends {what} without end")
+def step(context, what):
+    context.first, context.part = ENDLESS[what]
+
+
+@behave.when("a response of at most {count:d} bytes is read from it")
+def step(context, count):
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(context.first)
+        with contextlib.suppress(OSError):
+            for number in itertools.count():
+                part = context.part
+                writer.write(part % number if b"%d" in part else part)
+                await writer.drain()
+        writer.close()
+
+    async def read():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        pool = http_connection.HttpConnectionPool(
+            types.Address("127.0.0.1", port), max_response_bytes=count
+        )
+        tracemalloc.start()
+        outcome = await pool.call(http_exchange.HttpRequest("GET", "/"), 20.0)
+        context.peak_bytes = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        server.close()
+        return outcome
+
+    context.outcome = asyncio.run(read())
+
+
+@behave.then("the call fails because the response exceeds {count:d} bytes")
+def step(context, count):
+    detail = context.outcome.failure().detail
+    assert f"exceeds {count} bytes" in detail, detail
+
+
+@behave.then("reading it took at most {count:d} bytes of memory")
+def step(context, count):
+    assert context.peak_bytes <= count, context.peak_bytes
