Close a connection whose turn to parse fails, and shorten refused settings

An error while a connection parsed in its turn left it open and held for good, as no transport closes it there; it is aborted now. The texts about refused settings use error_texts like all others.

--- a/src/chervillead/callers/connections.py
+++ b/src/chervillead/callers/connections.py
@@ -97,10 +97,16 @@
 
     def _take_turn(self) -> bool:
         """Parses some of the waiting bytes; returns whether more wait."""
+        if not self._waiting:
+            return False  # The connection has been lost.
         part = bytes(self._waiting[: parse_turns.TURN_BYTES])
         del self._waiting[: parse_turns.TURN_BYTES]
-        if part:
+        try:
             self._parse(part)
+        except Exception:
+            # Nobody else closes it, as no transport called this.
+            self.transport.abort()
+            raise
         if self._is_refused or self.transport.is_closing():
             self._waiting.clear()
         if self._waiting:
--- a/src/chervillead/settings.py
+++ b/src/chervillead/settings.py
@@ -15,6 +15,7 @@
 from returns import result
 import yaml
 
+from chervillead import error_texts
 from chervillead import types
 
 
@@ -195,7 +196,7 @@
     allowed_range = RANGES.get(re.sub(r"\[\d+\]", "[]", path))
     if typing.get_origin(expected) is tuple:
         if not isinstance(value, list):
-            yield SettingProblem(path, f"got {value!r}", "a list")
+            yield SettingProblem(path, _got(value), "a list")
             return
         displayed = f"{len(value)} items"
         yield from _check_range(len(value), allowed_range, path, displayed)
@@ -219,7 +220,7 @@
         converted: typing.Any = msgspec.convert(value, expected)
     except msgspec.ValidationError:
         allowed = _describe_allowed(expected, allowed_range)
-        yield SettingProblem(path, f"got {value!r}", allowed)
+        yield SettingProblem(path, _got(value), allowed)
         return
     if allowed_range is not None:
         size = len(converted) if isinstance(converted, str) else converted
@@ -251,7 +252,7 @@
     names = expected._fields
     if not isinstance(value, dict):
         allowed = _describe_allowed(expected, None)
-        yield SettingProblem(path, f"got {value!r}", allowed)
+        yield SettingProblem(path, _got(value), allowed)
         return
     for name in value:
         if name not in names:
@@ -276,7 +277,7 @@
     try:
         ipaddress.ip_address(str(value))
     except ValueError:
-        yield SettingProblem(path, f"got {value!r}", IP_ADDRESS)
+        yield SettingProblem(path, _got(value), IP_ADDRESS)
 
 
 def _strip_optional(expected: typing.Any, value: object) -> typing.Any:
@@ -303,3 +304,7 @@
     return expected(
         **{name: _build(item, hints[name]) for name, item in value.items()}
     )
+
+
+def _got(value: object) -> str:
+    return f"got {error_texts.shorten(value)}"
