Open no occurrences of a job that was cancelled or has failed

What callers saw: none; found by reading. A task that completed after its job was cancelled opened the next occurrences of the schedule, whose tasks then stood as pending for as long as the job was shown.

Cause: occurrences are opened by each completed task, whatever the job's state.

Change: none are opened once the job was cancelled or has failed. The new scenario of task_numbers.feature failed before.

--- a/src/chervillead/jobs/job_state.py
+++ b/src/chervillead/jobs/job_state.py
@@ -426,6 +426,8 @@
 
     def _open_occurrences(self) -> None:
         """Opens the next occurrences as far as the open steps leave room."""
+        if self.is_cancelled or self.is_failed:
+            return
         steps = len(self._spec.steps)
         allowed = max(MAX_OPEN_STEPS, steps) - steps
         while self._next_occurrence < self._spec.occurrences:
--- a/tests/jobs/task_numbers.feature
+++ b/tests/jobs/task_numbers.feature
@@ -31,3 +31,11 @@
     And a new owner restores it from its record
     And its tasks complete as they become ready
     Then it is completed after 1200 tasks
+
+  Scenario: A task completes after its job was cancelled
+    # Guards against occurrences that are opened, and so counted as waiting, once
+    # nothing of the job may start any more.
+    Given an accepted job of 2 steps with 600 occurrences
+    When all open tasks but one complete and the job is cancelled
+    And the last one completes
+    Then none of its tasks is pending
--- a/tests/steps/jobs_task_numbers.py
+++ b/tests/steps/jobs_task_numbers.py
@@ -142,3 +142,30 @@
     assert context.job.is_completed
     assert context.completed == tasks, context.completed
     assert not context.job.highest_run
+
+
+@behave.when("all open tasks but one complete and the job is cancelled")
+def step(context):
+    job = context.job
+    *others, context.last = [
+        model.TaskKey(*key, 0) for key in job.pending_tasks
+    ]
+    for task in others:
+        end_done(job, task)
+    job.cancel(0.0)
+
+
+@behave.when("the last one completes")
+def step(context):
+    end_done(context.job, context.last)
+
+
+def end_done(job, task):
+    """Applies the end of a run of a task that has completed."""
+    key = task_runs.RunKey(job.spec.job_id, task, 1)
+    job.apply_run_end(task_runs.RunEnd(key, task_runs.EndKind.DONE), 1, 0.0)
+
+
+@behave.then("none of its tasks is pending")
+def step(context):
+    assert not context.job.has_pending, context.job.pending_tasks
