Split the turns of a connection off, and correct figures without a run

Found by reading the change as a whole; behaviour stays, but for log fields of more than 2,000 characters, of which both ends are kept now, so that a long traceback ends with its error.

Tests build ports and decode bodies in one place; the checks are the same.

--- a/src/chervillead/bounded_logs.py
+++ b/src/chervillead/bounded_logs.py
@@ -17,12 +17,14 @@
 import eliot
 import msgspec
 
+from chervillead import error_texts
+
 LINES_PER_S = 400
 BURST_LINES = 2000
 DECISION_LINES_PER_S = 50
 DECISION_BURST_LINES = 500
 FLUSH_INTERVAL_S = 0.1
-# Longer than the tracebacks that are logged.
+# Room for the last lines of a traceback.
 MAX_FIELD_CHARACTERS = 2000
 MAX_BUFFER_BYTES = 256 * 1024
 # Part of the buffer that only lines about decisions may use.
@@ -117,7 +119,7 @@
                 del self._buffer[:written]
         except BlockingIOError:
             # Without a running event loop, the next line tries again.
-            if asyncio._get_running_loop() is not None:
+            if _running_loop() is not None:
                 self._schedule_flush()
         except OSError:
             self._buffer.clear()
@@ -136,19 +138,25 @@
     def _schedule_flush(self) -> None:
         if self._timer is not None:
             return
-        try:
-            loop = asyncio.get_running_loop()
-        except RuntimeError:
-            # Without a running event loop, at start and exit, lines are few.
+        loop = _running_loop()
+        if loop is None:
+            # At start and exit, lines are few.
             self.flush()
             return
         self._timer = loop.call_later(FLUSH_INTERVAL_S, self.flush)
 
 
+def _running_loop() -> asyncio.AbstractEventLoop | None:
+    try:
+        return asyncio.get_running_loop()
+    except RuntimeError:
+        return None
+
+
 def _shortened(value: object) -> object:
-    """Returns a field of a line, or its beginning if it is a long text."""
-    if isinstance(value, str) and len(value) > MAX_FIELD_CHARACTERS:
-        return value[:MAX_FIELD_CHARACTERS] + "..."
+    """Returns a field of a line, with long texts shortened."""
+    if isinstance(value, str):
+        return error_texts.shorten_text(value, MAX_FIELD_CHARACTERS)
     if isinstance(value, list):
         return [_shortened(item) for item in value]
     return value
--- a/src/chervillead/callers/connections.py
+++ b/src/chervillead/callers/connections.py
@@ -18,6 +18,7 @@
 from chervillead.callers import parse_turns
 from chervillead.callers import refusable_connection
 from chervillead.callers import request_limiter
+from chervillead.callers import turn_connection
 
 MAX_HEAD_BYTES = 32 * 1024
 MAX_HEADERS = 64
@@ -31,20 +32,15 @@
 LINGERING_CLOSE_S = 2.0
 
 
-class CallerConnection(refusable_connection.RefusableConnection):
+class CallerConnection(turn_connection.TurnConnection):
     """Server side of one HTTP connection of a caller."""
 
     def __init__(
         self,
         *arguments: typing.Any,
-        limiter: request_limiter.RequestLimiter,
-        turns: parse_turns.ParseTurns,
         **named: typing.Any,
     ) -> None:
-        super().__init__(*arguments, limiter=limiter, **named)
-        self._turns = turns
-        # Received bytes that wait for a turn to be parsed.
-        self._waiting = bytearray()
+        super().__init__(*arguments, **named)
         self._body_bytes = 0
         # Size of the body up to which memory is reserved.
         self._checked_body_bytes = 0
@@ -65,7 +61,6 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Releases what no handler uses and cancels the timeouts."""
-        self._waiting.clear()
         if self._is_reading_head and self._reservation is not None:
             self._reservation.release()
         # Requests that wait for an earlier one are never started now.
@@ -73,48 +68,6 @@
             bodies.reservation_in(cycle.scope).release()
         super().connection_lost(exc)
 
-    def data_received(self, data: bytes) -> None:
-        """Parses received bytes, in turn with other clients if need be."""
-        if self._is_refused or self._connection is None:
-            return
-        if (
-            len(data) <= parse_turns.TURN_BYTES
-            and not self._waiting
-            and not self._turns.is_contended
-        ):
-            self._parse(data)
-            return
-        if not self._is_reading_head and not self._is_reading_body:
-            self._start_head()
-        is_first = not self._waiting
-        self._waiting += data
-        self._reserve_waiting()
-        if is_first and self._waiting:
-            self._stoppable_flow.hold_reading()
-            self._turns.join(
-                parse_turns.Connection(self._client_address, self._take_turn)
-            )
-
-    def _take_turn(self) -> bool:
-        """Parses some of the waiting bytes; returns whether more wait."""
-        if not self._waiting:
-            return False  # The connection has been lost.
-        part = bytes(self._waiting[: parse_turns.TURN_BYTES])
-        del self._waiting[: parse_turns.TURN_BYTES]
-        try:
-            self._parse(part)
-        except Exception:
-            # Nobody else closes it, as no transport called this.
-            self.transport.abort()
-            raise
-        if self._is_refused or self.transport.is_closing():
-            self._waiting.clear()
-        if self._waiting:
-            self._reserve_waiting()
-        elif not self.transport.is_closing():
-            self._stoppable_flow.release_reading()
-        return bool(self._waiting)
-
     def _reserve_waiting(self) -> None:
         """Counts the bytes that wait to be parsed as held."""
         if self._is_reading_head and self._reservation is not None:
@@ -127,7 +80,7 @@
         if not self._is_reading_head and not self._is_reading_body:
             self._start_head()
         self._unparsed_bytes += len(data)
-        super().data_received(data)
+        super()._parse(data)
         if self._is_refused or self.transport.is_closing():
             return
         if self._unparsed_bytes > MAX_HEAD_BYTES and (
--- a/src/chervillead/callers/parse_turns.py
+++ b/src/chervillead/callers/parse_turns.py
@@ -1,16 +1,17 @@
 """Turns in which connections have their received bytes parsed.
 
-Parsing a body in chunks of one byte takes a thousand times as long as one of a
-single chunk, in the event loop that serves all clients. So a connection parses
-a limited number of bytes in a turn, and client addresses take turns.
+Parsing takes time by the number of chunks, in the event loop that serves all
+clients, and chunks may be of one byte. So a connection parses a limited number
+of bytes in a turn, and client addresses take turns.
 """
 
 import asyncio
 import collections
+from collections import abc
 import time
 import typing
 
-# 1,400 chunks of one byte fit into that; parsing them takes a few milliseconds.
+# About 1,400 chunks of one byte fit into that.
 TURN_BYTES = 8192
 # Turns of ordinary bytes take microseconds, so several share an iteration of
 # the event loop.
@@ -26,7 +27,7 @@
     """
 
     client: str
-    take_turn: typing.Callable[[], bool]
+    take_turn: abc.Callable[[], bool]
 
 
 class ParseTurns:
--- a/src/chervillead/error_texts.py
+++ b/src/chervillead/error_texts.py
@@ -27,12 +27,12 @@
     return shorten_text(_values.repr(value))
 
 
-def shorten_text(text: str) -> str:
-    """Returns a text of at most `MAX_TEXT_CHARACTERS`.
+def shorten_text(text: str, max_characters: int = MAX_TEXT_CHARACTERS) -> str:
+    """Returns a text of at most `max_characters`.
 
     The end is kept: it tells where in a message the problem is.
     """
-    if len(text) <= MAX_TEXT_CHARACTERS:
+    if len(text) <= max_characters:
         return text
-    kept = (MAX_TEXT_CHARACTERS - len(" ... ")) // 2
+    kept = (max_characters - len(" ... ")) // 2
     return f"{text[:kept]} ... {text[-kept:]}"
--- a/src/chervillead/http_exchange.py
+++ b/src/chervillead/http_exchange.py
@@ -16,7 +16,7 @@
 
 READ_CHUNK_BYTES = 65536
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
-# The longest are lists of 500 ended runs, about 100 KB.
+# A list of 500 ended and 100 active runs has 44 KB.
 MAX_WORKER_RESPONSE_BYTES = 1024 * 1024
 
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
--- a/tests/stand_ins/platform_fleet.py
+++ b/tests/stand_ins/platform_fleet.py
@@ -18,6 +18,7 @@
 from chervillead.entries import job_messages
 from chervillead.jobs import held_jobs
 from chervillead.jobs import job_api
+from chervillead.jobs import model
 from chervillead.platform import assembly
 from chervillead.platform import job_bodies
 from chervillead.platform import settings as settings_module
@@ -94,6 +95,19 @@
     return msgspec.json.encode(fields | changes)
 
 
+def decode_job(
+    body: bytes,
+) -> result.Result[model.JobSpec, job_bodies.InvalidJob]:
+    """Decodes the body of a job that is submitted to the queue."""
+    return job_bodies.decode_job(
+        body,
+        job_id=job_id(0),
+        queue=model.Queue("queue-1", QUEUE_HOST, QUEUE_PATH, POOL),
+        account="team-1",
+        now_unix_ms=0,
+    )
+
+
 class _RunningHost(typing.NamedTuple):
     host: assembly.EntryHost
     tasks: list[asyncio.Task[None]]
--- a/tests/stand_ins/route_caller.py
+++ b/tests/stand_ins/route_caller.py
@@ -9,6 +9,7 @@
 from chervillead.callers import request_limiter
 from chervillead.entries import job_messages
 from chervillead.jobs import job_api
+from chervillead.jobs import model
 from chervillead.platform import caller_routes
 from chervillead.platform import fleet_configuration
 from stand_ins import platform_fleet
@@ -22,6 +23,30 @@
     lines: list[dict[str, typing.Any]]
 
 
+def job_ports(
+    call_owner: job_api.CallOwner,
+    configuration: model.FleetConfiguration | None = None,
+    lines: list[dict[str, typing.Any]] | None = None,
+) -> job_api.JobPorts:
+    """Returns the ports of a host with one partition.
+
+    Args:
+        call_owner: Calls the owner of the partition.
+        configuration: Its configuration.
+        lines: Takes the fields of log lines.
+    """
+    written = [] if lines is None else lines
+    return job_api.JobPorts(
+        configuration=lambda: configuration,
+        is_current=lambda: True,
+        configuration_age_s=lambda: 0.0,
+        partitions=1,
+        partition_of=lambda pool: 0,
+        call_owner=call_owner,
+        log=lambda message_type, **fields: written.append(fields),
+    )
+
+
 async def call_unread(
     answer: result.Result[job_messages.JobReply, verdicts.Refusal],
     *,
@@ -49,15 +74,7 @@
         return answer
 
     routes = caller_routes.RoutePorts(
-        jobs=job_api.JobPorts(
-            configuration=lambda: version,
-            is_current=lambda: True,
-            configuration_age_s=lambda: 0.0,
-            partitions=1,
-            partition_of=lambda pool: 0,
-            call_owner=call_owner,
-            log=lambda message_type, **fields: lines.append(fields),
-        ),
+        jobs=job_ports(call_owner, version, lines),
         clock=types.Clock(lambda: 0.0, lambda: 0.0),
         is_ready=lambda: True,
         is_stopping=lambda: False,
--- a/tests/steps/error_texts.py
+++ b/tests/steps/error_texts.py
@@ -29,7 +29,6 @@
 from chervillead.platform import advice_client
 from chervillead.platform import fleet_configuration
 from chervillead.platform import host_client
-from chervillead.platform import job_bodies
 from chervillead.platform import registrations
 from chervillead.platform import store_responses
 from chervillead.platform import worker_responses
@@ -84,24 +83,18 @@
             yield str(e)
 
 
-def decode_job(body):
-    return job_bodies.decode_job(
-        body,
-        job_id="0" * 16,
-        queue=model.Queue("queue-1", "queue.example", "/jobs/", "billing"),
-        account="team-1",
-        now_unix_ms=0,
-    )
-
-
 def job_errors():
     step = platform_fleet.step(1, Gang=True, Image="a", After=[])
-    yield from failures(decode_job, variants({"Spec": "x", "Phases": [step]}))
+    yield from failures(
+        platform_fleet.decode_job, variants({"Spec": "x", "Phases": [step]})
+    )
     for body in variants(step):
-        yield from failures(decode_job, [b'{"Phases":[' + body + b"]}"])
+        yield from failures(
+            platform_fleet.decode_job, [b'{"Phases":[' + body + b"]}"]
+        )
     # What the numbers of steps and dependencies are isn't known beforehand.
     many = {"Phases": [step | {"After": list(range(20_000))}]}
-    yield from failures(decode_job, [msgspec.json.encode(many)])
+    yield from failures(platform_fleet.decode_job, [msgspec.json.encode(many)])
 
 
 def worker_status_errors():
@@ -214,15 +207,7 @@
             )
         )
 
-    ports = job_api.JobPorts(
-        configuration=lambda: None,
-        is_current=lambda: True,
-        configuration_age_s=lambda: 0.0,
-        partitions=1,
-        partition_of=lambda pool: 0,
-        call_owner=call_owner,
-        log=lambda *arguments, **fields: None,
-    )
+    ports = route_caller.job_ports(call_owner)
     outcome = asyncio.run(job_api.submit(ports, JOB, 1.0))
     yield outcome.failure().detail
 
--- a/tests/steps/platform_job_bodies.py
+++ b/tests/steps/platform_job_bodies.py
@@ -6,28 +6,16 @@
 import msgspec
 from returns import pipeline
 
-from chervillead.jobs import model
 from chervillead.jobs import validation
-from chervillead.platform import job_bodies
 from stand_ins import hostile_jobs
 from stand_ins import platform_fleet
 
 
-def decode(body):
-    return job_bodies.decode_job(
-        body,
-        job_id="0" * 16,
-        queue=model.Queue("queue-1", "queue.example", "/jobs/", "billing"),
-        account="team-1",
-        now_unix_ms=0,
-    )
-
-
 def decode_measured(body):
     """Returns the outcome, and the largest memory while a body was decoded."""
     tracemalloc.start()
     try:
-        outcome = decode(body)
+        outcome = platform_fleet.decode_job(body)
         return outcome, tracemalloc.get_traced_memory()[1]
     finally:
         tracemalloc.stop()
@@ -47,7 +35,9 @@
 def step(context, count, number):
     steps = [platform_fleet.step(1)] * number
     steps += [{"Count": "x"}] * (count - number)
-    context.decoded = decode(msgspec.json.encode({"Phases": steps}))
+    context.decoded = platform_fleet.decode_job(
+        msgspec.json.encode({"Phases": steps})
+    )
 
 
 @behave.then("it is refused")
