--- a/review/harness_3/runner.py
+++ b/review/harness_3/runner.py
@@ -21,6 +21,8 @@
 GANG_TIMEOUT_S = 3.0
 CHECKPOINT_S = 0.5
 LONG_STARTUP_S = 1.0
+# A run that fails by its own fault does so after this time.
+FAIL_S = 0.5
 
 Key = tuple[str, int]
 
@@ -33,11 +35,14 @@
         gang: Number of the members of a gang; 0 for tasks that aren't one.
         checkpoint: Returns the checkpoint of a task at a number of half
             seconds of work; None for tasks that take none.
+        fails: Returns whether a run of a task ends `failed`, by the task's own
+            fault; None if none does.
     """
 
     seconds: float | None
     gang: int = 0
     checkpoint: abc.Callable[[str, int], str] | None = None
+    fails: abc.Callable[[str, int], bool] | None = None
 
 
 class Run(typing.NamedTuple):
@@ -102,6 +107,7 @@
         self.name = name
         self.cpu = cpu
         self.rack = rack
+        self.kind = "a"
         self.begun: list[Run] = []
         self.ended: list[End] = []
         self.seen_ends = 0
@@ -232,7 +238,10 @@
     def _begin_work(self, key: Key) -> None:
         self._at_work_s[key] = time.monotonic()
         seconds = self._work_of(key[0]).seconds
-        if seconds is not None:
+        fails = self._work_of(key[0]).fails
+        if fails is not None and fails(*key):
+            self._after(key, FAIL_S, lambda key: self._end(key, "failed"))
+        elif seconds is not None:
             self._after(key, seconds, self._end_done)
 
     def _end_alone(self, key: Key) -> None:
