Show that an entry of another writer stops a pool (review case 11)

Cause: the owner of a partition polls every registration whose service's name is hashed to it. An id that isn't ASCII can't be sent in a header, and that error ends the owner, again and again.

Adds the case with its claim.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,110 +1,135 @@
-"""A gang whose runners crash three times: is it shown as failed?
+"""An entry of another writer stands among the runners: does the pool go on?
 
 Exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case
 couldn't run.
 """
 
 import asyncio
+import itertools
 import os
 import pathlib
 import sys
 import time
+import typing
 
 from harness_3 import deployment
 from harness_3 import record
 from harness_3 import runner
+import msgspec
+
+from chervillead.pools import pool_partitions
+from stand_ins import http_server
+from stand_ins import platform_store
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
-JOB = "5c0e7a21d94b36f8"
-MEMBERS = 4
-WORK_S = 16.0
-CRASHES = 3
-# How long a gang has been at work when a runner of it crashes.
-CRASH_AFTER_S = 6.0
-DOWN_S = 2.0
-END_S = 95.0
-PHASES = [
-    {
-        "Count": MEMBERS,
-        "Cpu": 40_000,
-        "MemMb": 1024,
-        "EstimateMs": int(1000 * WORK_S),
-        "Gang": True,
-    }
+JOBS = [f"aaaaaaaaaaaaaa{number:02x}" for number in range(4)]
+STEP_S = 0.5
+# Steps that run one after the other, for half a minute in all.
+STEPS: list[dict[str, typing.Any]] = [
+    {"Count": 1, "Cpu": 1000, "EstimateMs": 500}
+    | ({"After": [number - 1]} if number else {})
+    for number in range(60)
 ]
-
-
-async def crash_runners(fleet: deployment.Deployment) -> None:
-    """Crashes a runner of the gang, some seconds into three of its runs."""
-    last_run = 0
-    for _ in range(CRASHES):
-        run = await _wait_for_run(fleet, last_run)
-        last_run = run.key[1]
-        victim = fleet.runner(run.runner)
-        await asyncio.sleep(CRASH_AFTER_S)
-        victim.crash()
-        await asyncio.sleep(DOWN_S)
-        await victim.restart()
-
-
-async def _wait_for_run(fleet: deployment.Deployment, after: int) -> runner.Run:
-    """Waits until all members of a later run of the gang are present."""
-    while True:
-        present = [
-            run
-            for found in fleet.runners
-            for run in found.begun
-            if run.key[1] > after and run.key in found.running
-        ]
-        if len(present) == MEMBERS:
-            return present[0]
-        await asyncio.sleep(0.05)
+# An id of another writer, and the name of its service, which no config names.
+ENTRY_ID = "máy-in-hoá-đơn-1"
+# Bounds of the rule.
+FINISH_S = 14.0
+IDLE_S = 3.0
+WATCH_S = 10.0
+
+
+def foreign_service() -> str:
+    """Returns a service that isn't named in the config.
+
+    Partitions are shared by the hash of the name, so another service has the
+    partition of the pool with a chance of one in 24.
+    """
+    parts = platform_store.PARTITIONS
+    wanted = pool_partitions.partition_of(deployment.POOL, parts)
+    names = (f"in-hoa-don-{number}" for number in itertools.count())
+    return next(
+        name
+        for name in names
+        if pool_partitions.partition_of(name, parts) == wanted
+    )
 
 
 async def play(log: record.Record) -> int:
     """Plays the case and returns the exit status."""
-    fleet = deployment.Deployment(
-        log, lambda task: runner.Work(WORK_S, gang=MEMBERS)
-    )
+    fleet = deployment.Deployment(log, lambda task: runner.Work(STEP_S))
+    other = await http_server.serve(_answer, "127.0.0.1", 0)
     try:
         await fleet.start()
-        if await fleet.submit(JOB, PHASES) != 200:
-            log.write("the submission was not accepted")
-            return 2
-        ends_s = time.monotonic() + END_S
-        trouble = asyncio.create_task(
-            crash_runners(fleet) if IS_TROUBLED else asyncio.sleep(0)
-        )
-        state = ""
-        while time.monotonic() < ends_s:
-            state = await fleet.state(JOB, host=1)
-            if state in ("completed", "failed", "cancelled"):
-                break
-            await asyncio.sleep(0.5)
-        trouble.cancel()
-        return judge(fleet, log, state)
+        for job_id in JOBS:
+            if await fleet.submit(job_id, STEPS) != 200:
+                return 2
+        port = other.sockets[0].getsockname()[1]
+        entry = foreign_entry(f"127.0.0.1:{port}")
+        if IS_TROUBLED:
+            fleet.store.put_entry("keyed.servers", ENTRY_ID, entry)
+            log.write("entry", id=ENTRY_ID, value=entry.decode())
+        await asyncio.sleep(FINISH_S)
+        idle = await idle_submissions(fleet, log)
+        for job_id in JOBS:
+            await fleet.state(job_id, host=1)
+        log.write("judged", idle=sorted(idle))
+        return 1 if idle else 0
     finally:
+        other.close()
         await fleet.stop()
 
 
-def judge(fleet: deployment.Deployment, log: record.Record, state: str) -> int:
-    """Compares the state that was shown with the ends of all runs."""
-    ends = [end for found in fleet.runners for end in found.ended]
-    for end in sorted(ends, key=lambda end: end.at_s):
+def foreign_entry(address: str) -> bytes:
+    """Returns the entry, which has all fields of a runner's."""
+    return msgspec.json.encode(
+        {
+            "Service": foreign_service(),
+            "Address": address,
+            "Zone": "scot-central-a",
+            "Version": "v1",
+            "Slots": 8,
+            "State": "ready",
+            "ColdRemainingMs": 0,
+            "Capacity": {"Cpu": 1000, "MemMb": 1024, "Gpu": 0},
+            "Labels": ["a", "r1-0"],
+            "Seq": 1,
+            "born": int(1000 * time.time()),
+        }
+    )
+
+
+async def _answer(
+    request: http_server.ReceivedRequest, writer: asyncio.StreamWriter
+) -> http_server.Reply:
+    """Answers what another service answers to calls that it doesn't know."""
+    return http_server.Reply(404)
+
+
+async def idle_submissions(
+    fleet: deployment.Deployment, log: record.Record
+) -> set[str]:
+    """Returns the submissions that had nothing running for the bound.
+
+    Each of them has a step that is due at any time, and the runners have room
+    for 512 tasks.
+    """
+    began_s = time.monotonic()
+    last_s = dict.fromkeys(JOBS, began_s)
+    idle: set[str] = set()
+    while time.monotonic() < began_s + WATCH_S:
+        now_s = time.monotonic()
+        for found in fleet.runners:
+            last_s.update((key[0][:16], now_s) for key in found.running)
+        idle |= {j for j in JOBS if now_s - last_s[j] > IDLE_S}
         log.write(
-            "ended",
-            task=end.key[0],
-            run=end.key[1],
-            runner=end.runner,
-            how=end.how,
-            listed=end.listed,
+            "running",
+            by_runner=[len(found.running) for found in fleet.runners],
+            steps_begun=sum(len(found.begun) for found in fleet.runners),
+            idle=len(idle),
         )
-    failed = sum(end.how == "failed" for end in ends)
-    log.write("judged", state=state, ends_failed=failed)
-    if state == "failed" and failed < deployment.MAX_ATTEMPTS:
-        return 1
-    return 0 if state == "completed" else 2
+        await asyncio.sleep(0.1)
+    return idle
 
 
 def main() -> int:
--- a/review/harness_3/deployment.py
+++ b/review/harness_3/deployment.py
@@ -5,6 +5,7 @@
 import contextlib
 import os
 import pathlib
+import shutil
 import signal
 import sys
 import tempfile
@@ -44,6 +45,11 @@
         self._log = log
         self.refused_records = 0
 
+    def put_entry(self, topic: str, key: str, value: bytes) -> None:
+        """Appends a record whose key may have any characters."""
+        encoded = key.encode()
+        self._store_records(topic, 0, [bytes([len(encoded)]) + encoded + value])
+
     def _append(
         self, request: http_server.ReceivedRequest
     ) -> http_server.Reply:
@@ -249,7 +255,7 @@
                 "State": "ready",
                 "ColdRemainingMs": 0,
                 "Capacity": _capacity(runner),
-                "Labels": ["a", runner.rack],
+                "Labels": [runner.kind, runner.rack],
                 "ClockMs": runner.clock_ms(),
                 "Seq": self._sequence,
                 "born": runner.born,
@@ -270,7 +276,7 @@
                 "Pool": POOL,
                 "State": "up" if runner.is_up else "down",
                 "Zone": "scot-central-a",
-                "Labels": ["a", runner.rack],
+                "Labels": [runner.kind, runner.rack],
                 "Capacity": _capacity(runner),
                 "Id": runner.name,
             }
@@ -366,11 +372,9 @@
             server.close()
         for runner in self.runners:
             runner.stop()
-
-    @property
-    def folder(self) -> pathlib.Path:
-        """Temporary folder with the settings and logs of the hosts."""
-        return self._folder
+        # The logs of the hosts stay for those who look for the cause.
+        if "KEEP" not in os.environ:
+            shutil.rmtree(self._folder, ignore_errors=True)
 
 
 def _capacity(runner: runner_module.Runner) -> dict[str, int]:
