--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""A task fails once where it alone has room: is it started again?
+"""Two runners crash under the tasks of one step: do others still start?
 
 Exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case
 couldn't run.
@@ -16,100 +16,89 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
-LASTING = "aaaaaaaaaaaaaaaa"
-BATCH = "bbbbbbbbbbbbbbbb"
-KIND = "b"
-# Runners of that kind, of eight.
-RUNNERS_OF_KIND = (6, 7)
-LASTING_STEP = {
-    "Count": 1,
-    "Cpu": 60_000,
-    "MemMb": 1024,
-    "LongRunning": True,
-    "Requirements": KIND,
-}
-BATCH_STEP = {
-    "Count": 1,
-    "Cpu": 8_000,
-    "MemMb": 1024,
-    "EstimateMs": 4_000,
-    "Requirements": KIND,
-}
-WORK_S = 4.0
+TASKS = 32
+WORK_S = 45.0
+LARGE = "bbbbbbbbbbbbbb00"
+OTHERS = [f"aaaaaaaaaaaaaa{number:02x}" for number in range(4)]
+CRASHES = 2
+# How long the tasks have run when their runner crashes.
+CRASH_AFTER_S = 2.5
+DOWN_S = 3.0
+# From the start of the large submission to the other ones.
+OTHERS_AFTER_S = 18.0
 # Bounds of the rule.
 FINISH_S = 14.0
 IDLE_S = 3.0
+STEP = {"Count": TASKS, "Cpu": 1900, "MemMb": 512, "EstimateMs": 45_000}
 
 
 def work_of(task: str) -> runner.Work:
-    """Returns what a task does; the first run of the batch task fails."""
-    if task.startswith(LASTING):
-        return runner.Work(None)
-    return runner.Work(WORK_S, fails=is_first_run)
+    """Returns what a task does."""
+    return runner.Work(WORK_S if task.startswith(LARGE) else 1.0)
 
 
-class _Runs:
-    """Which run of the batch task was the first."""
-
-    first: int | None = None
-
-
-def is_first_run(task: str, number: int) -> bool:
-    """Returns whether a run is the first one of the batch task."""
-    if _Runs.first is None:
-        _Runs.first = number
-    return IS_TROUBLED and number == _Runs.first
+async def crash_runners(fleet: deployment.Deployment) -> None:
+    """Crashes the runner with most tasks, some seconds after they began."""
+    for _ in range(CRASHES):
+        while sum(len(found.running) for found in fleet.runners) < TASKS:  # noqa: ASYNC110
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(CRASH_AFTER_S)
+        victim = max(fleet.runners, key=lambda found: len(found.running))
+        victim.crash()
+        await asyncio.sleep(DOWN_S)
+        await victim.restart()
 
 
 async def play(log: record.Record) -> int:
     """Plays the case and returns the exit status."""
     fleet = deployment.Deployment(log, work_of)
-    for index in RUNNERS_OF_KIND:
-        fleet.runners[index].kind = KIND
     try:
         await fleet.start()
-        if await fleet.submit(LASTING, [LASTING_STEP]) != 200:
-            return 2
-        await asyncio.sleep(3.0)
-        if await fleet.submit(BATCH, [BATCH_STEP]) != 200:
+        if await fleet.submit(LARGE, [STEP]) != 200:
             return 2
+        others_s = time.monotonic() + OTHERS_AFTER_S
+        if IS_TROUBLED:
+            await crash_runners(fleet)
+        await asyncio.sleep(max(0.0, others_s - time.monotonic()))
+        for job_id in OTHERS:
+            if await fleet.submit(job_id, [{"Count": 1, "Cpu": 100}]) != 200:
+                return 2
         await asyncio.sleep(FINISH_S)
-        is_idle = await watch(fleet, log)
-        state = await fleet.state(BATCH, host=1)
-        runs = [
-            (end.key[1], end.runner, end.how)
-            for found in fleet.runners
-            for end in found.ended
-            if end.key[0].startswith(BATCH)
-        ]
-        log.write("judged", state=state, is_idle=is_idle, ended=runs)
-        return 1 if is_idle and state in ("queued", "running") else 0
+        return await judge(fleet, log)
     finally:
         await fleet.stop()
 
 
-async def watch(fleet: deployment.Deployment, log: record.Record) -> bool:
-    """Returns whether the batch task didn't run for the whole bound.
+async def judge(fleet: deployment.Deployment, log: record.Record) -> int:
+    """Watches for the bound whether a submission has nothing running.
 
-    Of the 128 cores of the kind, and of the 512 of the service, 60 are in use;
-    the free runner of the kind has room for the task eight times over.
+    The submissions have one task without conditions, and no cap holds for their
+    tenant. So it is only left whether less than half of the capacity is in use
+    and whether a runner has room for the task twice over.
     """
     ends_s = time.monotonic() + IDLE_S
-    is_idle = True
+    idle = set(OTHERS)
     while time.monotonic() < ends_s:
-        running = {
-            found.name: [key[0] for key in found.running]
-            for found in fleet.runners
-            if found.running
+        begun = {
+            run.key[0][:16] for found in fleet.runners for run in found.begun
         }
-        is_idle &= not any(
-            task.startswith(BATCH)
-            for tasks in running.values()
-            for task in tasks
+        idle -= begun
+        by_runner = [len(found.running) for found in fleet.runners]
+        in_use = sum(by_runner) * STEP["Cpu"]
+        log.write(
+            "running",
+            by_runner=by_runner,
+            millicores_in_use=in_use,
+            millicores=sum(found.cpu for found in fleet.runners),
+            others_begun=len(begun & set(OTHERS)),
         )
-        log.write("running", by_runner=running)
+        if in_use > sum(found.cpu for found in fleet.runners) / 2:
+            return 2
         await asyncio.sleep(0.25)
-    return is_idle
+    for job_id in OTHERS:
+        await fleet.state(job_id, host=1)
+    log.write("judged", never_begun=sorted(idle))
+    return 1 if idle else 0
 
 
 def main() -> int:
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,4 +1,4 @@
-"""Two runners crash under the tasks of one step: do others still start?
+"""One submission with many tasks at work: does its pool still take note?
 
 Exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case
 couldn't run.
@@ -9,44 +9,54 @@
 import pathlib
 import sys
 import time
+import typing
 
 from harness_3 import deployment
 from harness_3 import record
 from harness_3 import runner
 
 FOLDER = pathlib.Path(__file__).resolve().parent
+# Without the disruption, the same tasks come in submissions of 1,000.
 IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
-TASKS = 32
-WORK_S = 45.0
-LARGE = "bbbbbbbbbbbbbb00"
-OTHERS = [f"aaaaaaaaaaaaaa{number:02x}" for number in range(4)]
-CRASHES = 2
-# How long the tasks have run when their runner crashes.
-CRASH_AFTER_S = 2.5
-DOWN_S = 3.0
-# From the start of the large submission to the other ones.
-OTHERS_AFTER_S = 18.0
-# Bounds of the rule.
-FINISH_S = 14.0
-IDLE_S = 3.0
-STEP = {"Count": TASKS, "Cpu": 1900, "MemMb": 512, "EstimateMs": 45_000}
+TASKS = int(os.environ.get("TASKS", "11000"))
+TASKS_EACH = TASKS if IS_TROUBLED else 1_000
+WORK_S = 60.0
+# A few tasks are shorter than the others.
+SHORT_WORK_S = 20.0
+SHORT_EACH = 97
+OTHERS = [f"aaaaaaaaaaaaaaa{number}" for number in range(4)]
+# Bound of the rule for cancels and ends.
+ACK_S = 4.0
+CANCEL_AFTER_S = 3.0
+JUDGE_AFTER_S = 16.0
+START_S = 45.0
 
 
 def work_of(task: str) -> runner.Work:
-    """Returns what a task does."""
-    return runner.Work(WORK_S if task.startswith(LARGE) else 1.0)
-
-
-async def crash_runners(fleet: deployment.Deployment) -> None:
-    """Crashes the runner with most tasks, some seconds after they began."""
-    for _ in range(CRASHES):
-        while sum(len(found.running) for found in fleet.runners) < TASKS:  # noqa: ASYNC110
-            await asyncio.sleep(0.02)
-        await asyncio.sleep(CRASH_AFTER_S)
-        victim = max(fleet.runners, key=lambda found: len(found.running))
-        victim.crash()
-        await asyncio.sleep(DOWN_S)
-        await victim.restart()
+    """Returns what a task does: a fixed time of work with checkpoints."""
+    job_id, _, _, number = task.split(".")
+    if job_id in OTHERS:
+        return runner.Work(100.0)
+    seconds = SHORT_WORK_S if int(number) % SHORT_EACH == 0 else WORK_S
+    return runner.Work(seconds, checkpoint=checkpoint)
+
+
+def checkpoint(task: str, count: int) -> str:
+    """Returns a checkpoint of 16 characters, as PROTOCOL.md shows one."""
+    return f"{count:05x}{hash(task) & 0xFFFFFFFFFFF:011x}"
+
+
+def phases(count: int) -> list[dict[str, typing.Any]]:
+    """Returns one step of small tasks that checkpoint."""
+    return [
+        {
+            "Count": count,
+            "Cpu": 40,
+            "MemMb": 64,
+            "EstimateMs": int(1000 * WORK_S),
+            "Checkpointing": True,
+        }
+    ]
 
 
 async def play(log: record.Record) -> int:
@@ -54,51 +64,74 @@
     fleet = deployment.Deployment(log, work_of)
     try:
         await fleet.start()
-        if await fleet.submit(LARGE, [STEP]) != 200:
-            return 2
-        others_s = time.monotonic() + OTHERS_AFTER_S
-        if IS_TROUBLED:
-            await crash_runners(fleet)
-        await asyncio.sleep(max(0.0, others_s - time.monotonic()))
         for job_id in OTHERS:
             if await fleet.submit(job_id, [{"Count": 1, "Cpu": 100}]) != 200:
                 return 2
-        await asyncio.sleep(FINISH_S)
-        return await judge(fleet, log)
+        for number in range(TASKS // TASKS_EACH):
+            job_id = f"bbbbbbbbbbbbbb{number:02x}"
+            if await fleet.submit(job_id, phases(TASKS_EACH)) != 200:
+                return 2
+        if not await _wait_for_end(fleet, log):
+            return 2
+        await asyncio.sleep(CANCEL_AFTER_S)
+        first_s = time.monotonic()
+        acked = set()
+        while time.monotonic() - first_s < ACK_S + 1.0:
+            for host, job_id in enumerate(set(OTHERS) - acked):
+                status = await fleet.cancel(job_id, host=host % 3)
+                if 200 <= status < 300 or status == 410:
+                    acked.add(job_id)
+            await asyncio.sleep(0.3)
+        await asyncio.sleep(max(0.0, JUDGE_AFTER_S - ACK_S - 1.0))
+        new = await fleet.submit("cccccccccccccccc", [{"Count": 1, "Cpu": 100}])
+        return judge(fleet, log, len(acked), new)
     finally:
         await fleet.stop()
 
 
-async def judge(fleet: deployment.Deployment, log: record.Record) -> int:
-    """Watches for the bound whether a submission has nothing running.
-
-    The submissions have one task without conditions, and no cap holds for their
-    tenant. So it is only left whether less than half of the capacity is in use
-    and whether a runner has room for the task twice over.
-    """
-    ends_s = time.monotonic() + IDLE_S
-    idle = set(OTHERS)
+async def _wait_for_end(
+    fleet: deployment.Deployment, log: record.Record
+) -> bool:
+    """Waits until the first run has ended; returns whether one has."""
+    ends_s = time.monotonic() + START_S
     while time.monotonic() < ends_s:
-        begun = {
-            run.key[0][:16] for found in fleet.runners for run in found.begun
-        }
-        idle -= begun
-        by_runner = [len(found.running) for found in fleet.runners]
-        in_use = sum(by_runner) * STEP["Cpu"]
-        log.write(
-            "running",
-            by_runner=by_runner,
-            millicores_in_use=in_use,
-            millicores=sum(found.cpu for found in fleet.runners),
-            others_begun=len(begun & set(OTHERS)),
-        )
-        if in_use > sum(found.cpu for found in fleet.runners) / 2:
-            return 2
-        await asyncio.sleep(0.25)
-    for job_id in OTHERS:
-        await fleet.state(job_id, host=1)
-    log.write("judged", never_begun=sorted(idle))
-    return 1 if idle else 0
+        begun = sum(len(found.begun) for found in fleet.runners)
+        log.write("runs begun", count=begun)
+        if any(
+            end.how == "done" for found in fleet.runners for end in found.ended
+        ):
+            return True
+        await asyncio.sleep(1.0)
+    return False
+
+
+def judge(
+    fleet: deployment.Deployment, log: record.Record, acked: int, new: int
+) -> int:
+    """Counts the ends that were listed long enough and not taken note of."""
+    now_s = time.monotonic()
+    old = sum(
+        end.listed and now_s - end.at_s > ACK_S
+        for found in fleet.runners
+        for end in found.ended
+    )
+    seen = sum(found.seen_ends for found in fleet.runners)
+    begun = sum(len(found.begun) for found in fleet.runners)
+    missed = max(0, old - seen)
+    log.write(
+        "judged",
+        begun=begun,
+        ends_listed_before=old,
+        ends_seen=seen,
+        cancels_acked=acked,
+        cancels=len(OTHERS),
+        new_submission=new,
+        records_refused=fleet.store.refused_records,
+    )
+    if old == 0:
+        return 2
+    is_broken = missed > old / 5 or len(OTHERS) - acked > len(OTHERS) / 10
+    return 1 if is_broken else 0
 
 
 def main() -> int:
