Ignore entries of the list of workers whose pool no configuration names

Cause: an entry was passed to the owner of the partition that the name of its service is hashed to, whether a configuration names the service or not. The owner polled it, and failed, as its id can't be encoded. Names share 24 partitions, so such an entry reaches any pool, or the owner of all hosts.

Entries become workers in one place now, which compares their pool with the configuration, and does so again when a configuration or an entry changes. A pool that was configured before counts while jobs of it are unfinished: their tasks may run on its workers. Nothing is passed on before a configuration was read; a new owner would wait for the answers of such entries.

--- a/src/chervillead/platform/assembly.py
+++ b/src/chervillead/platform/assembly.py
@@ -25,6 +25,7 @@
 from chervillead.platform import settings as settings_module
 from chervillead.platform import store_client
 from chervillead.platform import worker_client
+from chervillead.platform import worker_entries
 from chervillead.pools import group_members
 from chervillead.pools import job_router
 from chervillead.pools import job_service
@@ -160,6 +161,14 @@
             self.log,
             self.serve_host_call,
         )
+        self.worker_entries = worker_entries.WorkerEntries(
+            self.fleet_view, self.partition_of, self.log
+        )
+        self.metrics.gauge(
+            "chervillead_ignored_workers",
+            "Listed workers whose pool no configuration names.",
+            lambda: len(self.worker_entries.ignored),
+        )
         self.host_manager = host_management.HostManager(
             self.fleet_view,
             self.owner_ports,
@@ -214,21 +223,7 @@
 
     def update_workers(self) -> None:
         """Passes each loaded owner the workers of its pools."""
-        for partition, owner in self.ownership.owners.items():
-            if not owner.state.is_loaded:
-                continue
-            owner.workers.update(
-                {
-                    worker_id: worker
-                    for worker_id, worker in self.fleet_view.workers.items()
-                    if self.partition_of(worker.pool) == partition
-                },
-                [
-                    worker
-                    for worker in self.fleet_view.recently_removed()
-                    if self.partition_of(worker.pool) == partition
-                ],
-            )
+        self.worker_entries.pass_on(self.ownership.owners)
 
     async def manage_hosts(self, owner: partition_owner.PartitionOwner) -> None:
         """Maintains and resizes an owner's pools until cancelled.
--- a/tests/platform/odd_records.feature
+++ b/tests/platform/odd_records.feature
@@ -66,3 +66,31 @@
     Then every host reports the job as completed
     And every host still follows both topics
     And the log names each odd entry
+
+  Scenario Outline: An entry of <service> under <id> in the list of workers
+    # Guards against an owner that fails again and again, so that no task of its
+    # pools starts, because the id of another writer's entry can't be encoded.
+    Given a platform fleet of 2 hosts and 1 worker
+    When another writer leaves an entry of <service> under <id>
+    And 2 s pass
+    And a job of 3 tasks is submitted
+    And 5 s pass
+    Then every host reports the job as completed
+    And no owner has failed
+    And the entry is <handled>
+
+    Examples:
+      | service                      | id                   | handled   |
+      | no pool, in the partition    | "máy-in-hoá-đơn-1"   | ignored   |
+      | no pool, in the partition    | "máy-1"              | ignored   |
+      | no pool, in the hosts' one   | "máy-in-hoá-đơn-1"   | ignored   |
+
+  Scenario: A pool is configured after its worker has registered
+    # Guards against a worker that is ignored for good because its entry was read
+    # before the configuration that names its pool.
+    Given a platform fleet of 2 hosts and 1 worker
+    When another writer leaves an entry of no pool, in the partition under "i-7"
+    And 1 s pass
+    And operators configure the pool of that entry
+    And 2 s pass
+    Then the entry is polled
--- a/tests/stand_ins/platform_fleet.py
+++ b/tests/stand_ins/platform_fleet.py
@@ -189,10 +189,10 @@
             self.network.refuse_while(
                 worker_id, functools.partial(getattr, worker, "is_crashed")
             )
-            self._listen(
+            self.listen(
                 worker_id, _address("10.1.0.1", WORKER_PORT + index), serve
             )
-        self._listen(
+        self.listen(
             "machines",
             HOSTS_SERVICE_ADDRESS,
             http_server.serve_connections(self.hosts_service.handle),
@@ -221,7 +221,7 @@
         """Starts an entry host."""
         index = self._host_names.index(name)
         store_address = _address("10.0.0.1", STORE_PORT + index)
-        self._listen(
+        self.listen(
             f"store-{name}",
             store_address,
             http_server.serve_connections(self.store.handler_for(name)),
@@ -416,12 +416,13 @@
                 ):
                     yield f"{task}: {later} began after a recorded end"
 
-    def _listen(
+    def listen(
         self,
         node: str,
         address: types.Address,
         serve: typing.Any,
     ) -> None:
+        """Serves connections to an address at one place of the network."""
         listen = self.network.listen_at(node)
         self._tasks.append(asyncio.create_task(listen(address, serve)))
 
--- a/tests/stand_ins/platform_store.py
+++ b/tests/stand_ins/platform_store.py
@@ -352,7 +352,8 @@
 
 
 def _keyed(key: str, value: bytes) -> bytes:
-    return bytes([len(key)]) + key.encode() + value
+    encoded = key.encode()
+    return bytes([len(encoded)]) + encoded + value
 
 
 def _split(body: bytes) -> list[bytes]:
--- a/tests/steps/platform_odd_records.py
+++ b/tests/steps/platform_odd_records.py
@@ -1,5 +1,7 @@
 """Steps of tests/platform/odd_records.feature."""
 
+import asyncio
+import itertools
 import json
 
 import behave
@@ -9,6 +11,7 @@
 from returns import pipeline
 from returns import result
 
+from chervillead import types
 from chervillead.entries import codec
 from chervillead.entries import job_messages
 from chervillead.entries import packed_records
@@ -24,10 +27,13 @@
 from chervillead.platform import store_responses
 from chervillead.platform import worker_responses
 from chervillead.pools import group_members
+from chervillead.pools import pool_partitions
 from chervillead.pools import takeover
 from chervillead.store import interface
+from stand_ins import http_server
 from stand_ins import platform_fleet
 from stand_ins import platform_scenarios
+from stand_ins import platform_store
 from stand_ins import reproducible_draws
 
 EXAMPLES = 300
@@ -276,6 +282,127 @@
     )
 
 
+@behave.when("the workers' topic contains a registration under {text}")
+def step(context, text):
+    context.registration = registrations.decode_registration(
+        json.loads(text), msgspec.json.encode(REGISTRATION)
+    )
+
+
+@behave.then("the record yields a worker")
+def step(context):
+    assert pipeline.is_successful(context.registration), context.registration
+
+
+OTHER_WRITER = types.Address("10.9.0.1", 80)
+PARTITIONS = platform_store.PARTITIONS
+
+
+def unconfigured_pool(partition):
+    """Returns the name of a pool that no configuration names."""
+    names = (f"printing-{number}" for number in itertools.count())
+    return next(
+        name
+        for name in names
+        if pool_partitions.partition_of(name, PARTITIONS) == partition
+    )
+
+
+SERVICES = {
+    "the pool": platform_fleet.POOL,
+    "no pool, in the partition": unconfigured_pool(
+        pool_partitions.partition_of(platform_fleet.POOL, PARTITIONS)
+    ),
+    "no pool, in the hosts' one": unconfigured_pool(
+        pool_partitions.HOSTS_PARTITION
+    ),
+}
+
+
+@behave.when("another writer leaves an entry of {service} under {text}")
+def step(context, service, text):
+    context.entry_id, context.entry_pool = json.loads(text), SERVICES[service]
+    context.polled_ids = []
+
+    async def respond(request, writer):
+        context.polled_ids.append(request.headers.get("expect-instance"))
+        return http_server.Reply(404)
+
+    async def leave(fleet):
+        fleet.listen(
+            "another writer",
+            OTHER_WRITER,
+            http_server.serve_connections(respond),
+        )
+        await asyncio.sleep(0)
+        fields = REGISTRATION | {
+            "Service": context.entry_pool,
+            "Address": f"{OTHER_WRITER.host}:{OTHER_WRITER.port}",
+        }
+        fleet.store.put(
+            "keyed.servers", context.entry_id, msgspec.json.encode(fields)
+        )
+
+    platform_scenarios.add_action(context, leave)
+
+
+@behave.when("operators configure the pool of that entry")
+def step(context):
+    async def configure(fleet):
+        pools = (platform_fleet.POOL, context.entry_pool)
+        services = [{"Name": name, "EnforcesCapacity": True} for name in pools]
+        fleet.store.put(
+            "keyed.op",
+            "config",
+            platform_fleet.configuration(2, Services=services),
+        )
+
+    platform_scenarios.add_action(context, configure)
+
+
+@behave.given('the worker\'s id is "{worker_id}"')
+def step(context, worker_id):
+    async def rename(fleet):
+        fleet.store.put("keyed.servers", "i-0", b"")
+        fleet.workers["i-0"].worker_id = worker_id
+        await asyncio.sleep(4)
+
+    platform_scenarios.add_action(context, rename)
+
+
+@behave.then("no owner has failed")
+def step(context):
+    fleet = platform_scenarios.run_once(context).fleet
+    failed = [
+        line for line in fleet.logs if line["message_type"] == "owner:failed"
+    ]
+    assert not failed, failed[0]
+
+
+@behave.then("the entry is polled")
+def step(context):
+    platform_scenarios.run_once(context)
+    assert set(context.polled_ids) == {context.entry_id}, context.polled_ids
+
+
+@behave.then("the entry is not found")
+def step(context):
+    platform_scenarios.run_once(context)
+    assert not context.polled_ids, context.polled_ids
+
+
+@behave.then("the entry is ignored")
+def step(context):
+    fleet = platform_scenarios.run_once(context).fleet
+    assert not context.polled_ids, context.polled_ids
+    named = [
+        line["workers"]
+        for line in fleet.logs
+        if line["message_type"] == "worker:ignored"
+    ]
+    assert [context.entry_id] in named, named
+
+
 ODD_ENTRIES = {
     "odd-nested": b'{"Labels":' + b"[" * NESTING + b"]" * NESTING + b"}",
     "odd-number": msgspec.json.encode(REGISTRATION).replace(
