Encode the heads of requests so that no value can break or extend them

Cause: the head of a request was built from strings without a check. A value beyond latin-1 raised UnicodeEncodeError, which no caller expects, and one with a line break added a header of its own choice. The id of a worker, the scope of an IPv6 address and the name of a queue in the client library come from outside.

There is one check for all clients now, with a typed error: the call fails as not run before anything is sent. Ids and host names are sent in UTF-8, so such a worker can be asked; an id that a header can't carry names no worker.

--- a/src/chervillead/client.py
+++ b/src/chervillead/client.py
@@ -142,6 +142,10 @@
     try:
         async with asyncio.timeout(left_s):
             response = await call(request)
+    except http_exchange.UnsendableRequestError as error:
+        return result.Failure(
+            verdicts.not_run("unsendable-request", 400, str(error))
+        )
     except (
         OSError,
         TimeoutError,
--- a/src/chervillead/http_connection.py
+++ b/src/chervillead/http_connection.py
@@ -81,6 +81,12 @@
                 without any byte. How long a transfer takes depends on the
                 link, so it doesn't show that the server has failed.
         """
+        try:
+            data = http_exchange.encode_request(self._address, request)
+        except http_exchange.UnsendableRequestError as error:
+            return result.Failure(
+                CallFailure(verdicts.Verdict.NOT_RUN, self._describe(error))
+            )
         async with self._lock:
             try:
                 async with asyncio.timeout(min(CONNECT_TIMEOUT_S, timeout_s)):
@@ -96,9 +102,7 @@
             keep_open = False
             try:
                 async with asyncio.timeout(transfer_timeout_s or timeout_s):
-                    writer.write(
-                        http_exchange.encode_request(self._address, request)
-                    )
+                    writer.write(data)
                     response = await http_exchange.read_response(
                         reader,
                         stall_timeout_s=timeout_s
--- a/src/chervillead/http_exchange.py
+++ b/src/chervillead/http_exchange.py
@@ -8,10 +8,12 @@
 
 import asyncio
 from collections import abc
+import re
 import typing
 
 import httptools
 
+from chervillead import error_texts
 from chervillead import types
 
 READ_CHUNK_BYTES = 65536
@@ -19,6 +21,10 @@
 # A list of 500 ended and 100 active runs has 44 KB.
 MAX_WORKER_RESPONSE_BYTES = 1024 * 1024
 
+# Control characters, which could end a line of the head; all but the tab, which
+# a value may contain.
+_CONTROL_CHARACTERS = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 Dial = abc.Callable[[types.Address], abc.Awaitable[Streams]]
 ServeStreams = abc.Callable[
@@ -46,6 +52,10 @@
     keep_alive: bool
 
 
+class UnsendableRequestError(ValueError):
+    """A part of a request can't stand in the head of a message."""
+
+
 class IncompleteResponseError(Exception):
     """The stream didn't contain exactly one complete, valid response."""
 
@@ -62,15 +72,60 @@
         await server.serve_forever()
 
 
+def field_value(text: str) -> str:
+    r"""Returns a text as the value of a header that carries it in UTF-8.
+
+    Values are bytes to HTTP; `HttpRequest` holds them as latin-1.
+
+    Example:
+        >>> field_value("i-1")
+        'i-1'
+        >>> field_value("\u0111").encode("latin-1")
+        b'\xc4\x91'
+    """
+    return text.encode(errors="replace").decode("latin-1")
+
+
+def is_field_value(text: str) -> bool:
+    """Returns whether a header can carry a text so that it arrives unchanged.
+
+    It can't carry control characters, and outer spaces are removed.
+    """
+    return text == text.strip() and not _CONTROL_CHARACTERS.search(text)
+
+
 def encode_request(address: types.Address, request: HttpRequest) -> bytes:
-    """Returns the bytes of `request` for the server at `address`."""
+    """Returns the bytes of `request` for the server at `address`.
+
+    Raises:
+        UnsendableRequestError: A part of the head contains a character that
+            would end it, or one beyond latin-1.
+    """
     lines = [
         f"{request.method} {request.path} HTTP/1.1",
         f"host: {address.host}:{address.port}",
         f"content-length: {len(request.body)}",
     ]
     lines.extend(f"{name}: {value}" for name, value in request.headers)
-    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + request.body
+    for line in lines:
+        if _CONTROL_CHARACTERS.search(line):
+            raise UnsendableRequestError(
+                f"got {error_texts.shorten(line)}, expected no control "
+                "characters"
+            )
+    if " " in request.path:
+        raise UnsendableRequestError(
+            f"got the path {error_texts.shorten(request.path)}, expected no "
+            "spaces"
+        )
+    try:
+        head = "\r\n".join(lines).encode("latin-1")
+    except UnicodeEncodeError as error:
+        raise UnsendableRequestError(
+            f"got {error_texts.shorten(error.object[error.start :])}, expected "
+            "characters of latin-1"
+        ) from error
+    return head + b"\r\n\r\n" + request.body
 
 
 class _ResponseCollector:
@@ -173,12 +228,14 @@
     """Sends one request over a new connection and closes the connection.
 
     Raises:
+        UnsendableRequestError: The request can't be encoded; none was sent.
         OSError: The connection failed.
         IncompleteResponseError: No complete response arrived.
     """
+    data = encode_request(address, request)
     reader, writer = await dial_address(address)
     try:
-        writer.write(encode_request(address, request))
+        writer.write(data)
         await writer.drain()
         return await read_response(reader)
     finally:
--- a/src/chervillead/platform/host_client.py
+++ b/src/chervillead/platform/host_client.py
@@ -129,7 +129,7 @@
     ) -> result.Result[None, interface.HostCallFailure]:
         headers = (
             ("content-type", "application/json"),
-            ("lease-holder", holder),
+            ("lease-holder", http_exchange.field_value(holder)),
             ("fencing-token", str(token)),
         )
         outcome = await call(
--- a/src/chervillead/platform/registrations.py
+++ b/src/chervillead/platform/registrations.py
@@ -8,6 +8,8 @@
 import msgspec
 from returns import result
 
+from chervillead import error_texts
+from chervillead import http_exchange
 from chervillead import types
 from chervillead.jobs import model
 from chervillead.platform import wire
@@ -36,8 +38,16 @@
     """Returns a worker's registration, or why the record names no worker.
 
     Other programs write to the topic as well, so fields may be missing or of
-    another type, states may be unknown, and values may not be JSON.
+    another type, states may be unknown, and values may not be JSON. A worker
+    is asked by its id in a header, so an id that a header can't carry is none.
     """
+    if not worker_id or not http_exchange.is_field_value(worker_id):
+        return result.Failure(
+            wire.malformed(
+                f"got the id {error_texts.shorten(worker_id)}, expected one "
+                "without control characters and outer spaces"
+            )
+        )
     return wire.decode(_decoder, value).bind(
         lambda fields: (
             types.parse_address(fields["Address"])
--- a/src/chervillead/platform/worker_client.py
+++ b/src/chervillead/platform/worker_client.py
@@ -72,7 +72,10 @@
     )
     headers = (
         ("content-type", "application/json"),
-        ("expect-instance", registration.worker_id),
+        (
+            "expect-instance",
+            http_exchange.field_value(registration.worker_id),
+        ),
     )
 
     def encode(path: str, **fields: object) -> http_exchange.HttpRequest:
--- a/src/chervillead/types.py
+++ b/src/chervillead/types.py
@@ -30,7 +30,9 @@
     host = host.removeprefix("[").removesuffix("]")
     try:
         ipaddress.ip_address(host)
-        number = int(port)
+        # The scope of an IPv6 address may contain any characters.
+        is_plain = host.isascii() and host.isprintable()
+        number = int(port) if is_plain else 0
     except ValueError:
         number = 0
     if not 1 <= number <= MAX_PORT:
--- a/src/chervillead/upstreams/connections.py
+++ b/src/chervillead/upstreams/connections.py
@@ -146,7 +146,12 @@
     clock: types.Clock,
 ) -> CallOutcome:
     """Sends one call; from the first write on, it may have run."""
-    data = http_exchange.encode_request(address, call.request)
+    try:
+        data = http_exchange.encode_request(address, call.request)
+    except http_exchange.UnsendableRequestError as error:
+        return result.Failure(
+            verdicts.not_run("unsendable-request", 400, str(error))
+        )
     limit = asyncio.timeout(max(0.0, call.deadline_s - clock.monotonic()))
 
     is_open = True
--- a/tests/http_connection.feature
+++ b/tests/http_connection.feature
@@ -40,3 +40,27 @@
       | a body           |
       | small chunks     |
       | headers          |
+
+  Scenario Outline: A request with <text> in <part>
+    # Guards against a task that ends because a value from outside can't be
+    # encoded, and against a value that adds a header of its own.
+    Given a server that records what it receives
+    When a call is made with <text> in <part>
+    Then the call fails as not run and the server receives nothing
+
+    Examples:
+      | part     | text               |
+      | a header | "1\r\nkey: value"  |
+      | a header | "1\nkey: value"    |
+      | a header | "1\u0000"          |
+      | a header | "\u0111\u01a1n"    |
+      | the path | "/a\r\nkey: value" |
+      | the path | "/a HTTP/1.1"      |
+      | the path | "/\u0111"          |
+      | the host | "fe80::1%\r\nx: y" |
+
+  Scenario: A header with all other characters
+    # Guards against a check that refuses values that HTTP allows.
+    Given a server that records what it receives
+    When a call is made with "m\u00e1y (1);\ta, b" in a header
+    Then the server receives that header unchanged
--- a/tests/platform/odd_records.feature
+++ b/tests/platform/odd_records.feature
@@ -52,6 +52,22 @@
       | born     | -1                                       |
       | born     | 1.5                                      |
       | born     | null                                     |
+      | Address  | "fe80::1%a\r\nx: y:80"                 |
+
+  Scenario Outline: A registration under <id>
+    # Guards against a worker that can never be asked: its id is sent in a
+    # header, which can't carry control characters or outer spaces.
+    When the workers' topic contains a registration under <id>
+    Then the record yields <what>
+
+    Examples:
+      | id                   | what      |
+      | "i-1"                | a worker  |
+      | "máy-in-hoá-đơn-1"   | a worker  |
+      | "i-1\r\nkey: value" | no worker |
+      | "i-1\u0000"          | no worker |
+      | " i-1"               | no worker |
+      | ""                   | no worker |
 
   Scenario: Odd entries beside those of workers and operators
     # Guards against hosts that stop, or follow a topic no more, because of one
@@ -81,6 +97,8 @@
 
     Examples:
       | service                      | id                   | handled   |
+      | the pool                     | "máy-in-hoá-đơn-1"   | polled    |
+      | the pool                     | "i-1\r\nkey: value" | not found |
       | no pool, in the partition    | "máy-in-hoá-đơn-1"   | ignored   |
       | no pool, in the partition    | "máy-1"              | ignored   |
       | no pool, in the hosts' one   | "máy-in-hoá-đơn-1"   | ignored   |
@@ -94,3 +112,11 @@
     And operators configure the pool of that entry
     And 2 s pass
     Then the entry is polled
+
+  Scenario: A worker registers under an id that isn't ASCII
+    # Guards against a worker whose calls name another instance than its own.
+    Given a platform fleet of 2 hosts and 1 worker
+    And the worker's id is "máy-in-hoá-đơn-1"
+    When a job of 3 tasks is submitted
+    And 5 s pass
+    Then every host reports the job as completed
--- a/tests/steps/http_connection.py
+++ b/tests/steps/http_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import json
 import socket
 import struct
 import tracemalloc
@@ -14,6 +15,7 @@
 from chervillead import http_connection
 from chervillead import http_exchange
 from chervillead import types
+from chervillead import verdicts
 from stand_ins import memory_network
 from stand_ins import virtual_time
 
@@ -174,3 +176,56 @@
 @behave.then("reading it took at most {count:d} bytes of memory")
 def step(context, count):
     assert context.peak_bytes <= count, context.peak_bytes
+
+
+@behave.given("a server that records what it receives")
+def step(context):
+    context.received = []
+
+
+@behave.when("a call is made with {text} in {part}")
+def step(context, text, part):
+    context.value = json.loads(text)
+
+    async def serve(reader, writer):
+        context.received.append(await reader.readuntil(b"\r\n\r\n"))
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+        writer.close()
+
+    async def call():
+        network = memory_network.MemoryNetwork()
+        listen = network.listen_at("server")(ADDRESS, serve)
+        listening = asyncio.create_task(listen)
+        await asyncio.sleep(0)
+        dial = network.dial_from("client")
+        address = (
+            types.Address(context.value, ADDRESS.port)
+            if part == "the host"
+            else ADDRESS
+        )
+        pool = http_connection.HttpConnectionPool(
+            address, dial=lambda _: dial(ADDRESS)
+        )
+        request = http_exchange.HttpRequest(
+            "GET",
+            context.value if part == "the path" else "/",
+            (("expect-instance", context.value),) if part == "a header" else (),
+        )
+        outcome = await pool.call(request, 1.0)
+        listening.cancel()
+        return outcome
+
+    context.outcome = virtual_time.run_virtual(call(), context.seed)
+
+
+@behave.then("the call fails as not run and the server receives nothing")
+def step(context):
+    assert not context.received, context.received
+    assert context.outcome.failure().verdict is verdicts.Verdict.NOT_RUN
+
+
+@behave.then("the server receives that header unchanged")
+def step(context):
+    assert pipeline.is_successful(context.outcome), context.outcome
+    line = f"expect-instance: {context.value}\r\n".encode("latin-1")
+    assert line in context.received[0], context.received
