Contain an error in the client of one worker to that worker

Cause: any error in the watch of one worker failed its owner, which was made again and met the same worker. An error in the update of one owner's workers ended the task that follows the list, and so the process.

An error in a worker's client is a failed call now: the worker counts as unreachable, is polled again with the usual backoff, and its runs are kept until their leases have surely ended. Errors in the owner's own state fail it as before. An error while the list is applied to one owner fails that owner, and the others get their workers.

--- a/src/chervillead/metrics_page.py
+++ b/src/chervillead/metrics_page.py
@@ -16,6 +16,10 @@
     ),
     "chervillead_store_calls": ("Calls to the store.", ("path", "status")),
     "chervillead_worker_calls": ("Calls to workers.", ("path", "status")),
+    "chervillead_worker_call_errors": (
+        "Calls to workers that raised an error.",
+        ("call",),
+    ),
     "chervillead_machine_calls": ("Calls for hosts.", ("path", "status")),
     "chervillead_starts": ("Orders to start a run.", ("outcome",)),
     "chervillead_runs_ended": ("Runs that ended.", ("kind",)),
--- a/src/chervillead/platform/worker_entries.py
+++ b/src/chervillead/platform/worker_entries.py
@@ -8,6 +8,7 @@
 
 from chervillead import error_texts
 from chervillead.platform import fleet_view
+from chervillead.pools import owner_state
 from chervillead.pools import partition_owner
 from chervillead.workers import interface
 
@@ -46,8 +47,18 @@
             return
         self._note_ignored()
         for partition, owner in owners.items():
-            if owner.state.is_loaded:
+            if not owner.state.is_loaded:
+                continue
+            try:
                 self._update_owner(partition, owner)
+            except Exception as error:
+                # The other owners must still learn of their workers.
+                self._log(
+                    "owner:update-failed",
+                    partition=partition,
+                    error=owner_state.describe_error(error),
+                )
+                owner.state.fail(error)
 
     def _update_owner(
         self, partition: int, owner: partition_owner.PartitionOwner
--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -362,6 +362,11 @@
         )
         self.wake()
 
+    def fail(self, error: BaseException | None) -> None:
+        """Ends the owner with an error in its state; it is made again."""
+        self.failure = error
+        self.wake()
+
     def mark_fenced(self) -> None:
         """Stops all commands, since a newer owner has been seen."""
         if not self._is_fenced:
--- a/src/chervillead/pools/partition_owner.py
+++ b/src/chervillead/pools/partition_owner.py
@@ -166,8 +166,7 @@
     def _record_failure(self, task: asyncio.Task[None]) -> None:
         """Ends the owner if one of its tasks has failed."""
         if not task.cancelled() and task.exception() is not None:
-            self._state.failure = task.exception()
-            self._state.wake()
+            self._state.fail(task.exception())
 
     def run_pass(self) -> None:
         """Applies what changed since the last pass and starts tasks."""
--- a/src/chervillead/pools/worker_registry.py
+++ b/src/chervillead/pools/worker_registry.py
@@ -13,6 +13,7 @@
 from chervillead.pools import run_stopping
 from chervillead.pools import run_tracking
 from chervillead.pools import start_tracking
+from chervillead.workers import contained_client
 from chervillead.workers import interface as worker_interface
 from chervillead.workers import view as view_module
 from chervillead.workers import watch as watch_module
@@ -35,6 +36,8 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._orders = itertools.count()
         self._has_listed_workers = False
+        # Last call that raised an error, and the kind of error, by worker.
+        self._call_errors: dict[str, tuple[str, str]] = {}
 
     def update(
         self,
@@ -125,7 +128,12 @@
             on_poll_failure=self._handle_poll_failure,
             log=state.log,
         )
-        calls = state.ports.open_worker(registration, state.token)
+        calls = contained_client.contain(
+            state.ports.open_worker(registration, state.token),
+            lambda call, error: self._note_call_error(
+                registration.worker_id, call, error
+            ),
+        )
         watch = watch_module.WorkerWatch(view, calls, ports)
         state.watches[registration.worker_id] = watch
         # A later owner polls those that are listed when it takes over.
@@ -145,23 +153,47 @@
             token=state.token,
         )
 
+    def _note_call_error(
+        self, worker_id: str, call: str, error: Exception
+    ) -> None:
+        """Counts an error in the client of a worker; logs the first of a kind.
+
+        Polls are repeated twice a second for as long as the error lasts.
+        """
+        state = self._state
+        state.ports.increment("chervillead_worker_call_errors", call)
+        kind = call, type(error).__name__
+        if self._call_errors.get(worker_id) == kind:
+            return
+        self._call_errors[worker_id] = kind
+        state.log(
+            "worker:call-error",
+            worker=worker_id,
+            call=call,
+            error=owner_state.describe_error(error),
+        )
+
     def _watch_ended(self, worker_id: str, task: asyncio.Task[None]) -> None:
-        """Makes the owner fail if the watch of a worker fails."""
+        """Makes the owner fail if the watch of a worker fails.
+
+        Errors of the worker's client don't end a watch, so this one is about
+        the state of the owner.
+        """
         if task.cancelled() or task.exception() is None:
             return
-        self._state.failure = task.exception()
         self._state.log(
             "worker:task-failed",
             worker=worker_id,
             error=owner_state.describe_error(task.exception()),
         )
-        self._state.wake()
+        self._state.fail(task.exception())
 
     def close(self, worker_id: str, reason: str) -> None:
         """Stops watching a worker that certainly runs nothing any more."""
         state = self._state
         watch = state.watches.pop(worker_id)
         self._tasks.pop(worker_id).cancel()
+        self._call_errors.pop(worker_id, None)
         state.ended_workers.add(worker_id)
         state.changed_workers.add(worker_id)
         for run in list(watch.view.runs.values()):
