Bound the workers that are kept for suspected tasks

Cause: a crash counts in full against each task on the worker, and each task that has lost two keeps a worker to its end, without a bound. Tasks are packed, so two crashes suspect as many tasks as a pool has workers.

At most half of a pool's workers are kept at once now, a quarter to the end of a task; those with most crashes come first. Other suspects start beside ordinary tasks, on the worker with the fewest suspects, one in 1.5 s on each: the next crash then tells few of them apart. A task that has lost as many workers as another one beside it is given up after five crashes instead of four, so that a sound job isn't given up with the one that crashes.

--- a/src/chervillead/jobs/crash_evidence.py
+++ b/src/chervillead/jobs/crash_evidence.py
@@ -11,7 +11,9 @@
 well, after pauses that grow with its crashes.
 """
 
+import collections
 from collections import abc
+import types as types_module
 import typing
 
 from chervillead import types
@@ -27,8 +29,11 @@
 MIN_CRASHES = 3
 # A task under which this many workers crashed may crash them late.
 LATE_SUSPICION_CRASHES = 2
-# Crashes after which a task that ends is given up whatever ran beside it.
+# Crashes after which a task that ends is given up unless another task that ran
+# beside it has as many,
 MAX_CRASHES = 4
+# and whatever ran beside it.
+MAX_CRASHES_BESIDE_SUSPECTS = 5
 # All members of a gang start together, so none can be started by itself.
 MAX_GANG_CRASHES = 3
 # A long-running task that has run for this long has not crashed its worker;
@@ -36,6 +41,8 @@
 LONG_RUN_CLEAR_S = 8.0
 # Longest wait for a worker without tasks; then the emptiest one has to do.
 MAX_ISOLATION_WAIT_S = 1.0
+# Longest wait for a worker on which no other suspected task has just started.
+MAX_SUSPECT_WAIT_S = 2.0
 # A worker that crashes again within this time may do so whatever runs on it.
 REPEATED_CRASH_S = 10.0
 # Pause before a long-running task starts again after its third crash in a row,
@@ -63,12 +70,16 @@
         address: Address of the worker, which keeps it when it returns.
         previous_s: Time of the last answer before the previous crash at that
             address; -inf if there was none.
+        earlier_crashes: How many workers the task of each run had lost before.
     """
 
     runs: abc.Sequence[task_runs.Run]
     answered_s: float
     address: types.Address
     previous_s: float = float("-inf")
+    earlier_crashes: abc.Mapping[task_runs.RunKey, int] = (
+        types_module.MappingProxyType({})
+    )
 
     @property
     def is_repeated(self) -> bool:
@@ -79,6 +90,20 @@
         """Returns whether a run had begun only shortly before the crash."""
         return self.answered_s - run.started_s < MAX_CRASH_DELAY_S
 
+    def has_equal(self, run: task_runs.Run) -> bool:
+        """Returns whether another task is as likely to have caused the crash.
+
+        It had lost as many workers, and has not run for longer than a task that
+        had only begun.
+        """
+        return any(
+            self.earlier_crashes.get(other.key, 0)
+            >= self.earlier_crashes.get(run.key, 0)
+            and (self.is_recent(other) or not self.is_recent(run))
+            for other in self.runs
+            if (other.job_id, other.task) != (run.job_id, run.task)
+        )
+
     def has_sole_cause(self, run: task_runs.Run) -> bool:
         """Returns whether only this run can have caused the crash.
 
@@ -126,22 +151,28 @@
     if job.step(run.task).long_running:
         _pause(job, run.task, now_s)
     elif len(crashed) >= _max_crashes(
-        job.step(run.task), is_proof=is_sole_cause and not crash.is_repeated
+        job.step(run.task),
+        is_proof=is_sole_cause and not crash.is_repeated,
+        has_equal=crash.has_equal(run),
     ):
         job.give_up(now_s)
     return True
 
 
-def _max_crashes(step: model.Step, *, is_proof: bool) -> int:
+def _max_crashes(step: model.Step, *, is_proof: bool, has_equal: bool) -> int:
     """Returns after how many crashes a task that ends is given up.
 
     Args:
         step: Its step.
         is_proof: Whether nothing else can have caused the last crash.
+        has_equal: Whether another task that may have caused it has lost as many
+            workers.
     """
     if step.gang:
         return MAX_GANG_CRASHES
-    return MIN_CRASHES if is_proof else MAX_CRASHES
+    if is_proof:
+        return MIN_CRASHES
+    return MAX_CRASHES_BESIDE_SUSPECTS if has_equal else MAX_CRASHES
 
 
 def _pause(job: job_state.JobState, task: model.TaskKey, now_s: float) -> None:
@@ -212,21 +243,51 @@
     return changed
 
 
-def apply_stored_crashes(job: job_state.JobState, now_s: float) -> bool:
+def stored_crashes(
+    jobs: abc.Iterable[job_state.JobState],
+) -> collections.Counter[int]:
+    """Returns how many tasks that end have lost each number of workers."""
+    return collections.Counter(
+        len(crashed)
+        for job in jobs
+        if not job.is_finished
+        for task, crashed in job.crashed_runs.items()
+        if not job.step(task).long_running and not job.step(task).gang
+    )
+
+
+def apply_stored_crashes(
+    job: job_state.JobState,
+    now_s: float,
+    of_all_jobs: collections.Counter[int] | None = None,
+) -> bool:
     """Applies the crashes that previous owners have stored.
 
-    A job is given up if those of a task that ends reach the limit.
+    A job is given up if those of a task that ends reach the limit. Tasks with
+    as many crashes may have lost the same workers.
+
+    Args:
+        job: The job.
+        now_s: Time of the owner's clock.
+        of_all_jobs: The crashes of the tasks of all jobs, as `stored_crashes`
+            returns them; None for those of this job alone.
 
     Returns:
         Whether the job was given up.
     """
     if job.is_finished:
         return False
+    numbers = stored_crashes((job,)) if of_all_jobs is None else of_all_jobs
     for task, crashed in job.crashed_runs.items():
         step = job.step(task)
+        equals = sum(
+            tasks for number, tasks in numbers.items() if number >= len(crashed)
+        )
         if step.long_running:
             _pause(job, task, now_s)
-        elif len(crashed) >= _max_crashes(step, is_proof=False):
+        elif len(crashed) >= _max_crashes(
+            step, is_proof=False, has_equal=equals > 1
+        ):
             job.give_up(now_s)
             return True
     return False
@@ -237,33 +298,50 @@
     return task in job.suspected_s and not job.step(task).gang
 
 
-def may_wait_for_idle_worker(
+def waiting_s(
     job: job_state.JobState, task: model.TaskKey, now_s: float
-) -> bool:
-    """Returns whether a suspected task waits for a worker without tasks."""
+) -> float:
+    """Returns for how long a suspected task has waited for its next start."""
     may_start_s = max(
         job.suspected_s[task], job.retry_at_s.get(task, float("-inf"))
     )
-    return now_s - may_start_s < MAX_ISOLATION_WAIT_S
+    return now_s - may_start_s
 
 
 def isolation_ends_s(
-    job: job_state.JobState, task: model.TaskKey, started_s: float
+    job: job_state.JobState,
+    task: model.TaskKey,
+    started_s: float,
+    *,
+    to_end: bool = True,
 ) -> float:
     """Returns until when a suspected task keeps its worker for itself.
 
-    A task that may crash workers late keeps the worker to its end, or until its
-    crashes are forgotten.
+    Args:
+        job: The job of the task.
+        task: The task.
+        started_s: When it is started.
+        to_end: Whether a task that may crash workers late may keep its worker
+            until it ends, or until its crashes are forgotten.
     """
     crashes = len(job.crashed_runs.get(task, ()))
     if job.step(task).long_running:
-        is_late = crashes >= MAX_CRASHES
+        is_late = to_end and crashes >= MAX_CRASHES
         return started_s + (LONG_RUN_CLEAR_S if is_late else MAX_CRASH_DELAY_S)
-    if crashes >= LATE_SUSPICION_CRASHES:
+    if to_end and crashes >= LATE_SUSPICION_CRASHES:
         return float("inf")
     return started_s + MAX_CRASH_DELAY_S
 
 
+def suspects(job: job_state.JobState) -> abc.Iterator[model.TaskKey]:
+    """Yields the tasks of a job that may crash workers and have yet to run."""
+    if job.is_finished:
+        return
+    for task in job.suspected_s:
+        if needs_isolation(job, task) and not job.is_done(task):
+            yield task
+
+
 def clear_long_run(
     job: job_state.JobState, run: task_runs.Run, now_s: float
 ) -> bool:
--- a/src/chervillead/jobs/placement.py
+++ b/src/chervillead/jobs/placement.py
@@ -130,6 +130,30 @@
     return max(feasible, key=free_share, default=None)
 
 
+def select_least_suspected_worker(
+    workers: abc.Iterable[WorkerSnapshot],
+    step: model.Step,
+    step_key: tuple[str, int, int],
+    suspects_on: abc.Callable[[WorkerSnapshot], int],
+) -> WorkerSnapshot | None:
+    """Returns the worker for a task that may crash it, beside other tasks.
+
+    Args:
+        workers: The schedulable workers of the pool.
+        step: The step of the task.
+        step_key: Job id, occurrence and step.
+        suspects_on: Returns how many other such tasks run on a worker.
+    """
+    feasible = (
+        worker for worker in workers if is_feasible(worker, step, step_key)
+    )
+    return min(
+        feasible,
+        key=lambda worker: (suspects_on(worker), -free_share(worker)),
+        default=None,
+    )
+
+
 def select_best_ranked(
     workers: abc.Iterable[WorkerSnapshot],
     step: model.Step,
--- a/src/chervillead/jobs/task_runs.py
+++ b/src/chervillead/jobs/task_runs.py
@@ -76,6 +76,8 @@
         is_found: Whether a previous owner started it.
         is_pace_uncertain: Whether its worker may apply another pace, since the
             command failed or a previous owner may have sent one.
+        is_suspected: Whether its task may have crashed another worker when it
+            was started.
         isolated_until_s: Time until which no other run is started beside it, by
             the owner's clock, as its task may have crashed another worker.
     """
@@ -119,6 +121,7 @@
         self.checkpoint_percent = 0
         self.is_found = False
         self.is_pace_uncertain = False
+        self.is_suspected = False
         self.isolated_until_s = float("-inf")
 
     def withdraw_stop(self) -> None:
--- a/src/chervillead/metrics_page.py
+++ b/src/chervillead/metrics_page.py
@@ -22,6 +22,10 @@
     ),
     "chervillead_machine_calls": ("Calls for hosts.", ("path", "status")),
     "chervillead_starts": ("Orders to start a run.", ("outcome",)),
+    "chervillead_suspect_starts": (
+        "Starts of tasks that may crash workers, by how they use a worker.",
+        ("how",),
+    ),
     "chervillead_runs_ended": ("Runs that ended.", ("kind",)),
     "chervillead_run_time_samples": (
         "Completed runs, by whether their run time was used, or why not.",
--- a/src/chervillead/platform/assembly.py
+++ b/src/chervillead/platform/assembly.py
@@ -137,6 +137,11 @@
             "Memory of the accepted jobs of the pools that this host owns.",
             self.accepted_job_bytes,
         )
+        self.metrics.gauge(
+            "chervillead_isolated_workers",
+            "Workers that are kept for tasks that may crash them.",
+            self.isolated_workers,
+        )
         self.ownership = ownership.Ownership(
             member,
             self.owner_ports,
@@ -192,6 +197,15 @@
             for owner in self.ownership.owners.values()
         )
 
+    def isolated_workers(self) -> int:
+        """Returns how many workers are kept for suspected tasks."""
+        now_s = self.clock.monotonic()
+        return sum(
+            watch.view.is_isolated(now_s)
+            for owner in self.ownership.owners.values()
+            for watch in owner.state.watches.values()
+        )
+
     def partition_of(self, pool: str) -> int:
         """Returns the store partition that holds the jobs of a pool."""
         return pool_partitions.partition_of(
--- a/src/chervillead/pools/crash_tracking.py
+++ b/src/chervillead/pools/crash_tracking.py
@@ -94,9 +94,10 @@
     state: owner_state.OwnerState, job_ids: abc.Iterable[str]
 ) -> None:
     """Gives up the jobs whose stored crashes have reached the limit."""
+    crashes = crash_evidence.stored_crashes(state.jobs.unfinished())
     for job_id in job_ids:
         job = state.jobs[job_id]
-        if crash_evidence.apply_stored_crashes(job, state.now_s()):
+        if crash_evidence.apply_stored_crashes(job, state.now_s(), crashes):
             state.log("job:given-up", job=job_id, reason="stored crashes")
             job_endings.handle_end(state, job)
             state.recorder.store_progress(job)
@@ -118,6 +119,18 @@
     return view.registration.is_draining or bool(view.cordoned_for)
 
 
+def _earlier_crashes(
+    state: owner_state.OwnerState, runs: abc.Iterable[task_runs.Run]
+) -> abc.Iterator[tuple[task_runs.RunKey, int]]:
+    """Yields how many workers the task of each run has lost so far."""
+    for run in runs:
+        job = state.jobs.get(run.job_id)
+        if job is not None and job.has_task(run.task):
+            task = crash_evidence.counted_task(job, run.task)
+            crashed = job.crashed_runs.get(task, set()) - {run.number}
+            yield run.key, len(crashed)
+
+
 def _count_crash(
     state: owner_state.OwnerState,
     view: view_module.WorkerView,
@@ -131,6 +144,7 @@
         answered_s,
         address,
         state.crashed_s.get(address, float("-inf")),
+        dict(_earlier_crashes(state, runs)),
     )
     # A worker that never answered may have crashed long before this owner.
     if view.last_contact_s is not None:
--- a/src/chervillead/pools/placement_pass.py
+++ b/src/chervillead/pools/placement_pass.py
@@ -17,6 +17,7 @@
 from chervillead.jobs import speculation
 from chervillead.jobs import task_runs
 from chervillead.jobs import waiting_jobs
+from chervillead.pools import isolation
 from chervillead.pools import owner_state
 from chervillead.pools import run_moves
 from chervillead.pools import run_stopping
@@ -49,8 +50,9 @@
         self._waiting = waiting
         self._unknown_usage = unknown_usage
         self._now_s = state.now_s()
+        self._isolation = isolation.Isolation(state, self._now_s)
         self._selection = worker_selection.WorkerSelection(
-            state, tickets, workers, self._now_s
+            state, tickets, workers, self._isolation, self._now_s
         )
         self._full_pools: set[str] = set()
         # Needs without room by pool, and the number of starts.
@@ -236,13 +238,13 @@
         tickets = self._tickets(ready.job, ready.task)
         run.ticket = tickets[worker_id] if tickets is not None else ""
         watch = self._state.watches[worker_id]
-        if crash_evidence.needs_isolation(ready.job, ready.task):
-            run.isolated_until_s = crash_evidence.isolation_ends_s(
-                ready.job, ready.task, self._now_s
-            )
+        run.is_suspected = crash_evidence.needs_isolation(ready.job, ready.task)
+        if run.is_suspected:
+            run.isolated_until_s = self._isolation.keep(ready)
         ready.job.add_run(run)
         self._started += 1
-        if crash_evidence.needs_isolation(ready.job, ready.task):
+        if run.is_suspected:
+            self._log_suspect(ready, run)
             # Its worker may crash, and this owner be replaced, at once: then
             # only the record tells the next one of this run.
             crash_evidence.add_unconfirmed_crash(ready.job, run)
@@ -252,6 +254,29 @@
         self._workers.update(watch.view)
         watch.start(run)
 
+    def _log_suspect(
+        self, ready: readiness.ReadyTask, run: task_runs.Run
+    ) -> None:
+        """Logs whether a suspected task has its worker for itself, and why."""
+        kept = self._isolation.in_pool(ready.job.spec.pool)
+        kept_s = run.isolated_until_s - self._now_s
+        how = "isolated" if kept_s > 0 else "beside-others"
+        self._state.ports.increment("chervillead_suspect_starts", how)
+        self._state.log_run(
+            "run:suspect-started",
+            run,
+            how=how,
+            kept_s=round(kept_s, 3) if 0 < kept_s < float("inf") else None,
+            crashes=len(ready.job.crashed_runs.get(ready.task, ())),
+            suspected_for_s=round(
+                self._now_s - ready.job.suspected_s[ready.task], 3
+            ),
+            kept=kept.kept,
+            limit=kept.limit,
+            workers=kept.workers,
+            suspects=kept.suspects.total(),
+        )
+
     def _preempt(self, ready: readiness.ReadyTask) -> None:
         """Stops batch tasks on one worker so that a long-running task fits."""
         if not self._state.has_authority():
--- a/src/chervillead/pools/worker_selection.py
+++ b/src/chervillead/pools/worker_selection.py
@@ -15,6 +15,7 @@
 from chervillead.jobs import placement
 from chervillead.jobs import readiness
 from chervillead.jobs import room_index
+from chervillead.pools import isolation as isolation_module
 from chervillead.pools import owner_state
 from chervillead.pools import schedulable_workers
 
@@ -44,11 +45,13 @@
         state: owner_state.OwnerState,
         tickets: Tickets,
         workers: schedulable_workers.SchedulableWorkers,
+        isolation: isolation_module.Isolation,
         now_s: float,
     ) -> None:
         self._state = state
         self._tickets = tickets
         self._workers = workers
+        self._isolation = isolation
         self._now_s = now_s
         # Smallest amounts that found no room, by pool and required label.
         self._unplaceable: dict[tuple[str, str], list[model.Resources]] = {}
@@ -60,7 +63,7 @@
         """Returns a worker for each task of a group."""
         first = group[0]
         if crash_evidence.needs_isolation(first.job, first.task):
-            return self._select_isolated(first)
+            return self._select_suspected(first)
         if len(group) == 1:
             return self._select_worker(first)
         # Asks for tickets even if there is no room yet.
@@ -136,18 +139,61 @@
                 "chervillead_interference", "placed-apart"
             )
 
-    def _select_isolated(
+    def _select_suspected(
         self, ready: readiness.ReadyTask
     ) -> list[str] | Verdict:
-        """Returns a worker for a task that may crash it.
+        """Returns a worker for a task that may crash it."""
+        waited_s = crash_evidence.waiting_s(ready.job, ready.task, self._now_s)
+        choices = (
+            self._choices_to_keep(ready, waited_s)
+            if self._isolation.may_keep(ready)
+            else self._choices_beside_others(ready, waited_s)
+        )
+        best = next(filter(None, choices), None)
+        if best is not None:
+            return [best.worker_id]
+        may_wait = waited_s < crash_evidence.MAX_SUSPECT_WAIT_S
+        return Verdict.NO_IDLE_WORKER if may_wait else Verdict.NO_ROOM_FOR_TASK
+
+    def _choices_to_keep(
+        self, ready: readiness.ReadyTask, waited_s: float
+    ) -> abc.Iterator[placement.WorkerSnapshot | None]:
+        """Yields the choices of a worker to be kept for a task, best first.
+
+        A long-running task, which isn't given up, rather runs where a worker
+        has crashed under it than beside others.
+        """
+        candidates, others = self._candidates_of_suspect(ready)
+        yield self._isolated(ready, others, accept_busy=False)
+        if ready.step.long_running:
+            yield self._isolated(ready, candidates, accept_busy=False)
+        if waited_s >= crash_evidence.MAX_ISOLATION_WAIT_S:
+            yield self._isolated(ready, others, accept_busy=True)
+            yield self._isolated(ready, candidates, accept_busy=True)
+
+    def _choices_beside_others(
+        self, ready: readiness.ReadyTask, waited_s: float
+    ) -> abc.Iterator[placement.WorkerSnapshot | None]:
+        """Yields the choices of a worker that a task shares, best first.
+
+        One on which no other suspect has just started tells at once which of
+        them crashes it.
+        """
+        candidates, others = self._candidates_of_suspect(ready)
+        for workers in (others, candidates):
+            quiet = [w for w in workers if not self._has_new_suspect(w)]
+            yield self._apart_from_suspects(ready, quiet)
+        if waited_s >= crash_evidence.MAX_SUSPECT_WAIT_S:
+            yield self._apart_from_suspects(ready, candidates)
+
+    def _candidates_of_suspect(
+        self, ready: readiness.ReadyTask
+    ) -> tuple[list[placement.WorkerSnapshot], list[placement.WorkerSnapshot]]:
+        """Returns the candidates, and those that didn't crash under the task.
 
         One that crashed under the task before may crash for another reason, so
-        it tells little about the task and is the last choice; a long-running
-        task, which isn't given up, rather runs there than beside others.
+        it tells little about the task and is the last choice.
         """
-        may_wait = crash_evidence.may_wait_for_idle_worker(
-            ready.job, ready.task, self._now_s
-        )
         candidates = self.candidates(ready)
         crashed = ready.job.crash_addresses.get(ready.task, set())
         others = [
@@ -155,21 +201,37 @@
             for snapshot in candidates
             if self._address_of(snapshot.worker_id) not in crashed
         ]
-        choices = [(others, False)]
-        if ready.step.long_running:
-            choices.append((candidates, False))
-        if not may_wait:
-            choices += [(others, True), (candidates, True)]
-        for workers, accept_busy in choices:
-            best = placement.select_isolated_worker(
-                workers,
-                ready.step,
-                step_key(ready),
-                accept_busy=accept_busy,
-            )
-            if best is not None:
-                return [best.worker_id]
-        return Verdict.NO_IDLE_WORKER if may_wait else Verdict.NO_ROOM_FOR_TASK
+        return candidates, others
+
+    def _has_new_suspect(self, worker: placement.WorkerSnapshot) -> bool:
+        view = self._state.watches[worker.worker_id].view
+        age_s = self._now_s - view.last_suspect_s
+        return age_s < crash_evidence.MAX_CRASH_DELAY_S
+
+    def _isolated(
+        self,
+        ready: readiness.ReadyTask,
+        workers: list[placement.WorkerSnapshot],
+        *,
+        accept_busy: bool,
+    ) -> placement.WorkerSnapshot | None:
+        return placement.select_isolated_worker(
+            workers, ready.step, step_key(ready), accept_busy=accept_busy
+        )
+
+    def _apart_from_suspects(
+        self,
+        ready: readiness.ReadyTask,
+        workers: list[placement.WorkerSnapshot],
+    ) -> placement.WorkerSnapshot | None:
+        """Returns the worker with the fewest suspected tasks, if any."""
+        watches = self._state.watches
+        return placement.select_least_suspected_worker(
+            workers,
+            ready.step,
+            step_key(ready),
+            lambda worker: watches[worker.worker_id].view.suspected_runs,
+        )
 
     def _address_of(self, worker_id: str) -> types.Address:
         return self._state.watches[worker_id].view.registration.address
--- a/src/chervillead/workers/view.py
+++ b/src/chervillead/workers/view.py
@@ -69,6 +69,12 @@
         self._runs: dict[task_runs.RunKey, task_runs.Run] = {}
         # End of the isolation of its runs that don't share it with others.
         self._isolated: dict[task_runs.RunKey, float] = {}
+        # Runs whose tasks were suspected when they started.
+        self._suspected: set[task_runs.RunKey] = set()
+        # When the last of them started.
+        self.last_suspect_s = float("-inf")
+        # When the last run started that doesn't share the worker.
+        self.last_isolated_s = float("-inf")
         self._load = load.WorkerLoad()
 
     @property
@@ -76,6 +82,11 @@
         """Runs that may be on the worker."""
         return self._runs
 
+    @property
+    def suspected_runs(self) -> int:
+        """How many of its runs are of tasks that may crash it."""
+        return len(self._suspected)
+
     @property
     def worker_id(self) -> str:
         """Id of the worker, as registered."""
@@ -195,17 +206,27 @@
         self._load.add(run, step, image)
         if run.isolated_until_s > float("-inf"):
             self._isolated[run.key] = run.isolated_until_s
+            self.last_isolated_s = max(self.last_isolated_s, run.started_s)
+        if run.is_suspected:
+            self._suspected.add(run.key)
+            self.last_suspect_s = max(self.last_suspect_s, run.started_s)
 
     def remove_run(self, key: task_runs.RunKey) -> task_runs.Run | None:
         """Removes a run and returns it, or None if it isn't there."""
         self._load.remove(key)
         self._isolated.pop(key, None)
+        self._suspected.discard(key)
         return self._runs.pop(key, None)
 
     def is_isolated(self, now_s: float) -> bool:
         """Returns whether one of its runs keeps the worker for itself."""
         return any(now_s < until_s for until_s in self._isolated.values())
 
+    @property
+    def is_isolated_to_end(self) -> bool:
+        """Whether one of its runs keeps the worker until the run ends."""
+        return float("inf") in self._isolated.values()
+
     def reserved(self) -> model.Resources:
         """Returns the resources that its runs reserve."""
         return self._load.reserved
--- a/tests/jobs/crash_evidence.feature
+++ b/tests/jobs/crash_evidence.feature
@@ -51,6 +51,37 @@
       | 2      | isolated and unconfirmed | 3     | 3     | suspected |
       | 3      | isolated and unconfirmed | 3     | 4     | given up  |
 
+  Scenario Outline: Another suspected task is on the worker that crashes
+    # Guards against sound jobs that are given up with the one that crashes its
+    # workers, as their tasks have lost the same ones.
+    Given a task that has lost <before> workers beside others
+    And a run of it that is placed, <ran> s old at the worker's last answer
+    And a run there of a task that has lost <other> workers, <age> s old
+    When the worker crashes
+    Then the task has lost <after> workers and is <state>
+
+    Examples:
+      | before | ran | other | age | after | state     |
+      | 3      | 0.1 | 3     | 0.1 | 4     | suspected |
+      | 3      | 0.1 | 3     | 3.0 | 4     | given up  |
+      | 3      | 3.0 | 3     | 3.0 | 4     | suspected |
+      | 3      | 3.0 | 3     | 0.1 | 4     | suspected |
+      | 3      | 0.1 | 2     | 0.1 | 4     | given up  |
+      | 4      | 0.1 | 4     | 0.1 | 5     | given up  |
+
+  Scenario Outline: A new owner knows of <others> other tasks that lost 4 workers
+    # Guards against sound jobs that a new owner gives up for crashes that they
+    # share with another task, and against a task that none ever gives up.
+    Given a task that has lost <lost> workers beside others
+    When a new owner knows of <others> other tasks that lost 4 workers
+    Then the task has lost <lost> workers and is <state>
+
+    Examples:
+      | lost | others | state     |
+      | 4    | 0      | given up  |
+      | 4    | 2      | suspected |
+      | 5    | 2      | given up  |
+
   Scenario: A member of a gang ends as its gang has lost a worker
     # Guards against a crash that is taken back because another member, whose
     # worker lives, reports the end of the same run.
