Tell records that the store never accepts from a store that is away

Cause: an answer 400, 403 or 404 was taken for a call that wasn't executed and may succeed later. The writer of the partition put the batch back at the head of its queue and sent it again for ever.

Such an answer has a reason of its own now. The writer halves a refused batch until the record is alone, fails that one with a typed error (certainly not stored) and goes on in order; it is logged and counted by kind. What waited for it gets a true verdict: an end isn't acknowledged to its worker, a submission is refused with 413. All clients of the store check the length of records and keys against the limit of the settings, which nothing used, before they send.

--- a/src/chervillead/jobs/partition_records.py
+++ b/src/chervillead/jobs/partition_records.py
@@ -94,6 +94,14 @@
     QuotaGrants: "g",
     LearnedRunTime: "r",
 }
+# Names of the kinds of records, by the first letter of their keys.
+KINDS = {
+    _PREFIXES[Cancellation]: "cancellation",
+    _PREFIXES[QueueAssignment]: "queue",
+    _PREFIXES[QuotaShare]: "quota-share",
+    _PREFIXES[QuotaGrants]: "quota-grants",
+    _PREFIXES[LearnedRunTime]: "run-time",
+}
 _decoders: dict[type, msgspec.msgpack.Decoder[typing.Any]] = {
     kind: msgspec.msgpack.Decoder(kind) for kind in _PREFIXES
 }
--- a/src/chervillead/metrics_page.py
+++ b/src/chervillead/metrics_page.py
@@ -15,6 +15,10 @@
         ("reason",),
     ),
     "chervillead_store_calls": ("Calls to the store.", ("path", "status")),
+    "chervillead_refused_records": (
+        "Records that the store never accepts.",
+        ("kind",),
+    ),
     "chervillead_worker_calls": ("Calls to workers.", ("path", "status")),
     "chervillead_worker_call_errors": (
         "Calls to workers that raised an error.",
--- a/src/chervillead/platform/assembly.py
+++ b/src/chervillead/platform/assembly.py
@@ -102,6 +102,7 @@
             settings.store.address,
             self.metrics.increment,
             dial=environment.dial,
+            max_record_bytes=settings.store.max_record_bytes,
         )
         member = group_members.Member(
             settings.entries,
--- a/src/chervillead/platform/store_client.py
+++ b/src/chervillead/platform/store_client.py
@@ -9,6 +9,7 @@
 from returns import pipeline
 from returns import result
 
+from chervillead import error_texts
 from chervillead import http_connection
 from chervillead import http_exchange
 from chervillead import types
@@ -29,6 +30,10 @@
 PAGE_ATTEMPTS = 4
 PAGE_RETRY_DELAY_S = 0.1
 MAX_PAGES = 10_000
+# Limit of the platform as it stands; the settings of a host name it.
+DEFAULT_MAX_RECORD_BYTES = 262_144
+# The length of a key is stored in one byte.
+MAX_KEY_BYTES = 255
 
 
 _Value = typing.TypeVar("_Value")
@@ -50,6 +55,7 @@
     increment: abc.Callable[..., None],
     *,
     dial: http_exchange.Dial = http_exchange.dial,
+    max_record_bytes: int = DEFAULT_MAX_RECORD_BYTES,
 ) -> interface.Store:
     """Returns a client of the store at `address`.
 
@@ -57,6 +63,7 @@
         address: Address of the store.
         increment: Increments a counter, by name and label values.
         dial: Opens connections.
+        max_record_bytes: Longest record that the store accepts, in bytes.
     """
     connections = http_connection.HttpConnectionPool(address, dial=dial)
 
@@ -92,7 +99,7 @@
         return result.Failure(store_responses.decode_failure(path, response))
 
     return interface.Store(
-        append=_append(call),
+        append=_append(call, max_record_bytes),
         read=_read(call),
         read_latest=_newest(call),
         join=_join(call),
@@ -114,13 +121,34 @@
     return decoded.alt(lambda malformed: _malformed(path, malformed.detail))
 
 
-def _append(call: _Call) -> typing.Any:
+def _find_too_large(
+    records: abc.Iterable[interface.KeyedRecord], max_record_bytes: int
+) -> interface.StoreFailure | None:
+    """Returns the failure of an append that the store would reject, if any."""
+    for record in records:
+        size_bytes = record.size_bytes
+        key_bytes = len(record.key.encode())
+        if size_bytes > max_record_bytes or key_bytes > MAX_KEY_BYTES:
+            return interface.StoreFailure(
+                verdicts.Verdict.NOT_RUN,
+                f"record {error_texts.shorten(record.key)} has {size_bytes} "
+                f"bytes, {key_bytes} of them in its key; at most "
+                f"{max_record_bytes} and {MAX_KEY_BYTES} are allowed",
+                interface.RejectionReason.INVALID,
+            )
+    return None
+
+
+def _append(call: _Call, max_record_bytes: int) -> typing.Any:
     async def append(
         topic: str,
         partition: int,
         records: abc.Sequence[interface.KeyedRecord],
         producer: interface.Producer | None,
     ) -> result.Result[int, interface.StoreFailure]:
+        too_large = _find_too_large(records, max_record_bytes)
+        if too_large is not None:
+            return result.Failure(too_large)
         query: dict[str, object] = {"Topic": topic, "part": partition}
         if producer is not None:
             query["Producer"] = producer.name
--- a/src/chervillead/platform/store_responses.py
+++ b/src/chervillead/platform/store_responses.py
@@ -18,6 +18,13 @@
     "seq": interface.RejectionReason.OUT_OF_SEQUENCE,
 }
 
+# Statuses of calls that the store rejects whenever they are made: malformed or
+# too large, not allowed, without such a topic.
+_NEVER_ACCEPTED = frozenset({400, 403, 404, 413})
+# Statuses of calls that weren't executed and may succeed later: too many, out
+# of service, out of space.
+_NOT_EXECUTED = frozenset({429, 503, 507})
+
 # Topic, partition and committed offset.
 _PartitionRow = tuple[str, wire.Count, int | None]
 
@@ -91,9 +98,13 @@
             interface.RejectionReason.OFFSET_EXPIRED,
             fields.get("First"),
         )
+    if response.status in _NEVER_ACCEPTED:
+        return interface.StoreFailure(
+            verdicts.Verdict.NOT_RUN, detail, interface.RejectionReason.INVALID
+        )
     verdict = (
         verdicts.Verdict.NOT_RUN
-        if response.status in (400, 403, 404, 429, 503, 507)
+        if response.status in _NOT_EXECUTED
         else verdicts.Verdict.MAY_HAVE_RUN
     )
     return interface.StoreFailure(verdict, detail)
--- a/src/chervillead/pools/job_recorder.py
+++ b/src/chervillead/pools/job_recorder.py
@@ -8,6 +8,20 @@
 from chervillead.jobs import records
 from chervillead.store import group_commit
 
+# Names of the kinds of records, by the first letter of their keys.
+_KINDS = {
+    records.SPEC_PREFIX: "spec",
+    records.TERMS_PREFIX: "terms",
+    records.PROGRESS_PREFIX: "progress",
+    group_commit.OPENING_KEY: "opening",
+    **partition_records.KINDS,
+}
+
+
+def kind_of(key: str) -> str:
+    """Returns the name of the kind of a record, for logs and counters."""
+    return _KINDS.get(key[:1], "other")
+
 
 class JobRecorder:
     """Records of the jobs of one partition.
--- a/src/chervillead/pools/job_refusals.py
+++ b/src/chervillead/pools/job_refusals.py
@@ -13,6 +13,7 @@
 OWNER_REPLACED = "owner-replaced"
 CANCELLED = "cancelled"
 POOL_OVERLOADED = "pool-overloaded"
+JOB_TOO_LARGE = "job-too-large"
 
 
 def unknown_job(job_id: str) -> verdicts.Refusal:
@@ -100,6 +101,8 @@
     """Returns the refusal of a submission whose append has failed."""
     if isinstance(error, group_commit.DiscardedError):
         return store_unavailable("the record was not sent to the store in time")
+    if isinstance(error, group_commit.RefusedError):
+        return verdicts.not_run(JOB_TOO_LARGE, 413, error.detail)
     if isinstance(error, group_commit.AppendError) and not error.may_be_stored:
         return owner_replaced()
     return verdicts.may_have_run(
--- a/src/chervillead/pools/ownership.py
+++ b/src/chervillead/pools/ownership.py
@@ -19,6 +19,7 @@
 from returns import pipeline
 
 from chervillead.pools import group_members
+from chervillead.pools import job_recorder
 from chervillead.pools import owner_role
 from chervillead.pools import owner_state
 from chervillead.pools import ownership_checks
@@ -258,6 +259,9 @@
             partition,
             self._next_epoch(),
         )
+        writer.on_refused(
+            lambda record, detail: self._note_refused(partition, record, detail)
+        )
         owner = partition_owner.PartitionOwner(
             partition,
             token,
@@ -275,6 +279,21 @@
         )
         self._ports.log("owner:gained", partition=partition, token=token)
 
+    def _note_refused(
+        self, partition: int, record: store_interface.KeyedRecord, detail: str
+    ) -> None:
+        """Logs and counts a record that the store never accepts."""
+        kind = job_recorder.kind_of(record.key)
+        self._ports.increment("chervillead_refused_records", kind)
+        self._ports.log(
+            "record:refused",
+            partition=partition,
+            kind=kind,
+            key=record.key,
+            record_bytes=record.size_bytes,
+            error=detail,
+        )
+
     async def _run_owner(
         self,
         owner: partition_owner.PartitionOwner,
--- a/src/chervillead/store/group_commit.py
+++ b/src/chervillead/store/group_commit.py
@@ -48,6 +48,18 @@
     """A newer owner has taken over the partition, so appends are rejected."""
 
 
+class RefusedError(AppendError):
+    """The store never accepts the record, so it wasn't stored.
+
+    Attributes:
+        detail: Why, for logs and callers.
+    """
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(may_be_stored=False)
+        self.detail = detail
+
+
 class DiscardedError(AppendError):
     """The record was removed from the queue before it was sent."""
 
@@ -65,6 +77,10 @@
     stored: asyncio.Future[None]
 
 
+# Receives a record that the store never accepts, and why.
+OnRefused = abc.Callable[[interface.KeyedRecord, str], None]
+
+
 class PartitionWriter:
     """Queues and sends the records of one owner to one partition."""
 
@@ -83,6 +99,11 @@
         self._reopens_idle = False
         self._is_outdated = False
         self._on_reopened: abc.Callable[[], None] = lambda: None
+        self._on_refused: OnRefused = lambda record, detail: None
+        # How many of the next records were part of a refused batch, and how
+        # many of them are sent at once to find the one that caused it.
+        self._suspect_records = 0
+        self._max_batch_records = 1
         self._pending: list[_PendingRecord] = []
         self._in_flight: list[_PendingRecord] = []
         self._wake_event = asyncio.Event()
@@ -113,6 +134,10 @@
         """Sets the function to call when `reopen` has succeeded."""
         self._on_reopened = action
 
+    def on_refused(self, action: OnRefused) -> None:
+        """Sets the function to call with each record that is refused."""
+        self._on_refused = action
+
     def failure_duration_s(self) -> float:
         """Returns for how many seconds appends have failed; 0 if none fails."""
         if self._failing_since_s is None:
@@ -245,7 +270,10 @@
                 self._on_reopened()
             return
         failure = outcome.failure()
-        if failure.rejection is not None:
+        if failure.rejection not in (
+            None,
+            interface.RejectionReason.INVALID,
+        ):
             self._is_outdated = (
                 failure.rejection is not interface.RejectionReason.FENCED
             )
@@ -298,6 +326,8 @@
             size += len(entry.record.value) if entry.record else 0
             if count and size > MAX_BATCH_BYTES:
                 break
+            if self._suspect_records and count >= self._max_batch_records:
+                break
             count += 1
         batch, self._pending = self._pending[:count], self._pending[count:]
         return batch
@@ -327,6 +357,9 @@
                 # latest of its key, so appending it again is harmless.
                 self._sequence = failure.expected or 0
                 continue
+            if failure.rejection is interface.RejectionReason.INVALID:
+                self._handle_refusal(batch, failure)
+                return
             if failure.rejection is not None:
                 # Fencing an attempt proves nothing about an earlier one that
                 # got no reply.
@@ -355,10 +388,33 @@
         self._in_flight = []
         self._sequence += 1
         self._end = outcome.unwrap()
+        self._suspect_records = max(0, self._suspect_records - len(batch))
         for entry in batch:
             if not entry.stored.done():
                 entry.stored.set_result(None)
 
+    def _handle_refusal(
+        self, batch: list[_PendingRecord], failure: interface.StoreFailure
+    ) -> None:
+        """Fails the only record of a refused batch, or sends smaller batches.
+
+        Records are appended all or nothing, so the others of a batch are sent
+        again, in order, in batches of half its size until the refused one is
+        alone.
+        """
+        self._in_flight = []
+        self._wake_event.set()
+        if len(batch) > 1:
+            self._pending[:0] = batch
+            self._suspect_records = len(batch)
+            self._max_batch_records = len(batch) // 2
+            return
+        self._suspect_records = 0
+        _fail(batch, RefusedError(failure.detail))
+        for entry in batch:
+            if entry.record is not None:
+                self._on_refused(entry.record, failure.detail)
+
     def _fence(self) -> None:
         self._is_fenced = True
         self._wake_event.set()
--- a/src/chervillead/store/interface.py
+++ b/src/chervillead/store/interface.py
@@ -23,12 +23,14 @@
         OUT_OF_SEQUENCE: The sequence number isn't the expected one.
         NOT_A_MEMBER: The group doesn't know the member or its generation.
         OFFSET_EXPIRED: The offset is older than the retained records.
+        INVALID: The store never accepts such a call, whoever makes it.
     """
 
     FENCED = "fenced"
     OUT_OF_SEQUENCE = "sequence"
     NOT_A_MEMBER = "not-a-member"
     OFFSET_EXPIRED = "expired"
+    INVALID = "invalid"
 
 
 class StoreFailure(typing.NamedTuple):
@@ -56,6 +58,11 @@
     value: bytes
     offset: int = 0
 
+    @property
+    def size_bytes(self) -> int:
+        """Size of the record in the store, with its key."""
+        return 1 + len(self.key.encode()) + len(self.value)
+
 
 class Producer(typing.NamedTuple):
     """Identity of an appender, for fencing and for detecting duplicates.
--- a/tests/stand_ins/platform_store.py
+++ b/tests/stand_ins/platform_store.py
@@ -17,6 +17,7 @@
 PARTITIONS = 24
 APPEND_S = 0.004
 MAX_REMEMBERED = 5
+MAX_RECORD_BYTES = 262_144
 # Limits of one page of the newest records.
 MAX_PAGE_RECORDS = 500
 MAX_PAGE_BYTES = 1_000_000
@@ -75,6 +76,8 @@
         paths_without_reply: Calls to these paths are executed but get no reply.
         calls: Paths of the received calls, in order.
         hosts_without_joins: Entry hosts whose joins get no answer.
+        max_record_bytes: Longest record that is accepted, with its key.
+        refused_appends: Number of appends that were rejected for a record.
     """
 
     def __init__(self) -> None:
@@ -86,6 +89,8 @@
         self.paths_without_reply: set[str] = set()
         self.calls: list[str] = []
         self.hosts_without_joins: set[str] = set()
+        self.max_record_bytes = MAX_RECORD_BYTES
+        self.refused_appends = 0
         self._topics: dict[tuple[str, int], _Partition] = {}
         self._newest: dict[tuple[str, int], dict[str, tuple[int, bytes]]] = {}
         self._groups: dict[str, _Group] = {}
@@ -200,6 +205,9 @@
         topic, number = query["Topic"], int(query["part"])
         partition = self._partition(topic, number)
         records = _split(request.body)
+        if any(len(record) > self.max_record_bytes for record in records):
+            self.refused_appends += 1
+            return _json({}, 400)
         if "Producer" not in query:
             offset = self._store_records(topic, number, records)
             return _json({"Offset": offset, "End": partition.end})
