Pause before a worker is polled again whose ended run can't be recorded

Callers saw nothing yet; a process with such a worker used its processor for polls alone.

Cause: a worker responds at once while it lists an end that isn't acknowledged. The watch waited for the record of the end, and not at all once that record had failed, so that polls followed one another.

--- a/src/chervillead/workers/watch.py
+++ b/src/chervillead/workers/watch.py
@@ -189,10 +189,14 @@
         self._unrecorded.append(
             _EndBatch(view.applied_end, view.incarnation, records)
         )
-        pending = [r for batch in self._unrecorded for r in batch.records]
-        if pending:
-            await asyncio.wait(pending, timeout=RECORD_TIMEOUT_S)
+        records = [r for batch in self._unrecorded for r in batch.records]
+        if records:
+            await asyncio.wait(records, timeout=RECORD_TIMEOUT_S)
         self._acknowledge_recorded()
+        if self._unrecorded and all(record.done() for record in records):
+            # The store has refused a record, so the worker goes on responding
+            # at once.
+            await asyncio.sleep(RECORD_TIMEOUT_S)
 
     def _acknowledge_recorded(self) -> None:
         """Acknowledges ended runs up to the first unstored record."""
--- a/tests/steps/workers_watch.py
+++ b/tests/steps/workers_watch.py
@@ -9,6 +9,7 @@
 from chervillead import verdicts
 from chervillead.jobs import model
 from chervillead.jobs import task_runs
+from chervillead.store import group_commit
 from chervillead.workers import interface
 from chervillead.workers import view as view_module
 from chervillead.workers import watch as watch_module
@@ -30,9 +31,23 @@
         # which they were applied.
         self.pace_delays_s = []
         self.applied_paces = []
+        self.polls = []
+        self.has_ended = False
 
     async def poll(self, request):
-        """Lists the run until it is stopped."""
+        """Lists the run until it is stopped, or its end at once."""
+        self.polls.append(request)
+        if self.has_ended:
+            await asyncio.sleep(0.005)
+            end = task_runs.RunEnd(self.run.key, task_runs.EndKind.DONE)
+            return result.Success(
+                interface.WorkerStatus(
+                    int(1000 * asyncio.get_running_loop().time()),
+                    INCARNATION,
+                    (),
+                    (interface.EndedRun(1, end),),
+                )
+            )
         await asyncio.sleep(0.1)
         if request.lease_until_clock_ms is not None:
             self.leases.append(request.lease_until_clock_ms)
@@ -182,7 +197,13 @@
             now_s = asyncio.get_running_loop().time()
             view.record_clock(status.clock_ms, now_s)
             view.last_contact_s = now_s
-            return []
+            ends = [e for e in status.ended if e.number > view.applied_end]
+            if not ends:
+                return []
+            view.applied_end = ends[-1].number
+            refused = asyncio.get_running_loop().create_future()
+            refused.set_exception(group_commit.RefusedError("too long"))
+            return [refused]
 
         ports = watch_ports.WatchPorts(
             clock=virtual_time.clock(),
@@ -209,6 +230,29 @@
     return context.worker
 
 
+@behave.when("the run ends and its record is refused")
+def step(context):
+    def end(watch, run):
+        del run
+        watch._client.has_ended = True
+        watch._client.polls.clear()
+
+    context.actions.append(end)
+
+
+@behave.then("the end isn't acknowledged")
+def step(context):
+    worker = run_watch(context)
+    assert worker.polls
+    assert {poll.acknowledged_end for poll in worker.polls} == {0}
+
+
+@behave.then("the worker is polled at most {count:d} times")
+def step(context, count):
+    polls = run_watch(context).polls
+    assert len(polls) <= count, len(polls)
+
+
 @behave.then("the worker gets a stop and a pace")
 def step(context):
     kinds = {kind for kind, _ in run_watch(context).commands}
--- a/tests/workers/watch.feature
+++ b/tests/workers/watch.feature
@@ -61,3 +61,12 @@
       | first | s           |
       | 100   | 0.3 and 0.1 |
       | 100   | 0.1 and 0.3 |
+
+  Scenario: The record of an ended run is refused
+    # Guards against an end that is acknowledged although it isn't stored, and
+    # against polls one after the other for as long as it can't be.
+    Given a watched worker with a run
+    When the run ends and its record is refused
+    And no other command follows for a second
+    Then the end isn't acknowledged
+    And the worker is polled at most 8 times
