Store the progress of a job in parts of bounded size

Cause: the progress of all begun tasks stood in one record, 296,000 bytes with checkpoints of 16 characters, and the store accepts 262,144. Each end wrote it again: over a link of 5 Mbit/s, half a second for one end.

A part holds the progress of 128 consecutive tasks over all occurrences and steps now, under a key of its own. An end writes its part, a few kilobytes; how a job has ended stands in the first part, which is stored first, so that no owner starts a task whose last attempt has failed. Members of a gang are done together even if not all of its parts were stored. A part with checkpoints that are too long is stored without them, and logged. A record of an earlier build is read whole and replaced last, after its parts.

The step "restores it from its record" of task_numbers.feature reads all records of the job now, since a job of 1,200 tasks has ten; its checks are the same.

--- a/src/chervillead/jobs/job_state.py
+++ b/src/chervillead/jobs/job_state.py
@@ -8,6 +8,7 @@
 import collections
 from collections import abc
 import enum
+import itertools
 import statistics
 import typing
 
@@ -103,6 +104,8 @@
         is_over_rate: Whether the job was submitted beyond the agreed rate of
             its account. It isn't stored: a job that a later owner loads counts
             as within the rate.
+        has_unsplit_progress: Whether the progress that previous owners stored
+            is one record although it belongs to several parts.
         stored_end: How the job ended, as the store has confirmed it; None until
             then. A later owner knows only what is stored.
     """
@@ -117,6 +120,11 @@
         self._spec = spec
         self.terms = terms
         self._accepted_s = accepted_s
+        *firsts, total = itertools.accumulate(
+            (step.tasks for step in spec.steps), initial=0
+        )
+        self._first_tasks = tuple(firsts)
+        self._tasks_per_occurrence = total
         self.done: dict[tuple[int, int], task_numbers.TaskNumbers] = {}
         self.failed_runs: dict[model.TaskKey, set[int]] = {}
         self.crashed_runs: dict[model.TaskKey, set[int]] = {}
@@ -141,6 +149,7 @@
         self.is_failed = False
         self.recovering_until_s = 0.0
         self.is_over_rate = False
+        self.has_unsplit_progress = False
         self.revision = 0
         self.latest_start: (
             tuple[tuple[int, tuple[float, ...], model.JobTerms], float] | None
@@ -160,6 +169,16 @@
         """The accepted job."""
         return self._spec
 
+    @property
+    def first_tasks(self) -> tuple[int, ...]:
+        """How many tasks of an occurrence precede each of its steps."""
+        return self._first_tasks
+
+    @property
+    def tasks_per_occurrence(self) -> int:
+        """Number of tasks of one occurrence, over all steps."""
+        return self._tasks_per_occurrence
+
     @property
     def accepted_s(self) -> float:
         """Time at which the job was accepted, by the owner's clock."""
--- a/src/chervillead/platform/settings.py
+++ b/src/chervillead/platform/settings.py
@@ -256,6 +256,7 @@
         host_lease_s=_number(document, "Bounds.LeaseMs", 3000) / 1000,
         pace_delay_ms=int(_number(document, "Bounds.PaceMs", 100)),
         accepted_jobs=_accepted_jobs(document),
+        max_record_bytes=_field(document, "platform.RecordBytes", int),
     )
 
 
--- a/src/chervillead/pools/crash_tracking.py
+++ b/src/chervillead/pools/crash_tracking.py
@@ -87,7 +87,7 @@
             and crash_evidence.add_unconfirmed_crash(job, run)
         ):
             state.log_run("run:crash-suspected", run)
-            state.recorder.store_progress(job)
+            state.recorder.store_progress(job, (run.task,))
 
 
 def give_up_jobs(
@@ -170,5 +170,5 @@
         )
         if job.is_finished:
             job_endings.handle_end(state, job)
-        appends.append(state.recorder.store_progress(job))
+        appends.append(state.recorder.store_progress(job, (task,)))
     return appends
--- a/src/chervillead/pools/owner_state.py
+++ b/src/chervillead/pools/owner_state.py
@@ -106,7 +106,9 @@
         self._lease_ms = min(LEASE_MS, ports.limits.max_lease_ms)
         self._wake = asyncio.Event()
         self._usage = account_usage.AccountUsage()
-        self._recorder = job_recorder.JobRecorder(writer)
+        self._recorder = job_recorder.JobRecorder(
+            writer, ports.limits.max_record_bytes, ports.log
+        )
         writer.on_reopened(self._apply_reopened)
         self.jobs = job_table.JobTable()
         self.watches: dict[str, watch_module.WorkerWatch] = {}
@@ -338,7 +340,7 @@
                 kind is not task_runs.EndKind.WORKER_CRASHED
                 and crash_evidence.retract_crash(job, run.task, run.number)
             ):
-                self._recorder.store_progress(job)
+                self._recorder.store_progress(job, (run.task,))
         self.log_run("run:ended", run, how=kind.value)
         self.wake()
 
--- a/src/chervillead/pools/placement_pass.py
+++ b/src/chervillead/pools/placement_pass.py
@@ -248,7 +248,9 @@
             # Its worker may crash, and this owner be replaced, at once: then
             # only the record tells the next one of this run.
             crash_evidence.add_unconfirmed_crash(ready.job, run)
-            run.recorded = self._state.recorder.store_progress(ready.job)
+            run.recorded = self._state.recorder.store_progress(
+                ready.job, (ready.task,)
+            )
         self._state.jobs.mark_changed(ready.job.spec.job_id)
         self._state.track_run(watch.view, run)
         self._workers.update(watch.view)
--- a/src/chervillead/pools/ports.py
+++ b/src/chervillead/pools/ports.py
@@ -31,6 +31,7 @@
             the hosts partition and those of the next one.
         pace_delay_ms: How long a worker takes to apply a new pace.
         accepted_jobs: Limits on the memory of accepted jobs.
+        max_record_bytes: Longest record that the store accepts, in bytes.
     """
 
     max_lease_ms: int = 6000
@@ -41,6 +42,7 @@
     host_lease_s: float = 3.0
     pace_delay_ms: int = 100
     accepted_jobs: held_jobs.Limits = held_jobs.Limits()
+    max_record_bytes: int = 262_144
 
     @property
     def host_lead_time_s(self) -> float:
--- a/src/chervillead/pools/run_tracking.py
+++ b/src/chervillead/pools/run_tracking.py
@@ -56,15 +56,16 @@
     reported = {running.run for running in status.running}
     for running in status.running:
         _apply_running(state, view, running, status.clock_ms)
-    changed_jobs: dict[str, job_state.JobState] = {}
+    changed_tasks: dict[str, list[model.TaskKey]] = {}
     for ended in status.ended:
         if ended.number <= view.applied_end:
             continue
         view.applied_end = ended.number
         reported.add(ended.end.run)
-        job = _apply_end(state, view, ended.end)
-        if job is not None:
-            changed_jobs[job.spec.job_id] = job
+        if _apply_end(state, view, ended.end):
+            changed_tasks.setdefault(ended.end.run.job_id, []).append(
+                ended.end.run.task
+            )
     if status.has_more_ends:
         state.log(
             "worker:more-ends", worker=view.worker_id, listed=len(status.ended)
@@ -74,7 +75,8 @@
     state.changed_workers.add(view.worker_id)
     state.wake()
     appends += [
-        state.recorder.store_progress(job) for job in changed_jobs.values()
+        state.recorder.store_progress(state.jobs[job_id], tasks)
+        for job_id, tasks in changed_tasks.items()
     ]
     return appends
 
@@ -126,7 +128,7 @@
     job.has_started = True
     _correct_stored_crash(state, job, run)
     if crash_evidence.clear_long_run(job, run, state.now_s()):
-        state.recorder.store_progress(job)
+        state.recorder.store_progress(job, (run.task,))
     if running.checkpoint:
         job.checkpoints[run.task] = running.checkpoint
     if job.is_finished:
@@ -159,7 +161,7 @@
     if run.task in job.crashed_runs:
         # Its next crash may come unseen as well.
         crash_evidence.add_unconfirmed_crash(job, run)
-    state.recorder.store_progress(job)
+    state.recorder.store_progress(job, (run.task,))
 
 
 def _track_found_run(
@@ -197,12 +199,12 @@
     state: owner_state.OwnerState,
     view: view_module.WorkerView,
     end: task_runs.RunEnd,
-) -> job_state.JobState | None:
-    """Applies an end; returns the job if its stored progress changed."""
+) -> bool:
+    """Applies an end; returns whether stored progress of its job changed."""
     job = state.jobs.get(end.run.job_id)
     run = state.forget_run(view, end.run)
     if job is None or not job.has_task(end.run.task):
-        return None
+        return False
     now_s = state.now_s()
     was_finished, was_done = job.is_finished, job.is_done(end.run.task)
     max_attempts = state.terms_of(job).max_attempts
@@ -234,7 +236,7 @@
         )
     if job.is_finished and not was_finished:
         job_endings.handle_end(state, job)
-    return job if changed else None
+    return changed
 
 
 def _update_health(
--- a/src/chervillead/pools/takeover.py
+++ b/src/chervillead/pools/takeover.py
@@ -89,6 +89,7 @@
     owner.state.unreadable_jobs.update(
         _stored_ids(stored) - {job.spec.job_id for job in jobs}
     )
+    _take_over_parts(owner.state, stored)
     for key in _keys_without_job(stored):
         writer.delete(key)
     ports.log(
@@ -151,15 +152,45 @@
                 accepted_s=now_s - age_s,
                 terms=terms.get(spec.job_id),
             )
+    for job_id, parts in _restore_progress(jobs, stored, log).items():
+        records.apply_parts(jobs[job_id], parts, now_s)
+    return list(jobs.values())
+
+
+def _restore_progress(
+    jobs: abc.Mapping[str, job_state.JobState],
+    stored: tuple[store_interface.KeyedRecord, ...],
+    log: abc.Callable[..., None],
+) -> dict[str, dict[int, records.Progress]]:
+    """Returns the readable parts of the progress of each job, by number."""
+    progress: dict[str, dict[int, records.Progress]] = {}
     for record in stored:
-        job = jobs.get(record.key[1:])
-        if not record.key.startswith(records.PROGRESS_PREFIX) or job is None:
+        job_id, part = records.parse_progress_key(record.key) or ("", 0)
+        job = jobs.get(job_id)
+        if job is None:
             continue
         try:
-            records.apply_progress(job, record.value, now_s)
+            decoded = records.decode_progress(job, record.value)
         except records.MalformedRecordError as error:
             log("record:unreadable", key=record.key, error=str(error))
-    return list(jobs.values())
+            continue
+        progress.setdefault(job_id, {})[part] = decoded
+    return progress
+
+
+def _take_over_parts(
+    state: owner_state.OwnerState,
+    stored: tuple[store_interface.KeyedRecord, ...],
+) -> None:
+    """Notes which parts of progress are stored, and splits undivided ones."""
+    for record in stored:
+        job_id, part = records.parse_progress_key(record.key) or ("", 0)
+        if job_id in state.jobs:
+            state.recorder.restore_parts(job_id, (part,))
+    for job in state.jobs.unfinished():
+        if job.has_unsplit_progress:
+            state.recorder.split_progress(job)
+            job.has_unsplit_progress = False
 
 
 def _decode_records(
@@ -205,15 +236,18 @@
 def _keys_without_job(
     stored: tuple[store_interface.KeyedRecord, ...],
 ) -> abc.Iterator[str]:
-    """Yields the keys of terms without a spec.
+    """Yields the keys of terms and parts of progress without a spec.
 
-    They stay when a submission was given up between the two records, and when
-    an earlier build has deleted a job.
+    Terms stay when a submission was given up between the two records, and when
+    an earlier build has deleted a job, and so do further parts then.
     """
     keys = {record.key for record in stored}
-    return (
-        key
-        for key in sorted(keys)
-        if key.startswith(records.TERMS_PREFIX)
-        and records.spec_key(key[1:]) not in keys
-    )
+    for key in sorted(keys):
+        if key.startswith(records.TERMS_PREFIX):
+            job_id = key.removeprefix(records.TERMS_PREFIX)
+        else:
+            job_id, part = records.parse_progress_key(key) or ("", 0)
+            if not part:
+                continue
+        if records.spec_key(job_id) not in keys:
+            yield key
--- a/src/chervillead/store/group_commit.py
+++ b/src/chervillead/store/group_commit.py
@@ -71,6 +71,34 @@
     )
 
 
+def all_stored(
+    appends: abc.Sequence[asyncio.Future[None]],
+) -> asyncio.Future[None]:
+    """Returns a future that completes when all of some appends have.
+
+    It raises the AppendError of one of them if any has failed.
+    """
+    if len(appends) == 1:
+        return appends[0]
+    stored = asyncio.get_running_loop().create_future()
+    stored.add_done_callback(lambda f: f.cancelled() or f.exception())
+    missing = set(appends)
+
+    def note(done: asyncio.Future[None]) -> None:
+        missing.discard(done)
+        if stored.done():
+            return
+        if not is_stored(done):
+            error = None if done.cancelled() else done.exception()
+            stored.set_exception(error or DiscardedError(may_be_stored=False))
+        elif not missing:
+            stored.set_result(None)
+
+    for append in appends:
+        append.add_done_callback(note)
+    return stored
+
+
 class _PendingRecord(typing.NamedTuple):
     # None to confirm the ownership without a record.
     record: interface.KeyedRecord | None
--- a/tests/jobs/task_numbers.feature
+++ b/tests/jobs/task_numbers.feature
@@ -28,7 +28,7 @@
     # Guards against a new owner that starts completed tasks again.
     Given an accepted job of 2 steps with 600 occurrences
     When 700 of its tasks complete as they become ready
-    And a new owner restores it from its record
+    And a new owner restores it from its records
     And its tasks complete as they become ready
     Then it is completed after 1200 tasks
 
--- a/tests/steps/jobs_task_numbers.py
+++ b/tests/steps/jobs_task_numbers.py
@@ -7,6 +7,7 @@
 
 from chervillead.jobs import job_state
 from chervillead.jobs import model
+from chervillead.jobs import progress_parts
 from chervillead.jobs import records
 from chervillead.jobs import task_numbers
 from chervillead.jobs import task_runs
@@ -130,11 +131,18 @@
     complete(context, count)
 
 
-@behave.when("a new owner restores it from its record")
+@behave.when("a new owner restores it from its records")
 def step(context):
-    value = records.encode_progress(context.job)
+    values = {
+        part: records.encode_progress(context.job, part)
+        for part in progress_parts.begun_parts(context.job)
+    }
     context.job = job_state.JobState(context.job.spec, accepted_s=0.0)
-    records.apply_progress(context.job, value, 0.0)
+    parts = {
+        part: records.decode_progress(context.job, value)
+        for part, value in values.items()
+    }
+    records.apply_parts(context.job, parts, 0.0)
 
 
 @behave.then("it is completed after {tasks:d} tasks")
