Look at the time of a placement pass after each start

Cause: a pass looked at its time between jobs only, so that a step was placed in one go. That blocks the event loop for longer than a membership lasts, and the next owner meets the same step.

A pass looks at its time after each start now. If it ends within a step, the next one begins with the first job again: more urgent jobs that have come go before the rest of the step.

--- a/src/chervillead/pools/placement_pass.py
+++ b/src/chervillead/pools/placement_pass.py
@@ -59,7 +59,7 @@
         self._no_room_for: dict[str, list[model.Resources]] = {}
         self._started = 0
 
-    def run(self, *, is_thorough: bool, skip: int = 0) -> int:
+    def run(self, *, is_thorough: bool, skip: int = 0) -> int | None:
         """Starts all tasks that may start now.
 
         Args:
@@ -69,18 +69,22 @@
             skip: Number of jobs that the pass before has considered.
 
         Returns:
-            Number of jobs that the next pass should skip, since the time of
-            this one ended before it considered all; 0 if it did.
+            None if all jobs were considered. Otherwise the time of this pass
+            ended, and the next one should skip that many jobs. One that ended
+            within a step skips none: jobs that have come meanwhile may go
+            before the rest of the step, and those before it had no room.
         """
         jobs = self._ordered_jobs(is_thorough=is_thorough)
         now_unix_ms = 1000 * self._state.ports.clock.wall()
         for number, job in enumerate(itertools.islice(jobs, skip, None), skip):
-            if self._state.now_s() - self._now_s > MAX_PASS_S:
+            if self._is_over():
                 return number
-            self._place_job(job, now_unix_ms)
+            is_complete = self._place_job(job, now_unix_ms)
             if job.is_finished:
                 # A cancel doesn't tell the index of waiting jobs.
                 self._state.jobs.mark_changed(job.spec.job_id)
+            if not is_complete:
+                return 0
         if is_thorough:
             for ready in self._stragglers():
                 if ready.job.spec.pool not in self._full_pools:
@@ -88,28 +92,41 @@
             run_moves.move_from_slow_workers(
                 self._state, self._selection.candidates, self._full_pools
             )
-        return 0
+        return None
 
-    def _place_job(self, job: job_state.JobState, now_unix_ms: float) -> None:
+    def _is_over(self) -> bool:
+        """Returns whether the time of the pass has ended."""
+        return self._state.now_s() - self._now_s > MAX_PASS_S
+
+    def _place_job(self, job: job_state.JobState, now_unix_ms: float) -> bool:
+        """Starts tasks of a job; returns whether all were considered."""
         gangs = []
         for ready in readiness.ready_steps(job, self._now_s, now_unix_ms):
             if ready.step.gang:
                 gangs.append(ready)
-            else:
-                self._place_step(ready)
+            elif not self._place_step(ready):
+                return False
         for ready in gangs:
             if len(ready.tasks) == ready.step.tasks:
                 self._place(list(ready.ready_tasks()))
+        return True
+
+    def _place_step(self, step: readiness.ReadyStep) -> bool:
+        """Starts tasks of a step until no further one can start.
 
-    def _place_step(self, step: readiness.ReadyStep) -> None:
-        """Starts tasks of a step until no further one can start."""
+        Returns:
+            Whether that is so; False if the time of the pass has ended.
+        """
         for ready in step.ready_tasks():
             verdict = self._place([ready])
             if verdict in (
                 worker_selection.Verdict.OVER_QUOTA,
                 worker_selection.Verdict.NO_ROOM,
             ):
-                return
+                return True
+            if self._is_over():
+                return False
+        return True
 
     def _ordered_jobs(
         self, *, is_thorough: bool
--- a/src/chervillead/pools/placement_scheduler.py
+++ b/src/chervillead/pools/placement_scheduler.py
@@ -40,7 +40,7 @@
         self._overload = state.overload
         self._configuration_version: int | None = None
         # A pass that ran out of time goes on in the next one.
-        self._skipped_jobs = 0
+        self._skipped_jobs: int | None = None
         self._is_thorough = False
         self._pass_time_s = 0.0
         self._thorough_from_s = float("-inf")
@@ -70,9 +70,9 @@
             self._workers,
             self._waiting,
             self._unknown_usage(),
-        ).run(is_thorough=self._is_thorough, skip=self._skipped_jobs)
+        ).run(is_thorough=self._is_thorough, skip=self._skipped_jobs or 0)
         self._pass_time_s += state.now_s() - begin_s
-        if self._skipped_jobs:
+        if self._skipped_jobs is not None:
             state.wake()
             return
         if self._is_thorough:
--- a/tests/pools/placement_pass.feature
+++ b/tests/pools/placement_pass.feature
@@ -8,3 +8,12 @@
     When 150 random sequences of events reach the owner of a pool
     Then after each pass no waiting task fits on any worker
     And no worker holds more than its capacity
+
+  Scenario: A step of many tasks waits
+    # Guards against a pass that blocks its host for longer than its membership
+    # lasts, so that the host loses its partitions and no task begins.
+    Given an owner whose clock advances by 0.1 ms whenever it is read
+    When a step of 20000 tasks waits and an urgent job comes after the first pass
+    Then no pass takes longer than 40 ms
+    And the urgent job starts in the second pass
+    And all tasks have started after 200 passes at most
--- a/tests/stand_ins/memory_partition.py
+++ b/tests/stand_ins/memory_partition.py
@@ -33,6 +33,7 @@
 
     Attributes:
         now_s: Time of the owner's clock.
+        tick_s: How much the clock advances each time that it is read.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         start_s: float = START_S,
     ) -> None:
         self.now_s = start_s
+        self.tick_s = 0.0
         # Runs of a previous owner, by worker, until the worker has reported
         # them.
         self._found = dict(running or {})
@@ -133,13 +135,17 @@
         """Ends the asyncio tasks of the workers."""
         await self._owner.workers.close_all()
 
+    def _read_clock(self) -> float:
+        self.now_s += self.tick_s
+        return self.now_s
+
     def _make_ports(
         self, configuration: model.FleetConfiguration
     ) -> ports.OwnerPorts:
         return ports.OwnerPorts(
             store=_unused_store(),
             open_worker=lambda registration, token: _silent_client(),
-            clock=types.Clock(lambda: self.now_s, lambda: self.now_s),
+            clock=types.Clock(self._read_clock, lambda: self.now_s),
             limits=ports.Limits(),
             configuration=lambda: configuration,
             zones_out=frozenset,
--- a/tests/steps/pools_placement_pass.py
+++ b/tests/steps/pools_placement_pass.py
@@ -240,3 +240,87 @@
 @behave.then("no worker holds more than its capacity")
 def step(context):
     assert not context.overloaded, context.overloaded
+
+
+def single_step_job(number, priority, tasks):
+    """Returns a job of tasks that all fit, and the terms of its queue."""
+    queue = model.Queue(
+        "queue", "host", "/", memory_partition.POOL, priority=priority
+    )
+    spec = model.JobSpec(
+        f"{number:016x}",
+        queue.name,
+        memory_partition.POOL,
+        "account",
+        "x",
+        (model.Step(tasks, model.Resources(1, 1)),),
+    )
+    return job_state.JobState(spec, accepted_s=0.0, terms=queue.terms)
+
+
+@behave.given(
+    "an owner whose clock advances by {tick:g} ms whenever it is read"
+)
+def step(context, tick):
+    context.tick_s = tick / 1000
+
+
+async def place_large_step(context, tasks):
+    """Runs passes until all tasks have started."""
+    queue = model.Queue("queue", "host", "/", memory_partition.POOL)
+    configuration = model.FleetConfiguration(
+        1,
+        {queue.name: queue},
+        {memory_partition.POOL: model.Pool(memory_partition.POOL)},
+        {"account": model.Account("account", 1.0, model.Resources())},
+        {},
+        262_144,
+    )
+    workers = [
+        memory_partition.make_worker(
+            f"i-{number}", model.Resources(100_000, 100_000)
+        )
+        for number in range(4)
+    ]
+    partition = memory_partition.MemoryPartition(
+        configuration, workers, [single_step_job(1, 1, tasks)]
+    )
+    partition.tick_s = context.tick_s
+    urgent = single_step_job(2, 0, 1)
+    context.pass_s, context.urgent_after = [], 0
+    while len(context.pass_s) < 1000:
+        began_s = partition.now_s
+        partition.run_pass()
+        context.pass_s.append(partition.now_s - began_s)
+        if len(context.pass_s) == 1:
+            partition.state.jobs[urgent.spec.job_id] = urgent
+        if urgent.runs and not context.urgent_after:
+            context.urgent_after = len(context.pass_s)
+        if not any(
+            job.has_pending for job in partition.state.jobs.unfinished()
+        ):
+            break
+    await partition.close()
+
+
+@behave.when(
+    "a step of {tasks:d} tasks waits and an urgent job comes after the first "
+    "pass"
+)
+def step(context, tasks):
+    asyncio.run(place_large_step(context, tasks))
+
+
+@behave.then("no pass takes longer than {limit:g} ms")
+def step(context, limit):
+    assert max(context.pass_s) <= limit / 1000, max(context.pass_s)
+
+
+@behave.then("the urgent job starts in the second pass")
+def step(context):
+    assert context.urgent_after == 2, context.urgent_after
+
+
+@behave.then("all tasks have started after {count:d} passes at most")
+def step(context, count):
+    assert len(context.pass_s) <= count, len(context.pass_s)
