Place no further tasks on a worker while many of its starts are unsent

Callers saw: beside a submission of thousands of small tasks, a task of another one began only after all starts that had been placed before it on the same worker, though other workers were free.

Cause: the same as for passes that place a whole step in one go: nothing bounds what is decided ahead. Starts are sent in the order of their placement, two at a time, so thousands of them keep an urgent one waiting for many seconds, whatever its priority.

A worker with 64 unanswered starts takes no further tasks; they are placed elsewhere, or in a later pass by the order that then holds.

--- a/src/chervillead/pools/schedulable_workers.py
+++ b/src/chervillead/pools/schedulable_workers.py
@@ -51,7 +51,7 @@
 
     def update(self, view: view_module.WorkerView) -> None:
         """Updates the room of a schedulable worker after a start."""
-        if view.is_isolated(self._state.now_s()):
+        if view.is_isolated(self._state.now_s()) or view.has_many_unsent_starts:
             self._discard(view.worker_id)
             self._waiting.add(view.worker_id)
             return
--- a/src/chervillead/workers/view.py
+++ b/src/chervillead/workers/view.py
@@ -15,6 +15,9 @@
 MIN_CLOCK_RATE = 0.98
 # Time without placements after the worker reported that it is unhealthy.
 UNHEALTHY_BACKOFF_S = 1.0
+# Starts are sent in the order of their placement, so more of them than this
+# would keep an urgent one waiting for seconds if the worker responds slowly.
+MAX_UNSENT_STARTS = 64
 
 
 class ClockReading(typing.NamedTuple):
@@ -50,6 +53,8 @@
         self.acknowledged_end = 0
         # Whether its last answer may have left out ended runs.
         self.has_more_ends = False
+        # Starts that were placed but haven't been answered yet.
+        self.unsent_starts = 0
         self.avoid_until_s = 0.0
         # Reason why its host is being drained; empty if it is not cordoned.
         self.cordoned_for = ""
@@ -82,6 +87,11 @@
         """Runs that may be on the worker."""
         return self._runs
 
+    @property
+    def has_many_unsent_starts(self) -> bool:
+        """Whether a further start would wait for long until it is sent."""
+        return self.unsent_starts >= MAX_UNSENT_STARTS
+
     @property
     def suspected_runs(self) -> int:
         """How many of its runs are of tasks that may crash it."""
@@ -276,6 +286,7 @@
             and self.is_answering
             and self.avoid_until_s <= now_s
             and not self.is_isolated(now_s)
+            and not self.has_many_unsent_starts
             # Long-running tasks don't end, so they tell nothing about its
             # health.
             and self.health.is_schedulable(
--- a/src/chervillead/workers/watch.py
+++ b/src/chervillead/workers/watch.py
@@ -84,6 +84,7 @@
         """Queues a start command and resumes polling of an idle worker."""
         if self._is_waiting_for_work and self._may_have_restarted():
             self._has_polled.clear()
+        self._view.unsent_starts += 1
         self._commands.put_nowait(Command(run, "start"))
         self._has_work.set()
 
@@ -250,6 +251,7 @@
             command = await self._commands.get()
             if command.kind == "start":
                 await self._send_start(command.run)
+                self._view.unsent_starts -= 1
             elif not self._ports.is_confirmed():
                 # The process may have been suspended since the command was
                 # queued. A stop is queued again while its run is listed.
--- a/tests/pools/large_jobs.feature
+++ b/tests/pools/large_jobs.feature
@@ -35,3 +35,16 @@
     When a job of 300 tiny tasks is submitted
     And 200 s pass
     Then the store has no record of the job
+
+  Scenario: A job is submitted while the starts of a large one are being sent
+    # Guards against tasks that wait for seconds behind thousands of starts that
+    # were queued for the same worker, beside others that are free.
+    Given a platform fleet of 3 hosts and 3 workers
+    And tasks run for 30 s
+    When workers take 50 ms for a start
+    And a job of 1500 minute tasks is submitted
+    And 1 s pass
+    And another job is submitted
+    And 40 s pass
+    Then the other job began within 3 s
+    And no invariant was violated on the workers
--- a/tests/steps/pools_large_jobs.py
+++ b/tests/steps/pools_large_jobs.py
@@ -69,3 +69,30 @@
         if platform_scenarios.JOB in key
     }
     assert not keys, keys
+
+
+@behave.when("a job of {tasks:d} minute tasks is submitted")
+def step(context, tasks):
+    context.tasks = tasks
+    platform_scenarios.add_action(
+        context,
+        platform_scenarios.submit,
+        steps=[platform_fleet.step(tasks, Cpu=1, MemMb=1)],
+    )
+
+
+@behave.when("another job is submitted")
+def step(context):
+    async def submit(fleet):
+        context.submitted_s = asyncio.get_running_loop().time()
+        await fleet.submit(OTHER_JOB, [platform_fleet.step(1)])
+
+    platform_scenarios.add_action(context, submit)
+
+
+@behave.then("the other job began within {seconds:g} s")
+def step(context, seconds):
+    runs = platform_scenarios.run_once(context).fleet.runs(OTHER_JOB)
+    assert runs, "it never began"
+    waited_s = runs[0].began_s - context.submitted_s
+    assert waited_s <= seconds, waited_s
