Go on behind a step of which a pass could start nothing

Callers saw nothing yet; found by reading the change of passes that end within a step.

Cause: such a pass began anew with the first job. If it can only look at a part of a step's tasks and start none, as they are suspected and wait for their turn, the jobs behind them are never looked at.

The next pass begins anew only if tasks of the step were started; otherwise it goes on behind the step.

--- a/src/chervillead/pools/placement_pass.py
+++ b/src/chervillead/pools/placement_pass.py
@@ -71,20 +71,22 @@
         Returns:
             None if all jobs were considered. Otherwise the time of this pass
             ended, and the next one should skip that many jobs. One that ended
-            within a step skips none: jobs that have come meanwhile may go
-            before the rest of the step, and those before it had no room.
+            within a step of which it started tasks skips none: jobs that have
+            come meanwhile may go before the rest of the step, and those before
+            it had no room.
         """
         jobs = self._ordered_jobs(is_thorough=is_thorough)
         now_unix_ms = 1000 * self._state.ports.clock.wall()
         for number, job in enumerate(itertools.islice(jobs, skip, None), skip):
             if self._is_over():
                 return number
+            started = self._started
             is_complete = self._place_job(job, now_unix_ms)
             if job.is_finished:
                 # A cancel doesn't tell the index of waiting jobs.
                 self._state.jobs.mark_changed(job.spec.job_id)
             if not is_complete:
-                return 0
+                return 0 if self._started > started else number + 1
         if is_thorough:
             for ready in self._stragglers():
                 if ready.job.spec.pool not in self._full_pools:
--- a/tests/pools/placement_pass.feature
+++ b/tests/pools/placement_pass.feature
@@ -17,3 +17,10 @@
     Then no pass takes longer than 40 ms
     And the urgent job starts in the second pass
     And all tasks have started after 200 passes at most
+
+  Scenario: Many suspected tasks wait for their turn
+    # Guards against a job that waits for ever behind one of which a pass can only
+    # look at a part of the tasks, and can start none.
+    Given an owner whose clock advances by 0.05 ms whenever it is read
+    When a step of 3000 suspected tasks waits and a usual job behind it
+    Then the usual job starts after 5 passes at most
--- a/tests/steps/pools_placement_pass.py
+++ b/tests/steps/pools_placement_pass.py
@@ -269,8 +269,8 @@
     context.tick_s = tick / 1000
 
 
-async def place_large_step(context, tasks):
-    """Runs passes until all tasks have started."""
+def make_partition(context, workers, jobs):
+    """Returns an owner of workers with room for all tasks of some jobs."""
     queue = model.Queue("queue", "host", "/", memory_partition.POOL)
     configuration = model.FleetConfiguration(
         1,
@@ -280,16 +280,24 @@
         {},
         262_144,
     )
-    workers = [
+    registrations = [
         memory_partition.make_worker(
             f"i-{number}", model.Resources(100_000, 100_000)
         )
-        for number in range(LARGE_POOL)
+        for number in range(workers)
     ]
     partition = memory_partition.MemoryPartition(
-        configuration, workers, [single_step_job(1, 1, tasks)]
+        configuration, registrations, jobs
     )
     partition.tick_s = context.tick_s
+    return partition
+
+
+async def place_large_step(context, tasks):
+    """Runs passes until all tasks have started."""
+    partition = make_partition(
+        context, LARGE_POOL, [single_step_job(1, 1, tasks)]
+    )
     urgent = single_step_job(2, 0, 1)
     context.pass_s, context.urgent_after = [], 0
     while len(context.pass_s) < 1000:
@@ -328,3 +336,31 @@
 @behave.then("all tasks have started after {count:d} passes at most")
 def step(context, count):
     assert len(context.pass_s) <= count, len(context.pass_s)
+
+
+async def place_beside_suspects(context, tasks):
+    """Runs passes until the job behind suspected tasks has started."""
+    suspected = single_step_job(1, 0, tasks)
+    usual = single_step_job(2, 1, 1)
+    partition = make_partition(context, 2, [suspected, usual])
+    for number in range(tasks):
+        task = model.TaskKey(0, 0, number)
+        suspected.crashed_runs[task] = {1}
+        suspected.suspected_s[task] = partition.now_s
+    context.passes = 0
+    while context.passes < 50 and not usual.runs:
+        partition.run_pass()
+        context.passes += 1
+    await partition.close()
+
+
+@behave.when(
+    "a step of {tasks:d} suspected tasks waits and a usual job behind it"
+)
+def step(context, tasks):
+    asyncio.run(place_beside_suspects(context, tasks))
+
+
+@behave.then("the usual job starts after {count:d} passes at most")
+def step(context, count):
+    assert context.passes <= count, context.passes
