Split the one record of an earlier build whatever its last byte holds

Callers saw nothing yet; found by reading the change to parts of progress. After an update, tasks of a large job that had ended would have run again.

Cause: whether the record of an earlier build holds several parts was decided by the last bit of its bitmap, which may lie beyond the step's tasks and was left out then. The record was replaced by its first part without the others.

Evidence: of the new examples those with 1,001 and 1,030 tasks failed before the change, and all pass now.

--- a/src/chervillead/jobs/records.py
+++ b/src/chervillead/jobs/records.py
@@ -353,14 +353,16 @@
     """
     tasks = [task.task for task in progress.tasks]
     tasks += [
-        model.TaskKey(step.occurrence, step.step, 8 * len(step.done) - 1)
+        model.TaskKey(step.occurrence, step.step, _last_number(job, step))
         for step in progress.steps
     ]
-    return any(
-        progress_parts.part_of(job, task) > 0
-        for task in tasks
-        if job.has_task(task)
-    )
+    return any(progress_parts.part_of(job, task) > 0 for task in tasks)
+
+
+def _last_number(job: job_state.JobState, step: StepProgress) -> int:
+    """Returns the highest number that a bitmap of a step may contain."""
+    last = job.spec.steps[step.step].tasks - 1
+    return min(last, max(0, 8 * len(step.done) - 1))
 
 
 def _unknown_part(part: StepProgress | TaskProgress) -> MalformedRecordError:
--- a/tests/jobs/progress_parts.feature
+++ b/tests/jobs/progress_parts.feature
@@ -36,15 +36,22 @@
       | 100000 occurrences of 1 tasks |
       | 1000 steps of 100 tasks       |
 
-  Scenario: A record of an earlier build
+  Scenario Outline: A record of an earlier build of a job of <tasks> tasks
     # Guards against tasks that run again after an update, as the new build reads
     # or overwrites what the old one stored in one record.
-    Given an unstored job of 1000 tasks
+    Given an unstored job of <tasks> tasks
     When all tasks have begun, failed 3 times and have checkpoints of 16 characters
-    And each third task is done
+    And <done> is done
     And an earlier build stores it as one record
     Then a later owner restores the same progress but for no checkpoints
-    And it stores all parts before it replaces that record
+    And it stores all <parts> parts before it replaces that record
+
+    Examples:
+      | tasks | done                        | parts |
+      | 1000  | each third task             | 8     |
+      | 1000  | each task but the first 100 | 8     |
+      | 1001  | each task but the first 100 | 8     |
+      | 1030  | each task but the first 100 | 9     |
 
   Scenario Outline: A gang of <tasks> tasks ends and its owner is killed between two records
     # Guards against a gang of which some members count as done: it would never be
--- a/tests/steps/jobs_progress_parts.py
+++ b/tests/steps/jobs_progress_parts.py
@@ -115,6 +115,13 @@
     )
 
 
+@behave.when("each task but the first {count:d} is done")
+def step(context, count):
+    for task in context.tasks[count:]:
+        key = task.occurrence, task.step
+        context.job.restore_done(key, (task.number,))
+
+
 @behave.then("each of its records has at most {size:d} bytes")
 def step(context, size):
     longest = max(r.size_bytes for r in context.written.records)
@@ -174,7 +181,7 @@
 @behave.when("an earlier build stores it as one record")
 def step(context):
     job = context.job
-    done = bytearray(125)
+    done = bytearray((len(context.tasks) + 7) // 8)
     for number in job.done[0, 0]:
         done[number // 8] |= 1 << number % 8
     tasks = tuple(
@@ -197,21 +204,21 @@
     context.log = []
 
 
-@behave.then("it stores all parts before it replaces that record")
-def step(context):
+@behave.then("it stores all {count:d} parts before it replaces that record")
+def step(context, count):
     later = restored(context, context.written.newest())
     assert later.has_unsplit_progress
     written = record(context, lambda recorder: recorder.split_progress(later))
     keys = [r.key for r in written.records]
     first = records.progress_key(JOB_ID)
-    assert len(keys) == 8 and keys.index(first) == 7, keys
+    assert len(keys) == count and keys[-1] == first, keys
     # A process may end after any of them.
-    for count in range(len(keys) + 1):
+    for stored_count in range(len(keys) + 1):
         stored = {r.key: r for r in context.written.records}
-        stored |= {r.key: r for r in written.records[:count]}
+        stored |= {r.key: r for r in written.records[:stored_count]}
         again = restored(context, tuple(stored.values()))
-        assert list(again.done[0, 0]) == list(later.done[0, 0]), count
-        assert again.failed_runs == later.failed_runs, count
+        assert list(again.done[0, 0]) == list(later.done[0, 0]), stored_count
+        assert again.failed_runs == later.failed_runs, stored_count
     assert not again.has_unsplit_progress
 
 
