--- a/tests/stand_ins/run_features.py
+++ b/tests/stand_ins/run_features.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+from collections import abc
 import os
 import pathlib
 import re
@@ -40,6 +41,8 @@
     "platform/hostile_jobs.feature",
     "platform/request_limits.feature",
 )
+# Begins the lines that tests/environment.py prints of failed steps.
+FAILED_STEP = "failed step: "
 _COUNTS = re.compile(r"^(\d+) scenarios? passed(.*)$", re.MULTILINE)
 _NOT_PASSED = re.compile(r"(\d+) (?:failed|error)")
 
@@ -87,6 +90,13 @@
     return int(match.group(1)), max(failed, 1 if status else 0)
 
 
+def failed_steps(output: str) -> abc.Iterator[str]:
+    """Yields the lines of a feature's output about failed steps."""
+    return (
+        line for line in output.splitlines() if line.startswith(FAILED_STEP)
+    )
+
+
 def _excluded_scenarios() -> tuple[str, ...]:
     """Returns the arguments that leave out scenarios of KNOWN-RED.txt.
 
@@ -140,6 +150,9 @@
     outcomes += [await run_one(path) for path in alone]
     passed = sum(outcome.passed for outcome in outcomes)
     failed = sum(outcome.failed for outcome in outcomes)
+    for outcome in outcomes:
+        for line in failed_steps(outcome.output):
+            print(line)
     print(f"{passed} scenarios passed, {failed} failed, 0 skipped")
     return 1 if failed or not passed else 0
 
--- a/tests/steps/platform_request_limits.py
+++ b/tests/steps/platform_request_limits.py
@@ -106,6 +106,23 @@
     return held
 
 
+def describe_process(local, folder):
+    """Returns what shows why the counts of a process aren't those at rest."""
+    accepted = {}
+    if local.is_running(0):
+        found = psutil.Process(local.process_id(0)).net_connections()
+        listening = {x.laddr.port for x in found if not x.raddr}
+        accepted = collections.Counter(
+            (x.laddr.port, x.status) for x in found if x.laddr.port in listening
+        )
+    log = (pathlib.Path(folder) / "host-0.log").read_text(errors="replace")
+    return (
+        f"runs: {local.is_running(0)}, connections: {dict(accepted)}, "
+        f"its page: port {local.metrics_address(0).port}, "
+        f"last lines: {[line[:200] for line in log.splitlines()[-5:]]}"
+    )
+
+
 async def run(context, folder, pattern, clients, port="callers"):
     """Runs the clients against one host and records what it used."""
     local = local_platform.LocalPlatform(
@@ -158,6 +175,9 @@
         for connection in opened:
             connection.writer.transport.abort()
         context.held = await held_at_rest(local)
+        context.held_report = (
+            "" if context.held == AT_REST else describe_process(local, folder)
+        )
     finally:
         await local.stop()
 
@@ -214,4 +234,4 @@
 
 @behave.then("nothing was counted as held after those clients had gone")
 def step(context):
-    assert context.held == AT_REST, context.held
+    assert context.held == AT_REST, (context.held, context.held_report)
