List the idle connections to the entries port as known red

Callers saw: nothing known.

Cause: not known. Ruled out by reading: a connection whose task ends without `close`, and a reservation without `release`. Not ruled out: the process ended, its metrics page didn't answer, or a connection was half open.

--- a/tests/platform/request_limits.feature
+++ b/tests/platform/request_limits.feature
@@ -38,9 +38,14 @@
     Examples:
       | clients | port    | pattern                                         |
       | 100     | entries | frames between hosts that stop before their end |
-      | 400     | entries | connections that send nothing                   |
       | 400     | metrics | connections that send nothing                   |
 
+    # Failed once, in CI; the cause isn't known. See KNOWN-RED.txt.
+    @known_red
+    Examples: Connections between hosts that stay idle
+      | clients | port    | pattern                                         |
+      | 400     | entries | connections that send nothing                   |
+
   Scenario Outline: A client that sends <pattern> learns that it was refused
     # Guards against connections that are closed without a word, on which a client
     # would send the same again at once.
